--- /dev/null
+++ b/src/lifttrestle/internal/cli/check.py
@@ -0,0 +1,48 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""``lifttrestle check``: finds every fault in a settings file."""
+
+import argparse
+import pathlib
+
+from returns.result import Failure
+
+from lifttrestle.internal.settings.load import check_settings
+
+EXIT_OK = 0
+EXIT_FAULT = 2
+
+
+def add_commands(commands: 'argparse._SubParsersAction') -> None:
+    """Add the command to the command line."""
+    parser = commands.add_parser(
+        'check', help='print every fault in settings files'
+    )
+    parser.add_argument(
+        'settings', type=pathlib.Path, nargs='+', metavar='SETTINGS'
+    )
+    parser.set_defaults(run=run)
+
+
+def run(options: argparse.Namespace) -> int:
+    """Check each file; exit 2 if there is a fault."""
+    faults = 0
+    for path in options.settings:
+        result = check_settings(path)
+        if isinstance(result, Failure):
+            for fault in result.failure():
+                print(fault)
+                faults += 1
+            continue
+        print(f'{path}: good')
+    return EXIT_FAULT if faults else EXIT_OK
--- /dev/null
+++ b/src/lifttrestle/internal/clock/manual.py
@@ -0,0 +1,42 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""A clock that moves only when told to, for replay and tests."""
+
+import datetime
+
+from lifttrestle.internal.clock.clock import Clock
+
+
+class ManualClock(Clock):
+    """Stands still until it is advanced or stepped."""
+
+    def __init__(self, start: datetime.datetime) -> None:
+        self._now = start
+        self._monotonic = 0.0
+
+    def now(self) -> datetime.datetime:
+        """Return the wall time that was set."""
+        return self._now
+
+    def monotonic(self) -> float:
+        """Return the seconds by which the clock was advanced."""
+        return self._monotonic
+
+    def advance(self, seconds: float) -> None:
+        """Let ``seconds`` pass on both times."""
+        self._monotonic += seconds
+        self._now += datetime.timedelta(seconds=seconds)
+
+    def step(self, seconds: float) -> None:
+        """Move the wall time alone, as a corrected machine clock does."""
+        self._now += datetime.timedelta(seconds=seconds)
--- /dev/null
+++ b/src/lifttrestle/internal/clock/system.py
@@ -0,0 +1,30 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""The clock of the machine."""
+
+import datetime
+import time
+
+from lifttrestle.internal.clock.clock import Clock
+
+
+class SystemClock(Clock):
+    """Reads the operating system's clocks."""
+
+    def now(self) -> datetime.datetime:
+        """Return the machine's wall time in UTC."""
+        return datetime.datetime.now(datetime.timezone.utc)
+
+    def monotonic(self) -> float:
+        """Return the machine's monotonic time in seconds."""
+        return time.monotonic()
--- /dev/null
+++ b/src/lifttrestle/internal/configuration/change.py
@@ -0,0 +1,28 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""One change to one item of the configuration."""
+
+import msgspec
+
+from lifttrestle.internal.configuration.model import ItemKind
+
+
+class Change(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Sets an item to a new body, or removes it.
+
+    :ivar body: the whole new item, or None to remove it.
+    """
+
+    kind: ItemKind
+    name: str
+    body: dict[str, object] | None = None
--- /dev/null
+++ b/src/lifttrestle/internal/configuration/judgement.py
@@ -0,0 +1,70 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Whether a proposed plan can be accepted, and who holds it up."""
+
+import dataclasses
+
+from lifttrestle.internal.configuration.plan import Plan
+from lifttrestle.internal.membership.member import Member
+from lifttrestle.internal.membership.member import Members
+from lifttrestle.internal.platform.vm import Vm
+
+
+@dataclasses.dataclass(frozen=True)
+class Judgement:
+    """The routers that a plan still waits for, and those that are gone.
+
+    :ivar gone: instances whose VM is no longer listed.
+    """
+
+    waiting: tuple[Member, ...] = ()
+    gone: tuple[Member, ...] = ()
+
+    @property
+    def complete(self) -> bool:
+        """Return whether every router concerned has acknowledged."""
+        return not self.waiting
+
+    def group_waiting(self) -> dict[str, list[str]]:
+        """Return the waiting routers' names by data centre."""
+        groups: dict[str, list[str]] = {}
+        for member in self.waiting:
+            groups.setdefault(member.data_centre, []).append(member.name)
+        return groups
+
+
+def judge_plan(
+    plan: Plan,
+    members: Members,
+    acknowledged: set[str],
+    vms: dict[str, Vm] | None,
+) -> Judgement:
+    """Judge a proposed plan.
+
+    :param acknowledged: the instances that obey the plan already.
+    :param vms: the VM list, or None while it is not known. A router leaves
+        the count only when its VM is gone, never for its silence: a paused
+        one may wake.
+    """
+    waiting = []
+    gone = []
+    for member in members.routers:
+        if member.data_centre not in plan.concerns:
+            continue
+        if member.instance in acknowledged:
+            continue
+        if vms is not None and member.listed and member.vm not in vms:
+            gone.append(member)
+            continue
+        waiting.append(member)
+    return Judgement(tuple(waiting), tuple(gone))
--- /dev/null
+++ b/src/lifttrestle/internal/configuration/keys.py
@@ -0,0 +1,44 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""The keys of the rows in the table service."""
+
+from lifttrestle.internal.configuration.model import ItemKind
+
+HEAD = 'configuration/head'
+ITEMS = 'configuration/item/'
+MEMBERS = 'membership/members'
+
+
+def name_item(kind: ItemKind, name: str) -> str:
+    """Return the key of an item's row."""
+    return f'{ITEMS}{kind.value}/{name}'
+
+
+def name_change(revision: int) -> str:
+    """Return the key of the changes that made a revision."""
+    return f'configuration/change/{revision:012d}'
+
+
+def name_plan(plan_id: str) -> str:
+    """Return the key of a plan."""
+    return f'configuration/plan/{plan_id}'
+
+
+def list_acknowledgements(plan_id: str) -> str:
+    """Return the prefix of all acknowledgements of a plan."""
+    return f'configuration/acknowledgement/{plan_id}/'
+
+
+def name_acknowledgement(plan_id: str, instance: str) -> str:
+    """Return the key of one router's acknowledgement."""
+    return list_acknowledgements(plan_id) + instance
--- /dev/null
+++ b/src/lifttrestle/internal/configuration/stricter.py
@@ -0,0 +1,103 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""What may be done while it is not known which of two documents is in force.
+
+A router that has acknowledged a proposal obeys both the accepted document and
+the proposed one, so whichever turns out to be in force was obeyed.
+"""
+
+import dataclasses
+
+from lifttrestle.internal.configuration.change import Change
+from lifttrestle.internal.configuration.document import Document
+from lifttrestle.internal.configuration.model import Embargo
+from lifttrestle.internal.configuration.model import Item
+from lifttrestle.internal.configuration.model import ItemKind
+from lifttrestle.internal.configuration.model import Workspace
+
+
+@dataclasses.dataclass(frozen=True)
+class Stricter:
+    """The document to obey and the items on which the two disagree.
+
+    :ivar held: models and services that are different in both; requests
+        for them wait until it is known which is in force.
+    """
+
+    document: Document
+    held: frozenset[tuple[ItemKind, str]] = frozenset()
+
+
+def combine_documents(old: Document, changes: tuple[Change, ...]) -> Stricter:
+    """Return what both ``old`` and ``old`` after ``changes`` allow."""
+    new = old.apply(changes)
+    held = set()
+    tables = {kind: dict(old.get_items(kind)) for kind in ItemKind}
+    for kind, name in {(item.kind, item.name) for item in changes}:
+        before = old.get_items(kind).get(name)
+        after = new.get_items(kind).get(name)
+        both = _combine_items(before, after)
+        if both is not None:
+            tables[kind][name] = both
+            continue
+        tables[kind].pop(name, None)
+        if before is not None and after is not None:
+            held.add((kind, name))
+    document = Document(
+        tables[ItemKind.WORKSPACE],  # type: ignore[arg-type]
+        tables[ItemKind.MODEL],  # type: ignore[arg-type]
+        tables[ItemKind.SERVICE],  # type: ignore[arg-type]
+    )
+    return Stricter(document, frozenset(held))
+
+
+def combine_workspaces(old: Workspace, new: Workspace) -> Workspace:
+    """Return the workspace that allows only what both allow."""
+    return Workspace(
+        name=new.name,
+        data_centres=_intersect(old.data_centres, new.data_centres),
+        token_digests=_intersect(old.token_digests, new.token_digests),
+        models=_intersect(old.models, new.models),
+        services=_intersect(old.services, new.services),
+        run_once=tuple(dict.fromkeys(old.run_once + new.run_once)),
+        embargoes=_join_embargoes(old.embargoes + new.embargoes),
+        priority=max(old.priority, new.priority),
+        requests_per_second=min(
+            old.requests_per_second, new.requests_per_second
+        ),
+        concurrent_requests=min(
+            old.concurrent_requests, new.concurrent_requests
+        ),
+    )
+
+
+def _combine_items(before: Item | None, after: Item | None) -> Item | None:
+    if before == after:
+        return after
+    if isinstance(before, Workspace) and isinstance(after, Workspace):
+        return combine_workspaces(before, after)
+    return None
+
+
+def _intersect(old: tuple[str, ...], new: tuple[str, ...]) -> tuple[str, ...]:
+    return tuple(item for item in new if item in old)
+
+
+def _join_embargoes(embargoes: tuple[Embargo, ...]) -> tuple[Embargo, ...]:
+    latest: dict[tuple[str, str], Embargo] = {}
+    for embargo in embargoes:
+        key = (embargo.service, embargo.path_prefix)
+        known = latest.get(key)
+        if known is None or known.release < embargo.release:
+            latest[key] = embargo
+    return tuple(latest.values())
--- /dev/null
+++ b/src/lifttrestle/internal/http/address.py
@@ -0,0 +1,53 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""An IP address with a port."""
+
+import dataclasses
+import ipaddress
+
+MAX_PORT = 65535
+
+
+@dataclasses.dataclass(frozen=True)
+class Address:
+    """Where a process listens: an IP number and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return ``host:port``, with brackets around an IPv6 number."""
+        if ':' in self.host:
+            return f'[{self.host}]:{self.port}'
+        return f'{self.host}:{self.port}'
+
+
+def check_address(text: str) -> Address:
+    """Return the address that ``text`` names, or raise ``ValueError``.
+
+    :param text: ``IP:PORT``; names are refused, since the platform gives
+        IP numbers only.
+    """
+    host, separator, port = text.rpartition(':')
+    host = host.strip('[]')
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        raise ValueError(
+            f'{text!r} is not IP:PORT; write an IP number and a port'
+        ) from None
+    if not separator or not port.isdecimal() or int(port) > MAX_PORT:
+        raise ValueError(
+            f'{text!r} has no port between 0 and {MAX_PORT}; write IP:PORT'
+        )
+    return Address(host, int(port))
--- /dev/null
+++ b/src/lifttrestle/internal/http/head.py
@@ -0,0 +1,66 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""The head of an HTTP request or answer."""
+
+import dataclasses
+import urllib.parse
+
+from lifttrestle.internal.http.answer import Header
+
+
+@dataclasses.dataclass(frozen=True)
+class RequestHead:
+    """The request line and headers; header names are in lower case."""
+
+    method: str
+    target: str
+    headers: tuple[Header, ...] = ()
+
+    @property
+    def path(self) -> str:
+        """Return the path without its query."""
+        return urllib.parse.urlsplit(self.target).path
+
+    def get_header(self, name: str, default: str = '') -> str:
+        """Return the first header of that lower-case name."""
+        return get_header(self.headers, name, default)
+
+
+@dataclasses.dataclass(frozen=True)
+class ResponseHead:
+    """The status line and headers; header names are in lower case."""
+
+    status: int
+    headers: tuple[Header, ...] = ()
+
+    def get_header(self, name: str, default: str = '') -> str:
+        """Return the first header of that lower-case name."""
+        return get_header(self.headers, name, default)
+
+
+def get_header(
+    headers: tuple[Header, ...], name: str, default: str = ''
+) -> str:
+    """Return the value of the first header called ``name``."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return default
+
+
+def decode_headers(raw: object) -> tuple[Header, ...]:
+    """Return headers of the HTTP library as pairs of strings."""
+    return tuple(
+        (name.decode('ascii').lower(), value.decode('latin-1'))
+        for name, value in raw  # type: ignore[attr-defined]
+    )
--- /dev/null
+++ b/src/lifttrestle/internal/http/json_client.py
@@ -0,0 +1,93 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Small JSON calls to one address over kept connections."""
+
+import asyncio
+import ssl
+
+import msgspec
+
+from lifttrestle.errors import PlatformUnavailable
+from lifttrestle.errors import UpstreamConnectFailed
+from lifttrestle.errors import UpstreamLost
+from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.http.address import Address
+from lifttrestle.internal.http.answer import Answer
+from lifttrestle.internal.http.answer import Header
+from lifttrestle.internal.http.client_connection import ClientConnection
+from lifttrestle.internal.http.client_pool import ClientPool
+from lifttrestle.internal.http.head import RequestHead
+
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+
+
+class JsonClient:
+    """Sends one request at a time on each connection, with a timeout."""
+
+    def __init__(
+        self,
+        address: Address,
+        clock: Clock,
+        timeout_seconds: float,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._timeout_seconds = timeout_seconds
+        self._pool = ClientPool(address, clock, timeout_seconds, tls)
+        self.address = address
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        content: object = None,
+        headers: tuple[Header, ...] = (),
+    ) -> Answer:
+        """Return the whole answer.
+
+        :param content: encoded as JSON unless it is None or bytes.
+        :raises PlatformUnavailable: without a whole answer in time; the
+            call may have taken effect.
+        """
+        body = _encode(content)
+        head = RequestHead(method, target, headers)
+        connection: ClientConnection | None = None
+        try:
+            async with asyncio.timeout(self._timeout_seconds):
+                connection = await self._pool.take()
+                await connection.send_request(head, body)
+                answer_head = await connection.read_head()
+                data = await connection.read_body(MAX_ANSWER_BYTES)
+        except (UpstreamConnectFailed, UpstreamLost, TimeoutError) as error:
+            if connection is not None:
+                connection.close()
+            raise PlatformUnavailable(
+                f'{method} {target} at {self.address}: {error or "timed out"}'
+            ) from error
+        except asyncio.CancelledError:
+            if connection is not None:
+                connection.close()
+            raise
+        self._pool.give_back(connection)
+        return Answer(answer_head.status, answer_head.headers, data)
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        self._pool.close()
+
+
+def _encode(content: object) -> bytes:
+    if content is None:
+        return b''
+    if isinstance(content, bytes):
+        return content
+    return msgspec.json.encode(content)
--- /dev/null
+++ b/src/lifttrestle/internal/http/limits.py
@@ -0,0 +1,28 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Bounds on what one HTTP connection may cost."""
+
+import msgspec
+
+
+class HttpLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Sizes in bytes and times in seconds for one caller's connection."""
+
+    head_bytes: int = 32 * 1024
+    body_bytes: int = 8 * 1024 * 1024
+    head_seconds: float = 10.0
+    body_seconds: float = 30.0
+    idle_seconds: float = 75.0
+    write_buffer_bytes: int = 64 * 1024
+    stalled_reader_seconds: float = 60.0
+    max_connections: int = 2000
--- /dev/null
+++ b/src/lifttrestle/internal/http/server.py
@@ -0,0 +1,146 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""A listening HTTP server that can stop without cutting a request."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import ssl
+
+from lifttrestle.errors import CallerGone
+from lifttrestle.errors import RequestRefused
+from lifttrestle.internal.http.address import Address
+from lifttrestle.internal.http.head import RequestHead
+from lifttrestle.internal.http.limits import HttpLimits
+from lifttrestle.internal.http.server_connection import ServerConnection
+from lifttrestle.internal.refusal.body import build_refusal
+from lifttrestle.internal.refusal.kind import ErrorKind
+
+Handler = Callable[[ServerConnection, RequestHead], Awaitable[None]]
+BACKLOG = 512
+NO_REQUEST_ID = '-'
+
+
+class HttpServer:
+    """Accepts connections and hands each request to one handler.
+
+    :param handler: serves one request; it must send an answer or abort.
+    :param limits: bounds for each connection.
+    :param tls: the server's TLS context, or None for plain TCP.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        limits: HttpLimits,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._handler = handler
+        self._limits = limits
+        self._tls = tls
+        self._server: asyncio.Server | None = None
+        self._busy: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._stopping = False
+
+    async def start(self, address: Address) -> Address:
+        """Listen at ``address`` and return the address in force."""
+        self._server = await asyncio.start_server(
+            self._serve,
+            address.host,
+            address.port,
+            ssl=self._tls,
+            backlog=BACKLOG,
+        )
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return Address(host, port)
+
+    @property
+    def busy(self) -> int:
+        """Return the number of requests being served."""
+        return len(self._busy)
+
+    def announce_stop(self) -> None:
+        """Answer every further request with ``Connection: close``."""
+        self._stopping = True
+
+    async def stop(self, grace_seconds: float) -> bool:
+        """Close the listener, let requests end, and return if all did."""
+        self._stopping = True
+        if self._server is not None:
+            self._server.close()
+        for task in self._tasks - self._busy:
+            task.cancel()
+        if self._busy:
+            await asyncio.wait(set(self._busy), timeout=grace_seconds)
+        complete = not self._busy
+        for task in set(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        return complete
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        connection = ServerConnection(reader, writer, self._limits)
+        try:
+            if len(self._tasks) > self._limits.max_connections:
+                await self._refuse_connection(connection)
+            else:
+                await self._serve_requests(connection, task)
+        except (CallerGone, OSError):
+            connection.abort()
+        except asyncio.CancelledError:
+            connection.abort()
+        finally:
+            self._busy.discard(task)
+            self._tasks.discard(task)
+            writer.close()
+
+    async def _refuse_connection(self, connection: ServerConnection) -> None:
+        limit = self._limits.max_connections
+        refused = RequestRefused(
+            ErrorKind.OVERLOADED,
+            f'the limit of {limit} connections is reached',
+            retry_after=1.0,
+        )
+        await connection.send_answer(build_refusal(refused, NO_REQUEST_ID))
+        await connection.close()
+
+    async def _serve_requests(
+        self, connection: ServerConnection, task: asyncio.Task[None]
+    ) -> None:
+        while True:
+            try:
+                head = await connection.read_head()
+            except RequestRefused as refused:
+                connection.close_after_answer()
+                answer = build_refusal(refused, NO_REQUEST_ID)
+                await connection.send_answer(answer)
+                head = None
+            if head is None:
+                await connection.close()
+                return
+            self._busy.add(task)
+            try:
+                if self._stopping:
+                    connection.close_after_answer()
+                await self._handler(connection, head)
+            finally:
+                self._busy.discard(task)
+            if self._stopping or not connection.start_next():
+                await connection.close()
+                return
--- /dev/null
+++ b/src/lifttrestle/internal/http/server_connection.py
@@ -0,0 +1,282 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""One caller's HTTP/1.1 connection, from the server's side."""
+
+import asyncio
+from collections.abc import AsyncIterator
+import http
+
+import h11
+
+from lifttrestle.errors import CallerGone
+from lifttrestle.errors import RequestRefused
+from lifttrestle.internal.http.answer import Answer
+from lifttrestle.internal.http.answer import Header
+from lifttrestle.internal.http.head import decode_headers
+from lifttrestle.internal.http.head import RequestHead
+from lifttrestle.internal.http.limits import HttpLimits
+from lifttrestle.internal.refusal.kind import ErrorKind
+
+READ_BYTES = 64 * 1024
+STATUS_HEAD_TOO_LARGE = 431
+
+
+class ServerConnection:
+    """Reads requests from and writes answers to one caller.
+
+    The object is owned by one task. After an error that leaves the
+    connection's position unknown it is closed, never reused.
+    """
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        limits: HttpLimits,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._limits = limits
+        self._wire = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.head_bytes
+        )
+        self._closing = False
+        transport = writer.transport
+        transport.set_write_buffer_limits(high=limits.write_buffer_bytes)
+
+    @property
+    def peer_ip(self) -> str:
+        """Return the caller's IP number."""
+        name = self._writer.get_extra_info('peername')
+        return name[0] if name else ''
+
+    @property
+    def answer_started(self) -> bool:
+        """Return whether the head of the current answer was sent."""
+        return self._wire.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
+
+    def close_after_answer(self) -> None:
+        """Tell the caller with its answer that this connection ends."""
+        self._closing = True
+
+    async def read_head(self) -> RequestHead | None:
+        """Return the next request's head, or None at a clean end.
+
+        :raises RequestRefused: for a malformed, oversized or slow head.
+        """
+        if not await self._wait_for_bytes():
+            return None
+        try:
+            async with asyncio.timeout(self._limits.head_seconds):
+                event = await self._next_event()
+        except TimeoutError:
+            raise RequestRefused(
+                ErrorKind.SLOW_REQUEST,
+                'the head of the request did not arrive within'
+                f' {self._limits.head_seconds:g} s',
+            ) from None
+        if not isinstance(event, h11.Request):
+            return None
+        head = RequestHead(
+            event.method.decode('ascii'),
+            event.target.decode('latin-1'),
+            decode_headers(event.headers),
+        )
+        self._check_lengths(head)
+        return head
+
+    async def read_body(self) -> bytes:
+        """Return the whole body of the current request.
+
+        :raises RequestRefused: for a malformed, oversized or slow body.
+        """
+        limit = self._limits.body_bytes
+        parts: list[bytes] = []
+        size = 0
+        try:
+            async with asyncio.timeout(self._limits.body_seconds):
+                async for part in self._iterate_body():
+                    size += len(part)
+                    if size > limit:
+                        raise self._refuse_body(size)
+                    parts.append(part)
+        except TimeoutError:
+            raise RequestRefused(
+                ErrorKind.SLOW_REQUEST,
+                f'the body stopped after {size} bytes and was not complete'
+                f' within {self._limits.body_seconds:g} s',
+                field='body',
+            ) from None
+        return b''.join(parts)
+
+    async def send_answer(self, answer: Answer) -> None:
+        """Send a whole answer, with its length."""
+        headers = [*answer.headers, ('content-length', str(len(answer.body)))]
+        await self.start_answer(answer.status, tuple(headers))
+        if answer.body:
+            await self._send(h11.Data(data=answer.body))
+        await self.end_answer()
+
+    async def start_answer(
+        self, status: int, headers: tuple[Header, ...]
+    ) -> None:
+        """Send the head of an answer; without a length it is chunked."""
+        all_headers = list(headers)
+        if self._wire.their_state not in (h11.DONE, h11.MUST_CLOSE):
+            self._closing = True
+        if self._closing:
+            all_headers.append(('connection', 'close'))
+        await self._send(
+            h11.Response(
+                status_code=status,
+                headers=all_headers,
+                reason=http.HTTPStatus(status).phrase.encode(),
+            )
+        )
+
+    async def send_part(self, data: bytes) -> None:
+        """Send a part of the body, waiting while the caller reads slowly.
+
+        :raises CallerGone: if the caller closed or stopped reading.
+        """
+        await self._send(h11.Data(data=data))
+
+    async def end_answer(self) -> None:
+        """Send the explicit end of the answer."""
+        await self._send(h11.EndOfMessage())
+
+    def start_next(self) -> bool:
+        """Make ready for the next request; return False if there is none."""
+        if self._closing:
+            return False
+        both = (self._wire.our_state, self._wire.their_state)
+        if both != (h11.DONE, h11.DONE):
+            return False
+        self._wire.start_next_cycle()
+        return True
+
+    def abort(self) -> None:
+        """Cut the connection so that no one can mistake it for an end."""
+        self._writer.transport.abort()
+
+    async def close(self) -> None:
+        """Close the connection, giving a sent answer time to arrive."""
+        if self._writer.transport.is_closing():
+            return
+        try:
+            await self._linger()
+        except OSError:
+            pass
+        finally:
+            self._writer.close()
+
+    async def _linger(self) -> None:
+        # A close with unread bytes resets the connection, and the reset can
+        # overtake the answer. So the rest of the request is read and dropped.
+        if not self._writer.can_write_eof():
+            return
+        self._writer.write_eof()
+        try:
+            async with asyncio.timeout(1.0):
+                while await self._reader.read(READ_BYTES):
+                    pass
+        except TimeoutError:
+            pass
+
+    async def _wait_for_bytes(self) -> bool:
+        if self._wire.trailing_data[0]:
+            return True
+        try:
+            async with asyncio.timeout(self._limits.idle_seconds):
+                data = await self._reader.read(READ_BYTES)
+        except (TimeoutError, OSError):
+            return False
+        if not data:
+            return False
+        self._wire.receive_data(data)
+        return True
+
+    async def _next_event(self) -> object:
+        while True:
+            event = self._parse()
+            if event is not h11.NEED_DATA:
+                return event
+            if self._wire.they_are_waiting_for_100_continue:
+                await self._send(
+                    h11.InformationalResponse(status_code=100, headers=[])
+                )
+            try:
+                data = await self._reader.read(READ_BYTES)
+            except OSError as error:
+                raise CallerGone('the caller reset its connection') from error
+            self._wire.receive_data(data)
+
+    def _parse(self) -> object:
+        try:
+            return self._wire.next_event()
+        except h11.RemoteProtocolError as error:
+            kind = ErrorKind.MALFORMED_REQUEST
+            if error.error_status_hint == STATUS_HEAD_TOO_LARGE:
+                kind = ErrorKind.HEAD_TOO_LARGE
+            raise RequestRefused(
+                kind, f'the request is not valid HTTP/1.1: {error}'
+            ) from error
+
+    async def _iterate_body(self) -> AsyncIterator[bytes]:
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+                continue
+            if isinstance(event, h11.EndOfMessage):
+                return
+            raise CallerGone('the caller left before its body was complete')
+
+    def _check_lengths(self, head: RequestHead) -> None:
+        length = head.get_header('content-length')
+        if length and head.get_header('transfer-encoding'):
+            self._closing = True
+            raise RequestRefused(
+                ErrorKind.MALFORMED_REQUEST,
+                f'the request has both Content-Length {length!r} and'
+                ' Transfer-Encoding; send one of them',
+                field='content-length',
+            )
+        if length and int(length) > self._limits.body_bytes:
+            raise self._refuse_body(int(length))
+
+    def _refuse_body(self, size: int) -> RequestRefused:
+        self._closing = True
+        return RequestRefused(
+            ErrorKind.BODY_TOO_LARGE,
+            f'the body of {size} bytes or more is over the limit of'
+            f' {self._limits.body_bytes} bytes',
+            field='body',
+        )
+
+    async def _send(self, event: h11.Event) -> None:
+        try:
+            data = self._wire.send(event)
+        except h11.LocalProtocolError as error:
+            raise CallerGone(f'the connection is unusable: {error}') from error
+        if not data:
+            return
+        self._writer.write(data)
+        try:
+            async with asyncio.timeout(self._limits.stalled_reader_seconds):
+                await self._writer.drain()
+        except TimeoutError:
+            self.abort()
+            raise CallerGone('the caller stopped reading') from None
+        except OSError as error:
+            raise CallerGone('the caller closed its connection') from error
--- /dev/null
+++ b/src/lifttrestle/internal/operators/outcome.py
@@ -0,0 +1,28 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""A plan together with who holds it up."""
+
+import msgspec
+
+from lifttrestle.internal.configuration.plan import Plan
+
+
+class PlanOutcome(msgspec.Struct, frozen=True):
+    """How far a plan has come.
+
+    :ivar waiting_for: names of routers that have not acknowledged it, by
+        data centre.
+    """
+
+    plan: Plan
+    waiting_for: dict[str, list[str]]
--- /dev/null
+++ b/src/lifttrestle/internal/operators/status.py
@@ -0,0 +1,81 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""What a router tells operators about itself and its surroundings."""
+
+import msgspec
+
+from lifttrestle.internal.router.parts import RouterParts
+from lifttrestle.internal.router.readiness import Readiness
+from lifttrestle.internal.upstream.report import EngineReport
+from lifttrestle.internal.upstream.state import UpstreamState
+
+
+class UpstreamStatus(msgspec.Struct, frozen=True):
+    """One upstream as this router sees it."""
+
+    name: str
+    data_centre: str
+    group: str
+    incarnation: str
+    versions: dict[str, str]
+    leaving: bool
+    breaker: str
+    in_flight: int
+
+
+class RouterStatus(msgspec.Struct, frozen=True):
+    """One router's view of everything."""
+
+    router: str
+    data_centre: str
+    ready: bool
+    revision: int
+    digest: str
+    proposal: str
+    table_up: bool
+    live_routers: int
+    routers: tuple[str, ...]
+    upstreams: tuple[UpstreamStatus, ...]
+
+
+def build_status(parts: RouterParts, readiness: Readiness) -> RouterStatus:
+    """Return the status at this moment."""
+    view = parts.keeper.view
+    members = parts.keeper.sight.members.routers
+    return RouterStatus(
+        router=parts.settings.router.name,
+        data_centre=parts.settings.router.data_centre,
+        ready=readiness.is_ready(),
+        revision=view.revision,
+        digest=view.accepted.digest,
+        proposal=view.proposal.plan_id if view.proposal else '',
+        table_up=parts.keeper.sight.table_up,
+        live_routers=parts.peers.count_live(),
+        routers=tuple(f'{item.data_centre}/{item.name}' for item in members),
+        upstreams=tuple(_describe(upstream) for upstream in parts.registry),
+    )
+
+
+def _describe(upstream: UpstreamState) -> UpstreamStatus:
+    report = upstream.report
+    versions = report.versions if isinstance(report, EngineReport) else {}
+    return UpstreamStatus(
+        name=upstream.name,
+        data_centre=upstream.settings.data_centre,
+        group=upstream.settings.group,
+        incarnation=upstream.incarnation,
+        versions=versions,
+        leaving=upstream.leaving or upstream.draining,
+        breaker=upstream.breaker.state.value,
+        in_flight=upstream.in_flight,
+    )
--- /dev/null
+++ b/src/lifttrestle/internal/router/caller_handler.py
@@ -0,0 +1,229 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Serves one caller's request, from its head to its answer."""
+
+import asyncio
+import logging
+import random
+import uuid
+
+from lifttrestle.errors import CallerGone
+from lifttrestle.errors import RequestRefused
+from lifttrestle.internal.configuration.model import ItemKind
+from lifttrestle.internal.configuration.model import Workspace
+from lifttrestle.internal.configuration.view import View
+from lifttrestle.internal.http.answer import Answer
+from lifttrestle.internal.http.head import RequestHead
+from lifttrestle.internal.http.server_connection import ServerConnection
+from lifttrestle.internal.refusal.answers import ANSWERS
+from lifttrestle.internal.refusal.body import build_refusal
+from lifttrestle.internal.refusal.execution import join_executions
+from lifttrestle.internal.refusal.kind import ErrorKind
+from lifttrestle.internal.router.chooser import UpstreamChooser
+from lifttrestle.internal.router.identify import check_place
+from lifttrestle.internal.router.identify import identify_workspace
+from lifttrestle.internal.router.model_exchange import ModelExchange
+from lifttrestle.internal.router.model_request import parse_model_request
+from lifttrestle.internal.router.models_answer import list_models
+from lifttrestle.internal.router.parts import RouterParts
+from lifttrestle.internal.router.progress import RequestEvent
+from lifttrestle.internal.router.readiness import Readiness
+from lifttrestle.internal.router.route import find_route
+from lifttrestle.internal.router.route import Route
+from lifttrestle.internal.router.route import RouteKind
+from lifttrestle.internal.router.scope import RequestScope
+from lifttrestle.internal.router.service_request import ServiceRunner
+
+LOG = logging.getLogger('lifttrestle.router')
+HELD_RETRY_SECONDS = 2.0
+
+
+def make_request_id(source: random.Random) -> str:
+    """Return an id that no other request has."""
+    return uuid.UUID(int=source.getrandbits(128), version=4).hex
+
+
+class CallerHandler:
+    """The callers' side of a router."""
+
+    def __init__(self, parts: RouterParts, readiness: Readiness) -> None:
+        self._parts = parts
+        self._readiness = readiness
+        self._chooser = UpstreamChooser(parts)
+        self._services = ServiceRunner(parts, self._chooser)
+
+    async def handle(
+        self, connection: ServerConnection, head: RequestHead
+    ) -> None:
+        """Answer one request, with a refusal if it comes to that."""
+        request_id = make_request_id(self._parts.source)
+        try:
+            await self._serve(connection, head, request_id)
+        except RequestRefused as refused:
+            await self._refuse(connection, refused, request_id)
+        except (CallerGone, asyncio.CancelledError):
+            raise
+        except Exception:
+            LOG.exception('router: request %s failed', request_id)
+            refused = RequestRefused(
+                ErrorKind.INTERNAL,
+                f'the router failed to serve request {request_id}',
+            )
+            await self._refuse(connection, refused, request_id)
+
+    async def _serve(
+        self,
+        connection: ServerConnection,
+        head: RequestHead,
+        request_id: str,
+    ) -> None:
+        route = find_route(head.path)
+        if route.kind is RouteKind.READY:
+            await self._tell_ready(connection)
+            return
+        self._readiness.check()
+        view = self._parts.keeper.view
+        workspace = identify_workspace(head, view)
+        check_place(workspace, self._parts.settings.router.data_centre)
+        _check_method(route, head.method)
+        if route.kind is RouteKind.MODELS:
+            await connection.send_answer(list_models(view, workspace))
+            return
+        scope = self._make_scope(connection, head, request_id, view, workspace)
+        if route.kind is RouteKind.SERVICE:
+            self._services.check_path(scope, route)
+        body = await connection.read_body()
+        await self._admit(scope, route, body)
+
+    async def _admit(
+        self, scope: RequestScope, route: Route, body: bytes
+    ) -> None:
+        parts = self._parts
+        workspace = scope.workspace
+        parts.limits.enter(workspace, parts.peers.count_live())
+        try:
+            await parts.gate.enter(workspace.priority, scope.deadline)
+            try:
+                scope.progress.move(RequestEvent.ADMIT)
+                parts.metrics.count(f'requests.{workspace.name}')
+                await self._run(scope, route, body)
+            except RequestRefused as refused:
+                refused.ran = join_executions(
+                    refused.ran, scope.progress.execution
+                )
+                raise
+            finally:
+                parts.gate.leave()
+        finally:
+            parts.limits.leave(workspace)
+
+    async def _run(
+        self, scope: RequestScope, route: Route, body: bytes
+    ) -> None:
+        if route.kind is RouteKind.SERVICE:
+            await self._services.run(scope, route, body)
+            return
+        request = parse_model_request(route.kind, body)
+        _check_model(scope.workspace, request.model)
+        view = await self._wait_while_held(ItemKind.MODEL, request.model)
+        model = view.document.models.get(request.model)
+        if model is None:
+            raise _no_model(request.model)
+        exchange = ModelExchange(
+            self._parts, self._chooser, scope, request, model
+        )
+        await exchange.run()
+
+    async def _wait_while_held(self, kind: ItemKind, name: str) -> View:
+        """Return the view once it is known which definition is in force.
+
+        :raises RequestRefused: if that takes longer than the bound.
+        """
+        keeper = self._parts.keeper
+        if not keeper.view.is_held(kind, name):
+            return keeper.view
+        seconds = self._parts.settings.control.hold_seconds
+        try:
+            async with asyncio.timeout(seconds):
+                while keeper.view.is_held(kind, name):
+                    keeper.poll_soon()
+                    await keeper.wait_for_change()
+        except TimeoutError:
+            raise RequestRefused(
+                ErrorKind.NOT_CONFIGURED,
+                f'{kind.value} {name!r} is being changed and it is not known'
+                ' yet which definition is in force',
+                retry_after=HELD_RETRY_SECONDS,
+            ) from None
+        return keeper.view
+
+    def _make_scope(
+        self,
+        connection: ServerConnection,
+        head: RequestHead,
+        request_id: str,
+        view: View,
+        workspace: Workspace,
+    ) -> RequestScope:
+        now = self._parts.clock.monotonic()
+        deadline = now + self._parts.settings.deadlines.request
+        return RequestScope(
+            request_id, connection, head, view, workspace, now, deadline
+        )
+
+    async def _refuse(
+        self,
+        connection: ServerConnection,
+        refused: RequestRefused,
+        request_id: str,
+    ) -> None:
+        LOG.info(
+            'router: refused request=%s kind=%s status=%d ran="%s" message=%s',
+            request_id,
+            refused.kind.value,
+            ANSWERS[refused.kind].status,
+            refused.ran.value,
+            refused.message,
+        )
+        self._parts.metrics.count(f'refused.{refused.kind.value}')
+        if connection.answer_started:
+            connection.abort()
+            return
+        await connection.send_answer(build_refusal(refused, request_id))
+
+    async def _tell_ready(self, connection: ServerConnection) -> None:
+        status = 200 if self._readiness.is_ready() else 503
+        await connection.send_answer(Answer(status))
+
+
+def _check_method(route: Route, method: str) -> None:
+    if not route.methods or method in route.methods:
+        return
+    raise RequestRefused(
+        ErrorKind.METHOD_NOT_ALLOWED,
+        f'{method} is not used here; use {" or ".join(route.methods)}',
+        field='method',
+    )
+
+
+def _check_model(workspace: Workspace, name: str) -> None:
+    if name not in workspace.models:
+        raise _no_model(name)
+
+
+def _no_model(name: str) -> RequestRefused:
+    return RequestRefused(
+        ErrorKind.MODEL_NOT_FOUND,
+        f'your workspace has no model {name!r}',
+        field='model',
+    )
--- /dev/null
+++ b/src/lifttrestle/internal/router/model_exchange.py
@@ -0,0 +1,371 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Serves one request of the chat and completion API.
+
+Generation is idempotent: until the answer has begun, a failed attempt is made
+again elsewhere. A stream that breaks off is resumed at the same incarnation,
+else continued by another replica of the same weights from the text that was
+delivered, else it fails in a way that can't be taken for its end.
+"""
+
+import asyncio
+
+import msgspec
+
+from lifttrestle.errors import CallerGone
+from lifttrestle.errors import LifttrestleError
+from lifttrestle.errors import RequestRefused
+from lifttrestle.errors import UpstreamConnectFailed
+from lifttrestle.errors import UpstreamDeclined
+from lifttrestle.errors import UpstreamFailed
+from lifttrestle.errors import UpstreamLost
+from lifttrestle.errors import WrongAnswer
+from lifttrestle.internal.configuration.model import Model
+from lifttrestle.internal.http.answer import Answer
+from lifttrestle.internal.http.client_connection import ClientConnection
+from lifttrestle.internal.http.head import RequestHead
+from lifttrestle.internal.refusal.kind import ErrorKind
+from lifttrestle.internal.router.attempt import Attempt
+from lifttrestle.internal.router.call import check_answer
+from lifttrestle.internal.router.call import check_engine_status
+from lifttrestle.internal.router.call import open_call
+from lifttrestle.internal.router.call import UpstreamCall
+from lifttrestle.internal.router.chooser import UpstreamChooser
+from lifttrestle.internal.router.continuation import build_continuation
+from lifttrestle.internal.router.model_request import ModelRequest
+from lifttrestle.internal.router.parts import RouterParts
+from lifttrestle.internal.router.progress import RequestEvent
+from lifttrestle.internal.router.relay import AnswerRelay
+from lifttrestle.internal.router.scope import RequestScope
+from lifttrestle.internal.router.stream_relay import StreamRelay
+from lifttrestle.internal.router.whole_relay import WholeRelay
+from lifttrestle.internal.routing.levels import derive_prompt
+from lifttrestle.internal.routing.levels import derive_salt
+from lifttrestle.internal.settings.upstream import UpstreamKind
+from lifttrestle.internal.upstream.exclusion import Target
+from lifttrestle.internal.upstream.identity import EngineIdentity
+
+MAX_RESUMES = 3
+RETRY_SECONDS = 1.0
+FIRST_CLIENT_ERROR = 400
+MAX_ERROR_BYTES = 1024 * 1024
+# The failures after which another upstream may do better.
+RETRYABLE = (
+    UpstreamConnectFailed,
+    UpstreamDeclined,
+    UpstreamFailed,
+    UpstreamLost,
+    WrongAnswer,
+)
+
+
+class ModelExchange:
+    """Owns the attempts that one request needs."""
+
+    def __init__(
+        self,
+        parts: RouterParts,
+        chooser: UpstreamChooser,
+        scope: RequestScope,
+        request: ModelRequest,
+        model: Model,
+    ) -> None:
+        self._parts = parts
+        self._chooser = chooser
+        self._scope = scope
+        self._request = request
+        self._model = model
+        salt = derive_salt(scope.workspace.name, model.name, model.version)
+        own_salt = request.body.get('cache_salt')
+        self._salt = f'{salt}-{own_salt}' if own_salt else salt
+        self._prompt = derive_prompt(
+            self._salt, request.texts, request.cache_key
+        )
+        self._body = self._build_body()
+        self._tried: set[str] = set()
+        self._relay = self._build_relay()
+
+    async def run(self) -> None:
+        """Serve the request to its end.
+
+        :raises RequestRefused: if no answer could be begun.
+        """
+        self._parts.budget.note_request()
+        while True:
+            try:
+                attempt = self._choose()
+            except RequestRefused as refused:
+                await self._fail(refused)
+                return
+            self._tried.add(attempt.upstream.name)
+            try:
+                with self._chooser.track(attempt):
+                    await self._try(attempt)
+                return
+            except RETRYABLE as error:
+                if await self._end_lost_stream():
+                    return
+                refused = self._judge_failure(error)
+                if refused is not None:
+                    await self._fail(refused)
+                    return
+
+    def _choose(self) -> Attempt:
+        relay = self._relay
+        target = Target(
+            kind=UpstreamKind.ENGINE,
+            group=self._model.group,
+            data_centres=self._scope.workspace.data_centres,
+            model=self._model.name,
+            version=self._model.version,
+            continues_text=relay.started,
+        )
+        return self._chooser.choose(
+            self._scope, target, self._prompt, self._tried
+        )
+
+    async def _try(self, attempt: Attempt) -> None:
+        request_id = f'{self._scope.request_id}-{attempt.number}'
+        head = RequestHead(
+            'POST',
+            self._request.path,
+            (
+                ('content-type', 'application/json'),
+                ('x-request-id', request_id),
+            ),
+        )
+        try:
+            call = await open_call(
+                self._parts, self._scope, attempt, head, self._body
+            )
+            await self._take_answer(attempt, call, request_id)
+        except RETRYABLE as error:
+            self._note_failure(attempt, error)
+            raise
+        except (CallerGone, asyncio.CancelledError):
+            attempt.decision.outcome = 'caller gone'
+            raise
+
+    async def _take_answer(
+        self, attempt: Attempt, call: UpstreamCall, request_id: str
+    ) -> None:
+        identity = self._parts.driver.read_identity(call.head)
+        try:
+            check_answer(self._parts, attempt, call, request_id)
+            check_engine_status(attempt, call)
+            if call.head.status >= FIRST_CLIENT_ERROR:
+                await self._pass_error(attempt, call)
+                return
+            self._check_weights(attempt, identity)
+            self._scope.progress.move(RequestEvent.ANSWER)
+            self._chooser.note_first_byte(attempt)
+            await self._consume(attempt, call, identity)
+        except CallerGone:
+            call.connection.close()
+            self._cancel_later(attempt, identity)
+            raise
+        except BaseException:
+            call.connection.close()
+            raise
+        attempt.upstream.pool.give_back(call.connection)
+        self._scope.progress.move(RequestEvent.END)
+        self._note_usage(attempt)
+
+    async def _consume(
+        self, attempt: Attempt, call: UpstreamCall, identity: EngineIdentity
+    ) -> None:
+        """Pass the answer on, resuming it where it broke off."""
+        resumes = 0
+        while True:
+            try:
+                await self._relay.consume(call)
+                return
+            except UpstreamLost as lost:
+                call.connection.close()
+                resumes += 1
+                if resumes > MAX_RESUMES or not self._can_resume(
+                    attempt, identity
+                ):
+                    raise
+                resumed = await self._resume(attempt, identity, lost)
+                call.connection = resumed.connection
+
+    def _can_resume(self, attempt: Attempt, identity: EngineIdentity) -> bool:
+        relay = self._relay
+        return (
+            isinstance(relay, StreamRelay)
+            and relay.order.indexed
+            and bool(identity.stream_id)
+            and attempt.upstream.settings.can.resumes_streams
+        )
+
+    async def _resume(
+        self, attempt: Attempt, identity: EngineIdentity, lost: UpstreamLost
+    ) -> UpstreamCall:
+        assert isinstance(self._relay, StreamRelay)
+        request_id = f'{self._scope.request_id}-{attempt.number}'
+        head = self._parts.driver.build_resume(
+            identity, self._relay.order.last_index, request_id
+        )
+        connection: ClientConnection | None = None
+        try:
+            async with asyncio.timeout(self._parts.settings.deadlines.stall):
+                connection = await attempt.upstream.pool.take(fresh=True)
+                await connection.send_request(head, b'')
+                answer = await connection.read_head()
+        except (UpstreamConnectFailed, UpstreamLost, TimeoutError):
+            if connection is not None:
+                connection.close()
+            raise lost from None
+        found = self._parts.driver.read_identity(answer)
+        if answer.status >= FIRST_CLIENT_ERROR or found != identity:
+            connection.close()
+            raise lost
+        attempt.decision.reason += ', resumed'
+        return UpstreamCall(connection, answer)
+
+    def _check_weights(
+        self, attempt: Attempt, identity: EngineIdentity
+    ) -> None:
+        if identity.version == self._model.version:
+            return
+        raise WrongAnswer(
+            f'{attempt.upstream.name} answered with weights'
+            f' {identity.version!r}, not {self._model.version!r}'
+        )
+
+    async def _pass_error(self, attempt: Attempt, call: UpstreamCall) -> None:
+        body = await call.connection.read_body(MAX_ERROR_BYTES)
+        attempt.decision.outcome = f'status {call.head.status}'
+        if self._relay.started:
+            raise UpstreamFailed(
+                f'{attempt.upstream.name} refused to go on with a text'
+            )
+        self._scope.progress.move(RequestEvent.ANSWER)
+        headers = (
+            ('content-type', call.head.get_header('content-type')),
+            ('x-request-id', self._scope.request_id),
+        )
+        await self._scope.connection.send_answer(
+            Answer(call.head.status, headers, body)
+        )
+
+    def _note_failure(self, attempt: Attempt, error: Exception) -> None:
+        if isinstance(error, UpstreamDeclined):
+            attempt.decision.outcome = str(error)
+            self._scope.progress.move(RequestEvent.DECLINED)
+            return
+        self._chooser.note_failure(attempt, str(error))
+
+    async def _end_lost_stream(self) -> bool:
+        relay = self._relay
+        if not isinstance(relay, StreamRelay) or not relay.started:
+            return False
+        return await relay.finish_lost_end()
+
+    def _judge_failure(self, error: LifttrestleError) -> RequestRefused | None:
+        """Return None if another attempt is to be made."""
+        relay = self._relay
+        if relay.started and not self._prepare_continuation():
+            return self._refuse(f'the answer broke off: {error}')
+        if not relay.started and self._is_late():
+            return RequestRefused(
+                ErrorKind.DEADLINE_EXCEEDED,
+                f'no answer began in time: {error}',
+                ran=self._scope.progress.execution,
+            )
+        if not self._parts.budget.take():
+            return self._refuse(f'no retry is left: {error}')
+        return None
+
+    def _prepare_continuation(self) -> bool:
+        relay = self._relay
+        if not isinstance(relay, StreamRelay) or not self._request.continuable:
+            return False
+        body = build_continuation(self._request, relay.transcript)
+        if body is None:
+            return False
+        relay.begin_continuation()
+        self._body = self._encode_body(body)
+        return True
+
+    async def _fail(self, refused: RequestRefused) -> None:
+        relay = self._relay
+        refused.ran = self._scope.progress.execution
+        if not isinstance(relay, StreamRelay) or not relay.started:
+            raise refused
+        error = {
+            'message': refused.message,
+            'type': ErrorKind.UPSTREAM_FAILED.value,
+            'code': ErrorKind.UPSTREAM_FAILED.value,
+            'request_id': self._scope.request_id,
+        }
+        await relay.fail(msgspec.json.encode({'error': error}))
+
+    def _refuse(self, message: str) -> RequestRefused:
+        return RequestRefused(
+            ErrorKind.UPSTREAM_FAILED,
+            message,
+            ran=self._scope.progress.execution,
+            retry_after=RETRY_SECONDS,
+        )
+
+    def _is_late(self) -> bool:
+        return self._parts.clock.monotonic() >= self._scope.deadline
+
+    def _build_relay(self) -> AnswerRelay:
+        if not self._request.streams:
+            return WholeRelay(self._parts, self._scope)
+        return StreamRelay(self._parts, self._scope, self._request.wants_usage)
+
+    def _build_body(self) -> bytes:
+        return self._encode_body(self._request.body)
+
+    def _encode_body(self, body: dict[str, object]) -> bytes:
+        content = {**body, 'cache_salt': self._salt}
+        if self._request.streams:
+            options = body.get('stream_options') or {}
+            content['stream_options'] = {
+                **options,  # type: ignore[dict-item]
+                'include_usage': True,
+            }
+        return msgspec.json.encode(content)
+
+    def _note_usage(self, attempt: Attempt) -> None:
+        usage = self._relay.usage
+        if usage is None:
+            attempt.decision.outcome = 'complete'
+            return
+        self._chooser.note_usage(
+            attempt, self._prompt, usage.cached_tokens, usage.completion_tokens
+        )
+
+    def _cancel_later(
+        self, attempt: Attempt, identity: EngineIdentity
+    ) -> None:
+        if not identity.stream_id or not self._request.streams:
+            return
+        head = self._parts.driver.build_cancel(identity)
+        self._parts.background.start(_cancel(attempt, head))
+
+
+async def _cancel(attempt: Attempt, head: RequestHead) -> None:
+    """End a generation that no one reads any more."""
+    try:
+        connection = await attempt.upstream.pool.take()
+        await connection.send_request(head, b'')
+        await connection.read_head()
+        await connection.read_body(MAX_ERROR_BYTES)
+    except (UpstreamConnectFailed, UpstreamLost):
+        return
+    attempt.upstream.pool.give_back(connection)
--- /dev/null
+++ b/src/lifttrestle/internal/router/once_exchange.py
@@ -0,0 +1,244 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Serves a request with an idempotency key, at most once.
+
+The key is claimed in the table service before anything is sent. There is one
+attempt: once its first byte may have reached an upstream, nothing sends it
+again. The caller may leave; the outcome is recorded all the same.
+"""
+
+import asyncio
+import hashlib
+
+from lifttrestle.errors import PlatformUnavailable
+from lifttrestle.errors import RequestRefused
+from lifttrestle.errors import UpstreamConnectFailed
+from lifttrestle.errors import UpstreamDeclined
+from lifttrestle.errors import UpstreamLost
+from lifttrestle.errors import WrongAnswer
+from lifttrestle.internal.http.answer import Answer
+from lifttrestle.internal.refusal.execution import Execution
+from lifttrestle.internal.refusal.execution import join_executions
+from lifttrestle.internal.refusal.kind import ErrorKind
+from lifttrestle.internal.router.attempt import Attempt
+from lifttrestle.internal.router.call import check_answer
+from lifttrestle.internal.router.call import open_call
+from lifttrestle.internal.router.chooser import UpstreamChooser
+from lifttrestle.internal.router.parts import RouterParts
+from lifttrestle.internal.router.progress import RequestEvent
+from lifttrestle.internal.router.scope import RequestScope
+from lifttrestle.internal.router.service_answer import read_whole
+from lifttrestle.internal.router.service_exchange import build_head
+from lifttrestle.internal.router.service_exchange import build_target
+from lifttrestle.internal.router.service_exchange import NO_PROMPT
+from lifttrestle.internal.router.service_exchange import ServiceRequest
+from lifttrestle.internal.runrecord.ledger import Claim
+from lifttrestle.internal.runrecord.ledger import RunKey
+from lifttrestle.internal.runrecord.record import RunRecord
+from lifttrestle.internal.runrecord.record import RunState
+
+RETRY_SECONDS = 2.0
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+
+
+class OnceExchange:
+    """Owns the claim and the one attempt of a request.
+
+    :param needs_claim: False where the upstreams drop repeats themselves.
+    """
+
+    def __init__(
+        self,
+        parts: RouterParts,
+        chooser: UpstreamChooser,
+        scope: RequestScope,
+        request: ServiceRequest,
+        key: str,
+        needs_claim: bool,
+    ) -> None:
+        self._parts = parts
+        self._chooser = chooser
+        self._scope = scope
+        self._request = request
+        self._run_key = RunKey(scope.workspace.name, key)
+        self._needs_claim = needs_claim
+        self._attempt_id = scope.request_id
+
+    async def run(self) -> None:
+        """Serve the request, or say truthfully what became of it.
+
+        The work goes on in a task of its own when the caller leaves.
+        """
+        task = self._parts.background.start(self._run_to_end())
+        outcome = await asyncio.shield(task)
+        if isinstance(outcome, RequestRefused):
+            raise outcome
+        assert isinstance(outcome, Answer)
+        await self._scope.connection.send_answer(outcome)
+
+    async def _run_to_end(self) -> Answer | RequestRefused:
+        try:
+            claim = await self._claim()
+            return await self._send(claim)
+        except RequestRefused as refused:
+            refused.ran = join_executions(
+                refused.ran, self._scope.progress.execution
+            )
+            return refused
+
+    async def _claim(self) -> Claim | None:
+        if not self._needs_claim:
+            return None
+        left = self._scope.deadline - self._parts.clock.monotonic()
+        try:
+            async with asyncio.timeout(max(left, 0)):
+                outcome = await self._parts.ledger.claim(
+                    self._run_key, self._attempt_id, self._fingerprint()
+                )
+        except (PlatformUnavailable, TimeoutError) as error:
+            # The claim may exist, or come to exist. This attempt will never
+            # be sent, so it alone may void it; the caller need not wait.
+            self._parts.ledger.void_later(self._run_key, self._attempt_id)
+            raise RequestRefused(
+                ErrorKind.TABLE_UNAVAILABLE,
+                'the run could not be recorded, so the request was not sent:'
+                f' {error or "no time left"}',
+                retry_after=RETRY_SECONDS,
+            ) from None
+        if not isinstance(outcome, Claim):
+            raise self._explain(outcome.record)
+        self._scope.progress.move(RequestEvent.CLAIM)
+        return outcome
+
+    async def _send(self, claim: Claim | None) -> Answer:
+        tried: set[str] = set()
+        target = build_target(self._scope, self._request.service)
+        while True:
+            try:
+                self._check_deadline()
+                attempt = self._chooser.choose(
+                    self._scope, target, NO_PROMPT, tried
+                )
+            except RequestRefused:
+                await self._void(claim)
+                raise
+            tried.add(attempt.upstream.name)
+            with self._chooser.track(attempt):
+                try:
+                    answer = await self._try(attempt)
+                except (UpstreamConnectFailed, UpstreamDeclined) as error:
+                    # It did not run, so the claim still covers a new try.
+                    self._note_not_run(attempt, error)
+                    continue
+                except (UpstreamLost, WrongAnswer) as error:
+                    self._chooser.note_failure(attempt, str(error))
+                    self._finish(claim, RunState.UNKNOWN, 0)
+                    raise RequestRefused(
+                        ErrorKind.UPSTREAM_FAILED,
+                        f'the request was sent and its outcome is unknown:'
+                        f' {error}',
+                        ran=Execution.UNKNOWN,
+                    ) from None
+                except BaseException:
+                    self._finish(claim, RunState.UNKNOWN, 0)
+                    raise
+            self._finish(claim, RunState.DONE, answer.status)
+            return answer
+
+    async def _try(self, attempt: Attempt) -> Answer:
+        request_id = f'{self._scope.request_id}-{attempt.number}'
+        head = build_head(self._scope, self._request, request_id)
+        call = await open_call(
+            self._parts,
+            self._scope,
+            attempt,
+            head,
+            self._request.body,
+            once=True,
+        )
+        try:
+            check_answer(self._parts, attempt, call, request_id)
+            self._scope.progress.move(RequestEvent.ANSWER)
+            self._chooser.note_first_byte(attempt)
+            answer = await read_whole(self._parts, call, MAX_ANSWER_BYTES)
+        except BaseException:
+            call.connection.close()
+            raise
+        attempt.upstream.pool.give_back(call.connection)
+        self._scope.progress.move(RequestEvent.END)
+        attempt.decision.outcome = f'status {answer.status}'
+        own = ('x-request-id', self._scope.request_id)
+        return Answer(answer.status, (*answer.headers, own), answer.body)
+
+    def _note_not_run(self, attempt: Attempt, error: Exception) -> None:
+        if isinstance(error, UpstreamDeclined):
+            attempt.decision.outcome = str(error)
+            self._scope.progress.move(RequestEvent.DECLINED)
+            return
+        self._chooser.note_failure(attempt, str(error))
+
+    def _check_deadline(self) -> None:
+        if self._parts.clock.monotonic() < self._scope.deadline:
+            return
+        raise RequestRefused(
+            ErrorKind.DEADLINE_EXCEEDED,
+            'the deadline passed before the request was sent',
+            retry_after=RETRY_SECONDS,
+        )
+
+    async def _void(self, claim: Claim | None) -> None:
+        if claim is None:
+            return
+        ledger = self._parts.ledger
+        if not await ledger.void(self._run_key, self._attempt_id):
+            ledger.void_later(self._run_key, self._attempt_id)
+
+    def _finish(
+        self, claim: Claim | None, state: RunState, status: int
+    ) -> None:
+        if claim is not None:
+            self._parts.ledger.finish_later(claim, state, status)
+
+    def _fingerprint(self) -> str:
+        method = self._scope.head.method
+        digest = hashlib.sha256(f'{method} {self._request.rest}\n'.encode())
+        digest.update(self._request.body)
+        return digest.hexdigest()[:32]
+
+    def _explain(self, record: RunRecord) -> RequestRefused:
+        key = self._run_key.key
+        if record.fingerprint and record.fingerprint != self._fingerprint():
+            return RequestRefused(
+                ErrorKind.KEY_REUSED,
+                f'the idempotency key {key!r} belongs to another request',
+                field='idempotency-key',
+            )
+        details: dict[str, object] = {
+            'recorded_state': record.state.value,
+            'recorded_status': record.status or None,
+        }
+        if record.state is RunState.DONE:
+            return RequestRefused(
+                ErrorKind.ALREADY_RUN,
+                f'the request with key {key!r} has run',
+                field='idempotency-key',
+                ran=Execution.RAN,
+                details=details,
+            )
+        return RequestRefused(
+            ErrorKind.RUN_UNKNOWN,
+            f'another attempt holds the key {key!r} and may have run',
+            field='idempotency-key',
+            ran=Execution.UNKNOWN,
+            details=details,
+        )
--- /dev/null
+++ b/src/lifttrestle/internal/router/parts.py
@@ -0,0 +1,52 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""The parts of a router that a request's path uses."""
+
+import dataclasses
+import random
+
+from lifttrestle.internal.admission.gate import AdmissionGate
+from lifttrestle.internal.admission.retries import RetryBudget
+from lifttrestle.internal.admission.workspaces import WorkspaceLimits
+from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.configuration.keeper import ConfigurationKeeper
+from lifttrestle.internal.membership.peers import Peers
+from lifttrestle.internal.router.background import BackgroundTasks
+from lifttrestle.internal.routing.policy import Policy
+from lifttrestle.internal.runrecord.ledger import RunLedger
+from lifttrestle.internal.settings.router import RouterSettings
+from lifttrestle.internal.telemetry.decisions import DecisionLog
+from lifttrestle.internal.telemetry.metrics import Metrics
+from lifttrestle.internal.upstream.driver import EngineDriver
+from lifttrestle.internal.upstream.registry import UpstreamRegistry
+
+
+@dataclasses.dataclass(frozen=True)
+class RouterParts:
+    """Everything that outlives a request, built once at start."""
+
+    settings: RouterSettings
+    clock: Clock
+    source: random.Random
+    keeper: ConfigurationKeeper
+    peers: Peers
+    registry: UpstreamRegistry
+    driver: EngineDriver
+    policy: Policy
+    limits: WorkspaceLimits
+    gate: AdmissionGate
+    budget: RetryBudget
+    ledger: RunLedger
+    decisions: DecisionLog
+    metrics: Metrics
+    background: BackgroundTasks
--- /dev/null
+++ b/src/lifttrestle/internal/router/process.py
@@ -0,0 +1,292 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""One router process: builds its parts, runs them, stops without a cut."""
+
+import asyncio
+import contextlib
+import logging
+import random
+import signal
+import ssl
+
+from lifttrestle.errors import PlatformUnavailable
+from lifttrestle.internal.admission.gate import AdmissionGate
+from lifttrestle.internal.admission.retries import RetryBudget
+from lifttrestle.internal.admission.workspaces import WorkspaceLimits
+from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.configuration.keeper import ConfigurationKeeper
+from lifttrestle.internal.configuration.store import ConfigurationStore
+from lifttrestle.internal.http.address import check_address
+from lifttrestle.internal.http.json_client import JsonClient
+from lifttrestle.internal.http.server import HttpServer
+from lifttrestle.internal.membership.exchange import exchange_forever
+from lifttrestle.internal.membership.exchange import PeerExchange
+from lifttrestle.internal.membership.member import Member
+from lifttrestle.internal.membership.peers import Peers
+from lifttrestle.internal.membership.sponsorship import Sponsorship
+from lifttrestle.internal.operators.handler import OperatorHandler
+from lifttrestle.internal.operators.intent import IntentService
+from lifttrestle.internal.operators.tokens import load_tokens
+from lifttrestle.internal.platform.http_objects import HttpObjects
+from lifttrestle.internal.platform.http_table import HttpTable
+from lifttrestle.internal.platform.http_vms import HttpVms
+from lifttrestle.internal.router.background import BackgroundTasks
+from lifttrestle.internal.router.caller_handler import CallerHandler
+from lifttrestle.internal.router.caller_handler import make_request_id
+from lifttrestle.internal.router.parts import RouterParts
+from lifttrestle.internal.router.readiness import Readiness
+from lifttrestle.internal.routing.nested import NestedPolicy
+from lifttrestle.internal.runrecord.ledger import RunLedger
+from lifttrestle.internal.settings.router import RouterSettings
+from lifttrestle.internal.telemetry.decisions import DecisionLog
+from lifttrestle.internal.telemetry.metrics import Metrics
+from lifttrestle.internal.upstream.prober import Prober
+from lifttrestle.internal.upstream.registry import UpstreamRegistry
+from lifttrestle.internal.upstream.standard_driver import StandardDriver
+
+LOG = logging.getLogger('lifttrestle.router')
+BUCKET = 'lifttrestle'
+START_POLL_SECONDS = 0.02
+RECORDS_SECONDS = 10.0
+
+
+class RouterProcess:
+    """The router: doors for callers and operators, and control tasks.
+
+    :param source: a source of randomness for choices and ids.
+    """
+
+    def __init__(
+        self, settings: RouterSettings, clock: Clock, source: random.Random
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._source = source
+        self._stop = asyncio.Event()
+        self._hurry = asyncio.Event()
+        self._control: list[asyncio.Task[None]] = []
+        self._build_control()
+        self._build_doors()
+
+    def _build_control(self) -> None:
+        settings = self._settings
+        self._table = HttpTable(self._make_client(settings.platform.table))
+        objects = HttpObjects(
+            self._make_client(settings.platform.objects), BUCKET
+        )
+        self._vms = HttpVms(self._make_client(settings.platform.vms))
+        self._store = ConfigurationStore(self._table, objects)
+        self._sponsorship = Sponsorship()
+        instance = make_request_id(self._source)
+        self._peers = Peers(self._clock, instance)
+        listen = check_address(settings.listen.peers)
+        self._member = Member(
+            instance=instance,
+            name=settings.router.name,
+            vm=settings.router.vm,
+            data_centre=settings.router.data_centre,
+            peers=str(listen),
+        )
+        self._keeper = ConfigurationKeeper(
+            self._store,
+            self._member,
+            settings.control.table_poll_seconds,
+            self._sponsorship,
+        )
+        self._exchange = PeerExchange(
+            self._member,
+            self._keeper,
+            self._peers,
+            self._sponsorship,
+            settings.peers.seeds,
+            self._source,
+        )
+        self._readiness = Readiness(self._keeper, self._exchange, self._clock)
+
+    def _build_doors(self) -> None:
+        settings = self._settings
+        metrics = Metrics(settings.statsd)
+        self._parts = RouterParts(
+            settings=settings,
+            clock=self._clock,
+            source=self._source,
+            keeper=self._keeper,
+            peers=self._peers,
+            registry=UpstreamRegistry(settings, self._clock),
+            driver=StandardDriver(),
+            policy=NestedPolicy(self._source),
+            limits=WorkspaceLimits(self._clock),
+            gate=AdmissionGate(
+                settings.admission.running,
+                settings.admission.queue,
+                self._clock,
+            ),
+            budget=RetryBudget(settings.admission.retry_share),
+            ledger=RunLedger(self._table, self._clock, settings.router.name),
+            decisions=DecisionLog(),
+            metrics=metrics,
+            background=BackgroundTasks(),
+        )
+        intent = IntentService(
+            self._store, self._keeper, self._clock, self._source
+        )
+        operators = OperatorHandler(
+            self._parts,
+            self._readiness,
+            intent,
+            load_tokens(settings.operators.tokens_file),
+        )
+        tls = settings.tls
+        self._callers_door = HttpServer(
+            CallerHandler(self._parts, self._readiness).handle,
+            settings.http,
+            _load_tls(tls.callers_certificate, tls.callers_key),
+        )
+        self._operators_door = HttpServer(
+            operators.handle,
+            settings.http,
+            _load_tls(tls.operators_certificate, tls.operators_key),
+        )
+
+    async def run(self) -> bool:
+        """Serve until a signal; return whether every request was ended."""
+        self._watch_signals()
+        listen = self._settings.listen
+        peers = self._exchange.start(check_address(listen.peers))
+        self._keeper.set_peers_address(str(peers))
+        self._exchange.set_member(self._keeper.member)
+        callers = await self._callers_door.start(check_address(listen.callers))
+        operators = await self._operators_door.start(
+            check_address(listen.operators)
+        )
+        self._start_control()
+        await self._wait_until_ready()
+        if not self._stop.is_set():
+            LOG.info(
+                'router: ready callers=%s operators=%s peers=%s',
+                callers,
+                operators,
+                peers,
+            )
+        await self._stop.wait()
+        return await self._shut_down()
+
+    def _start_control(self) -> None:
+        exchange_seconds = self._settings.peers.exchange_seconds
+        work = [
+            self._keeper.run(),
+            self._watch_vms(),
+            self._exchange.answer_greetings(),
+            exchange_forever(
+                self._exchange, self._clock.monotonic, exchange_seconds
+            ),
+        ]
+        for upstream in self._parts.registry:
+            prober = Prober(
+                upstream, self._parts.driver, self._settings, self._clock
+            )
+            if upstream.settings.can.reports_state:
+                work.append(prober.run())
+        self._control = [asyncio.create_task(item) for item in work]
+        for task in self._control:
+            task.add_done_callback(self._note_control_end)
+
+    def _note_control_end(self, task: asyncio.Task[None]) -> None:
+        if task.cancelled() or task.exception() is None:
+            return
+        # Without one of its control tasks a router would go stale unseen.
+        LOG.critical(
+            'router: a control task failed', exc_info=task.exception()
+        )
+        self._stop.set()
+
+    async def _wait_until_ready(self) -> None:
+        while not self._readiness.can_serve() and not self._stop.is_set():
+            await asyncio.sleep(START_POLL_SECONDS)
+
+    async def _watch_vms(self) -> None:
+        while True:
+            try:
+                vms = await self._vms.list_vms()
+                self._keeper.sight.vms = vms
+                self._parts.registry.apply_vms(vms)
+                self._sponsorship.drop_gone(set(vms))
+            except PlatformUnavailable as error:
+                LOG.debug('router: no VM list: %s', error)
+            await asyncio.sleep(self._settings.control.vms_poll_seconds)
+
+    async def _shut_down(self) -> bool:
+        """Stop in the order that cuts no request."""
+        LOG.info('router: stopping, %d requests', self._callers_door.busy)
+        self._readiness.stopping = True
+        self._exchange.leaving = True
+        self._callers_door.announce_stop()
+        stop = self._settings.stop
+        await self._pause(stop.notice_seconds)
+        whole = await self._close_callers(stop.grace_seconds)
+        await self._operators_door.stop(RECORDS_SECONDS)
+        await self._parts.background.flush(RECORDS_SECONDS)
+        await self._parts.ledger.flush(RECORDS_SECONDS)
+        # The last act: until here this router obeyed, and was counted.
+        for task in self._control:
+            task.cancel()
+        await asyncio.gather(*self._control, return_exceptions=True)
+        await self._keeper.leave()
+        self._exchange.stop()
+        self._parts.registry.close()
+        LOG.info('router: stopped, every request ended: %s', whole)
+        return whole
+
+    async def _close_callers(self, grace_seconds: float) -> bool:
+        closing = asyncio.create_task(self._callers_door.stop(grace_seconds))
+        hurry = asyncio.create_task(self._hurry.wait())
+        await asyncio.wait(
+            {closing, hurry}, return_when=asyncio.FIRST_COMPLETED
+        )
+        if not closing.done():
+            closing.cancel()
+            await self._callers_door.stop(0)
+            return False
+        hurry.cancel()
+        return closing.result()
+
+    async def _pause(self, seconds: float) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._hurry.wait()
+
+    def _watch_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._note_signal)
+
+    def _note_signal(self) -> None:
+        if self._stop.is_set():
+            LOG.warning('router: second signal, not waiting any longer')
+            self._hurry.set()
+        self._stop.set()
+
+    def _make_client(self, address: str) -> JsonClient:
+        return JsonClient(
+            check_address(address),
+            self._clock,
+            self._settings.platform.timeout_seconds,
+        )
+
+
+def _load_tls(certificate: str, key: str) -> ssl.SSLContext | None:
+    if not certificate:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(certificate, key)
+    return context
--- /dev/null
+++ b/src/lifttrestle/internal/router/readiness.py
@@ -0,0 +1,67 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Whether this router may serve, and whether it should be sent work."""
+
+from lifttrestle.errors import RequestRefused
+from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.configuration.keeper import ConfigurationKeeper
+from lifttrestle.internal.membership.exchange import PeerExchange
+from lifttrestle.internal.refusal.kind import ErrorKind
+
+# How long an unregistered router serves after its sponsor's last word.
+SPONSOR_SECONDS = 3.0
+RETRY_SECONDS = 1.0
+
+
+class Readiness:
+    """Watches the configuration's source and a planned stop."""
+
+    def __init__(
+        self,
+        keeper: ConfigurationKeeper,
+        exchange: PeerExchange,
+        clock: Clock,
+    ) -> None:
+        self._keeper = keeper
+        self._exchange = exchange
+        self._clock = clock
+        self.stopping = False
+
+    def can_serve(self) -> bool:
+        """Return whether no change can be accepted behind this router.
+
+        A registered router is counted in each acceptance; one that could not
+        register is covered by its sponsor while it hears from it.
+        """
+        if not self._keeper.loaded:
+            return False
+        if self._keeper.registered:
+            return True
+        silent = self._clock.monotonic() - self._exchange.sponsor_heard_at
+        return silent <= SPONSOR_SECONDS
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer should send work here."""
+        return self.can_serve() and not self.stopping
+
+    def check(self) -> None:
+        """Refuse a request that may not be served yet.
+
+        :raises RequestRefused: before the configuration is known.
+        """
+        if not self.can_serve():
+            raise RequestRefused(
+                ErrorKind.NOT_CONFIGURED,
+                'this router does not know the configuration in force yet',
+                retry_after=RETRY_SECONDS,
+            )
--- /dev/null
+++ b/src/lifttrestle/internal/router/relay.py
@@ -0,0 +1,37 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""How an engine's answer reaches the caller."""
+
+import abc
+
+from lifttrestle.internal.router.call import UpstreamCall
+from lifttrestle.internal.stream.transcript import Usage
+
+
+class AnswerRelay(abc.ABC):
+    """Passes one answer on, whole and in order."""
+
+    usage: Usage | None = None
+
+    @property
+    @abc.abstractmethod
+    def started(self) -> bool:
+        """Return whether the caller has received a part of the answer."""
+
+    @abc.abstractmethod
+    async def consume(self, call: UpstreamCall) -> None:
+        """Pass an answer on to its end.
+
+        :raises UpstreamLost: if the answer broke off; what was passed on is
+            remembered.
+        """
--- /dev/null
+++ b/src/lifttrestle/internal/router/scope.py
@@ -0,0 +1,41 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""What belongs to one request while the router works on it."""
+
+import dataclasses
+
+from lifttrestle.internal.configuration.model import Workspace
+from lifttrestle.internal.configuration.view import View
+from lifttrestle.internal.http.head import RequestHead
+from lifttrestle.internal.http.server_connection import ServerConnection
+from lifttrestle.internal.router.progress import RequestProgress
+
+
+@dataclasses.dataclass
+class RequestScope:
+    """One request, who sent it and by when it must be answered.
+
+    :ivar view: the configuration under which it was admitted; it keeps it.
+    :ivar deadline: the monotonic time by which the answer must begin.
+    """
+
+    request_id: str
+    connection: ServerConnection
+    head: RequestHead
+    view: View
+    workspace: Workspace
+    started: float
+    deadline: float
+    progress: RequestProgress = dataclasses.field(
+        default_factory=RequestProgress
+    )
--- /dev/null
+++ b/src/lifttrestle/internal/router/stream_relay.py
@@ -0,0 +1,150 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Passes on a stream, event by event."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from lifttrestle.errors import CallerGone
+from lifttrestle.errors import UpstreamLost
+from lifttrestle.internal.router.call import UpstreamCall
+from lifttrestle.internal.router.parts import RouterParts
+from lifttrestle.internal.router.relay import AnswerRelay
+from lifttrestle.internal.router.scope import RequestScope
+from lifttrestle.internal.stream.event import StreamEvent
+from lifttrestle.internal.stream.order import StreamOrder
+from lifttrestle.internal.stream.order import Verdict
+from lifttrestle.internal.stream.parser import StreamParser
+from lifttrestle.internal.stream.transcript import END_OF_STREAM
+from lifttrestle.internal.stream.transcript import Transcript
+
+STATUS_OK = 200
+
+
+class StreamRelay(AnswerRelay):
+    """Forwards each event once, in order, and the explicit end last."""
+
+    def __init__(
+        self, parts: RouterParts, scope: RequestScope, wants_usage: bool
+    ) -> None:
+        self._parts = parts
+        self._scope = scope
+        self.transcript = Transcript(wants_usage)
+        self.order = StreamOrder()
+        self.complete = False
+        self._started = False
+
+    @property
+    def started(self) -> bool:
+        """Return whether the caller has received a part of the answer."""
+        return self._started
+
+    def begin_continuation(self) -> None:
+        """Expect the rest of the answer from another generation."""
+        self.order = StreamOrder()
+        self.transcript.begin_continuation()
+
+    async def consume(self, call: UpstreamCall) -> None:
+        """Forward events until the end of the stream."""
+        parser = StreamParser()
+        async for part in self._iterate(call):
+            events = parser.feed(part)
+            try:
+                data, lost = self._select(events)
+            except ValueError as error:
+                raise UpstreamLost(f'an event is unreadable: {error}') from (
+                    error
+                )
+            if data:
+                await self._send(data)
+            if lost:
+                raise UpstreamLost(lost)
+        if not self.complete:
+            raise UpstreamLost('the stream ended without its last event')
+        await self._end()
+
+    async def finish_lost_end(self) -> bool:
+        """End a stream of which only the end was lost.
+
+        :return: False if something else is missing too.
+        """
+        transcript = self.transcript
+        if not transcript.finished or transcript.wants_usage:
+            return False
+        await self._send(_frame(END_OF_STREAM))
+        await self._end()
+        return True
+
+    async def fail(self, data: bytes) -> None:
+        """Tell the caller that the stream is broken, and cut it.
+
+        There is no terminating chunk, so it can't be taken for the end.
+        """
+        try:
+            await self._scope.connection.send_part(_frame(data))
+        except CallerGone:
+            pass
+        self._scope.connection.abort()
+
+    async def _iterate(self, call: UpstreamCall) -> AsyncIterator[bytes]:
+        stall = self._parts.settings.deadlines.stall
+        parts = aiter(call.connection.iterate_body())
+        while True:
+            try:
+                async with asyncio.timeout(stall):
+                    part = await anext(parts)
+            except StopAsyncIteration:
+                return
+            except TimeoutError:
+                raise UpstreamLost(
+                    f'the stream was silent for {stall:g} s'
+                ) from None
+            yield part
+
+    def _select(self, events: list[StreamEvent]) -> tuple[bytes, str]:
+        chosen: list[bytes] = []
+        for event in events:
+            verdict = self.order.judge(event.index)
+            if verdict is Verdict.DROP:
+                continue
+            if verdict is Verdict.GAP:
+                return b''.join(chosen), f'event {event.index} came too early'
+            if event.data == END_OF_STREAM:
+                if not self.transcript.finished:
+                    return b''.join(chosen), 'it ended without a finish reason'
+                self.complete = True
+                chosen.append(_frame(END_OF_STREAM))
+                continue
+            data = self.transcript.take(event)
+            if data is not None:
+                chosen.append(_frame(data))
+        self.usage = self.transcript.usage
+        return b''.join(chosen), ''
+
+    async def _send(self, data: bytes) -> None:
+        if not self._started:
+            self._started = True
+            headers = (
+                ('content-type', 'text/event-stream'),
+                ('cache-control', 'no-cache'),
+                ('x-request-id', self._scope.request_id),
+            )
+            await self._scope.connection.start_answer(STATUS_OK, headers)
+        await self._scope.connection.send_part(data)
+
+    async def _end(self) -> None:
+        await self._scope.connection.end_answer()
+
+
+def _frame(data: bytes) -> bytes:
+    return b'data: ' + data + b'\n\n'
--- /dev/null
+++ b/src/lifttrestle/internal/routing/rendezvous.py
@@ -0,0 +1,28 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Rendezvous hashing: every router ranks upstreams alike, unasked."""
+
+import hashlib
+
+
+def rank_names(digest: bytes, names: list[str]) -> list[str]:
+    """Return ``names`` in the order in which ``digest`` prefers them.
+
+    Removing a name leaves the order of the others as it was.
+    """
+    scores = {name: _score(digest, name) for name in names}
+    return sorted(names, key=scores.__getitem__, reverse=True)
+
+
+def _score(digest: bytes, name: str) -> bytes:
+    return hashlib.blake2b(name.encode(), key=digest, digest_size=8).digest()
--- /dev/null
+++ b/src/lifttrestle/internal/runrecord/ledger.py
@@ -0,0 +1,220 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Claims idempotency keys in the table service, so that each runs once.
+
+A claim names the attempt that made it. Nobody takes a claim over: its holder
+may only be paused. An attempt that was never sent voids its own claim.
+"""
+
+import asyncio
+import dataclasses
+import logging
+
+import msgspec
+
+from lifttrestle.errors import ConditionFailed
+from lifttrestle.errors import PlatformUnavailable
+from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.platform.row import ABSENT
+from lifttrestle.internal.platform.row import Check
+from lifttrestle.internal.platform.row import Row
+from lifttrestle.internal.platform.row import Write
+from lifttrestle.internal.platform.table import TableService
+from lifttrestle.internal.runrecord.committer import GroupCommitter
+from lifttrestle.internal.runrecord.record import RunRecord
+from lifttrestle.internal.runrecord.record import RunState
+
+LOG = logging.getLogger('lifttrestle.runrecord')
+SETTLE_PAUSE_SECONDS = 0.2
+SETTLE_MAX_PAUSE_SECONDS = 5.0
+
+
+@dataclasses.dataclass(frozen=True)
+class RunKey:
+    """An idempotency key within its workspace."""
+
+    workspace: str
+    key: str
+
+    @property
+    def row(self) -> str:
+        """Return the key of the row in the table service."""
+        return f'run/{self.workspace}/{self.key}'
+
+
+@dataclasses.dataclass(frozen=True)
+class Claim:
+    """A claim that one attempt holds.
+
+    :ivar version: the version of its row.
+    """
+
+    run_key: RunKey
+    record: RunRecord
+    version: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Taken:
+    """The record of another attempt that stands in the way."""
+
+    record: RunRecord
+
+
+class RunLedger:
+    """Makes, settles and voids claims; the writes are grouped."""
+
+    def __init__(self, table: TableService, clock: Clock, router: str) -> None:
+        self._table = table
+        self._clock = clock
+        self._router = router
+        self._committer = GroupCommitter(table)
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def claim(
+        self, run_key: RunKey, attempt: str, fingerprint: str
+    ) -> Claim | Taken:
+        """Claim a key for an attempt, or return what stands in the way.
+
+        :raises PlatformUnavailable: if it can't be known that the claim is
+            held. The caller must then not send the request, and should
+            ``void`` the claim, which may exist.
+        """
+        record = RunRecord(
+            attempt,
+            RunState.CLAIMED,
+            fingerprint,
+            self._router,
+            self._clock.now(),
+        )
+        version = ABSENT
+        while True:
+            try:
+                written = await self._write(run_key, record, version)
+                return Claim(run_key, record, written)
+            except (ConditionFailed, PlatformUnavailable):
+                row = await self._read(run_key)
+            if row is None:
+                version = ABSENT
+                continue
+            found = _decode(row)
+            if found.attempt == attempt:
+                return Claim(run_key, record, row.version)
+            if found.state is not RunState.VOID:
+                return Taken(found)
+            version = row.version
+
+    async def void(self, run_key: RunKey, attempt: str) -> bool:
+        """Try once to void what this attempt may have claimed.
+
+        :return: False if the table did not answer; ``void_later`` goes on.
+        """
+        try:
+            await self._settle_once(run_key, attempt, RunState.VOID, 0)
+        except (PlatformUnavailable, ConditionFailed):
+            return False
+        return True
+
+    def void_later(self, run_key: RunKey, attempt: str) -> None:
+        """Void in the background, until the table has answered."""
+        self._start(run_key, attempt, RunState.VOID, 0)
+
+    def finish_later(self, claim: Claim, state: RunState, status: int) -> None:
+        """Record the outcome in the background."""
+        self._keep(asyncio.create_task(self._finish(claim, state, status)))
+
+    async def flush(self, seconds: float) -> None:
+        """Wait, but not longer than ``seconds``, for background records."""
+        if self._tasks:
+            await asyncio.wait(set(self._tasks), timeout=seconds)
+
+    def _start(
+        self, run_key: RunKey, attempt: str, state: RunState, status: int
+    ) -> None:
+        self._keep(
+            asyncio.create_task(self._settle(run_key, attempt, state, status))
+        )
+
+    def _keep(self, task: asyncio.Task[None]) -> None:
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _finish(
+        self, claim: Claim, state: RunState, status: int
+    ) -> None:
+        attempt = claim.record.attempt
+        fingerprint = claim.record.fingerprint
+        outcome = self._make(attempt, state, fingerprint, status)
+        try:
+            await self._write(claim.run_key, outcome, claim.version)
+        except (PlatformUnavailable, ConditionFailed):
+            await self._settle(claim.run_key, attempt, state, status)
+
+    async def _settle(
+        self, run_key: RunKey, attempt: str, state: RunState, status: int
+    ) -> None:
+        pause = SETTLE_PAUSE_SECONDS
+        while True:
+            try:
+                await self._settle_once(run_key, attempt, state, status)
+                return
+            except (PlatformUnavailable, ConditionFailed) as error:
+                LOG.debug('runrecord: %s not settled: %s', attempt, error)
+            await asyncio.sleep(pause)
+            pause = min(pause * 2, SETTLE_MAX_PAUSE_SECONDS)
+
+    async def _settle_once(
+        self, run_key: RunKey, attempt: str, state: RunState, status: int
+    ) -> None:
+        row = await self._read(run_key)
+        if row is None:
+            # The claim's write may still be on its way. A void row in its
+            # place makes that write fail when it arrives.
+            await self._write(
+                run_key, self._make(attempt, state, '', status), ABSENT
+            )
+            return
+        found = _decode(row)
+        both_void = found.state is state is RunState.VOID
+        if found.attempt != attempt and not both_void:
+            return
+        if found.attempt == attempt and found.state is state:
+            return
+        # Where another attempt's void row stands, our claim that would have
+        # replaced it may still be on its way: a new version stops it too.
+        settled = self._make(attempt, state, found.fingerprint, status)
+        await self._write(run_key, settled, row.version)
+
+    def _make(
+        self, attempt: str, state: RunState, fingerprint: str, status: int
+    ) -> RunRecord:
+        now = self._clock.now()
+        return RunRecord(
+            attempt, state, fingerprint, self._router, now, status
+        )
+
+    async def _write(
+        self, run_key: RunKey, record: RunRecord, version: int
+    ) -> int:
+        value = msgspec.Raw(msgspec.json.encode(record))
+        return await self._committer.commit(
+            Check(run_key.row, version), Write(run_key.row, value)
+        )
+
+    async def _read(self, run_key: RunKey) -> Row | None:
+        rows = await self._table.read((run_key.row,))
+        return rows.get(run_key.row)
+
+
+def _decode(row: Row) -> RunRecord:
+    return msgspec.json.decode(row.value, type=RunRecord)
--- /dev/null
+++ b/src/lifttrestle/internal/settings/fault.py
@@ -0,0 +1,35 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""One fault in a settings file."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """Where a settings file is wrong and what to do about it.
+
+    :ivar line: the line number from 1, or 0 where it is not known.
+    :ivar key: the dotted path of the key.
+    """
+
+    file: str
+    line: int
+    key: str
+    value: str
+    remedy: str
+
+    def __str__(self) -> str:
+        """Return the fault as one line of text."""
+        place = f'{self.file}:{self.line}' if self.line else self.file
+        return f'{place}: {self.key} = {self.value}: {self.remedy}'
--- /dev/null
+++ b/src/lifttrestle/internal/stream/order.py
@@ -0,0 +1,59 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Decides what to do with the next event of a stream by its index."""
+
+import enum
+
+from lifttrestle.internal.stream.event import NO_INDEX
+
+
+class Verdict(enum.Enum):
+    """What to do with an event."""
+
+    FORWARD = 'forward'
+    DROP = 'drop'
+    GAP = 'gap'
+
+
+class StreamOrder:
+    """Lets each index of a stream through once, in order.
+
+    A stream whose events carry no index is let through as it comes; what is
+    lost of it cannot be seen, and it cannot be resumed.
+    """
+
+    def __init__(self) -> None:
+        self._next = 0
+        self._indexed = False
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last event let through, or -1."""
+        return self._next - 1
+
+    @property
+    def indexed(self) -> bool:
+        """Return whether the events carry an index."""
+        return self._indexed
+
+    def judge(self, index: int) -> Verdict:
+        """Return what to do with an event of this index."""
+        if index == NO_INDEX:
+            return Verdict.GAP if self._indexed else Verdict.FORWARD
+        self._indexed = True
+        if index < self._next:
+            return Verdict.DROP
+        if index > self._next:
+            return Verdict.GAP
+        self._next += 1
+        return Verdict.FORWARD
--- /dev/null
+++ b/src/lifttrestle/internal/telemetry/metrics.py
@@ -0,0 +1,45 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Sends metrics to a statsd server, or drops them where none is set."""
+
+import statsd
+
+from lifttrestle.internal.settings.sections import StatsdSection
+
+MILLISECONDS = 1000
+
+
+class Metrics:
+    """Counts and times what the router does, over UDP."""
+
+    def __init__(self, settings: StatsdSection) -> None:
+        self._client: statsd.StatsClient | None = None
+        if settings.host:
+            self._client = statsd.StatsClient(
+                settings.host, settings.port, prefix=settings.prefix
+            )
+
+    def count(self, name: str, number: int = 1) -> None:
+        """Add to a counter."""
+        if self._client is not None:
+            self._client.incr(name, number)
+
+    def time(self, name: str, seconds: float) -> None:
+        """Record a duration."""
+        if self._client is not None:
+            self._client.timing(name, seconds * MILLISECONDS)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        if self._client is not None:
+            self._client.gauge(name, value)
--- /dev/null
+++ b/src/lifttrestle/internal/upstream/driver.py
@@ -0,0 +1,62 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""How the router talks to a kind of engine.
+
+The chat and completion API is common to all. What has no published form, such
+as incarnation, resume, drain and orders, differs and sits behind this class.
+"""
+
+import abc
+
+from lifttrestle.internal.http.head import RequestHead
+from lifttrestle.internal.http.head import ResponseHead
+from lifttrestle.internal.upstream.identity import EngineIdentity
+from lifttrestle.internal.upstream.order import EngineOrder
+from lifttrestle.internal.upstream.report import EngineReport
+
+
+class EngineDriver(abc.ABC):
+    """Translates between the router and one kind of engine."""
+
+    @abc.abstractmethod
+    def build_probe(self) -> RequestHead:
+        """Return the request that asks for the engine's state."""
+
+    @abc.abstractmethod
+    def read_probe(self, body: bytes) -> EngineReport:
+        """Return the state in an answer to the probe.
+
+        :raises ValueError: if the answer is not a state.
+        """
+
+    @abc.abstractmethod
+    def read_identity(self, head: ResponseHead) -> EngineIdentity:
+        """Return which engine answered; empty where the head is silent."""
+
+    @abc.abstractmethod
+    def is_draining(self, head: ResponseHead) -> bool:
+        """Return whether an answer refuses because the engine drains."""
+
+    @abc.abstractmethod
+    def build_resume(
+        self, identity: EngineIdentity, last_index: int, request_id: str
+    ) -> RequestHead:
+        """Return the request for the events after ``last_index``."""
+
+    @abc.abstractmethod
+    def build_cancel(self, identity: EngineIdentity) -> RequestHead:
+        """Return the request that ends a generation no one reads."""
+
+    @abc.abstractmethod
+    def build_order(self, order: EngineOrder) -> tuple[RequestHead, bytes]:
+        """Return the request that carries an order to the engine."""
--- /dev/null
+++ b/src/lifttrestle/internal/upstream/registry.py
@@ -0,0 +1,85 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""All upstreams that a router knows, by name."""
+
+from collections.abc import Iterator
+
+from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.http.address import check_address
+from lifttrestle.internal.http.client_pool import ClientPool
+from lifttrestle.internal.platform.vm import Vm
+from lifttrestle.internal.platform.vm import VmState
+from lifttrestle.internal.settings.router import RouterSettings
+from lifttrestle.internal.upstream.exclusion import Exclusion
+from lifttrestle.internal.upstream.exclusion import find_exclusion
+from lifttrestle.internal.upstream.exclusion import Target
+from lifttrestle.internal.upstream.state import UpstreamState
+
+
+class UpstreamRegistry:
+    """Holds the upstreams' states and finds those fit for a request."""
+
+    def __init__(self, settings: RouterSettings, clock: Clock) -> None:
+        self._clock = clock
+        self._states: dict[str, UpstreamState] = {}
+        self._listed: set[str] = set()
+        for item in settings.upstream:
+            pool = ClientPool(
+                check_address(item.address), clock, settings.deadlines.connect
+            )
+            self._states[item.name] = UpstreamState(item, pool)
+
+    def __iter__(self) -> Iterator[UpstreamState]:
+        """Iterate over the upstreams in the order of the settings."""
+        return iter(self._states.values())
+
+    def get(self, name: str) -> UpstreamState:
+        """Return the upstream of that name."""
+        return self._states[name]
+
+    def find_fit(self, target: Target, tried: set[str]) -> list[UpstreamState]:
+        """Return the upstreams that may serve ``target`` now."""
+        now = self._clock.monotonic()
+        return [
+            upstream
+            for upstream in self._states.values()
+            if find_exclusion(upstream, target, tried, now) is Exclusion.NONE
+        ]
+
+    def explain(self, target: Target, tried: set[str]) -> str:
+        """Return, for the log, why no upstream may serve ``target``."""
+        now = self._clock.monotonic()
+        reasons = []
+        for upstream in self._states.values():
+            reason = find_exclusion(upstream, target, tried, now)
+            if reason not in (Exclusion.OTHER_GROUP, Exclusion.NONE):
+                reasons.append(f'{upstream.name} {reason.value}')
+        return ', '.join(reasons) or 'no upstream of this group'
+
+    def apply_vms(self, vms: dict[str, Vm]) -> None:
+        """Mark the upstreams whose VM is leaving or no longer listed.
+
+        The list lags: a VM that was never on it is new, not gone.
+        """
+        self._listed.update(vms)
+        for upstream in self._states.values():
+            name = upstream.settings.vm
+            if name not in self._listed:
+                continue
+            vm = vms.get(name)
+            upstream.leaving = vm is None or vm.state is VmState.LEAVING
+
+    def close(self) -> None:
+        """Close every kept connection."""
+        for upstream in self._states.values():
+            upstream.pool.close()
--- /dev/null
+++ b/src/lifttrestle/internal/upstream/standard_driver.py
@@ -0,0 +1,70 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""The driver for engines with the calls documented in docs/design."""
+
+import msgspec
+
+from lifttrestle.internal.http.head import RequestHead
+from lifttrestle.internal.http.head import ResponseHead
+from lifttrestle.internal.upstream.driver import EngineDriver
+from lifttrestle.internal.upstream.identity import EngineIdentity
+from lifttrestle.internal.upstream.order import EngineOrder
+from lifttrestle.internal.upstream.report import EngineReport
+
+STATE_PATH = '/lifttrestle/state'
+ORDERS_PATH = '/lifttrestle/orders'
+STREAMS_PATH = '/lifttrestle/streams/'
+
+
+class StandardDriver(EngineDriver):
+    """Uses headers for identity and paths below ``/lifttrestle/``."""
+
+    def build_probe(self) -> RequestHead:
+        """Return the request that asks for the engine's state."""
+        return RequestHead('GET', STATE_PATH)
+
+    def read_probe(self, body: bytes) -> EngineReport:
+        """Return the state in an answer to the probe."""
+        return msgspec.json.decode(body, type=EngineReport)
+
+    def read_identity(self, head: ResponseHead) -> EngineIdentity:
+        """Return which engine answered; empty where the head is silent."""
+        return EngineIdentity(
+            head.get_header('x-engine-incarnation'),
+            head.get_header('x-engine-version'),
+            head.get_header('x-engine-stream'),
+        )
+
+    def is_draining(self, head: ResponseHead) -> bool:
+        """Return whether an answer refuses because the engine drains."""
+        return head.get_header('x-engine-draining') == '1'
+
+    def build_resume(
+        self, identity: EngineIdentity, last_index: int, request_id: str
+    ) -> RequestHead:
+        """Return the request for the events after ``last_index``."""
+        headers = (
+            ('last-event-id', str(last_index)),
+            ('x-request-id', request_id),
+        )
+        return RequestHead('GET', STREAMS_PATH + identity.stream_id, headers)
+
+    def build_cancel(self, identity: EngineIdentity) -> RequestHead:
+        """Return the request that ends a generation no one reads."""
+        return RequestHead('DELETE', STREAMS_PATH + identity.stream_id)
+
+    def build_order(self, order: EngineOrder) -> tuple[RequestHead, bytes]:
+        """Return the request that carries an order to the engine."""
+        headers = (('content-type', 'application/json'),)
+        head = RequestHead('POST', ORDERS_PATH, headers)
+        return head, msgspec.json.encode(order)
