Log test: pin the workspace whose data centre it expects

Change: the test uses the workspace that lives in one data centre and expects that one in its decision. It is as strict: every field is still compared.

--- a/tests/nocover/test_whole_path.py
+++ b/tests/nocover/test_whole_path.py
@@ -119,13 +119,13 @@
         self.assertEqual(served.status, 200)
 
     def test_decision_is_logged_without_text(self) -> None:
-        router = self.deployment.routers['bkk-silom-1']
+        router = self.deployment.routers['bkk-bangna-1']
         secret = 'a-prompt-that-no-log-may-hold'
         answer = request(
             router.callers,
             'POST',
             '/v1/completions',
-            TOKEN,
+            'bangna-only-token',
             {'model': MODEL, 'prompt': secret, 'max_tokens': 2},
         )
         request_id = answer.headers['x-request-id']
@@ -134,7 +134,11 @@
             line for line in lines if 'routing:' in line and request_id in line
         ]
         self.assertEqual(len(decisions), 1, lines)
-        for field in ('workspace=daily', 'data_centre=bkk-silom', 'reason='):
+        for field in (
+            'workspace=bangna-only',
+            'data_centre=bkk-bangna',
+            'reason=',
+        ):
             self.assertIn(field, decisions[0])
         self.assertFalse([line for line in lines if secret in line])
 
