--- a/src/lifttrestle/internal/router/embargo.py
+++ b/src/lifttrestle/internal/router/embargo.py
@@ -14,18 +14,21 @@
 
 import datetime
 import posixpath
+import re
 import urllib.parse
 
 from lifttrestle.errors import RequestRefused
 from lifttrestle.internal.configuration.model import Workspace
 from lifttrestle.internal.refusal.kind import ErrorKind
 
+PARAMETER = re.compile(r';[^/]*')
+
 
 def normalise_path(path: str) -> str:
     """Return a path as the service will read it.
 
-    Escapes are decoded and dots resolved, so that no other spelling of a
-    closed path gets around its rule.
+    Escapes are decoded, parameters behind a semicolon dropped and dots
+    resolved, so that no other spelling of a closed path gets around its rule.
     """
     decoded = path
     while '%' in decoded:
@@ -33,7 +36,7 @@
         if once == decoded:
             break
         decoded = once
-    slashes = decoded.replace('\\', '/')
+    slashes = PARAMETER.sub('', decoded.replace('\\', '/'))
     normal = posixpath.normpath('/' + slashes.lstrip('/'))
     if slashes.endswith('/') and normal != '/':
         normal += '/'
