Routing: a cold home wins over an upstream drawn at random

Cause: the demo's second answer showed no cached tokens. A drawn upstream was weighed without a rank penalty, so it beat any home that was not ranked first, and each request of the same prefix could land elsewhere.

Ruled out: the engine's cache (the same engine shows 656 of 669 when asked twice) and the prefix hashes (equal for both requests).

Change: drawn upstreams rank behind the homes, and must save more than the prefill that a home without evidence may spare (prior 0.5).

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 .PHONY: demo test lint format dist bench clean
 
 demo: $(READY)
-	@$(BIN)/python examples/demo.py
+	@$(BIN)/python -m examples.demo
 
 test: $(READY)
 	@$(BIN)/python -m tests.run
--- a/src/lifttrestle/internal/routing/evidence.py
+++ b/src/lifttrestle/internal/routing/evidence.py
@@ -59,12 +59,3 @@
             self._seen.move_to_end(key)
         while len(self._seen) > self._max_entries:
             self._seen.popitem(last=False)
-
-    def withdraw(
-        self, prompt: Prompt, candidate: Candidate, cached_tokens: int
-    ) -> None:
-        """Forget the levels that an answer showed not to be cached."""
-        for level in prompt.levels:
-            if level.tokens > cached_tokens:
-                key = (candidate.name, candidate.incarnation, level.digest)
-                self._seen.pop(key, None)
--- a/src/lifttrestle/internal/routing/nested.py
+++ b/src/lifttrestle/internal/routing/nested.py
@@ -42,12 +42,14 @@
     :ivar service_seconds: the time a request holds a slot, as a first guess.
     :ivar rank_penalty_seconds: what each step down the ranking costs, so
         that equal upstreams are not chosen in turn.
+    :ivar home_prior: how likely a home holds a prefix without evidence.
     """
 
     homes: tuple[int, ...] = (3, 2, 1)
     service_seconds: float = 0.5
     rank_penalty_seconds: float = 0.002
     random_choices: int = 2
+    home_prior: float = 0.5
     evidence_seconds: float = 30.0
     evidence_entries: int = 50_000
     ranking_entries: int = 4096
@@ -76,15 +78,31 @@
         if not prompt.levels:
             return self._spread(candidates, by_name, now)
         homes = self._find_homes(prompt, tuple(by_name))
-        best = self._weigh(prompt, homes, by_name, 'home', now)
+        best = self._weigh(prompt, homes, by_name, now)
         others = self._draw(candidates, homes)
         if not others:
             return best
-        way_out = self._weigh(prompt, others, by_name, 'homes are busy', now)
-        if way_out.expected_seconds < best.expected_seconds:
+        way_out = self._weigh(
+            prompt, others, by_name, now, 'homes are busy', len(homes)
+        )
+        saved = best.expected_seconds - way_out.expected_seconds
+        if saved > self._count_likely_loss(prompt, best, by_name):
             return way_out
         return best
 
+    def _count_likely_loss(
+        self, prompt: Prompt, home: Choice, by_name: dict[str, Candidate]
+    ) -> float:
+        """Return the seconds of prefill that leaving a home may cost.
+
+        A home without evidence may well hold the prefix: another router may
+        have sent it there.
+        """
+        if home.expected_cached:
+            return 0.0
+        rate = by_name[home.name].prefill_tokens_per_second
+        return self._settings.home_prior * prompt.levels[-1].tokens / rate
+
     def _spread(
         self,
         candidates: list[Candidate],
@@ -98,7 +116,7 @@
         ]
         count = min(self._settings.random_choices, len(near))
         drawn = [item.name for item in self._source.sample(near, count)]
-        return self._weigh(NO_PROMPT, drawn, by_name, 'least loaded', now)
+        return self._weigh(NO_PROMPT, drawn, by_name, now, 'least loaded')
 
     def observe(
         self,
@@ -140,12 +158,13 @@
         prompt: Prompt,
         names: list[str],
         by_name: dict[str, Candidate],
-        reason: str,
         now: float,
+        reason: str = 'home',
+        first_rank: int = 0,
     ) -> Choice:
         choices = [
             self._expect(prompt, by_name[name], rank, reason, now)
-            for rank, name in enumerate(names)
+            for rank, name in enumerate(names, first_rank)
         ]
         return min(choices, key=lambda choice: choice.expected_seconds)
 
