--- a/src/lifttrestle/internal/standin/server.py
+++ b/src/lifttrestle/internal/standin/server.py
@@ -13,6 +13,7 @@
 """The frame that all stand-ins share: a server, routes, fault switches."""
 
 import asyncio
+import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
 import signal
@@ -31,6 +32,7 @@
 from lifttrestle.internal.standin.faults import Faults
 
 FAULTS_PATH = '/standin/faults'
+ARRIVALS_PATH = '/standin/arrivals'
 JSON_HEADERS = (('content-type', 'application/json'),)
 Handler = Callable[[ServerConnection, RequestHead, bytes], Awaitable[None]]
 
@@ -49,6 +51,7 @@
         self._handler = handler
         self._free_paths = free_paths
         self._calls = 0
+        self._arrivals: collections.Counter[str] = collections.Counter()
         limits = HttpLimits(body_bytes=64 * 1024 * 1024, idle_seconds=3600)
         self._server = HttpServer(self._serve, limits)
 
@@ -71,6 +74,9 @@
         if head.path == FAULTS_PATH:
             await self._set_faults(connection, body)
             return
+        if head.path == ARRIVALS_PATH:
+            await send_json(connection, dict(self._arrivals))
+            return
         if head.path.startswith(self._free_paths or ('\0',)):
             await self._handler(connection, head, body)
             return
@@ -81,6 +87,7 @@
     ) -> None:
         faults = self.faults
         self._calls += 1
+        self._arrivals[head.path] += 1
         if faults.delay_seconds:
             await asyncio.sleep(faults.delay_seconds)
         if self._is_refused():
--- a/tests/support/deployment.py
+++ b/tests/support/deployment.py
@@ -292,6 +292,14 @@
         )
         assert reply.status == 200, reply.body
 
+    def count_arrivals(self, name: str, path: str) -> int:
+        """Return how many calls of a path have reached a stand-in.
+
+        A call counts when it arrives, before any fault delays it.
+        """
+        reply = request(self.addresses[name], 'GET', '/standin/arrivals')
+        return reply.json().get(path, 0)
+
     def count_runs(self) -> dict[str, int]:
         """Return how often each key ran, over all plain services."""
         runs: dict[str, int] = {}
