--- a/tests/run.py
+++ b/tests/run.py
@@ -75,7 +75,7 @@
     else:
         suite = loader.discover(str(ROOT / 'tests'), top_level_dir=str(ROOT))
     runner = unittest.TextTestRunner(
-        resultclass=TimedResult, verbosity=1, buffer=True
+        resultclass=TimedResult, verbosity=1
     )
     result = runner.run(suite)
     assert isinstance(result, TimedResult)
