Configuration: two steps proved by cuts, pauses, races and restarts

Cause: nothing proved that an accepted change is in force everywhere and never reverts.

Now only a VM that was listed before can be gone, as for registered routers.

The tests' deployment wrote the operators' file again for each router, so a starting router could read it half written; it is written once.

--- a/src/lifttrestle/internal/membership/sponsorship.py
+++ b/src/lifttrestle/internal/membership/sponsorship.py
@@ -35,6 +35,7 @@
 
     def __init__(self) -> None:
         self._sponsored: dict[str, Sponsored] = {}
+        self._listed: set[str] = set()
 
     def add(self, member: Member) -> None:
         """Answer for a router from now on."""
@@ -49,11 +50,15 @@
             self._sponsored[instance].plan_id = plan_id
 
     def drop_gone(self, vms: set[str]) -> None:
-        """Stop answering for routers whose VM is no longer listed."""
+        """Stop answering for routers whose VM is no longer listed.
+
+        The list lags: a VM that was never on it is new, not gone.
+        """
+        self._listed.update(vms)
         gone = [
             instance
             for instance, item in self._sponsored.items()
-            if item.member.vm not in vms
+            if item.member.vm in self._listed - vms
         ]
         for instance in gone:
             del self._sponsored[instance]
--- a/tests/run.py
+++ b/tests/run.py
@@ -74,9 +74,7 @@
         suite = loader.loadTestsFromNames(names)
     else:
         suite = loader.discover(str(ROOT / 'tests'), top_level_dir=str(ROOT))
-    runner = unittest.TextTestRunner(
-        resultclass=TimedResult, verbosity=1
-    )
+    runner = unittest.TextTestRunner(resultclass=TimedResult, verbosity=1)
     result = runner.run(suite)
     assert isinstance(result, TimedResult)
     return report(result, bool(names))
--- a/tests/support/deployment.py
+++ b/tests/support/deployment.py
@@ -189,6 +189,7 @@
     def __enter__(self) -> 'Deployment':
         """Start everything and wait until it is ready."""
         try:
+            self._write_tokens()
             self._start_standins()
             for data_centre in self.data_centres:
                 for number in range(1, self._counts[2] + 1):
@@ -339,12 +340,14 @@
                 self._places[name] = data_centre
                 self.start_standin(name, ['service', '--name', name])
 
-    def _write_settings(self, name: str, data_centre: str) -> str:
-        tokens = self.folder / 'operators.toml'
-        tokens.write_text(
+    def _write_tokens(self) -> None:
+        # Once, before any router starts: a router must not read half a file.
+        (self.folder / 'operators.toml').write_text(
             '[[operator]]\nname = "tester"\nrole = "confirmer"\n'
             f'token_digest = "{digest(OPERATOR_TOKEN)}"\n'
         )
+
+    def _write_settings(self, name: str, data_centre: str) -> str:
         lines = [
             f'router = {{ name = "{name}", vm = "vm-{name}",'
             f' data_centre = "{data_centre}" }}',
