--- a/src/lifttrestle/internal/standin/engine.py
+++ b/src/lifttrestle/internal/standin/engine.py
@@ -29,8 +29,8 @@
 from lifttrestle.internal.standin.engine_cache import EngineCache
 from lifttrestle.internal.standin.engine_settings import EngineSettings
 from lifttrestle.internal.standin.engine_stream import EngineStream
-from lifttrestle.internal.standin.engine_text import generate_word
 from lifttrestle.internal.standin.engine_text import render_prompt
+from lifttrestle.internal.standin.engine_text import TextGenerator
 from lifttrestle.internal.standin.server import send_json
 from lifttrestle.internal.standin.server import StandinServer
 
@@ -161,13 +161,14 @@
         limit = request.get('max_completion_tokens')
         limit = limit or request.get('max_tokens') or DEFAULT_MAX_TOKENS
         weights = f'{stream.model}\0{stream.version}'
+        stops = not request.get('ignore_eos')
+        generator = TextGenerator(weights, text, stops)
         stream.finish_reason = 'length'
         for _ in range(int(limit)):  # type: ignore[call-overload]
-            word = generate_word(weights, text)
+            word = generator.next_word()
             if word is None:
                 stream.finish_reason = 'stop'
                 break
-            text += word
             stream.words.append(word)
             stream.add(_encode_chunk(path, stream, word, None))
             await asyncio.sleep(self._settings.decode_seconds)
--- a/src/lifttrestle/internal/standin/engine_text.py
+++ b/src/lifttrestle/internal/standin/engine_text.py
@@ -42,9 +42,23 @@
     return text + '\nassistant: '
 
 
-def generate_word(weights: str, text: str) -> str | None:
-    """Return the word after ``text``, or None where the model stops."""
-    digest = hashlib.sha256(f'{weights}\0{text}'.encode()).digest()
-    if int.from_bytes(digest[1:3], 'big') < STOP_BELOW:
-        return None
-    return WORDS[digest[0] % len(WORDS)] + ' '
+class TextGenerator:
+    """Makes the words after a text, one by one.
+
+    :param weights: the model and the version of its weights.
+    :param text: all that the model has read.
+    :param stops: whether the model may end by itself.
+    """
+
+    def __init__(self, weights: str, text: str, stops: bool) -> None:
+        self._stops = stops
+        self._digest = hashlib.sha256(f'{weights}\0{text}'.encode())
+
+    def next_word(self) -> str | None:
+        """Return the next word, or None where the model stops."""
+        digest = self._digest.digest()
+        if self._stops and int.from_bytes(digest[1:3], 'big') < STOP_BELOW:
+            return None
+        word = WORDS[digest[0] % len(WORDS)] + ' '
+        self._digest.update(word.encode())
+        return word
--- a/src/lifttrestle/internal/stream/transcript.py
+++ b/src/lifttrestle/internal/stream/transcript.py
@@ -17,6 +17,7 @@
 """
 
 import dataclasses
+import io
 
 import msgspec
 
@@ -79,7 +80,7 @@
     """
 
     wants_usage: bool
-    text_parts: list[str] = dataclasses.field(default_factory=list)
+    delivered: io.StringIO = dataclasses.field(default_factory=io.StringIO)
     tokens: int = 0
     finished: bool = False
     usage: Usage | None = None
@@ -89,7 +90,7 @@
     @property
     def text(self) -> str:
         """Return the delivered text."""
-        return ''.join(self.text_parts)
+        return self.delivered.getvalue()
 
     def begin_continuation(self) -> None:
         """Expect the rest of the answer from another generation."""
@@ -130,7 +131,7 @@
             if choice.delta is not None:
                 content = choice.delta.content
             if content:
-                self.text_parts.append(content)
+                self.delivered.write(content)
                 self.tokens += 1
             if choice.finish_reason is not None:
                 self.finished = True
