Run record: a model that drives every interleaving it can find

Cause: the process tests produce the failures one by one; nothing tried them in combination. Hypothesis now decides the fate of each call to the table (answered, refused, answer lost, effect late), when a claimed request is sent or given up, and when a router dies, over three routers and two keys.

Three deliberate faults show that it can fail: a claim taken over, trust in a lost answer, the voiding of another's claim.

The clock gained sleep, so that background retries follow the passed-in time.

--- a/src/lifttrestle/internal/clock/clock.py
+++ b/src/lifttrestle/internal/clock/clock.py
@@ -26,3 +26,7 @@
     @abc.abstractmethod
     def monotonic(self) -> float:
         """Return seconds since an arbitrary start; it never decreases."""
+
+    @abc.abstractmethod
+    async def sleep(self, seconds: float) -> None:
+        """Return after ``seconds`` of the monotonic time."""
--- a/src/lifttrestle/internal/clock/manual.py
+++ b/src/lifttrestle/internal/clock/manual.py
@@ -12,6 +12,7 @@
 
 """A clock that moves only when told to, for replay and tests."""
 
+import asyncio
 import datetime
 
 from lifttrestle.internal.clock.clock import Clock
@@ -23,6 +24,7 @@
     def __init__(self, start: datetime.datetime) -> None:
         self._now = start
         self._monotonic = 0.0
+        self._sleepers: list[tuple[float, asyncio.Future[None]]] = []
 
     def now(self) -> datetime.datetime:
         """Return the wall time that was set."""
@@ -36,7 +38,21 @@
         """Let ``seconds`` pass on both times."""
         self._monotonic += seconds
         self._now += datetime.timedelta(seconds=seconds)
+        self._wake()
+
+    async def sleep(self, seconds: float) -> None:
+        """Return once the clock was advanced by ``seconds``."""
+        future = asyncio.get_running_loop().create_future()
+        self._sleepers.append((self._monotonic + seconds, future))
+        await future
 
     def step(self, seconds: float) -> None:
         """Move the wall time alone, as a corrected machine clock does."""
         self._now += datetime.timedelta(seconds=seconds)
+
+    def _wake(self) -> None:
+        due = [item for item in self._sleepers if item[0] <= self._monotonic]
+        self._sleepers = [item for item in self._sleepers if item not in due]
+        for _, future in due:
+            if not future.done():
+                future.set_result(None)
--- a/src/lifttrestle/internal/clock/system.py
+++ b/src/lifttrestle/internal/clock/system.py
@@ -12,6 +12,7 @@
 
 """The clock of the machine."""
 
+import asyncio
 import datetime
 import time
 
@@ -28,3 +29,7 @@
     def monotonic(self) -> float:
         """Return the machine's monotonic time in seconds."""
         return time.monotonic()
+
+    async def sleep(self, seconds: float) -> None:
+        """Let other tasks run for ``seconds``."""
+        await asyncio.sleep(seconds)
--- a/src/lifttrestle/internal/runrecord/ledger.py
+++ b/src/lifttrestle/internal/runrecord/ledger.py
@@ -170,7 +170,7 @@
                 return
             except (PlatformUnavailable, ConditionFailed) as error:
                 LOG.debug('runrecord: %s not settled: %s', attempt, error)
-            await asyncio.sleep(pause)
+            await self._clock.sleep(pause)
             pause = min(pause * 2, SETTLE_MAX_PAUSE_SECONDS)
 
     async def _settle_once(
--- /dev/null
+++ b/tests/cover/test_run_record_model.py
@@ -0,0 +1,269 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Every interleaving of loss, pause, crash and retry around a run record.
+
+Several routers try to run the same few keys. Hypothesis decides, call by
+call, what becomes of each call to the table, when a claimed request is sent
+or given up, and when a router dies. Three deliberate faults of the mechanism
+show that the model can fail.
+"""
+
+import asyncio
+import dataclasses
+import datetime
+import unittest
+
+from hypothesis import Phase
+from hypothesis import settings
+import hypothesis.stateful as stateful
+import hypothesis.strategies as st
+
+from lifttrestle.errors import PlatformUnavailable
+from lifttrestle.internal.clock.manual import ManualClock
+from lifttrestle.internal.runrecord.ledger import Claim
+from lifttrestle.internal.runrecord.ledger import RunKey
+from lifttrestle.internal.runrecord.ledger import RunLedger
+from lifttrestle.internal.runrecord.ledger import Taken
+from lifttrestle.internal.runrecord.record import RunRecord
+from lifttrestle.internal.runrecord.record import RunState
+from tests.support.gated_table import cancel_others
+from tests.support.gated_table import Fate
+from tests.support.gated_table import Gate
+from tests.support.gated_table import GatedTable
+from tests.support.gated_table import settle_loop
+
+START = datetime.datetime(2026, 12, 6, tzinfo=datetime.timezone.utc)
+# Most calls are answered, or no example would get far.
+FATES = (Fate.ANSWERED,) * 5 + tuple(Fate)
+KEYS = ('grid-1', 'grid-2')
+EXAMPLES = settings(
+    max_examples=400,
+    stateful_step_count=50,
+    derandomize=True,
+    database=None,
+    deadline=None,
+    report_multiple_bugs=False,
+)
+# A deliberate fault is to be found; the smallest example of it is not needed.
+FAULTY_EXAMPLES = settings(EXAMPLES, phases=(Phase.generate,))
+
+
+@dataclasses.dataclass(eq=False)
+class Attempt:
+    """One request at one router."""
+
+    name: str
+    key: str
+    router: int
+    task: asyncio.Task | None = None
+    claim: Claim | None = None
+    said: str = ''
+    ran: bool = False
+
+
+class RunModel(stateful.RuleBasedStateMachine):
+    """Routers, attempts, and a count of what ran."""
+
+    LEDGER: type[RunLedger] = RunLedger
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.gate = Gate()
+        self.clock = ManualClock(START)
+        self.ledgers: dict[int, RunLedger] = {}
+        self.dead: list[RunLedger] = []
+        self.attempts: list[Attempt] = []
+        self.number = 0
+
+    def teardown(self) -> None:
+        self.run(cancel_others())
+        self.loop.close()
+
+    def run(self, work) -> object:  # noqa: ANN001
+        return self.loop.run_until_complete(work)
+
+    def settle(self) -> None:
+        self.run(settle_loop())
+
+    @stateful.rule(
+        key=st.sampled_from(KEYS), router=st.integers(min_value=0, max_value=2)
+    )
+    def start(self, key: str, router: int) -> None:
+        self.number += 1
+        if router not in self.ledgers:
+            table = GatedTable(self.gate, str(router))
+            self.ledgers[router] = self.LEDGER(table, self.clock, str(router))
+        attempt = Attempt(f'attempt-{self.number}', key, router)
+        self.attempts.append(attempt)
+        attempt.task = self.loop.create_task(self.try_claim(attempt))
+        self.settle()
+
+    async def try_claim(self, attempt: Attempt) -> None:
+        ledger = self.ledgers[attempt.router]
+        run_key = RunKey('daily', attempt.key)
+        try:
+            outcome = await ledger.claim(run_key, attempt.name, 'same')
+        except PlatformUnavailable:
+            ledger.void_later(run_key, attempt.name)
+            attempt.said = 'not run'
+            return
+        if isinstance(outcome, Claim):
+            attempt.claim = outcome
+            return
+        done = outcome.record.state is RunState.DONE
+        attempt.said = 'ran' if done else 'unknown'
+
+    @stateful.precondition(lambda self: self.gate.calls)
+    @stateful.rule(data=st.data(), fate=st.sampled_from(FATES))
+    def decide(self, data: st.DataObject, fate: Fate) -> None:
+        index = data.draw(st.integers(0, len(self.gate.calls) - 1))
+        self.run(self.gate.decide(self.gate.calls[index], fate))
+        self.settle()
+
+    @stateful.precondition(lambda self: self.gate.late)
+    @stateful.rule(data=st.data())
+    def apply_late(self, data: st.DataObject) -> None:
+        index = data.draw(st.integers(0, len(self.gate.late) - 1))
+        self.run(self.gate.apply_late(index))
+        self.settle()
+
+    def list_claimed(self) -> list[Attempt]:
+        return [
+            item
+            for item in self.attempts
+            if item.claim is not None and not item.said and not item.ran
+        ]
+
+    @stateful.precondition(lambda self: self.list_claimed())
+    @stateful.rule(data=st.data(), send=st.booleans())
+    def send_or_give_up(self, data: st.DataObject, send: bool) -> None:
+        claimed = self.list_claimed()
+        attempt = claimed[data.draw(st.integers(0, len(claimed) - 1))]
+        ledger = self.ledgers[attempt.router]
+        run_key = RunKey('daily', attempt.key)
+        if send:
+            attempt.ran = True
+            self.run(self.finish(ledger, attempt))
+        else:
+            attempt.said = 'not run'
+            self.run(self.void(ledger, run_key, attempt.name))
+        self.settle()
+
+    async def finish(self, ledger: RunLedger, attempt: Attempt) -> None:
+        ledger.finish_later(attempt.claim, RunState.DONE, 200)
+
+    async def void(
+        self, ledger: RunLedger, run_key: RunKey, name: str
+    ) -> None:
+        ledger.void_later(run_key, name)
+
+    @stateful.rule(seconds=st.sampled_from((0.2, 5.0)))
+    def pass_time(self, seconds: float) -> None:
+        self.clock.advance(seconds)
+        self.settle()
+
+    @stateful.rule(router=st.integers(min_value=0, max_value=2))
+    def crash(self, router: int) -> None:
+        if router not in self.ledgers:
+            return
+        # Kept, so that its unfinished tasks stay as a paused router's would.
+        self.dead.append(self.ledgers.pop(router))
+        self.gate.forget(str(router))
+        for attempt in self.attempts:
+            if attempt.router == router and not attempt.said:
+                attempt.said = 'cut'
+                if attempt.task is not None:
+                    attempt.task.cancel()
+        self.settle()
+
+    @stateful.invariant()
+    def check_runs(self) -> None:
+        for key in KEYS:
+            mine = [item for item in self.attempts if item.key == key]
+            runs = sum(item.ran for item in mine)
+            assert runs <= 1, f'{key} ran {runs} times'
+            holders = [item for item in mine if item in self.list_claimed()]
+            assert len(holders) + runs <= 1, f'{key} has two holders'
+            for attempt in mine:
+                assert not (attempt.ran and attempt.said == 'not run')
+                if attempt.said == 'ran':
+                    assert runs == 1, f'{key} was said to have run'
+
+
+class TakingOver(RunLedger):
+    """Takes a claim for void, as if its holder could not wake again."""
+
+    async def claim(
+        self, run_key: RunKey, attempt: str, fingerprint: str
+    ) -> Claim | Taken:
+        outcome = await super().claim(run_key, attempt, fingerprint)
+        if isinstance(outcome, Claim):
+            return outcome
+        if outcome.record.state is not RunState.CLAIMED:
+            return outcome
+        return Claim(run_key, outcome.record, 0)
+
+
+class Trusting(RunLedger):
+    """Takes a lost answer for a claim that took effect."""
+
+    async def claim(
+        self, run_key: RunKey, attempt: str, fingerprint: str
+    ) -> Claim | Taken:
+        try:
+            return await super().claim(run_key, attempt, fingerprint)
+        except PlatformUnavailable:
+            now = self._clock.now()
+            record = RunRecord(
+                attempt, RunState.CLAIMED, fingerprint, self._router, now
+            )
+            return Claim(run_key, record, 0)
+
+
+class VoidingOthers(RunLedger):
+    """Voids a claim without looking whose it is."""
+
+    async def _settle_once(
+        self, run_key: RunKey, attempt: str, state: RunState, status: int
+    ) -> None:
+        row = await self._read(run_key)
+        version = row.version if row else 0
+        record = self._make(attempt, state, '', status)
+        await self._write(run_key, record, version)
+
+
+class TestRunRecord(unittest.TestCase):
+    def check(self, ledger: type[RunLedger]) -> None:
+        machine = type('Model', (RunModel,), {'LEDGER': ledger})
+        examples = EXAMPLES if ledger is RunLedger else FAULTY_EXAMPLES
+        stateful.run_state_machine_as_test(machine, settings=examples)
+
+    def test_runs_at_most_once_and_speaks_the_truth(self) -> None:
+        self.check(RunLedger)
+
+    def test_model_finds_a_claim_taken_over(self) -> None:
+        with self.assertRaises(AssertionError):
+            self.check(TakingOver)
+
+    def test_model_finds_trust_in_a_lost_answer(self) -> None:
+        with self.assertRaises(AssertionError):
+            self.check(Trusting)
+
+    def test_model_finds_the_voiding_of_others(self) -> None:
+        with self.assertRaises(AssertionError):
+            self.check(VoidingOthers)
+
+
+if __name__ == '__main__':
+    unittest.main()
