Place, embargo, admission, settings: pure and under failure

Cause: an embargo read the machine's wall clock, so a step forward would have opened answer sheets early. Place was unproved while engines die.

Change: wall time may not outrun the monotonic time by more than the stated error; a step back is followed, it can only open something later.

Not covered: a machine whose clock is wrong from the start.

--- a/src/lifttrestle/internal/router/process.py
+++ b/src/lifttrestle/internal/router/process.py
@@ -24,6 +24,7 @@
 from lifttrestle.internal.admission.retries import RetryBudget
 from lifttrestle.internal.admission.workspaces import WorkspaceLimits
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.clock.guarded import GuardedClock
 from lifttrestle.internal.configuration.keeper import ConfigurationKeeper
 from lifttrestle.internal.configuration.store import ConfigurationStore
 from lifttrestle.internal.http.address import check_address
@@ -70,7 +71,7 @@
         self, settings: RouterSettings, clock: Clock, source: random.Random
     ) -> None:
         self._settings = settings
-        self._clock = clock
+        self._clock = GuardedClock(clock, settings.control.clock_error_seconds)
         self._source = source
         self._stop = asyncio.Event()
         self._hurry = asyncio.Event()
--- /dev/null
+++ b/tests/cover/test_progress.py
@@ -0,0 +1,49 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""What may be said of a request follows from how far it has come."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import settings
+import hypothesis.strategies as st
+
+from lifttrestle.internal.refusal.execution import Execution
+from lifttrestle.internal.router.progress import RequestEvent
+from lifttrestle.internal.router.progress import RequestProgress
+from lifttrestle.internal.router.progress import TRANSITIONS
+
+
+class TestProgress(unittest.TestCase):
+    @settings(derandomize=True, database=None, max_examples=500)
+    @given(st.lists(st.sampled_from(RequestEvent), max_size=20))
+    def test_not_run_is_said_only_when_true(
+        self, events: list[RequestEvent]
+    ) -> None:
+        progress = RequestProgress()
+        # Attempts that may have reached an upstream and were not declined.
+        doubtful = 0
+        for event in events:
+            if (progress.state, event) not in TRANSITIONS:
+                continue
+            progress.move(event)
+            if event is RequestEvent.SEND:
+                doubtful += 1
+            if event is RequestEvent.DECLINED:
+                doubtful -= 1
+            said = progress.execution is Execution.NOT_RUN
+            self.assertFalse(said and doubtful, events)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/nocover/test_place.py
@@ -0,0 +1,102 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Nothing of a workspace leaves its place, whatever fails inside it."""
+
+import unittest
+
+import openai
+
+from tests.support.deployment import Deployment
+from tests.support.deployment import ENGINE_CAN
+from tests.support.deployment import MODEL
+from tests.support.deployment import request
+from tests.support.deployment import workspace
+
+INSIDE = 'bkk-silom'
+OUTSIDE = 'bkk-bangna'
+
+
+class TestPlace(unittest.TestCase):
+    def setUp(self) -> None:
+        self.deployment = Deployment(
+            (INSIDE, OUTSIDE),
+            engines=1,
+            engine_can=ENGINE_CAN.replace(
+                'resumes_streams = true', 'resumes_streams = false'
+            ),
+        )
+        self.enterContext(self.deployment)
+        self.deployment.configure_usual()
+        self.deployment.configure([workspace('pinned', [INSIDE])])
+        self.address = self.deployment.routers[f'{INSIDE}-1'].callers
+
+    def check_nothing_outside(self) -> None:
+        counts = request(
+            self.deployment.addresses[f'engine-{OUTSIDE}-1'],
+            'GET',
+            '/standin/counts',
+        )
+        self.assertEqual(counts.json()['requests'], 0)
+        runs = request(
+            self.deployment.addresses[f'grid-app-{OUTSIDE}-1'],
+            'GET',
+            '/standin/runs',
+        )
+        self.assertEqual(runs.json(), {})
+
+    def test_dead_engine_sends_no_one_outside(self) -> None:
+        self.deployment.standins[f'engine-{INSIDE}-1'].kill()
+        reply = request(
+            self.address,
+            'POST',
+            '/v1/completions',
+            'pinned-token',
+            {'model': MODEL, 'prompt': 'x', 'max_tokens': 2},
+        )
+        self.assertIn(reply.status, (502, 503))
+        self.check_nothing_outside()
+
+    def test_cut_stream_is_not_continued_outside(self) -> None:
+        self.deployment.set_faults(
+            f'engine-{INSIDE}-1', cut_at_token=1, cut_streams=1000
+        )
+        client = openai.OpenAI(
+            base_url=f'http://{self.address}/v1',
+            api_key='pinned-token',
+            max_retries=0,
+        )
+        self.addCleanup(client.close)
+        with self.assertRaises(openai.APIError):
+            for _ in client.completions.create(
+                model=MODEL, prompt='x', max_tokens=20, stream=True
+            ):
+                pass
+        self.check_nothing_outside()
+
+    def test_dead_service_sends_no_one_outside(self) -> None:
+        self.deployment.standins[f'grid-app-{INSIDE}-1'].kill()
+        for method in ('GET', 'POST'):
+            reply = request(
+                self.address, method, '/grid-app/x', 'pinned-token'
+            )
+            self.assertIn(reply.status, (502, 503))
+        self.check_nothing_outside()
+
+    def test_narrowed_place_holds_at_once(self) -> None:
+        self.deployment.configure([workspace('pinned', [OUTSIDE])])
+        reply = request(self.address, 'GET', '/grid-app/x', 'pinned-token')
+        self.assertEqual(reply.status, 421)
+
+
+if __name__ == '__main__':
+    unittest.main()
