--- a/src/lifttrestle/internal/cli/router.py
+++ b/src/lifttrestle/internal/cli/router.py
@@ -19,6 +19,7 @@
 
 from lifttrestle.internal.clock.system import SystemClock
 from lifttrestle.internal.settings.load import load_settings
+from lifttrestle.internal.settings.router import RouterSettings
 from lifttrestle.internal.telemetry.logs import set_up_logs
 
 EXIT_OK = 0
@@ -29,6 +30,12 @@
     """Add the command to the command line."""
     parser = commands.add_parser('router', help='run a router')
     parser.add_argument('settings', type=pathlib.Path, metavar='SETTINGS')
+    parser.add_argument(
+        '--record',
+        type=pathlib.Path,
+        metavar='FILE',
+        help='write a trace of the requests, of hashes and lengths only',
+    )
     parser.set_defaults(run=run)
 
 
@@ -36,14 +43,18 @@
     """Run until a signal; exit 0 if every request was ended."""
     settings = load_settings(options.settings)
     set_up_logs(settings.log.level)
-    return asyncio.run(_run_router(settings))
+    return asyncio.run(_run_router(settings, options.record))
 
 
-async def _run_router(settings: object) -> int:
+async def _run_router(
+    settings: RouterSettings, record: pathlib.Path | None
+) -> int:
     # Imported here so that the operator's commands start without it.
     from lifttrestle.internal.membership.threads import limit_threads
     from lifttrestle.internal.router.process import RouterProcess
 
     limit_threads()
-    process = RouterProcess(settings, SystemClock(), random.SystemRandom())
+    process = RouterProcess(
+        settings, SystemClock(), random.SystemRandom(), record
+    )
     return EXIT_OK if await process.run() else EXIT_CUT
--- a/src/lifttrestle/internal/router/model_exchange.py
+++ b/src/lifttrestle/internal/router/model_exchange.py
@@ -363,6 +363,15 @@
         self._chooser.note_usage(
             attempt, self._prompt, usage.cached_tokens, usage.completion_tokens
         )
+        if self._parts.recorder is not None:
+            self._parts.recorder.note(
+                self._scope.started,
+                self._scope.workspace.name,
+                self._model.name,
+                self._prompt,
+                usage.completion_tokens,
+                self._scope.workspace.priority,
+            )
 
     def _cancel_later(
         self, attempt: Attempt, identity: EngineIdentity
--- a/src/lifttrestle/internal/router/parts.py
+++ b/src/lifttrestle/internal/router/parts.py
@@ -21,6 +21,7 @@
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.configuration.keeper import ConfigurationKeeper
 from lifttrestle.internal.membership.peers import Peers
+from lifttrestle.internal.replay.recorder import TraceRecorder
 from lifttrestle.internal.router.background import BackgroundTasks
 from lifttrestle.internal.routing.policy import Policy
 from lifttrestle.internal.runrecord.ledger import RunLedger
@@ -50,3 +51,4 @@
     decisions: DecisionLog
     metrics: Metrics
     background: BackgroundTasks
+    recorder: TraceRecorder | None = None
--- a/src/lifttrestle/internal/router/process.py
+++ b/src/lifttrestle/internal/router/process.py
@@ -15,6 +15,7 @@
 import asyncio
 import contextlib
 import logging
+import pathlib
 import random
 import signal
 import ssl
@@ -41,6 +42,7 @@
 from lifttrestle.internal.platform.http_objects import HttpObjects
 from lifttrestle.internal.platform.http_table import HttpTable
 from lifttrestle.internal.platform.http_vms import HttpVms
+from lifttrestle.internal.replay.recorder import TraceRecorder
 from lifttrestle.internal.router.background import BackgroundTasks
 from lifttrestle.internal.router.caller_handler import CallerHandler
 from lifttrestle.internal.router.caller_handler import make_request_id
@@ -49,6 +51,7 @@
 from lifttrestle.internal.routing.nested import NestedPolicy
 from lifttrestle.internal.runrecord.ledger import RunLedger
 from lifttrestle.internal.settings.router import RouterSettings
+from lifttrestle.internal.settings.upstream import UpstreamKind
 from lifttrestle.internal.telemetry.decisions import DecisionLog
 from lifttrestle.internal.telemetry.metrics import Metrics
 from lifttrestle.internal.upstream.prober import Prober
@@ -65,11 +68,17 @@
     """The router: doors for callers and operators, and control tasks.
 
     :param source: a source of randomness for choices and ids.
+    :param record: where to write a trace of the requests, or None.
     """
 
     def __init__(
-        self, settings: RouterSettings, clock: Clock, source: random.Random
+        self,
+        settings: RouterSettings,
+        clock: Clock,
+        source: random.Random,
+        record: pathlib.Path | None = None,
     ) -> None:
+        self._record = record
         self._settings = settings
         self._clock = GuardedClock(clock, settings.control.clock_error_seconds)
         self._source = source
@@ -137,6 +146,7 @@
             decisions=DecisionLog(),
             metrics=metrics,
             background=BackgroundTasks(),
+            recorder=self._make_recorder(),
         )
         intent = IntentService(
             self._store, self._keeper, self._clock, self._source
@@ -159,6 +169,21 @@
             _load_tls(tls.operators_certificate, tls.operators_key),
         )
 
+    def _make_recorder(self) -> TraceRecorder | None:
+        if self._record is None:
+            return None
+        engines = [
+            item
+            for item in self._settings.upstream
+            if item.kind is UpstreamKind.ENGINE
+        ]
+        return TraceRecorder(
+            self._record,
+            f'recorded by {self._settings.router.name}',
+            len(engines),
+            self._clock.monotonic(),
+        )
+
     async def run(self) -> bool:
         """Serve until a signal; return whether every request was ended."""
         self._watch_signals()
@@ -245,6 +270,8 @@
         await self._keeper.leave()
         self._exchange.stop()
         self._parts.registry.close()
+        if self._parts.recorder is not None:
+            self._parts.recorder.close()
         LOG.info('router: stopped, every request ended: %s', whole)
         return whole
 
--- a/tests/nocover/test_doors.py
+++ b/tests/nocover/test_doors.py
@@ -26,8 +26,11 @@
 import cryptography.hazmat.primitives.serialization as serialization
 import cryptography.x509 as x509
 
+from lifttrestle.internal.cli.main import main
+from lifttrestle.internal.replay.trace import read_trace
 from tests.support.deployment import Deployment
 from tests.support.deployment import digest
+from tests.support.deployment import MODEL
 from tests.support.deployment import OPERATOR_TOKEN
 from tests.support.deployment import request
 from tests.support.deployment import wait_until
@@ -146,6 +149,41 @@
         self.assertEqual(statuses[OPERATOR_TOKEN], (201, 404, 200))
 
 
+class TestRecord(unittest.TestCase):
+    def test_recorded_trace_can_be_replayed_and_holds_no_text(self) -> None:
+        deployment = Deployment(engines=1, services=0)
+        self.enterContext(deployment)
+        router = deployment.router
+        router.process.stop()
+        path = deployment.folder / 'recorded.jsonl'
+        router.start(None, '--record', str(path))
+        router.wait_ready()
+        deployment.configure_usual(services=[])
+        for number in range(3):
+            body = {
+                'model': MODEL,
+                'messages': [
+                    {'role': 'system', 'content': 'a secret sheet ' * 50},
+                    {'role': 'user', 'content': f'secret {number}'},
+                ],
+            }
+            reply = request(
+                router.callers,
+                'POST',
+                '/v1/chat/completions',
+                'daily-token',
+                body,
+            )
+            self.assertEqual(reply.status, 200)
+        self.assertEqual(router.process.stop(), 0)
+        self.assertNotIn(b'secret', path.read_bytes())
+        trace = read_trace(path)
+        self.assertEqual(len(trace.requests), 3)
+        digests = {item.levels[0] for item in trace.requests}
+        self.assertEqual(len(digests), 1)
+        self.assertEqual(main(['replay', str(path)]), 0)
+
+
 class TestMetrics(unittest.TestCase):
     def test_requests_are_counted_over_udp(self) -> None:
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sink:
--- a/tests/support/deployment.py
+++ b/tests/support/deployment.py
@@ -134,9 +134,9 @@
         self.operators = ''
         self.peers = ''
 
-    def start(self, program: list[str] | None = None) -> None:
+    def start(self, program: list[str] | None = None, *options: str) -> None:
         """Start the process without waiting for it."""
-        arguments = ['router', str(self.settings)]
+        arguments = ['router', str(self.settings), *options]
         self.process = ManagedProcess(arguments, program)
 
     def wait_ready(self) -> None:
