Platform token, and services that drop repeats served without the table

Cause, found by reading: the setting platform.token_file was checked and never used, and 'drops_repeats' had no test.

Change: the token goes with every call to the platform; a test serves a keyed request with the table out where the service drops repeats itself.

--- a/src/lifttrestle/internal/http/json_client.py
+++ b/src/lifttrestle/internal/http/json_client.py
@@ -32,7 +32,10 @@
 
 
 class JsonClient:
-    """Sends one request at a time on each connection, with a timeout."""
+    """Sends one request at a time on each connection, with a timeout.
+
+    :param headers: sent with every request.
+    """
 
     def __init__(
         self,
@@ -40,7 +43,9 @@
         clock: Clock,
         timeout_seconds: float,
         tls: ssl.SSLContext | None = None,
+        headers: tuple[Header, ...] = (),
     ) -> None:
+        self._headers = headers
         self._timeout_seconds = timeout_seconds
         self._pool = ClientPool(address, clock, timeout_seconds, tls)
         self.address = address
@@ -59,7 +64,7 @@
             call may have taken effect.
         """
         body = _encode(content)
-        head = RequestHead(method, target, headers)
+        head = RequestHead(method, target, (*self._headers, *headers))
         connection: ClientConnection | None = None
         try:
             async with asyncio.timeout(self._timeout_seconds):
--- a/src/lifttrestle/internal/router/process.py
+++ b/src/lifttrestle/internal/router/process.py
@@ -29,6 +29,7 @@
 from lifttrestle.internal.configuration.keeper import ConfigurationKeeper
 from lifttrestle.internal.configuration.store import ConfigurationStore
 from lifttrestle.internal.http.address import check_address
+from lifttrestle.internal.http.answer import Header
 from lifttrestle.internal.http.json_client import JsonClient
 from lifttrestle.internal.http.server import HttpServer
 from lifttrestle.internal.membership.exchange import exchange_forever
@@ -305,13 +306,22 @@
         self._stop.set()
 
     def _make_client(self, address: str) -> JsonClient:
+        platform = self._settings.platform
         return JsonClient(
             check_address(address),
             self._clock,
-            self._settings.platform.timeout_seconds,
+            platform.timeout_seconds,
+            headers=_read_platform_token(platform.token_file),
         )
 
 
+def _read_platform_token(path: str) -> tuple[Header, ...]:
+    if not path:
+        return ()
+    token = pathlib.Path(path).read_text(encoding='utf-8').strip()
+    return (('authorization', f'Bearer {token}'),)
+
+
 def _load_tls(certificate: str, key: str) -> ssl.SSLContext | None:
     if not certificate:
         return None
--- a/src/lifttrestle/internal/settings/sections.py
+++ b/src/lifttrestle/internal/settings/sections.py
@@ -36,7 +36,10 @@
 
 
 class PlatformSection(Section):
-    """Where the platform's services are, and how long a call may take."""
+    """Where the platform's services are, and how long a call may take.
+
+    :ivar token_file: a file with the bearer token to send, or empty.
+    """
 
     table: str
     objects: str
--- a/tests/nocover/test_at_most_once.py
+++ b/tests/nocover/test_at_most_once.py
@@ -273,5 +273,28 @@
         self.assertEqual(self.count('(none)'), 1)
 
 
+class TestServiceThatDropsRepeats(unittest.TestCase):
+    """Its own memory of keys takes the place of claims."""
+
+    def test_is_served_without_the_table(self) -> None:
+        deployment = Deployment(
+            engines=0,
+            service_can='echoes_request_id = true, drops_repeats = true',
+        )
+        self.enterContext(deployment)
+        deployment.configure_usual()
+        deployment.set_faults('table', refuse=1_000_000)
+        reply = request(
+            deployment.router.callers,
+            'POST',
+            PATH,
+            TOKEN,
+            b'grid',
+            {'Idempotency-Key': 'k'},
+        )
+        self.assertEqual(reply.status, 200)
+        self.assertEqual(deployment.count_runs()['k'], 1)
+
+
 if __name__ == '__main__':
     unittest.main()
