Bad input: six faults found by reading, each with a test that failed first

Found on reading the request's path as a newcomer: - FAIL test_caller_cannot_name_another_workspace: Lists differ: ['elsewhere', 'daily'] != ['daily'].

Each is mended where it arises: the target is checked with the head and built anew for the service, our headers are ours to set, the body's check covers both cases, and the connection is given back.

--- a/src/lifttrestle/internal/http/head.py
+++ b/src/lifttrestle/internal/http/head.py
@@ -28,9 +28,17 @@
 
     @property
     def path(self) -> str:
-        """Return the path without its query."""
+        """Return the path without its query.
+
+        :raises ValueError: if the target is no path and no address.
+        """
         return urllib.parse.urlsplit(self.target).path
 
+    @property
+    def query(self) -> str:
+        """Return the query without its question mark."""
+        return urllib.parse.urlsplit(self.target).query
+
     def get_header(self, name: str, default: str = '') -> str:
         """Return the first header of that lower-case name."""
         return get_header(self.headers, name, default)
--- a/src/lifttrestle/internal/http/server_connection.py
+++ b/src/lifttrestle/internal/http/server_connection.py
@@ -55,10 +55,10 @@
         transport.set_write_buffer_limits(high=limits.write_buffer_bytes)
 
     @property
-    def peer_ip(self) -> str:
-        """Return the caller's IP number."""
+    def peer(self) -> str:
+        """Return the caller's IP number and port."""
         name = self._writer.get_extra_info('peername')
-        return name[0] if name else ''
+        return f'{name[0]}:{name[1]}' if name else ''
 
     @property
     def answer_started(self) -> bool:
@@ -92,6 +92,7 @@
             event.target.decode('latin-1'),
             decode_headers(event.headers),
         )
+        self._check_target(head)
         self._check_lengths(head)
         return head
 
@@ -242,6 +243,16 @@
                 return
             raise CallerGone('the caller left before its body was complete')
 
+    def _check_target(self, head: RequestHead) -> None:
+        try:
+            head.path
+        except ValueError as error:
+            raise RequestRefused(
+                ErrorKind.MALFORMED_REQUEST,
+                f'the target {head.target!r} is not a path: {error}',
+                field='target',
+            ) from None
+
     def _check_lengths(self, head: RequestHead) -> None:
         length = head.get_header('content-length')
         if length and head.get_header('transfer-encoding'):
--- /dev/null
+++ b/src/lifttrestle/internal/router/kept_stream.py
@@ -0,0 +1,73 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Streams that an engine keeps for a while: read on, or ended."""
+
+import asyncio
+
+from lifttrestle.errors import UpstreamConnectFailed
+from lifttrestle.errors import UpstreamLost
+from lifttrestle.internal.http.client_connection import ClientConnection
+from lifttrestle.internal.http.head import RequestHead
+from lifttrestle.internal.router.attempt import Attempt
+from lifttrestle.internal.router.parts import RouterParts
+from lifttrestle.internal.upstream.identity import EngineIdentity
+
+STATUS_OK = 200
+MAX_ANSWER_BYTES = 64 * 1024
+
+
+async def open_kept_stream(
+    parts: RouterParts,
+    attempt: Attempt,
+    identity: EngineIdentity,
+    head: RequestHead,
+) -> ClientConnection | None:
+    """Return a connection on which the rest of a stream arrives.
+
+    :param head: the driver's request for it.
+    :return: None if the engine does not keep streams, is not there, or is
+        not the same incarnation with the same weights any more.
+    """
+    can = attempt.upstream.settings.can.resumes_streams
+    if not can or not identity.stream_id:
+        return None
+    connection: ClientConnection | None = None
+    try:
+        async with asyncio.timeout(parts.settings.deadlines.stall):
+            connection = await attempt.upstream.pool.take(fresh=True)
+            await connection.send_request(head, b'')
+            answer = await connection.read_head()
+    except (UpstreamConnectFailed, UpstreamLost, TimeoutError):
+        if connection is not None:
+            connection.close()
+        return None
+    same = parts.driver.read_identity(answer) == identity
+    if answer.status != STATUS_OK or not same:
+        connection.close()
+        return None
+    return connection
+
+
+async def cancel_generation(attempt: Attempt, head: RequestHead) -> None:
+    """End a generation that no one reads any more.
+
+    :param head: the driver's request for it.
+    """
+    try:
+        connection = await attempt.upstream.pool.take()
+        await connection.send_request(head, b'')
+        await connection.read_head()
+        await connection.read_body(MAX_ANSWER_BYTES)
+    except (UpstreamConnectFailed, UpstreamLost):
+        return
+    attempt.upstream.pool.give_back(connection)
--- a/src/lifttrestle/internal/router/model_exchange.py
+++ b/src/lifttrestle/internal/router/model_exchange.py
@@ -42,6 +42,8 @@
 from lifttrestle.internal.router.call import UpstreamCall
 from lifttrestle.internal.router.chooser import UpstreamChooser
 from lifttrestle.internal.router.continuation import build_continuation
+from lifttrestle.internal.router.kept_stream import cancel_generation
+from lifttrestle.internal.router.kept_stream import open_kept_stream
 from lifttrestle.internal.router.model_request import ModelRequest
 from lifttrestle.internal.router.parts import RouterParts
 from lifttrestle.internal.router.progress import RequestEvent
@@ -179,6 +181,7 @@
             check_engine_status(attempt, call)
             if call.head.status >= FIRST_CLIENT_ERROR:
                 await self._pass_error(attempt, call)
+                attempt.upstream.pool.give_back(call.connection)
                 return
             self._check_weights(attempt, identity)
             self._scope.progress.move(RequestEvent.ANSWER)
@@ -207,46 +210,27 @@
             except UpstreamLost as lost:
                 call.connection.close()
                 resumes += 1
-                if resumes > MAX_RESUMES or not self._can_resume(
-                    attempt, identity
-                ):
+                if resumes > MAX_RESUMES:
                     raise
-                resumed = await self._resume(attempt, identity, lost)
-                call.connection = resumed.connection
-
-    def _can_resume(self, attempt: Attempt, identity: EngineIdentity) -> bool:
-        relay = self._relay
-        return (
-            isinstance(relay, StreamRelay)
-            and relay.order.indexed
-            and bool(identity.stream_id)
-            and attempt.upstream.settings.can.resumes_streams
-        )
+                call.connection = await self._resume(attempt, identity, lost)
 
     async def _resume(
         self, attempt: Attempt, identity: EngineIdentity, lost: UpstreamLost
-    ) -> UpstreamCall:
-        assert isinstance(self._relay, StreamRelay)
+    ) -> ClientConnection:
+        relay = self._relay
+        if not isinstance(relay, StreamRelay) or not relay.order.indexed:
+            raise lost
         request_id = f'{self._scope.request_id}-{attempt.number}'
         head = self._parts.driver.build_resume(
-            identity, self._relay.order.last_index, request_id
+            identity, relay.order.last_index, request_id
         )
-        connection: ClientConnection | None = None
-        try:
-            async with asyncio.timeout(self._parts.settings.deadlines.stall):
-                connection = await attempt.upstream.pool.take(fresh=True)
-                await connection.send_request(head, b'')
-                answer = await connection.read_head()
-        except (UpstreamConnectFailed, UpstreamLost, TimeoutError):
-            if connection is not None:
-                connection.close()
-            raise lost from None
-        found = self._parts.driver.read_identity(answer)
-        if answer.status >= FIRST_CLIENT_ERROR or found != identity:
-            connection.close()
+        connection = await open_kept_stream(
+            self._parts, attempt, identity, head
+        )
+        if connection is None:
             raise lost
         attempt.decision.reason += ', resumed'
-        return UpstreamCall(connection, answer)
+        return connection
 
     def _check_weights(
         self, attempt: Attempt, identity: EngineIdentity
@@ -379,16 +363,4 @@
         if not identity.stream_id or not self._request.streams:
             return
         head = self._parts.driver.build_cancel(identity)
-        self._parts.background.start(_cancel(attempt, head))
-
-
-async def _cancel(attempt: Attempt, head: RequestHead) -> None:
-    """End a generation that no one reads any more."""
-    try:
-        connection = await attempt.upstream.pool.take()
-        await connection.send_request(head, b'')
-        await connection.read_head()
-        await connection.read_body(MAX_ERROR_BYTES)
-    except (UpstreamConnectFailed, UpstreamLost):
-        return
-    attempt.upstream.pool.give_back(connection)
+        self._parts.background.start(cancel_generation(attempt, head))
--- a/src/lifttrestle/internal/router/model_request.py
+++ b/src/lifttrestle/internal/router/model_request.py
@@ -97,7 +97,7 @@
     """
     try:
         body = msgspec.json.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
         raise _refuse('body', f'the body is not JSON: {error}') from None
     if not isinstance(body, dict):
         raise _refuse('body', 'the body is not a JSON object')
@@ -113,6 +113,11 @@
     stream = body.get('stream')
     if stream not in (None, True, False):
         raise _refuse('stream', f'stream = {stream!r}: write true or false')
+    options = body.get('stream_options')
+    if options is not None and not isinstance(options, dict):
+        raise _refuse(
+            'stream_options', f'stream_options = {options!r}: write an object'
+        )
     for name in (*LIMIT_FIELDS, 'n'):
         value = body.get(name)
         if value is None:
--- a/src/lifttrestle/internal/router/service_exchange.py
+++ b/src/lifttrestle/internal/router/service_exchange.py
@@ -41,6 +41,8 @@
 RETRY_SECONDS = 1.0
 FAILED_STATUSES = (502, 503, 504)
 NO_PROMPT = Prompt((), 0)
+# What the caller says of these is for us, or ours to say.
+OWN_HEADERS = ('host', 'authorization', 'expect', 'x-workspace')
 FAILURES = (
     UpstreamConnectFailed,
     UpstreamDeclined,
@@ -80,7 +82,7 @@
     kept = [
         (name, value)
         for name, value in keep_end_headers(scope.head.headers)
-        if name not in ('host', 'authorization', 'expect')
+        if name not in OWN_HEADERS
     ]
     headers = (
         *kept,
--- a/src/lifttrestle/internal/router/service_request.py
+++ b/src/lifttrestle/internal/router/service_request.py
@@ -70,7 +70,9 @@
         # The configuration may have changed while the request waited.
         self.check_path(scope, route)
         request = ServiceRequest(
-            self._find_service(route.service), _find_rest(scope, route), body
+            self._find_service(route.service),
+            _build_target(route, scope.head.query),
+            body,
         )
         key = scope.head.get_header(KEY_HEADER)
         if key:
@@ -127,9 +129,10 @@
     return path.startswith(normalise_path(rule.path_prefix))
 
 
-def _find_rest(scope: RequestScope, route: Route) -> str:
-    prefix = f'/{route.service}'
-    return scope.head.target.removeprefix(prefix) or '/'
+def _build_target(route: Route, query: str) -> str:
+    """Return what to ask the service for, however the caller wrote it."""
+    path = route.rest or '/'
+    return f'{path}?{query}' if query else path
 
 
 def _check_key(key: str) -> None:
--- a/src/lifttrestle/internal/standin/engine.py
+++ b/src/lifttrestle/internal/standin/engine.py
@@ -38,6 +38,7 @@
 COMPLETIONS = '/v1/completions'
 STREAMS = '/lifttrestle/streams/'
 DEFAULT_MAX_TOKENS = 16
+CONTEXT_TOKENS = 200_000
 KEPT_STREAMS = 256
 DONE = b'[DONE]'
 
@@ -99,8 +100,11 @@
             await self._refuse_draining(connection)
             return
         if model not in self._versions:
-            error = {'message': f'no model {model!r}', 'code': 404}
-            await send_json(connection, {'error': error}, 404)
+            await _send_error(connection, head, 404, f'no model {model!r}')
+            return
+        if int(request.get('max_tokens') or 0) > CONTEXT_TOKENS:
+            message = f'over {CONTEXT_TOKENS} tokens'
+            await _send_error(connection, head, 400, message)
             return
         self._requests += 1
         stream = self._start_stream(head.path, request, model)
@@ -346,6 +350,18 @@
         await send_json(connection, {})
 
 
+async def _send_error(
+    connection: ServerConnection, head: RequestHead, status: int, message: str
+) -> None:
+    body = msgspec.json.encode({'error': {'message': message, 'code': status}})
+    request_id = head.get_header('x-request-id')
+    headers = (
+        ('content-type', 'application/json'),
+        ('x-request-id', request_id),
+    )
+    await connection.send_answer(Answer(status, headers, body))
+
+
 def _encode_chunk(
     path: str, stream: EngineStream, word: str, finish_reason: str | None
 ) -> bytes:
--- a/src/lifttrestle/internal/standin/server.py
+++ b/src/lifttrestle/internal/standin/server.py
@@ -33,6 +33,8 @@
 
 FAULTS_PATH = '/standin/faults'
 ARRIVALS_PATH = '/standin/arrivals'
+# Beside the paths: how many connections have carried a call.
+CONNECTIONS = '(connections)'
 JSON_HEADERS = (('content-type', 'application/json'),)
 Handler = Callable[[ServerConnection, RequestHead, bytes], Awaitable[None]]
 
@@ -51,6 +53,7 @@
         self._handler = handler
         self._free_paths = free_paths
         self._calls = 0
+        self._peers: set[str] = set()
         self._arrivals: collections.Counter[str] = collections.Counter()
         limits = HttpLimits(body_bytes=64 * 1024 * 1024, idle_seconds=3600)
         self._server = HttpServer(self._serve, limits)
@@ -75,7 +78,8 @@
             await self._set_faults(connection, body)
             return
         if head.path == ARRIVALS_PATH:
-            await send_json(connection, dict(self._arrivals))
+            counts = {**self._arrivals, CONNECTIONS: len(self._peers)}
+            await send_json(connection, counts)
             return
         if head.path.startswith(self._free_paths or ('\0',)):
             await self._handler(connection, head, body)
@@ -88,6 +92,7 @@
         faults = self.faults
         self._calls += 1
         self._arrivals[head.path] += 1
+        self._peers.add(connection.peer)
         if faults.delay_seconds:
             await asyncio.sleep(faults.delay_seconds)
         if self._is_refused():
--- a/src/lifttrestle/internal/standin/service.py
+++ b/src/lifttrestle/internal/standin/service.py
@@ -74,6 +74,9 @@
             'method': head.method,
             'path': head.target,
             'bytes': len(body),
+            'workspaces': [
+                value for name, value in head.headers if name == 'x-workspace'
+            ],
             'runs': self._runs[key or '(none)'],
         }
         content = msgspec.json.encode(answer)
--- a/tests/nocover/test_bad_input.py
+++ b/tests/nocover/test_bad_input.py
@@ -193,7 +193,7 @@
             self.assertIn(read_status(answer), (403, 404), path)
 
     def test_body_that_is_not_json(self) -> None:
-        for body in (b'not json', b'[]', b'"x"', b'\xff\xfe'):
+        for body in (b'not json', b'[]', b'"x"', b'\xff\xfe', b'[' * 1900):
             self.refuse_body(body, 'body')
 
     def test_fields_are_named(self) -> None:
@@ -215,6 +215,11 @@
                 b' [{"role": "user", "content": "x"}]}',
                 'stream',
             ),
+            (
+                b'{"model": "clue-writer", "stream": true, "stream_options":'
+                b' 3, "messages": [{"role": "user", "content": "x"}]}',
+                'stream_options',
+            ),
         ):
             self.refuse_body(body, field)
 
@@ -224,6 +229,30 @@
         error = self.refuse(data, 400, 'invalid_value')
         self.assertEqual(error['param'], field)
 
+    def test_target_that_is_no_path(self) -> None:
+        data = b'GET http://[ HTTP/1.1\r\nHost: a\r\n' + AUTH + CLOSE + b'\r\n'
+        self.refuse(data, 400, 'malformed_request')
+
+    def test_absolute_target_reaches_the_same_path(self) -> None:
+        data = (
+            b'GET http://a/grid-app/grids/7?page=2 HTTP/1.1\r\nHost: a\r\n'
+            + AUTH
+            + CLOSE
+            + b'\r\n'
+        )
+        answer = exchange(self.address, data)
+        self.assertIn(b'"path":"/grids/7?page=2"', answer)
+
+    def test_caller_cannot_name_another_workspace(self) -> None:
+        reply = request(
+            self.address,
+            'GET',
+            '/grid-app/x',
+            'daily-token',
+            headers={'X-Workspace': 'elsewhere'},
+        )
+        self.assertEqual(reply.json()['workspaces'], ['daily'])
+
     def test_over_the_rate(self) -> None:
         statuses = []
         for _ in range(3):
--- a/tests/nocover/test_engines.py
+++ b/tests/nocover/test_engines.py
@@ -184,6 +184,21 @@
         return reply.json()['choices'][0]['text']
 
 
+class TestErrors(EngineTestCase):
+    def test_regression_engine_error_gives_its_connection_back(self) -> None:
+        # It was not given back, so each error cost a new connection.
+        self.complete()
+        before = self.count_connections()
+        for _ in range(20):
+            reply = self.complete(tokens=1_000_000)
+            self.assertEqual(reply.status, 400)
+            self.assertIn('tokens', reply.json()['error']['message'])
+        self.assertLess(self.count_connections(), before + 5)
+
+    def count_connections(self) -> int:
+        return self.deployment.count_arrivals(self.engine, '(connections)')
+
+
 class TestLeaving(EngineTestCase):
     """An upstream that is leaving gets no new work after a few seconds."""
 
