Service answers: one place that reads with a stall limit; HEAD lengths

Cause, found by reading: reading a body within a silence limit stood in three places, and long answers and HEAD had no test. FAIL: test_head_tells_the_length_and_sends_no_body '0' != '1234'

Change: an upstream call reads its own body; the answer to HEAD keeps its length. A long answer (3 MB) passes whole, and one cut short is no answer.

--- a/src/lifttrestle/internal/router/call.py
+++ b/src/lifttrestle/internal/router/call.py
@@ -13,6 +13,7 @@
 """One HTTP exchange with an upstream, up to the head of its answer."""
 
 import asyncio
+from collections.abc import AsyncIterator
 import dataclasses
 
 from lifttrestle.errors import UpstreamDeclined
@@ -33,10 +34,46 @@
 
 @dataclasses.dataclass
 class UpstreamCall:
-    """A connection on which the head of the answer has been read."""
+    """A connection on which the head of the answer has been read.
+
+    :ivar stall_seconds: the longest silence within the answer.
+    """
 
     connection: ClientConnection
     head: ResponseHead
+    stall_seconds: float
+
+    async def iterate(self) -> AsyncIterator[bytes]:
+        """Yield the parts of the body as they arrive.
+
+        :raises UpstreamLost: if it was cut short or fell silent.
+        """
+        parts = aiter(self.connection.iterate_body())
+        while True:
+            try:
+                async with asyncio.timeout(self.stall_seconds):
+                    part = await anext(parts)
+            except StopAsyncIteration:
+                return
+            except TimeoutError:
+                raise UpstreamLost(
+                    f'the answer was silent for {self.stall_seconds:g} s'
+                ) from None
+            yield part
+
+    async def read_whole(self, limit: int) -> bytes:
+        """Return the whole body.
+
+        :raises UpstreamLost: as ``iterate``, or if it is over ``limit``.
+        """
+        held: list[bytes] = []
+        size = 0
+        async for part in self.iterate():
+            size += len(part)
+            if size > limit:
+                raise UpstreamLost(f'the answer is over {limit} bytes')
+            held.append(part)
+        return b''.join(held)
 
 
 async def open_call(
@@ -64,7 +101,8 @@
         try:
             scope.progress.move(RequestEvent.SEND)
             answer = await _exchange(parts, scope, connection, head, body)
-            return UpstreamCall(connection, answer)
+            stall = parts.settings.deadlines.stall
+            return UpstreamCall(connection, answer, stall)
         except UpstreamLost:
             connection.close()
             if not (stale_risk and reused_may_fail):
--- a/src/lifttrestle/internal/router/model_exchange.py
+++ b/src/lifttrestle/internal/router/model_exchange.py
@@ -323,8 +323,8 @@
 
     def _build_relay(self) -> AnswerRelay:
         if not self._request.streams:
-            return WholeRelay(self._parts, self._scope)
-        return StreamRelay(self._parts, self._scope, self._request.wants_usage)
+            return WholeRelay(self._scope)
+        return StreamRelay(self._scope, self._request.wants_usage)
 
     def _build_body(self) -> bytes:
         return self._encode_body(self._request.body)
--- a/src/lifttrestle/internal/router/once_exchange.py
+++ b/src/lifttrestle/internal/router/once_exchange.py
@@ -170,7 +170,7 @@
             check_answer(self._parts, attempt, call, request_id)
             self._scope.progress.move(RequestEvent.ANSWER)
             self._chooser.note_first_byte(attempt)
-            answer = await read_whole(self._parts, call, MAX_ANSWER_BYTES)
+            answer = await read_whole(call, MAX_ANSWER_BYTES)
         except BaseException:
             call.connection.close()
             raise
--- a/src/lifttrestle/internal/router/service_answer.py
+++ b/src/lifttrestle/internal/router/service_answer.py
@@ -12,19 +12,17 @@
 
 """Passes on a plain service's answer."""
 
-import asyncio
 from collections.abc import AsyncIterator
 
-from lifttrestle.errors import UpstreamLost
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.answer import Header
 from lifttrestle.internal.router.call import UpstreamCall
-from lifttrestle.internal.router.parts import RouterParts
 from lifttrestle.internal.router.scope import RequestScope
 
 # An answer up to this size is sent once it is whole; then a lost one can
 # still be asked for again. A longer one is passed on as it comes.
 HELD_BYTES = 256 * 1024
+HEAD = 'HEAD'
 HOP_HEADERS = frozenset(
     (
         'connection',
@@ -54,42 +52,41 @@
     )
 
 
-async def read_whole(
-    parts: RouterParts, call: UpstreamCall, limit: int
-) -> Answer:
+async def read_whole(call: UpstreamCall, limit: int) -> Answer:
     """Return the whole answer, at most ``limit`` bytes of body."""
-    stall = parts.settings.deadlines.stall
-    try:
-        async with asyncio.timeout(stall):
-            body = await call.connection.read_body(limit)
-    except TimeoutError:
-        raise UpstreamLost(f'the answer stalled for {stall:g} s') from None
+    body = await call.read_whole(limit)
     return Answer(call.head.status, keep_end_headers(call.head.headers), body)
 
 
-async def pass_answer(
-    parts: RouterParts, scope: RequestScope, call: UpstreamCall
-) -> None:
+async def pass_answer(scope: RequestScope, call: UpstreamCall) -> None:
     """Send an answer on, holding a short one until it is complete.
 
     :raises UpstreamLost: if it broke off; whether the caller has received a
         part shows in ``scope.connection.answer_started``.
     """
+    if scope.head.method == HEAD:
+        await _pass_head(scope, call)
+        return
     held: list[bytes] = []
     size = 0
-    parts_iterator = _iterate(parts, call)
-    async for part in parts_iterator:
+    parts = call.iterate()
+    async for part in parts:
         held.append(part)
         size += len(part)
         if size > HELD_BYTES:
-            break
-    else:
-        answer = Answer(
-            call.head.status, _build_headers(scope, call), b''.join(held)
-        )
-        await scope.connection.send_answer(answer)
-        return
-    await _pass_long(scope, call, b''.join(held), parts_iterator)
+            await _pass_long(scope, call, b''.join(held), parts)
+            return
+    headers = _build_headers(scope, call)
+    answer = Answer(call.head.status, headers, b''.join(held))
+    await scope.connection.send_answer(answer)
+
+
+async def _pass_head(scope: RequestScope, call: UpstreamCall) -> None:
+    """Pass on the answer to a HEAD request, which has a length and no body."""
+    await call.read_whole(0)
+    headers = _build_headers(scope, call, with_length=True)
+    await scope.connection.start_answer(call.head.status, headers)
+    await scope.connection.end_answer()
 
 
 async def _pass_long(
@@ -98,39 +95,20 @@
     held: bytes,
     rest: AsyncIterator[bytes],
 ) -> None:
-    headers = list(_build_headers(scope, call))
-    length = call.head.get_header('content-length')
-    if length:
-        headers.append(('content-length', length))
-    await scope.connection.start_answer(call.head.status, tuple(headers))
+    headers = _build_headers(scope, call, with_length=True)
+    await scope.connection.start_answer(call.head.status, headers)
     await scope.connection.send_part(held)
     async for part in rest:
         await scope.connection.send_part(part)
     await scope.connection.end_answer()
 
 
-async def _iterate(
-    parts: RouterParts, call: UpstreamCall
-) -> AsyncIterator[bytes]:
-    stall = parts.settings.deadlines.stall
-    body = aiter(call.connection.iterate_body())
-    while True:
-        try:
-            async with asyncio.timeout(stall):
-                part = await anext(body)
-        except StopAsyncIteration:
-            return
-        except TimeoutError:
-            raise UpstreamLost(
-                f'the answer was silent for {stall:g} s'
-            ) from None
-        yield part
-
-
 def _build_headers(
-    scope: RequestScope, call: UpstreamCall
+    scope: RequestScope, call: UpstreamCall, with_length: bool = False
 ) -> tuple[Header, ...]:
-    return (
-        *keep_end_headers(call.head.headers),
-        ('x-request-id', scope.request_id),
-    )
+    headers = list(keep_end_headers(call.head.headers))
+    length = call.head.get_header('content-length')
+    if with_length and length:
+        headers.append(('content-length', length))
+    headers.append(('x-request-id', scope.request_id))
+    return tuple(headers)
--- a/src/lifttrestle/internal/router/service_exchange.py
+++ b/src/lifttrestle/internal/router/service_exchange.py
@@ -166,7 +166,7 @@
             self._check_status(attempt, call)
             self._scope.progress.move(RequestEvent.ANSWER)
             self._chooser.note_first_byte(attempt)
-            await pass_answer(self._parts, self._scope, call)
+            await pass_answer(self._scope, call)
         except BaseException:
             call.connection.close()
             raise
--- a/src/lifttrestle/internal/router/stream_relay.py
+++ b/src/lifttrestle/internal/router/stream_relay.py
@@ -12,13 +12,9 @@
 
 """Passes on a stream, event by event."""
 
-import asyncio
-from collections.abc import AsyncIterator
-
 from lifttrestle.errors import CallerGone
 from lifttrestle.errors import UpstreamLost
 from lifttrestle.internal.router.call import UpstreamCall
-from lifttrestle.internal.router.parts import RouterParts
 from lifttrestle.internal.router.relay import AnswerRelay
 from lifttrestle.internal.router.scope import RequestScope
 from lifttrestle.internal.stream.event import StreamEvent
@@ -34,10 +30,7 @@
 class StreamRelay(AnswerRelay):
     """Forwards each event once, in order, and the explicit end last."""
 
-    def __init__(
-        self, parts: RouterParts, scope: RequestScope, wants_usage: bool
-    ) -> None:
-        self._parts = parts
+    def __init__(self, scope: RequestScope, wants_usage: bool) -> None:
         self._scope = scope
         self.transcript = Transcript(wants_usage)
         self.order = StreamOrder()
@@ -57,7 +50,7 @@
     async def consume(self, call: UpstreamCall) -> None:
         """Forward events until the end of the stream."""
         parser = StreamParser()
-        async for part in self._iterate(call):
+        async for part in call.iterate():
             events = parser.feed(part)
             try:
                 data, lost = self._select(events)
@@ -102,21 +95,6 @@
             pass
         self._scope.connection.abort()
 
-    async def _iterate(self, call: UpstreamCall) -> AsyncIterator[bytes]:
-        stall = self._parts.settings.deadlines.stall
-        parts = aiter(call.connection.iterate_body())
-        while True:
-            try:
-                async with asyncio.timeout(stall):
-                    part = await anext(parts)
-            except StopAsyncIteration:
-                return
-            except TimeoutError:
-                raise UpstreamLost(
-                    f'the stream was silent for {stall:g} s'
-                ) from None
-            yield part
-
     def _select(self, events: list[StreamEvent]) -> tuple[bytes, str]:
         chosen: list[bytes] = []
         for event in events:
--- a/src/lifttrestle/internal/router/whole_relay.py
+++ b/src/lifttrestle/internal/router/whole_relay.py
@@ -12,14 +12,11 @@
 
 """Passes on an answer that is not streamed, once it is complete."""
 
-import asyncio
-
 import msgspec
 
 from lifttrestle.errors import UpstreamLost
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.router.call import UpstreamCall
-from lifttrestle.internal.router.parts import RouterParts
 from lifttrestle.internal.router.relay import AnswerRelay
 from lifttrestle.internal.router.scope import RequestScope
 from lifttrestle.internal.stream.transcript import Usage
@@ -37,8 +34,7 @@
 class WholeRelay(AnswerRelay):
     """Keeps the answer until its end, so that a lost one can be retried."""
 
-    def __init__(self, parts: RouterParts, scope: RequestScope) -> None:
-        self._parts = parts
+    def __init__(self, scope: RequestScope) -> None:
         self._scope = scope
         self._started = False
 
@@ -49,12 +45,7 @@
 
     async def consume(self, call: UpstreamCall) -> None:
         """Read the whole answer, check it and send it on."""
-        stall = self._parts.settings.deadlines.stall
-        try:
-            async with asyncio.timeout(stall):
-                body = await call.connection.read_body(MAX_ANSWER_BYTES)
-        except TimeoutError:
-            raise UpstreamLost(f'the answer stalled for {stall:g} s') from None
+        body = await call.read_whole(MAX_ANSWER_BYTES)
         try:
             answer = msgspec.json.decode(body, type=WholeAnswer)
         except msgspec.MsgspecError as error:
--- a/src/lifttrestle/internal/standin/service.py
+++ b/src/lifttrestle/internal/standin/service.py
@@ -21,6 +21,9 @@
 from lifttrestle.internal.standin.server import send_json
 from lifttrestle.internal.standin.server import StandinServer
 
+# Below it, a path names the length of the answer's body.
+BYTES_PATH = '/bytes/'
+
 
 class ServiceStandin:
     """Answers every request with what it saw.
@@ -80,6 +83,8 @@
             'runs': self._runs[key or '(none)'],
         }
         content = msgspec.json.encode(answer)
+        if head.path.startswith(BYTES_PATH):
+            content = b'x' * int(head.path.removeprefix(BYTES_PATH))
         headers = [('content-type', 'application/json')]
         request_id = head.get_header('x-request-id')
         if request_id:
@@ -90,7 +95,8 @@
             return
         headers.append(('content-length', str(len(content))))
         await connection.start_answer(200, tuple(headers))
-        await connection.send_part(content)
+        if head.method != 'HEAD':
+            await connection.send_part(content)
         await connection.end_answer()
 
 
--- a/tests/nocover/test_whole_path.py
+++ b/tests/nocover/test_whole_path.py
@@ -12,6 +12,7 @@
 
 """One caller's request from end to end, through real processes."""
 
+import http.client
 import unittest
 
 import openai
@@ -23,6 +24,7 @@
 from tests.support.deployment import workspace
 
 TOKEN = 'daily-token'
+LONG = 3_000_000
 MESSAGES = [
     {'role': 'system', 'content': 'You check crossword clues. ' * 40},
     {'role': 'user', 'content': 'Seven letters, quiet morning train?'},
@@ -109,6 +111,29 @@
         self.assertEqual(reply.status, 200)
         self.assertEqual(reply.json()['path'], '/grids/7?page=2')
 
+    def test_long_answer_is_passed_on_whole(self) -> None:
+        address = self.deployment.routers['bkk-silom-1'].callers
+        reply = request(address, 'GET', f'/grid-app/bytes/{LONG}', TOKEN)
+        self.assertEqual(reply.status, 200)
+        self.assertEqual(reply.body, b'x' * LONG)
+
+    def test_long_answer_cut_short_is_no_answer(self) -> None:
+        address = self.deployment.routers['bkk-silom-1'].callers
+        for name in self.deployment.addresses:
+            if name.startswith('grid-app'):
+                self.deployment.set_faults(name, truncate_answers=1)
+        with self.assertRaises((http.client.IncompleteRead, OSError)):
+            request(address, 'GET', f'/grid-app/bytes/{LONG}', TOKEN)
+        for name in self.deployment.addresses:
+            if name.startswith('grid-app'):
+                self.deployment.set_faults(name)
+
+    def test_head_tells_the_length_and_sends_no_body(self) -> None:
+        address = self.deployment.routers['bkk-silom-1'].callers
+        reply = request(address, 'HEAD', '/grid-app/bytes/1234', TOKEN)
+        self.assertEqual(reply.headers['content-length'], '1234')
+        self.assertEqual(reply.body, b'')
+
     def test_other_place_is_refused_with_where_to_go(self) -> None:
         silom = self.deployment.routers['bkk-silom-1'].callers
         bangna = self.deployment.routers['bkk-bangna-1'].callers
