Orders to engines: a lease, fencing numbers, and none to those that don't check

Cause: a confirmed switch of weights reached no engine; operators had to load them by hand, and the property of fenced orders was unproved.

Ways weighed for engines that do not check the number: a last look at the lease before the order fails when the holder is paused in between, so they get none.

--- a/src/lifttrestle/internal/router/process.py
+++ b/src/lifttrestle/internal/router/process.py
@@ -40,6 +40,8 @@
 from lifttrestle.internal.operators.handler import OperatorHandler
 from lifttrestle.internal.operators.intent import IntentService
 from lifttrestle.internal.operators.tokens import load_tokens
+from lifttrestle.internal.orders.lease import Lease
+from lifttrestle.internal.orders.loader import Loader
 from lifttrestle.internal.platform.http_objects import HttpObjects
 from lifttrestle.internal.platform.http_table import HttpTable
 from lifttrestle.internal.platform.http_vms import HttpVms
@@ -63,6 +65,7 @@
 BUCKET = 'lifttrestle'
 START_POLL_SECONDS = 0.02
 RECORDS_SECONDS = 10.0
+LOADER_LEASE_SECONDS = 10.0
 
 
 class RouterProcess:
@@ -170,6 +173,27 @@
             _load_tls(tls.operators_certificate, tls.operators_key),
         )
 
+    def _make_loader(self) -> Loader:
+        settings = self._settings
+        data_centre = settings.router.data_centre
+        lease = Lease(
+            self._table,
+            self._clock,
+            f'loader/{data_centre}',
+            self._member.instance,
+            LOADER_LEASE_SECONDS,
+            settings.control.clock_error_seconds,
+        )
+        return Loader(
+            lease,
+            self._keeper,
+            self._store,
+            self._parts.registry,
+            self._parts.driver,
+            self._clock,
+            data_centre,
+        )
+
     def _make_recorder(self) -> TraceRecorder | None:
         if self._record is None:
             return None
@@ -214,6 +238,7 @@
             self._keeper.run(),
             self._watch_vms(),
             self._exchange.answer_greetings(),
+            self._make_loader().run(),
             exchange_forever(
                 self._exchange, self._clock.monotonic, exchange_seconds
             ),
