Rights are asked again after a wait; types are checked in lint

Found on reading as a newcomer: - a request that waited for a slot was served with the rights it came with. Without asking again, seen failing: FAIL: test_right_lost_while_waiting_is_lost '200 != 404' - an unforeseen failure in the router was answered 'not run' whatever it had done by then. It says 'unknown' now. - the view kept in a request's scope was never read; it is gone.

mypy runs in make lint; it found 25 errors, among them names rebound in except blocks and settings whose immutability it could not see.

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 		{ echo 'run "make format" first'; exit 1; }
 	@$(BIN)/ruff check --quiet .
 	@$(BIN)/flake8 src tests benchmarks examples
+	@cd src && ../$(BIN)/mypy --config-file ../pyproject.toml -p lifttrestle
 	@echo 'lint: clean'
 
 format: $(READY)
--- a/src/lifttrestle/internal/cli/replay.py
+++ b/src/lifttrestle/internal/cli/replay.py
@@ -13,6 +13,7 @@
 """``lifttrestle replay`` and ``lifttrestle trace``."""
 
 import argparse
+from collections.abc import Mapping
 import pathlib
 
 import msgspec
@@ -152,7 +153,7 @@
     return speeds
 
 
-def _choose(option: str, text: str, known: dict[str, object]) -> list[str]:
+def _choose(option: str, text: str, known: Mapping[str, object]) -> list[str]:
     names = text.split(',')
     for name in names:
         if name not in known:
--- a/src/lifttrestle/internal/configuration/document.py
+++ b/src/lifttrestle/internal/configuration/document.py
@@ -12,6 +12,7 @@
 
 """A whole configuration at one revision, immutable."""
 
+from collections.abc import Mapping
 import dataclasses
 import functools
 import hashlib
@@ -44,9 +45,9 @@
             for digest in workspace.token_digests
         }
 
-    def get_items(self, kind: ItemKind) -> dict[str, Item]:
+    def get_items(self, kind: ItemKind) -> Mapping[str, Item]:
         """Return the items of one kind by name."""
-        tables: dict[ItemKind, dict[str, Item]] = {
+        tables: dict[ItemKind, Mapping[str, Item]] = {
             ItemKind.WORKSPACE: self.workspaces,
             ItemKind.MODEL: self.models,
             ItemKind.SERVICE: self.services,
--- a/src/lifttrestle/internal/operators/handler.py
+++ b/src/lifttrestle/internal/operators/handler.py
@@ -38,6 +38,7 @@
 from lifttrestle.internal.operators.tokens import Operator
 from lifttrestle.internal.operators.tokens import OperatorTokens
 from lifttrestle.internal.refusal.body import build_refusal
+from lifttrestle.internal.refusal.execution import Execution
 from lifttrestle.internal.refusal.kind import ErrorKind
 from lifttrestle.internal.router.caller_handler import make_request_id
 from lifttrestle.internal.router.parts import RouterParts
@@ -133,10 +134,12 @@
             raise
         except Exception:
             LOG.exception('operators: call %s failed', request_id)
-            refused = RequestRefused(
-                ErrorKind.INTERNAL, f'the router failed at call {request_id}'
+            failed = RequestRefused(
+                ErrorKind.INTERNAL,
+                f'the router failed at call {request_id}',
+                ran=Execution.UNKNOWN,
             )
-            answer = build_refusal(refused, request_id)
+            answer = build_refusal(failed, request_id)
         LOG.info(
             'operators: %s %s answered %d request=%s',
             head.method,
--- a/src/lifttrestle/internal/router/caller_handler.py
+++ b/src/lifttrestle/internal/router/caller_handler.py
@@ -27,6 +27,7 @@
 from lifttrestle.internal.http.server_connection import ServerConnection
 from lifttrestle.internal.refusal.answers import ANSWERS
 from lifttrestle.internal.refusal.body import build_refusal
+from lifttrestle.internal.refusal.execution import Execution
 from lifttrestle.internal.refusal.execution import join_executions
 from lifttrestle.internal.refusal.kind import ErrorKind
 from lifttrestle.internal.router.chooser import UpstreamChooser
@@ -75,11 +76,13 @@
             raise
         except Exception:
             LOG.exception('router: request %s failed', request_id)
-            refused = RequestRefused(
+            # Nothing is known of how far it came, so nothing is promised.
+            failed = RequestRefused(
                 ErrorKind.INTERNAL,
                 f'the router failed to serve request {request_id}',
+                ran=Execution.UNKNOWN,
             )
-            await self._refuse(connection, refused, request_id)
+            await self._refuse(connection, failed, request_id)
 
     async def _serve(
         self,
@@ -92,14 +95,13 @@
             await self._tell_ready(connection)
             return
         self._readiness.check()
-        view = self._parts.keeper.view
-        workspace = identify_workspace(head, view)
-        check_place(workspace, self._parts.settings.router.data_centre)
+        workspace = self._identify(head)
         _check_method(route, head.method)
         if route.kind is RouteKind.MODELS:
+            view = self._parts.keeper.view
             await connection.send_answer(list_models(view, workspace))
             return
-        scope = self._make_scope(connection, head, request_id, view, workspace)
+        scope = self._make_scope(connection, head, request_id, workspace)
         if route.kind is RouteKind.SERVICE:
             self._services.check_path(scope, route)
         body = await connection.read_body()
@@ -130,12 +132,15 @@
     async def _run(
         self, scope: RequestScope, route: Route, body: bytes
     ) -> None:
+        # The configuration may have changed while the request waited.
+        scope.workspace = self._identify(scope.head)
         if route.kind is RouteKind.SERVICE:
             await self._services.run(scope, route, body)
             return
         request = parse_model_request(route.kind, body)
-        _check_model(scope.workspace, request.model)
         view = await self._wait_while_held(ItemKind.MODEL, request.model)
+        scope.workspace = self._identify(scope.head)
+        _check_model(scope.workspace, request.model)
         model = view.document.models.get(request.model)
         if model is None:
             raise _no_model(request.model)
@@ -144,6 +149,12 @@
         )
         await exchange.run()
 
+    def _identify(self, head: RequestHead) -> Workspace:
+        """Return the caller's workspace, if it may be served here now."""
+        workspace = identify_workspace(head, self._parts.keeper.view)
+        check_place(workspace, self._parts.settings.router.data_centre)
+        return workspace
+
     async def _wait_while_held(self, kind: ItemKind, name: str) -> View:
         """Return the view once it is known which definition is in force.
 
@@ -172,13 +183,12 @@
         connection: ServerConnection,
         head: RequestHead,
         request_id: str,
-        view: View,
         workspace: Workspace,
     ) -> RequestScope:
         now = self._parts.clock.monotonic()
         deadline = now + self._parts.settings.deadlines.request
         return RequestScope(
-            request_id, connection, head, view, workspace, now, deadline
+            request_id, connection, head, workspace, now, deadline
         )
 
     async def _refuse(
--- a/src/lifttrestle/internal/router/model_exchange.py
+++ b/src/lifttrestle/internal/router/model_exchange.py
@@ -119,9 +119,9 @@
             except RETRYABLE as error:
                 if await self._end_lost_stream():
                     return
-                refused = self._judge_failure(error)
-                if refused is not None:
-                    await self._fail(refused)
+                given_up = self._judge_failure(error)
+                if given_up is not None:
+                    await self._fail(given_up)
                     return
 
     def _choose(self) -> Attempt:
--- a/src/lifttrestle/internal/router/scope.py
+++ b/src/lifttrestle/internal/router/scope.py
@@ -15,7 +15,6 @@
 import dataclasses
 
 from lifttrestle.internal.configuration.model import Workspace
-from lifttrestle.internal.configuration.view import View
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.server_connection import ServerConnection
 from lifttrestle.internal.router.progress import RequestProgress
@@ -25,14 +24,13 @@
 class RequestScope:
     """One request, who sent it and by when it must be answered.
 
-    :ivar view: the configuration under which it was admitted; it keeps it.
+    :ivar workspace: as configured when the request last stopped waiting.
     :ivar deadline: the monotonic time by which the answer must begin.
     """
 
     request_id: str
     connection: ServerConnection
     head: RequestHead
-    view: View
     workspace: Workspace
     started: float
     deadline: float
--- a/src/lifttrestle/internal/router/service_answer.py
+++ b/src/lifttrestle/internal/router/service_answer.py
@@ -41,7 +41,7 @@
 
 def keep_end_headers(headers: tuple[Header, ...]) -> tuple[Header, ...]:
     """Return the headers that are meant for the other end."""
-    named = set()
+    named: set[str] = set()
     for name, value in headers:
         if name == 'connection':
             named.update(item.strip().lower() for item in value.split(','))
--- a/src/lifttrestle/internal/router/service_request.py
+++ b/src/lifttrestle/internal/router/service_request.py
@@ -67,7 +67,7 @@
 
         :raises RequestRefused: if it could not be served.
         """
-        # The configuration may have changed while the request waited.
+        # Asked again: an embargo may have been set while it waited.
         self.check_path(scope, route)
         request = ServiceRequest(
             self._find_service(route.service),
--- a/src/lifttrestle/internal/settings/router.py
+++ b/src/lifttrestle/internal/settings/router.py
@@ -29,7 +29,7 @@
 from lifttrestle.internal.settings.upstream import UpstreamSettings
 
 
-class RouterSettings(Section):
+class RouterSettings(Section, frozen=True):
     """Everything a router is told; immutable once it is read."""
 
     router: RouterSection
--- a/src/lifttrestle/internal/settings/rules.py
+++ b/src/lifttrestle/internal/settings/rules.py
@@ -145,5 +145,5 @@
     return [table if isinstance(table, dict) else {} for table in tables]
 
 
-def _is_number(value: object) -> bool:
+def _is_number(value: object) -> typing.TypeGuard[int | float]:
     return isinstance(value, int | float) and not isinstance(value, bool)
--- a/src/lifttrestle/internal/settings/sections.py
+++ b/src/lifttrestle/internal/settings/sections.py
@@ -19,7 +19,7 @@
     """The base of every section: immutable, unknown keys refused."""
 
 
-class RouterSection(Section):
+class RouterSection(Section, frozen=True):
     """Who this router is and where it runs."""
 
     name: str
@@ -27,7 +27,7 @@
     data_centre: str
 
 
-class ListenSection(Section):
+class ListenSection(Section, frozen=True):
     """The addresses on which the router listens; port 0 picks a free one."""
 
     callers: str
@@ -35,7 +35,7 @@
     peers: str
 
 
-class PlatformSection(Section):
+class PlatformSection(Section, frozen=True):
     """Where the platform's services are, and how long a call may take.
 
     :ivar token_file: a file with the bearer token to send, or empty.
@@ -48,14 +48,14 @@
     token_file: str = ''
 
 
-class PeersSection(Section):
+class PeersSection(Section, frozen=True):
     """Routers of the same data centre to ask while the platform is out."""
 
     seeds: tuple[str, ...] = ()
     exchange_seconds: float = 1.0
 
 
-class TlsSection(Section):
+class TlsSection(Section, frozen=True):
     """Certificate and key files for each door; empty means plain TCP."""
 
     callers_certificate: str = ''
@@ -64,13 +64,13 @@
     operators_key: str = ''
 
 
-class OperatorsSection(Section):
+class OperatorsSection(Section, frozen=True):
     """Where the operators' tokens are kept."""
 
     tokens_file: str = ''
 
 
-class StatsdSection(Section):
+class StatsdSection(Section, frozen=True):
     """Where metrics go; without a host they are dropped."""
 
     host: str = ''
@@ -78,13 +78,13 @@
     prefix: str = 'lifttrestle'
 
 
-class LogSection(Section):
+class LogSection(Section, frozen=True):
     """How much is logged."""
 
     level: str = 'info'
 
 
-class DeadlinesSection(Section):
+class DeadlinesSection(Section, frozen=True):
     """Times in seconds within which the steps of a request must end.
 
     :ivar request: from the request's head to the first byte of its answer.
@@ -99,7 +99,7 @@
     stall: float = 20.0
 
 
-class AdmissionSection(Section):
+class AdmissionSection(Section, frozen=True):
     """Bounds on the work that the router accepts.
 
     :ivar running: requests that the router works on at the same time.
@@ -112,7 +112,7 @@
     retry_share: float = 0.1
 
 
-class StopSection(Section):
+class StopSection(Section, frozen=True):
     """How a planned stop goes.
 
     :ivar notice_seconds: how long the listener stays open while the
@@ -124,7 +124,7 @@
     grace_seconds: float = 600.0
 
 
-class ControlSection(Section):
+class ControlSection(Section, frozen=True):
     """How often the control tasks look at the platform and upstreams."""
 
     table_poll_seconds: float = 1.0
--- a/src/lifttrestle/internal/standin/server.py
+++ b/src/lifttrestle/internal/standin/server.py
@@ -22,6 +22,7 @@
 
 from lifttrestle.errors import RequestRefused
 from lifttrestle.internal.http.address import Address
+from lifttrestle.internal.http.address import check_address
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.limits import HttpLimits
@@ -147,8 +148,6 @@
 
 async def run_until_signal(name: str, server: StandinServer, at: str) -> None:
     """Serve at ``IP:PORT`` until SIGTERM or SIGINT; print the address."""
-    from lifttrestle.internal.http.address import check_address
-
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/tests/nocover/test_place.py
+++ b/tests/nocover/test_place.py
@@ -12,6 +12,7 @@
 
 """Nothing of a workspace leaves its place, whatever fails inside it."""
 
+import concurrent.futures
 import unittest
 
 import openai
@@ -20,6 +21,7 @@
 from tests.support.deployment import ENGINE_CAN
 from tests.support.deployment import MODEL
 from tests.support.deployment import request
+from tests.support.deployment import wait_until
 from tests.support.deployment import workspace
 
 INSIDE = 'bkk-silom'
@@ -34,6 +36,7 @@
             engine_can=ENGINE_CAN.replace(
                 'resumes_streams = true', 'resumes_streams = false'
             ),
+            extra='admission = { running = 1 }',
         )
         self.enterContext(self.deployment)
         self.deployment.configure_usual()
@@ -92,6 +95,35 @@
             self.assertIn(reply.status, (502, 503))
         self.check_nothing_outside()
 
+    def test_right_lost_while_waiting_is_lost(self) -> None:
+        # The one slot is taken while the second request waits for it.
+        address = self.address
+        body = {
+            'model': MODEL,
+            'prompt': 'x',
+            'max_tokens': 1000,
+            'ignore_eos': True,
+        }
+        path = '/v1/completions'
+        with concurrent.futures.ThreadPoolExecutor(2) as pool:
+            first = pool.submit(
+                request, address, 'POST', path, 'daily-token', body
+            )
+            wait_until(self.is_busy)
+            second = pool.submit(
+                request, address, 'POST', path, 'pinned-token', body
+            )
+            self.deployment.configure(
+                [workspace('pinned', [INSIDE], models=[])]
+            )
+            self.assertFalse(first.done())
+            self.assertEqual(first.result().status, 200)
+            self.assertEqual(second.result().status, 404)
+
+    def is_busy(self) -> bool:
+        status = self.deployment.routers[f'{INSIDE}-1'].status()
+        return any(item['in_flight'] for item in status['upstreams'])
+
     def test_narrowed_place_holds_at_once(self) -> None:
         self.deployment.configure([workspace('pinned', [OUTSIDE])])
         reply = request(self.address, 'GET', '/grid-app/x', 'pinned-token')
