--- a/tests/nocover/test_doors.py
+++ b/tests/nocover/test_doors.py
@@ -25,6 +25,7 @@
 import cryptography.hazmat.primitives.hashes as hashes
 import cryptography.hazmat.primitives.serialization as serialization
 import cryptography.x509 as x509
+import pynng
 
 from lifttrestle.internal.cli.main import main
 from lifttrestle.internal.replay.trace import read_trace
@@ -184,6 +185,25 @@
         self.assertEqual(main(['replay', str(path)]), 0)
 
 
+class TestPeersDoor(unittest.TestCase):
+    def test_garbage_is_dropped_and_greetings_go_on(self) -> None:
+        deployment = Deployment(engines=0, routers=2)
+        self.enterContext(deployment)
+        one, two = deployment.routers.values()
+        for message in (b'', b'garbage', b'\x81\xa4type\x01', b'\xc1' * 99):
+            with pynng.Req0(recv_timeout=200) as socket:
+                socket.dial(f'tcp://{one.peers}')
+                socket.send(message)
+                with self.assertRaises(pynng.Timeout):
+                    socket.recv()
+        wait_until(lambda: two.status()['live_routers'] == 2)
+        two.process.stop()
+        wait_until(lambda: one.status()['live_routers'] == 1)
+        two.start()
+        two.wait_ready()
+        wait_until(lambda: one.status()['live_routers'] == 2)
+
+
 class TestMetrics(unittest.TestCase):
     def test_requests_are_counted_over_udp(self) -> None:
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sink:
