--- a/tests/cover/test_configuration_model.py
+++ b/tests/cover/test_configuration_model.py
@@ -47,16 +47,13 @@
 from lifttrestle.internal.platform.objects import ObjectStore
 from lifttrestle.internal.platform.vm import Vm
 from lifttrestle.internal.platform.vm import VmState
-from tests.support.gated_table import cancel_others
+from tests.support.gated_model import GatedModel
 from tests.support.gated_table import Fate
-from tests.support.gated_table import Gate
 from tests.support.gated_table import GatedTable
-from tests.support.gated_table import settle_loop
 
 START = datetime.datetime(2026, 12, 6, tzinfo=datetime.timezone.utc)
 PLACES = ('silom', 'bangna')
 ROUTERS = {'silom-1': 'silom', 'bangna-1': 'bangna', 'bangna-2': 'bangna'}
-FATES = (Fate.ANSWERED,) * 12 + tuple(Fate)
 ANY_ROUTER = st.sampled_from(sorted(ROUTERS))
 EXAMPLES = settings(
     max_examples=250,
@@ -103,15 +100,13 @@
         return keeper.registered or covered
 
 
-class ConfigurationModel(stateful.RuleBasedStateMachine):
+class ConfigurationModel(GatedModel):
     """Operators, routers, a table and a lagging VM list."""
 
     KEEPER: type[ConfigurationKeeper] = ConfigurationKeeper
 
     def __init__(self) -> None:
         super().__init__()
-        self.loop = asyncio.new_event_loop()
-        self.gate = Gate()
         self.operators = ConfigurationStore(self.gate.table, NoObjects())
         self.routers: dict[str, Router] = {}
         self.vms = {
@@ -120,13 +115,6 @@
         }
         self.numbers = itertools.count(1)
 
-    def teardown(self) -> None:
-        self.run(cancel_others())
-        self.loop.close()
-
-    def run(self, work):  # noqa: ANN001, ANN201
-        return self.loop.run_until_complete(work)
-
     @stateful.initialize()
     def begin(self) -> None:
         self.propose(PLACES)
@@ -197,22 +185,7 @@
             return
         if router.polling is None or router.polling.done():
             router.polling = self.loop.create_task(router.keeper.poll())
-        self.run(settle_loop())
-
-    @stateful.precondition(lambda self: self.gate.calls)
-    @stateful.rule(data=st.data(), fate=st.sampled_from(FATES))
-    def decide(self, data: st.DataObject, fate: Fate) -> None:
-        index = data.draw(st.integers(0, len(self.gate.calls) - 1))
-        self.run(self.gate.decide(self.gate.calls[index], fate))
-        self.run(settle_loop())
-
-    @stateful.precondition(lambda self: self.gate.calls)
-    @stateful.rule()
-    def answer_all(self) -> None:
-        for _ in range(12):
-            for call in list(self.gate.calls):
-                self.run(self.gate.decide(call, Fate.ANSWERED))
-            self.run(settle_loop())
+        self.settle()
 
     @stateful.rule(name=ANY_ROUTER)
     def poll_through(self, name: str) -> None:
@@ -225,13 +198,7 @@
         for _ in range(12):
             for call in [c for c in self.gate.calls if c.caller == instance]:
                 self.run(self.gate.decide(call, Fate.ANSWERED))
-            self.run(settle_loop())
-
-    @stateful.precondition(lambda self: self.gate.late)
-    @stateful.rule(data=st.data())
-    def apply_late(self, data: st.DataObject) -> None:
-        index = data.draw(st.integers(0, len(self.gate.late) - 1))
-        self.run(self.gate.apply_late(index))
+            self.settle()
 
     @stateful.rule(name=ANY_ROUTER, listed=st.booleans())
     def crash(self, name: str, listed: bool) -> None:
@@ -241,7 +208,7 @@
         router.alive = False
         if router.polling is not None:
             router.polling.cancel()
-        self.run(settle_loop())
+        self.settle()
         self.gate.forget(router.member.instance)
         if not listed:
             del self.vms[f'vm-{name}']
--- a/tests/cover/test_run_record_model.py
+++ b/tests/cover/test_run_record_model.py
@@ -36,15 +36,10 @@
 from lifttrestle.internal.runrecord.ledger import Taken
 from lifttrestle.internal.runrecord.record import RunRecord
 from lifttrestle.internal.runrecord.record import RunState
-from tests.support.gated_table import cancel_others
-from tests.support.gated_table import Fate
-from tests.support.gated_table import Gate
+from tests.support.gated_model import GatedModel
 from tests.support.gated_table import GatedTable
-from tests.support.gated_table import settle_loop
 
 START = datetime.datetime(2026, 12, 6, tzinfo=datetime.timezone.utc)
-# Most calls are answered, or no example would get far.
-FATES = (Fate.ANSWERED,) * 5 + tuple(Fate)
 # One key: examples that spread over several meet less often.
 KEYS = ('grid-1',)
 EXAMPLES = settings(
@@ -72,31 +67,19 @@
     ran: bool = False
 
 
-class RunModel(stateful.RuleBasedStateMachine):
+class RunModel(GatedModel):
     """Routers, attempts, and a count of what ran."""
 
     LEDGER: type[RunLedger] = RunLedger
 
     def __init__(self) -> None:
         super().__init__()
-        self.loop = asyncio.new_event_loop()
-        self.gate = Gate()
         self.clock = ManualClock(START)
         self.ledgers: dict[int, RunLedger] = {}
         self.dead: list[RunLedger] = []
         self.attempts: list[Attempt] = []
         self.number = 0
 
-    def teardown(self) -> None:
-        self.run(cancel_others())
-        self.loop.close()
-
-    def run(self, work) -> object:  # noqa: ANN001
-        return self.loop.run_until_complete(work)
-
-    def settle(self) -> None:
-        self.run(settle_loop())
-
     @stateful.rule(
         key=st.sampled_from(KEYS), router=st.integers(min_value=0, max_value=2)
     )
@@ -125,29 +108,6 @@
         done = outcome.record.state is RunState.DONE
         attempt.said = 'ran' if done else 'unknown'
 
-    @stateful.precondition(lambda self: self.gate.calls)
-    @stateful.rule(data=st.data(), fate=st.sampled_from(FATES))
-    def decide(self, data: st.DataObject, fate: Fate) -> None:
-        index = data.draw(st.integers(0, len(self.gate.calls) - 1))
-        self.run(self.gate.decide(self.gate.calls[index], fate))
-        self.settle()
-
-    @stateful.precondition(lambda self: self.gate.calls)
-    @stateful.rule(fate=st.sampled_from((Fate.ANSWERED, Fate.REFUSED)))
-    def decide_all(self, fate: Fate) -> None:
-        # Long stretches of good or bad service, as a table has them.
-        for _ in range(4):
-            for call in list(self.gate.calls):
-                self.run(self.gate.decide(call, fate))
-            self.settle()
-
-    @stateful.precondition(lambda self: self.gate.late)
-    @stateful.rule(data=st.data())
-    def apply_late(self, data: st.DataObject) -> None:
-        index = data.draw(st.integers(0, len(self.gate.late) - 1))
-        self.run(self.gate.apply_late(index))
-        self.settle()
-
     def list_claimed(self) -> list[Attempt]:
         return [
             item
