--- a/tests/nocover/test_engines.py
+++ b/tests/nocover/test_engines.py
@@ -16,6 +16,8 @@
 import time
 import unittest
 
+import openai
+
 from tests.support.deployment import Deployment
 from tests.support.deployment import ENGINE_CAN
 from tests.support.deployment import MODEL
@@ -185,6 +187,29 @@
             self.assertIn(text, (old[number], new[number]), number)
         self.assertNotEqual(old, new)
 
+    def test_stream_under_way_keeps_its_weights(self) -> None:
+        expected = self.read_text(PROMPT)
+        client = openai.OpenAI(
+            base_url=f'http://{self.deployment.router.callers}/v1',
+            api_key='daily-token',
+            max_retries=0,
+        )
+        self.addCleanup(client.close)
+        text = ''
+        for number, chunk in enumerate(
+            client.completions.create(
+                model=MODEL, prompt=PROMPT, max_tokens=12, stream=True
+            )
+        ):
+            text += chunk.choices[0].text if chunk.choices else ''
+            if number == 1:
+                for fencing, name in enumerate(self.deployment.list_engines()):
+                    self.order(name, 'v2', fencing + 1)
+                self.deployment.configure([model('v2')])
+        self.assertEqual(text, expected)
+        wait_until(lambda: self.complete().status == 200)
+        self.assertNotEqual(self.read_text(PROMPT), expected)
+
     def read_text(self, prompt: str) -> str:
         reply = self.complete(prompt=prompt, tokens=12)
         self.assertEqual(reply.status, 200, reply.body)
