--- a/examples/demo.py
+++ b/examples/demo.py
@@ -43,7 +43,7 @@
     finally:
         for process in processes:
             process.kill()
-    show('stopped by SIGTERM', f'exit codes {codes}')
+    show('stopped', f'by SIGTERM, exit codes {codes}')
     return 1 if any(codes) else 0
 
 
