Admission: a workspace's limits come before its request's body

Found on reading: the body, up to 8 MiB, was read before the workspace's rate and concurrency were asked, so refused requests cost memory all the same.

Before, the new test against the old code: FAIL: test_over_the_rate_is_told_before_the_body '408 != 429' After: 30 of 30 in test_bad_input and test_place.

--- a/src/lifttrestle/internal/router/caller_handler.py
+++ b/src/lifttrestle/internal/router/caller_handler.py
@@ -104,16 +104,16 @@
         scope = self._make_scope(connection, head, request_id, workspace)
         if route.kind is RouteKind.SERVICE:
             self._services.check_path(scope, route)
-        body = await connection.read_body()
-        await self._admit(scope, route, body)
+        await self._admit(scope, route)
 
-    async def _admit(
-        self, scope: RequestScope, route: Route, body: bytes
-    ) -> None:
+    async def _admit(self, scope: RequestScope, route: Route) -> None:
+        # The limits come before the body, so that a workspace which is over
+        # its share costs no memory for what is refused anyway.
         parts = self._parts
         workspace = scope.workspace
         parts.limits.enter(workspace, parts.peers.count_live())
         try:
+            body = await scope.connection.read_body()
             await parts.gate.enter(workspace.priority, scope.deadline)
             try:
                 scope.progress.move(RequestEvent.ADMIT)
--- a/tests/nocover/test_bad_input.py
+++ b/tests/nocover/test_bad_input.py
@@ -262,6 +262,17 @@
         self.assertEqual(reply.error['ran'], 'not run')
         self.assertGreater(int(reply.headers['retry-after']), 0)
 
+    def test_over_the_rate_is_told_before_the_body(self) -> None:
+        for _ in range(3):
+            request(self.address, 'GET', '/grid-app/x', 'slow-token')
+        # The body never comes: only an answer to the head alone ends this.
+        data = (
+            b'POST /grid-app/x HTTP/1.1\r\nHost: a\r\n'
+            b'Authorization: Bearer slow-token\r\n'
+            b'Content-Length: 500\r\n\r\n'
+        )
+        self.refuse(data, 429, 'rate_limited')
+
     def test_idempotency_key_too_long(self) -> None:
         reply = request(
             self.address,
