Stop: the end of an answer that is still buffered is not cut

Found on reading: an answer whose end lay in the router's own buffer counted as ended, so a planned stop dropped its connection and what was not sent yet. FAIL: test_regression_buffered_end_of_an_answer_is_not_cut AssertionError: 12288 != 60000

Change: idle connections are closed, which sends what is left, and the stop waits for it within its grace. A request that is cut when the grace ends is still aborted, so that no one takes it for whole.

--- a/src/lifttrestle/internal/http/server.py
+++ b/src/lifttrestle/internal/http/server.py
@@ -16,6 +16,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import ssl
+import weakref
 
 from lifttrestle.errors import CallerGone
 from lifttrestle.errors import RequestRefused
@@ -51,6 +52,9 @@
         self._server: asyncio.Server | None = None
         self._busy: set[asyncio.Task[None]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._writers: weakref.WeakSet[asyncio.StreamWriter] = (
+            weakref.WeakSet()
+        )
         self._stopping = False
 
     async def start(self, address: Address) -> Address:
@@ -87,7 +91,21 @@
         for task in set(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        return complete
+        return await self._flush(grace_seconds) and complete
+
+    async def _flush(self, grace_seconds: float) -> bool:
+        """Wait until what was answered has left the buffers."""
+        closings = [
+            asyncio.create_task(_wait_closed(writer))
+            for writer in self._writers
+            if writer.transport.get_write_buffer_size()
+        ]
+        if not closings:
+            return True
+        _, late = await asyncio.wait(closings, timeout=grace_seconds)
+        for closing in late:
+            closing.cancel()
+        return not late
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -95,6 +113,7 @@
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
+        self._writers.add(writer)
         connection = ServerConnection(reader, writer, self._limits)
         try:
             if len(self._tasks) > self._limits.max_connections:
@@ -104,7 +123,9 @@
         except (CallerGone, OSError):
             connection.abort()
         except asyncio.CancelledError:
-            connection.abort()
+            # An idle connection may still have the end of its last answer in
+            # its buffer; closing it below sends that.
+            pass
         finally:
             self._busy.discard(task)
             self._tasks.discard(task)
@@ -139,8 +160,18 @@
                 if self._stopping:
                     connection.close_after_answer()
                 await self._handler(connection, head)
+            except asyncio.CancelledError:
+                connection.abort()
+                raise
             finally:
                 self._busy.discard(task)
             if self._stopping or not connection.start_next():
                 await connection.close()
                 return
+
+
+async def _wait_closed(writer: asyncio.StreamWriter) -> None:
+    try:
+        await writer.wait_closed()
+    except OSError:
+        return
--- /dev/null
+++ b/tests/cover/test_http_server.py
@@ -0,0 +1,65 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""The HTTP server's stop, in one process."""
+
+import asyncio
+import socket
+import unittest
+
+from lifttrestle.internal.http.address import Address
+from lifttrestle.internal.http.answer import Answer
+from lifttrestle.internal.http.head import RequestHead
+from lifttrestle.internal.http.limits import HttpLimits
+from lifttrestle.internal.http.server import HttpServer
+from lifttrestle.internal.http.server_connection import ServerConnection
+
+# Less than the server buffers for a caller, so that sending returns at once.
+ANSWER_BYTES = 60_000
+GRACE_SECONDS = 10.0
+
+
+class TestStop(unittest.IsolatedAsyncioTestCase):
+    async def test_regression_buffered_end_of_an_answer_is_not_cut(
+        self,
+    ) -> None:
+        # The answer was complete in the server's buffer, so its connection
+        # counted as idle, and the stop threw away what was not sent yet.
+        server = HttpServer(self.handle, HttpLimits())
+        address = await server.start(Address('127.0.0.1', 0))
+        raw = socket.socket()
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        raw.connect((address.host, address.port))
+        reader, writer = await asyncio.open_connection(sock=raw, limit=2048)
+        writer.write(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+        self.answered = asyncio.Event()
+        async with asyncio.timeout(GRACE_SECONDS):
+            await self.answered.wait()
+            stopping = asyncio.create_task(server.stop(GRACE_SECONDS))
+            await asyncio.sleep(0)
+            received = await reader.read()
+            self.assertTrue(await stopping)
+        body = received.partition(b'\r\n\r\n')[2]
+        self.assertEqual(len(body), ANSWER_BYTES)
+        writer.close()
+
+    async def handle(
+        self, connection: ServerConnection, _head: RequestHead
+    ) -> None:
+        raw = connection._writer.get_extra_info('socket')
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        await connection.send_answer(Answer(200, (), b'x' * ANSWER_BYTES))
+        self.answered.set()
+
+
+if __name__ == '__main__':
+    unittest.main()
