Embargo under a cut, and kills at the first, a middle and the last token

Cause: an embargo moved earlier or later was proved for pure code only, and engines were killed at the first token only.

A path stays closed in a data centre that was cut off between its word and the decision, whichever way its release is moved.

--- a/tests/nocover/test_configuration.py
+++ b/tests/nocover/test_configuration.py
@@ -263,6 +263,40 @@
         time.sleep(1.0)
         self.assertEqual(self.call(self.bangna), 421)
 
+    def test_embargo_is_the_later_one_while_it_cannot_know(self) -> None:
+        # Moved earlier and moved later, each with the router cut off between
+        # its word and the decision: the path stays closed.
+        past, future = '2020-01-01T00:00:00Z', '2999-01-01T00:00:00Z'
+        self.deployment.configure([self.embargo('sooner', future)])
+        self.deployment.configure([self.embargo('later', past)])
+        self.assertEqual(self.call(self.bangna, 'sooner-token'), 403)
+        self.assertEqual(self.call(self.bangna, 'later-token'), 200)
+        plan_id = self.plan(
+            self.embargo('sooner', past), self.embargo('later', future)
+        )
+        self.silom.process.send_signal(signal.SIGSTOP)
+        self.confirm(plan_id, 0.5, self.bangna)
+        wait_until(lambda: self.bangna.status()['proposal'] == plan_id)
+        self.relay.cut()
+        for token in ('sooner-token', 'later-token'):
+            self.assertEqual(self.call(self.bangna, token), 403)
+        self.silom.process.send_signal(signal.SIGCONT)
+        wait_until(lambda: self.get_state(plan_id) == 'accepted')
+        self.assertEqual(self.call(self.silom, 'sooner-token'), 200)
+        for token in ('sooner-token', 'later-token'):
+            self.assertEqual(self.call(self.bangna, token), 403)
+        self.relay.heal()
+        wait_until(lambda: self.call(self.bangna, 'sooner-token') == 200)
+        self.assertEqual(self.call(self.bangna, 'later-token'), 403)
+
+    def embargo(self, name: str, release: str) -> dict:
+        closed = {
+            'service': 'grid-app',
+            'path_prefix': '/x',
+            'release': release,
+        }
+        return workspace(name, [SILOM, BANGNA], embargoes=[closed])
+
     def test_switch_of_weights_is_held_and_then_refused(self) -> None:
         plan_id = self.plan(model('v2'))
         self.silom.process.send_signal(signal.SIGSTOP)
--- a/tests/nocover/test_streams.py
+++ b/tests/nocover/test_streams.py
@@ -233,19 +233,29 @@
         self.assertEqual(usage.completion_tokens, TOKENS)
 
     def test_killed_engine_costs_no_stream(self) -> None:
-        question = 'killed?'
-        expected = self.read(question)
-        text = ''
-        killed = ''
-        for chunk in self.ask(question):
-            if not killed:
-                killed = self.find_busy()
-                self.deployment.standins[killed].kill()
-            for choice in chunk.choices:
-                text += choice.delta.content or ''
-        address = self.deployment.addresses[killed]
-        self.deployment.start_engine(killed, listen=address)
-        self.assertEqual(text, expected)
+        for kill_at in (0, TOKENS // 2, LAST - 1):
+            question = f'killed at {kill_at}?'
+            expected = self.read(question)
+            text = ''
+            killed = ''
+            for number, chunk in enumerate(self.ask(question)):
+                if number == kill_at:
+                    killed = self.find_busy()
+                    self.deployment.standins[killed].kill()
+                for choice in chunk.choices:
+                    text += choice.delta.content or ''
+            self.assertEqual(text, expected, kill_at)
+            address = self.deployment.addresses[killed]
+            self.deployment.start_engine(killed, listen=address)
+            wait_until(self.all_report)
+
+    def all_report(self) -> bool:
+        upstreams = self.deployment.router.status()['upstreams']
+        return all(
+            item['incarnation']
+            for item in upstreams
+            if item['name'].startswith('engine')
+        )
 
 
 if __name__ == '__main__':
