Streams' test: a retry budget that its many cuts do not spend

Ruled out: a fault of the budget; it is what bounds retries.

Change: the class's router earns two retries a request. The budget itself is tested in test_admission.

--- a/tests/nocover/test_streams.py
+++ b/tests/nocover/test_streams.py
@@ -204,6 +204,8 @@
                 'resumes_streams = true', 'resumes_streams = false'
             ),
             engine_arguments=('--decode-seconds', '0.02'),
+            # So many cuts in so few requests would spend the usual budget.
+            extra='admission = { retry_share = 2.0 }',
         )
         cls.enterClassContext(cls.deployment)
         cls.deployment.configure_usual()
