--- a/src/lifttrestle/errors.py
+++ b/src/lifttrestle/errors.py
@@ -64,6 +64,10 @@
     """
 
 
+class HistoryGone(LifttrestleError):
+    """The store dropped the changes that were asked for; read all again."""
+
+
 class ConditionFailed(LifttrestleError):
     """A transaction was refused because rows were not as it required.
 
--- /dev/null
+++ b/src/lifttrestle/internal/cli/fleet_router.py
@@ -0,0 +1,91 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""``lifttrestle fleet-router``: runs a router on the users' platform."""
+
+import argparse
+import asyncio
+import os
+import pathlib
+import random
+
+from returns.result import Failure
+
+from lifttrestle.errors import SettingsInvalid
+from lifttrestle.internal.clock.system import SystemClock
+from lifttrestle.internal.fleet.settings import FleetSettings
+from lifttrestle.internal.platform.names import SETTINGS_VARIABLE
+from lifttrestle.internal.platform.node_settings import check_node_settings
+from lifttrestle.internal.telemetry.logs import set_up_logs
+
+EXIT_OK = 0
+EXIT_CUT = 1
+# A call to the store answers in 4 ms, in 0.4 s when it is slow.
+STORE_SECONDS = 0.8
+# A report or an order is answered in a few ms.
+ENGINE_SECONDS = 0.5
+
+
+def add_commands(commands: 'argparse._SubParsersAction') -> None:
+    """Add the command to the command line."""
+    parser = commands.add_parser(
+        'fleet-router',
+        help='run a router whose configuration is in a shared store',
+    )
+    parser.add_argument(
+        'settings',
+        type=pathlib.Path,
+        nargs='?',
+        metavar='SETTINGS',
+        help=f'the file that the platform wrote (${SETTINGS_VARIABLE})',
+    )
+    parser.add_argument('--metrics-port', type=int, default=0)
+    parser.set_defaults(run=run)
+
+
+def run(options: argparse.Namespace) -> int:
+    """Run until a signal; exit 0 if every request was ended."""
+    path = options.settings or pathlib.Path(
+        os.environ.get(SETTINGS_VARIABLE, '')
+    )
+    result = check_node_settings(path, options.metrics_port)
+    if isinstance(result, Failure):
+        lines = [str(fault) for fault in result.failure()]
+        raise SettingsInvalid('\n'.join(lines))
+    set_up_logs('info')
+    return asyncio.run(_run_router(result.unwrap()))
+
+
+async def _run_router(settings: FleetSettings) -> int:
+    # Imported here so that the operator's commands start without it.
+    from lifttrestle.internal.fleet.process import FleetRouterProcess
+    from lifttrestle.internal.http.address import check_address
+    from lifttrestle.internal.http.json_client import JsonClient
+    from lifttrestle.internal.platform import engine_calls
+    from lifttrestle.internal.platform.request_dialect import PlatformDialect
+    from lifttrestle.internal.platform.row_store import PlatformRowStore
+    from lifttrestle.internal.platform.stored_format import PlatformFormat
+
+    clock = SystemClock()
+    client = JsonClient(
+        check_address(settings.store.address), clock, STORE_SECONDS
+    )
+    process = FleetRouterProcess(
+        settings,
+        clock,
+        random.Random(),
+        PlatformRowStore(client),
+        PlatformFormat(),
+        PlatformDialect(),
+        engine_calls.PlatformEngineControl(clock, ENGINE_SECONDS),
+    )
+    return EXIT_OK if await process.run() else EXIT_CUT
--- a/src/lifttrestle/internal/cli/standin.py
+++ b/src/lifttrestle/internal/cli/standin.py
@@ -16,8 +16,6 @@
 import asyncio
 
 from lifttrestle.internal.clock.system import SystemClock
-from lifttrestle.internal.platform.vm import Vm
-from lifttrestle.internal.platform.vm import VmState
 from lifttrestle.internal.standin.engine import EngineStandin
 from lifttrestle.internal.standin.engine_settings import EngineSettings
 from lifttrestle.internal.standin.objects import ObjectsStandin
@@ -26,6 +24,8 @@
 from lifttrestle.internal.standin.service import ServiceStandin
 from lifttrestle.internal.standin.table import TableStandin
 from lifttrestle.internal.standin.vms import VmsStandin
+from lifttrestle.internal.store.vm import Vm
+from lifttrestle.internal.store.vm import VmState
 
 
 def add_commands(commands: 'argparse._SubParsersAction') -> None:
--- a/src/lifttrestle/internal/configuration/judgement.py
+++ b/src/lifttrestle/internal/configuration/judgement.py
@@ -17,7 +17,7 @@
 from lifttrestle.internal.configuration.plan import Plan
 from lifttrestle.internal.membership.member import Member
 from lifttrestle.internal.membership.member import Members
-from lifttrestle.internal.platform.vm import Vm
+from lifttrestle.internal.store.vm import Vm
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/lifttrestle/internal/configuration/keeper.py
+++ b/src/lifttrestle/internal/configuration/keeper.py
@@ -39,7 +39,7 @@
 from lifttrestle.internal.membership.member import Member
 from lifttrestle.internal.membership.member import Members
 from lifttrestle.internal.membership.sponsorship import Sponsorship
-from lifttrestle.internal.platform.vm import Vm
+from lifttrestle.internal.store.vm import Vm
 
 LOG = logging.getLogger('lifttrestle.configuration')
 # Changes kept for peers that are a little behind.
--- a/src/lifttrestle/internal/configuration/store.py
+++ b/src/lifttrestle/internal/configuration/store.py
@@ -32,15 +32,15 @@
 from lifttrestle.internal.configuration.plan import PlanState
 from lifttrestle.internal.membership.member import Member
 from lifttrestle.internal.membership.member import Members
-from lifttrestle.internal.platform.objects import ObjectStore
-from lifttrestle.internal.platform.row import ABSENT
-from lifttrestle.internal.platform.row import Check
-from lifttrestle.internal.platform.row import make_write
-from lifttrestle.internal.platform.row import REMOVED
-from lifttrestle.internal.platform.row import Row
-from lifttrestle.internal.platform.row import Transaction
-from lifttrestle.internal.platform.row import Write
-from lifttrestle.internal.platform.table import TableService
+from lifttrestle.internal.store.objects import ObjectStore
+from lifttrestle.internal.store.row import ABSENT
+from lifttrestle.internal.store.row import Check
+from lifttrestle.internal.store.row import make_write
+from lifttrestle.internal.store.row import REMOVED
+from lifttrestle.internal.store.row import Row
+from lifttrestle.internal.store.row import Transaction
+from lifttrestle.internal.store.row import Write
+from lifttrestle.internal.store.table import TableService
 
 T = typing.TypeVar('T')
 # A row of the table service should stay small; larger changes are objects.
--- /dev/null
+++ b/src/lifttrestle/internal/fleet/admission.py
@@ -0,0 +1,106 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Decides whether a request may be served, by what is in force now."""
+
+import dataclasses
+
+from lifttrestle.errors import RequestRefused
+from lifttrestle.internal.fleet.catalogue import Catalogue
+from lifttrestle.internal.fleet.catalogue import Route
+from lifttrestle.internal.fleet.catalogue import Workspace
+from lifttrestle.internal.fleet.dialect import RequestFacts
+from lifttrestle.internal.fleet.parts import FleetParts
+from lifttrestle.internal.refusal.kind import ErrorKind
+
+# Part of the time within which a key that was taken away may still work.
+# Past it, requests with keys count neither for nor against a router that
+# has lost the store, so nothing is gained by serving them.
+FRESH_SHARE = 0.6
+# The view may be proved current again any moment; another router may do.
+STALE_RETRY_SECONDS = 0.3
+
+
+@dataclasses.dataclass(frozen=True)
+class Admitted:
+    """A request that may be served.
+
+    :ivar workspace: None on a route without keys.
+    """
+
+    catalogue: Catalogue
+    route: Route
+    workspace: Workspace | None
+
+
+def admit(parts: FleetParts, facts: RequestFacts) -> Admitted:
+    """Return what a request may use, by the newest configuration.
+
+    It is asked again after each wait: the answer may have changed.
+
+    :raises RequestRefused: if it may not be served, or if that can't be
+        known.
+    """
+    catalogue = parts.view.catalogue
+    if catalogue is None:
+        raise RequestRefused(
+            ErrorKind.NOT_CONFIGURED,
+            'this router has not read its configuration yet',
+            retry_after=STALE_RETRY_SECONDS,
+        )
+    route = catalogue.find_route(facts.host, facts.path)
+    if route is None:
+        _check_fresh(parts)
+        raise RequestRefused(
+            ErrorKind.NOT_FOUND,
+            f'no route leads from host {facts.host!r} to {facts.path!r}',
+            field='path',
+        )
+    return Admitted(
+        catalogue, route, _find_workspace(parts, facts, catalogue, route)
+    )
+
+
+def is_fresh(parts: FleetParts) -> bool:
+    """Return whether the view is proved current enough to rely on."""
+    limit = parts.settings.promises.revoke_seconds * FRESH_SHARE
+    return parts.operator_watch.get_age() < limit
+
+
+def _find_workspace(
+    parts: FleetParts,
+    facts: RequestFacts,
+    catalogue: Catalogue,
+    route: Route,
+) -> Workspace | None:
+    if catalogue.keys is None or route.open_access:
+        return None
+    _check_fresh(parts)
+    workspace = catalogue.keys.get(facts.key or '')
+    if workspace is None:
+        raise RequestRefused(
+            ErrorKind.UNAUTHORISED,
+            'the request carries no key of any workspace',
+            field='authorization',
+        )
+    return workspace
+
+
+def _check_fresh(parts: FleetParts) -> None:
+    if is_fresh(parts):
+        return
+    raise RequestRefused(
+        ErrorKind.NOT_CONFIGURED,
+        f'the configuration was last proved current'
+        f' {parts.operator_watch.get_age():.1f} s ago',
+        retry_after=STALE_RETRY_SECONDS,
+    )
--- /dev/null
+++ b/src/lifttrestle/internal/fleet/attempt.py
@@ -0,0 +1,123 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""One exchange with one upstream of the fleet."""
+
+import asyncio
+import dataclasses
+
+from lifttrestle.errors import UpstreamDeclined
+from lifttrestle.errors import UpstreamFailed
+from lifttrestle.errors import UpstreamLost
+from lifttrestle.errors import WrongAnswer
+from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.dialect import AnswerFacts
+from lifttrestle.internal.fleet.dialect import RequestDialect
+from lifttrestle.internal.fleet.upstream import FleetUpstream
+from lifttrestle.internal.http.client_connection import ClientConnection
+from lifttrestle.internal.http.head import RequestHead
+from lifttrestle.internal.http.head import ResponseHead
+
+FIRST_SERVER_ERROR = 500
+# Statuses by which this router promises that a request has not run. An
+# upstream that answers so without saying the same has made no such promise.
+PROMISING = (408, 421, 429, 503)
+MAX_FOREIGN_BYTES = 4 * 1024 * 1024
+# Kept connections are closed this long before the upstream would do so: a
+# request that crosses its close is lost.
+IDLE_MARGIN_SECONDS = 0.6
+# Where an upstream names no time, or less than a second.
+SHORT_IDLE_SECONDS = 0.4
+
+
+@dataclasses.dataclass
+class UpstreamAnswer:
+    """An answer whose head proves that it is the right one."""
+
+    connection: ClientConnection
+    head: ResponseHead
+    facts: AnswerFacts
+
+
+async def begin_attempt(
+    clock: Clock,
+    dialect: RequestDialect,
+    upstream: FleetUpstream,
+    connection: ClientConnection,
+    head: RequestHead,
+    body: bytes,
+    request_id: str,
+    silent_seconds: float,
+) -> UpstreamAnswer:
+    """Send a request and return the answer once its head is proved.
+
+    :param silent_seconds: how long the head may take.
+    :raises UpstreamLost: if there is none; the request may have run.
+    :raises UpstreamDeclined: if the upstream did not run the request.
+    :raises WrongAnswer: if what came is not the upstream's answer.
+    """
+    try:
+        async with asyncio.timeout(silent_seconds):
+            await connection.send_request(head, body)
+            answer = await _read_own_head(dialect, connection, request_id)
+    except TimeoutError:
+        raise UpstreamLost(
+            f'{upstream.instance} gave no answer within {silent_seconds:.2f} s'
+        ) from None
+    _learn(upstream, answer.facts)
+    _check(upstream, answer.facts, request_id)
+    return answer
+
+
+def check_served(upstream: FleetUpstream, facts: AnswerFacts) -> None:
+    """Refuse an answer by which the upstream says that it failed.
+
+    :raises UpstreamFailed: for a failure of its own; it ran the request.
+    """
+    if facts.status >= FIRST_SERVER_ERROR or facts.status in PROMISING:
+        raise UpstreamFailed(f'{upstream.instance} answered {facts.status}')
+
+
+async def _read_own_head(
+    dialect: RequestDialect, connection: ClientConnection, request_id: str
+) -> UpstreamAnswer:
+    while True:
+        head = await connection.read_head()
+        facts = dialect.read_answer(head)
+        if not facts.request_id or facts.request_id == request_id:
+            return UpstreamAnswer(connection, head, facts)
+        # A second answer to an earlier request on this connection.
+        await connection.skip_answer(MAX_FOREIGN_BYTES)
+
+
+def _learn(upstream: FleetUpstream, facts: AnswerFacts) -> None:
+    idle = facts.idle_seconds
+    if idle is not None:
+        upstream.pool.idle_seconds = max(
+            idle - IDLE_MARGIN_SECONDS, SHORT_IDLE_SECONDS
+        )
+
+
+def _check(
+    upstream: FleetUpstream, facts: AnswerFacts, request_id: str
+) -> None:
+    if facts.not_run or facts.other_instance:
+        raise UpstreamDeclined(
+            f'{upstream.instance} answered {facts.status} and did not run it'
+        )
+    if not facts.proved or facts.request_id != request_id:
+        raise WrongAnswer(
+            f'{upstream.instance} gave an answer {facts.status} without its'
+            ' mark or for another request'
+        )
+    if facts.encoded:
+        raise WrongAnswer(f'{upstream.instance} gave an encoded body')
--- /dev/null
+++ b/src/lifttrestle/internal/fleet/catalogue.py
@@ -0,0 +1,158 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""The operator's configuration in force, as one immutable whole.
+
+A catalogue is built once from what the store holds and swapped as a whole, so
+that no request ever sees half of a change.
+"""
+
+import dataclasses
+import enum
+
+
+class Repeat(enum.Enum):
+    """What a route allows to be done again with a request."""
+
+    IDEMPOTENT = 'idempotent'
+    ONCE = 'once'
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceShare:
+    """A service that a route may use, and its weight among the others."""
+
+    service: str
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Route:
+    """Where requests of one host and path prefix go, and within which bounds.
+
+    :ivar streams: answers are event streams.
+    :ivar resumable: a broken stream may go on at another upstream.
+    :ivar timeout_seconds: the longest time that a request is kept waiting.
+    :ivar target_seconds: the latency objective.
+    :ivar priority: 0 is the highest.
+    :ivar max_attempts: upstreams on which one request may run.
+    :ivar open_access: served without a key.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    repeat: Repeat
+    streams: bool
+    resumable: bool
+    timeout_seconds: float
+    target_seconds: float
+    priority: int
+    max_attempts: int
+    open_access: bool
+    shares: tuple[ServiceShare, ...]
+
+    @property
+    def repeatable(self) -> bool:
+        """Return whether a request may run more than once."""
+        return self.repeat is Repeat.IDEMPOTENT or self.resumable
+
+
+@dataclasses.dataclass(frozen=True)
+class EngineFacts:
+    """What the operator says of the engines of a service.
+
+    :ivar slots: requests that one engine runs at once.
+    :ivar memory_tokens: tokens that one engine's memory holds.
+    :ivar models: names of the models that they serve.
+    """
+
+    slots: int
+    memory_tokens: int
+    models: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class CacheStoreFacts:
+    """A store of KV cache that engines can read from and write to."""
+
+    address: str
+    data_centre: str
+    memory_tokens: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Service:
+    """A group of upstreams that serve the same requests.
+
+    :ivar max_connections: connections that one upstream accepts from all
+        routers together.
+    """
+
+    name: str
+    max_connections: int
+    engine: EngineFacts | None = None
+    cache_store: CacheStoreFacts | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Workspace:
+    """Who sends requests.
+
+    :ivar priority: 0 is the highest, None where the route's applies.
+    :ivar isolated: shares no cached context with any other workspace.
+    """
+
+    name: str
+    priority: int | None
+    isolated: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerLimits:
+    """What one caller's connection may send, in bytes and seconds."""
+
+    head_bytes: int
+    body_bytes: int
+    head_seconds: float
+    idle_seconds: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Catalogue:
+    """One version of the configuration.
+
+    :ivar routes: by host, the longest prefix first.
+    :ivar keys: the workspace of each key; None where no keys are asked for.
+    """
+
+    version: int
+    routes: dict[str, tuple[Route, ...]]
+    services: dict[str, Service]
+    limits: CallerLimits
+    keys: dict[str, Workspace] | None
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of ``path``, or None."""
+        for route in self.routes.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def find_cache_store(self) -> CacheStoreFacts | None:
+        """Return the first store of KV cache by name, or None."""
+        stores = [
+            service.cache_store
+            for _, service in sorted(self.services.items())
+            if service.cache_store is not None
+        ]
+        return stores[0] if stores else None
--- /dev/null
+++ b/src/lifttrestle/internal/fleet/decoding.py
@@ -0,0 +1,44 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""How stored values become the fleet's own types."""
+
+import abc
+
+from lifttrestle.internal.fleet.catalogue import Catalogue
+from lifttrestle.internal.fleet.upstream_entry import NamedWeights
+from lifttrestle.internal.fleet.upstream_entry import UpstreamEntry
+
+
+class StoredFormat(abc.ABC):
+    """Names the shared tables and reads their values.
+
+    The readers raise ``ValueError`` for a value that they can't read.
+
+    :cvar operator_table: holds the configuration and the named weights.
+    :cvar upstreams_table: holds the upstreams' entries by instance.
+    """
+
+    operator_table: str
+    upstreams_table: str
+
+    @abc.abstractmethod
+    def read_catalogue(self, key: str, value: bytes) -> Catalogue | None:
+        """Return the configuration, or None for a row that holds none."""
+
+    @abc.abstractmethod
+    def read_weights(self, key: str, value: bytes) -> NamedWeights | None:
+        """Return the named weights, or None for a row that names none."""
+
+    @abc.abstractmethod
+    def read_upstream(self, key: str, value: bytes) -> UpstreamEntry:
+        """Return an upstream's entry."""
--- /dev/null
+++ b/src/lifttrestle/internal/fleet/doors.py
@@ -0,0 +1,71 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""What is served at the router's addresses of a fleet."""
+
+from lifttrestle.errors import RequestRefused
+from lifttrestle.internal.fleet.admission import is_fresh
+from lifttrestle.internal.fleet.exchange import FleetExchange
+from lifttrestle.internal.fleet.parts import FleetParts
+from lifttrestle.internal.http.answer import Answer
+from lifttrestle.internal.http.head import RequestHead
+from lifttrestle.internal.http.server_connection import ServerConnection
+
+STATUS_OK = 200
+STATUS_UNAVAILABLE = 503
+
+
+class CallersDoor:
+    """Hands each caller's request to an exchange of its own."""
+
+    def __init__(self, parts: FleetParts) -> None:
+        self._parts = parts
+
+    async def handle(
+        self, connection: ServerConnection, head: RequestHead
+    ) -> None:
+        """Serve one request."""
+        dialect = self._parts.dialect
+        try:
+            facts = dialect.read_request(head)
+        except RequestRefused as refused:
+            await connection.send_answer(dialect.build_refusal(refused, ''))
+            return
+        exchange = FleetExchange(self._parts, connection, head, facts)
+        await exchange.run()
+
+
+class ReadyDoor:
+    """Says whether new connections are welcome.
+
+    :ivar stopping: the process was told to stop.
+    """
+
+    def __init__(self, parts: FleetParts) -> None:
+        self._parts = parts
+        self.stopping = False
+
+    async def handle(
+        self, connection: ServerConnection, head: RequestHead
+    ) -> None:
+        """Answer 200 or 503."""
+        status = STATUS_OK if self.is_ready() else STATUS_UNAVAILABLE
+        await connection.send_answer(Answer(status))
+
+    def is_ready(self) -> bool:
+        """Return whether requests can be served."""
+        parts = self._parts
+        return (
+            not self.stopping
+            and parts.view.catalogue is not None
+            and is_fresh(parts)
+        )
--- /dev/null
+++ b/src/lifttrestle/internal/fleet/exchange.py
@@ -0,0 +1,503 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Serves one request: chooses, sends, relays, tries again, or refuses."""
+
+import asyncio
+import itertools
+import logging
+
+from lifttrestle.errors import CallerGone
+from lifttrestle.errors import LifttrestleError
+from lifttrestle.errors import RequestRefused
+from lifttrestle.errors import UpstreamConnectFailed
+from lifttrestle.errors import UpstreamDeclined
+from lifttrestle.errors import UpstreamFailed
+from lifttrestle.errors import UpstreamLost
+from lifttrestle.errors import WrongAnswer
+from lifttrestle.internal.fleet.admission import admit
+from lifttrestle.internal.fleet.admission import Admitted
+from lifttrestle.internal.fleet.attempt import begin_attempt
+from lifttrestle.internal.fleet.attempt import check_served
+from lifttrestle.internal.fleet.attempt import PROMISING
+from lifttrestle.internal.fleet.attempt import UpstreamAnswer
+from lifttrestle.internal.fleet.dialect import CacheUse
+from lifttrestle.internal.fleet.dialect import RequestFacts
+from lifttrestle.internal.fleet.dialect import UpstreamOrder
+from lifttrestle.internal.fleet.event_relay import EventRelay
+from lifttrestle.internal.fleet.parts import FleetParts
+from lifttrestle.internal.fleet.placement import choose_engine
+from lifttrestle.internal.fleet.placement import choose_plain
+from lifttrestle.internal.fleet.placement import Placement
+from lifttrestle.internal.fleet.placement import Surroundings
+from lifttrestle.internal.fleet.upstream import FleetUpstream
+from lifttrestle.internal.http.answer import Answer
+from lifttrestle.internal.http.head import RequestHead
+from lifttrestle.internal.http.server_connection import ServerConnection
+from lifttrestle.internal.refusal.execution import Execution
+from lifttrestle.internal.refusal.kind import ErrorKind
+from lifttrestle.internal.router.progress import RequestEvent
+from lifttrestle.internal.router.progress import RequestProgress
+
+LOG = logging.getLogger('lifttrestle.request')
+# Sends of one request, counting those that were turned away unread.
+MAX_SENDS = 4
+# When a refused caller may come back: engines free a slot within that time.
+RETRY_SECONDS = 0.15
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+STATUS_OK = 200
+# A repeatable request is taken elsewhere when an upstream was silent for
+# this many times the route's objective, and never sooner than a second.
+SILENT_TARGETS = 2.0
+MIN_SILENT_SECONDS = 1.0
+# Below this there is no time left to be served in.
+MIN_LEFT_SECONDS = 0.01
+SHARED_WALL = 'shared'
+# The largest urgency by which upstreams order what waits.
+MAX_URGENCY = 9
+# After an engine has turned a request away for its weights, it is avoided
+# until its entry or the plan tells more.
+DECLINED_SECONDS = 0.15
+# The share of the time within which old weights must be gone that may pass
+# before an engine with old weights gets no more work.
+OLD_WEIGHTS_SHARE = 0.85
+RETRYABLE = (
+    UpstreamConnectFailed,
+    UpstreamDeclined,
+    UpstreamFailed,
+    UpstreamLost,
+    WrongAnswer,
+)
+_TICKETS = itertools.count()
+
+
+class FleetExchange:
+    """Owns the attempts that one request needs."""
+
+    def __init__(
+        self,
+        parts: FleetParts,
+        connection: ServerConnection,
+        head: RequestHead,
+        facts: RequestFacts,
+    ) -> None:
+        self._parts = parts
+        self._connection = connection
+        self._head = head
+        self._facts = facts
+        self._body = b''
+        self._started = parts.clock.monotonic()
+        self._deadline = self._started
+        self._progress = RequestProgress()
+        self._relay = EventRelay(connection, facts.last_event)
+        self._tried: set[str] = set()
+        self._sends = 0
+        self._runs = 0
+        self._service = ''
+        self._failure: Answer | None = None
+        self._story: list[str] = []
+
+    async def run(self) -> None:
+        """Serve the request to its end.
+
+        :raises CallerGone: if the caller left.
+        """
+        outcome = 'complete'
+        try:
+            self._body = await self._connection.read_body()
+            await self._serve_watched()
+        except RequestRefused as refused:
+            outcome = f'{refused.kind.value}: {refused.message}'
+            await self._refuse(refused)
+        except CallerGone as gone:
+            outcome = f'caller gone: {gone}'
+            raise
+        finally:
+            self._log(outcome)
+
+    async def _serve_watched(self) -> None:
+        """Serve, and stop at once when the caller leaves."""
+        work = asyncio.create_task(self._serve())
+        gone = asyncio.create_task(self._connection.wait_gone())
+        try:
+            await asyncio.wait(
+                {work, gone}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not work.done():
+                raise CallerGone('the caller closed its connection')
+            work.result()
+        finally:
+            for task in (work, gone):
+                task.cancel()
+            await asyncio.gather(work, gone, return_exceptions=True)
+
+    async def _serve(self) -> None:
+        admitted = admit(self._parts, self._facts)
+        self._set_deadline(admitted)
+        self._progress.move(RequestEvent.ADMIT)
+        self._service = self._choose_service(admitted)
+        self._parts.get_budget(self._service).note_request()
+        try:
+            async with asyncio.timeout(self._get_left()):
+                await self._try_upstreams()
+        except TimeoutError:
+            self._story.append('out of time')
+            raise RequestRefused(
+                ErrorKind.DEADLINE_EXCEEDED,
+                'the time for this request is over',
+                ran=self._progress.execution,
+            ) from None
+
+    def _set_deadline(self, admitted: Admitted) -> None:
+        seconds = admitted.route.timeout_seconds
+        if self._facts.wait_seconds is not None:
+            seconds = min(seconds, self._facts.wait_seconds)
+        self._deadline = self._started + seconds
+
+    def _choose_service(self, admitted: Admitted) -> str:
+        shares = admitted.route.shares
+        if len(shares) == 1:
+            return shares[0].service
+        chosen = self._parts.source.choices(
+            shares, [share.weight for share in shares]
+        )
+        return chosen[0].service
+
+    async def _try_upstreams(self) -> None:
+        while True:
+            # Asked before each attempt: a key may have been taken away, or
+            # the view may have become too old to rely on.
+            admitted = admit(self._parts, self._facts)
+            self._check_service(admitted)
+            placement = self._choose(admitted)
+            upstream = placement.upstream
+            self._tried.add(upstream.instance)
+            try:
+                await self._attempt(admitted, placement)
+                return
+            except RETRYABLE as error:
+                self._story.append(f'{upstream.instance}: {error}')
+                self._judge(admitted, upstream, error)
+
+    def _check_service(self, admitted: Admitted) -> None:
+        names = [share.service for share in admitted.route.shares]
+        if self._service not in names:
+            self._service = self._choose_service(admitted)
+
+    def _choose(self, admitted: Admitted) -> Placement:
+        fit = self._list_fit(admitted)
+        placement = self._place(admitted, fit)
+        if placement is None:
+            raise self._give_up(
+                ErrorKind.NO_UPSTREAM, 'no upstream may serve this now'
+            )
+        return placement
+
+    def _list_fit(self, admitted: Admitted) -> list[FleetUpstream]:
+        parts = self._parts
+        now = parts.clock.monotonic()
+        service = admitted.catalogue.services.get(self._service)
+        cap = service.max_connections if service is not None else 1
+        cap = max(cap // parts.roster.live, 1)
+        found = [
+            upstream
+            for upstream in parts.directory.list_fit(self._service)
+            if upstream.instance not in self._tried
+            and upstream.in_flight < cap
+        ]
+        generation = self._facts.generation
+        if generation is None:
+            return found
+        return self._select_weights(generation.model, found, now)
+
+    def _select_weights(
+        self, model: str, found: list[FleetUpstream], now: float
+    ) -> list[FleetUpstream]:
+        """Return the engines that may begin a generation now."""
+        wanted = self._parts.view.wanted.get(model)
+        loaded = [item for item in found if model in item.weights]
+        idle = [item for item in loaded if item.busy_until <= now]
+        if wanted is None:
+            return idle
+        limit = self._parts.settings.promises.weights_seconds
+        oldest = now - limit * OLD_WEIGHTS_SHARE
+        fit = []
+        for item in idle:
+            replaced_at = wanted.find_replaced(item.weights[model])
+            if replaced_at is None or replaced_at > oldest:
+                fit.append(item)
+        return fit
+
+    def _place(
+        self, admitted: Admitted, fit: list[FleetUpstream]
+    ) -> Placement | None:
+        parts = self._parts
+        generation = self._facts.generation
+        wanted = None
+        if generation is not None:
+            wanted = parts.view.wanted.get(generation.model)
+        around = Surroundings(
+            now=parts.clock.monotonic(),
+            data_centre=parts.settings.data_centre,
+            wanted_version=wanted.version if wanted is not None else 0,
+            live_routers=parts.roster.live,
+        )
+        if generation is None:
+            return choose_plain(fit, around, parts.source)
+        return choose_engine(fit, generation, self._get_wall(admitted), around)
+
+    async def _attempt(self, admitted: Admitted, placement: Placement) -> None:
+        upstream = placement.upstream
+        if self._sends >= 1 and not self._take_retry():
+            raise self._give_up(
+                ErrorKind.UPSTREAM_FAILED, 'no retry is left to spend'
+            )
+        ticket = next(_TICKETS)
+        generation = self._facts.generation
+        tokens = generation.prompt_tokens if generation is not None else 0
+        upstream.in_flight += 1
+        upstream.tokens_in_flight += tokens
+        try:
+            await self._exchange(admitted, upstream, ticket)
+        finally:
+            upstream.in_flight -= 1
+            upstream.tokens_in_flight -= tokens
+            upstream.note_ended(ticket)
+
+    def _take_retry(self) -> bool:
+        budget = self._parts.get_budget(self._service)
+        return budget.take(self._parts.roster.live)
+
+    async def _exchange(
+        self, admitted: Admitted, upstream: FleetUpstream, ticket: int
+    ) -> None:
+        parts = self._parts
+        connection = await upstream.pool.take()
+        try:
+            # Connecting may have taken a while.
+            admit(parts, self._facts)
+            order = self._build_order(admitted, upstream)
+            head = parts.dialect.build_head(self._head, order)
+            self._sends += 1
+            self._runs += 1
+            self._progress.move(RequestEvent.SEND)
+            upstream.note_sent(ticket, parts.clock.monotonic())
+            self._story.append(f'sent to {upstream.instance}')
+            answer = await begin_attempt(
+                parts.clock,
+                parts.dialect,
+                upstream,
+                connection,
+                head,
+                self._body,
+                self._facts.request_id,
+                self._get_patience(admitted),
+            )
+            upstream.note_heard(ticket, parts.clock.monotonic())
+            self._note_weights(upstream, answer)
+            await self._relay_answer(admitted, upstream, answer)
+        except BaseException:
+            connection.close()
+            raise
+        upstream.breaker.note_success()
+        upstream.pool.give_back(connection)
+
+    def _note_weights(
+        self, upstream: FleetUpstream, answer: UpstreamAnswer
+    ) -> None:
+        generation = self._facts.generation
+        if generation is not None and answer.facts.weights is not None:
+            upstream.note_weights(generation.model, answer.facts.weights)
+
+    def _build_order(
+        self, admitted: Admitted, upstream: FleetUpstream
+    ) -> UpstreamOrder:
+        workspace = admitted.workspace
+        generation = self._facts.generation
+        weights = None
+        if generation is not None:
+            weights = upstream.weights.get(generation.model)
+        return UpstreamOrder(
+            instance=upstream.instance,
+            wait_seconds=self._get_left(),
+            workspace=workspace.name if workspace is not None else '',
+            hide_key=admitted.catalogue.keys is not None,
+            weights=weights,
+            cache=self._build_cache_use(admitted, weights),
+            urgency=self._get_urgency(admitted),
+            last_event=self._relay.last_event,
+        )
+
+    def _build_cache_use(
+        self, admitted: Admitted, weights: int | None
+    ) -> CacheUse | None:
+        generation = self._facts.generation
+        if generation is None or weights is None:
+            return None
+        kept = admitted.catalogue.find_cache_store()
+        address = kept.address if kept is not None else ''
+        salt = f'{self._get_wall(admitted)}/{generation.model}/{weights}'
+        return CacheUse(salt, address, address)
+
+    def _get_wall(self, admitted: Admitted) -> str:
+        workspace = admitted.workspace
+        if workspace is not None and workspace.isolated:
+            return f'only-{workspace.name}'
+        return SHARED_WALL
+
+    def _get_urgency(self, admitted: Admitted) -> int | None:
+        if self._facts.generation is None:
+            return None
+        workspace = admitted.workspace
+        priority = admitted.route.priority
+        if workspace is not None and workspace.priority is not None:
+            priority = workspace.priority
+        return min(max(priority, 0), MAX_URGENCY)
+
+    async def _relay_answer(
+        self,
+        admitted: Admitted,
+        upstream: FleetUpstream,
+        answer: UpstreamAnswer,
+    ) -> None:
+        streams = admitted.route.streams and answer.facts.status == STATUS_OK
+        if not streams:
+            await self._relay_whole(admitted, upstream, answer)
+            return
+        headers = self._parts.dialect.select_answer_headers(answer.head)
+        self._relay.begin_run(answer.facts.status, headers)
+        self._progress.move(RequestEvent.ANSWER)
+        patience = self._get_patience(admitted)
+        parts = aiter(answer.connection.iterate_body())
+        while True:
+            try:
+                async with asyncio.timeout(patience):
+                    data = await anext(parts)
+            except StopAsyncIteration:
+                break
+            except TimeoutError:
+                raise UpstreamLost(
+                    f'{upstream.instance} was silent for {patience:.2f} s'
+                ) from None
+            upstream.heard_at = self._parts.clock.monotonic()
+            await self._relay.feed(data)
+        await self._relay.finish()
+        self._progress.move(RequestEvent.END)
+
+    async def _relay_whole(
+        self,
+        admitted: Admitted,
+        upstream: FleetUpstream,
+        answer: UpstreamAnswer,
+    ) -> None:
+        body = await answer.connection.read_body(MAX_ANSWER_BYTES)
+        headers = self._parts.dialect.select_answer_headers(answer.head)
+        whole = Answer(answer.facts.status, headers, body)
+        try:
+            check_served(upstream, answer.facts)
+        except UpstreamFailed:
+            breaks_promise = (
+                whole.status in PROMISING and not admitted.route.repeatable
+            )
+            if not breaks_promise:
+                self._failure = whole
+            upstream.pool.give_back(answer.connection)
+            raise
+        if self._relay.started:
+            raise UpstreamLost(f'{upstream.instance} did not go on')
+        self._progress.move(RequestEvent.ANSWER)
+        await self._connection.send_answer(whole)
+        self._progress.move(RequestEvent.END)
+
+    def _judge(
+        self,
+        admitted: Admitted,
+        upstream: FleetUpstream,
+        error: LifttrestleError,
+    ) -> None:
+        """Return if another attempt may be made.
+
+        :raises RequestRefused: if not.
+        """
+        now = self._parts.clock.monotonic()
+        if isinstance(error, UpstreamDeclined):
+            self._progress.move(RequestEvent.DECLINED)
+            self._runs -= 1
+            if self._facts.generation is not None:
+                upstream.busy_until = max(
+                    upstream.busy_until, now + DECLINED_SECONDS
+                )
+        else:
+            upstream.breaker.note_failure(now)
+        if self._sends >= MAX_SENDS:
+            raise self._give_up(
+                ErrorKind.UPSTREAM_FAILED, f'too many attempts: {error}'
+            )
+        if self._runs == 0:
+            return
+        route = admitted.route
+        if not route.repeatable:
+            raise self._give_up(
+                ErrorKind.UPSTREAM_FAILED, f'it may have run: {error}'
+            )
+        if self._runs >= route.max_attempts:
+            raise self._give_up(
+                ErrorKind.UPSTREAM_FAILED, f'no attempt is left: {error}'
+            )
+
+    def _give_up(self, kind: ErrorKind, message: str) -> RequestRefused:
+        ran = self._progress.execution
+        if ran is Execution.NOT_RUN:
+            return RequestRefused(
+                ErrorKind.NO_UPSTREAM, message, retry_after=RETRY_SECONDS
+            )
+        if kind is ErrorKind.NO_UPSTREAM:
+            kind = ErrorKind.UPSTREAM_FAILED
+        return RequestRefused(kind, message, ran=ran)
+
+    async def _refuse(self, refused: RequestRefused) -> None:
+        if self._connection.answer_started:
+            # What was sent can't be completed and must not look complete.
+            self._connection.abort()
+            return
+        if self._failure is not None:
+            await self._connection.send_answer(self._failure)
+            return
+        dialect = self._parts.dialect
+        await self._connection.send_answer(
+            dialect.build_refusal(refused, self._facts.request_id)
+        )
+
+    def _get_left(self) -> float:
+        return max(
+            self._deadline - self._parts.clock.monotonic(), MIN_LEFT_SECONDS
+        )
+
+    def _get_patience(self, admitted: Admitted) -> float:
+        route = admitted.route
+        left = self._get_left()
+        if not route.repeatable or self._runs >= route.max_attempts:
+            return left
+        silent = max(SILENT_TARGETS * route.target_seconds, MIN_SILENT_SECONDS)
+        return min(silent, left)
+
+    def _log(self, outcome: str) -> None:
+        LOG.info(
+            'request: id=%s host=%s service=%s took=%.3f outcome="%s"'
+            ' story="%s"',
+            self._facts.request_id,
+            self._facts.host,
+            self._service,
+            self._parts.clock.monotonic() - self._started,
+            outcome,
+            '; '.join(self._story),
+        )
--- /dev/null
+++ b/src/lifttrestle/internal/fleet/parts.py
@@ -0,0 +1,56 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""What the exchange of a fleet router works with."""
+
+import dataclasses
+import random
+
+from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.dialect import RequestDialect
+from lifttrestle.internal.fleet.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.operator_view import OperatorView
+from lifttrestle.internal.fleet.retry_budget import SharedRetryBudget
+from lifttrestle.internal.fleet.roster import Roster
+from lifttrestle.internal.fleet.settings import FleetSettings
+from lifttrestle.internal.fleet.table_watch import TableWatch
+from lifttrestle.internal.fleet.weights_view import WeightsView
+
+
+@dataclasses.dataclass
+class FleetParts:
+    """The parts of one router, built once.
+
+    :ivar operator_watch: proves how current the view is.
+    :ivar budgets: the retry budget of each service.
+    """
+
+    settings: FleetSettings
+    clock: Clock
+    source: random.Random
+    dialect: RequestDialect
+    view: OperatorView
+    operator_watch: TableWatch
+    directory: UpstreamDirectory
+    weights: WeightsView
+    roster: Roster
+    budgets: dict[str, SharedRetryBudget] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def get_budget(self, service: str) -> SharedRetryBudget:
+        """Return the retry budget of a service."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = SharedRetryBudget(self.settings.promises, self.clock)
+            self.budgets[service] = budget
+        return budget
--- /dev/null
+++ b/src/lifttrestle/internal/fleet/placement.py
@@ -0,0 +1,153 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Chooses the upstream that a request is sent to."""
+
+import dataclasses
+import math
+import random
+
+from lifttrestle.internal.fleet.dialect import Generation
+from lifttrestle.internal.fleet.upstream import FleetUpstream
+from lifttrestle.internal.routing.rendezvous import rank_names
+
+# Engines read about 57 prompt tokens in a millisecond (the sites' sheets).
+READ_SECONDS_PER_TOKEN = 1 / 57_000
+# Reading shared parts from the kept store in place of computing them takes
+# about a third of the time (25 Gbit/s against 57 tokens a ms).
+FETCHED_SHARE = 0.35
+# Engines beside the first home that keep a shared part too.
+HOMES = 2
+# A running request slows the others on its engine by about this much.
+RUNNING_SECONDS = 0.015
+# A request sent to another data centre: a few ms, and its bytes are priced.
+OTHER_DATA_CENTRE_SECONDS = 0.004
+# What it is worth to answer by the newest weights.
+OLD_WEIGHTS_SECONDS = 0.15
+# A running request of a plain service holds one of few slots.
+PLAIN_RUNNING_SECONDS = 0.03
+
+
+@dataclasses.dataclass(frozen=True)
+class Placement:
+    """An upstream and why it was chosen, for the log."""
+
+    upstream: FleetUpstream
+    reason: str
+    expected_seconds: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Surroundings:
+    """What the choice depends on beside the request.
+
+    :ivar now: monotonic time in seconds.
+    :ivar data_centre: the router's own.
+    :ivar wanted_version: the newest weights of the request's model.
+    :ivar live_routers: routers that send work as this one does.
+    """
+
+    now: float
+    data_centre: str
+    wanted_version: int
+    live_routers: int
+
+
+def choose_plain(
+    fit: list[FleetUpstream], around: Surroundings, source: random.Random
+) -> Placement | None:
+    """Return the upstream of a plain service that should answer first."""
+    best: Placement | None = None
+    for upstream in _prefer_sound(fit, around.now):
+        cost = upstream.first_byte_seconds
+        cost += upstream.in_flight * PLAIN_RUNNING_SECONDS
+        cost += _weigh_distance(upstream, around)
+        cost += source.random() * 0.002
+        if best is None or cost < best.expected_seconds:
+            best = Placement(upstream, 'least expected time', cost)
+    return best
+
+
+def choose_engine(
+    fit: list[FleetUpstream],
+    generation: Generation,
+    salt: str,
+    around: Surroundings,
+) -> Placement | None:
+    """Return the engine that should begin the generation first.
+
+    Requests that share a part go to the same few engines, which then hold
+    it; load moves them away only when waiting costs more than reading.
+    """
+    sound = _prefer_sound(fit, around.now)
+    if not sound:
+        return None
+    ranks = _rank_homes(sound, generation, salt)
+    best: Placement | None = None
+    for upstream in sound:
+        cost = _expect_first_piece(
+            upstream, generation, ranks[upstream.instance], around
+        )
+        reason = f'home {ranks[upstream.instance]}'
+        if best is None or cost < best.expected_seconds:
+            best = Placement(upstream, reason, cost)
+    return best
+
+
+def _prefer_sound(fit: list[FleetUpstream], now: float) -> list[FleetUpstream]:
+    """Return the upstreams without signs of trouble, or those with."""
+    sound = [
+        upstream
+        for upstream in fit
+        if upstream.breaker.allows(now) and not upstream.is_silent(now)
+    ]
+    return sound or [item for item in fit if item.breaker.allows(now)] or fit
+
+
+def _rank_homes(
+    sound: list[FleetUpstream], generation: Generation, salt: str
+) -> dict[str, int]:
+    shared = generation.parts[:-1]
+    key = shared[-1].part_id if shared else ''
+    digest = f'{salt}/{key}'.encode()[:64]
+    names = rank_names(digest, [upstream.instance for upstream in sound])
+    return {name: rank for rank, name in enumerate(names)}
+
+
+def _expect_first_piece(
+    upstream: FleetUpstream,
+    generation: Generation,
+    rank: int,
+    around: Surroundings,
+) -> float:
+    shared = sum(part.tokens for part in generation.parts[:-1])
+    read = shared * READ_SECONDS_PER_TOKEN * FETCHED_SHARE
+    miss = min(rank, HOMES) / HOMES
+    cost = miss * read
+    cost += upstream.in_flight * RUNNING_SECONDS * _scale(around)
+    cost += upstream.tokens_in_flight * READ_SECONDS_PER_TOKEN * 0.3
+    cost += _weigh_distance(upstream, around)
+    held = upstream.weights.get(generation.model, 0)
+    if held < around.wanted_version:
+        cost += OLD_WEIGHTS_SECONDS
+    return cost
+
+
+def _scale(around: Surroundings) -> float:
+    # The other routers' requests are not seen; some go where ours go.
+    return math.sqrt(max(around.live_routers, 1))
+
+
+def _weigh_distance(upstream: FleetUpstream, around: Surroundings) -> float:
+    if upstream.entry.data_centre == around.data_centre:
+        return 0.0
+    return OTHER_DATA_CENTRE_SECONDS
--- /dev/null
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -0,0 +1,229 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""One router process of a fleet: builds its parts, runs them, stops."""
+
+import asyncio
+import logging
+import random
+import signal
+
+from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.catalogue import Catalogue
+from lifttrestle.internal.fleet.decoding import StoredFormat
+from lifttrestle.internal.fleet.dialect import RequestDialect
+from lifttrestle.internal.fleet.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.doors import CallersDoor
+from lifttrestle.internal.fleet.doors import ReadyDoor
+from lifttrestle.internal.fleet.engine_control import EngineControl
+from lifttrestle.internal.fleet.exchange import OLD_WEIGHTS_SHARE
+from lifttrestle.internal.fleet.operator_view import OperatorView
+from lifttrestle.internal.fleet.parts import FleetParts
+from lifttrestle.internal.fleet.roster import FLEET_TABLE
+from lifttrestle.internal.fleet.roster import Roster
+from lifttrestle.internal.fleet.rows import RowStore
+from lifttrestle.internal.fleet.rows import VersionedRow
+from lifttrestle.internal.fleet.settings import FleetSettings
+from lifttrestle.internal.fleet.table_watch import TableWatch
+from lifttrestle.internal.fleet.weights_loader import WeightsLoader
+from lifttrestle.internal.fleet.weights_view import WeightsView
+from lifttrestle.internal.http.address import check_address
+from lifttrestle.internal.http.limits import HttpLimits
+from lifttrestle.internal.http.server import HttpServer
+
+LOG = logging.getLogger('lifttrestle.router')
+# How long the store holds a read of each table without news. The operator's
+# table proves that keys are current, so its reads are short.
+OPERATOR_WAIT_SECONDS = 1.5
+UPSTREAMS_WAIT_SECONDS = 3.0
+ROUTERS_WAIT_SECONDS = 10.0
+# After the order to stop: the platform turns new connections away within two
+# or three questions, one a second.
+NOTICE_SECONDS = 3.0
+# Kept for leaving the roster and for the last bytes.
+END_SECONDS = 0.6
+# Callers reuse connections up to four fifths of the idle limit.
+IDLE_EXTRA_SECONDS = 2.0
+MAX_CONNECTIONS = 1500
+
+
+class FleetRouterProcess:
+    """A router whose configuration and upstreams are in a shared store."""
+
+    def __init__(
+        self,
+        settings: FleetSettings,
+        clock: Clock,
+        source: random.Random,
+        store: RowStore,
+        stored_format: StoredFormat,
+        dialect: RequestDialect,
+        control: EngineControl,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._source = source
+        self._store = store
+        self._format = stored_format
+        self._stop = asyncio.Event()
+        self._view = OperatorView(
+            stored_format,
+            clock,
+            settings.promises.weights_seconds * OLD_WEIGHTS_SHARE,
+        )
+        self._directory = UpstreamDirectory(stored_format, clock)
+        self._weights = WeightsView(self._directory, clock)
+        self._roster = Roster(store, clock, settings.vm, settings.data_centre)
+        self._operator_watch = self._make_watch(
+            stored_format.operator_table,
+            OPERATOR_WAIT_SECONDS,
+            self._take_operator_row,
+        )
+        self._upstreams_watch = self._make_watch(
+            stored_format.upstreams_table,
+            UPSTREAMS_WAIT_SECONDS,
+            self._take_upstream_row,
+        )
+        self._routers_watch = self._make_watch(
+            FLEET_TABLE, ROUTERS_WAIT_SECONDS, self._take_routers_row
+        )
+        self._parts = FleetParts(
+            settings=settings,
+            clock=clock,
+            source=source,
+            dialect=dialect,
+            view=self._view,
+            operator_watch=self._operator_watch,
+            directory=self._directory,
+            weights=self._weights,
+            roster=self._roster,
+        )
+        self._loader = WeightsLoader(
+            store,
+            control,
+            self._view,
+            self._directory,
+            self._weights,
+            self._roster,
+            settings.promises,
+            clock,
+            source,
+            settings.vm,
+        )
+        self._ready = ReadyDoor(self._parts)
+        self._callers = HttpServer(
+            CallersDoor(self._parts).handle, _make_limits(None)
+        )
+        self._probes = HttpServer(self._ready.handle, _make_limits(None))
+
+    def _make_watch(
+        self, table: str, wait_seconds: float, listener: object
+    ) -> TableWatch:
+        return TableWatch(
+            self._store,
+            table,
+            self._clock,
+            self._source,
+            wait_seconds,
+            listener,  # type: ignore[arg-type]
+        )
+
+    def _take_operator_row(self, row: VersionedRow) -> None:
+        before = self._view.catalogue
+        self._view.take(row)
+        after = self._view.catalogue
+        if after is not None and after is not before:
+            self._callers.set_limits(_make_limits(after))
+
+    def _take_upstream_row(self, row: VersionedRow) -> None:
+        watch = self._upstreams_watch
+        if watch.lost:
+            # The first rows after an outage: what lapsed may yet return.
+            self._directory.outage_until = self._clock.monotonic()
+        self._directory.take(row)
+
+    def _take_routers_row(self, row: VersionedRow) -> None:
+        self._roster.loaded = True
+        self._roster.take(row)
+        self._weights.take(row)
+
+    async def run(self) -> bool:
+        """Serve until a signal; return whether every request was ended."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, _note_reload)
+        settings = self._settings
+        callers = await self._callers.start(
+            check_address(settings.callers_address)
+        )
+        ready = await self._probes.start(check_address(settings.ready_address))
+        LOG.info('router: started callers=%s ready=%s', callers, ready)
+        tasks = [
+            asyncio.create_task(work)
+            for work in (
+                self._operator_watch.run(),
+                self._upstreams_watch.run(),
+                self._routers_watch.run(),
+                self._roster.join(),
+                self._loader.run(),
+            )
+        ]
+        for task in tasks:
+            task.add_done_callback(self._note_control_end)
+        await self._stop.wait()
+        whole = await self._shut_down()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self._directory.close()
+        self._store.close()
+        return whole
+
+    def _note_control_end(self, task: 'asyncio.Task[None]') -> None:
+        if task.cancelled() or task.exception() is None:
+            return
+        LOG.critical(
+            'router: a control task failed', exc_info=task.exception()
+        )
+        self._stop.set()
+
+    async def _shut_down(self) -> bool:
+        """Stop in the order that cuts no request."""
+        LOG.info('router: stopping, %d requests', self._callers.busy)
+        grace = self._settings.promises.grace_seconds
+        self._ready.stopping = True
+        self._callers.announce_stop()
+        notice = min(NOTICE_SECONDS, grace / 2)
+        await self._clock.sleep(notice)
+        await self._roster.leave()
+        whole = await self._callers.stop(grace - notice - END_SECONDS)
+        await self._probes.stop(0)
+        LOG.info('router: stopped, every request ended: %s', whole)
+        return whole
+
+
+def _note_reload() -> None:
+    LOG.info('router: told to reload; settings are read at the start only')
+
+
+def _make_limits(catalogue: Catalogue | None) -> HttpLimits:
+    if catalogue is None:
+        return HttpLimits(max_connections=MAX_CONNECTIONS)
+    limits = catalogue.limits
+    return HttpLimits(
+        head_bytes=limits.head_bytes,
+        body_bytes=limits.body_bytes,
+        head_seconds=limits.head_seconds,
+        idle_seconds=limits.idle_seconds + IDLE_EXTRA_SECONDS,
+        max_connections=MAX_CONNECTIONS,
+    )
--- /dev/null
+++ b/src/lifttrestle/internal/fleet/retry_budget.py
@@ -0,0 +1,60 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Keeps the retries of all routers together within one budget.
+
+No router asks another: each spends the share that its own requests earn, and
+its part of the slack, so that the sum stays within the whole.
+"""
+
+import collections
+
+from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.settings import Promises
+
+# Part of the allowance that is used: windows of routers do not coincide.
+SAFE_SHARE = 0.85
+
+
+class SharedRetryBudget:
+    """Counts requests and retries of one service over a sliding window."""
+
+    def __init__(self, promises: Promises, clock: Clock) -> None:
+        self._promises = promises
+        self._clock = clock
+        self._requests: collections.deque[float] = collections.deque()
+        self._retries: collections.deque[float] = collections.deque()
+
+    def note_request(self) -> None:
+        """Count a request of a caller."""
+        self._requests.append(self._clock.monotonic())
+
+    def take(self, live_routers: int) -> bool:
+        """Spend one retry; return False if none is left.
+
+        :param live_routers: how many share the slack, counted high.
+        """
+        now = self._clock.monotonic()
+        oldest = now - self._promises.retry_window_seconds
+        _drop_before(self._requests, oldest)
+        _drop_before(self._retries, oldest)
+        earned = self._promises.retry_share * len(self._requests)
+        slack = self._promises.retry_slack / max(live_routers, 1)
+        if len(self._retries) + 1 > SAFE_SHARE * (earned + slack):
+            return False
+        self._retries.append(now)
+        return True
+
+
+def _drop_before(times: collections.deque[float], oldest: float) -> None:
+    while times and times[0] < oldest:
+        times.popleft()
--- /dev/null
+++ b/src/lifttrestle/internal/fleet/rows.py
@@ -0,0 +1,88 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""The versioned tables that all routers share, as the fleet code sees them."""
+
+import abc
+import dataclasses
+
+# A row that does not exist has this version.
+NO_ROW = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class VersionedRow:
+    """One row.
+
+    :ivar version: the commit that wrote it, from one counter of the store.
+    :ivar value: its bytes, or None if the row was removed.
+    """
+
+    key: str
+    value: bytes | None
+    version: int
+
+
+@dataclasses.dataclass(frozen=True)
+class RowChanges:
+    """Rows as of one moment, or the changes up to it.
+
+    :ivar version: the newest commit that the answer takes into account.
+    """
+
+    rows: tuple[VersionedRow, ...]
+    version: int
+
+
+@dataclasses.dataclass(frozen=True)
+class RowWrite:
+    """Sets one row if it still has the expected version.
+
+    :ivar value: the new bytes, or None to remove the row.
+    """
+
+    table: str
+    key: str
+    value: bytes | None
+    expected_version: int
+
+
+class RowStore(abc.ABC):
+    """Reads, watches and conditionally writes rows.
+
+    Each method raises ``PlatformUnavailable`` when there is no usable
+    answer; a write may then have taken effect, or do so later.
+    """
+
+    @abc.abstractmethod
+    async def read_table(self, table: str) -> RowChanges:
+        """Return every row of a table."""
+
+    @abc.abstractmethod
+    async def watch_table(
+        self, table: str, after: int, wait_seconds: float
+    ) -> RowChanges:
+        """Return the changes since commit ``after``, waiting for the first.
+
+        :raises HistoryGone: if the store no longer holds those changes.
+        """
+
+    @abc.abstractmethod
+    async def write_row(self, write: RowWrite) -> int:
+        """Write one row and return the commit's number.
+
+        :raises ConditionFailed: if the row has another version.
+        """
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Close the connections to the store."""
--- /dev/null
+++ b/src/lifttrestle/internal/fleet/table_watch.py
@@ -0,0 +1,162 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Keeps the rows of one shared table up to date, and proves how current.
+
+What is held is known to be current as of the moment at which the read that
+proved it was *sent*: any later change may be missing from its answer.
+"""
+
+from collections.abc import Callable
+import logging
+import random
+
+from lifttrestle.errors import HistoryGone
+from lifttrestle.errors import PlatformUnavailable
+from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.rows import NO_ROW
+from lifttrestle.internal.fleet.rows import RowChanges
+from lifttrestle.internal.fleet.rows import RowStore
+from lifttrestle.internal.fleet.rows import VersionedRow
+
+LOG = logging.getLogger('lifttrestle.watch')
+# Pauses after a failed read: short enough to be back within a fraction of
+# the shortest promise (2 s), doubled to spare a store that is overloaded.
+FIRST_PAUSE_SECONDS = 0.1
+MAX_PAUSE_SECONDS = 0.5
+# A read whose answer came this much later than it should is a lost one.
+NEVER = float('-inf')
+
+RowListener = Callable[[VersionedRow], None]
+
+
+class TableWatch:
+    """Follows one table and tells each change to a listener.
+
+    :param wait_seconds: how long the store holds a read without news; a
+        watch that is silent for longer is taken for dead by the client.
+    :param listener: is called with each row that is new, changed or removed.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        table: str,
+        clock: Clock,
+        source: random.Random,
+        wait_seconds: float,
+        listener: RowListener,
+    ) -> None:
+        self._store = store
+        self._table = table
+        self._clock = clock
+        self._source = source
+        self._wait_seconds = wait_seconds
+        self._listener = listener
+        self._rows: dict[str, VersionedRow] = {}
+        self._version = NO_ROW
+        self._whole = False
+        self._lost = False
+        self.proved_at = NEVER
+        self.regained_at = NEVER
+
+    @property
+    def loaded(self) -> bool:
+        """Return whether the table was read once."""
+        return self.proved_at != NEVER
+
+    @property
+    def lost(self) -> bool:
+        """Return whether the last read failed."""
+        return self._lost
+
+    def get_age(self) -> float:
+        """Return for how many seconds nothing has proved what is held."""
+        return self._clock.monotonic() - self.proved_at
+
+    async def run(self) -> None:
+        """Follow the table for ever."""
+        pause = FIRST_PAUSE_SECONDS
+        while True:
+            try:
+                await self.step()
+                pause = FIRST_PAUSE_SECONDS
+            except PlatformUnavailable as error:
+                self._note_lost(error)
+                await self._clock.sleep(pause * self._source.uniform(0.5, 1.0))
+                pause = min(pause * 2, MAX_PAUSE_SECONDS)
+
+    async def step(self) -> None:
+        """Make one read and take in what it says."""
+        asked_at = self._clock.monotonic()
+        if not self._whole:
+            self._take_all(await self._store.read_table(self._table))
+            self._whole = True
+        else:
+            try:
+                changes = await self._store.watch_table(
+                    self._table, self._version, self._wait_seconds
+                )
+            except HistoryGone as error:
+                LOG.info('watch: table=%s %s', self._table, error)
+                self._whole = False
+                return
+            self._take(changes)
+        self.proved_at = asked_at
+        self._note_regained()
+
+    def _take_all(self, snapshot: RowChanges) -> None:
+        if snapshot.version < self._version:
+            raise PlatformUnavailable(
+                f'the store went back from {self._version}'
+                f' to {snapshot.version}'
+            )
+        present = {row.key for row in snapshot.rows}
+        missing = tuple(
+            VersionedRow(key, None, snapshot.version)
+            for key in self._rows
+            if key not in present
+        )
+        self._take(RowChanges(snapshot.rows + missing, snapshot.version))
+
+    def _take(self, changes: RowChanges) -> None:
+        for row in changes.rows:
+            known = self._rows.get(row.key)
+            if known is not None and known.version >= row.version:
+                continue
+            if row.value is None:
+                self._rows.pop(row.key, None)
+            else:
+                self._rows[row.key] = row
+            if row.value is not None or known is not None:
+                self._listener(row)
+        self._version = max(self._version, changes.version)
+
+    def _note_lost(self, error: PlatformUnavailable) -> None:
+        if not self._lost:
+            LOG.warning(
+                'watch: lost table=%s age=%.3f error="%s"',
+                self._table,
+                self.get_age(),
+                error,
+            )
+        self._lost = True
+
+    def _note_regained(self) -> None:
+        if self._lost:
+            LOG.info(
+                'watch: regained table=%s version=%d',
+                self._table,
+                self._version,
+            )
+            self._lost = False
+            self.regained_at = self._clock.monotonic()
--- /dev/null
+++ b/src/lifttrestle/internal/fleet/upstream.py
@@ -0,0 +1,86 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""What one router knows of one upstream of the fleet."""
+
+import dataclasses
+
+from lifttrestle.internal.fleet.upstream_entry import UpstreamEntry
+from lifttrestle.internal.http.client_pool import ClientPool
+from lifttrestle.internal.upstream.breaker import Breaker
+
+# Weight of the newest observation in the average of first bytes: the last
+# five or so count.
+AVERAGE_SHARE = 0.2
+# An upstream that owes answers and sent nothing for this long is suspect.
+# The slowest first piece seen on calm days was under a second.
+SILENT_SECONDS = 1.0
+
+
+@dataclasses.dataclass
+class FleetUpstream:
+    """One start of an upstream.
+
+    :ivar weights: the newest version of each model's weights that it is
+        known to hold.
+    :ivar busy_until: until when it is expected to load weights.
+    :ivar vanished_at: when its entry went, or None.
+    :ivar first_byte_seconds: average time to the first byte of an answer.
+    :ivar waiting_since: when each unanswered request was sent.
+    """
+
+    entry: UpstreamEntry
+    pool: ClientPool
+    breaker: Breaker = dataclasses.field(default_factory=Breaker)
+    weights: dict[str, int] = dataclasses.field(default_factory=dict)
+    busy_until: float = 0.0
+    vanished_at: float | None = None
+    misdirected: bool = False
+    in_flight: int = 0
+    tokens_in_flight: int = 0
+    first_byte_seconds: float = 0.0
+    heard_at: float = 0.0
+    waiting_since: dict[int, float] = dataclasses.field(default_factory=dict)
+
+    @property
+    def instance(self) -> str:
+        """Return the identity of this start."""
+        return self.entry.instance
+
+    def note_weights(self, model: str, version: int) -> None:
+        """Note weights that it was seen to hold; they never go back."""
+        if version > self.weights.get(model, 0):
+            self.weights[model] = version
+            self.busy_until = 0.0
+
+    def note_sent(self, ticket: int, now: float) -> None:
+        """Note that an answer is owed."""
+        self.waiting_since[ticket] = now
+        self.breaker.note_sent(now)
+
+    def note_heard(self, ticket: int, now: float) -> None:
+        """Note that an answer began."""
+        sent_at = self.waiting_since.pop(ticket, now)
+        self.heard_at = now
+        change = (now - sent_at) - self.first_byte_seconds
+        self.first_byte_seconds += AVERAGE_SHARE * change
+
+    def note_ended(self, ticket: int) -> None:
+        """Forget an exchange that is over."""
+        self.waiting_since.pop(ticket, None)
+
+    def is_silent(self, now: float) -> bool:
+        """Return whether it owes an answer and has been quiet too long."""
+        if not self.waiting_since:
+            return False
+        oldest = min(self.waiting_since.values())
+        return now - max(oldest, self.heard_at) > SILENT_SECONDS
--- /dev/null
+++ b/src/lifttrestle/internal/fleet/weights_loader.py
@@ -0,0 +1,311 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Brings the engines to the newest weights, a few at a time.
+
+Only the holder of a model's row gives orders. Whoever holds it keeps it; it
+passes to another router only after the row has rested so long that no order
+of the last holder can be under way. Every order carries the row's version as
+its fence and the number of orders that the engine has accepted, so that one
+that arrives late does nothing.
+"""
+
+import asyncio
+import dataclasses
+import logging
+import math
+import random
+
+import msgspec
+
+from lifttrestle.errors import ConditionFailed
+from lifttrestle.errors import PlatformUnavailable
+from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.engine_control import EngineControl
+from lifttrestle.internal.fleet.engine_control import EngineState
+from lifttrestle.internal.fleet.engine_control import LoadOrder
+from lifttrestle.internal.fleet.engine_control import OrderOutcome
+from lifttrestle.internal.fleet.operator_view import OperatorView
+from lifttrestle.internal.fleet.roster import FLEET_TABLE
+from lifttrestle.internal.fleet.roster import Roster
+from lifttrestle.internal.fleet.rows import RowStore
+from lifttrestle.internal.fleet.rows import RowWrite
+from lifttrestle.internal.fleet.settings import Promises
+from lifttrestle.internal.fleet.upstream import FleetUpstream
+from lifttrestle.internal.fleet.weights_view import HeldPlan
+from lifttrestle.internal.fleet.weights_view import PLAN_PREFIX
+from lifttrestle.internal.fleet.weights_view import WeightsPlan
+from lifttrestle.internal.fleet.weights_view import WeightsView
+from lifttrestle.internal.routing.rendezvous import rank_names
+
+LOG = logging.getLogger('lifttrestle.weights')
+POLL_SECONDS = 0.1
+# Orders of a batch are sent within this time after its row was asked for.
+ORDER_SECONDS = 0.8
+# More than this passes between the last order of one holder and the first of
+# the next, on top of the lease: clocks of the two run at different speeds.
+HANDOVER_SECONDS = 0.5
+# The others leave the last holder this much time to act, each one more.
+FIRST_TURN_SECONDS = 1.5
+NEXT_TURN_SECONDS = 0.4
+# Engines that load at the same time, of all of a model's: 2 of 5, and 18 of
+# 45, load without slowing each other down (the sites' sheets).
+LOADING_SHARE = 0.4
+# All routers know of a batch this long after its row was written.
+STEER_SECONDS = 0.03
+# A load takes 0.8 s after the running requests have ended (0.5 s typically).
+REPORT_FIRST_SECONDS = 0.7
+REPORT_SECONDS = 0.2
+# An engine that has not loaded by then is ordered once more.
+LOAD_LIMIT_SECONDS = 4.0
+
+
+@dataclasses.dataclass
+class LoadUnderWay:
+    """An order that an engine has not yet been seen to have carried out."""
+
+    upstream: FleetUpstream
+    version: int
+    ordered_at: float
+    ask_at: float
+
+
+class WeightsLoader:
+    """One router's part in loading weights."""
+
+    def __init__(
+        self,
+        store: RowStore,
+        control: EngineControl,
+        view: OperatorView,
+        directory: UpstreamDirectory,
+        plans: WeightsView,
+        roster: Roster,
+        promises: Promises,
+        clock: Clock,
+        source: random.Random,
+        holder: str,
+    ) -> None:
+        self._store = store
+        self._control = control
+        self._view = view
+        self._directory = directory
+        self._plans = plans
+        self._roster = roster
+        self._promises = promises
+        self._clock = clock
+        self._source = source
+        self._holder = holder
+        self._needed_since: dict[str, float] = {}
+        self._loads: dict[str, dict[str, LoadUnderWay]] = {}
+
+    async def run(self) -> None:
+        """Load what is missing, for ever."""
+        while True:
+            await self._clock.sleep(POLL_SECONDS)
+            for model in list(self._view.wanted):
+                try:
+                    await self.serve_model(model)
+                except (PlatformUnavailable, ConditionFailed) as error:
+                    LOG.info('weights: model=%s not now: %s', model, error)
+                    await self._clock.sleep(
+                        self._source.uniform(POLL_SECONDS, 4 * POLL_SECONDS)
+                    )
+
+    async def serve_model(self, model: str) -> None:
+        """Take the next step towards a model's newest weights."""
+        loads = self._loads.setdefault(model, {})
+        await self._follow_loads(model, loads)
+        outdated = self._find_outdated(model)
+        now = self._clock.monotonic()
+        if not outdated:
+            await self._tell_end(model)
+            self._needed_since.pop(model, None)
+            return
+        self._needed_since.setdefault(model, now)
+        # Whoever writes in between makes the condition on this row fail.
+        held = self._plans.get(model)
+        if self._may_act(model, held, now):
+            await self._load_next(model, held, loads, outdated)
+
+    def _list_engines(self, model: str) -> list[FleetUpstream]:
+        return [
+            upstream
+            for upstream in self._directory
+            if model in upstream.entry.weights
+            and not upstream.entry.draining
+            and not upstream.misdirected
+            and upstream.vanished_at is None
+        ]
+
+    def _find_outdated(self, model: str) -> list[FleetUpstream]:
+        version = self._view.wanted[model].version
+        outdated = [
+            upstream
+            for upstream in self._list_engines(model)
+            if upstream.weights.get(model, 0) < version
+        ]
+        outdated.sort(
+            key=lambda upstream: (
+                upstream.weights.get(model, 0),
+                upstream.in_flight,
+            )
+        )
+        return outdated
+
+    def _may_act(self, model: str, held: HeldPlan, now: float) -> bool:
+        if held.plan is not None and held.plan.holder == self._holder:
+            return True
+        rest = self._promises.lease_seconds + ORDER_SECONDS + HANDOVER_SECONDS
+        if now - held.seen_at < rest:
+            return False
+        turn = self._get_turn(model, held.plan is not None)
+        return now - self._needed_since[model] >= turn
+
+    def _get_turn(self, model: str, has_holder: bool) -> float:
+        ranked = rank_names(model.encode()[:64], self._roster.routers)
+        rank = ranked.index(self._roster.key)
+        first = FIRST_TURN_SECONDS if has_holder else 0.0
+        return first + rank * NEXT_TURN_SECONDS
+
+    async def _load_next(
+        self,
+        model: str,
+        held: HeldPlan,
+        loads: dict[str, LoadUnderWay],
+        outdated: list[FleetUpstream],
+    ) -> None:
+        room = math.ceil(LOADING_SHARE * len(self._list_engines(model)))
+        room -= len(loads)
+        version = self._view.wanted[model].version
+        batch: list[tuple[FleetUpstream, EngineState]] = []
+        for upstream in outdated:
+            if len(batch) >= room:
+                break
+            if upstream.instance in loads:
+                continue
+            state = await self._read_state(upstream)
+            if state is None:
+                continue
+            known = state.weights.get(model, 0)
+            upstream.note_weights(model, known)
+            if known < version and not state.loading:
+                batch.append((upstream, state))
+        if not batch:
+            return
+        asked_at = self._clock.monotonic()
+        names = [*loads, *(upstream.instance for upstream, _ in batch)]
+        fence = await self._write_plan(model, version, held, names)
+        await self._clock.sleep(STEER_SECONDS)
+        orders = [
+            self._order(
+                upstream,
+                LoadOrder(
+                    model, version, self._holder, fence, state.orders_accepted
+                ),
+                asked_at,
+            )
+            for upstream, state in batch
+        ]
+        await asyncio.gather(*orders)
+        now = self._clock.monotonic()
+        for upstream, _ in batch:
+            loads[upstream.instance] = LoadUnderWay(
+                upstream, version, now, now + REPORT_FIRST_SECONDS
+            )
+
+    async def _write_plan(
+        self, model: str, version: int, held: HeldPlan, loading: list[str]
+    ) -> int:
+        loaded = [
+            upstream.instance
+            for upstream in self._directory
+            if upstream.weights.get(model, 0) >= version
+        ]
+        plan = WeightsPlan(self._holder, model, version, loading, loaded)
+        write = RowWrite(
+            FLEET_TABLE,
+            f'{PLAN_PREFIX}{model}',
+            msgspec.json.encode(plan),
+            held.row_version,
+        )
+        fence = await self._store.write_row(write)
+        self._plans.note(plan, fence)
+        return fence
+
+    async def _order(
+        self, upstream: FleetUpstream, order: LoadOrder, asked_at: float
+    ) -> None:
+        if self._clock.monotonic() - asked_at > ORDER_SECONDS:
+            LOG.warning('weights: the lease ran out before an order')
+            return
+        try:
+            outcome = await self._control.send_load(upstream, order)
+        except PlatformUnavailable as error:
+            LOG.info('weights: order to %s: %s', upstream.instance, error)
+            outcome = OrderOutcome.UNKNOWN
+        LOG.info(
+            'weights: ordered instance=%s model=%s version=%d fence=%d'
+            ' outcome="%s"',
+            upstream.instance,
+            order.model,
+            order.version,
+            order.fence,
+            outcome.value,
+        )
+        if outcome is OrderOutcome.HOLDS:
+            upstream.note_weights(order.model, order.version)
+        if outcome is OrderOutcome.OTHER_INSTANCE:
+            upstream.misdirected = True
+
+    async def _follow_loads(
+        self, model: str, loads: dict[str, LoadUnderWay]
+    ) -> None:
+        for instance, load in list(loads.items()):
+            now = self._clock.monotonic()
+            if self._is_over(model, load, now):
+                del loads[instance]
+                continue
+            if now < load.ask_at:
+                continue
+            load.ask_at = now + REPORT_SECONDS
+            state = await self._read_state(load.upstream)
+            if state is not None:
+                known = state.weights.get(model, 0)
+                load.upstream.note_weights(model, known)
+            if self._is_over(model, load, now):
+                del loads[instance]
+
+    def _is_over(self, model: str, load: LoadUnderWay, now: float) -> bool:
+        upstream = load.upstream
+        return (
+            upstream.weights.get(model, 0) >= load.version
+            or self._directory.get(upstream.instance) is None
+            or now - load.ordered_at > LOAD_LIMIT_SECONDS
+        )
+
+    async def _tell_end(self, model: str) -> None:
+        """Tell the others that the last engines have loaded."""
+        held = self._plans.get(model)
+        plan = held.plan
+        if plan is None or plan.holder != self._holder or not plan.loading:
+            return
+        version = self._view.wanted[model].version
+        await self._write_plan(model, version, held, [])
+
+    async def _read_state(self, upstream: FleetUpstream) -> EngineState | None:
+        try:
+            return await self._control.read_state(upstream)
+        except PlatformUnavailable as error:
+            LOG.info('weights: no report of %s: %s', upstream.instance, error)
+            return None
--- /dev/null
+++ b/src/lifttrestle/internal/fleet/weights_view.py
@@ -0,0 +1,99 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Who loads new weights into which engines now, as all routers see it.
+
+One row a model is the holder's lease, its plan and its fence at once: it is
+written, under the condition that no one else wrote it, before each batch of
+orders. So every router steers away from the engines of a batch before the
+orders reach them.
+"""
+
+import dataclasses
+import logging
+
+import msgspec
+
+from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.rows import NO_ROW
+from lifttrestle.internal.fleet.rows import VersionedRow
+
+LOG = logging.getLogger('lifttrestle.weights')
+PLAN_PREFIX = 'weights/'
+# An engine in a batch is avoided for this long at most: running requests end
+# first, then a load takes about a second.
+BATCH_SECONDS = 3.0
+
+
+class WeightsPlan(msgspec.Struct, frozen=True):
+    """The row's content.
+
+    :ivar loading: instances of the batch that is being ordered.
+    :ivar loaded: instances that were seen to hold the version.
+    """
+
+    holder: str
+    model: str
+    version: int
+    loading: list[str] = []
+    loaded: list[str] = []
+
+
+@dataclasses.dataclass(frozen=True)
+class HeldPlan:
+    """A plan with the version of its row and when it was first seen."""
+
+    plan: WeightsPlan | None
+    row_version: int
+    seen_at: float
+
+
+class WeightsView:
+    """Follows the plans and tells the directory what they mean."""
+
+    def __init__(self, directory: UpstreamDirectory, clock: Clock) -> None:
+        self._directory = directory
+        self._clock = clock
+        self._held: dict[str, HeldPlan] = {}
+
+    def get(self, model: str) -> HeldPlan:
+        """Return the newest plan seen for a model."""
+        return self._held.get(model, HeldPlan(None, NO_ROW, float('-inf')))
+
+    def take(self, row: VersionedRow) -> None:
+        """Take in a changed row of the routers' table."""
+        if not row.key.startswith(PLAN_PREFIX) or row.value is None:
+            return
+        try:
+            plan = msgspec.json.decode(row.value, type=WeightsPlan)
+        except (ValueError, msgspec.MsgspecError) as error:
+            LOG.error('weights: the plan %s is unreadable: %s', row.key, error)
+            return
+        self.note(plan, row.version)
+
+    def note(self, plan: WeightsPlan, row_version: int) -> None:
+        """Believe a plan, unless a newer one is known."""
+        if row_version <= self.get(plan.model).row_version:
+            return
+        now = self._clock.monotonic()
+        self._held[plan.model] = HeldPlan(plan, row_version, now)
+        for instance in plan.loaded:
+            upstream = self._directory.get(instance)
+            if upstream is not None:
+                upstream.note_weights(plan.model, plan.version)
+        for instance in plan.loading:
+            upstream = self._directory.get(instance)
+            if upstream is None:
+                continue
+            if upstream.weights.get(plan.model, 0) < plan.version:
+                upstream.busy_until = now + BATCH_SECONDS
--- a/src/lifttrestle/internal/http/client_connection.py
+++ b/src/lifttrestle/internal/http/client_connection.py
@@ -21,13 +21,14 @@
 from lifttrestle.errors import UpstreamConnectFailed
 from lifttrestle.errors import UpstreamLost
 from lifttrestle.internal.http.address import Address
+from lifttrestle.internal.http.byte_stream import ByteStream
 from lifttrestle.internal.http.head import decode_headers
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.head import ResponseHead
 
-READ_BYTES = 64 * 1024
-# Bounds what one upstream stream may hold while its caller reads slowly.
-READ_BUFFER_BYTES = 64 * 1024
+# Answers to earlier requests that are skipped before a connection is given
+# up as broken.
+MAX_SKIPPED = 4
 
 
 class ClientConnection:
@@ -36,13 +37,13 @@
     def __init__(
         self,
         address: Address,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
+        stream: ByteStream,
     ) -> None:
         self.address = address
-        self._reader = reader
-        self._writer = writer
+        self._stream = stream
         self._wire = h11.Connection(h11.CLIENT)
+        self._request: h11.Request | None = None
+        self._skipped = 0
         self.exchanges = 0
 
     @classmethod
@@ -59,25 +60,20 @@
         """
         try:
             async with asyncio.timeout(connect_seconds):
-                reader, writer = await asyncio.open_connection(
-                    address.host,
-                    address.port,
-                    limit=READ_BUFFER_BYTES,
-                    ssl=tls,
-                )
+                stream = await ByteStream.open(address, tls)
         except (OSError, TimeoutError) as error:
             raise UpstreamConnectFailed(
                 f'no connection to {address}: {error or "timed out"}'
             ) from error
-        return cls(address, reader, writer)
+        return cls(address, stream)
 
     @property
     def reusable(self) -> bool:
-        """Return whether the last answer was read to its explicit end."""
+        """Return whether the last answer ended, and nothing came after."""
         return (
             self._wire.our_state is h11.IDLE
-            and not self._writer.transport.is_closing()
-            and not self._reader.at_eof()
+            and not self._wire.trailing_data[0]
+            and self._stream.quiet
         )
 
     async def send_request(self, head: RequestHead, body: bytes) -> None:
@@ -100,8 +96,8 @@
             if body:
                 data += self._wire.send(h11.Data(data=body)) or b''
             data += self._wire.send(h11.EndOfMessage()) or b''
-            self._writer.write(data)
-            await self._writer.drain()
+            self._request = request
+            await self._stream.write(data)
         except (OSError, h11.ProtocolError) as error:
             raise UpstreamLost(
                 f'{self.address} broke off while a request was sent: {error}'
@@ -153,9 +149,34 @@
             parts.append(part)
         return b''.join(parts)
 
+    async def skip_answer(self, limit: int) -> None:
+        """Drop the current answer, which belongs to an earlier request.
+
+        What follows it is then read as the answer to the current request.
+
+        :raises UpstreamLost: if it has no end, or too many were skipped.
+        """
+        self._skipped += 1
+        if self._skipped > MAX_SKIPPED or self._request is None:
+            raise UpstreamLost(f'{self.address} answers other requests')
+        request = self._request
+        await self.read_body(limit)
+        rest, closed = self._wire.trailing_data
+        self._wire = h11.Connection(h11.CLIENT)
+        # The library reads an answer only after it has sent a request.
+        self._wire.send(request)
+        if dict(request.headers).get(b'content-length'):
+            size = int(dict(request.headers)[b'content-length'])
+            self._wire.send(h11.Data(data=bytes(size)))
+        self._wire.send(h11.EndOfMessage())
+        if rest:
+            self._wire.receive_data(rest)
+        if closed:
+            self._wire.receive_data(b'')
+
     def close(self) -> None:
         """Cut the connection at once."""
-        self._writer.transport.abort()
+        self._stream.abort()
 
     def _finish(self) -> None:
         both = (self._wire.our_state, self._wire.their_state)
@@ -168,8 +189,7 @@
                 event = self._wire.next_event()
                 if event is not h11.NEED_DATA:
                     return event
-                data = await self._reader.read(READ_BYTES)
-                self._wire.receive_data(data)
+                self._wire.receive_data(await self._stream.read())
             except (OSError, h11.ProtocolError) as error:
                 raise UpstreamLost(
                     f'{self.address} broke off its answer: {error}'
--- a/src/lifttrestle/internal/http/client_pool.py
+++ b/src/lifttrestle/internal/http/client_pool.py
@@ -38,6 +38,7 @@
         self._connect_seconds = connect_seconds
         self._tls = tls
         self._idle: list[tuple[float, ClientConnection]] = []
+        self.idle_seconds = IDLE_SECONDS
 
     async def take(self, *, fresh: bool = False) -> ClientConnection:
         """Return a connection that no one else uses.
@@ -47,7 +48,7 @@
             closed, no one can tell if the request was read.
         :raises UpstreamConnectFailed: if none could be opened.
         """
-        oldest = self._clock.monotonic() - IDLE_SECONDS
+        oldest = self._clock.monotonic() - self.idle_seconds
         while self._idle and not fresh:
             kept_at, connection = self._idle.pop()
             if kept_at >= oldest and connection.reusable:
--- a/src/lifttrestle/internal/http/head.py
+++ b/src/lifttrestle/internal/http/head.py
@@ -15,7 +15,9 @@
 import dataclasses
 import urllib.parse
 
+from lifttrestle.errors import RequestRefused
 from lifttrestle.internal.http.answer import Header
+from lifttrestle.internal.refusal.kind import ErrorKind
 
 
 @dataclasses.dataclass(frozen=True)
@@ -66,6 +68,22 @@
     return default
 
 
+def find_single_header(head: RequestHead, name: str) -> str:
+    """Return the value of a header that may stand only once, or nothing.
+
+    :raises RequestRefused: if it stands twice with different values: whoever
+        reads the other one would see another request.
+    """
+    values = {value for key, value in head.headers if key == name}
+    if len(values) > 1:
+        raise RequestRefused(
+            ErrorKind.MALFORMED_REQUEST,
+            f'the header {name} stands {len(values)} times; send it once',
+            field=name,
+        )
+    return values.pop() if values else ''
+
+
 def decode_headers(raw: object) -> tuple[Header, ...]:
     """Return headers of the HTTP library as pairs of strings."""
     return tuple(
--- a/src/lifttrestle/internal/http/json_client.py
+++ b/src/lifttrestle/internal/http/json_client.py
@@ -35,6 +35,7 @@
     """Sends one request at a time on each connection, with a timeout.
 
     :param headers: sent with every request.
+    :param pool: whose connections are used, in place of a pool of its own.
     """
 
     def __init__(
@@ -44,10 +45,11 @@
         timeout_seconds: float,
         tls: ssl.SSLContext | None = None,
         headers: tuple[Header, ...] = (),
+        pool: ClientPool | None = None,
     ) -> None:
         self._headers = headers
         self._timeout_seconds = timeout_seconds
-        self._pool = ClientPool(address, clock, timeout_seconds, tls)
+        self._pool = pool or ClientPool(address, clock, timeout_seconds, tls)
         self.address = address
 
     async def call(
@@ -56,10 +58,12 @@
         target: str,
         content: object = None,
         headers: tuple[Header, ...] = (),
+        extra_seconds: float = 0.0,
     ) -> Answer:
         """Return the whole answer.
 
         :param content: encoded as JSON unless it is None or bytes.
+        :param extra_seconds: how long the other side was asked to wait.
         :raises PlatformUnavailable: without a whole answer in time; the
             call may have taken effect.
         """
@@ -67,7 +71,7 @@
         head = RequestHead(method, target, (*self._headers, *headers))
         connection: ClientConnection | None = None
         try:
-            async with asyncio.timeout(self._timeout_seconds):
+            async with asyncio.timeout(self._timeout_seconds + extra_seconds):
                 connection = await self._pool.take()
                 await connection.send_request(head, body)
                 answer_head = await connection.read_head()
--- a/src/lifttrestle/internal/http/server.py
+++ b/src/lifttrestle/internal/http/server.py
@@ -74,6 +74,10 @@
         """Return the number of requests being served."""
         return len(self._busy)
 
+    def set_limits(self, limits: HttpLimits) -> None:
+        """Bound the connections that come from now on."""
+        self._limits = limits
+
     def announce_stop(self) -> None:
         """Answer every further request with ``Connection: close``."""
         self._stopping = True
--- a/src/lifttrestle/internal/http/server_connection.py
+++ b/src/lifttrestle/internal/http/server_connection.py
@@ -22,12 +22,15 @@
 from lifttrestle.errors import RequestRefused
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.answer import Header
+from lifttrestle.internal.http.byte_stream import bound_silence
 from lifttrestle.internal.http.head import decode_headers
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.limits import HttpLimits
 from lifttrestle.internal.refusal.kind import ErrorKind
 
 READ_BYTES = 64 * 1024
+# What a caller may send ahead of the answer that it waits for.
+MAX_AHEAD_BYTES = 64 * 1024
 STATUS_HEAD_TOO_LARGE = 431
 
 
@@ -52,6 +55,7 @@
         )
         self._closing = False
         transport = writer.transport
+        bound_silence(transport)
         transport.set_write_buffer_limits(high=limits.write_buffer_bytes)
 
     @property
@@ -120,6 +124,21 @@
             ) from None
         return b''.join(parts)
 
+    async def wait_gone(self) -> None:
+        """Return when the caller has closed, while it waits for its answer.
+
+        A request that it sends ahead meanwhile is kept, up to a bound.
+        """
+        while len(self._wire.trailing_data[0]) < MAX_AHEAD_BYTES:
+            try:
+                data = await self._reader.read(READ_BYTES)
+            except OSError:
+                return
+            if not data:
+                return
+            self._wire.receive_data(data)
+        await asyncio.Event().wait()
+
     async def send_answer(self, answer: Answer) -> None:
         """Send a whole answer, with its length."""
         headers = [*answer.headers, ('content-length', str(len(answer.body)))]
@@ -141,7 +160,7 @@
             h11.Response(
                 status_code=status,
                 headers=all_headers,
-                reason=http.HTTPStatus(status).phrase.encode(),
+                reason=_find_phrase(status),
             )
         )
 
@@ -291,3 +310,11 @@
             raise CallerGone('the caller stopped reading') from None
         except OSError as error:
             raise CallerGone('the caller closed its connection') from error
+
+
+def _find_phrase(status: int) -> bytes:
+    try:
+        return http.HTTPStatus(status).phrase.encode()
+    except ValueError:
+        # An upstream's own status; the phrase says nothing to programs.
+        return b''
--- a/src/lifttrestle/internal/orders/lease.py
+++ b/src/lifttrestle/internal/orders/lease.py
@@ -23,11 +23,11 @@
 from lifttrestle.errors import ConditionFailed
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.platform.row import ABSENT
-from lifttrestle.internal.platform.row import Check
-from lifttrestle.internal.platform.row import make_write
-from lifttrestle.internal.platform.row import Transaction
-from lifttrestle.internal.platform.table import TableService
+from lifttrestle.internal.store.row import ABSENT
+from lifttrestle.internal.store.row import Check
+from lifttrestle.internal.store.row import make_write
+from lifttrestle.internal.store.row import Transaction
+from lifttrestle.internal.store.table import TableService
 
 NOT_HELD = 0
 RENEW_SHARE = 0.5
--- /dev/null
+++ b/src/lifttrestle/internal/platform/node_settings.py
@@ -0,0 +1,122 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Translates the settings file that the platform gives each process."""
+
+import pathlib
+
+import msgspec
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from lifttrestle.internal.fleet.settings import FleetSettings
+from lifttrestle.internal.fleet.settings import Promises
+from lifttrestle.internal.fleet.settings import StoreSettings
+from lifttrestle.internal.settings.fault import Fault
+from lifttrestle.internal.settings.shape import find_shape_faults
+
+MILLISECONDS = 1000
+
+
+class ListenRecord(msgspec.Struct):
+    """Where the process listens."""
+
+    front: str
+    ready: str
+
+
+class StoreRecord(msgspec.Struct):
+    """The platform's store."""
+
+    address: str
+    history_s: float = 20
+
+
+class PromisesRecord(msgspec.Struct):
+    """The figures of the rules, those that the router uses.
+
+    :ivar drain_ms: within which a leaving upstream gets no more work.
+    :ivar thaw_slack_ms: unused here; orders check their lease instead.
+    """
+
+    drain_ms: float = 2000
+    grace_s: float = 8
+    revoke_ms: float = 5000
+    revoke_strict: bool = False
+    retry_budget_ratio: float = 0.2
+    budget_window_s: float = 10
+    retry_slack: float = 0
+    lease_ms: float = 3000
+    version_ms: float = 10000
+
+
+class NodeRecord(msgspec.Struct):
+    """The settings file; fields that are not listed are ignored."""
+
+    node_name: str
+    ip: str
+    zone: str
+    region: str
+    listen: ListenRecord
+    platform: StoreRecord
+    zones: dict[str, str] = {}
+    heartbeat_ms: float = 1200
+    contract_params: PromisesRecord = msgspec.field(
+        default_factory=PromisesRecord
+    )
+
+
+def check_node_settings(
+    path: pathlib.Path, metrics_port: int = 0
+) -> Result[FleetSettings, tuple[Fault, ...]]:
+    """Return the settings, or every fault in the file."""
+    try:
+        data = msgspec.yaml.decode(path.read_bytes())
+    except (OSError, ValueError, msgspec.MsgspecError) as error:
+        fault = Fault(
+            str(path), 0, '(file)', str(error), 'write a YAML mapping here'
+        )
+        return Failure((fault,))
+    findings = list(find_shape_faults(NodeRecord, data))
+    if findings:
+        return Failure(
+            tuple(
+                Fault(str(path), 0, key, repr(value), remedy)
+                for key, value, remedy in findings
+            )
+        )
+    record = msgspec.convert(data, NodeRecord)
+    return Success(_translate(record, metrics_port))
+
+
+def _translate(record: NodeRecord, metrics_port: int) -> FleetSettings:
+    rules = record.contract_params
+    return FleetSettings(
+        vm=record.node_name,
+        data_centre=record.zone,
+        callers_address=record.listen.front,
+        ready_address=record.listen.ready,
+        metrics_address=f'{record.ip}:{metrics_port}' if metrics_port else '',
+        heartbeat_seconds=record.heartbeat_ms / MILLISECONDS,
+        store=StoreSettings(record.platform.address),
+        promises=Promises(
+            drain_seconds=rules.drain_ms / MILLISECONDS,
+            grace_seconds=rules.grace_s,
+            revoke_seconds=rules.revoke_ms / MILLISECONDS,
+            retry_share=rules.retry_budget_ratio,
+            retry_window_seconds=rules.budget_window_s,
+            retry_slack=rules.retry_slack,
+            lease_seconds=rules.lease_ms / MILLISECONDS,
+            weights_seconds=rules.version_ms / MILLISECONDS,
+        ),
+    )
--- /dev/null
+++ b/src/lifttrestle/internal/platform/records.py
@@ -0,0 +1,161 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""The bodies of the platform's messages, as they are on the wire."""
+
+import msgspec
+
+
+class Share(msgspec.Struct):
+    """A service of a route, with its part of the traffic."""
+
+    service: str
+    weight: float = 1.0
+
+
+class RouteRecord(msgspec.Struct):
+    """A route.
+
+    :ivar sticky: its requests carry a prompt with parts that others share.
+    :ivar gap_aim_ms: the longest pause between events of a good answer.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    route_type: str = 'non_idempotent'
+    timeout_ms: float = 30000
+    target_latency_ms: float = 1000
+    priority: int = 5
+    service: str = ''
+    traffic_split: list[Share] = []
+    max_attempts: int = 1
+    auth_exempt: bool = False
+    sticky: bool = False
+    can_resume: bool = False
+    gap_aim_ms: float | None = None
+
+
+class ModelRecord(msgspec.Struct):
+    """A model of a service, or the weights that an engine holds of it."""
+
+    name: str
+    version: int = 0
+
+
+class EngineRecord(msgspec.Struct):
+    """What holds for every engine of a service."""
+
+    slots: int = 1
+    kv_capacity_tokens: int = 0
+    models: list[ModelRecord] = []
+
+
+class ServiceRecord(msgspec.Struct):
+    """A service; with ``kv_store_addr`` it is a store of KV cache.
+
+    :ivar zone: of the store of KV cache.
+    """
+
+    name: str
+    max_conns: int = 64
+    engine: EngineRecord | None = None
+    kv_store_addr: str = ''
+    zone: str = ''
+    kv_capacity_tokens: int = 0
+
+
+class LimitsRecord(msgspec.Struct):
+    """Bounds on callers."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
+
+
+class TenantRecord(msgspec.Struct):
+    """A workspace."""
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    isolated: bool = False
+
+
+class ConfigurationRecord(msgspec.Struct):
+    """The whole configuration.
+
+    :ivar tenants: None where requests carry no key.
+    """
+
+    version: int
+    routes: list[RouteRecord] = []
+    services: list[ServiceRecord] = []
+    limits: LimitsRecord = msgspec.field(default_factory=LimitsRecord)
+    tenants: list[TenantRecord] | None = None
+
+
+class WeightsRecord(msgspec.Struct):
+    """The weights that the operator names."""
+
+    model: str
+    version: int
+
+
+class UpstreamRecord(msgspec.Struct):
+    """An upstream's entry."""
+
+    service: str
+    address: str
+    zone: str = ''
+    slots: int = 1
+    state: str = 'ready'
+    models: list[ModelRecord] = []
+
+
+class RowRecord(msgspec.Struct):
+    """A row of the store; ``value`` is base64, absent when dropped."""
+
+    table: str
+    key: str
+    part: str = ''
+    value: str | None = None
+    ver: int = 0
+    tombstone: bool = False
+
+
+class RowsRecord(msgspec.Struct):
+    """Rows as of one moment, or changes up to it.
+
+    :ivar ver: the newest commit of the store.
+    """
+
+    ver: int = 0
+    rows: list[RowRecord] = []
+    more_pages: bool = False
+
+
+class ReportRecord(msgspec.Struct):
+    """An engine's state of some hundred milliseconds ago.
+
+    :ivar seq_no: how many orders it has accepted since its start.
+    :ivar busy: an order is being carried out.
+    """
+
+    models: list[ModelRecord] = []
+    busy: bool = False
+    seq_no: int = 0
+    waiting: int = 0
+    running: int = 0
+    kv_used: int = 0
+    kv_total: int = 0
--- /dev/null
+++ b/src/lifttrestle/internal/platform/request_dialect.py
@@ -0,0 +1,185 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Translates the heads of callers' requests and of upstreams' answers."""
+
+import msgspec
+
+from lifttrestle.errors import RequestRefused
+from lifttrestle.internal.fleet.dialect import AnswerFacts
+from lifttrestle.internal.fleet.dialect import Generation
+from lifttrestle.internal.fleet.dialect import PromptPart
+from lifttrestle.internal.fleet.dialect import RequestDialect
+from lifttrestle.internal.fleet.dialect import RequestFacts
+from lifttrestle.internal.fleet.dialect import UpstreamOrder
+from lifttrestle.internal.http.answer import Answer
+from lifttrestle.internal.http.answer import Header
+from lifttrestle.internal.http.head import find_single_header
+from lifttrestle.internal.http.head import RequestHead
+from lifttrestle.internal.http.head import ResponseHead
+from lifttrestle.internal.http.hop_headers import drop_hop_headers
+from lifttrestle.internal.http.hop_headers import read_keep_alive
+from lifttrestle.internal.platform import names
+from lifttrestle.internal.refusal.answers import ANSWERS
+from lifttrestle.internal.refusal.kind import ErrorKind
+
+MILLISECONDS = 1000
+STATUS_OTHER_INSTANCE = 421
+IDENTITY = 'identity'
+
+
+class PlatformDialect(RequestDialect):
+    """Reads and writes the platform's headers."""
+
+    def read_request(self, head: RequestHead) -> RequestFacts:
+        """Return what a request's head says."""
+        host = find_single_header(head, 'host').rpartition(':')
+        wait = _read_number(head, names.DEADLINE)
+        return RequestFacts(
+            request_id=find_single_header(head, names.REQUEST_ID),
+            host=(host[0] if host[2].isdecimal() else ''.join(host)).lower(),
+            path=head.path,
+            key=_read_key(head),
+            wait_seconds=None if wait is None else wait / MILLISECONDS,
+            generation=_read_generation(head),
+            last_event=_read_integer(head, names.LAST_EVENT),
+        )
+
+    def build_head(
+        self, head: RequestHead, order: UpstreamOrder
+    ) -> RequestHead:
+        """Return the head to send to an upstream."""
+        kept = [
+            (name, value)
+            for name, value in drop_hop_headers(head.headers)
+            if name not in names.SYSTEM_HEADERS
+            and not (order.hide_key and name == names.AUTHORIZATION)
+        ]
+        wait_ms = max(int(order.wait_seconds * MILLISECONDS), 1)
+        kept.append((names.DEADLINE, str(wait_ms)))
+        kept.append((names.EXPECT_INSTANCE, order.instance))
+        optional: tuple[tuple[str, object], ...] = (
+            (names.TENANT, order.workspace or None),
+            (names.EXPECT_VERSION, order.weights),
+            (names.URGENCY, order.urgency),
+            (names.LAST_EVENT, order.last_event),
+        )
+        if order.cache is not None:
+            optional += (
+                (names.CACHE_SALT, order.cache.salt),
+                (names.CACHE_SOURCE, order.cache.source or None),
+                (names.CACHE_TARGET, order.cache.target or None),
+            )
+        kept.extend(
+            (name, str(value)) for name, value in optional if value is not None
+        )
+        return RequestHead(head.method, head.target, tuple(kept))
+
+    def read_answer(self, head: ResponseHead) -> AnswerFacts:
+        """Return what an answer's head proves."""
+        weights = head.get_header(names.WEIGHTS)
+        encoding = head.get_header('content-encoding', IDENTITY)
+        return AnswerFacts(
+            status=head.status,
+            proved=bool(head.get_header(names.STAMP)),
+            request_id=head.get_header(names.REQUEST_ID),
+            not_run=bool(head.get_header(names.NOT_RUN)),
+            other_instance=head.status == STATUS_OTHER_INSTANCE,
+            encoded=encoding.lower() != IDENTITY,
+            weights=int(weights) if weights.isdecimal() else None,
+            idle_seconds=read_keep_alive(head.get_header('keep-alive')),
+        )
+
+    def select_answer_headers(self, head: ResponseHead) -> tuple[Header, ...]:
+        """Return the headers of an answer that the caller is shown."""
+        return drop_hop_headers(head.headers)
+
+    def build_refusal(
+        self, refused: RequestRefused, request_id: str
+    ) -> Answer:
+        """Return the answer for a refused request."""
+        rule = ANSWERS[refused.kind]
+        headers = [('content-type', 'application/json')]
+        if request_id:
+            headers.append((names.REQUEST_ID, request_id))
+        if refused.retry_after > 0:
+            headers.append(('retry-after', f'{refused.retry_after:.3f}'))
+        content = {
+            'error': refused.kind.value,
+            'message': refused.message,
+            'ran': refused.ran.value,
+            'remedy': rule.remedy,
+        }
+        return Answer(
+            rule.status, tuple(headers), msgspec.json.encode(content)
+        )
+
+
+def _read_key(head: RequestHead) -> str | None:
+    value = find_single_header(head, names.AUTHORIZATION)
+    if not value.lower().startswith(names.KEY_SCHEME):
+        return None
+    return value[len(names.KEY_SCHEME) :].strip()
+
+
+def _read_generation(head: RequestHead) -> Generation | None:
+    model = find_single_header(head, names.MODEL)
+    if not model:
+        return None
+    counts = find_single_header(head, names.TOKEN_COUNT)
+    prompt, _, output = counts.partition(',')
+    try:
+        return Generation(
+            model=model,
+            prompt_tokens=int(prompt or 0),
+            output_tokens=int(output or 0),
+            parts=_read_parts(find_single_header(head, names.PROMPT_PREFIX)),
+        )
+    except ValueError:
+        raise _refuse(names.TOKEN_COUNT, counts, 'TOKENS,TOKENS') from None
+
+
+def _read_parts(text: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for item in text.split(','):
+        part_id, _, tokens = item.strip().partition(':')
+        if part_id:
+            parts.append(PromptPart(part_id, int(tokens or 0)))
+    return tuple(parts)
+
+
+def _read_number(head: RequestHead, name: str) -> float | None:
+    text = find_single_header(head, name)
+    if not text:
+        return None
+    try:
+        return float(text)
+    except ValueError:
+        raise _refuse(name, text, 'a number') from None
+
+
+def _read_integer(head: RequestHead, name: str) -> int | None:
+    text = find_single_header(head, name)
+    if not text:
+        return None
+    try:
+        return int(text)
+    except ValueError:
+        raise _refuse(name, text, 'a whole number') from None
+
+
+def _refuse(name: str, value: str, wanted: str) -> RequestRefused:
+    return RequestRefused(
+        ErrorKind.INVALID_VALUE,
+        f'the header {name} is {value!r}; send {wanted}',
+        field=name,
+    )
--- /dev/null
+++ b/src/lifttrestle/internal/platform/stored_format.py
@@ -0,0 +1,152 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Translates the rows of the operator and of the upstreams."""
+
+import msgspec
+
+from lifttrestle.internal.fleet.catalogue import CacheStoreFacts
+from lifttrestle.internal.fleet.catalogue import CallerLimits
+from lifttrestle.internal.fleet.catalogue import Catalogue
+from lifttrestle.internal.fleet.catalogue import EngineFacts
+from lifttrestle.internal.fleet.catalogue import Repeat
+from lifttrestle.internal.fleet.catalogue import Route
+from lifttrestle.internal.fleet.catalogue import Service
+from lifttrestle.internal.fleet.catalogue import ServiceShare
+from lifttrestle.internal.fleet.catalogue import Workspace
+from lifttrestle.internal.fleet.decoding import StoredFormat
+from lifttrestle.internal.fleet.upstream_entry import NamedWeights
+from lifttrestle.internal.fleet.upstream_entry import UpstreamEntry
+from lifttrestle.internal.platform import names
+from lifttrestle.internal.platform.records import ConfigurationRecord
+from lifttrestle.internal.platform.records import RouteRecord
+from lifttrestle.internal.platform.records import ServiceRecord
+from lifttrestle.internal.platform.records import UpstreamRecord
+from lifttrestle.internal.platform.records import WeightsRecord
+
+MILLISECONDS = 1000
+IDEMPOTENT = 'idempotent'
+STREAM = 'stream'
+DRAINING = 'draining'
+
+
+class PlatformFormat(StoredFormat):
+    """Reads the values that the operator and the upstreams write."""
+
+    operator_table = names.OPERATOR_TABLE
+    upstreams_table = names.UPSTREAMS_TABLE
+
+    def read_catalogue(self, key: str, value: bytes) -> Catalogue | None:
+        """Return the configuration, or None for a row that holds none."""
+        if key != names.CONFIGURATION_KEY:
+            return None
+        record = msgspec.json.decode(value, type=ConfigurationRecord)
+        limits = record.limits
+        return Catalogue(
+            version=record.version,
+            routes=_index_routes(record.routes),
+            services={
+                item.name: _read_service(item) for item in record.services
+            },
+            limits=CallerLimits(
+                head_bytes=limits.max_header_bytes,
+                body_bytes=limits.max_body_bytes,
+                head_seconds=limits.header_timeout_ms / MILLISECONDS,
+                idle_seconds=limits.idle_timeout_ms / MILLISECONDS,
+            ),
+            keys=_index_keys(record),
+        )
+
+    def read_weights(self, key: str, value: bytes) -> NamedWeights | None:
+        """Return the named weights, or None for a row that names none."""
+        if not key.startswith(names.WEIGHTS_PREFIX):
+            return None
+        record = msgspec.json.decode(value, type=WeightsRecord)
+        return NamedWeights(record.model, record.version)
+
+    def read_upstream(self, key: str, value: bytes) -> UpstreamEntry:
+        """Return an upstream's entry."""
+        record = msgspec.json.decode(value, type=UpstreamRecord)
+        return UpstreamEntry(
+            instance=key,
+            service=record.service,
+            address=record.address,
+            data_centre=record.zone,
+            slots=record.slots,
+            draining=record.state == DRAINING,
+            weights={item.name: item.version for item in record.models},
+        )
+
+
+def _index_routes(
+    records: list[RouteRecord],
+) -> dict[str, tuple[Route, ...]]:
+    hosts: dict[str, list[Route]] = {}
+    for record in records:
+        route = _read_route(record)
+        hosts.setdefault(route.host, []).append(route)
+    return {
+        host: tuple(
+            sorted(routes, key=lambda route: len(route.prefix), reverse=True)
+        )
+        for host, routes in hosts.items()
+    }
+
+
+def _read_route(record: RouteRecord) -> Route:
+    shares = tuple(
+        ServiceShare(item.service, item.weight)
+        for item in record.traffic_split
+    )
+    if not shares:
+        shares = (ServiceShare(record.service, 1.0),)
+    idempotent = record.route_type == IDEMPOTENT
+    return Route(
+        name=record.name,
+        host=record.host.lower(),
+        prefix=record.prefix,
+        repeat=Repeat.IDEMPOTENT if idempotent else Repeat.ONCE,
+        streams=record.route_type == STREAM,
+        resumable=record.can_resume,
+        timeout_seconds=record.timeout_ms / MILLISECONDS,
+        target_seconds=record.target_latency_ms / MILLISECONDS,
+        priority=record.priority,
+        max_attempts=record.max_attempts,
+        open_access=record.auth_exempt,
+        shares=shares,
+    )
+
+
+def _read_service(record: ServiceRecord) -> Service:
+    engine = None
+    if record.engine is not None:
+        engine = EngineFacts(
+            slots=record.engine.slots,
+            memory_tokens=record.engine.kv_capacity_tokens,
+            models=tuple(item.name for item in record.engine.models),
+        )
+    cache_store = None
+    if record.kv_store_addr:
+        cache_store = CacheStoreFacts(
+            record.kv_store_addr, record.zone, record.kv_capacity_tokens
+        )
+    return Service(record.name, record.max_conns, engine, cache_store)
+
+
+def _index_keys(record: ConfigurationRecord) -> dict[str, Workspace] | None:
+    if record.tenants is None:
+        return None
+    return {
+        key: Workspace(tenant.name, tenant.priority, tenant.isolated)
+        for tenant in record.tenants
+        for key in tenant.api_keys
+    }
--- a/src/lifttrestle/internal/router/process.py
+++ b/src/lifttrestle/internal/router/process.py
@@ -42,9 +42,6 @@
 from lifttrestle.internal.operators.tokens import load_tokens
 from lifttrestle.internal.orders.lease import Lease
 from lifttrestle.internal.orders.loader import Loader
-from lifttrestle.internal.platform.http_objects import HttpObjects
-from lifttrestle.internal.platform.http_table import HttpTable
-from lifttrestle.internal.platform.http_vms import HttpVms
 from lifttrestle.internal.replay.recorder import TraceRecorder
 from lifttrestle.internal.router.background import BackgroundTasks
 from lifttrestle.internal.router.caller_handler import CallerHandler
@@ -55,6 +52,9 @@
 from lifttrestle.internal.runrecord.ledger import RunLedger
 from lifttrestle.internal.settings.router import RouterSettings
 from lifttrestle.internal.settings.upstream import UpstreamKind
+from lifttrestle.internal.store.http_objects import HttpObjects
+from lifttrestle.internal.store.http_table import HttpTable
+from lifttrestle.internal.store.http_vms import HttpVms
 from lifttrestle.internal.telemetry.decisions import DecisionLog
 from lifttrestle.internal.telemetry.metrics import Metrics
 from lifttrestle.internal.upstream.prober import Prober
--- a/src/lifttrestle/internal/runrecord/committer.py
+++ b/src/lifttrestle/internal/runrecord/committer.py
@@ -22,10 +22,10 @@
 
 from lifttrestle.errors import ConditionFailed
 from lifttrestle.errors import PlatformUnavailable
-from lifttrestle.internal.platform.row import Check
-from lifttrestle.internal.platform.row import Transaction
-from lifttrestle.internal.platform.row import Write
-from lifttrestle.internal.platform.table import TableService
+from lifttrestle.internal.store.row import Check
+from lifttrestle.internal.store.row import Transaction
+from lifttrestle.internal.store.row import Write
+from lifttrestle.internal.store.table import TableService
 
 MAX_GROUP = 128
 
--- a/src/lifttrestle/internal/runrecord/ledger.py
+++ b/src/lifttrestle/internal/runrecord/ledger.py
@@ -25,14 +25,14 @@
 from lifttrestle.errors import ConditionFailed
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.platform.row import ABSENT
-from lifttrestle.internal.platform.row import Check
-from lifttrestle.internal.platform.row import make_write
-from lifttrestle.internal.platform.row import Row
-from lifttrestle.internal.platform.table import TableService
 from lifttrestle.internal.runrecord.committer import GroupCommitter
 from lifttrestle.internal.runrecord.record import RunRecord
 from lifttrestle.internal.runrecord.record import RunState
+from lifttrestle.internal.store.row import ABSENT
+from lifttrestle.internal.store.row import Check
+from lifttrestle.internal.store.row import make_write
+from lifttrestle.internal.store.row import Row
+from lifttrestle.internal.store.table import TableService
 
 LOG = logging.getLogger('lifttrestle.runrecord')
 SETTLE_PAUSE_SECONDS = 0.2
--- a/src/lifttrestle/internal/settings/shape.py
+++ b/src/lifttrestle/internal/settings/shape.py
@@ -33,8 +33,9 @@
         yield path, data, 'write a table here'
         return
     fields = {item.name: item for item in msgspec.structs.fields(model)}
+    closed = model.__struct_config__.forbid_unknown_fields
     for name in data:
-        if name not in fields:
+        if closed and name not in fields:
             known = ', '.join(sorted(fields))
             yield (
                 _join(path, name),
--- a/src/lifttrestle/internal/standin/table.py
+++ b/src/lifttrestle/internal/standin/table.py
@@ -17,10 +17,10 @@
 from lifttrestle.errors import ConditionFailed
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.server_connection import ServerConnection
-from lifttrestle.internal.platform.memory_table import MemoryTable
-from lifttrestle.internal.platform.row import Transaction
 from lifttrestle.internal.standin.server import send_json
 from lifttrestle.internal.standin.server import StandinServer
+from lifttrestle.internal.store.memory_table import MemoryTable
+from lifttrestle.internal.store.row import Transaction
 
 
 class ReadCall(msgspec.Struct):
--- a/src/lifttrestle/internal/standin/vms.py
+++ b/src/lifttrestle/internal/standin/vms.py
@@ -16,10 +16,10 @@
 
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.server_connection import ServerConnection
-from lifttrestle.internal.platform.http_vms import VmsAnswer
-from lifttrestle.internal.platform.vm import Vm
 from lifttrestle.internal.standin.server import send_json
 from lifttrestle.internal.standin.server import StandinServer
+from lifttrestle.internal.store.http_vms import VmsAnswer
+from lifttrestle.internal.store.vm import Vm
 
 
 class VmsStandin:
--- a/src/lifttrestle/internal/platform/http_objects.py
+++ b/src/lifttrestle/internal/store/http_objects.py
@@ -16,7 +16,7 @@
 
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.http.json_client import JsonClient
-from lifttrestle.internal.platform.objects import ObjectStore
+from lifttrestle.internal.store.objects import ObjectStore
 
 OK = (200, 201, 204)
 NOT_FOUND = 404
--- a/src/lifttrestle/internal/platform/http_table.py
+++ b/src/lifttrestle/internal/store/http_table.py
@@ -19,9 +19,9 @@
 from lifttrestle.errors import ConditionFailed
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.http.json_client import JsonClient
-from lifttrestle.internal.platform.row import Row
-from lifttrestle.internal.platform.row import Transaction
-from lifttrestle.internal.platform.table import TableService
+from lifttrestle.internal.store.row import Row
+from lifttrestle.internal.store.row import Transaction
+from lifttrestle.internal.store.table import TableService
 
 T = typing.TypeVar('T')
 OK = 200
--- a/src/lifttrestle/internal/platform/http_vms.py
+++ b/src/lifttrestle/internal/store/http_vms.py
@@ -16,8 +16,8 @@
 
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.http.json_client import JsonClient
-from lifttrestle.internal.platform.vm import Vm
-from lifttrestle.internal.platform.vms import VmList
+from lifttrestle.internal.store.vm import Vm
+from lifttrestle.internal.store.vms import VmList
 
 OK = 200
 
--- a/src/lifttrestle/internal/platform/memory_table.py
+++ b/src/lifttrestle/internal/store/memory_table.py
@@ -15,10 +15,10 @@
 import msgspec
 
 from lifttrestle.errors import ConditionFailed
-from lifttrestle.internal.platform.row import ABSENT
-from lifttrestle.internal.platform.row import Row
-from lifttrestle.internal.platform.row import Transaction
-from lifttrestle.internal.platform.table import TableService
+from lifttrestle.internal.store.row import ABSENT
+from lifttrestle.internal.store.row import Row
+from lifttrestle.internal.store.row import Transaction
+from lifttrestle.internal.store.table import TableService
 
 
 class MemoryTable(TableService):
--- a/src/lifttrestle/internal/platform/table.py
+++ b/src/lifttrestle/internal/store/table.py
@@ -14,8 +14,8 @@
 
 import abc
 
-from lifttrestle.internal.platform.row import Row
-from lifttrestle.internal.platform.row import Transaction
+from lifttrestle.internal.store.row import Row
+from lifttrestle.internal.store.row import Transaction
 
 
 class TableService(abc.ABC):
--- a/src/lifttrestle/internal/platform/vms.py
+++ b/src/lifttrestle/internal/store/vms.py
@@ -14,7 +14,7 @@
 
 import abc
 
-from lifttrestle.internal.platform.vm import Vm
+from lifttrestle.internal.store.vm import Vm
 
 
 class VmList(abc.ABC):
--- a/src/lifttrestle/internal/upstream/registry.py
+++ b/src/lifttrestle/internal/upstream/registry.py
@@ -17,10 +17,10 @@
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.http.address import check_address
 from lifttrestle.internal.http.client_pool import ClientPool
-from lifttrestle.internal.platform.vm import Vm
-from lifttrestle.internal.platform.vm import VmState
 from lifttrestle.internal.settings.router import RouterSettings
 from lifttrestle.internal.settings.upstream import UpstreamKind
+from lifttrestle.internal.store.vm import Vm
+from lifttrestle.internal.store.vm import VmState
 from lifttrestle.internal.upstream.exclusion import Attempted
 from lifttrestle.internal.upstream.exclusion import Exclusion
 from lifttrestle.internal.upstream.exclusion import find_exclusion
--- a/tests/cover/test_configuration_model.py
+++ b/tests/cover/test_configuration_model.py
@@ -44,9 +44,9 @@
 from lifttrestle.internal.configuration.view import View
 from lifttrestle.internal.membership.member import Member
 from lifttrestle.internal.membership.sponsorship import Sponsorship
-from lifttrestle.internal.platform.objects import ObjectStore
-from lifttrestle.internal.platform.vm import Vm
-from lifttrestle.internal.platform.vm import VmState
+from lifttrestle.internal.store.objects import ObjectStore
+from lifttrestle.internal.store.vm import Vm
+from lifttrestle.internal.store.vm import VmState
 from tests.support.gated_model import GatedModel
 from tests.support.gated_table import Fate
 from tests.support.gated_table import GatedTable
--- a/tests/cover/test_orders.py
+++ b/tests/cover/test_orders.py
@@ -24,11 +24,11 @@
 from lifttrestle.internal.orders.decision import number_order
 from lifttrestle.internal.orders.lease import Lease
 from lifttrestle.internal.orders.lease import NOT_HELD
-from lifttrestle.internal.platform.memory_table import MemoryTable
-from lifttrestle.internal.platform.row import Transaction
 from lifttrestle.internal.settings.upstream import UpstreamAbilities
 from lifttrestle.internal.settings.upstream import UpstreamKind
 from lifttrestle.internal.settings.upstream import UpstreamSettings
+from lifttrestle.internal.store.memory_table import MemoryTable
+from lifttrestle.internal.store.row import Transaction
 from lifttrestle.internal.upstream.report import EngineReport
 from lifttrestle.internal.upstream.report import UNPROVED
 from lifttrestle.internal.upstream.state import UpstreamState
--- a/tests/support/gated_table.py
+++ b/tests/support/gated_table.py
@@ -19,10 +19,10 @@
 
 from lifttrestle.errors import LifttrestleError
 from lifttrestle.errors import PlatformUnavailable
-from lifttrestle.internal.platform.memory_table import MemoryTable
-from lifttrestle.internal.platform.row import Row
-from lifttrestle.internal.platform.row import Transaction
-from lifttrestle.internal.platform.table import TableService
+from lifttrestle.internal.store.memory_table import MemoryTable
+from lifttrestle.internal.store.row import Row
+from lifttrestle.internal.store.row import Transaction
+from lifttrestle.internal.store.table import TableService
 
 Step = typing.Callable[[], typing.Awaitable[object]]
 IDLE_TURNS = 30
