Wait for slow upstreams, leave silent ones; keys served to 0.92 of the bound

Cause: (1) a request was taken elsewhere after a fixed second without an answer, also when its engine was busy answering others; each such cut spent a retry and a prompt read again. (2) Two of five engines were ordered to load while two others were dark or draining: one was left. (3) With the store away, requests with keys were refused 1.5 s before they ceased to be owed, as the view's age counts from the send of the last read.

--- a/src/lifttrestle/internal/fleet/admission.py
+++ b/src/lifttrestle/internal/fleet/admission.py
@@ -22,10 +22,13 @@
 from lifttrestle.internal.fleet.parts import FleetParts
 from lifttrestle.internal.refusal.kind import ErrorKind
 
-# Part of the time within which a key that was taken away may still work.
-# Past it, requests with keys count neither for nor against a router that
-# has lost the store, so nothing is gained by serving them.
+# Parts of the time within which a key that was taken away may still work.
+# Up to the first a view is good enough to say that a key or a route does not
+# exist, and to ask for new connections: other routers may know better. Up to
+# the second it is good enough to serve the keys that it holds. Reads of the
+# view are sent up to 1.5 s apart, so the second leaves some 3 s of outage.
 FRESH_SHARE = 0.6
+SERVING_SHARE = 0.92
 # The view may be proved current again any moment; another router may do.
 STALE_RETRY_SECONDS = 0.3
 
@@ -70,9 +73,9 @@
     )
 
 
-def is_fresh(parts: FleetParts) -> bool:
+def is_fresh(parts: FleetParts, share: float = FRESH_SHARE) -> bool:
     """Return whether the view is proved current enough to rely on."""
-    limit = parts.settings.promises.revoke_seconds * FRESH_SHARE
+    limit = parts.settings.promises.revoke_seconds * share
     return parts.operator_watch.get_age() < limit
 
 
@@ -84,8 +87,8 @@
 ) -> Workspace | None:
     if catalogue.keys is None or route.open_access:
         return None
-    _check_fresh(parts)
     workspace = catalogue.keys.get(facts.key or '')
+    _check_fresh(parts, FRESH_SHARE if workspace is None else SERVING_SHARE)
     if workspace is None:
         raise RequestRefused(
             ErrorKind.UNAUTHORISED,
@@ -95,8 +98,8 @@
     return workspace
 
 
-def _check_fresh(parts: FleetParts) -> None:
-    if is_fresh(parts):
+def _check_fresh(parts: FleetParts, share: float = FRESH_SHARE) -> None:
+    if is_fresh(parts, share):
         return
     raise RequestRefused(
         ErrorKind.NOT_CONFIGURED,
--- a/src/lifttrestle/internal/fleet/attempt.py
+++ b/src/lifttrestle/internal/fleet/attempt.py
@@ -13,7 +13,10 @@
 """One exchange with one upstream of the fleet."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
+from typing import TypeVar
 
 from lifttrestle.errors import UpstreamDeclined
 from lifttrestle.errors import UpstreamFailed
@@ -27,6 +30,9 @@
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.head import ResponseHead
 
+T = TypeVar('T')
+# Between two looks at an upstream that is silent and can't be left.
+MIN_LOOK_SECONDS = 0.2
 FIRST_SERVER_ERROR = 500
 # Statuses by which this router promises that a request has not run. An
 # upstream that answers so without saying the same has made no such promise.
@@ -56,28 +62,60 @@
     head: RequestHead,
     body: bytes,
     request_id: str,
-    silent_seconds: float,
+    patience: float | None,
+    may_leave: Callable[[], bool],
 ) -> UpstreamAnswer:
     """Send a request and return the answer once its head is proved.
 
-    :param silent_seconds: how long the head may take.
+    :param patience: and ``may_leave`` as for ``await_sound``.
     :raises UpstreamLost: if there is none; the request may have run.
     :raises UpstreamDeclined: if the upstream did not run the request.
     :raises WrongAnswer: if what came is not the upstream's answer.
     """
-    try:
-        async with asyncio.timeout(silent_seconds):
-            await connection.send_request(head, body)
-            answer = await _read_own_head(dialect, connection, request_id)
-    except TimeoutError:
-        raise UpstreamLost(
-            f'{upstream.instance} gave no answer within {silent_seconds:.2f} s'
-        ) from None
+    await connection.send_request(head, body)
+    answer = await await_sound(
+        clock,
+        upstream,
+        patience,
+        may_leave,
+        lambda: _read_own_head(dialect, connection, request_id),
+    )
     _learn(upstream, answer.facts)
     _check(upstream, answer.facts, request_id)
     return answer
 
 
+async def await_sound(
+    clock: Clock,
+    upstream: FleetUpstream,
+    patience: float | None,
+    may_leave: Callable[[], bool],
+    read: Callable[[], Awaitable[T]],
+) -> T:
+    """Return what ``read`` returns, unless the upstream falls silent.
+
+    :param patience: seconds for which an upstream may send nothing, on this
+        or any other connection, until it is given up; None for no limit.
+    :param read: may be cancelled and called again.
+    :raises UpstreamLost: if it is given up.
+    """
+    if patience is None:
+        return await read()
+    began = clock.monotonic()
+    while True:
+        silent = clock.monotonic() - max(upstream.heard_at, began)
+        if silent >= patience and may_leave():
+            raise UpstreamLost(
+                f'{upstream.instance} sent nothing for {silent:.2f} s'
+            )
+        try:
+            pause = max(patience - silent, MIN_LOOK_SECONDS)
+            async with asyncio.timeout(pause):
+                return await read()
+        except TimeoutError:
+            continue
+
+
 def check_served(upstream: FleetUpstream, facts: AnswerFacts) -> None:
     """Refuse an answer by which the upstream says that it failed.
 
--- /dev/null
+++ b/src/lifttrestle/internal/fleet/cache_sources.py
@@ -0,0 +1,76 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""What is read from and sent to the store of KV cache.
+
+What is sent to the store pushes out older parts. With a shared part goes the
+one that is the request's own and of no use to others, so a shared part is sent
+again only after it may have been pushed out.
+"""
+
+import collections
+
+from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.dialect import CacheUse
+from lifttrestle.internal.fleet.dialect import Generation
+
+# Shared parts that are remembered: some hundred bytes each.
+MAX_PARTS = 20_000
+# Parts of the store last for about its size over what is sent to it.
+KEPT_SECONDS = 30.0
+# Shorter prompts are computed sooner than they are fetched.
+MIN_SHARED_TOKENS = 150
+
+
+NEVER = float('-inf')
+
+
+class CacheSources:
+    """Remembers which shared parts of prompts were sent to the store."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._kept_at: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+
+    def choose(
+        self, salt: str, generation: Generation, kept_address: str
+    ) -> CacheUse:
+        """Return whether an engine is to read from and send to the store.
+
+        Reading from the engine that served a part last was tried too: it has
+        often dropped the part, and more was computed again.
+
+        :param kept_address: of the store, or an empty string.
+        """
+        shared = generation.parts[:-1]
+        tokens = sum(part.tokens for part in shared)
+        if not kept_address or tokens < MIN_SHARED_TOKENS:
+            return CacheUse(salt, '', '')
+        kept_at = self._kept_at.get(_make_key(salt, generation), NEVER)
+        keeps = self._clock.monotonic() - kept_at > KEPT_SECONDS
+        return CacheUse(salt, kept_address, kept_address if keeps else '')
+
+    def note_served(self, use: CacheUse, generation: Generation) -> None:
+        """Remember what an engine that began to answer sends to the store."""
+        if not use.target:
+            return
+        key = _make_key(use.salt, generation)
+        self._kept_at[key] = self._clock.monotonic()
+        self._kept_at.move_to_end(key)
+        if len(self._kept_at) > MAX_PARTS:
+            self._kept_at.popitem(last=False)
+
+
+def _make_key(salt: str, generation: Generation) -> str:
+    return f'{salt}/{generation.parts[-2].part_id}'
--- a/src/lifttrestle/internal/fleet/exchange.py
+++ b/src/lifttrestle/internal/fleet/exchange.py
@@ -26,6 +26,7 @@
 from lifttrestle.errors import WrongAnswer
 from lifttrestle.internal.fleet.admission import admit
 from lifttrestle.internal.fleet.admission import Admitted
+from lifttrestle.internal.fleet.attempt import await_sound
 from lifttrestle.internal.fleet.attempt import begin_attempt
 from lifttrestle.internal.fleet.attempt import check_served
 from lifttrestle.internal.fleet.attempt import PROMISING
@@ -55,8 +56,9 @@
 RETRY_SECONDS = 0.15
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 STATUS_OK = 200
-# A repeatable request is taken elsewhere when an upstream was silent for
-# this many times the route's objective, and never sooner than a second.
+# A repeatable request is taken elsewhere when its upstream has sent nothing
+# to anyone for this many times the route's objective, and never sooner than
+# a second. An upstream that is slow but answers others is waited for.
 SILENT_TARGETS = 2.0
 MIN_SILENT_SECONDS = 1.0
 # Below this there is no time left to be served in.
@@ -301,9 +303,10 @@
                 self._body,
                 self._facts.request_id,
                 self._get_patience(admitted),
+                lambda: self._may_leave(admitted),
             )
             upstream.note_heard(ticket, parts.clock.monotonic())
-            self._note_weights(upstream, answer)
+            self._note_engine(upstream, order, answer)
             await self._relay_answer(admitted, upstream, answer)
         except BaseException:
             connection.close()
@@ -311,12 +314,19 @@
         upstream.breaker.note_success()
         upstream.pool.give_back(connection)
 
-    def _note_weights(
-        self, upstream: FleetUpstream, answer: UpstreamAnswer
+    def _note_engine(
+        self,
+        upstream: FleetUpstream,
+        order: UpstreamOrder,
+        answer: UpstreamAnswer,
     ) -> None:
         generation = self._facts.generation
-        if generation is not None and answer.facts.weights is not None:
+        if generation is None:
+            return
+        if answer.facts.weights is not None:
             upstream.note_weights(generation.model, answer.facts.weights)
+        if order.cache is not None:
+            self._parts.sources.note_served(order.cache, generation)
 
     def _build_order(
         self, admitted: Admitted, upstream: FleetUpstream
@@ -346,7 +356,7 @@
         kept = admitted.catalogue.find_cache_store()
         address = kept.address if kept is not None else ''
         salt = f'{self._get_wall(admitted)}/{generation.model}/{weights}'
-        return CacheUse(salt, address, address)
+        return self._parts.sources.choose(salt, generation, address)
 
     def _get_wall(self, admitted: Admitted) -> str:
         workspace = admitted.workspace
@@ -369,26 +379,26 @@
         upstream: FleetUpstream,
         answer: UpstreamAnswer,
     ) -> None:
+        parts = self._parts
         streams = admitted.route.streams and answer.facts.status == STATUS_OK
         if not streams:
             await self._relay_whole(admitted, upstream, answer)
             return
-        headers = self._parts.dialect.select_answer_headers(answer.head)
+        headers = parts.dialect.select_answer_headers(answer.head)
         self._relay.begin_run(answer.facts.status, headers)
         self._progress.move(RequestEvent.ANSWER)
         patience = self._get_patience(admitted)
-        parts = aiter(answer.connection.iterate_body())
         while True:
-            try:
-                async with asyncio.timeout(patience):
-                    data = await anext(parts)
-            except StopAsyncIteration:
+            data = await await_sound(
+                parts.clock,
+                upstream,
+                patience,
+                lambda: self._may_leave(admitted),
+                answer.connection.read_part,
+            )
+            if not data:
                 break
-            except TimeoutError:
-                raise UpstreamLost(
-                    f'{upstream.instance} was silent for {patience:.2f} s'
-                ) from None
-            upstream.heard_at = self._parts.clock.monotonic()
+            upstream.heard_at = parts.clock.monotonic()
             await self._relay.feed(data)
         await self._relay.finish()
         self._progress.move(RequestEvent.END)
@@ -482,6 +492,16 @@
             self._deadline - self._parts.clock.monotonic(), MIN_LEFT_SECONDS
         )
 
+    def _may_leave(self, admitted: Admitted) -> bool:
+        """Return whether another upstream could take the request over."""
+        parts = self._parts
+        now = parts.clock.monotonic()
+        budget = parts.get_budget(self._service)
+        return budget.has_room(parts.roster.live) and any(
+            not upstream.is_silent(now)
+            for upstream in self._list_fit(admitted)
+        )
+
     def _get_patience(self, admitted: Admitted) -> float:
         route = admitted.route
         left = self._get_left()
--- a/src/lifttrestle/internal/fleet/parts.py
+++ b/src/lifttrestle/internal/fleet/parts.py
@@ -16,6 +16,7 @@
 import random
 
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.cache_sources import CacheSources
 from lifttrestle.internal.fleet.dialect import RequestDialect
 from lifttrestle.internal.fleet.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.operator_view import OperatorView
@@ -41,6 +42,7 @@
     view: OperatorView
     operator_watch: TableWatch
     directory: UpstreamDirectory
+    sources: CacheSources
     weights: WeightsView
     roster: Roster
     budgets: dict[str, SharedRetryBudget] = dataclasses.field(
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -18,6 +18,7 @@
 import signal
 
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.cache_sources import CacheSources
 from lifttrestle.internal.fleet.catalogue import Catalogue
 from lifttrestle.internal.fleet.decoding import StoredFormat
 from lifttrestle.internal.fleet.dialect import RequestDialect
@@ -104,6 +105,7 @@
             view=self._view,
             operator_watch=self._operator_watch,
             directory=self._directory,
+            sources=CacheSources(clock),
             weights=self._weights,
             roster=self._roster,
         )
--- a/src/lifttrestle/internal/fleet/retry_budget.py
+++ b/src/lifttrestle/internal/fleet/retry_budget.py
@@ -38,20 +38,23 @@
         """Count a request of a caller."""
         self._requests.append(self._clock.monotonic())
 
-    def take(self, live_routers: int) -> bool:
-        """Spend one retry; return False if none is left.
+    def has_room(self, live_routers: int) -> bool:
+        """Return whether a retry may be spent.
 
         :param live_routers: how many share the slack, counted high.
         """
-        now = self._clock.monotonic()
-        oldest = now - self._promises.retry_window_seconds
+        oldest = self._clock.monotonic() - self._promises.retry_window_seconds
         _drop_before(self._requests, oldest)
         _drop_before(self._retries, oldest)
         earned = self._promises.retry_share * len(self._requests)
         slack = self._promises.retry_slack / max(live_routers, 1)
-        if len(self._retries) + 1 > SAFE_SHARE * (earned + slack):
+        return len(self._retries) + 1 <= SAFE_SHARE * (earned + slack)
+
+    def take(self, live_routers: int) -> bool:
+        """Spend one retry; return False if none is left."""
+        if not self.has_room(live_routers):
             return False
-        self._retries.append(now)
+        self._retries.append(self._clock.monotonic())
         return True
 
 
--- a/src/lifttrestle/internal/fleet/weights_loader.py
+++ b/src/lifttrestle/internal/fleet/weights_loader.py
@@ -185,8 +185,7 @@
         loads: dict[str, LoadUnderWay],
         outdated: list[FleetUpstream],
     ) -> None:
-        room = math.ceil(LOADING_SHARE * len(self._list_engines(model)))
-        room -= len(loads)
+        room = self._count_room(model) - len(loads)
         version = self._view.wanted[model].version
         batch: list[tuple[FleetUpstream, EngineState]] = []
         for upstream in outdated:
@@ -224,6 +223,17 @@
                 upstream, version, now, now + REPORT_FIRST_SECONDS
             )
 
+    def _count_room(self, model: str) -> int:
+        """Return how many engines may be without work at the same time.
+
+        Those that fell silent are without work already.
+        """
+        now = self._clock.monotonic()
+        engines = self._list_engines(model)
+        silent = [item for item in engines if item.is_silent(now)]
+        room = math.floor(LOADING_SHARE * len(engines)) - len(silent)
+        return max(room, 1)
+
     async def _write_plan(
         self, model: str, version: int, held: HeldPlan, loading: list[str]
     ) -> int:
--- a/src/lifttrestle/internal/http/client_connection.py
+++ b/src/lifttrestle/internal/http/client_connection.py
@@ -121,16 +121,27 @@
     async def iterate_body(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body as they arrive, to the explicit end.
 
+        :raises UpstreamLost: if the body was cut short.
+        """
+        while data := await self.read_part():
+            yield data
+
+    async def read_part(self) -> bytes:
+        """Return the next part of the body, or nothing at its explicit end.
+
+        It may be cancelled and called again.
+
         :raises UpstreamLost: if the body was cut short.
         """
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Data):
-                yield bytes(event.data)
+                if event.data:
+                    return bytes(event.data)
                 continue
             if isinstance(event, h11.EndOfMessage):
                 self._finish()
-                return
+                return b''
             raise UpstreamLost(f'{self.address} cut its answer short')
 
     async def read_body(self, limit: int) -> bytes:
