--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -37,6 +37,7 @@
 from lifttrestle.internal.fleet.table_watch import TableWatch
 from lifttrestle.internal.fleet.weights_loader import WeightsLoader
 from lifttrestle.internal.fleet.weights_view import WeightsView
+from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.http.address import check_address
 from lifttrestle.internal.http.limits import HttpLimits
 from lifttrestle.internal.http.server import HttpServer
@@ -76,6 +77,9 @@
         self._store = store
         self._format = stored_format
         self._stop = asyncio.Event()
+        self._control: list[asyncio.Task[None]] = []
+        self.callers_address = Address('', 0)
+        self.ready_address = Address('', 0)
         self._view = OperatorView(
             stored_format,
             clock,
@@ -158,35 +162,56 @@
         self._roster.take(row)
         self._weights.take(row)
 
+    @property
+    def directory(self) -> UpstreamDirectory:
+        """Return the upstreams that the router knows."""
+        return self._directory
+
+    def is_ready(self) -> bool:
+        """Return whether requests can be served."""
+        return self._ready.is_ready()
+
     async def run(self) -> bool:
         """Serve until a signal; return whether every request was ended."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, _note_reload)
+        await self.start()
+        await self._stop.wait()
+        return await self.stop()
+
+    async def start(self) -> None:
+        """Listen, and begin to follow the shared tables."""
         settings = self._settings
-        callers = await self._callers.start(
+        self.callers_address = await self._callers.start(
             check_address(settings.callers_address)
         )
-        ready = await self._probes.start(check_address(settings.ready_address))
-        LOG.info('router: started callers=%s ready=%s', callers, ready)
-        tasks = [
-            asyncio.create_task(work)
-            for work in (
-                self._operator_watch.run(),
-                self._upstreams_watch.run(),
-                self._routers_watch.run(),
-                self._roster.join(),
-                self._loader.run(),
-            )
-        ]
-        for task in tasks:
+        self.ready_address = await self._probes.start(
+            check_address(settings.ready_address)
+        )
+        LOG.info(
+            'router: started callers=%s ready=%s',
+            self.callers_address,
+            self.ready_address,
+        )
+        work = (
+            self._operator_watch.run(),
+            self._upstreams_watch.run(),
+            self._routers_watch.run(),
+            self._roster.join(),
+            self._loader.run(),
+        )
+        self._control = [asyncio.create_task(item) for item in work]
+        for task in self._control:
             task.add_done_callback(self._note_control_end)
-        await self._stop.wait()
+
+    async def stop(self) -> bool:
+        """Stop in the order that cuts no request; return if none was cut."""
         whole = await self._shut_down()
-        for task in tasks:
+        for task in self._control:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(*self._control, return_exceptions=True)
         self._directory.close()
         self._store.close()
         return whole
@@ -200,7 +225,6 @@
         self._stop.set()
 
     async def _shut_down(self) -> bool:
-        """Stop in the order that cuts no request."""
         LOG.info('router: stopping, %d requests', self._callers.busy)
         grace = self._settings.promises.grace_seconds
         self._ready.stopping = True
--- a/src/lifttrestle/internal/fleet/roster.py
+++ b/src/lifttrestle/internal/fleet/roster.py
@@ -106,6 +106,7 @@
             return
         try:
             await self._write(None, version)
+            self._versions.pop(self._key, None)
         except (ConditionFailed, PlatformUnavailable) as error:
             LOG.warning('roster: row not removed: %s', error)
 
--- /dev/null
+++ b/tests/cover/test_fleet_parts.py
@@ -0,0 +1,279 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""The small parts of a fleet router, each by itself."""
+
+import datetime
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+import msgspec
+
+from lifttrestle.errors import UpstreamLost
+from lifttrestle.internal.clock.manual import ManualClock
+from lifttrestle.internal.fleet.cache_sources import CacheSources
+from lifttrestle.internal.fleet.cache_sources import KEPT_SECONDS
+from lifttrestle.internal.fleet.dialect import Generation
+from lifttrestle.internal.fleet.dialect import PromptPart
+from lifttrestle.internal.fleet.directory import RETURN_SECONDS
+from lifttrestle.internal.fleet.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.event_relay import EventRelay
+from lifttrestle.internal.fleet.placement import choose_engine
+from lifttrestle.internal.fleet.placement import Surroundings
+from lifttrestle.internal.fleet.retry_budget import SharedRetryBudget
+from lifttrestle.internal.fleet.rows import VersionedRow
+from lifttrestle.internal.fleet.settings import Promises
+from lifttrestle.internal.platform.stored_format import PlatformFormat
+
+START = datetime.datetime(2026, 12, 2, tzinfo=datetime.timezone.utc)
+
+
+def make_clock():
+    return ManualClock(START)
+
+
+class TestRetryBudget(unittest.TestCase):
+    @given(
+        st.integers(1, 12),
+        st.lists(
+            st.tuples(st.integers(0, 11), st.floats(0, 2), st.booleans()),
+            max_size=200,
+        ),
+    )
+    def test_all_routers_together_stay_within_the_whole(self, live, events):
+        promises = Promises(retry_slack=56.0)
+        clock = make_clock()
+        budgets = [SharedRetryBudget(promises, clock) for _ in range(live)]
+        requests = []
+        retries = []
+        for router, pause, is_retry in events:
+            clock.advance(pause)
+            now = clock.monotonic()
+            budget = budgets[router % live]
+            if not is_retry:
+                budget.note_request()
+                requests.append(now)
+            elif budget.take(live):
+                retries.append(now)
+            oldest = now - promises.retry_window_seconds
+            spent = sum(at >= oldest for at in retries)
+            earned = sum(at >= oldest for at in requests)
+            # A retry that was earned may outlive the request that earned it
+            # by one window, which the rule allows for.
+            earlier = sum(
+                at >= oldest - promises.retry_window_seconds for at in requests
+            )
+            whole = 0.2 * max(earned, earlier) + 56.0
+            self.assertLessEqual(spent, whole)
+
+    def test_unknown_number_of_routers_counts_high(self):
+        budget = SharedRetryBudget(Promises(retry_slack=24.0), make_clock())
+        taken = 0
+        while budget.take(12):
+            taken += 1
+        self.assertEqual(taken, 1)
+
+
+class FakeConnection:
+    def __init__(self):
+        self.sent = b''
+        self.ended = False
+
+    async def start_answer(self, status, headers):
+        self.status = status
+
+    async def send_part(self, data):
+        self.sent += data
+
+    async def end_answer(self):
+        self.ended = True
+
+
+class TestEventRelay(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.connection = FakeConnection()
+        self.relay = EventRelay(self.connection, None)
+        self.relay.begin_run(200, ())
+
+    async def test_half_an_event_is_held(self):
+        await self.relay.feed(b'id: 1\ndata: a\n\nid: 2\nda')
+        self.assertEqual(self.connection.sent, b'id: 1\ndata: a\n\n')
+        await self.relay.feed(b'ta: b\n\n')
+        self.assertEqual(self.relay.last_event, 2)
+
+    async def test_nothing_is_sent_before_the_first_event(self):
+        await self.relay.feed(b'id: 1\n')
+        self.assertFalse(self.relay.started)
+
+    async def test_next_run_neither_repeats_nor_joins_halves(self):
+        await self.relay.feed(b'id: 1\ndata: a\n\nid: 2\nda')
+        self.relay.begin_run(200, ())
+        await self.relay.feed(b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n')
+        await self.relay.finish()
+        expected = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
+        self.assertEqual(self.connection.sent, expected)
+        self.assertTrue(self.connection.ended)
+
+    async def test_end_within_an_event_is_no_end(self):
+        await self.relay.feed(b'id: 1\ndata: a\n\nid: 2')
+        with self.assertRaises(UpstreamLost):
+            await self.relay.finish()
+        self.assertFalse(self.connection.ended)
+
+    async def test_lines_before_the_id_are_kept(self):
+        event = b'weight-versions: 4\nid: 1\ndata: a\n\n'
+        await self.relay.feed(event)
+        self.assertEqual(self.connection.sent, event)
+        self.assertEqual(self.relay.last_event, 1)
+
+    @given(st.lists(st.integers(1, 9), min_size=1, max_size=9))
+    def test_ids_that_reach_the_caller_grow(self, numbers):
+        import asyncio
+
+        connection = FakeConnection()
+        relay = EventRelay(connection, None)
+        relay.begin_run(200, ())
+        for number in numbers:
+            asyncio.run(relay.feed(f'id: {number}\n\n'.encode()))
+        sent = [
+            int(line[4:])
+            for line in connection.sent.decode().split('\n')
+            if line
+        ]
+        self.assertEqual(sent, sorted(set(sent)))
+
+
+class DirectoryCase(unittest.TestCase):
+    def setUp(self):
+        self.clock = make_clock()
+        self.directory = UpstreamDirectory(PlatformFormat(), self.clock)
+        self.commit = 0
+
+    def put(self, instance, service='s', state='ready', models=()):
+        entry = {
+            'service': service,
+            'address': '127.0.0.1:9',
+            'zone': 'a',
+            'state': state,
+            'models': [{'name': 'm', 'version': v} for v in models],
+        }
+        self.take(instance, msgspec.json.encode(entry))
+
+    def take(self, instance, value):
+        self.commit += 1
+        self.directory.take(VersionedRow(instance, value, self.commit))
+
+    def list_fit(self, service='s'):
+        return [item.instance for item in self.directory.list_fit(service)]
+
+
+class TestDirectory(DirectoryCase):
+    def test_draining_and_removed_entries_get_no_work(self):
+        self.put('a')
+        self.put('b')
+        self.put('c')
+        self.put('a', state='draining')
+        self.take('b', None)
+        self.assertEqual(self.list_fit(), ['c'])
+
+    def test_entry_that_lapsed_in_an_outage_is_used_until_it_had_time(self):
+        self.put('a')
+        self.directory.outage_until = self.clock.monotonic()
+        self.take('a', None)
+        self.assertEqual(self.list_fit(), ['a'])
+        self.clock.advance(RETURN_SECONDS + 0.1)
+        self.assertEqual(self.list_fit(), [])
+
+    def test_entry_that_returns_after_an_outage_stays(self):
+        self.put('a')
+        self.directory.outage_until = self.clock.monotonic()
+        self.take('a', None)
+        self.clock.advance(1.0)
+        self.put('a')
+        self.clock.advance(60.0)
+        self.assertEqual(self.list_fit(), ['a'])
+
+    def test_weights_never_go_back(self):
+        self.put('a', models=[3])
+        self.put('a', models=[2])
+        self.assertEqual(self.directory.get('a').weights, {'m': 3})
+
+    def test_silence_is_seen_by_the_oldest_unanswered_request(self):
+        self.put('a')
+        upstream = self.directory.get('a')
+        upstream.note_sent(1, 10.0)
+        self.assertFalse(upstream.is_silent(10.9))
+        self.assertTrue(upstream.is_silent(11.1))
+        upstream.heard_at = 10.5
+        self.assertFalse(upstream.is_silent(11.4))
+        upstream.note_ended(1)
+        self.assertFalse(upstream.is_silent(99.0))
+
+
+GENERATION = Generation(
+    'm', 460, 5, (PromptPart('aa', 400), PromptPart('bb', 60))
+)
+
+
+class TestPlacement(DirectoryCase):
+    def choose(self, wanted=1):
+        fit = self.directory.list_fit('s')
+        around = Surroundings(5.0, 'a', wanted, 8)
+        return choose_engine(fit, GENERATION, 'salt', around).upstream
+
+    def test_shared_part_has_one_home_until_that_is_loaded(self):
+        for name in ('a', 'b', 'c'):
+            self.put(name, models=[1])
+        home = self.choose()
+        self.assertIs(self.choose(), home)
+        home.in_flight += 20
+        self.assertIsNot(self.choose(), home)
+
+    def test_newest_weights_are_preferred(self):
+        for name in ('a', 'b', 'c'):
+            self.put(name, models=[1])
+        other = next(
+            item for item in self.directory if item is not self.choose()
+        )
+        other.note_weights('m', 2)
+        self.assertIs(self.choose(wanted=2), other)
+
+    def test_silent_engine_is_avoided(self):
+        for name in ('a', 'b', 'c'):
+            self.put(name, models=[1])
+        home = self.choose()
+        home.note_sent(1, 0.0)
+        self.assertIsNot(self.choose(), home)
+
+
+class TestCacheSources(unittest.TestCase):
+    def test_shared_part_is_sent_to_the_store_once_in_a_while(self):
+        clock = make_clock()
+        sources = CacheSources(clock)
+        first = sources.choose('s', GENERATION, 'store:1')
+        sources.note_served(first, GENERATION)
+        second = sources.choose('s', GENERATION, 'store:1')
+        clock.advance(KEPT_SECONDS + 1)
+        third = sources.choose('s', GENERATION, 'store:1')
+        self.assertEqual(
+            [use.target for use in (first, second, third)],
+            ['store:1', '', 'store:1'],
+        )
+
+    def test_other_salt_is_another_part(self):
+        sources = CacheSources(make_clock())
+        sources.note_served(
+            sources.choose('wall/m/1', GENERATION, 'store:1'), GENERATION
+        )
+        use = sources.choose('wall/m/2', GENERATION, 'store:1')
+        self.assertEqual(use.target, 'store:1')
--- /dev/null
+++ b/tests/cover/test_fleet_view.py
@@ -0,0 +1,161 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""What the operator put in force, and which requests it admits."""
+
+import datetime
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+import msgspec
+
+from lifttrestle.errors import RequestRefused
+from lifttrestle.internal.clock.manual import ManualClock
+from lifttrestle.internal.fleet.admission import admit
+from lifttrestle.internal.fleet.dialect import RequestFacts
+from lifttrestle.internal.fleet.operator_view import OperatorView
+from lifttrestle.internal.fleet.rows import VersionedRow
+from lifttrestle.internal.fleet.settings import Promises
+from lifttrestle.internal.platform.stored_format import PlatformFormat
+from lifttrestle.internal.refusal.kind import ErrorKind
+from tests.support.fleet import CONFIGURATION
+from tests.support.fleet import make_route
+
+START = datetime.datetime(2026, 12, 2, tzinfo=datetime.timezone.utc)
+
+
+class FakeWatch:
+    def __init__(self):
+        self.age = 0.0
+
+    def get_age(self):
+        return self.age
+
+
+class FakeSettings:
+    promises = Promises()
+
+
+class FakeParts:
+    """The parts that admission looks at."""
+
+    def __init__(self, view):
+        self.view = view
+        self.operator_watch = FakeWatch()
+        self.settings = FakeSettings()
+
+
+def make_facts(path='/safe/a', key='k1', host='shop.example'):
+    return RequestFacts('r', host, path, key, None, None, None)
+
+
+class ViewCase(unittest.TestCase):
+    def setUp(self):
+        self.clock = ManualClock(START)
+        self.view = OperatorView(PlatformFormat(), self.clock, 8.5)
+        self.parts = FakeParts(self.view)
+        self.commit = 0
+
+    def put(self, key, content):
+        self.commit += 1
+        row = VersionedRow(key, msgspec.json.encode(content), self.commit)
+        self.view.take(row)
+
+    def configure(self, **fields):
+        self.put('config', {**CONFIGURATION, **fields})
+
+    def name_weights(self, version):
+        self.put('version/m', {'model': 'm', 'version': version})
+
+
+class TestAdmission(ViewCase):
+    def refuse(self, facts):
+        with self.assertRaises(RequestRefused) as caught:
+            admit(self.parts, facts)
+        return caught.exception
+
+    def test_without_a_configuration_nothing_is_said_of_routes(self):
+        refused = self.refuse(make_facts())
+        self.assertIs(refused.kind, ErrorKind.NOT_CONFIGURED)
+        self.assertGreater(refused.retry_after, 0)
+
+    def test_longest_prefix_wins(self):
+        inner = make_route('safe/inner', 'non_idempotent')
+        routes = [*CONFIGURATION['routes'], inner]
+        self.configure(routes=routes)
+        found = admit(self.parts, make_facts('/safe/inner/x')).route
+        self.assertEqual(found.prefix, '/safe/inner/')
+
+    def test_prefix_ends_at_its_slash(self):
+        self.configure()
+        refused = self.refuse(make_facts('/safety/x'))
+        self.assertIs(refused.kind, ErrorKind.NOT_FOUND)
+
+    def test_stale_view_says_neither_401_nor_404(self):
+        self.configure()
+        self.parts.operator_watch.age = 3.1
+        for facts in (make_facts(key='new'), make_facts('/new/x')):
+            refused = self.refuse(facts)
+            self.assertIs(refused.kind, ErrorKind.NOT_CONFIGURED)
+
+    def test_known_key_is_served_just_short_of_the_bound(self):
+        self.configure()
+        self.parts.operator_watch.age = 4.5
+        self.assertEqual(
+            admit(self.parts, make_facts()).workspace.name, 'acme'
+        )
+        self.parts.operator_watch.age = 4.7
+        refused = self.refuse(make_facts())
+        self.assertIs(refused.kind, ErrorKind.NOT_CONFIGURED)
+
+    def test_route_without_keys_outlives_the_store(self):
+        self.configure()
+        self.parts.operator_watch.age = 60.0
+        admitted = admit(self.parts, make_facts('/open/x', key=None))
+        self.assertIsNone(admitted.workspace)
+
+
+class TestVersions(ViewCase):
+    @given(st.lists(st.integers(1, 9), min_size=1))
+    def test_configuration_never_goes_back(self, versions):
+        self.setUp()
+        highest = 0
+        for version in versions:
+            self.configure(version=version)
+            highest = max(highest, version)
+            self.assertEqual(self.view.catalogue.version, highest)
+
+    def test_unreadable_row_leaves_what_is_in_force(self):
+        self.configure()
+        with self.assertLogs('lifttrestle.view', 'ERROR'):
+            self.view.take(VersionedRow('config', b'{"version":', 9))
+        self.assertEqual(self.view.catalogue.version, 3)
+
+    def test_regression_weights_are_judged_from_what_replaced_them(self):
+        # With a version every 4 s, an engine that was two versions behind
+        # was judged by the age of the newest and used 10.4 s after its own
+        # weights were replaced (sofia-chimes, quiet-1).
+        self.name_weights(1)
+        for version in (2, 3):
+            self.clock.advance(4.0)
+            self.name_weights(version)
+        wanted = self.view.wanted['m']
+        self.assertEqual(wanted.find_replaced(1), 4.0)
+        self.assertEqual(wanted.find_replaced(2), 8.0)
+        self.assertIsNone(wanted.find_replaced(3))
+
+    def test_weights_named_before_the_start_are_nearly_due(self):
+        self.clock.advance(100.0)
+        self.name_weights(5)
+        replaced_at = self.view.wanted['m'].find_replaced(4)
+        self.assertEqual(replaced_at, 100.0 - (8.5 - 3.0))
--- /dev/null
+++ b/tests/cover/test_fleet_watch.py
@@ -0,0 +1,102 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""The view of a shared table: how current it is; it never goes back."""
+
+import asyncio
+import datetime
+import random
+import unittest
+
+from lifttrestle.errors import PlatformUnavailable
+from lifttrestle.internal.clock.manual import ManualClock
+from lifttrestle.internal.fleet.rows import RowChanges
+from lifttrestle.internal.fleet.table_watch import TableWatch
+from tests.support.memory_rows import MemoryRows
+
+START = datetime.datetime(2026, 12, 2, tzinfo=datetime.timezone.utc)
+
+
+class TestTableWatch(unittest.TestCase):
+    def setUp(self):
+        self.rows = MemoryRows()
+        self.clock = ManualClock(START)
+        self.heard = []
+        self.watch = TableWatch(
+            self.rows,
+            't',
+            self.clock,
+            random.Random(1),
+            1.5,
+            self.heard.append,
+        )
+
+    def step(self):
+        asyncio.run(self.watch.step())
+
+    def get_heard(self):
+        return [(row.key, row.value) for row in self.heard]
+
+    def test_rows_and_changes_are_told_once(self):
+        self.rows.put('t', 'a', b'1')
+        self.step()
+        self.rows.put('t', 'a', b'2')
+        self.rows.put('t', 'b', b'3')
+        self.step()
+        self.step()
+        expected = [('a', b'1'), ('a', b'2'), ('b', b'3')]
+        self.assertEqual(self.get_heard(), expected)
+
+    def test_proof_counts_from_the_send(self):
+        self.step()
+        answer = self.rows.watch_table
+
+        async def answer_late(*arguments):
+            self.clock.advance(1.5)
+            return await answer(*arguments)
+
+        self.rows.watch_table = answer_late
+        self.step()
+        self.assertEqual(self.watch.get_age(), 1.5)
+
+    def test_failed_read_proves_nothing(self):
+        self.step()
+        self.clock.advance(1.0)
+        self.rows.down = True
+        with self.assertRaises(PlatformUnavailable):
+            self.step()
+        self.assertEqual(self.watch.get_age(), 1.0)
+
+    def test_dropped_history_is_read_anew_with_what_was_removed(self):
+        self.rows.put('t', 'a', b'1')
+        self.rows.put('t', 'b', b'2')
+        self.step()
+        self.rows.put('t', 'a', None)
+        self.rows.oldest = self.rows.version + 1
+        self.step()
+        self.rows.oldest = 0
+        self.step()
+        self.assertEqual(self.get_heard()[2:], [('a', None)])
+
+    def test_store_that_went_back_is_not_believed(self):
+        self.rows.put('t', 'a', b'1')
+        self.step()
+        self.rows.oldest = self.rows.version + 1
+        self.step()
+
+        async def answer_old(table):
+            return RowChanges((), 0)
+
+        self.rows.read_table = answer_old
+        with self.assertRaises(PlatformUnavailable):
+            self.step()
+        self.assertEqual(self.get_heard(), [('a', b'1')])
--- /dev/null
+++ b/tests/cover/test_fleet_weights.py
@@ -0,0 +1,353 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Loads of new weights: one holder at a time, and late orders do no harm."""
+
+import asyncio
+import datetime
+import random
+import unittest
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import invariant
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import run_state_machine_as_test
+import msgspec
+
+from lifttrestle.errors import ConditionFailed
+from lifttrestle.errors import PlatformUnavailable
+from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.clock.manual import ManualClock
+from lifttrestle.internal.fleet.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.engine_control import EngineControl
+from lifttrestle.internal.fleet.engine_control import EngineState
+from lifttrestle.internal.fleet.engine_control import OrderOutcome
+from lifttrestle.internal.fleet.operator_view import OperatorView
+from lifttrestle.internal.fleet.roster import FLEET_TABLE
+from lifttrestle.internal.fleet.roster import Roster
+from lifttrestle.internal.fleet.rows import VersionedRow
+from lifttrestle.internal.fleet.settings import Promises
+from lifttrestle.internal.fleet.weights_loader import WeightsLoader
+from lifttrestle.internal.fleet.weights_view import WeightsView
+from lifttrestle.internal.platform.stored_format import PlatformFormat
+from tests.support.memory_rows import MemoryRows
+
+START = datetime.datetime(2026, 12, 2, tzinfo=datetime.timezone.utc)
+LEASE_SECONDS = Promises().lease_seconds
+ENGINES = ('e1', 'e2', 'e3', 'e4', 'e5')
+
+
+class PassingClock(Clock):
+    """Shares one time with others; a sleep makes it pass."""
+
+    def __init__(self, time):
+        self._time = time
+
+    def now(self):
+        return self._time.now()
+
+    def monotonic(self):
+        return self._time.monotonic()
+
+    async def sleep(self, seconds):
+        self._time.advance(seconds)
+
+
+class Engines:
+    """Engines that load at once, with a record of every order."""
+
+    def __init__(self, time):
+        self._time = time
+        self.weights = dict.fromkeys(ENGINES, 1)
+        self.accepted = dict.fromkeys(ENGINES, 0)
+        self.log = []
+        self.late = []
+
+    def take(self, instance, order):
+        self.log.append((self._time.monotonic(), instance, order))
+        if order.orders_accepted != self.accepted[instance]:
+            return OrderOutcome.OTHER_ORDER
+        self.accepted[instance] += 1
+        self.weights[instance] = order.version
+        return OrderOutcome.ACCEPTED
+
+
+class FakeControl(EngineControl):
+    """Reaches the engines; orders can be delayed on the way."""
+
+    def __init__(self, engines):
+        self._engines = engines
+        self.delays = False
+
+    async def read_state(self, engine):
+        name = engine.instance
+        return EngineState(
+            {'m': self._engines.weights[name]},
+            False,
+            self._engines.accepted[name],
+            0,
+            0,
+        )
+
+    async def send_load(self, engine, order):
+        if self.delays:
+            self._engines.late.append((engine.instance, order))
+            raise PlatformUnavailable('no answer')
+        return self._engines.take(engine.instance, order)
+
+
+class Router:
+    """One router's loader with its own view of the shared rows."""
+
+    def __init__(self, name, time, rows, engines, loader_class):
+        clock = PassingClock(time)
+        self.rows = rows
+        self.control = FakeControl(engines)
+        self.directory = UpstreamDirectory(PlatformFormat(), clock)
+        self.view = OperatorView(PlatformFormat(), clock, 8.5)
+        self.plans = WeightsView(self.directory, clock)
+        self.roster = Roster(rows, clock, name, 'a')
+        self._heard = 0
+        for instance in ENGINES:
+            entry = {
+                'service': 's',
+                'address': '127.0.0.1:9',
+                'models': [{'name': 'm', 'version': 1}],
+            }
+            self.directory.take(
+                VersionedRow(instance, msgspec.json.encode(entry), 1)
+            )
+        self.loader = loader_class(
+            rows,
+            self.control,
+            self.view,
+            self.directory,
+            self.plans,
+            self.roster,
+            Promises(),
+            clock,
+            random.Random(1),
+            name,
+        )
+
+    def hear(self):
+        """Take in what the shared table holds."""
+        if self.rows.down:
+            return
+        changes = asyncio.run(
+            self.rows.watch_table(FLEET_TABLE, self._heard, 0)
+        )
+        self._heard = changes.version
+        for row in changes.rows:
+            self.plans.take(row)
+
+    def name(self, version):
+        content = {'model': 'm', 'version': version}
+        self.view.take(
+            VersionedRow('version/m', msgspec.json.encode(content), version)
+        )
+
+    def act(self):
+        if 'm' not in self.view.wanted:
+            return
+        try:
+            asyncio.run(self.loader.serve_model('m'))
+        except (ConditionFailed, PlatformUnavailable):
+            pass
+
+
+class LoaderMachine(RuleBasedStateMachine):
+    """Routers that hear late, lose the store and whose orders are late."""
+
+    loader_class = WeightsLoader
+
+    def __init__(self):
+        super().__init__()
+        self.time = ManualClock(START)
+        self.rows = MemoryRows()
+        self.engines = Engines(self.time)
+        self.routers = [
+            Router(name, self.time, self.rows, self.engines, self.loader_class)
+            for name in ('a', 'b', 'c')
+        ]
+        self.version = 1
+
+    @rule()
+    def name_weights(self):
+        self.version += 1
+        for router in self.routers:
+            router.name(self.version)
+
+    @rule(index=st.integers(0, 2))
+    def hear(self, index):
+        self.routers[index].hear()
+
+    @rule(index=st.integers(0, 2))
+    def act(self, index):
+        self.routers[index].act()
+
+    @rule(seconds=st.sampled_from((0.1, 0.7, 1.5, 3.5, 5.0, 9.0)))
+    def wait(self, seconds):
+        self.time.advance(seconds)
+
+    @rule(index=st.integers(0, 2), delays=st.booleans())
+    def delay_orders(self, index, delays):
+        self.routers[index].control.delays = delays
+
+    @rule(down=st.booleans(), lose=st.booleans())
+    def harm_store(self, down, lose):
+        self.rows.down = False
+        self.rows.lose_answers = lose
+        for router in self.routers:
+            router.hear()
+        self.rows.down = down
+
+    @precondition(lambda self: self.engines.late)
+    @rule()
+    def deliver_late(self):
+        instance, order = self.engines.late.pop(0)
+        before = self.engines.weights[instance]
+        self.engines.take(instance, order)
+        # It may still do its work, but never undo newer work.
+        assert self.engines.weights[instance] >= before
+        self.engines.log.pop()
+
+    @invariant()
+    def holders_do_not_take_turns(self):
+        for before, after in zip(self.engines.log, self.engines.log[1:]):
+            if before[2].holder != after[2].holder:
+                assert after[0] - before[0] >= LEASE_SECONDS, (before, after)
+
+    @invariant()
+    def fences_grow(self):
+        fences = [order.fence for _, _, order in self.engines.log]
+        assert fences == sorted(fences)
+        holders = {
+            order.fence: order.holder for _, _, order in self.engines.log
+        }
+        for _, _, order in self.engines.log:
+            assert holders[order.fence] == order.holder
+
+
+class HastyLoader(WeightsLoader):
+    """Planted fault: takes the lease over without waiting it out."""
+
+    def _may_act(self, model, held, now):
+        return True
+
+
+class BlindLoader(WeightsLoader):
+    """Planted fault: judges the lease by one row and writes by another."""
+
+    async def _load_next(self, model, held, loads, outdated):
+        current = self._store.get(FLEET_TABLE, f'weights/{model}')
+        held = type(held)(held.plan, current.version, held.seen_at)
+        await super()._load_next(model, held, loads, outdated)
+
+
+def run_machine(loader_class):
+    machine = type('Machine', (LoaderMachine,), {'loader_class': loader_class})
+    run_state_machine_as_test(
+        machine,
+        settings=settings(
+            max_examples=300,
+            stateful_step_count=30,
+            deadline=None,
+            derandomize=True,
+            database=None,
+        ),
+    )
+
+
+class TestLoader(unittest.TestCase):
+    def test_holders_never_take_turns_within_the_lease(self):
+        run_machine(WeightsLoader)
+
+    def test_planted_hasty_takeover_is_found(self):
+        with self.assertRaises(AssertionError):
+            run_machine(HastyLoader)
+
+    def test_planted_unchecked_write_is_found(self):
+        with self.assertRaises(AssertionError):
+            run_machine(BlindLoader)
+
+
+class TestSteps(unittest.TestCase):
+    def setUp(self):
+        self.time = ManualClock(START)
+        self.rows = MemoryRows()
+        self.engines = Engines(self.time)
+
+    def make_router(self, name):
+        return Router(name, self.time, self.rows, self.engines, WeightsLoader)
+
+    def test_two_of_five_load_at_a_time_and_all_in_the_end(self):
+        router = self.make_router('a')
+        router.name(2)
+        router.act()
+        self.assertEqual(len(self.engines.log), 2)
+        for _ in range(8):
+            self.time.advance(1.0)
+            router.act()
+        self.assertEqual(set(self.engines.weights.values()), {2})
+
+    def test_newest_is_loaded_without_those_between(self):
+        router = self.make_router('a')
+        for version in (2, 3, 4):
+            router.name(version)
+        router.act()
+        versions = {order.version for _, _, order in self.engines.log}
+        self.assertEqual(versions, {4})
+
+    def test_plan_is_written_before_the_orders(self):
+        router = self.make_router('a')
+        other = self.make_router('b')
+        router.name(2)
+        router.act()
+        other.hear()
+        now = self.time.monotonic()
+        busy = [item for item in other.directory if item.busy_until > now]
+        ordered = {instance for _, instance, _ in self.engines.log}
+        self.assertEqual({item.instance for item in busy}, ordered)
+
+    def test_regression_router_that_lost_the_race_orders_nothing(self):
+        # Both had judged the lease free; the second then wrote over the row
+        # that the first had just written, and both gave orders.
+        first = self.make_router('a')
+        second = self.make_router('b')
+        for router in (first, second):
+            router.name(2)
+        self.time.advance(60.0)
+        for router in (first, second):
+            router.act()
+        self.time.advance(60.0)
+        held = second.plans.get('m')
+        first.act()
+        second.hear()
+        loads = {}
+        outdated = second.loader._find_outdated('m')
+        with self.assertRaises(ConditionFailed):
+            asyncio.run(second.loader._load_next('m', held, loads, outdated))
+        holders = {order.holder for _, _, order in self.engines.log}
+        self.assertEqual(len(holders), 1)
+
+    def test_silent_engines_leave_the_others_at_work(self):
+        router = self.make_router('a')
+        router.name(2)
+        self.time.advance(5.0)
+        for name in ('e4', 'e5'):
+            router.directory.get(name).note_sent(1, 1.0)
+        router.act()
+        self.assertEqual(len(self.engines.log), 1)
--- /dev/null
+++ b/tests/nocover/test_fleet_exchange.py
@@ -0,0 +1,281 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""One request through a router, with real sockets and faulty upstreams."""
+
+import asyncio
+import unittest
+
+from lifttrestle.errors import UpstreamLost
+from lifttrestle.internal.http.client_connection import ClientConnection
+from lifttrestle.internal.http.head import RequestHead
+from tests.support.fleet import run_fleet
+from tests.support.fleet import wait_until
+from tests.support.fleet_upstream import Behaviour
+from tests.support.fleet_upstream import EVENTS
+
+WHOLE_STREAM = b''.join(
+    f'id: {number}\ndata: token {number}\n\n'.encode()
+    for number in range(1, EVENTS + 1)
+)
+PLAIN = ('p1', 'p2')
+ENGINES = ('e1', 'e2')
+
+
+def script_all(fleet, names, *behaviours):
+    for name in names:
+        fleet.upstreams[name].script.extend(behaviours)
+
+
+def list_runs(fleet, names):
+    return [run for name in names for run in fleet.upstreams[name].runs]
+
+
+class TestPlainService(unittest.IsolatedAsyncioTestCase):
+    async def test_answer_and_request_pass_unchanged(self):
+        async with run_fleet() as fleet:
+            answer = await fleet.call(
+                '/once/a?b=c',
+                method='POST',
+                body=b'grid',
+                headers=(('x-own', 'kept'), ('tenant', 'forged')),
+            )
+            (run,) = list_runs(fleet, PLAIN)
+        self.assertEqual(answer.status, 200)
+        self.assertIn(('server-stamp', '3e1b.07'), answer.headers)
+        self.assertTrue(answer.body.startswith(b'ran at p'))
+        self.assertEqual(run.head.target, '/once/a?b=c')
+        self.assertEqual(run.body, b'grid')
+        self.assertEqual(run.head.get_header('x-own'), 'kept')
+        self.assertEqual(run.head.get_header('tenant'), 'acme')
+        self.assertEqual(run.head.get_header('authorization'), '')
+
+    async def test_lost_answer_of_a_once_request_is_no_promise(self):
+        async with run_fleet() as fleet:
+            script_all(fleet, PLAIN, Behaviour.LOSE)
+            answer = await fleet.call('/once/a', method='POST')
+            runs = list_runs(fleet, PLAIN)
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(len(runs), 1)
+
+    async def test_lost_answer_of_an_idempotent_request_is_made_up_for(self):
+        async with run_fleet() as fleet:
+            fleet.upstreams['p1'].script.append(Behaviour.LOSE)
+            fleet.upstreams['p2'].script.append(Behaviour.LOSE)
+            first = await fleet.call('/safe/a')
+            second = await fleet.call('/safe/a', request_id='r2')
+        # Both upstreams lose their first answer: the first request fails
+        # after two attempts, the second is served.
+        self.assertEqual((first.status, second.status), (502, 200))
+
+    async def test_declined_request_goes_on_and_is_refused_truly(self):
+        async with run_fleet() as fleet:
+            script_all(fleet, ('p1',), Behaviour.DECLINE)
+            script_all(fleet, ('p2',), Behaviour.DECLINE)
+            refused = await fleet.call('/once/a', method='POST')
+            served = await fleet.call('/once/a', method='POST')
+            runs = list_runs(fleet, PLAIN)
+        self.assertEqual(refused.status, 503)
+        self.assertGreater(float(dict(refused.headers)['retry-after']), 0)
+        self.assertEqual(served.status, 200)
+        self.assertEqual(len(runs), 1)
+
+    async def test_upstream_that_ran_and_answers_busy_makes_no_promise(self):
+        async with run_fleet() as fleet:
+            script_all(fleet, PLAIN, Behaviour.LIE_BUSY)
+            answer = await fleet.call('/once/a', method='POST')
+        self.assertEqual(answer.status, 502)
+
+    async def test_failure_of_the_upstream_is_passed_on_with_its_mark(self):
+        async with run_fleet() as fleet:
+            script_all(fleet, PLAIN, Behaviour.FAIL)
+            answer = await fleet.call('/safe/a')
+        self.assertEqual(answer.status, 500)
+        self.assertIn(('server-stamp', '3e1b.07'), answer.headers)
+
+    async def test_answers_that_prove_nothing_are_not_passed_on(self):
+        for behaviour in (Behaviour.UNSTAMPED, Behaviour.ENCODED):
+            with self.subTest(behaviour=behaviour):
+                async with run_fleet() as fleet:
+                    script_all(fleet, PLAIN, behaviour)
+                    answer = await fleet.call('/once/a', method='POST')
+                self.assertEqual(answer.status, 502)
+
+    async def test_answer_to_an_earlier_request_is_skipped(self):
+        async with run_fleet() as fleet:
+            script_all(fleet, PLAIN, Behaviour.FOREIGN_FIRST)
+            answer = await fleet.call('/once/a', method='POST', body=b'x')
+        self.assertEqual(answer.status, 200)
+        self.assertTrue(answer.body.startswith(b'ran at p'))
+
+    async def test_time_of_the_route_ends_the_wait(self):
+        async with run_fleet() as fleet:
+            script_all(fleet, PLAIN, Behaviour.SILENT)
+            answer = await fleet.call('/short/a', method='POST')
+        self.assertEqual(answer.status, 504)
+
+    async def test_time_that_is_left_is_handed_on(self):
+        async with run_fleet() as fleet:
+            await fleet.call('/safe/a', headers=(('deadline-ms', '700'),))
+            (run,) = list_runs(fleet, PLAIN)
+        handed = int(run.head.get_header('deadline-ms'))
+        self.assertLessEqual(handed, 700)
+        self.assertGreater(handed, 100)
+
+    async def test_caller_that_leaves_frees_the_upstream(self):
+        async with run_fleet() as fleet:
+            script_all(fleet, PLAIN, Behaviour.SILENT)
+            caller = await ClientConnection.open(
+                fleet.router.callers_address, 5.0
+            )
+            headers = (
+                ('host', 'shop.example'),
+                ('request-id', 'leaver'),
+                ('authorization', 'Token k1'),
+            )
+            await caller.send_request(
+                RequestHead('GET', '/safe/a', headers), b''
+            )
+            await wait_until(lambda: list_runs(fleet, PLAIN))
+            caller.close()
+            left = [fleet.upstreams[name].left for name in PLAIN]
+            await wait_until(lambda: ['leaver'] in left)
+
+
+class TestAdmission(unittest.IsolatedAsyncioTestCase):
+    async def test_route_and_key_are_asked_for(self):
+        async with run_fleet() as fleet:
+            no_route = await fleet.call('/nowhere/a')
+            no_key = await fleet.call('/safe/a', key='forged')
+            open_access = await fleet.call('/open/a', key='')
+        self.assertEqual(
+            (no_route.status, no_key.status, open_access.status),
+            (404, 401, 200),
+        )
+
+    async def test_key_that_is_taken_away_ceases_to_work(self):
+        async with run_fleet() as fleet:
+            before = await fleet.call('/safe/a')
+            fleet.configure(version=4, tenants=[])
+            async with asyncio.timeout(5):
+                while (await fleet.call('/safe/a')).status != 401:
+                    pass
+        self.assertEqual(before.status, 200)
+
+    async def test_header_that_stands_twice_is_refused(self):
+        async with run_fleet() as fleet:
+            answer = await fleet.call(
+                '/safe/a', headers=(('authorization', 'Token k3'),)
+            )
+        self.assertEqual(answer.status, 400)
+
+
+class TestStreams(unittest.IsolatedAsyncioTestCase):
+    async def test_stream_passes_whole_under_one_salt(self):
+        async with run_fleet() as fleet:
+            answer = await fleet.generate('text')
+            (run,) = list_runs(fleet, ENGINES)
+        self.assertEqual(answer.body, WHOLE_STREAM)
+        self.assertEqual(run.head.get_header('expect-version'), '1')
+        self.assertEqual(run.head.get_header('cache-salt'), 'shared/m/1')
+
+    async def test_isolated_workspace_has_a_salt_of_its_own(self):
+        async with run_fleet() as fleet:
+            await fleet.generate('text', key='k3')
+            (run,) = list_runs(fleet, ENGINES)
+        self.assertEqual(run.head.get_header('cache-salt'), 'only-vault/m/1')
+
+    async def test_stream_that_breaks_within_an_event_is_resumed(self):
+        async with run_fleet() as fleet:
+            script_all(fleet, ENGINES, Behaviour.CUT_IN_EVENT)
+            fleet.upstreams['e2'].script.clear()
+            fleet.upstreams['e1'].script.clear()
+            first = await self.find_first(fleet)
+            fleet.upstreams[first].script.append(Behaviour.CUT_IN_EVENT)
+            answer = await fleet.generate('text', request_id='r2')
+            runs = list_runs(fleet, ENGINES)
+        self.assertEqual(answer.body, WHOLE_STREAM)
+        resumed = [run.head.get_header('last-event-id') for run in runs]
+        self.assertIn('2', resumed)
+
+    async def find_first(self, fleet):
+        await fleet.generate('text', request_id='r1')
+        return next(name for name in ENGINES if fleet.upstreams[name].runs)
+
+    async def test_stream_that_may_not_be_resumed_looks_cut(self):
+        async with run_fleet() as fleet:
+            script_all(fleet, ENGINES, Behaviour.CUT_IN_EVENT)
+            with self.assertRaises(UpstreamLost):
+                await fleet.generate('essay')
+            runs = list_runs(fleet, ENGINES)
+        self.assertEqual(len(runs), 1)
+
+    async def test_engine_with_other_weights_declines_and_another_serves(
+        self,
+    ):
+        async with run_fleet() as fleet:
+            fleet.upstreams['e1'].weights = 2
+            first = await fleet.generate('essay', request_id='r1')
+            second = await fleet.generate('essay', request_id='r2')
+            runs = list_runs(fleet, ENGINES)
+        self.assertEqual((first.status, second.status), (200, 200))
+        self.assertEqual(len(runs), 2)
+
+
+class TestMembership(unittest.IsolatedAsyncioTestCase):
+    async def test_leaving_upstream_gets_no_more_work(self):
+        async with run_fleet() as fleet:
+            leaving = fleet.upstreams['p1']
+            fleet.list_upstream('plain', leaving, state='draining')
+            known = fleet.router.directory.get('p1')
+            await wait_until(lambda: known.entry.draining)
+            for number in range(8):
+                await fleet.call('/safe/a', request_id=str(number))
+            self.assertEqual(leaving.arrivals, [])
+
+    async def test_other_instance_at_an_address_runs_nothing(self):
+        async with run_fleet() as fleet:
+            for name in PLAIN:
+                fleet.upstreams[name].instance = f'new-{name}'
+            answer = await fleet.call('/once/a', method='POST')
+            runs = list_runs(fleet, PLAIN)
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(runs, [])
+
+    async def test_new_weights_are_brought_to_every_engine(self):
+        async with run_fleet() as fleet:
+            fleet.store.put('op', 'version/m', {'model': 'm', 'version': 2})
+            engines = [fleet.upstreams[name] for name in ENGINES]
+            await wait_until(
+                lambda: all(engine.weights == 2 for engine in engines)
+            )
+            orders = [order for engine in engines for order in engine.orders]
+        self.assertEqual([order['version'] for order in orders], [2, 2])
+        self.assertEqual({order['holder'] for order in orders}, {'front-a-1'})
+        fences = [order['fence'] for order in orders]
+        self.assertEqual(fences, sorted(fences))
+
+
+class TestStop(unittest.IsolatedAsyncioTestCase):
+    async def test_stop_ends_the_streams_that_run(self):
+        async with run_fleet() as fleet:
+            for name in ENGINES:
+                fleet.upstreams[name].released.clear()
+            stream = asyncio.create_task(fleet.generate('text'))
+            await wait_until(lambda: list_runs(fleet, ENGINES))
+            stopping = asyncio.create_task(fleet.router.stop())
+            await wait_until(lambda: not fleet.router.is_ready())
+            for name in ENGINES:
+                fleet.upstreams[name].released.set()
+            answer = await stream
+            self.assertTrue(await stopping)
+        self.assertEqual(answer.body, WHOLE_STREAM)
--- /dev/null
+++ b/tests/support/fleet_store.py
@@ -0,0 +1,148 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""A stand-in for the platform's store, written from its published page."""
+
+import asyncio
+import base64
+import urllib.parse
+
+import msgspec
+
+from lifttrestle.errors import ConditionFailed
+from lifttrestle.internal.fleet.rows import RowWrite
+from lifttrestle.internal.fleet.rows import VersionedRow
+from lifttrestle.internal.http.address import Address
+from lifttrestle.internal.http.head import RequestHead
+from lifttrestle.internal.http.server_connection import ServerConnection
+from lifttrestle.internal.standin.server import send_json
+from lifttrestle.internal.standin.server import StandinServer
+from tests.support.memory_rows import MemoryRows
+
+
+class FleetStoreStandin:
+    """Keeps rows in memory and serves reads, watches and writes.
+
+    :ivar rows: what it holds; a test may change it directly.
+    :ivar page_size: rows in one answer.
+    """
+
+    def __init__(self) -> None:
+        self.rows = MemoryRows()
+        self.page_size = 500
+        self._changed = asyncio.Event()
+        self.server = StandinServer(self._handle)
+
+    async def start(self) -> Address:
+        """Listen at a free port."""
+        return await self.server.start(Address('127.0.0.1', 0))
+
+    def put(self, table: str, key: str, content: object) -> int:
+        """Set a row to a JSON value and wake the watches."""
+        version = self.rows.put(table, key, msgspec.json.encode(content))
+        self._wake()
+        return version
+
+    def remove(self, table: str, key: str) -> None:
+        """Remove a row and wake the watches."""
+        self.rows.put(table, key, None)
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _handle(
+        self, connection: ServerConnection, head: RequestHead, body: bytes
+    ) -> None:
+        query = dict(urllib.parse.parse_qsl(head.query))
+        if head.path == '/rows-get':
+            await self._get(connection, query)
+        elif head.path == '/rows-feed':
+            await self._feed(connection, query)
+        elif head.path == '/rows-tx':
+            await self._commit(connection, msgspec.json.decode(body))
+        else:
+            await send_json(connection, {}, 404)
+
+    async def _get(
+        self, connection: ServerConnection, query: dict[str, str]
+    ) -> None:
+        table = query['table']
+        whole = await self.rows.read_table(table)
+        rows = sorted(whole.rows, key=lambda row: row.key)
+        rows = [row for row in rows if row.key >= query.get('from', '')]
+        page = rows[: self.page_size]
+        content = {
+            'rows': [_encode(table, row) for row in page],
+            'more_pages': len(rows) > len(page),
+            'ver': whole.version,
+            'now_ms': 0,
+        }
+        await send_json(connection, content)
+
+    async def _feed(
+        self, connection: ServerConnection, query: dict[str, str]
+    ) -> None:
+        table = query['table']
+        after = int(query['after'])
+        if after < self.rows.oldest:
+            await send_json(connection, {}, 410)
+            return
+        try:
+            async with asyncio.timeout(int(query['wait_ms']) / 1000):
+                while not (await self._list(table, after)):
+                    await self._changed.wait()
+        except TimeoutError:
+            pass
+        content = {
+            'rows': await self._list(table, after),
+            'ver': self.rows.version,
+            'now_ms': 0,
+        }
+        await send_json(connection, content)
+
+    async def _list(self, table: str, after: int) -> list[object]:
+        changes = await self.rows.watch_table(table, after, 0)
+        return [_encode(table, row) for row in changes.rows]
+
+    async def _commit(
+        self, connection: ServerConnection, call: dict[str, list[dict]]
+    ) -> None:
+        expected = call['expected'][0]
+        value = None
+        if call['put']:
+            value = base64.b64decode(call['put'][0]['value'])
+        write = RowWrite(
+            expected['table'], expected['key'], value, expected['ver']
+        )
+        try:
+            version = await self.rows.write_row(write)
+        except ConditionFailed:
+            await send_json(connection, {'rows': []}, 412)
+            return
+        self._wake()
+        await send_json(connection, {'ver': version, 'now_ms': 0})
+
+
+def _encode(table: str, row: VersionedRow) -> dict[str, object]:
+    content: dict[str, object] = {
+        'table': table,
+        'part': '',
+        'key': row.key,
+        'ver': row.version,
+    }
+    if row.value is None:
+        content['tombstone'] = True
+    else:
+        content['value'] = base64.b64encode(row.value).decode()
+    return content
--- /dev/null
+++ b/tests/support/fleet_upstream.py
@@ -0,0 +1,216 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""A stand-in for an upstream of the platform, engine or plain service."""
+
+import asyncio
+import collections
+import dataclasses
+import enum
+
+import msgspec
+
+from lifttrestle.errors import CallerGone
+from lifttrestle.internal.http.address import Address
+from lifttrestle.internal.http.head import RequestHead
+from lifttrestle.internal.http.limits import HttpLimits
+from lifttrestle.internal.http.server import HttpServer
+from lifttrestle.internal.http.server_connection import ServerConnection
+from lifttrestle.internal.standin.server import send_json
+
+EVENTS = 5
+STAMP = '3e1b.07'
+
+
+class Behaviour(enum.Enum):
+    """How one request is treated; the default is a good answer."""
+
+    GOOD = enum.auto()
+    DECLINE = enum.auto()
+    FAIL = enum.auto()
+    LIE_BUSY = enum.auto()
+    LOSE = enum.auto()
+    SILENT = enum.auto()
+    CUT_IN_EVENT = enum.auto()
+    FOREIGN_FIRST = enum.auto()
+    UNSTAMPED = enum.auto()
+    ENCODED = enum.auto()
+
+
+@dataclasses.dataclass(frozen=True)
+class Run:
+    """A request that was run."""
+
+    head: RequestHead
+    body: bytes
+
+
+class FleetUpstreamStandin:
+    """Runs requests as its script says, then well.
+
+    :ivar runs: the requests that it ran.
+    :ivar arrivals: the requests that reached it.
+    :ivar left: ids of requests whose caller closed the connection.
+    :ivar released: streams go on after their second event once it is set.
+    """
+
+    def __init__(self, instance: str) -> None:
+        self.instance = instance
+        self.script: collections.deque[Behaviour] = collections.deque()
+        self.runs: list[Run] = []
+        self.arrivals: list[RequestHead] = []
+        self.left: list[str] = []
+        self.weights = 1
+        self.orders: list[dict[str, object]] = []
+        self.released = asyncio.Event()
+        self.released.set()
+        limits = HttpLimits(idle_seconds=3600)
+        self._server = HttpServer(self._handle, limits)
+        self.address = Address('', 0)
+
+    async def start(self) -> None:
+        """Listen at a free port."""
+        self.address = await self._server.start(Address('127.0.0.1', 0))
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        await self._server.stop(0)
+
+    async def _handle(
+        self, connection: ServerConnection, head: RequestHead
+    ) -> None:
+        body = await connection.read_body()
+        if head.path == '/report':
+            await self._report(connection)
+            return
+        if head.path == '/order':
+            await self._take_order(connection, msgspec.json.decode(body))
+            return
+        self.arrivals.append(head)
+        behaviour = self.script.popleft() if self.script else Behaviour.GOOD
+        if behaviour is Behaviour.DECLINE or not self._is_meant(head):
+            await self._decline(connection, head)
+            return
+        self.runs.append(Run(head, body))
+        watch = asyncio.create_task(connection.wait_gone())
+        watch.add_done_callback(lambda task: self._note_left(task, head))
+        try:
+            await self._run(connection, head, behaviour)
+        finally:
+            watch.cancel()
+            await asyncio.gather(watch, return_exceptions=True)
+
+    def _note_left(
+        self, task: 'asyncio.Task[None]', head: RequestHead
+    ) -> None:
+        if not task.cancelled():
+            self.left.append(head.get_header('request-id'))
+
+    def _is_meant(self, head: RequestHead) -> bool:
+        wanted = head.get_header('expect-version')
+        return head.get_header('expect-instance') == self.instance and (
+            not wanted or int(wanted) == self.weights
+        )
+
+    async def _decline(
+        self, connection: ServerConnection, head: RequestHead
+    ) -> None:
+        status = 503 if self._is_meant(head) else 421
+        headers = (('not-executed', '1'), *self._echo(head))
+        await connection.start_answer(
+            status, (*headers, ('content-length', '0'))
+        )
+        await connection.end_answer()
+
+    async def _run(
+        self,
+        connection: ServerConnection,
+        head: RequestHead,
+        behaviour: Behaviour,
+    ) -> None:
+        if behaviour is Behaviour.LOSE:
+            connection.abort()
+            raise CallerGone('cut by the script')
+        if behaviour is Behaviour.SILENT:
+            await asyncio.Event().wait()
+        if behaviour is Behaviour.FOREIGN_FIRST:
+            await self._send_foreign(connection)
+        if head.get_header('model'):
+            await self._stream(connection, head, behaviour)
+            return
+        headers = list(self._echo(head))
+        if behaviour is not Behaviour.UNSTAMPED:
+            headers.append(('server-stamp', STAMP))
+        if behaviour is Behaviour.ENCODED:
+            headers.append(('content-encoding', 'gzip'))
+        status = {Behaviour.FAIL: 500, Behaviour.LIE_BUSY: 503}.get(
+            behaviour, 200
+        )
+        body = f'ran at {self.instance}'.encode()
+        headers.append(('content-length', str(len(body))))
+        await connection.start_answer(status, tuple(headers))
+        await connection.send_part(body)
+        await connection.end_answer()
+
+    async def _send_foreign(self, connection: ServerConnection) -> None:
+        # What a second answer to an earlier request looks like on the wire.
+        raw = (
+            b'HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Stamp: x\r\n'
+            b'Content-Length: 7\r\n\r\nforeign'
+        )
+        connection._writer.write(raw)
+
+    async def _stream(
+        self,
+        connection: ServerConnection,
+        head: RequestHead,
+        behaviour: Behaviour,
+    ) -> None:
+        headers = (
+            *self._echo(head),
+            ('server-stamp', STAMP),
+            ('content-type', 'text/event-stream'),
+            ('weight-versions', str(self.weights)),
+        )
+        await connection.start_answer(200, headers)
+        first = int(head.get_header('last-event-id', '0')) + 1
+        for number in range(first, EVENTS + 1):
+            event = f'id: {number}\ndata: token {number}\n\n'.encode()
+            if number == first + 2 and behaviour is Behaviour.CUT_IN_EVENT:
+                await connection.send_part(event[: len(event) // 2])
+                connection.abort()
+                raise CallerGone('cut by the script')
+            if number == first + 2:
+                await self.released.wait()
+            await connection.send_part(event)
+        await connection.end_answer()
+
+    def _echo(self, head: RequestHead) -> tuple[tuple[str, str], ...]:
+        return (('request-id', head.get_header('request-id')),)
+
+    async def _report(self, connection: ServerConnection) -> None:
+        content = {
+            'models': [{'name': 'm', 'version': self.weights}],
+            'busy': False,
+            'seq_no': len(self.orders),
+        }
+        await send_json(connection, content)
+
+    async def _take_order(
+        self, connection: ServerConnection, order: dict[str, object]
+    ) -> None:
+        if order['expected'] != len(self.orders):
+            await send_json(connection, {}, 409)
+            return
+        self.orders.append(order)
+        self.weights = int(str(order['version']))
+        await send_json(connection, {}, 202)
--- /dev/null
+++ b/tests/support/memory_rows.py
@@ -0,0 +1,91 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""The shared tables in memory, with faults that a test switches on."""
+
+import asyncio
+
+from lifttrestle.errors import ConditionFailed
+from lifttrestle.errors import HistoryGone
+from lifttrestle.errors import PlatformUnavailable
+from lifttrestle.internal.fleet.rows import NO_ROW
+from lifttrestle.internal.fleet.rows import RowChanges
+from lifttrestle.internal.fleet.rows import RowStore
+from lifttrestle.internal.fleet.rows import RowWrite
+from lifttrestle.internal.fleet.rows import VersionedRow
+
+
+class MemoryRows(RowStore):
+    """Answers at once; a watch without news returns empty.
+
+    :ivar down: every call fails without effect.
+    :ivar lose_answers: writes take effect and their answers are lost.
+    :ivar oldest: changes before this commit are dropped from the history.
+    """
+
+    def __init__(self) -> None:
+        self.down = False
+        self.lose_answers = False
+        self.oldest = 0
+        self.version = 0
+        self._rows: dict[str, dict[str, VersionedRow]] = {}
+
+    def put(self, table: str, key: str, value: bytes | None) -> int:
+        """Set a row unconditionally, as the operator does."""
+        self.version += 1
+        row = VersionedRow(key, value, self.version)
+        self._rows.setdefault(table, {})[key] = row
+        return self.version
+
+    def get(self, table: str, key: str) -> VersionedRow:
+        """Return a row; one that does not exist has no value."""
+        missing = VersionedRow(key, None, NO_ROW)
+        row = self._rows.get(table, {}).get(key, missing)
+        return missing if row.value is None else row
+
+    async def read_table(self, table: str) -> RowChanges:
+        """Return every row of a table."""
+        self._check_up()
+        rows = self._rows.get(table, {}).values()
+        kept = tuple(row for row in rows if row.value is not None)
+        return RowChanges(kept, self.version)
+
+    async def watch_table(
+        self, table: str, after: int, wait_seconds: float
+    ) -> RowChanges:
+        """Return the changes since a commit."""
+        await asyncio.sleep(0)
+        self._check_up()
+        if after < self.oldest:
+            raise HistoryGone('dropped')
+        rows = self._rows.get(table, {}).values()
+        changed = [row for row in rows if row.version > after]
+        changed.sort(key=lambda row: row.version)
+        return RowChanges(tuple(changed), self.version)
+
+    async def write_row(self, write: RowWrite) -> int:
+        """Write one row if its condition holds."""
+        self._check_up()
+        held = self.get(write.table, write.key)
+        if held.version != write.expected_version:
+            raise ConditionFailed((write.key,))
+        version = self.put(write.table, write.key, write.value)
+        if self.lose_answers:
+            raise PlatformUnavailable('the answer is lost')
+        return version
+
+    def close(self) -> None:
+        """Do nothing."""
+
+    def _check_up(self) -> None:
+        if self.down:
+            raise PlatformUnavailable('the store is down')
