Structured log, metrics and explain

Cause: an on-call engineer had text lines that no program could put together, no bound on them, and no metrics address on the platform. Ruled out: a non-blocking standard output (the flag is shared with whoever else has the pipe): a bounded queue and a writer thread instead.

--- /dev/null
+++ b/src/lifttrestle/internal/cli/explain.py
@@ -0,0 +1,56 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""``lifttrestle explain``: tells the story of one request from the logs."""
+
+import argparse
+import pathlib
+import sys
+
+from lifttrestle.internal.telemetry.explanation import explain
+from lifttrestle.internal.telemetry.explanation import render_json
+from lifttrestle.internal.telemetry.explanation import render_text
+from lifttrestle.internal.telemetry.explanation import UnknownRequest
+
+EXIT_OK = 0
+EXIT_UNKNOWN = 1
+EXIT_FAULT = 2
+
+
+def add_commands(commands: 'argparse._SubParsersAction') -> None:
+    """Add the command to the command line."""
+    parser = commands.add_parser(
+        'explain', help="print one request's story from the routers' logs"
+    )
+    parser.add_argument('request_id', metavar='REQUEST_ID')
+    parser.add_argument(
+        'logs', type=pathlib.Path, nargs='+', metavar='LOGFILE'
+    )
+    parser.add_argument(
+        '--json', action='store_true', help='print JSON for programs'
+    )
+    parser.set_defaults(run=run)
+
+
+def run(options: argparse.Namespace) -> int:
+    """Print the story; exit 1 if the logs do not know the request."""
+    try:
+        explanation = explain(options.request_id, options.logs)
+    except UnknownRequest as error:
+        print(error, file=sys.stderr)
+        return EXIT_UNKNOWN
+    except OSError as error:
+        print(f'{error}; give files that can be read', file=sys.stderr)
+        return EXIT_FAULT
+    render = render_json if options.json else render_text
+    print(render(explanation))
+    return EXIT_OK
--- a/src/lifttrestle/internal/cli/fleet_router.py
+++ b/src/lifttrestle/internal/cli/fleet_router.py
@@ -17,6 +17,7 @@
 import os
 import pathlib
 import random
+import sys
 
 from returns.result import Failure
 
@@ -25,7 +26,7 @@
 from lifttrestle.internal.fleet.settings import FleetSettings
 from lifttrestle.internal.platform.names import SETTINGS_VARIABLE
 from lifttrestle.internal.platform.node_settings import check_node_settings
-from lifttrestle.internal.telemetry.logs import set_up_logs
+from lifttrestle.internal.telemetry.event_sink import start_event_sink
 
 EXIT_OK = 0
 EXIT_CUT = 1
@@ -61,8 +62,12 @@
     if isinstance(result, Failure):
         lines = [str(fault) for fault in result.failure()]
         raise SettingsInvalid('\n'.join(lines))
-    set_up_logs('info')
-    return asyncio.run(_run_router(result.unwrap()))
+    settings = result.unwrap()
+    sink = start_event_sink(sys.stdout, SystemClock(), settings.vm, 'info')
+    try:
+        return asyncio.run(_run_router(settings))
+    finally:
+        sink.close()
 
 
 async def _run_router(settings: FleetSettings) -> int:
--- a/src/lifttrestle/internal/cli/main.py
+++ b/src/lifttrestle/internal/cli/main.py
@@ -17,6 +17,7 @@
 
 from lifttrestle.errors import LifttrestleError
 import lifttrestle.internal.cli.check as check
+import lifttrestle.internal.cli.explain as explain
 import lifttrestle.internal.cli.fleet_router as fleet_router
 import lifttrestle.internal.cli.operator as operator
 import lifttrestle.internal.cli.replay as replay
@@ -24,6 +25,15 @@
 import lifttrestle.internal.cli.standin as standin
 
 EXIT_FAULT = 2
+COMMANDS = (
+    router,
+    fleet_router,
+    check,
+    explain,
+    operator,
+    replay,
+    standin,
+)
 
 
 def build_parser() -> argparse.ArgumentParser:
@@ -35,7 +45,7 @@
     commands = parser.add_subparsers(
         title='commands', dest='command', required=True, metavar='COMMAND'
     )
-    for part in (router, fleet_router, check, operator, replay, standin):
+    for part in COMMANDS:
         part.add_commands(commands)
     return parser
 
--- a/src/lifttrestle/internal/fleet/directory.py
+++ b/src/lifttrestle/internal/fleet/directory.py
@@ -13,7 +13,6 @@
 """All upstreams of the fleet, from their entries in the shared list."""
 
 from collections.abc import Iterator
-import logging
 
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.decoding import StoredFormat
@@ -21,8 +20,9 @@
 from lifttrestle.internal.fleet.upstream import FleetUpstream
 from lifttrestle.internal.http.address import check_address
 from lifttrestle.internal.http.client_pool import ClientPool
+from lifttrestle.internal.telemetry.event_log import get_event_log
 
-LOG = logging.getLogger('lifttrestle.upstreams')
+LOG = get_event_log('upstreams')
 # A connection within the fleet opens in a few ms; longer means no one there.
 CONNECT_SECONDS = 0.3
 # While the store was away, entries lapse of upstreams that live. Those are
@@ -57,7 +57,9 @@
             entry = self._format.read_upstream(row.key, row.value)
             address = check_address(entry.address)
         except ValueError as error:
-            LOG.error('upstreams: entry %s is unreadable: %s', row.key, error)
+            LOG.error(
+                'upstream.unreadable', instance=row.key, reason=str(error)
+            )
             return
         known = self._known.get(row.key)
         if known is None:
@@ -65,13 +67,14 @@
             known = FleetUpstream(entry, pool)
             self._known[row.key] = known
             LOG.info(
-                'upstreams: new instance=%s service=%s address=%s',
-                entry.instance,
-                entry.service,
-                entry.address,
+                'upstream.new',
+                instance=entry.instance,
+                service=entry.service,
+                address=entry.address,
+                weights=entry.weights,
             )
         elif entry.draining and not known.entry.draining:
-            LOG.info('upstreams: draining instance=%s', entry.instance)
+            LOG.info('upstream.draining', instance=entry.instance)
         known.entry = entry
         known.vanished_at = None
         for model, version in entry.weights.items():
@@ -98,7 +101,7 @@
         if known is None:
             return
         known.vanished_at = self._clock.monotonic()
-        LOG.info('upstreams: entry removed instance=%s', instance)
+        LOG.info('upstream.entry_removed', instance=instance)
         if not self._may_return(known):
             self._forget(known)
 
@@ -120,4 +123,4 @@
     def _forget(self, upstream: FleetUpstream) -> None:
         self._known.pop(upstream.instance, None)
         upstream.pool.close()
-        LOG.info('upstreams: gone instance=%s', upstream.instance)
+        LOG.info('upstream.gone', instance=upstream.instance)
--- a/src/lifttrestle/internal/fleet/doors.py
+++ b/src/lifttrestle/internal/fleet/doors.py
@@ -19,8 +19,10 @@
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.server_connection import ServerConnection
+from lifttrestle.internal.telemetry.fleet_metrics import FleetMetrics
 
 STATUS_OK = 200
+TEXT = (('content-type', 'text/plain; version=0.0.4; charset=utf-8'),)
 STATUS_UNAVAILABLE = 503
 
 
@@ -69,3 +71,17 @@
             and parts.view.catalogue is not None
             and is_fresh(parts)
         )
+
+
+class MetricsDoor:
+    """Serves the metrics as text, whatever the path."""
+
+    def __init__(self, metrics: FleetMetrics) -> None:
+        self._metrics = metrics
+
+    async def handle(
+        self, connection: ServerConnection, head: RequestHead
+    ) -> None:
+        """Answer with every metric."""
+        answer = Answer(STATUS_OK, TEXT, self._metrics.render())
+        await connection.send_answer(answer)
--- a/src/lifttrestle/internal/fleet/exchange.py
+++ b/src/lifttrestle/internal/fleet/exchange.py
@@ -14,7 +14,6 @@
 
 import asyncio
 import itertools
-import logging
 
 from lifttrestle.errors import CallerGone
 from lifttrestle.errors import LifttrestleError
@@ -40,6 +39,7 @@
 from lifttrestle.internal.fleet.placement import choose_plain
 from lifttrestle.internal.fleet.placement import Placement
 from lifttrestle.internal.fleet.placement import Surroundings
+from lifttrestle.internal.fleet.story import RequestStory
 from lifttrestle.internal.fleet.upstream import FleetUpstream
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.head import RequestHead
@@ -49,9 +49,9 @@
 from lifttrestle.internal.router.progress import RequestEvent
 from lifttrestle.internal.router.progress import RequestProgress
 
-LOG = logging.getLogger('lifttrestle.request')
 # Sends of one request, counting those that were turned away unread.
 MAX_SENDS = 4
+MILLISECONDS = 1000
 # When a refused caller may come back: engines free a slot within that time.
 RETRY_SECONDS = 0.15
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -106,7 +106,7 @@
         self._runs = 0
         self._service = ''
         self._failure: Answer | None = None
-        self._story: list[str] = []
+        self._story = RequestStory(parts.clock, facts.request_id)
 
     async def run(self) -> None:
         """Serve the request to its end.
@@ -114,17 +114,32 @@
         :raises CallerGone: if the caller left.
         """
         outcome = 'complete'
+        failed = False
         try:
             self._body = await self._connection.read_body()
             await self._serve_watched()
         except RequestRefused as refused:
-            outcome = f'{refused.kind.value}: {refused.message}'
+            outcome = refused.kind.value
+            failed = True
+            self._story.add(
+                'refused',
+                kind=refused.kind.value,
+                reason=refused.message,
+                ran=refused.ran.value,
+                retry_after_s=refused.retry_after,
+            )
             await self._refuse(refused)
         except CallerGone as gone:
             outcome = f'caller gone: {gone}'
+            failed = True
             raise
         finally:
-            self._log(outcome)
+            self._story.tell(outcome, failed=failed, service=self._service)
+            self._parts.metrics.count_request(
+                self._service or 'none',
+                outcome.partition(':')[0],
+                self._parts.clock.monotonic() - self._started,
+            )
 
     async def _serve_watched(self) -> None:
         """Serve, and stop at once when the caller leaves."""
@@ -147,12 +162,13 @@
         self._set_deadline(admitted)
         self._progress.move(RequestEvent.ADMIT)
         self._service = self._choose_service(admitted)
+        self._tell_admitted(admitted)
         self._parts.get_budget(self._service).note_request()
         try:
             async with asyncio.timeout(self._get_left()):
                 await self._try_upstreams()
         except TimeoutError:
-            self._story.append('out of time')
+            self._story.add('out_of_time')
             raise RequestRefused(
                 ErrorKind.DEADLINE_EXCEEDED,
                 'the time for this request is over',
@@ -182,12 +198,29 @@
             self._check_service(admitted)
             placement = self._choose(admitted)
             upstream = placement.upstream
+            self._story.add(
+                'chosen',
+                instance=upstream.instance,
+                reason=placement.reason,
+                candidates_ms={
+                    name: round(cost * MILLISECONDS, 1)
+                    for name, cost in placement.candidates
+                },
+            )
             self._tried.add(upstream.instance)
             try:
                 await self._attempt(admitted, placement)
                 return
             except RETRYABLE as error:
-                self._story.append(f'{upstream.instance}: {error}')
+                self._parts.metrics.count_attempt(
+                    self._service, type(error).__name__
+                )
+                self._story.add(
+                    'attempt_failed',
+                    instance=upstream.instance,
+                    kind=type(error).__name__,
+                    reason=str(error),
+                )
                 self._judge(admitted, upstream, error)
 
     def _check_service(self, admitted: Admitted) -> None:
@@ -277,7 +310,9 @@
 
     def _take_retry(self) -> bool:
         budget = self._parts.get_budget(self._service)
-        return budget.take(self._parts.roster.live)
+        granted = budget.take(self._parts.roster.live)
+        self._parts.metrics.count_retry(self._service, granted)
+        return granted
 
     async def _exchange(
         self, admitted: Admitted, upstream: FleetUpstream, ticket: int
@@ -292,8 +327,12 @@
             self._sends += 1
             self._runs += 1
             self._progress.move(RequestEvent.SEND)
-            upstream.note_sent(ticket, parts.clock.monotonic())
-            self._story.append(f'sent to {upstream.instance}')
+            sent_at = parts.clock.monotonic()
+            upstream.note_sent(ticket, sent_at)
+            parts.metrics.count_connection(
+                self._service, connection.exchanges > 0
+            )
+            self._tell_sent(upstream, order, connection.exchanges)
             answer = await begin_attempt(
                 parts.clock,
                 parts.dialect,
@@ -305,12 +344,15 @@
                 self._get_patience(admitted),
                 lambda: self._may_leave(admitted),
             )
-            upstream.note_heard(ticket, parts.clock.monotonic())
+            heard_at = parts.clock.monotonic()
+            upstream.note_heard(ticket, heard_at)
+            parts.metrics.time_first_byte(self._service, heard_at - sent_at)
             self._note_engine(upstream, order, answer)
             await self._relay_answer(admitted, upstream, answer)
         except BaseException:
             connection.close()
             raise
+        parts.metrics.count_attempt(self._service, 'good')
         upstream.breaker.note_success()
         upstream.pool.give_back(connection)
 
@@ -510,14 +552,31 @@
         silent = max(SILENT_TARGETS * route.target_seconds, MIN_SILENT_SECONDS)
         return min(silent, left)
 
-    def _log(self, outcome: str) -> None:
-        LOG.info(
-            'request: id=%s host=%s service=%s took=%.3f outcome="%s"'
-            ' story="%s"',
-            self._facts.request_id,
-            self._facts.host,
-            self._service,
-            self._parts.clock.monotonic() - self._started,
-            outcome,
-            '; '.join(self._story),
+    def _tell_admitted(self, admitted: Admitted) -> None:
+        parts = self._parts
+        workspace = admitted.workspace
+        self._story.add(
+            'admitted',
+            host=self._facts.host,
+            route=admitted.route.name,
+            workspace=workspace.name if workspace is not None else None,
+            configuration=admitted.catalogue.version,
+            view_age_ms=round(parts.operator_watch.get_age() * MILLISECONDS),
+            left_ms=round(self._get_left() * MILLISECONDS),
+        )
+
+    def _tell_sent(
+        self, upstream: FleetUpstream, order: UpstreamOrder, exchanges: int
+    ) -> None:
+        name = 'resumed' if self._relay.started else 'sent'
+        self._story.add(
+            name,
+            instance=upstream.instance,
+            address=upstream.entry.address,
+            weights=order.weights,
+            last_event=order.last_event,
+            in_flight=upstream.in_flight,
+            kept_connection=exchanges > 0,
+            attempt=self._sends,
+            live_routers=self._parts.roster.live,
         )
--- a/src/lifttrestle/internal/fleet/operator_view.py
+++ b/src/lifttrestle/internal/fleet/operator_view.py
@@ -13,14 +13,14 @@
 """What the operator has put in force: the configuration and the weights."""
 
 import dataclasses
-import logging
 
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.catalogue import Catalogue
 from lifttrestle.internal.fleet.decoding import StoredFormat
 from lifttrestle.internal.fleet.rows import VersionedRow
+from lifttrestle.internal.telemetry.event_log import get_event_log
 
-LOG = logging.getLogger('lifttrestle.view')
+LOG = get_event_log('view')
 
 
 # A router counts for the promise on weights from three seconds after its
@@ -73,13 +73,13 @@
     def take(self, row: VersionedRow) -> None:
         """Take in a changed row of the operator's table."""
         if row.value is None:
-            LOG.warning('view: the row %s was removed; kept', row.key)
+            LOG.warning('view.row_removed_and_kept', key=row.key)
             return
         try:
             catalogue = self._format.read_catalogue(row.key, row.value)
             named = self._format.read_weights(row.key, row.value)
         except ValueError as error:
-            LOG.error('view: the row %s is unreadable: %s', row.key, error)
+            LOG.error('view.unreadable', key=row.key, reason=str(error))
             return
         if catalogue is not None:
             self._swap(catalogue)
@@ -90,13 +90,13 @@
         held = self.catalogue
         if held is not None and held.version >= catalogue.version:
             LOG.warning(
-                'view: refused version=%d held=%d',
-                catalogue.version,
-                held.version,
+                'view.older_refused',
+                version=catalogue.version,
+                held=held.version,
             )
             return
         self.catalogue = catalogue
-        LOG.info('view: applied version=%d', catalogue.version)
+        LOG.info('view.applied', version=catalogue.version)
 
     def _want(self, model: str, version: int) -> None:
         held = self.wanted.get(model)
@@ -110,4 +110,4 @@
         self.wanted[model] = WantedWeights(
             version, (*earlier, (version, now))[-MAX_REMEMBERED:]
         )
-        LOG.info('view: weights named model=%s version=%d', model, version)
+        LOG.info('weights.named', model=model, version=version)
--- a/src/lifttrestle/internal/fleet/parts.py
+++ b/src/lifttrestle/internal/fleet/parts.py
@@ -25,6 +25,7 @@
 from lifttrestle.internal.fleet.settings import FleetSettings
 from lifttrestle.internal.fleet.table_watch import TableWatch
 from lifttrestle.internal.fleet.weights_view import WeightsView
+from lifttrestle.internal.telemetry.fleet_metrics import FleetMetrics
 
 
 @dataclasses.dataclass
@@ -45,6 +46,7 @@
     sources: CacheSources
     weights: WeightsView
     roster: Roster
+    metrics: FleetMetrics
     budgets: dict[str, SharedRetryBudget] = dataclasses.field(
         default_factory=dict
     )
--- a/src/lifttrestle/internal/fleet/placement.py
+++ b/src/lifttrestle/internal/fleet/placement.py
@@ -33,17 +33,25 @@
 OTHER_DATA_CENTRE_SECONDS = 0.004
 # What it is worth to answer by the newest weights.
 OLD_WEIGHTS_SECONDS = 0.15
+# Spreads requests over upstreams that are as good as each other.
+TIE_SECONDS = 0.002
+# Candidates that the log tells of.
+MAX_TOLD = 5
 # A running request of a plain service holds one of few slots.
 PLAIN_RUNNING_SECONDS = 0.03
 
 
 @dataclasses.dataclass(frozen=True)
 class Placement:
-    """An upstream and why it was chosen, for the log."""
+    """An upstream and why it was chosen, for the log.
+
+    :ivar candidates: the best few instances with their expected seconds.
+    """
 
     upstream: FleetUpstream
     reason: str
     expected_seconds: float
+    candidates: tuple[tuple[str, float], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -66,15 +74,15 @@
     fit: list[FleetUpstream], around: Surroundings, source: random.Random
 ) -> Placement | None:
     """Return the upstream of a plain service that should answer first."""
-    best: Placement | None = None
-    for upstream in _prefer_sound(fit, around.now):
+    costs = {}
+    sound = _prefer_sound(fit, around.now)
+    for upstream in sound:
         cost = upstream.first_byte_seconds
         cost += upstream.in_flight * PLAIN_RUNNING_SECONDS
         cost += _weigh_distance(upstream, around)
-        cost += source.random() * 0.002
-        if best is None or cost < best.expected_seconds:
-            best = Placement(upstream, 'least expected time', cost)
-    return best
+        cost += source.random() * TIE_SECONDS
+        costs[upstream.instance] = cost
+    return _take_least(sound, costs, 'least expected time')
 
 
 def choose_engine(
@@ -92,15 +100,26 @@
     if not sound:
         return None
     ranks = _rank_homes(sound, generation, salt)
-    best: Placement | None = None
-    for upstream in sound:
-        cost = _expect_first_piece(
+    costs = {
+        upstream.instance: _expect_first_piece(
             upstream, generation, ranks[upstream.instance], around
         )
-        reason = f'home {ranks[upstream.instance]}'
-        if best is None or cost < best.expected_seconds:
-            best = Placement(upstream, reason, cost)
-    return best
+        for upstream in sound
+    }
+    least = min(costs, key=costs.__getitem__)
+    return _take_least(sound, costs, f'home {ranks[least]}')
+
+
+def _take_least(
+    sound: list[FleetUpstream], costs: dict[str, float], reason: str
+) -> Placement | None:
+    if not sound:
+        return None
+    best = min(sound, key=lambda upstream: costs[upstream.instance])
+    ordered = sorted(costs.items(), key=lambda item: item[1])
+    return Placement(
+        best, reason, costs[best.instance], tuple(ordered[:MAX_TOLD])
+    )
 
 
 def _prefer_sound(fit: list[FleetUpstream], now: float) -> list[FleetUpstream]:
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -13,7 +13,6 @@
 """One router process of a fleet: builds its parts, runs them, stops."""
 
 import asyncio
-import logging
 import random
 import signal
 
@@ -24,6 +23,7 @@
 from lifttrestle.internal.fleet.dialect import RequestDialect
 from lifttrestle.internal.fleet.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.doors import CallersDoor
+from lifttrestle.internal.fleet.doors import MetricsDoor
 from lifttrestle.internal.fleet.doors import ReadyDoor
 from lifttrestle.internal.fleet.engine_control import EngineControl
 from lifttrestle.internal.fleet.exchange import OLD_WEIGHTS_SHARE
@@ -41,8 +41,10 @@
 from lifttrestle.internal.http.address import check_address
 from lifttrestle.internal.http.limits import HttpLimits
 from lifttrestle.internal.http.server import HttpServer
+from lifttrestle.internal.telemetry.event_log import get_event_log
+from lifttrestle.internal.telemetry.fleet_metrics import FleetMetrics
 
-LOG = logging.getLogger('lifttrestle.router')
+LOG = get_event_log('router')
 # How long the store holds a read of each table without news. The operator's
 # table proves that keys are current, so its reads are short.
 OPERATOR_WAIT_SECONDS = 1.5
@@ -112,6 +114,7 @@
             sources=CacheSources(clock),
             weights=self._weights,
             roster=self._roster,
+            metrics=self._make_metrics(),
         )
         self._loader = WeightsLoader(
             store,
@@ -130,6 +133,9 @@
             CallersDoor(self._parts).handle, _make_limits(None)
         )
         self._probes = HttpServer(self._ready.handle, _make_limits(None))
+        self._metrics = HttpServer(
+            MetricsDoor(self._parts.metrics).handle, _make_limits(None)
+        )
 
     def _make_watch(
         self, table: str, wait_seconds: float, listener: object
@@ -143,6 +149,30 @@
             listener,  # type: ignore[arg-type]
         )
 
+    def _make_metrics(self) -> FleetMetrics:
+        metrics = FleetMetrics()
+        metrics.watch(
+            'view_age_seconds',
+            'Since what the operator put in force was proved current.',
+            self._operator_watch.get_age,
+        )
+        metrics.watch(
+            'live_routers',
+            'Routers that share budgets, counted high.',
+            lambda: self._roster.live,
+        )
+        metrics.watch(
+            'upstreams',
+            'Upstreams that are known.',
+            lambda: len(list(self._directory)),
+        )
+        metrics.watch(
+            'requests_running',
+            'Requests that are being served.',
+            lambda: self._callers.busy,
+        )
+        return metrics
+
     def _take_operator_row(self, row: VersionedRow) -> None:
         before = self._view.catalogue
         self._view.take(row)
@@ -190,10 +220,13 @@
         self.ready_address = await self._probes.start(
             check_address(settings.ready_address)
         )
+        if settings.metrics_address:
+            await self._metrics.start(check_address(settings.metrics_address))
         LOG.info(
-            'router: started callers=%s ready=%s',
-            self.callers_address,
-            self.ready_address,
+            'router.started',
+            callers=str(self.callers_address),
+            ready=str(self.ready_address),
+            data_centre=settings.data_centre,
         )
         work = (
             self._operator_watch.run(),
@@ -219,13 +252,11 @@
     def _note_control_end(self, task: 'asyncio.Task[None]') -> None:
         if task.cancelled() or task.exception() is None:
             return
-        LOG.critical(
-            'router: a control task failed', exc_info=task.exception()
-        )
+        LOG.critical('router.control_failed', exc_info=task.exception())
         self._stop.set()
 
     async def _shut_down(self) -> bool:
-        LOG.info('router: stopping, %d requests', self._callers.busy)
+        LOG.info('router.stopping', requests=self._callers.busy)
         grace = self._settings.promises.grace_seconds
         self._ready.stopping = True
         self._callers.announce_stop()
@@ -234,12 +265,13 @@
         await self._roster.leave()
         whole = await self._callers.stop(grace - notice - END_SECONDS)
         await self._probes.stop(0)
-        LOG.info('router: stopped, every request ended: %s', whole)
+        await self._metrics.stop(0)
+        LOG.info('router.stopped', every_request_ended=whole)
         return whole
 
 
 def _note_reload() -> None:
-    LOG.info('router: told to reload; settings are read at the start only')
+    LOG.info('router.reload_ignored', reason='settings are read at start')
 
 
 def _make_limits(catalogue: Catalogue | None) -> HttpLimits:
--- a/src/lifttrestle/internal/fleet/roster.py
+++ b/src/lifttrestle/internal/fleet/roster.py
@@ -17,8 +17,6 @@
 and caps that are divided by it then come out too small, never too large.
 """
 
-import logging
-
 import msgspec
 
 from lifttrestle.errors import ConditionFailed
@@ -28,8 +26,9 @@
 from lifttrestle.internal.fleet.rows import RowStore
 from lifttrestle.internal.fleet.rows import RowWrite
 from lifttrestle.internal.fleet.rows import VersionedRow
+from lifttrestle.internal.telemetry.event_log import get_event_log
 
-LOG = logging.getLogger('lifttrestle.roster')
+LOG = get_event_log('roster')
 FLEET_TABLE = 'lifttrestle'
 ROUTER_PREFIX = 'router/'
 RETRY_SECONDS = 0.5
@@ -79,10 +78,13 @@
         """Take in a changed row of the table."""
         if not row.key.startswith(ROUTER_PREFIX):
             return
+        before = self.live
         if row.value is None:
             self._versions.pop(row.key, None)
         else:
             self._versions[row.key] = row.version
+        if self.live != before:
+            LOG.info('roster.changed', live=self.live, before=before)
 
     async def join(self) -> None:
         """Write this router's row, trying until it is there."""
@@ -96,7 +98,7 @@
                 # An earlier start of this router wrote the same.
                 return
             except PlatformUnavailable as error:
-                LOG.debug('roster: not joined yet: %s', error)
+                LOG.info('roster.not_joined', reason=str(error))
                 await self._clock.sleep(RETRY_SECONDS)
 
     async def leave(self) -> None:
@@ -108,7 +110,7 @@
             await self._write(None, version)
             self._versions.pop(self._key, None)
         except (ConditionFailed, PlatformUnavailable) as error:
-            LOG.warning('roster: row not removed: %s', error)
+            LOG.warning('roster.row_left', reason=str(error))
 
     async def _write(self, value: bytes | None, version: int) -> None:
         write = RowWrite(FLEET_TABLE, self._key, value, version)
--- /dev/null
+++ b/src/lifttrestle/internal/fleet/story.py
@@ -0,0 +1,68 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""The decisions on one request, told as events when it has ended.
+
+They are kept until the end because only then it is known whether the request
+failed: the story of one that failed is always written whole, those of the
+others within the rate of the log.
+"""
+
+import dataclasses
+
+from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.telemetry.event_log import get_event_log
+
+LOG = get_event_log('request')
+MILLISECONDS = 1000
+# Steps of one request; more than its attempts can have.
+MAX_STEPS = 60
+
+
+@dataclasses.dataclass(frozen=True)
+class Step:
+    """One decision, when it was made, and what decided it."""
+
+    name: str
+    after_seconds: float
+    fields: dict[str, object]
+
+
+class RequestStory:
+    """Collects the steps of one request."""
+
+    def __init__(self, clock: Clock, request_id: str) -> None:
+        self._clock = clock
+        self._request_id = request_id
+        self._started = clock.monotonic()
+        self._steps: list[Step] = []
+
+    def add(self, name: str, **fields: object) -> None:
+        """Note a decision."""
+        if len(self._steps) < MAX_STEPS:
+            after = self._clock.monotonic() - self._started
+            self._steps.append(Step(name, after, fields))
+
+    def tell(self, outcome: str, *, failed: bool, **fields: object) -> None:
+        """Write the story.
+
+        :param failed: write it whole, whatever the rate.
+        """
+        self.add('ended', outcome=outcome, **fields)
+        for step in self._steps:
+            LOG.info(
+                f'request.{step.name}',
+                whole=failed,
+                request=self._request_id,
+                after_ms=round(step.after_seconds * MILLISECONDS, 1),
+                **step.fields,
+            )
--- a/src/lifttrestle/internal/fleet/table_watch.py
+++ b/src/lifttrestle/internal/fleet/table_watch.py
@@ -17,7 +17,6 @@
 """
 
 from collections.abc import Callable
-import logging
 import random
 
 from lifttrestle.errors import HistoryGone
@@ -27,8 +26,9 @@
 from lifttrestle.internal.fleet.rows import RowChanges
 from lifttrestle.internal.fleet.rows import RowStore
 from lifttrestle.internal.fleet.rows import VersionedRow
+from lifttrestle.internal.telemetry.event_log import get_event_log
 
-LOG = logging.getLogger('lifttrestle.watch')
+LOG = get_event_log('watch')
 # Pauses after a failed read: short enough to be back within a fraction of
 # the shortest promise (2 s), doubled to spare a store that is overloaded.
 FIRST_PAUSE_SECONDS = 0.1
@@ -107,7 +107,9 @@
                     self._table, self._version, self._wait_seconds
                 )
             except HistoryGone as error:
-                LOG.info('watch: table=%s %s', self._table, error)
+                LOG.info(
+                    'watch.history_gone', table=self._table, reason=str(error)
+                )
                 self._whole = False
                 return
             self._take(changes)
@@ -144,19 +146,17 @@
     def _note_lost(self, error: PlatformUnavailable) -> None:
         if not self._lost:
             LOG.warning(
-                'watch: lost table=%s age=%.3f error="%s"',
-                self._table,
-                self.get_age(),
-                error,
+                'watch.lost',
+                table=self._table,
+                age_s=round(self.get_age(), 3),
+                reason=str(error),
             )
         self._lost = True
 
     def _note_regained(self) -> None:
         if self._lost:
             LOG.info(
-                'watch: regained table=%s version=%d',
-                self._table,
-                self._version,
+                'watch.regained', table=self._table, version=self._version
             )
             self._lost = False
             self.regained_at = self._clock.monotonic()
--- a/src/lifttrestle/internal/fleet/weights_loader.py
+++ b/src/lifttrestle/internal/fleet/weights_loader.py
@@ -21,7 +21,6 @@
 
 import asyncio
 import dataclasses
-import logging
 import math
 import random
 
@@ -47,8 +46,9 @@
 from lifttrestle.internal.fleet.weights_view import WeightsPlan
 from lifttrestle.internal.fleet.weights_view import WeightsView
 from lifttrestle.internal.routing.rendezvous import rank_names
+from lifttrestle.internal.telemetry.event_log import get_event_log
 
-LOG = logging.getLogger('lifttrestle.weights')
+LOG = get_event_log('weights')
 POLL_SECONDS = 0.1
 # Orders of a batch are sent within this time after its row was asked for.
 ORDER_SECONDS = 0.8
@@ -117,7 +117,7 @@
                 try:
                     await self.serve_model(model)
                 except (PlatformUnavailable, ConditionFailed) as error:
-                    LOG.info('weights: model=%s not now: %s', model, error)
+                    LOG.info('weights.not_now', model=model, reason=str(error))
                     await self._clock.sleep(
                         self._source.uniform(POLL_SECONDS, 4 * POLL_SECONDS)
                     )
@@ -257,21 +257,25 @@
         self, upstream: FleetUpstream, order: LoadOrder, asked_at: float
     ) -> None:
         if self._clock.monotonic() - asked_at > ORDER_SECONDS:
-            LOG.warning('weights: the lease ran out before an order')
+            LOG.warning('weights.lease_ran_out', instance=upstream.instance)
             return
         try:
             outcome = await self._control.send_load(upstream, order)
         except PlatformUnavailable as error:
-            LOG.info('weights: order to %s: %s', upstream.instance, error)
+            LOG.info(
+                'weights.order_unanswered',
+                instance=upstream.instance,
+                reason=str(error),
+            )
             outcome = OrderOutcome.UNKNOWN
         LOG.info(
-            'weights: ordered instance=%s model=%s version=%d fence=%d'
-            ' outcome="%s"',
-            upstream.instance,
-            order.model,
-            order.version,
-            order.fence,
-            outcome.value,
+            'weights.ordered',
+            instance=upstream.instance,
+            model=order.model,
+            version=order.version,
+            fence=order.fence,
+            orders_accepted=order.orders_accepted,
+            outcome=outcome.value,
         )
         if outcome is OrderOutcome.HOLDS:
             upstream.note_weights(order.model, order.version)
@@ -317,5 +321,9 @@
         try:
             return await self._control.read_state(upstream)
         except PlatformUnavailable as error:
-            LOG.info('weights: no report of %s: %s', upstream.instance, error)
+            LOG.info(
+                'weights.no_report',
+                instance=upstream.instance,
+                reason=str(error),
+            )
             return None
--- a/src/lifttrestle/internal/fleet/weights_view.py
+++ b/src/lifttrestle/internal/fleet/weights_view.py
@@ -19,7 +19,6 @@
 """
 
 import dataclasses
-import logging
 
 import msgspec
 
@@ -27,8 +26,9 @@
 from lifttrestle.internal.fleet.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.rows import NO_ROW
 from lifttrestle.internal.fleet.rows import VersionedRow
+from lifttrestle.internal.telemetry.event_log import get_event_log
 
-LOG = logging.getLogger('lifttrestle.weights')
+LOG = get_event_log('weights')
 PLAN_PREFIX = 'weights/'
 # An engine in a batch is avoided for this long at most: running requests end
 # first, then a load takes about a second.
@@ -77,7 +77,9 @@
         try:
             plan = msgspec.json.decode(row.value, type=WeightsPlan)
         except (ValueError, msgspec.MsgspecError) as error:
-            LOG.error('weights: the plan %s is unreadable: %s', row.key, error)
+            LOG.error(
+                'weights.plan_unreadable', key=row.key, reason=str(error)
+            )
             return
         self.note(plan, row.version)
 
@@ -87,6 +89,15 @@
             return
         now = self._clock.monotonic()
         self._held[plan.model] = HeldPlan(plan, row_version, now)
+        LOG.info(
+            'weights.plan',
+            model=plan.model,
+            version=plan.version,
+            holder=plan.holder,
+            fence=row_version,
+            loading=plan.loading,
+            loaded=plan.loaded,
+        )
         for instance in plan.loaded:
             upstream = self._directory.get(instance)
             if upstream is not None:
--- /dev/null
+++ b/src/lifttrestle/internal/telemetry/fleet_metrics.py
@@ -0,0 +1,117 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Counters and latency histograms of a fleet router.
+
+docs/METRICS.md says which question each one answers.
+"""
+
+from collections.abc import Callable
+
+import prometheus_client
+
+PREFIX = 'lifttrestle'
+# Bounds in seconds. The objectives of the known deployments lie between
+# 0.1 and 0.7 s, their time limits between 0.6 and 15 s.
+LATENCY_BOUNDS = (
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.15,
+    0.25,
+    0.4,
+    0.6,
+    1.0,
+    2.0,
+    4.0,
+    8.0,
+    16.0,
+)
+
+
+class FleetMetrics:
+    """The metrics of one process, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self._ended = self._make_counter(
+            'requests', 'Requests that ended.', ('service', 'outcome')
+        )
+        self._attempts = self._make_counter(
+            'attempts', 'Sends to upstreams.', ('service', 'result')
+        )
+        self._retries = self._make_counter(
+            'retries', 'Second and further sends.', ('service', 'result')
+        )
+        self._connections = self._make_counter(
+            'connections', 'Connections to upstreams.', ('service', 'kind')
+        )
+        self._seconds = self._make_histogram(
+            'request_seconds', 'From the head of a request to its end.'
+        )
+        self._first_byte = self._make_histogram(
+            'first_byte_seconds', 'From a send to the head of its answer.'
+        )
+
+    def count_request(
+        self, service: str, outcome: str, seconds: float
+    ) -> None:
+        """Count a request that ended."""
+        self._ended.labels(service, outcome).inc()
+        self._seconds.labels(service).observe(seconds)
+
+    def count_attempt(self, service: str, result: str) -> None:
+        """Count a send by how it went."""
+        self._attempts.labels(service, result).inc()
+
+    def count_retry(self, service: str, granted: bool) -> None:
+        """Count a retry that the budget granted or refused."""
+        result = 'granted' if granted else 'refused'
+        self._retries.labels(service, result).inc()
+
+    def count_connection(self, service: str, kept: bool) -> None:
+        """Count a send by whether its connection was a kept one."""
+        self._connections.labels(service, 'kept' if kept else 'new').inc()
+
+    def time_first_byte(self, service: str, seconds: float) -> None:
+        """Record how long an upstream took to begin its answer."""
+        self._first_byte.labels(service).observe(seconds)
+
+    def watch(self, name: str, text: str, read: Callable[[], float]) -> None:
+        """Serve a gauge whose value is read when it is asked for."""
+        gauge = prometheus_client.Gauge(
+            f'{PREFIX}_{name}', text, registry=self.registry
+        )
+        gauge.set_function(read)
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format."""
+        return prometheus_client.generate_latest(self.registry)
+
+    def _make_counter(
+        self, name: str, text: str, labels: tuple[str, ...]
+    ) -> prometheus_client.Counter:
+        return prometheus_client.Counter(
+            f'{PREFIX}_{name}', text, labels, registry=self.registry
+        )
+
+    def _make_histogram(
+        self, name: str, text: str
+    ) -> prometheus_client.Histogram:
+        return prometheus_client.Histogram(
+            f'{PREFIX}_{name}',
+            text,
+            ('service',),
+            buckets=LATENCY_BOUNDS,
+            registry=self.registry,
+        )
--- /dev/null
+++ b/tests/cover/test_explain.py
@@ -0,0 +1,100 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""The story of one request from the logs of many routers."""
+
+import contextlib
+import io
+import json
+import pathlib
+import tempfile
+import unittest
+
+from lifttrestle.internal.cli.main import main
+
+
+def make_line(second, event, vm='vm-1', **fields):
+    at = f'2026-12-02T10:00:{second:06.3f}Z'
+    return json.dumps({'at': at, 'vm': vm, 'event': event, **fields})
+
+
+def make_step(second, name, after_ms, **fields):
+    return make_line(
+        second,
+        f'request.{name}',
+        request='r1',
+        after_ms=after_ms,
+        **fields,
+    )
+
+
+LINES = [
+    make_line(7.5, 'watch.lost', table='op', age_s=1.5),
+    make_line(8.0, 'upstream.draining', instance='p9'),
+    make_line(8.1, 'upstream.draining', instance='p1'),
+    make_line(7.9, 'watch.lost', vm='vm-2', table='op'),
+    make_step(9.0, 'sent', 12.0, instance='p1'),
+    make_step(9.0, 'ended', 900.0, outcome='upstream_failed'),
+    make_line(9.0, 'request.ended', request='r2', after_ms=1),
+    '{"at": torn',
+]
+
+
+class TestExplain(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.log = pathlib.Path(folder.name) / 'vm-1.log'
+        self.log.write_text('\n'.join(LINES))
+
+    def run_command(self, *arguments):
+        out, err = io.StringIO(), io.StringIO()
+        with contextlib.redirect_stdout(out):
+            with contextlib.redirect_stderr(err):
+                code = main(['explain', *arguments])
+        return code, out.getvalue(), err.getvalue()
+
+    def test_timeline_has_the_steps_and_the_beliefs_that_matter(self):
+        code, out, _ = self.run_command('r1', str(self.log))
+        self.assertEqual(code, 0)
+        rows = out.splitlines()
+        names = [row.split()[3] for row in rows if '* ' in row]
+        self.assertEqual(names, ['watch.lost', 'upstream.draining'])
+        self.assertIn('instance=p1', out)
+        self.assertNotIn('p9', out)
+        self.assertNotIn('vm-2', out)
+        self.assertIn('1 broken lines', rows[-1])
+        sent = next(row for row in rows if ' sent ' in row)
+        self.assertTrue(sent.strip().startswith('+12.0 ms'), sent)
+
+    def test_lines_may_have_a_prefix(self):
+        prefixed = [f'  12.0 vm-1 {line}' for line in LINES]
+        self.log.write_text('\n'.join(prefixed))
+        code, out, _ = self.run_command('r1', str(self.log))
+        self.assertEqual((code, 'sent' in out), (0, True))
+
+    def test_json_is_for_programs(self):
+        _, out, _ = self.run_command('r1', str(self.log), '--json')
+        story = json.loads(out)
+        self.assertEqual(len(story['steps']), 2)
+        self.assertEqual(story['broken'], 1)
+
+    def test_unknown_request_says_what_was_read(self):
+        code, _, err = self.run_command('r9', str(self.log))
+        self.assertEqual(code, 1)
+        self.assertIn("'r9'", err)
+        self.assertIn('7 events', err)
+
+    def test_file_that_is_not_there(self):
+        code, _, err = self.run_command('r1', '/no/such.log')
+        self.assertEqual(code, 2)
+        self.assertIn('/no/such.log', err)
--- a/tests/cover/test_fleet_weights.py
+++ b/tests/cover/test_fleet_weights.py
@@ -18,12 +18,8 @@
 import unittest
 
 from hypothesis import settings
+from hypothesis import stateful
 from hypothesis import strategies as st
-from hypothesis.stateful import invariant
-from hypothesis.stateful import precondition
-from hypothesis.stateful import rule
-from hypothesis.stateful import RuleBasedStateMachine
-from hypothesis.stateful import run_state_machine_as_test
 import msgspec
 
 from lifttrestle.errors import ConditionFailed
@@ -168,7 +164,7 @@
             pass
 
 
-class LoaderMachine(RuleBasedStateMachine):
+class LoaderMachine(stateful.RuleBasedStateMachine):
     """Routers that hear late, lose the store and whose orders are late."""
 
     loader_class = WeightsLoader
@@ -184,29 +180,29 @@
         ]
         self.version = 1
 
-    @rule()
+    @stateful.rule()
     def name_weights(self):
         self.version += 1
         for router in self.routers:
             router.name(self.version)
 
-    @rule(index=st.integers(0, 2))
+    @stateful.rule(index=st.integers(0, 2))
     def hear(self, index):
         self.routers[index].hear()
 
-    @rule(index=st.integers(0, 2))
+    @stateful.rule(index=st.integers(0, 2))
     def act(self, index):
         self.routers[index].act()
 
-    @rule(seconds=st.sampled_from((0.1, 0.7, 1.5, 3.5, 5.0, 9.0)))
+    @stateful.rule(seconds=st.sampled_from((0.1, 0.7, 1.5, 3.5, 5.0, 9.0)))
     def wait(self, seconds):
         self.time.advance(seconds)
 
-    @rule(index=st.integers(0, 2), delays=st.booleans())
+    @stateful.rule(index=st.integers(0, 2), delays=st.booleans())
     def delay_orders(self, index, delays):
         self.routers[index].control.delays = delays
 
-    @rule(down=st.booleans(), lose=st.booleans())
+    @stateful.rule(down=st.booleans(), lose=st.booleans())
     def harm_store(self, down, lose):
         self.rows.down = False
         self.rows.lose_answers = lose
@@ -214,8 +210,8 @@
             router.hear()
         self.rows.down = down
 
-    @precondition(lambda self: self.engines.late)
-    @rule()
+    @stateful.precondition(lambda self: self.engines.late)
+    @stateful.rule()
     def deliver_late(self):
         instance, order = self.engines.late.pop(0)
         before = self.engines.weights[instance]
@@ -224,13 +220,13 @@
         assert self.engines.weights[instance] >= before
         self.engines.log.pop()
 
-    @invariant()
+    @stateful.invariant()
     def holders_do_not_take_turns(self):
         for before, after in zip(self.engines.log, self.engines.log[1:]):
             if before[2].holder != after[2].holder:
                 assert after[0] - before[0] >= LEASE_SECONDS, (before, after)
 
-    @invariant()
+    @stateful.invariant()
     def fences_grow(self):
         fences = [order.fence for _, _, order in self.engines.log]
         assert fences == sorted(fences)
@@ -259,7 +255,7 @@
 
 def run_machine(loader_class):
     machine = type('Machine', (LoaderMachine,), {'loader_class': loader_class})
-    run_state_machine_as_test(
+    stateful.run_state_machine_as_test(
         machine,
         settings=settings(
             max_examples=300,
