Engines that are not there are avoided; a request waits a little for one

The loader took two more engines out of work while two had crashed. Ruled out: steering away for less time (an engine that loads does turn work away).

--- a/src/lifttrestle/internal/fleet/exchange.py
+++ b/src/lifttrestle/internal/fleet/exchange.py
@@ -52,6 +52,7 @@
 # Sends of one request, counting those that were turned away unread.
 MAX_SENDS = 4
 MILLISECONDS = 1000
+FOR_EVER = float('inf')
 # When a refused caller may come back: engines free a slot within that time.
 RETRY_SECONDS = 0.15
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -61,6 +62,11 @@
 # a second. An upstream that is slow but answers others is waited for.
 SILENT_TARGETS = 2.0
 MIN_SILENT_SECONDS = 1.0
+# A request waits for an upstream at most so long, and at most that share of
+# its time: engines that load are back within about a second.
+MAX_HELD_SECONDS = 0.8
+HELD_SHARE = 0.2
+HELD_POLL_SECONDS = 0.03
 # Below this there is no time left to be served in.
 MIN_LEFT_SECONDS = 0.01
 SHARED_WALL = 'shared'
@@ -101,7 +107,8 @@
         self._deadline = self._started
         self._progress = RequestProgress()
         self._relay = EventRelay(connection, facts.last_event)
-        self._tried: set[str] = set()
+        # Until when an upstream is not to be tried again.
+        self._tried: dict[str, float] = {}
         self._sends = 0
         self._runs = 0
         self._service = ''
@@ -196,7 +203,7 @@
             # the view may have become too old to rely on.
             admitted = admit(self._parts, self._facts)
             self._check_service(admitted)
-            placement = self._choose(admitted)
+            placement = await self._choose(admitted)
             upstream = placement.upstream
             self._story.add(
                 'chosen',
@@ -207,7 +214,7 @@
                     for name, cost in placement.candidates
                 },
             )
-            self._tried.add(upstream.instance)
+            self._tried[upstream.instance] = FOR_EVER
             try:
                 await self._attempt(admitted, placement)
                 return
@@ -228,14 +235,34 @@
         if self._service not in names:
             self._service = self._choose_service(admitted)
 
-    def _choose(self, admitted: Admitted) -> Placement:
-        fit = self._list_fit(admitted)
-        placement = self._place(admitted, fit)
-        if placement is None:
-            raise self._give_up(
-                ErrorKind.NO_UPSTREAM, 'no upstream may serve this now'
-            )
-        return placement
+    async def _choose(self, admitted: Admitted) -> Placement:
+        """Return an upstream, waiting a little while there is none."""
+        clock = self._parts.clock
+        until = clock.monotonic() + min(
+            MAX_HELD_SECONDS, self._get_left() * HELD_SHARE
+        )
+        held = False
+        while True:
+            placement = self._place(admitted, self._list_fit(admitted))
+            if placement is not None:
+                return placement
+            if clock.monotonic() >= until or not self._may_become_fit():
+                break
+            if not held:
+                held = True
+                self._story.add('held', reason='no upstream is free for it')
+            await asyncio.sleep(HELD_POLL_SECONDS)
+            admitted = admit(self._parts, self._facts)
+        raise self._give_up(
+            ErrorKind.NO_UPSTREAM, 'no upstream may serve this now'
+        )
+
+    def _may_become_fit(self) -> bool:
+        """Return whether an upstream is left that this request can use."""
+        return any(
+            self._tried.get(upstream.instance) != FOR_EVER
+            for upstream in self._parts.directory.list_fit(self._service)
+        )
 
     def _list_fit(self, admitted: Admitted) -> list[FleetUpstream]:
         parts = self._parts
@@ -246,7 +273,7 @@
         found = [
             upstream
             for upstream in parts.directory.list_fit(self._service)
-            if upstream.instance not in self._tried
+            if self._tried.get(upstream.instance, now) <= now
             and upstream.in_flight < cap
         ]
         generation = self._facts.generation
@@ -261,6 +288,9 @@
         wanted = self._parts.view.wanted.get(model)
         loaded = [item for item in found if model in item.weights]
         idle = [item for item in loaded if item.busy_until <= now]
+        # An engine that loads turns requests away at once; when all do, one
+        # of them may have ended, or may not have had its order.
+        idle = idle or loaded
         if wanted is None:
             return idle
         limit = self._parts.settings.promises.weights_seconds
@@ -484,10 +514,13 @@
         if isinstance(error, UpstreamDeclined):
             self._progress.move(RequestEvent.DECLINED)
             self._runs -= 1
+            self._tried[upstream.instance] = now + DECLINED_SECONDS
             if self._facts.generation is not None:
                 upstream.busy_until = max(
                     upstream.busy_until, now + DECLINED_SECONDS
                 )
+        elif isinstance(error, UpstreamConnectFailed):
+            upstream.unreached_at = now
         else:
             upstream.breaker.note_failure(now)
         if self._sends >= MAX_SENDS:
@@ -540,7 +573,7 @@
         now = parts.clock.monotonic()
         budget = parts.get_budget(self._service)
         return budget.has_room(parts.roster.live) and any(
-            not upstream.is_silent(now)
+            not upstream.is_doubtful(now)
             for upstream in self._list_fit(admitted)
         )
 
--- a/src/lifttrestle/internal/fleet/placement.py
+++ b/src/lifttrestle/internal/fleet/placement.py
@@ -37,6 +37,9 @@
 TIE_SECONDS = 0.002
 # Candidates that the log tells of.
 MAX_TOLD = 5
+# Engines begin to answer within this time while nothing waits; a request that
+# has waited longer tells how long the queue is.
+USUAL_WAIT_SECONDS = 0.15
 # A running request of a plain service holds one of few slots.
 PLAIN_RUNNING_SECONDS = 0.03
 
@@ -127,7 +130,7 @@
     sound = [
         upstream
         for upstream in fit
-        if upstream.breaker.allows(now) and not upstream.is_silent(now)
+        if upstream.breaker.allows(now) and not upstream.is_doubtful(now)
     ]
     return sound or [item for item in fit if item.breaker.allows(now)] or fit
 
@@ -154,6 +157,7 @@
     cost = miss * read
     cost += upstream.in_flight * RUNNING_SECONDS * _scale(around)
     cost += upstream.tokens_in_flight * READ_SECONDS_PER_TOKEN * 0.3
+    cost += max(upstream.get_oldest_wait(around.now) - USUAL_WAIT_SECONDS, 0)
     cost += _weigh_distance(upstream, around)
     held = upstream.weights.get(generation.model, 0)
     if held < around.wanted_version:
--- a/src/lifttrestle/internal/fleet/upstream.py
+++ b/src/lifttrestle/internal/fleet/upstream.py
@@ -24,6 +24,10 @@
 # An upstream that owes answers and sent nothing for this long is suspect.
 # The slowest first piece seen on calm days was under a second.
 SILENT_SECONDS = 1.0
+# One that takes no connections has crashed or is cut off. Its entry stays in
+# the list for a few seconds, and a new start has an entry of its own.
+UNREACHED_SECONDS = 1.0
+NEVER = float('-inf')
 
 
 @dataclasses.dataclass
@@ -35,6 +39,7 @@
     :ivar busy_until: until when it is expected to load weights.
     :ivar vanished_at: when its entry went, or None.
     :ivar first_byte_seconds: average time to the first byte of an answer.
+    :ivar unreached_at: when it last took no connection.
     :ivar waiting_since: when each unanswered request was sent.
     """
 
@@ -49,6 +54,7 @@
     tokens_in_flight: int = 0
     first_byte_seconds: float = 0.0
     heard_at: float = 0.0
+    unreached_at: float = NEVER
     waiting_since: dict[int, float] = dataclasses.field(default_factory=dict)
 
     @property
@@ -78,6 +84,17 @@
         """Forget an exchange that is over."""
         self.waiting_since.pop(ticket, None)
 
+    def get_oldest_wait(self, now: float) -> float:
+        """Return for how long the oldest unanswered request has waited."""
+        if not self.waiting_since:
+            return 0.0
+        return now - min(self.waiting_since.values())
+
+    def is_doubtful(self, now: float) -> bool:
+        """Return whether there are signs that it is not there."""
+        unreached = now - self.unreached_at < UNREACHED_SECONDS
+        return unreached or self.is_silent(now)
+
     def is_silent(self, now: float) -> bool:
         """Return whether it owes an answer and has been quiet too long."""
         if not self.waiting_since:
--- a/src/lifttrestle/internal/fleet/weights_loader.py
+++ b/src/lifttrestle/internal/fleet/weights_loader.py
@@ -193,8 +193,11 @@
                 break
             if upstream.instance in loads:
                 continue
+            if upstream.is_doubtful(self._clock.monotonic()):
+                continue
             state = await self._read_state(upstream)
             if state is None:
+                upstream.unreached_at = self._clock.monotonic()
                 continue
             known = state.weights.get(model, 0)
             upstream.note_weights(model, known)
@@ -226,12 +229,12 @@
     def _count_room(self, model: str) -> int:
         """Return how many engines may be without work at the same time.
 
-        Those that fell silent are without work already.
+        Those that seem not to be there are without work already.
         """
         now = self._clock.monotonic()
         engines = self._list_engines(model)
-        silent = [item for item in engines if item.is_silent(now)]
-        room = math.floor(LOADING_SHARE * len(engines)) - len(silent)
+        absent = [item for item in engines if item.is_doubtful(now)]
+        room = math.floor(LOADING_SHARE * len(engines)) - len(absent)
         return max(room, 1)
 
     async def _write_plan(
