--- a/src/lifttrestle/internal/fleet/exchange.py
+++ b/src/lifttrestle/internal/fleet/exchange.py
@@ -62,6 +62,10 @@
 # a second. An upstream that is slow but answers others is waited for.
 SILENT_TARGETS = 2.0
 MIN_SILENT_SECONDS = 1.0
+# A request is refused when others have waited for this many times its
+# objective where it would be sent.
+SHED_TARGETS = 1.0
+SHED_RETRY_SECONDS = 0.6
 # A request waits for an upstream at most so long, and at most that share of
 # its time: engines that load are back within about a second.
 MAX_HELD_SECONDS = 0.8
@@ -245,6 +249,7 @@
         while True:
             placement = self._place(admitted, self._list_fit(admitted))
             if placement is not None:
+                self._check_queue(admitted, placement.upstream)
                 return placement
             if clock.monotonic() >= until or not self._may_become_fit():
                 break
@@ -257,6 +262,26 @@
             ErrorKind.NO_UPSTREAM, 'no upstream may serve this now'
         )
 
+    def _check_queue(
+        self, admitted: Admitted, upstream: FleetUpstream
+    ) -> None:
+        """Refuse at once what would only wait too long.
+
+        The best engine has a queue: to join it makes this request late, and
+        all that follow as well.
+        """
+        if self._facts.generation is None or self._sends:
+            return
+        now = self._parts.clock.monotonic()
+        urgency = self._get_urgency(admitted)
+        wait = upstream.get_oldest_wait(now, urgency)
+        if wait > SHED_TARGETS * admitted.route.target_seconds:
+            raise RequestRefused(
+                ErrorKind.OVERLOADED,
+                f'requests wait {wait:.2f} s at the least loaded engine',
+                retry_after=SHED_RETRY_SECONDS,
+            )
+
     def _may_become_fit(self) -> bool:
         """Return whether an upstream is left that this request can use."""
         return any(
@@ -315,6 +340,7 @@
             data_centre=parts.settings.data_centre,
             wanted_version=wanted.version if wanted is not None else 0,
             live_routers=parts.roster.live,
+            urgency=self._get_urgency(admitted),
         )
         if generation is None:
             return choose_plain(fit, around, parts.source)
@@ -358,7 +384,8 @@
             self._runs += 1
             self._progress.move(RequestEvent.SEND)
             sent_at = parts.clock.monotonic()
-            upstream.note_sent(ticket, sent_at)
+            urgency = self._get_urgency(admitted)
+            upstream.note_sent(ticket, sent_at, urgency)
             parts.metrics.count_connection(
                 self._service, connection.exchanges > 0
             )
@@ -415,7 +442,7 @@
             hide_key=admitted.catalogue.keys is not None,
             weights=weights,
             cache=self._build_cache_use(admitted, weights),
-            urgency=self._get_urgency(admitted),
+            urgency=self._get_urgency(admitted) if generation else None,
             last_event=self._relay.last_event,
         )
 
@@ -436,9 +463,7 @@
             return f'only-{workspace.name}'
         return SHARED_WALL
 
-    def _get_urgency(self, admitted: Admitted) -> int | None:
-        if self._facts.generation is None:
-            return None
+    def _get_urgency(self, admitted: Admitted) -> int:
         workspace = admitted.workspace
         priority = admitted.route.priority
         if workspace is not None and workspace.priority is not None:
--- a/src/lifttrestle/internal/fleet/placement.py
+++ b/src/lifttrestle/internal/fleet/placement.py
@@ -65,12 +65,14 @@
     :ivar data_centre: the router's own.
     :ivar wanted_version: the newest weights of the request's model.
     :ivar live_routers: routers that send work as this one does.
+    :ivar urgency: of the request; 0 is first.
     """
 
     now: float
     data_centre: str
     wanted_version: int
     live_routers: int
+    urgency: int = 0
 
 
 def choose_plain(
@@ -157,7 +159,8 @@
     cost = miss * read
     cost += upstream.in_flight * RUNNING_SECONDS * _scale(around)
     cost += upstream.tokens_in_flight * READ_SECONDS_PER_TOKEN * 0.3
-    cost += max(upstream.get_oldest_wait(around.now) - USUAL_WAIT_SECONDS, 0)
+    wait = upstream.get_oldest_wait(around.now, around.urgency)
+    cost += max(wait - USUAL_WAIT_SECONDS, 0)
     cost += _weigh_distance(upstream, around)
     held = upstream.weights.get(generation.model, 0)
     if held < around.wanted_version:
--- a/src/lifttrestle/internal/fleet/upstream.py
+++ b/src/lifttrestle/internal/fleet/upstream.py
@@ -30,6 +30,17 @@
 NEVER = float('-inf')
 
 
+@dataclasses.dataclass(frozen=True)
+class OwedAnswer:
+    """A request that was sent and has no answer yet.
+
+    :ivar urgency: 0 is first; upstreams take more urgent ones out of turn.
+    """
+
+    sent_at: float
+    urgency: int
+
+
 @dataclasses.dataclass
 class FleetUpstream:
     """One start of an upstream.
@@ -40,7 +51,7 @@
     :ivar vanished_at: when its entry went, or None.
     :ivar first_byte_seconds: average time to the first byte of an answer.
     :ivar unreached_at: when it last took no connection.
-    :ivar waiting_since: when each unanswered request was sent.
+    :ivar owed: the unanswered requests, by ticket.
     """
 
     entry: UpstreamEntry
@@ -55,7 +66,7 @@
     first_byte_seconds: float = 0.0
     heard_at: float = 0.0
     unreached_at: float = NEVER
-    waiting_since: dict[int, float] = dataclasses.field(default_factory=dict)
+    owed: dict[int, OwedAnswer] = dataclasses.field(default_factory=dict)
 
     @property
     def instance(self) -> str:
@@ -68,27 +79,33 @@
             self.weights[model] = version
             self.busy_until = 0.0
 
-    def note_sent(self, ticket: int, now: float) -> None:
+    def note_sent(self, ticket: int, now: float, urgency: int = 0) -> None:
         """Note that an answer is owed."""
-        self.waiting_since[ticket] = now
+        self.owed[ticket] = OwedAnswer(now, urgency)
         self.breaker.note_sent(now)
 
     def note_heard(self, ticket: int, now: float) -> None:
         """Note that an answer began."""
-        sent_at = self.waiting_since.pop(ticket, now)
+        owed = self.owed.pop(ticket, OwedAnswer(now, 0))
         self.heard_at = now
-        change = (now - sent_at) - self.first_byte_seconds
+        change = (now - owed.sent_at) - self.first_byte_seconds
         self.first_byte_seconds += AVERAGE_SHARE * change
 
     def note_ended(self, ticket: int) -> None:
         """Forget an exchange that is over."""
-        self.waiting_since.pop(ticket, None)
+        self.owed.pop(ticket, None)
+
+    def get_oldest_wait(self, now: float, urgency: int) -> float:
+        """Return how long an unanswered request has waited at the most.
 
-    def get_oldest_wait(self, now: float) -> float:
-        """Return for how long the oldest unanswered request has waited."""
-        if not self.waiting_since:
-            return 0.0
-        return now - min(self.waiting_since.values())
+        :param urgency: only requests that are as urgent count.
+        """
+        waits = [
+            now - owed.sent_at
+            for owed in self.owed.values()
+            if owed.urgency <= urgency
+        ]
+        return max(waits, default=0.0)
 
     def is_doubtful(self, now: float) -> bool:
         """Return whether there are signs that it is not there."""
@@ -97,7 +114,7 @@
 
     def is_silent(self, now: float) -> bool:
         """Return whether it owes an answer and has been quiet too long."""
-        if not self.waiting_since:
+        if not self.owed:
             return False
-        oldest = min(self.waiting_since.values())
+        oldest = min(owed.sent_at for owed in self.owed.values())
         return now - max(oldest, self.heard_at) > SILENT_SECONDS
