Old weights weigh little in the choice; silent engines are avoided sooner

Cause: right after a version was named, the first engines that held it drew all traffic (0.15 s in their favour) and their queues made it late.

--- a/src/lifttrestle/internal/fleet/placement.py
+++ b/src/lifttrestle/internal/fleet/placement.py
@@ -32,7 +32,7 @@
 # A request sent to another data centre: a few ms, and its bytes are priced.
 OTHER_DATA_CENTRE_SECONDS = 0.004
 # What it is worth to answer by the newest weights.
-OLD_WEIGHTS_SECONDS = 0.15
+OLD_WEIGHTS_SECONDS = 0.05
 # Spreads requests over upstreams that are as good as each other.
 TIE_SECONDS = 0.002
 # Candidates that the log tells of.
--- a/src/lifttrestle/internal/fleet/upstream.py
+++ b/src/lifttrestle/internal/fleet/upstream.py
@@ -22,8 +22,9 @@
 # five or so count.
 AVERAGE_SHARE = 0.2
 # An upstream that owes answers and sent nothing for this long is suspect.
-# The slowest first piece seen on calm days was under a second.
-SILENT_SECONDS = 1.0
+# It is avoided, not given up: 99 of 100 first pieces come within 0.75 s on
+# calm days, and to avoid an engine for a moment costs little.
+SILENT_SECONDS = 0.5
 # One that takes no connections has crashed or is cut off. Its entry stays in
 # the list for a few seconds, and a new start has an entry of its own.
 UNREACHED_SECONDS = 1.0
