Homes of shared parts are three times as strong

Cause: one request under way at a part's home outweighed the whole cost of reading the part elsewhere, so parts had no home under load.

--- a/src/lifttrestle/internal/fleet/placement.py
+++ b/src/lifttrestle/internal/fleet/placement.py
@@ -22,9 +22,6 @@
 
 # Engines read about 57 prompt tokens in a millisecond (the sites' sheets).
 READ_SECONDS_PER_TOKEN = 1 / 57_000
-# Reading shared parts from the kept store in place of computing them takes
-# about a third of the time (25 Gbit/s against 57 tokens a ms).
-FETCHED_SHARE = 0.35
 # Engines beside the first home that keep a shared part too.
 HOMES = 2
 # A running request slows the others on its engine by about this much.
@@ -154,7 +151,7 @@
     around: Surroundings,
 ) -> float:
     shared = sum(part.tokens for part in generation.parts[:-1])
-    read = shared * READ_SECONDS_PER_TOKEN * FETCHED_SHARE
+    read = shared * READ_SECONDS_PER_TOKEN
     miss = min(rank, HOMES) / HOMES
     cost = miss * read
     cost += upstream.in_flight * RUNNING_SECONDS * _scale(around)
