Routers take the loader's lease over one after the other

Ruled out: turns counted with the last holder among them (the first turn is then often the frozen router's own).

--- a/src/lifttrestle/internal/fleet/weights_loader.py
+++ b/src/lifttrestle/internal/fleet/weights_loader.py
@@ -37,6 +37,7 @@
 from lifttrestle.internal.fleet.operator_view import OperatorView
 from lifttrestle.internal.fleet.roster import FLEET_TABLE
 from lifttrestle.internal.fleet.roster import Roster
+from lifttrestle.internal.fleet.roster import ROUTER_PREFIX
 from lifttrestle.internal.fleet.rows import RowStore
 from lifttrestle.internal.fleet.rows import RowWrite
 from lifttrestle.internal.fleet.settings import Promises
@@ -57,7 +58,7 @@
 HANDOVER_SECONDS = 0.5
 # The others leave the last holder this much time to act, each one more.
 FIRST_TURN_SECONDS = 1.5
-NEXT_TURN_SECONDS = 0.4
+NEXT_TURN_SECONDS = 0.25
 # Engines that load at the same time, of all of a model's: 2 of 5, and 18 of
 # 45, load without slowing each other down (the sites' sheets).
 LOADING_SHARE = 0.4
@@ -166,17 +167,27 @@
     def _may_act(self, model: str, held: HeldPlan, now: float) -> bool:
         if held.plan is not None and held.plan.holder == self._holder:
             return True
-        rest = self._promises.lease_seconds + ORDER_SECONDS + HANDOVER_SECONDS
-        if now - held.seen_at < rest:
-            return False
-        turn = self._get_turn(model, held.plan is not None)
-        return now - self._needed_since[model] >= turn
+        return now >= self._get_turn(model, held)
+
+    def _get_turn(self, model: str, held: HeldPlan) -> float:
+        """Return when this router may take the row over.
 
-    def _get_turn(self, model: str, has_holder: bool) -> float:
-        ranked = rank_names(model.encode()[:64], self._roster.routers)
+        The routers' turns follow one another, so that they do not all write
+        at the moment at which the last holder's orders are surely over.
+        """
+        needed = self._needed_since[model]
+        if held.plan is not None:
+            needed += FIRST_TURN_SECONDS
+        rest = self._promises.lease_seconds + ORDER_SECONDS + HANDOVER_SECONDS
+        holder = held.plan.holder if held.plan is not None else ''
+        others = [
+            key
+            for key in self._roster.routers
+            if key != f'{ROUTER_PREFIX}{holder}'
+        ]
+        ranked = rank_names(model.encode()[:64], others)
         rank = ranked.index(self._roster.key)
-        first = FIRST_TURN_SECONDS if has_holder else 0.0
-        return first + rank * NEXT_TURN_SECONDS
+        return max(needed, held.seen_at + rest) + rank * NEXT_TURN_SECONDS
 
     async def _load_next(
         self,
--- a/tests/cover/test_fleet_weights.py
+++ b/tests/cover/test_fleet_weights.py
@@ -339,6 +339,27 @@
         holders = {order.holder for _, _, order in self.engines.log}
         self.assertEqual(len(holders), 1)
 
+    def test_regression_routers_take_over_one_after_the_other(self):
+        # All of them wrote at the moment at which the lease had rested
+        # (own day lease2: five unanswered writes within 0.3 s).
+        routers = [self.make_router(name) for name in ('a', 'b', 'c')]
+        for router in routers:
+            for name in ('router/a', 'router/b', 'router/c'):
+                router.roster.take(VersionedRow(name, b'{}', 1))
+            router.name(2)
+            router.loader._needed_since['m'] = 0.0
+        self.time.advance(60.0)
+        routers[0].act()
+        for router in routers:
+            router.hear()
+        held = routers[1].plans.get('m')
+        turns = sorted(
+            router.loader._get_turn('m', held) for router in routers[1:]
+        )
+        self.assertGreater(turns[0], held.seen_at + LEASE_SECONDS)
+        gaps = [after - before for before, after in zip(turns, turns[1:])]
+        self.assertGreaterEqual(min(gaps), 0.2)
+
     def test_silent_engines_leave_the_others_at_work(self):
         router = self.make_router('a')
         router.name(2)
