--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -103,6 +103,8 @@
         self._routers_watch = self._make_watch(
             FLEET_TABLE, ROUTERS_WAIT_SECONDS, self._take_routers_row
         )
+        self._upstreams_watch.restart_with(self._operator_watch)
+        self._routers_watch.restart_with(self._operator_watch)
         self._parts = FleetParts(
             settings=settings,
             clock=clock,
--- a/src/lifttrestle/internal/fleet/table_watch.py
+++ b/src/lifttrestle/internal/fleet/table_watch.py
@@ -16,6 +16,7 @@
 proved it was *sent*: any later change may be missing from its answer.
 """
 
+import asyncio
 from collections.abc import Callable
 import random
 
@@ -66,6 +67,8 @@
         self._version = NO_ROW
         self._whole = False
         self._lost = False
+        self._reading: asyncio.Task[None] | None = None
+        self._dependants: list[TableWatch] = []
         self.proved_at = NEVER
         self.regained_at = NEVER
 
@@ -83,12 +86,26 @@
         """Return for how many seconds nothing has proved what is held."""
         return self._clock.monotonic() - self.proved_at
 
+    def restart_with(self, other: 'TableWatch') -> None:
+        """Read anew when ``other`` has regained the store.
+
+        A read that was sent before an outage may wait for an answer that
+        never comes, while the store is back.
+        """
+        other._dependants.append(self)
+
     async def run(self) -> None:
         """Follow the table for ever."""
         pause = FIRST_PAUSE_SECONDS
         while True:
+            self._reading = asyncio.create_task(self.step())
             try:
-                await self.step()
+                await asyncio.wait({self._reading})
+            finally:
+                self._reading.cancel()
+            try:
+                if not self._reading.cancelled():
+                    self._reading.result()
                 pause = FIRST_PAUSE_SECONDS
             except PlatformUnavailable as error:
                 self._note_lost(error)
@@ -103,8 +120,11 @@
             self._whole = True
         else:
             try:
+                # While it is lost, a read that waits would tell of the
+                # store's return only when it times out.
+                wait = 0.0 if self._lost else self._wait_seconds
                 changes = await self._store.watch_table(
-                    self._table, self._version, self._wait_seconds
+                    self._table, self._version, wait
                 )
             except HistoryGone as error:
                 LOG.info(
@@ -116,6 +136,11 @@
         self.proved_at = asked_at
         self._note_regained()
 
+    def restart(self) -> None:
+        """Give up the read that is under way and send another."""
+        if self._reading is not None:
+            self._reading.cancel()
+
     def _take_all(self, snapshot: RowChanges) -> None:
         if snapshot.version < self._version:
             raise PlatformUnavailable(
@@ -160,3 +185,5 @@
             )
             self._lost = False
             self.regained_at = self._clock.monotonic()
+            for watch in self._dependants:
+                watch.restart()
--- a/tests/cover/test_fleet_watch.py
+++ b/tests/cover/test_fleet_watch.py
@@ -76,6 +76,76 @@
             self.step()
         self.assertEqual(self.watch.get_age(), 1.0)
 
+    def test_regression_lost_watch_asks_without_waiting(self):
+        # With the store silent for 8 s, each read waited out its time, and
+        # the list of upstreams was back 5.3 s after the store (incident on
+        # sofia-chimes).
+        waits = []
+        answer = self.rows.watch_table
+
+        async def note_wait(table, after, wait_seconds):
+            waits.append(wait_seconds)
+            return await answer(table, after, wait_seconds)
+
+        self.rows.watch_table = note_wait
+        self.step()
+        self.rows.down = True
+        self.run_steps(2)
+        self.rows.down = False
+        self.run_steps(2)
+        self.assertEqual(waits[:4], [1.5, 0.0, 0.0, 1.5])
+
+    def run_steps(self, count):
+        async def run():
+            following = asyncio.create_task(self.watch.run())
+            for _ in range(count):
+                await self.let_one_read_pass()
+            following.cancel()
+            await asyncio.gather(following, return_exceptions=True)
+
+        asyncio.run(run())
+
+    async def let_one_read_pass(self):
+        for _ in range(20):
+            await asyncio.sleep(0)
+        self.clock.advance(1.0)
+
+    def test_regression_return_of_one_watch_restarts_the_others(self):
+        # A read of the routers' table waits for 10 s; sent just before a
+        # short cut it would tell nothing for as long.
+        async def run():
+            hanging = asyncio.Event()
+            reads = []
+
+            async def hang(table, after, wait_seconds):
+                reads.append(table)
+                await hanging.wait()
+
+            slow = MemoryRows()
+            slow.watch_table = hang
+            other = TableWatch(
+                slow, 'u', self.clock, random.Random(1), 10.0, print
+            )
+            other.restart_with(self.watch)
+            await self.watch.step()
+            following = asyncio.create_task(other.run())
+            for _ in range(20):
+                await asyncio.sleep(0)
+            before = len(reads)
+            self.rows.down = True
+            with self.assertRaises(PlatformUnavailable):
+                await self.watch.step()
+            self.watch._note_lost(PlatformUnavailable('down'))
+            self.rows.down = False
+            await self.watch.step()
+            for _ in range(20):
+                await asyncio.sleep(0)
+            following.cancel()
+            await asyncio.gather(following, return_exceptions=True)
+            return before, len(reads)
+
+        self.assertEqual(asyncio.run(run()), (1, 2))
+
     def test_dropped_history_is_read_anew_with_what_was_removed(self):
         self.rows.put('t', 'a', b'1')
         self.rows.put('t', 'b', b'2')
