--- a/src/lifttrestle/internal/cli/check.py
+++ b/src/lifttrestle/internal/cli/check.py
@@ -17,9 +17,13 @@
 
 from returns.result import Failure
 
+from lifttrestle.internal.platform.node_settings import check_node_settings
+from lifttrestle.internal.settings.fault import Fault
 from lifttrestle.internal.settings.load import check_settings
 
 EXIT_OK = 0
+# Settings that the users' platform writes; our own are TOML.
+NODE_SUFFIXES = ('.yaml', '.yml')
 EXIT_FAULT = 2
 
 
@@ -38,11 +42,18 @@
     """Check each file; exit 2 if there is a fault."""
     faults = 0
     for path in options.settings:
-        result = check_settings(path)
-        if isinstance(result, Failure):
-            for fault in result.failure():
-                print(fault)
-                faults += 1
-            continue
-        print(f'{path}: good')
+        found = _find_faults(path)
+        faults += len(found)
+        for fault in found:
+            print(fault)
+        if not found:
+            print(f'{path}: good')
     return EXIT_FAULT if faults else EXIT_OK
+
+
+def _find_faults(path: pathlib.Path) -> tuple[Fault, ...]:
+    if path.suffix in NODE_SUFFIXES:
+        node = check_node_settings(path)
+        return node.failure() if isinstance(node, Failure) else ()
+    result = check_settings(path)
+    return result.failure() if isinstance(result, Failure) else ()
--- a/src/lifttrestle/internal/cli/fleet_router.py
+++ b/src/lifttrestle/internal/cli/fleet_router.py
@@ -26,8 +26,10 @@
 from lifttrestle.internal.fleet.settings import FleetSettings
 from lifttrestle.internal.platform.names import SETTINGS_VARIABLE
 from lifttrestle.internal.platform.node_settings import check_node_settings
+from lifttrestle.internal.telemetry.event_log import get_event_log
 from lifttrestle.internal.telemetry.event_sink import start_event_sink
 
+LOG = get_event_log('router')
 EXIT_OK = 0
 EXIT_CUT = 1
 # A call to the store answers in 4 ms, in 0.4 s when it is slow.
@@ -65,12 +67,14 @@
     settings = result.unwrap()
     sink = start_event_sink(sys.stdout, SystemClock(), settings.vm, 'info')
     try:
-        return asyncio.run(_run_router(settings))
+        return asyncio.run(_run_router(settings, path, options.metrics_port))
     finally:
         sink.close()
 
 
-async def _run_router(settings: FleetSettings) -> int:
+async def _run_router(
+    settings: FleetSettings, path: pathlib.Path, metrics_port: int
+) -> int:
     # Imported here so that the operator's commands start without it.
     from lifttrestle.internal.fleet.process import FleetRouterProcess
     from lifttrestle.internal.http.address import check_address
@@ -93,4 +97,19 @@
         PlatformDialect(),
         engine_calls.PlatformEngineControl(clock, ENGINE_SECONDS),
     )
-    return EXIT_OK if await process.run() else EXIT_CUT
+    following = asyncio.create_task(
+        process.follow_settings(lambda: _read_again(path, metrics_port))
+    )
+    whole = await process.run()
+    following.cancel()
+    return EXIT_OK if whole else EXIT_CUT
+
+
+def _read_again(path: pathlib.Path, metrics_port: int) -> FleetSettings | None:
+    """Return the settings now, or None if they can't be used."""
+    result = check_node_settings(path, metrics_port)
+    if isinstance(result, Failure):
+        faults = [str(fault) for fault in result.failure()]
+        LOG.error('router.settings_refused', faults=faults)
+        return None
+    return result.unwrap()
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -13,6 +13,8 @@
 """One router process of a fleet: builds its parts, runs them, stops."""
 
 import asyncio
+from collections.abc import Callable
+import contextlib
 import random
 import signal
 
@@ -58,6 +60,9 @@
 # Callers reuse connections up to four fifths of the idle limit.
 IDLE_EXTRA_SECONDS = 2.0
 MAX_CONNECTIONS = 1500
+# Between two looks at the settings file, which may change without a signal.
+SETTINGS_SECONDS = 5.0
+SettingsReader = Callable[[], FleetSettings | None]
 
 
 class FleetRouterProcess:
@@ -79,6 +84,7 @@
         self._store = store
         self._format = stored_format
         self._stop = asyncio.Event()
+        self._reload = asyncio.Event()
         self._control: list[asyncio.Task[None]] = []
         self.callers_address = Address('', 0)
         self.ready_address = Address('', 0)
@@ -199,6 +205,15 @@
         """Return the upstreams that the router knows."""
         return self._directory
 
+    @property
+    def settings(self) -> FleetSettings:
+        """Return the settings in force."""
+        return self._parts.settings
+
+    def request_reload(self) -> None:
+        """Have the settings read again at once."""
+        self._reload.set()
+
     def is_ready(self) -> bool:
         """Return whether requests can be served."""
         return self._ready.is_ready()
@@ -208,11 +223,30 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
-        loop.add_signal_handler(signal.SIGHUP, _note_reload)
+        loop.add_signal_handler(signal.SIGHUP, self.request_reload)
         await self.start()
         await self._stop.wait()
         return await self.stop()
 
+    async def follow_settings(self, read: SettingsReader) -> None:
+        """Apply the settings whenever they change, for ever.
+
+        They change with a signal or without; requests go on as they are.
+        """
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(SETTINGS_SECONDS):
+                    await self._reload.wait()
+            self._reload.clear()
+            settings = read()
+            if settings is None or settings == self._parts.settings:
+                continue
+            self._parts.settings = settings
+            for budget in self._parts.budgets.values():
+                budget.promises = settings.promises
+            self._loader.promises = settings.promises
+            LOG.info('router.settings_applied', vm=settings.vm)
+
     async def start(self) -> None:
         """Listen, and begin to follow the shared tables."""
         settings = self._settings
@@ -272,10 +306,6 @@
         return whole
 
 
-def _note_reload() -> None:
-    LOG.info('router.reload_ignored', reason='settings are read at start')
-
-
 def _make_limits(catalogue: Catalogue | None) -> HttpLimits:
     if catalogue is None:
         return HttpLimits(max_connections=MAX_CONNECTIONS)
--- a/src/lifttrestle/internal/fleet/retry_budget.py
+++ b/src/lifttrestle/internal/fleet/retry_budget.py
@@ -29,7 +29,7 @@
     """Counts requests and retries of one service over a sliding window."""
 
     def __init__(self, promises: Promises, clock: Clock) -> None:
-        self._promises = promises
+        self.promises = promises
         self._clock = clock
         self._requests: collections.deque[float] = collections.deque()
         self._retries: collections.deque[float] = collections.deque()
@@ -43,11 +43,11 @@
 
         :param live_routers: how many share the slack, counted high.
         """
-        oldest = self._clock.monotonic() - self._promises.retry_window_seconds
+        oldest = self._clock.monotonic() - self.promises.retry_window_seconds
         _drop_before(self._requests, oldest)
         _drop_before(self._retries, oldest)
-        earned = self._promises.retry_share * len(self._requests)
-        slack = self._promises.retry_slack / max(live_routers, 1)
+        earned = self.promises.retry_share * len(self._requests)
+        slack = self.promises.retry_slack / max(live_routers, 1)
         return len(self._retries) + 1 <= SAFE_SHARE * (earned + slack)
 
     def take(self, live_routers: int) -> bool:
--- a/src/lifttrestle/internal/fleet/weights_loader.py
+++ b/src/lifttrestle/internal/fleet/weights_loader.py
@@ -103,7 +103,7 @@
         self._directory = directory
         self._plans = plans
         self._roster = roster
-        self._promises = promises
+        self.promises = promises
         self._clock = clock
         self._source = source
         self._holder = holder
@@ -178,7 +178,7 @@
         needed = self._needed_since[model]
         if held.plan is not None:
             needed += FIRST_TURN_SECONDS
-        rest = self._promises.lease_seconds + ORDER_SECONDS + HANDOVER_SECONDS
+        rest = self.promises.lease_seconds + ORDER_SECONDS + HANDOVER_SECONDS
         holder = held.plan.holder if held.plan is not None else ''
         others = [
             key
