Bad input at a fleet's door; a fault of the router is told and answered

An unforeseen exception closed the connection without a word. Conclusion: both dialects use the same check.

--- a/src/lifttrestle/internal/fleet/doors.py
+++ b/src/lifttrestle/internal/fleet/doors.py
@@ -12,6 +12,7 @@
 
 """What is served at the router's addresses of a fleet."""
 
+from lifttrestle.errors import CallerGone
 from lifttrestle.errors import RequestRefused
 from lifttrestle.internal.fleet.admission import is_fresh
 from lifttrestle.internal.fleet.exchange import FleetExchange
@@ -19,8 +20,12 @@
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.server_connection import ServerConnection
+from lifttrestle.internal.refusal.execution import Execution
+from lifttrestle.internal.refusal.kind import ErrorKind
+from lifttrestle.internal.telemetry.event_log import get_event_log
 from lifttrestle.internal.telemetry.fleet_metrics import FleetMetrics
 
+LOG = get_event_log('router')
 STATUS_OK = 200
 TEXT = (('content-type', 'text/plain; version=0.0.4; charset=utf-8'),)
 STATUS_UNAVAILABLE = 503
@@ -43,7 +48,31 @@
             await connection.send_answer(dialect.build_refusal(refused, ''))
             return
         exchange = FleetExchange(self._parts, connection, head, facts)
-        await exchange.run()
+        try:
+            await exchange.run()
+        except (CallerGone, OSError):
+            raise
+        except Exception:
+            # A fault of this program: told to the operators in full, and to
+            # the caller as a failure after which nothing is known.
+            LOG.exception('router.fault', request=facts.request_id)
+            await self._fail(connection, facts.request_id)
+
+    async def _fail(
+        self, connection: ServerConnection, request_id: str
+    ) -> None:
+        if connection.answer_started:
+            connection.abort()
+            return
+        refused = RequestRefused(
+            ErrorKind.INTERNAL,
+            'the router failed; its log has the cause',
+            ran=Execution.UNKNOWN,
+        )
+        connection.close_after_answer()
+        await connection.send_answer(
+            self._parts.dialect.build_refusal(refused, request_id)
+        )
 
 
 class ReadyDoor:
--- a/src/lifttrestle/internal/http/server_connection.py
+++ b/src/lifttrestle/internal/http/server_connection.py
@@ -96,6 +96,7 @@
             event.target.decode('latin-1'),
             decode_headers(event.headers),
         )
+        self._check_head_size(head)
         self._check_target(head)
         self._check_lengths(head)
         return head
@@ -262,6 +263,19 @@
                 return
             raise CallerGone('the caller left before its body was complete')
 
+    def _check_head_size(self, head: RequestHead) -> None:
+        # The HTTP library bounds what it holds of an incomplete head; one
+        # that arrives whole in a single read passes it.
+        size = len(head.target) + sum(
+            len(name) + len(value) for name, value in head.headers
+        )
+        if size > self._limits.head_bytes:
+            raise RequestRefused(
+                ErrorKind.HEAD_TOO_LARGE,
+                f'the head of {size} bytes is over the limit of'
+                f' {self._limits.head_bytes} bytes',
+            )
+
     def _check_target(self, head: RequestHead) -> None:
         try:
             head.path
