--- a/src/lifttrestle/internal/fleet/exchange.py
+++ b/src/lifttrestle/internal/fleet/exchange.py
@@ -217,6 +217,7 @@
                     name: round(cost * MILLISECONDS, 1)
                     for name, cost in placement.candidates
                 },
+                avoided=list(placement.avoided) or None,
             )
             self._tried[upstream.instance] = FOR_EVER
             try:
--- a/src/lifttrestle/internal/fleet/placement.py
+++ b/src/lifttrestle/internal/fleet/placement.py
@@ -46,12 +46,14 @@
     """An upstream and why it was chosen, for the log.
 
     :ivar candidates: the best few instances with their expected seconds.
+    :ivar avoided: some instances that were left out for signs of trouble.
     """
 
     upstream: FleetUpstream
     reason: str
     expected_seconds: float
     candidates: tuple[tuple[str, float], ...] = ()
+    avoided: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -84,7 +86,7 @@
         cost += _weigh_distance(upstream, around)
         cost += source.random() * TIE_SECONDS
         costs[upstream.instance] = cost
-    return _take_least(sound, costs, 'least expected time')
+    return _take_least(fit, sound, costs, 'least expected time')
 
 
 def choose_engine(
@@ -109,18 +111,26 @@
         for upstream in sound
     }
     least = min(costs, key=costs.__getitem__)
-    return _take_least(sound, costs, f'home {ranks[least]}')
+    return _take_least(fit, sound, costs, f'home {ranks[least]}')
 
 
 def _take_least(
-    sound: list[FleetUpstream], costs: dict[str, float], reason: str
+    fit: list[FleetUpstream],
+    sound: list[FleetUpstream],
+    costs: dict[str, float],
+    reason: str,
 ) -> Placement | None:
     if not sound:
         return None
     best = min(sound, key=lambda upstream: costs[upstream.instance])
     ordered = sorted(costs.items(), key=lambda item: item[1])
+    avoided = [item.instance for item in fit if item.instance not in costs]
     return Placement(
-        best, reason, costs[best.instance], tuple(ordered[:MAX_TOLD])
+        best,
+        reason,
+        costs[best.instance],
+        tuple(ordered[:MAX_TOLD]),
+        tuple(avoided[:MAX_TOLD]),
     )
 
 
--- a/tests/cover/test_fleet_parts.py
+++ b/tests/cover/test_fleet_parts.py
@@ -33,6 +33,7 @@
 from lifttrestle.internal.fleet.retry_budget import SharedRetryBudget
 from lifttrestle.internal.fleet.rows import VersionedRow
 from lifttrestle.internal.fleet.settings import Promises
+from lifttrestle.internal.fleet.upstream import SILENT_SECONDS
 from lifttrestle.internal.platform.stored_format import PlatformFormat
 
 START = datetime.datetime(2026, 12, 2, tzinfo=datetime.timezone.utc)
@@ -212,10 +213,11 @@
         self.put('a')
         upstream = self.directory.get('a')
         upstream.note_sent(1, 10.0)
-        self.assertFalse(upstream.is_silent(10.9))
-        self.assertTrue(upstream.is_silent(11.1))
-        upstream.heard_at = 10.5
-        self.assertFalse(upstream.is_silent(11.4))
+        self.assertFalse(upstream.is_silent(10.0 + 0.9 * SILENT_SECONDS))
+        self.assertTrue(upstream.is_silent(10.0 + 1.1 * SILENT_SECONDS))
+        upstream.heard_at = 12.0
+        self.assertFalse(upstream.is_silent(12.0 + 0.9 * SILENT_SECONDS))
+        self.assertTrue(upstream.is_silent(12.0 + 1.1 * SILENT_SECONDS))
         upstream.note_ended(1)
         self.assertFalse(upstream.is_silent(99.0))
 
@@ -248,12 +250,16 @@
         other.note_weights('m', 2)
         self.assertIs(self.choose(wanted=2), other)
 
-    def test_silent_engine_is_avoided(self):
+    def test_silent_engine_is_avoided_and_the_log_is_told(self):
         for name in ('a', 'b', 'c'):
             self.put(name, models=[1])
         home = self.choose()
         home.note_sent(1, 0.0)
-        self.assertIsNot(self.choose(), home)
+        fit = self.directory.list_fit('s')
+        around = Surroundings(5.0, 'a', 1, 8)
+        placement = choose_engine(fit, GENERATION, 'salt', around)
+        self.assertIsNot(placement.upstream, home)
+        self.assertEqual(placement.avoided, (home.instance,))
 
 
 class TestCacheSources(unittest.TestCase):
