--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -36,6 +36,7 @@
 from lifttrestle.internal.fleet.rows import RowStore
 from lifttrestle.internal.fleet.rows import VersionedRow
 from lifttrestle.internal.fleet.settings import FleetSettings
+from lifttrestle.internal.fleet.stall_watch import watch_stalls
 from lifttrestle.internal.fleet.table_watch import TableWatch
 from lifttrestle.internal.fleet.weights_loader import WeightsLoader
 from lifttrestle.internal.fleet.weights_view import WeightsView
@@ -270,6 +271,7 @@
             self._routers_watch.run(),
             self._roster.join(),
             self._loader.run(),
+            watch_stalls(self._clock),
         )
         self._control = [asyncio.create_task(item) for item in work]
         for task in self._control:
--- /dev/null
+++ b/src/lifttrestle/internal/fleet/stall_watch.py
@@ -0,0 +1,31 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Tells when the process stood still: a frozen VM leaves no other trace."""
+
+from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.telemetry.event_log import get_event_log
+
+LOG = get_event_log('router')
+LOOK_SECONDS = 0.5
+# A loaded router wakes some tens of ms late.
+STALL_SECONDS = 0.5
+
+
+async def watch_stalls(clock: Clock) -> None:
+    """Tell of each time that the process did not run, for ever."""
+    while True:
+        before = clock.monotonic()
+        await clock.sleep(LOOK_SECONDS)
+        late = clock.monotonic() - before - LOOK_SECONDS
+        if late >= STALL_SECONDS:
+            LOG.warning('router.stood_still', seconds=round(late, 3))
