One loop of attempts for all four kinds of request; truthful refusals; kept connections

Cause: four loops of attempts with three lists of the same failures (model_exchange, service_exchange, once_exchange, fleet/exchange). Found while folding them: (1) a repeatable request that was refused for the age of the view after a lost attempt got 503, which promises that nothing ran; (2) the connection was closed after each answer that was a failure or turned the request away, though it had been read to its end. Ruled out: one class for all four; what differs (how a head is read, what may be repeated, how an answer is passed on) stands behind AttemptPlan. Before: both new tests failed (503 for 502; a connection for each failure). After: they pass; exchange/attempts.py has the loop and the failures once, exchange/progress.py the state table.

--- a/src/lifttrestle/internal/fleet/admission.py
+++ b/src/lifttrestle/internal/fleet/admission.py
@@ -31,6 +31,9 @@
 SERVING_SHARE = 0.92
 # The view may be proved current again any moment; another router may do.
 STALE_RETRY_SECONDS = 0.3
+SHARED_WALL = 'shared'
+# The largest urgency by which upstreams order what waits.
+MAX_URGENCY = 9
 
 
 @dataclasses.dataclass(frozen=True)
@@ -107,3 +110,20 @@
         f' {parts.operator_watch.get_age():.1f} s ago',
         retry_after=STALE_RETRY_SECONDS,
     )
+
+
+def get_wall(admitted: Admitted) -> str:
+    """Return the name under which a request shares cached context."""
+    workspace = admitted.workspace
+    if workspace is not None and workspace.isolated:
+        return f'only-{workspace.name}'
+    return SHARED_WALL
+
+
+def get_urgency(admitted: Admitted) -> int:
+    """Return the rank among waiting requests; the workspace's goes first."""
+    workspace = admitted.workspace
+    priority = admitted.route.priority
+    if workspace is not None and workspace.priority is not None:
+        priority = workspace.priority
+    return min(max(priority, 0), MAX_URGENCY)
--- a/src/lifttrestle/internal/fleet/attempt.py
+++ b/src/lifttrestle/internal/fleet/attempt.py
@@ -38,6 +38,8 @@
 # upstream that answers so without saying the same has made no such promise.
 PROMISING = (408, 421, 429, 503)
 MAX_FOREIGN_BYTES = 4 * 1024 * 1024
+# The body of an answer that turns a request away comes with its head.
+DECLINED_READ_SECONDS = 0.1
 # Kept connections are closed this long before the upstream would do so: a
 # request that crosses its close is lost.
 IDLE_MARGIN_SECONDS = 0.6
@@ -81,6 +83,12 @@
         lambda: _read_own_head(dialect, connection, request_id),
     )
     _learn(upstream, answer.facts)
+    if answer.facts.not_run or answer.facts.other_instance:
+        await _finish_declined(connection)
+        raise UpstreamDeclined(
+            f'{upstream.instance} answered {answer.facts.status} and did not'
+            ' run it'
+        )
     _check(upstream, answer.facts, request_id)
     return answer
 
@@ -137,6 +145,16 @@
         await connection.skip_answer(MAX_FOREIGN_BYTES)
 
 
+async def _finish_declined(connection: ClientConnection) -> None:
+    """Read the rest, so that the connection can be used again."""
+    try:
+        async with asyncio.timeout(DECLINED_READ_SECONDS):
+            await connection.read_body(MAX_FOREIGN_BYTES)
+    except (UpstreamLost, TimeoutError):
+        # What was said stands; the connection is of no more use.
+        connection.close()
+
+
 def _learn(upstream: FleetUpstream, facts: AnswerFacts) -> None:
     idle = facts.idle_seconds
     if idle is not None:
@@ -148,10 +166,6 @@
 def _check(
     upstream: FleetUpstream, facts: AnswerFacts, request_id: str
 ) -> None:
-    if facts.not_run or facts.other_instance:
-        raise UpstreamDeclined(
-            f'{upstream.instance} answered {facts.status} and did not run it'
-        )
     if not facts.proved or facts.request_id != request_id:
         raise WrongAnswer(
             f'{upstream.instance} gave an answer {facts.status} without its'
--- /dev/null
+++ b/src/lifttrestle/internal/fleet/candidates.py
@@ -0,0 +1,120 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Which upstreams may serve one request now, and the best of them."""
+
+from lifttrestle.internal.fleet.admission import Admitted
+from lifttrestle.internal.fleet.admission import get_urgency
+from lifttrestle.internal.fleet.admission import get_wall
+from lifttrestle.internal.fleet.dialect import RequestFacts
+from lifttrestle.internal.fleet.parts import FleetParts
+from lifttrestle.internal.fleet.placement import choose_engine
+from lifttrestle.internal.fleet.placement import choose_plain
+from lifttrestle.internal.fleet.placement import Placement
+from lifttrestle.internal.fleet.placement import Surroundings
+from lifttrestle.internal.fleet.upstream import FleetUpstream
+
+FOR_EVER = float('inf')
+# The share of the time within which old weights must be gone that may pass
+# before an engine with old weights gets no more work.
+OLD_WEIGHTS_SHARE = 0.85
+
+
+class Candidates:
+    """The upstreams of one request, without those that have failed it."""
+
+    def __init__(self, parts: FleetParts, facts: RequestFacts) -> None:
+        self._parts = parts
+        self._facts = facts
+        # Until when an upstream is not to be tried again.
+        self._tried: dict[str, float] = {}
+
+    def exclude(
+        self, upstream: FleetUpstream, until: float = FOR_EVER
+    ) -> None:
+        """Do not try an upstream again before ``until``."""
+        self._tried[upstream.instance] = until
+
+    def choose(self, admitted: Admitted, service: str) -> Placement | None:
+        """Return the best upstream, or None if none may serve now."""
+        parts = self._parts
+        fit = self.list_fit(admitted, service)
+        generation = self._facts.generation
+        wanted = None
+        if generation is not None:
+            wanted = parts.view.wanted.get(generation.model)
+        around = Surroundings(
+            now=parts.clock.monotonic(),
+            data_centre=parts.settings.data_centre,
+            wanted_version=wanted.version if wanted is not None else 0,
+            live_routers=parts.roster.live,
+            urgency=get_urgency(admitted),
+        )
+        if generation is None:
+            return choose_plain(fit, around, parts.source)
+        return choose_engine(fit, generation, get_wall(admitted), around)
+
+    def list_fit(
+        self, admitted: Admitted, service: str
+    ) -> list[FleetUpstream]:
+        """Return the upstreams that may begin this request now."""
+        parts = self._parts
+        now = parts.clock.monotonic()
+        facts = admitted.catalogue.services.get(service)
+        cap = facts.max_connections if facts is not None else 1
+        cap = max(cap // parts.roster.live, 1)
+        found = [
+            upstream
+            for upstream in parts.directory.list_fit(service)
+            if self._tried.get(upstream.instance, now) <= now
+            and upstream.in_flight < cap
+        ]
+        generation = self._facts.generation
+        if generation is None:
+            return found
+        return self._select_weights(generation.model, found, now)
+
+    def has_others(self, admitted: Admitted, service: str) -> bool:
+        """Return whether a sound upstream is left to go on."""
+        now = self._parts.clock.monotonic()
+        return any(
+            not upstream.is_doubtful(now)
+            for upstream in self.list_fit(admitted, service)
+        )
+
+    def may_become_fit(self, service: str) -> bool:
+        """Return whether an upstream is left that can be waited for."""
+        return any(
+            self._tried.get(upstream.instance) != FOR_EVER
+            for upstream in self._parts.directory.list_fit(service)
+        )
+
+    def _select_weights(
+        self, model: str, found: list[FleetUpstream], now: float
+    ) -> list[FleetUpstream]:
+        """Return the engines that may begin a generation now."""
+        wanted = self._parts.view.wanted.get(model)
+        loaded = [item for item in found if model in item.weights]
+        idle = [item for item in loaded if item.busy_until <= now]
+        # An engine that loads turns requests away at once; when all do, one
+        # of them may have ended, or may not have had its order.
+        idle = idle or loaded
+        if wanted is None:
+            return idle
+        limit = self._parts.settings.promises.weights_seconds
+        oldest = now - limit * OLD_WEIGHTS_SHARE
+        fit = []
+        for item in idle:
+            replaced_at = wanted.find_replaced(item.weights[model])
+            if replaced_at is None or replaced_at > oldest:
+                fit.append(item)
+        return fit
--- a/src/lifttrestle/internal/fleet/exchange.py
+++ b/src/lifttrestle/internal/fleet/exchange.py
@@ -21,42 +21,39 @@
 from lifttrestle.errors import UpstreamConnectFailed
 from lifttrestle.errors import UpstreamDeclined
 from lifttrestle.errors import UpstreamFailed
-from lifttrestle.errors import UpstreamLost
-from lifttrestle.errors import WrongAnswer
+from lifttrestle.internal.exchange.attempts import AttemptPlan
+from lifttrestle.internal.exchange.attempts import run_attempts
+from lifttrestle.internal.exchange.attempts import Verdict
+from lifttrestle.internal.exchange.progress import RequestEvent
+from lifttrestle.internal.exchange.progress import RequestProgress
 from lifttrestle.internal.fleet.admission import admit
 from lifttrestle.internal.fleet.admission import Admitted
-from lifttrestle.internal.fleet.attempt import await_sound
+from lifttrestle.internal.fleet.admission import get_urgency
+from lifttrestle.internal.fleet.admission import get_wall
+from lifttrestle.internal.fleet.answer_passing import AnswerPassing
+from lifttrestle.internal.fleet.answer_passing import Patience
 from lifttrestle.internal.fleet.attempt import begin_attempt
-from lifttrestle.internal.fleet.attempt import check_served
 from lifttrestle.internal.fleet.attempt import PROMISING
 from lifttrestle.internal.fleet.attempt import UpstreamAnswer
+from lifttrestle.internal.fleet.candidates import Candidates
 from lifttrestle.internal.fleet.dialect import CacheUse
 from lifttrestle.internal.fleet.dialect import RequestFacts
 from lifttrestle.internal.fleet.dialect import UpstreamOrder
-from lifttrestle.internal.fleet.event_relay import EventRelay
 from lifttrestle.internal.fleet.parts import FleetParts
-from lifttrestle.internal.fleet.placement import choose_engine
-from lifttrestle.internal.fleet.placement import choose_plain
 from lifttrestle.internal.fleet.placement import Placement
-from lifttrestle.internal.fleet.placement import Surroundings
 from lifttrestle.internal.fleet.story import RequestStory
 from lifttrestle.internal.fleet.upstream import FleetUpstream
-from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.server_connection import ServerConnection
+from lifttrestle.internal.refusal.answers import ANSWERS
 from lifttrestle.internal.refusal.execution import Execution
 from lifttrestle.internal.refusal.kind import ErrorKind
-from lifttrestle.internal.router.progress import RequestEvent
-from lifttrestle.internal.router.progress import RequestProgress
 
 # Sends of one request, counting those that were turned away unread.
 MAX_SENDS = 4
 MILLISECONDS = 1000
-FOR_EVER = float('inf')
 # When a refused caller may come back: engines free a slot within that time.
 RETRY_SECONDS = 0.15
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
-STATUS_OK = 200
 # A repeatable request is taken elsewhere when its upstream has sent nothing
 # to anyone for this many times the route's objective, and never sooner than
 # a second. An upstream that is slow but answers others is waited for.
@@ -73,26 +70,13 @@
 HELD_POLL_SECONDS = 0.03
 # Below this there is no time left to be served in.
 MIN_LEFT_SECONDS = 0.01
-SHARED_WALL = 'shared'
-# The largest urgency by which upstreams order what waits.
-MAX_URGENCY = 9
 # After an engine has turned a request away for its weights, it is avoided
 # until its entry or the plan tells more.
 DECLINED_SECONDS = 0.15
-# The share of the time within which old weights must be gone that may pass
-# before an engine with old weights gets no more work.
-OLD_WEIGHTS_SHARE = 0.85
-RETRYABLE = (
-    UpstreamConnectFailed,
-    UpstreamDeclined,
-    UpstreamFailed,
-    UpstreamLost,
-    WrongAnswer,
-)
 _TICKETS = itertools.count()
 
 
-class FleetExchange:
+class FleetExchange(AttemptPlan[Placement, None]):
     """Owns the attempts that one request needs."""
 
     def __init__(
@@ -107,16 +91,18 @@
         self._head = head
         self._facts = facts
         self._body = b''
+        # Set before anything is tried; renewed with each attempt.
+        self._admitted: Admitted
         self._started = parts.clock.monotonic()
         self._deadline = self._started
         self._progress = RequestProgress()
-        self._relay = EventRelay(connection, facts.last_event)
-        # Until when an upstream is not to be tried again.
-        self._tried: dict[str, float] = {}
+        self._passing = AnswerPassing(
+            parts, connection, self._progress, facts.last_event
+        )
+        self._candidates = Candidates(parts, facts)
         self._sends = 0
         self._runs = 0
         self._service = ''
-        self._failure: Answer | None = None
         self._story = RequestStory(parts.clock, facts.request_id)
 
     async def run(self) -> None:
@@ -132,6 +118,7 @@
         except RequestRefused as refused:
             outcome = refused.kind.value
             failed = True
+            refused = self._be_truthful(refused)
             self._story.add(
                 'refused',
                 kind=refused.kind.value,
@@ -177,7 +164,7 @@
         self._parts.get_budget(self._service).note_request()
         try:
             async with asyncio.timeout(self._get_left()):
-                await self._try_upstreams()
+                await run_attempts(self)
         except TimeoutError:
             self._story.add('out_of_time')
             raise RequestRefused(
@@ -201,46 +188,94 @@
         )
         return chosen[0].service
 
-    async def _try_upstreams(self) -> None:
-        while True:
-            # Asked before each attempt: a key may have been taken away, or
-            # the view may have become too old to rely on.
-            admitted = admit(self._parts, self._facts)
-            self._check_service(admitted)
-            placement = await self._choose(admitted)
-            upstream = placement.upstream
-            self._story.add(
-                'chosen',
-                instance=upstream.instance,
-                reason=placement.reason,
-                candidates_ms={
-                    name: round(cost * MILLISECONDS, 1)
-                    for name, cost in placement.candidates
-                },
-                avoided=list(placement.avoided) or None,
+    async def choose(self) -> Placement:
+        """Return an upstream, by what is in force now.
+
+        A key may have been taken away since the last attempt, or the view
+        may have become too old to rely on.
+        """
+        self._admitted = admit(self._parts, self._facts)
+        self._check_service(self._admitted)
+        placement = await self._find_upstream()
+        self._candidates.exclude(placement.upstream)
+        self._tell_chosen(placement)
+        return placement
+
+    async def attempt(self, chosen: Placement) -> None:
+        """Send the request and pass its answer on."""
+        if self._sends >= 1 and not self._take_retry():
+            raise self._give_up(
+                ErrorKind.UPSTREAM_FAILED, 'no retry is left to spend'
+            )
+        upstream = chosen.upstream
+        ticket = next(_TICKETS)
+        generation = self._facts.generation
+        tokens = generation.prompt_tokens if generation is not None else 0
+        upstream.in_flight += 1
+        upstream.tokens_in_flight += tokens
+        try:
+            await self._exchange(upstream, ticket)
+        finally:
+            upstream.in_flight -= 1
+            upstream.tokens_in_flight -= tokens
+            upstream.note_ended(ticket)
+
+    async def judge(
+        self, chosen: Placement, error: LifttrestleError
+    ) -> Verdict:
+        """Hold the failure against the upstream, and go on if allowed."""
+        self._note_failure(chosen.upstream, error)
+        if self._sends >= MAX_SENDS:
+            raise self._give_up(
+                ErrorKind.UPSTREAM_FAILED, f'too many attempts: {error}'
             )
-            self._tried[upstream.instance] = FOR_EVER
-            try:
-                await self._attempt(admitted, placement)
-                return
-            except RETRYABLE as error:
-                self._parts.metrics.count_attempt(
-                    self._service, type(error).__name__
-                )
-                self._story.add(
-                    'attempt_failed',
-                    instance=upstream.instance,
-                    kind=type(error).__name__,
-                    reason=str(error),
-                )
-                self._judge(admitted, upstream, error)
+        if self._runs == 0:
+            return Verdict.AGAIN
+        route = self._admitted.route
+        if not route.repeatable:
+            raise self._give_up(
+                ErrorKind.UPSTREAM_FAILED, f'it may have run: {error}'
+            )
+        if self._runs >= route.max_attempts:
+            raise self._give_up(
+                ErrorKind.UPSTREAM_FAILED, f'no attempt is left: {error}'
+            )
+        return Verdict.AGAIN
+
+    def _note_failure(
+        self, upstream: FleetUpstream, error: LifttrestleError
+    ) -> None:
+        kind = type(error).__name__
+        self._parts.metrics.count_attempt(self._service, kind)
+        self._story.add(
+            'attempt_failed',
+            instance=upstream.instance,
+            kind=kind,
+            reason=str(error),
+        )
+        now = self._parts.clock.monotonic()
+        if isinstance(error, UpstreamDeclined):
+            self._note_declined(upstream, now)
+        elif isinstance(error, UpstreamConnectFailed):
+            upstream.unreached_at = now
+        else:
+            upstream.breaker.note_failure(now)
+
+    def _note_declined(self, upstream: FleetUpstream, now: float) -> None:
+        """Take a run back that was none; its upstream may do better soon."""
+        self._progress.move(RequestEvent.DECLINED)
+        self._runs -= 1
+        until = now + DECLINED_SECONDS
+        self._candidates.exclude(upstream, until)
+        if self._facts.generation is not None:
+            upstream.busy_until = max(upstream.busy_until, until)
 
     def _check_service(self, admitted: Admitted) -> None:
         names = [share.service for share in admitted.route.shares]
         if self._service not in names:
             self._service = self._choose_service(admitted)
 
-    async def _choose(self, admitted: Admitted) -> Placement:
+    async def _find_upstream(self) -> Placement:
         """Return an upstream, waiting a little while there is none."""
         clock = self._parts.clock
         until = clock.monotonic() + min(
@@ -248,17 +283,18 @@
         )
         held = False
         while True:
-            placement = self._place(admitted, self._list_fit(admitted))
+            placement = self._candidates.choose(self._admitted, self._service)
             if placement is not None:
-                self._check_queue(admitted, placement.upstream)
+                self._check_queue(self._admitted, placement.upstream)
                 return placement
-            if clock.monotonic() >= until or not self._may_become_fit():
+            waits = self._candidates.may_become_fit(self._service)
+            if clock.monotonic() >= until or not waits:
                 break
             if not held:
                 held = True
                 self._story.add('held', reason='no upstream is free for it')
             await asyncio.sleep(HELD_POLL_SECONDS)
-            admitted = admit(self._parts, self._facts)
+            self._admitted = admit(self._parts, self._facts)
         raise self._give_up(
             ErrorKind.NO_UPSTREAM, 'no upstream may serve this now'
         )
@@ -274,7 +310,7 @@
         if self._facts.generation is None or self._sends:
             return
         now = self._parts.clock.monotonic()
-        urgency = self._get_urgency(admitted)
+        urgency = get_urgency(admitted)
         wait = upstream.get_oldest_wait(now, urgency)
         if wait > SHED_TARGETS * admitted.route.target_seconds:
             raise RequestRefused(
@@ -283,98 +319,15 @@
                 retry_after=SHED_RETRY_SECONDS,
             )
 
-    def _may_become_fit(self) -> bool:
-        """Return whether an upstream is left that this request can use."""
-        return any(
-            self._tried.get(upstream.instance) != FOR_EVER
-            for upstream in self._parts.directory.list_fit(self._service)
-        )
-
-    def _list_fit(self, admitted: Admitted) -> list[FleetUpstream]:
-        parts = self._parts
-        now = parts.clock.monotonic()
-        service = admitted.catalogue.services.get(self._service)
-        cap = service.max_connections if service is not None else 1
-        cap = max(cap // parts.roster.live, 1)
-        found = [
-            upstream
-            for upstream in parts.directory.list_fit(self._service)
-            if self._tried.get(upstream.instance, now) <= now
-            and upstream.in_flight < cap
-        ]
-        generation = self._facts.generation
-        if generation is None:
-            return found
-        return self._select_weights(generation.model, found, now)
-
-    def _select_weights(
-        self, model: str, found: list[FleetUpstream], now: float
-    ) -> list[FleetUpstream]:
-        """Return the engines that may begin a generation now."""
-        wanted = self._parts.view.wanted.get(model)
-        loaded = [item for item in found if model in item.weights]
-        idle = [item for item in loaded if item.busy_until <= now]
-        # An engine that loads turns requests away at once; when all do, one
-        # of them may have ended, or may not have had its order.
-        idle = idle or loaded
-        if wanted is None:
-            return idle
-        limit = self._parts.settings.promises.weights_seconds
-        oldest = now - limit * OLD_WEIGHTS_SHARE
-        fit = []
-        for item in idle:
-            replaced_at = wanted.find_replaced(item.weights[model])
-            if replaced_at is None or replaced_at > oldest:
-                fit.append(item)
-        return fit
-
-    def _place(
-        self, admitted: Admitted, fit: list[FleetUpstream]
-    ) -> Placement | None:
-        parts = self._parts
-        generation = self._facts.generation
-        wanted = None
-        if generation is not None:
-            wanted = parts.view.wanted.get(generation.model)
-        around = Surroundings(
-            now=parts.clock.monotonic(),
-            data_centre=parts.settings.data_centre,
-            wanted_version=wanted.version if wanted is not None else 0,
-            live_routers=parts.roster.live,
-            urgency=self._get_urgency(admitted),
-        )
-        if generation is None:
-            return choose_plain(fit, around, parts.source)
-        return choose_engine(fit, generation, self._get_wall(admitted), around)
-
-    async def _attempt(self, admitted: Admitted, placement: Placement) -> None:
-        upstream = placement.upstream
-        if self._sends >= 1 and not self._take_retry():
-            raise self._give_up(
-                ErrorKind.UPSTREAM_FAILED, 'no retry is left to spend'
-            )
-        ticket = next(_TICKETS)
-        generation = self._facts.generation
-        tokens = generation.prompt_tokens if generation is not None else 0
-        upstream.in_flight += 1
-        upstream.tokens_in_flight += tokens
-        try:
-            await self._exchange(admitted, upstream, ticket)
-        finally:
-            upstream.in_flight -= 1
-            upstream.tokens_in_flight -= tokens
-            upstream.note_ended(ticket)
-
     def _take_retry(self) -> bool:
         budget = self._parts.get_budget(self._service)
         granted = budget.take(self._parts.roster.live)
         self._parts.metrics.count_retry(self._service, granted)
         return granted
 
-    async def _exchange(
-        self, admitted: Admitted, upstream: FleetUpstream, ticket: int
-    ) -> None:
+    async def _exchange(self, upstream: FleetUpstream, ticket: int) -> None:
         parts = self._parts
+        admitted = self._admitted
         connection = await upstream.pool.take()
         try:
             # Connecting may have taken a while.
@@ -385,12 +338,13 @@
             self._runs += 1
             self._progress.move(RequestEvent.SEND)
             sent_at = parts.clock.monotonic()
-            urgency = self._get_urgency(admitted)
+            urgency = get_urgency(admitted)
             upstream.note_sent(ticket, sent_at, urgency)
             parts.metrics.count_connection(
                 self._service, connection.exchanges > 0
             )
             self._tell_sent(upstream, order, connection.exchanges)
+            patience = self._build_patience(admitted)
             answer = await begin_attempt(
                 parts.clock,
                 parts.dialect,
@@ -399,14 +353,20 @@
                 head,
                 self._body,
                 self._facts.request_id,
-                self._get_patience(admitted),
-                lambda: self._may_leave(admitted),
+                patience.seconds,
+                patience.may_leave,
             )
             heard_at = parts.clock.monotonic()
             upstream.note_heard(ticket, heard_at)
             parts.metrics.time_first_byte(self._service, heard_at - sent_at)
             self._note_engine(upstream, order, answer)
-            await self._relay_answer(admitted, upstream, answer)
+            await self._passing.pass_on(
+                admitted.route, upstream, answer, patience
+            )
+        except (UpstreamDeclined, UpstreamFailed):
+            # Its answer was read to the end.
+            upstream.pool.give_back(connection)
+            raise
         except BaseException:
             connection.close()
             raise
@@ -443,8 +403,8 @@
             hide_key=admitted.catalogue.keys is not None,
             weights=weights,
             cache=self._build_cache_use(admitted, weights),
-            urgency=self._get_urgency(admitted) if generation else None,
-            last_event=self._relay.last_event,
+            urgency=get_urgency(admitted) if generation else None,
+            last_event=self._passing.relay.last_event,
         )
 
     def _build_cache_use(
@@ -455,116 +415,9 @@
             return None
         kept = admitted.catalogue.find_cache_store()
         address = kept.address if kept is not None else ''
-        salt = f'{self._get_wall(admitted)}/{generation.model}/{weights}'
+        salt = f'{get_wall(admitted)}/{generation.model}/{weights}'
         return self._parts.sources.choose(salt, generation, address)
 
-    def _get_wall(self, admitted: Admitted) -> str:
-        workspace = admitted.workspace
-        if workspace is not None and workspace.isolated:
-            return f'only-{workspace.name}'
-        return SHARED_WALL
-
-    def _get_urgency(self, admitted: Admitted) -> int:
-        workspace = admitted.workspace
-        priority = admitted.route.priority
-        if workspace is not None and workspace.priority is not None:
-            priority = workspace.priority
-        return min(max(priority, 0), MAX_URGENCY)
-
-    async def _relay_answer(
-        self,
-        admitted: Admitted,
-        upstream: FleetUpstream,
-        answer: UpstreamAnswer,
-    ) -> None:
-        parts = self._parts
-        streams = admitted.route.streams and answer.facts.status == STATUS_OK
-        if not streams:
-            await self._relay_whole(admitted, upstream, answer)
-            return
-        headers = parts.dialect.select_answer_headers(answer.head)
-        self._relay.begin_run(answer.facts.status, headers)
-        self._progress.move(RequestEvent.ANSWER)
-        patience = self._get_patience(admitted)
-        while True:
-            data = await await_sound(
-                parts.clock,
-                upstream,
-                patience,
-                lambda: self._may_leave(admitted),
-                answer.connection.read_part,
-            )
-            if not data:
-                break
-            upstream.heard_at = parts.clock.monotonic()
-            await self._relay.feed(data)
-        await self._relay.finish()
-        self._progress.move(RequestEvent.END)
-
-    async def _relay_whole(
-        self,
-        admitted: Admitted,
-        upstream: FleetUpstream,
-        answer: UpstreamAnswer,
-    ) -> None:
-        body = await answer.connection.read_body(MAX_ANSWER_BYTES)
-        headers = self._parts.dialect.select_answer_headers(answer.head)
-        whole = Answer(answer.facts.status, headers, body)
-        try:
-            check_served(upstream, answer.facts)
-        except UpstreamFailed:
-            breaks_promise = (
-                whole.status in PROMISING and not admitted.route.repeatable
-            )
-            if not breaks_promise:
-                self._failure = whole
-            upstream.pool.give_back(answer.connection)
-            raise
-        if self._relay.started:
-            raise UpstreamLost(f'{upstream.instance} did not go on')
-        self._progress.move(RequestEvent.ANSWER)
-        await self._connection.send_answer(whole)
-        self._progress.move(RequestEvent.END)
-
-    def _judge(
-        self,
-        admitted: Admitted,
-        upstream: FleetUpstream,
-        error: LifttrestleError,
-    ) -> None:
-        """Return if another attempt may be made.
-
-        :raises RequestRefused: if not.
-        """
-        now = self._parts.clock.monotonic()
-        if isinstance(error, UpstreamDeclined):
-            self._progress.move(RequestEvent.DECLINED)
-            self._runs -= 1
-            self._tried[upstream.instance] = now + DECLINED_SECONDS
-            if self._facts.generation is not None:
-                upstream.busy_until = max(
-                    upstream.busy_until, now + DECLINED_SECONDS
-                )
-        elif isinstance(error, UpstreamConnectFailed):
-            upstream.unreached_at = now
-        else:
-            upstream.breaker.note_failure(now)
-        if self._sends >= MAX_SENDS:
-            raise self._give_up(
-                ErrorKind.UPSTREAM_FAILED, f'too many attempts: {error}'
-            )
-        if self._runs == 0:
-            return
-        route = admitted.route
-        if not route.repeatable:
-            raise self._give_up(
-                ErrorKind.UPSTREAM_FAILED, f'it may have run: {error}'
-            )
-        if self._runs >= route.max_attempts:
-            raise self._give_up(
-                ErrorKind.UPSTREAM_FAILED, f'no attempt is left: {error}'
-            )
-
     def _give_up(self, kind: ErrorKind, message: str) -> RequestRefused:
         ran = self._progress.execution
         if ran is Execution.NOT_RUN:
@@ -580,14 +433,28 @@
             # What was sent can't be completed and must not look complete.
             self._connection.abort()
             return
-        if self._failure is not None:
-            await self._connection.send_answer(self._failure)
+        if self._passing.failure is not None:
+            await self._connection.send_answer(self._passing.failure)
             return
         dialect = self._parts.dialect
         await self._connection.send_answer(
             dialect.build_refusal(refused, self._facts.request_id)
         )
 
+    def _be_truthful(self, refused: RequestRefused) -> RequestRefused:
+        """Promise that nothing ran only if that is so.
+
+        A repeatable request may be refused for its key or for the age of the
+        view after an attempt of which nobody knows whether it ran.
+        """
+        ran = self._progress.execution
+        promises = ANSWERS[refused.kind].status in PROMISING
+        if ran is Execution.NOT_RUN or not promises:
+            return refused
+        return RequestRefused(
+            ErrorKind.UPSTREAM_FAILED, refused.message, ran=ran
+        )
+
     def _get_left(self) -> float:
         return max(
             self._deadline - self._parts.clock.monotonic(), MIN_LEFT_SECONDS
@@ -596,20 +463,31 @@
     def _may_leave(self, admitted: Admitted) -> bool:
         """Return whether another upstream could take the request over."""
         parts = self._parts
-        now = parts.clock.monotonic()
         budget = parts.get_budget(self._service)
-        return budget.has_room(parts.roster.live) and any(
-            not upstream.is_doubtful(now)
-            for upstream in self._list_fit(admitted)
-        )
+        return budget.has_room(
+            parts.roster.live
+        ) and self._candidates.has_others(admitted, self._service)
 
-    def _get_patience(self, admitted: Admitted) -> float:
+    def _build_patience(self, admitted: Admitted) -> Patience:
         route = admitted.route
-        left = self._get_left()
-        if not route.repeatable or self._runs >= route.max_attempts:
-            return left
-        silent = max(SILENT_TARGETS * route.target_seconds, MIN_SILENT_SECONDS)
-        return min(silent, left)
+        seconds = None
+        if route.repeatable and self._runs < route.max_attempts:
+            seconds = max(
+                SILENT_TARGETS * route.target_seconds, MIN_SILENT_SECONDS
+            )
+        return Patience(seconds, lambda: self._may_leave(admitted))
+
+    def _tell_chosen(self, placement: Placement) -> None:
+        self._story.add(
+            'chosen',
+            instance=placement.upstream.instance,
+            reason=placement.reason,
+            candidates_ms={
+                name: round(cost * MILLISECONDS, 1)
+                for name, cost in placement.candidates
+            },
+            avoided=list(placement.avoided) or None,
+        )
 
     def _tell_admitted(self, admitted: Admitted) -> None:
         parts = self._parts
@@ -627,7 +505,7 @@
     def _tell_sent(
         self, upstream: FleetUpstream, order: UpstreamOrder, exchanges: int
     ) -> None:
-        name = 'resumed' if self._relay.started else 'sent'
+        name = 'resumed' if self._passing.relay.started else 'sent'
         self._story.add(
             name,
             instance=upstream.instance,
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -20,6 +20,7 @@
 
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.cache_sources import CacheSources
+from lifttrestle.internal.fleet.candidates import OLD_WEIGHTS_SHARE
 from lifttrestle.internal.fleet.catalogue import Catalogue
 from lifttrestle.internal.fleet.decoding import StoredFormat
 from lifttrestle.internal.fleet.dialect import RequestDialect
@@ -28,7 +29,6 @@
 from lifttrestle.internal.fleet.doors import MetricsDoor
 from lifttrestle.internal.fleet.doors import ReadyDoor
 from lifttrestle.internal.fleet.engine_control import EngineControl
-from lifttrestle.internal.fleet.exchange import OLD_WEIGHTS_SHARE
 from lifttrestle.internal.fleet.operator_view import OperatorView
 from lifttrestle.internal.fleet.parts import FleetParts
 from lifttrestle.internal.fleet.roster import FLEET_TABLE
--- a/src/lifttrestle/internal/router/call.py
+++ b/src/lifttrestle/internal/router/call.py
@@ -20,12 +20,12 @@
 from lifttrestle.errors import UpstreamFailed
 from lifttrestle.errors import UpstreamLost
 from lifttrestle.errors import WrongAnswer
+from lifttrestle.internal.exchange.progress import RequestEvent
 from lifttrestle.internal.http.client_connection import ClientConnection
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.head import ResponseHead
 from lifttrestle.internal.router.attempt import Attempt
 from lifttrestle.internal.router.parts import RouterParts
-from lifttrestle.internal.router.progress import RequestEvent
 from lifttrestle.internal.router.scope import RequestScope
 
 FIRST_SERVER_ERROR = 500
--- a/src/lifttrestle/internal/router/caller_handler.py
+++ b/src/lifttrestle/internal/router/caller_handler.py
@@ -22,6 +22,7 @@
 from lifttrestle.internal.configuration.model import ItemKind
 from lifttrestle.internal.configuration.model import Workspace
 from lifttrestle.internal.configuration.view import View
+from lifttrestle.internal.exchange.progress import RequestEvent
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.server_connection import ServerConnection
@@ -37,7 +38,6 @@
 from lifttrestle.internal.router.model_request import parse_model_request
 from lifttrestle.internal.router.models_answer import list_models
 from lifttrestle.internal.router.parts import RouterParts
-from lifttrestle.internal.router.progress import RequestEvent
 from lifttrestle.internal.router.readiness import Readiness
 from lifttrestle.internal.router.route import find_route
 from lifttrestle.internal.router.route import Route
--- a/src/lifttrestle/internal/router/chooser.py
+++ b/src/lifttrestle/internal/router/chooser.py
@@ -18,10 +18,10 @@
 
 from lifttrestle.errors import RequestRefused
 from lifttrestle.errors import UpstreamDeclined
+from lifttrestle.internal.exchange.progress import RequestEvent
 from lifttrestle.internal.refusal.kind import ErrorKind
 from lifttrestle.internal.router.attempt import Attempt
 from lifttrestle.internal.router.parts import RouterParts
-from lifttrestle.internal.router.progress import RequestEvent
 from lifttrestle.internal.router.scope import RequestScope
 from lifttrestle.internal.routing.candidate import Candidate
 from lifttrestle.internal.routing.prompt import Prompt
--- a/src/lifttrestle/internal/router/model_exchange.py
+++ b/src/lifttrestle/internal/router/model_exchange.py
@@ -25,12 +25,15 @@
 from lifttrestle.errors import CallerGone
 from lifttrestle.errors import LifttrestleError
 from lifttrestle.errors import RequestRefused
-from lifttrestle.errors import UpstreamConnectFailed
-from lifttrestle.errors import UpstreamDeclined
 from lifttrestle.errors import UpstreamFailed
 from lifttrestle.errors import UpstreamLost
 from lifttrestle.errors import WrongAnswer
 from lifttrestle.internal.configuration.model import Model
+from lifttrestle.internal.exchange.attempts import AttemptPlan
+from lifttrestle.internal.exchange.attempts import FAILURES
+from lifttrestle.internal.exchange.attempts import run_attempts
+from lifttrestle.internal.exchange.attempts import Verdict
+from lifttrestle.internal.exchange.progress import RequestEvent
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.client_connection import ClientConnection
 from lifttrestle.internal.http.head import RequestHead
@@ -46,7 +49,6 @@
 from lifttrestle.internal.router.kept_stream import open_kept_stream
 from lifttrestle.internal.router.model_request import ModelRequest
 from lifttrestle.internal.router.parts import RouterParts
-from lifttrestle.internal.router.progress import RequestEvent
 from lifttrestle.internal.router.relay import AnswerRelay
 from lifttrestle.internal.router.scope import RequestScope
 from lifttrestle.internal.router.stream_relay import StreamRelay
@@ -62,17 +64,9 @@
 RETRY_SECONDS = 1.0
 FIRST_CLIENT_ERROR = 400
 MAX_ERROR_BYTES = 1024 * 1024
-# The failures after which another upstream may do better.
-RETRYABLE = (
-    UpstreamConnectFailed,
-    UpstreamDeclined,
-    UpstreamFailed,
-    UpstreamLost,
-    WrongAnswer,
-)
 
 
-class ModelExchange:
+class ModelExchange(AttemptPlan[Attempt, None]):
     """Owns the attempts that one request needs."""
 
     def __init__(
@@ -105,24 +99,30 @@
         :raises RequestRefused: if no answer could be begun.
         """
         self._parts.budget.note_request()
-        while True:
-            try:
-                attempt = self._choose()
-            except RequestRefused as refused:
-                await self._fail(refused)
-                return
-            self._tried.add(attempt.upstream.name)
-            try:
-                with self._chooser.track(attempt):
-                    await self._try(attempt)
-                return
-            except RETRYABLE as error:
-                if await self._end_lost_stream():
-                    return
-                given_up = self._judge_failure(error)
-                if given_up is not None:
-                    await self._fail(given_up)
-                    return
+        try:
+            await run_attempts(self)
+        except RequestRefused as refused:
+            await self._fail(refused)
+
+    async def choose(self) -> Attempt:
+        """Return the next engine, beginning anew when each has failed."""
+        attempt = self._choose()
+        self._tried.add(attempt.upstream.name)
+        return attempt
+
+    async def attempt(self, chosen: Attempt) -> None:
+        """Send the request and pass its answer on."""
+        with self._chooser.track(chosen):
+            await self._try(chosen)
+
+    async def judge(self, chosen: Attempt, error: LifttrestleError) -> Verdict:
+        """End a stream that is whole but for its end, or try again."""
+        if await self._end_lost_stream():
+            return Verdict.ENDED
+        given_up = self._judge_failure(error)
+        if given_up is not None:
+            raise given_up
+        return Verdict.AGAIN
 
     def _choose(self) -> Attempt:
         relay = self._relay
@@ -165,7 +165,7 @@
                 self._parts, self._scope, attempt, head, self._body
             )
             await self._take_answer(attempt, call, request_id)
-        except RETRYABLE as error:
+        except FAILURES as error:
             self._chooser.note_failure(self._scope, attempt, error)
             raise
         except (CallerGone, asyncio.CancelledError):
--- a/src/lifttrestle/internal/router/once_exchange.py
+++ b/src/lifttrestle/internal/router/once_exchange.py
@@ -20,12 +20,15 @@
 import asyncio
 import hashlib
 
+from lifttrestle.errors import LifttrestleError
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.errors import RequestRefused
-from lifttrestle.errors import UpstreamConnectFailed
-from lifttrestle.errors import UpstreamDeclined
-from lifttrestle.errors import UpstreamLost
-from lifttrestle.errors import WrongAnswer
+from lifttrestle.internal.exchange.attempts import AttemptPlan
+from lifttrestle.internal.exchange.attempts import FAILURES
+from lifttrestle.internal.exchange.attempts import NOT_RUN
+from lifttrestle.internal.exchange.attempts import run_attempts
+from lifttrestle.internal.exchange.attempts import Verdict
+from lifttrestle.internal.exchange.progress import RequestEvent
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.refusal.execution import Execution
 from lifttrestle.internal.refusal.execution import join_executions
@@ -35,7 +38,6 @@
 from lifttrestle.internal.router.call import open_call
 from lifttrestle.internal.router.chooser import UpstreamChooser
 from lifttrestle.internal.router.parts import RouterParts
-from lifttrestle.internal.router.progress import RequestEvent
 from lifttrestle.internal.router.scope import RequestScope
 from lifttrestle.internal.router.service_answer import read_whole
 from lifttrestle.internal.router.service_exchange import build_head
@@ -51,7 +53,7 @@
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 
 
-class OnceExchange:
+class OnceExchange(AttemptPlan[Attempt, Answer]):
     """Owns the claim and the one attempt of a request.
 
     :param needs_claim: False where the upstreams drop repeats themselves.
@@ -73,6 +75,8 @@
         self._run_key = RunKey(scope.workspace.name, key)
         self._needs_claim = needs_claim
         self._attempt_id = scope.request_id
+        self._claimed: Claim | None = None
+        self._tried: set[str] = set()
 
     async def run(self) -> None:
         """Serve the request, or say truthfully what became of it.
@@ -88,8 +92,10 @@
 
     async def _run_to_end(self) -> Answer | RequestRefused:
         try:
-            claim = await self._claim()
-            return await self._send(claim)
+            self._claimed = await self._claim()
+            answer = await run_attempts(self)
+            assert answer is not None
+            return answer
         except RequestRefused as refused:
             refused.ran = join_executions(
                 refused.ran, self._scope.progress.execution
@@ -120,40 +126,47 @@
         self._scope.progress.move(RequestEvent.CLAIM)
         return outcome
 
-    async def _send(self, claim: Claim | None) -> Answer:
-        tried: set[str] = set()
-        target = build_target(self._scope, self._request.service)
-        while True:
+    async def choose(self) -> Attempt:
+        """Return the next upstream; without one the claim is void."""
+        try:
+            self._check_deadline()
+            attempt = self._chooser.choose(
+                self._scope,
+                build_target(self._scope, self._request.service),
+                NO_PROMPT,
+                self._tried,
+                len(self._tried) + 1,
+            )
+        except RequestRefused:
+            await self._void(self._claimed)
+            raise
+        self._tried.add(attempt.upstream.name)
+        return attempt
+
+    async def attempt(self, chosen: Attempt) -> Answer:
+        """Send the request and return its whole answer."""
+        with self._chooser.track(chosen):
             try:
-                self._check_deadline()
-                attempt = self._chooser.choose(
-                    self._scope, target, NO_PROMPT, tried, len(tried) + 1
-                )
-            except RequestRefused:
-                await self._void(claim)
+                answer = await self._try(chosen)
+            except FAILURES as error:
+                self._chooser.note_failure(self._scope, chosen, error)
                 raise
-            tried.add(attempt.upstream.name)
-            with self._chooser.track(attempt):
-                try:
-                    answer = await self._try(attempt)
-                except (UpstreamConnectFailed, UpstreamDeclined) as error:
-                    # It did not run, so the claim still covers a new try.
-                    self._chooser.note_failure(self._scope, attempt, error)
-                    continue
-                except (UpstreamLost, WrongAnswer) as error:
-                    self._chooser.note_failure(self._scope, attempt, error)
-                    self._finish(claim, RunState.UNKNOWN, 0)
-                    raise RequestRefused(
-                        ErrorKind.UPSTREAM_FAILED,
-                        f'the request was sent and its outcome is unknown:'
-                        f' {error}',
-                        ran=Execution.UNKNOWN,
-                    ) from None
-                except BaseException:
-                    self._finish(claim, RunState.UNKNOWN, 0)
-                    raise
-            self._finish(claim, RunState.DONE, answer.status)
-            return answer
+            except BaseException:
+                self._finish(self._claimed, RunState.UNKNOWN, 0)
+                raise
+        self._finish(self._claimed, RunState.DONE, answer.status)
+        return answer
+
+    async def judge(self, chosen: Attempt, error: LifttrestleError) -> Verdict:
+        """Go elsewhere only if it did not run: the claim covers that."""
+        if isinstance(error, NOT_RUN):
+            return Verdict.AGAIN
+        self._finish(self._claimed, RunState.UNKNOWN, 0)
+        raise RequestRefused(
+            ErrorKind.UPSTREAM_FAILED,
+            f'the request was sent and its outcome is unknown: {error}',
+            ran=Execution.UNKNOWN,
+        ) from None
 
     async def _try(self, attempt: Attempt) -> Answer:
         request_id = f'{self._scope.request_id}-{attempt.number}'
--- a/src/lifttrestle/internal/router/scope.py
+++ b/src/lifttrestle/internal/router/scope.py
@@ -15,9 +15,9 @@
 import dataclasses
 
 from lifttrestle.internal.configuration.model import Workspace
+from lifttrestle.internal.exchange.progress import RequestProgress
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.server_connection import ServerConnection
-from lifttrestle.internal.router.progress import RequestProgress
 
 
 @dataclasses.dataclass
--- a/src/lifttrestle/internal/router/service_exchange.py
+++ b/src/lifttrestle/internal/router/service_exchange.py
@@ -14,13 +14,16 @@
 
 import dataclasses
 
+from lifttrestle.errors import LifttrestleError
 from lifttrestle.errors import RequestRefused
-from lifttrestle.errors import UpstreamConnectFailed
-from lifttrestle.errors import UpstreamDeclined
 from lifttrestle.errors import UpstreamFailed
-from lifttrestle.errors import UpstreamLost
-from lifttrestle.errors import WrongAnswer
 from lifttrestle.internal.configuration.model import Service
+from lifttrestle.internal.exchange.attempts import AttemptPlan
+from lifttrestle.internal.exchange.attempts import FAILURES
+from lifttrestle.internal.exchange.attempts import NOT_RUN
+from lifttrestle.internal.exchange.attempts import run_attempts
+from lifttrestle.internal.exchange.attempts import Verdict
+from lifttrestle.internal.exchange.progress import RequestEvent
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.refusal.kind import ErrorKind
 from lifttrestle.internal.router.attempt import Attempt
@@ -29,7 +32,6 @@
 from lifttrestle.internal.router.call import UpstreamCall
 from lifttrestle.internal.router.chooser import UpstreamChooser
 from lifttrestle.internal.router.parts import RouterParts
-from lifttrestle.internal.router.progress import RequestEvent
 from lifttrestle.internal.router.scope import RequestScope
 from lifttrestle.internal.router.service_answer import keep_end_headers
 from lifttrestle.internal.router.service_answer import pass_answer
@@ -43,15 +45,6 @@
 NO_PROMPT = Prompt((), 0)
 # What the caller says of these is for us, or ours to say.
 OWN_HEADERS = ('host', 'authorization', 'expect', 'x-workspace')
-FAILURES = (
-    UpstreamConnectFailed,
-    UpstreamDeclined,
-    UpstreamFailed,
-    UpstreamLost,
-    WrongAnswer,
-)
-# Nothing ran: the request may go elsewhere whatever its method is.
-NOT_RUN = (UpstreamConnectFailed, UpstreamDeclined)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -92,7 +85,7 @@
     return RequestHead(scope.head.method, request.rest, headers)
 
 
-class ServiceExchange:
+class ServiceExchange(AttemptPlan[Attempt, None]):
     """Owns the attempts of a request that has no idempotency key.
 
     :param once: the operators say that it may not be repeated: once its
@@ -120,22 +113,24 @@
         :raises RequestRefused: if no answer could be begun.
         """
         self._parts.budget.note_request()
-        target = build_target(self._scope, self._request.service)
-        while True:
-            attempt = self._chooser.choose(
-                self._scope,
-                target,
-                NO_PROMPT,
-                self._tried,
-                len(self._tried) + 1,
-            )
-            self._tried.add(attempt.upstream.name)
-            try:
-                with self._chooser.track(attempt):
-                    await self._try(attempt)
-                return
-            except FAILURES as error:
-                self._judge_failure(error)
+        await run_attempts(self)
+
+    async def choose(self) -> Attempt:
+        """Return the next upstream that has not failed this request."""
+        attempt = self._chooser.choose(
+            self._scope,
+            build_target(self._scope, self._request.service),
+            NO_PROMPT,
+            self._tried,
+            len(self._tried) + 1,
+        )
+        self._tried.add(attempt.upstream.name)
+        return attempt
+
+    async def attempt(self, chosen: Attempt) -> None:
+        """Send the request and pass its answer on."""
+        with self._chooser.track(chosen):
+            await self._try(chosen)
 
     async def _try(self, attempt: Attempt) -> None:
         request_id = f'{self._scope.request_id}-{attempt.number}'
@@ -184,8 +179,8 @@
     def _is_repeatable(self) -> bool:
         return not self._once and self._scope.head.method in REPEATABLE_METHODS
 
-    def _judge_failure(self, error: Exception) -> None:
-        """Return if another attempt is to be made, else raise."""
+    async def judge(self, chosen: Attempt, error: LifttrestleError) -> Verdict:
+        """Try again where that is harmless and in time."""
         if self._scope.connection.answer_started:
             self._scope.connection.abort()
             raise self._refuse(f'the answer broke off: {error}')
@@ -197,6 +192,7 @@
             )
         if not self._parts.budget.take():
             raise self._refuse(f'no retry is left: {error}')
+        return Verdict.AGAIN
 
     def _refuse(self, message: str) -> RequestRefused:
         return RequestRefused(
--- a/tests/cover/test_progress.py
+++ b/tests/cover/test_progress.py
@@ -18,10 +18,10 @@
 from hypothesis import settings
 import hypothesis.strategies as st
 
+from lifttrestle.internal.exchange.progress import RequestEvent
+from lifttrestle.internal.exchange.progress import RequestProgress
+from lifttrestle.internal.exchange.progress import TRANSITIONS
 from lifttrestle.internal.refusal.execution import Execution
-from lifttrestle.internal.router.progress import RequestEvent
-from lifttrestle.internal.router.progress import RequestProgress
-from lifttrestle.internal.router.progress import TRANSITIONS
 
 
 class TestProgress(unittest.TestCase):
--- a/tests/nocover/test_fleet_exchange.py
+++ b/tests/nocover/test_fleet_exchange.py
@@ -180,6 +180,41 @@
         self.assertEqual(answer.status, 400)
 
 
+class TestConnections(unittest.IsolatedAsyncioTestCase):
+    async def test_regression_failed_and_declined_answers_keep_theirs(self):
+        # The connection was closed after each answer that was no success:
+        # a seventh of the answers of one service, each costing a new one.
+        async with run_fleet() as fleet:
+            for name in PLAIN:
+                fleet.upstreams[name].script.extend(
+                    [Behaviour.FAIL, Behaviour.DECLINE] * 2
+                )
+            for number in range(8):
+                await fleet.call('/safe/a', request_id=str(number))
+            peers = [len(fleet.upstreams[name].peers) for name in PLAIN]
+        self.assertEqual(peers, [1, 1])
+
+
+class TestTruth(unittest.IsolatedAsyncioTestCase):
+    async def test_regression_refusal_after_a_lost_attempt_is_no_promise(
+        self,
+    ):
+        # The first attempt may have run; the view then became too old, and
+        # the answer was 503, which promises that nothing ran.
+        async with run_fleet() as fleet:
+            script_all(fleet, PLAIN, Behaviour.LOSE)
+            watch = fleet.router._operator_watch
+            get_age = watch.get_age
+
+            def age():
+                return 99.0 if list_runs(fleet, PLAIN) else get_age()
+
+            watch.get_age = age
+            answer = await fleet.call('/safe/a')
+            runs = list_runs(fleet, PLAIN)
+        self.assertEqual((answer.status, len(runs)), (502, 1))
+
+
 class TestStreams(unittest.IsolatedAsyncioTestCase):
     async def test_stream_passes_whole_under_one_salt(self):
         async with run_fleet() as fleet:
--- a/tests/support/fleet_upstream.py
+++ b/tests/support/fleet_upstream.py
@@ -59,6 +59,7 @@
 
     :ivar runs: the requests that it ran.
     :ivar arrivals: the requests that reached it.
+    :ivar peers: the connections that they came over.
     :ivar left: ids of requests whose caller closed the connection.
     :ivar released: streams go on after their second event once it is set.
     """
@@ -69,6 +70,7 @@
         self.runs: list[Run] = []
         self.arrivals: list[RequestHead] = []
         self.left: list[str] = []
+        self.peers: set[str] = set()
         self.weights = 1
         self.orders: list[dict[str, object]] = []
         self.released = asyncio.Event()
@@ -96,6 +98,7 @@
             await self._take_order(connection, msgspec.json.decode(body))
             return
         self.arrivals.append(head)
+        self.peers.add(connection.peer)
         behaviour = self.script.popleft() if self.script else Behaviour.GOOD
         if behaviour is Behaviour.DECLINE or not self._is_meant(head):
             await self._decline(connection, head)
