--- /dev/null
+++ b/src/lifttrestle/internal/fleet/peer_loads.py
@@ -0,0 +1,157 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""What the other routers have under way at each upstream.
+
+Each router tells the others a few times a second over datagrams. One that is
+lost is made up for by the next; what is older than a second counts for
+nothing, so that a router that is gone holds no upstream busy.
+"""
+
+import asyncio
+
+import msgspec
+
+from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.roster import Roster
+from lifttrestle.internal.http.address import Address
+from lifttrestle.internal.http.address import check_address
+from lifttrestle.internal.telemetry.event_log import get_event_log
+
+LOG = get_event_log('peers')
+# Requests last for some hundred ms; older counts say little.
+TELL_SECONDS = 0.15
+FRESH_SECONDS = 1.0
+# Without work there is nothing to tell, and silence says the same.
+MAX_DATAGRAM_BYTES = 8 * 1024
+
+
+class UpstreamLoad(msgspec.Struct, frozen=True, array_like=True):
+    """What one router has under way at one upstream."""
+
+    instance: str
+    in_flight: int
+    tokens: int
+
+
+class LoadReport(msgspec.Struct, frozen=True, array_like=True):
+    """All that one router has under way; it replaces its last report."""
+
+    vm: str
+    number: int
+    loads: list[UpstreamLoad]
+
+
+class PeerLoads(asyncio.DatagramProtocol):
+    """Sends this router's loads and sums up those of the others."""
+
+    def __init__(
+        self,
+        vm: str,
+        directory: UpstreamDirectory,
+        roster: Roster,
+        clock: Clock,
+    ) -> None:
+        self._vm = vm
+        self._directory = directory
+        self._roster = roster
+        self._clock = clock
+        self._transport: asyncio.DatagramTransport | None = None
+        self._reports: dict[str, LoadReport] = {}
+        self._heard_at: dict[str, float] = {}
+        self._number = 0
+        self._told_something = False
+
+    async def start(self, address: Address) -> Address:
+        """Listen at an address and return the one in force."""
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(address.host, address.port)
+        )
+        self._transport = transport
+        host, port = transport.get_extra_info('sockname')[:2]
+        return Address(host, port)
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def datagram_received(self, data: bytes, address: object) -> None:
+        """Take in a report; what is none is dropped."""
+        try:
+            report = msgspec.msgpack.decode(data, type=LoadReport)
+        except (ValueError, msgspec.MsgspecError) as error:
+            LOG.warning('peers.garbage', peer=str(address), reason=str(error))
+            return
+        self.note(report)
+
+    def note(self, report: LoadReport) -> None:
+        """Believe a report, unless a newer one overtook it."""
+        held = self._reports.get(report.vm)
+        now = self._clock.monotonic()
+        fresh = now - self._heard_at.get(report.vm, -FRESH_SECONDS)
+        # After a restart a router counts anew; its old report is stale then.
+        if held is not None and held.number > report.number:
+            if fresh < FRESH_SECONDS:
+                return
+        self._reports[report.vm] = report
+        self._heard_at[report.vm] = now
+        self._apply()
+
+    def _apply(self) -> None:
+        """Write the sums to the upstreams."""
+        latest = self._clock.monotonic() - FRESH_SECONDS
+        sums: dict[str, tuple[int, int]] = {}
+        for vm, report in self._reports.items():
+            if self._heard_at[vm] < latest:
+                continue
+            for load in report.loads:
+                in_flight, tokens = sums.get(load.instance, (0, 0))
+                sums[load.instance] = (
+                    in_flight + load.in_flight,
+                    tokens + load.tokens,
+                )
+        for upstream in self._directory:
+            in_flight, tokens = sums.get(upstream.instance, (0, 0))
+            upstream.peers_in_flight = in_flight
+            upstream.peers_tokens = tokens
+
+    async def run(self) -> None:
+        """Tell the others, for ever."""
+        while True:
+            await self._clock.sleep(TELL_SECONDS)
+            self._apply()
+            self._tell()
+
+    def _tell(self) -> None:
+        loads = [
+            UpstreamLoad(
+                upstream.instance,
+                upstream.in_flight,
+                upstream.tokens_in_flight,
+            )
+            for upstream in self._directory
+            if upstream.in_flight
+        ]
+        if not loads and not self._told_something:
+            return
+        self._told_something = bool(loads)
+        self._number += 1
+        report = LoadReport(self._vm, self._number, loads)
+        data = msgspec.msgpack.encode(report)
+        if len(data) > MAX_DATAGRAM_BYTES or self._transport is None:
+            return
+        for text in self._roster.addresses:
+            address = check_address(text)
+            self._transport.sendto(data, (address.host, address.port))
--- a/src/lifttrestle/internal/fleet/placement.py
+++ b/src/lifttrestle/internal/fleet/placement.py
@@ -13,7 +13,6 @@
 """Chooses the upstream that a request is sent to."""
 
 import dataclasses
-import math
 import random
 
 from lifttrestle.internal.fleet.dialect import Generation
@@ -25,7 +24,9 @@
 # Engines beside the first home that keep a shared part too.
 HOMES = 2
 # A running request slows the others on its engine by about this much.
-RUNNING_SECONDS = 0.015
+RUNNING_SECONDS = 0.012
+# The part of a prompt under way that is still to be read, on the average.
+WAITING_SHARE = 0.15
 # A request sent to another data centre: a few ms, and its bytes are priced.
 OTHER_DATA_CENTRE_SECONDS = 0.004
 # What it is worth to answer by the newest weights.
@@ -164,8 +165,10 @@
     read = shared * READ_SECONDS_PER_TOKEN
     miss = min(rank, HOMES) / HOMES
     cost = miss * read
-    cost += upstream.in_flight * RUNNING_SECONDS * _scale(around)
-    cost += upstream.tokens_in_flight * READ_SECONDS_PER_TOKEN * 0.3
+    running = upstream.in_flight + upstream.peers_in_flight
+    tokens = upstream.tokens_in_flight + upstream.peers_tokens
+    cost += running * RUNNING_SECONDS
+    cost += tokens * READ_SECONDS_PER_TOKEN * WAITING_SHARE
     wait = upstream.get_oldest_wait(around.now, around.urgency)
     cost += max(wait - USUAL_WAIT_SECONDS, 0)
     cost += _weigh_distance(upstream, around)
@@ -175,11 +178,6 @@
     return cost
 
 
-def _scale(around: Surroundings) -> float:
-    # The other routers' requests are not seen; some go where ours go.
-    return math.sqrt(max(around.live_routers, 1))
-
-
 def _weigh_distance(upstream: FleetUpstream, around: Surroundings) -> float:
     if upstream.entry.data_centre == around.data_centre:
         return 0.0
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -31,6 +31,7 @@
 from lifttrestle.internal.fleet.engine_control import EngineControl
 from lifttrestle.internal.fleet.operator_view import OperatorView
 from lifttrestle.internal.fleet.parts import FleetParts
+from lifttrestle.internal.fleet.peer_loads import PeerLoads
 from lifttrestle.internal.fleet.roster import FLEET_TABLE
 from lifttrestle.internal.fleet.roster import Roster
 from lifttrestle.internal.fleet.rows import RowStore
@@ -137,6 +138,9 @@
             source,
             settings.vm,
         )
+        self._peer_loads = PeerLoads(
+            settings.vm, self._directory, self._roster, clock
+        )
         self._ready = ReadyDoor(self._parts)
         self._callers = HttpServer(
             CallersDoor(self._parts).handle, _make_limits(None)
@@ -257,6 +261,11 @@
         self.ready_address = await self._probes.start(
             check_address(settings.ready_address)
         )
+        if settings.peers_address:
+            peers = await self._peer_loads.start(
+                check_address(settings.peers_address)
+            )
+            self._roster.address = str(peers)
         if settings.metrics_address:
             await self._metrics.start(check_address(settings.metrics_address))
         LOG.info(
@@ -272,6 +281,7 @@
             self._roster.join(),
             self._loader.run(),
             watch_stalls(self._clock),
+            self._peer_loads.run(),
         )
         self._control = [asyncio.create_task(item) for item in work]
         for task in self._control:
@@ -283,6 +293,7 @@
         for task in self._control:
             task.cancel()
         await asyncio.gather(*self._control, return_exceptions=True)
+        self._peer_loads.close()
         self._directory.close()
         self._store.close()
         return whole
--- a/src/lifttrestle/internal/fleet/roster.py
+++ b/src/lifttrestle/internal/fleet/roster.py
@@ -39,9 +39,13 @@
 
 
 class RouterRow(msgspec.Struct, frozen=True):
-    """One router's row."""
+    """One router's row.
+
+    :ivar address: where it hears of the others' loads, or nothing.
+    """
 
     data_centre: str
+    address: str = ''
 
 
 class Roster:
@@ -55,6 +59,8 @@
         self._key = f'{ROUTER_PREFIX}{vm}'
         self._data_centre = data_centre
         self._versions: dict[str, int] = {}
+        self._addresses: dict[str, str] = {}
+        self.address = ''
         self.loaded = False
 
     @property
@@ -69,6 +75,15 @@
         """Return the routers' keys, in order."""
         return sorted({*self._versions, self._key})
 
+    @property
+    def addresses(self) -> list[str]:
+        """Return where the other routers hear of loads."""
+        return [
+            address
+            for key, address in self._addresses.items()
+            if address and key != self._key
+        ]
+
     @property
     def key(self) -> str:
         """Return this router's key."""
@@ -81,8 +96,10 @@
         before = self.live
         if row.value is None:
             self._versions.pop(row.key, None)
+            self._addresses.pop(row.key, None)
         else:
             self._versions[row.key] = row.version
+            self._addresses[row.key] = _read_address(row.value)
         if self.live != before:
             LOG.info('roster.changed', live=self.live, before=before)
 
@@ -91,7 +108,10 @@
         while self._key not in self._versions:
             try:
                 await self._write(
-                    msgspec.json.encode(RouterRow(self._data_centre)), NO_ROW
+                    msgspec.json.encode(
+                        RouterRow(self._data_centre, self.address)
+                    ),
+                    NO_ROW,
                 )
                 return
             except ConditionFailed:
@@ -115,3 +135,11 @@
     async def _write(self, value: bytes | None, version: int) -> None:
         write = RowWrite(FLEET_TABLE, self._key, value, version)
         await self._store.write_row(write)
+
+
+def _read_address(value: bytes) -> str:
+    try:
+        return msgspec.json.decode(value, type=RouterRow).address
+    except (ValueError, msgspec.MsgspecError) as error:
+        LOG.error('roster.unreadable', reason=str(error))
+        return ''
--- a/src/lifttrestle/internal/fleet/settings.py
+++ b/src/lifttrestle/internal/fleet/settings.py
@@ -50,6 +50,7 @@
 class FleetSettings:
     """One router's place and addresses.
 
+    :ivar peers_address: where it hears of the other routers' loads.
     :ivar heartbeat_seconds: between two signs of life of an upstream.
     """
 
@@ -58,6 +59,7 @@
     callers_address: str
     ready_address: str
     metrics_address: str
+    peers_address: str
     heartbeat_seconds: float
     store: StoreSettings
     promises: Promises
--- a/src/lifttrestle/internal/fleet/upstream.py
+++ b/src/lifttrestle/internal/fleet/upstream.py
@@ -48,6 +48,8 @@
 
     :ivar weights: the newest version of each model's weights that it is
         known to hold.
+    :ivar peers_in_flight: requests that other routers have under way there.
+    :ivar peers_tokens: the tokens of their prompts.
     :ivar busy_until: until when it is expected to load weights.
     :ivar vanished_at: when its entry went, or None.
     :ivar first_byte_seconds: average time to the first byte of an answer.
@@ -64,6 +66,8 @@
     misdirected: bool = False
     in_flight: int = 0
     tokens_in_flight: int = 0
+    peers_in_flight: int = 0
+    peers_tokens: int = 0
     first_byte_seconds: float = 0.0
     heard_at: float = 0.0
     unreached_at: float = NEVER
--- a/src/lifttrestle/internal/platform/node_settings.py
+++ b/src/lifttrestle/internal/platform/node_settings.py
@@ -61,7 +61,10 @@
 
 
 class NodeRecord(msgspec.Struct):
-    """The settings file; fields that are not listed are ignored."""
+    """The settings file; fields that are not listed are ignored.
+
+    :ivar internal_ports: first and last of those free for our own use.
+    """
 
     node_name: str
     ip: str
@@ -70,6 +73,7 @@
     listen: ListenRecord
     platform: StoreRecord
     zones: dict[str, str] = {}
+    internal_ports: list[int] = []
     heartbeat_ms: float = 1200
     contract_params: PromisesRecord = msgspec.field(
         default_factory=PromisesRecord
@@ -107,6 +111,9 @@
         callers_address=record.listen.front,
         ready_address=record.listen.ready,
         metrics_address=f'{record.ip}:{metrics_port}' if metrics_port else '',
+        peers_address=f'{record.ip}:{record.internal_ports[0]}'
+        if record.internal_ports
+        else '',
         heartbeat_seconds=record.heartbeat_ms / MILLISECONDS,
         store=StoreSettings(record.platform.address),
         promises=Promises(
--- /dev/null
+++ b/tests/cover/test_peer_loads.py
@@ -0,0 +1,114 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Loads that routers tell each other: summed, short-lived, never garbage."""
+
+import asyncio
+import datetime
+import unittest
+
+import msgspec
+
+from lifttrestle.internal.clock.manual import ManualClock
+from lifttrestle.internal.fleet.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.peer_loads import FRESH_SECONDS
+from lifttrestle.internal.fleet.peer_loads import LoadReport
+from lifttrestle.internal.fleet.peer_loads import PeerLoads
+from lifttrestle.internal.fleet.peer_loads import UpstreamLoad
+from lifttrestle.internal.fleet.roster import Roster
+from lifttrestle.internal.fleet.roster import RouterRow
+from lifttrestle.internal.fleet.rows import VersionedRow
+from lifttrestle.internal.http.address import Address
+from lifttrestle.internal.platform.stored_format import PlatformFormat
+from tests.support.memory_rows import MemoryRows
+
+START = datetime.datetime(2026, 12, 2, tzinfo=datetime.timezone.utc)
+WAIT_SECONDS = 10.0
+
+
+def make_report(vm, number, in_flight, tokens=0):
+    return LoadReport(vm, number, [UpstreamLoad('u', in_flight, tokens)])
+
+
+class Router:
+    def __init__(self, name):
+        self.clock = ManualClock(START)
+        self.directory = UpstreamDirectory(PlatformFormat(), self.clock)
+        entry = {'service': 's', 'address': '127.0.0.1:9'}
+        value = msgspec.json.encode(entry)
+        self.directory.take(VersionedRow('u', value, 1))
+        self.upstream = self.directory.get('u')
+        self.roster = Roster(MemoryRows(), self.clock, name, 'a')
+        self.loads = PeerLoads(name, self.directory, self.roster, self.clock)
+
+    def meet(self, name, address):
+        row = msgspec.json.encode(RouterRow('a', str(address)))
+        self.roster.take(VersionedRow(f'router/{name}', row, 1))
+
+    def get_peers(self):
+        return self.upstream.peers_in_flight, self.upstream.peers_tokens
+
+
+class TestSums(unittest.TestCase):
+    def setUp(self):
+        self.router = Router('me')
+
+    def test_reports_of_all_routers_are_summed(self):
+        self.router.loads.note(make_report('a', 1, 2, 100))
+        self.router.loads.note(make_report('b', 1, 3, 50))
+        self.assertEqual(self.router.get_peers(), (5, 150))
+
+    def test_newer_report_replaces_and_overtaken_one_is_dropped(self):
+        for number, in_flight in ((1, 2), (3, 7), (2, 9)):
+            self.router.loads.note(make_report('a', number, in_flight))
+        self.assertEqual(self.router.get_peers()[0], 7)
+
+    def test_router_that_fell_silent_holds_nothing_busy(self):
+        self.router.loads.note(make_report('a', 1, 2))
+        self.router.clock.advance(FRESH_SECONDS + 0.1)
+        self.router.loads.note(make_report('b', 1, 3))
+        self.assertEqual(self.router.get_peers()[0], 3)
+
+    def test_restarted_router_is_believed_again(self):
+        self.router.loads.note(make_report('a', 900, 2))
+        self.router.clock.advance(FRESH_SECONDS + 0.1)
+        self.router.loads.note(make_report('a', 1, 4))
+        self.assertEqual(self.router.get_peers()[0], 4)
+
+    def test_garbage_is_dropped_and_told(self):
+        self.router.loads.note(make_report('a', 1, 2))
+        for data in (b'', b'\xc1', b'not a report', b'\x93\x01\x02\x03'):
+            with self.assertLogs('lifttrestle.peers', 'WARNING'):
+                self.router.loads.datagram_received(data, ('1.2.3.4', 5))
+        self.assertEqual(self.router.get_peers()[0], 2)
+
+
+class TestDatagrams(unittest.IsolatedAsyncioTestCase):
+    async def test_routers_hear_each_other_until_the_work_ends(self):
+        routers = [Router('a'), Router('b')]
+        addresses = [
+            await router.loads.start(Address('127.0.0.1', 0))
+            for router in routers
+        ]
+        for router in routers:
+            for name, address in zip('ab', addresses):
+                router.meet(name, address)
+        teller, hearer = routers
+        for in_flight in (4, 0):
+            teller.upstream.in_flight = in_flight
+            teller.loads._tell()
+            async with asyncio.timeout(WAIT_SECONDS):
+                while hearer.get_peers()[0] != in_flight:
+                    await asyncio.sleep(0.005)
+        self.assertEqual(teller.get_peers(), (0, 0))
+        for router in routers:
+            router.loads.close()
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -205,6 +205,7 @@
         callers_address='127.0.0.1:0',
         ready_address='127.0.0.1:0',
         metrics_address='',
+        peers_address='127.0.0.1:0',
         heartbeat_seconds=1.2,
         store=StoreSettings(str(store)),
         promises=promises,
