One record of listed VMs for sponsors and the registry

Cause: 'never listed is new, not gone' stood in three places. Ruled out: the third, which is part of a stored row. Conclusion: two of three are one.

--- a/src/lifttrestle/internal/membership/sponsorship.py
+++ b/src/lifttrestle/internal/membership/sponsorship.py
@@ -19,6 +19,7 @@
 
 import dataclasses
 
+from lifttrestle.internal.membership.listed_vms import ListedVms
 from lifttrestle.internal.membership.member import Member
 
 
@@ -35,7 +36,7 @@
 
     def __init__(self) -> None:
         self._sponsored: dict[str, Sponsored] = {}
-        self._listed: set[str] = set()
+        self._listed = ListedVms()
 
     def add(self, member: Member) -> None:
         """Answer for a router from now on."""
@@ -50,15 +51,12 @@
             self._sponsored[instance].plan_id = plan_id
 
     def drop_gone(self, vms: set[str]) -> None:
-        """Stop answering for routers whose VM is no longer listed.
-
-        The list lags: a VM that was never on it is new, not gone.
-        """
+        """Stop answering for routers whose VM is no longer listed."""
         self._listed.update(vms)
         gone = [
             instance
             for instance, item in self._sponsored.items()
-            if item.member.vm in self._listed - vms
+            if self._listed.is_gone(item.member.vm)
         ]
         for instance in gone:
             del self._sponsored[instance]
--- a/src/lifttrestle/internal/upstream/registry.py
+++ b/src/lifttrestle/internal/upstream/registry.py
@@ -17,6 +17,7 @@
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.http.address import check_address
 from lifttrestle.internal.http.client_pool import ClientPool
+from lifttrestle.internal.membership.listed_vms import ListedVms
 from lifttrestle.internal.settings.router import RouterSettings
 from lifttrestle.internal.settings.upstream import UpstreamKind
 from lifttrestle.internal.store.vm import Vm
@@ -35,7 +36,7 @@
         self._clock = clock
         self._states: dict[str, UpstreamState] = {}
         self._groups: dict[tuple[UpstreamKind, str], list[UpstreamState]] = {}
-        self._listed: set[str] = set()
+        self._listed = ListedVms()
         for item in settings.upstream:
             pool = ClientPool(
                 check_address(item.address), clock, settings.deadlines.connect
@@ -76,14 +77,11 @@
         return self._groups.get((target.kind, target.group), [])
 
     def apply_vms(self, vms: dict[str, Vm]) -> None:
-        """Mark the upstreams whose VM is leaving or no longer listed.
-
-        The list lags: a VM that was never on it is new, not gone.
-        """
+        """Mark the upstreams whose VM is leaving or no longer listed."""
         self._listed.update(vms)
         for upstream in self._states.values():
             name = upstream.settings.vm
-            if name not in self._listed:
+            if not self._listed.is_known(name):
                 continue
             vm = vms.get(name)
             upstream.leaving = vm is None or vm.state is VmState.LEAVING
