An order that an engine did not answer is sent again once it has not come

Ruled out: that a late order does harm: both expect the same count of orders, so the second does nothing (test).

--- a/src/lifttrestle/internal/fleet/weights_loader.py
+++ b/src/lifttrestle/internal/fleet/weights_loader.py
@@ -73,10 +73,16 @@
 
 @dataclasses.dataclass
 class LoadUnderWay:
-    """An order that an engine has not yet been seen to have carried out."""
+    """An order that an engine has not yet been seen to have carried out.
+
+    :ivar orders_accepted: what the engine counted before this order.
+    :ivar answered: it said that it took the order.
+    """
 
     upstream: FleetUpstream
     version: int
+    orders_accepted: int
+    answered: bool
     ordered_at: float
     ask_at: float
 
@@ -230,11 +236,16 @@
             )
             for upstream, state in batch
         ]
-        await asyncio.gather(*orders)
+        answered = await asyncio.gather(*orders)
         now = self._clock.monotonic()
-        for upstream, _ in batch:
+        for (upstream, state), answer in zip(batch, answered):
             loads[upstream.instance] = LoadUnderWay(
-                upstream, version, now, now + REPORT_FIRST_SECONDS
+                upstream,
+                version,
+                state.orders_accepted,
+                answer,
+                now,
+                now + REPORT_FIRST_SECONDS,
             )
 
     def _count_room(self, model: str) -> int:
@@ -269,10 +280,11 @@
 
     async def _order(
         self, upstream: FleetUpstream, order: LoadOrder, asked_at: float
-    ) -> None:
+    ) -> bool:
+        """Send an order; return whether the engine has answered it."""
         if self._clock.monotonic() - asked_at > ORDER_SECONDS:
             LOG.warning('weights.lease_ran_out', instance=upstream.instance)
-            return
+            return False
         try:
             outcome = await self._control.send_load(upstream, order)
         except PlatformUnavailable as error:
@@ -295,6 +307,7 @@
             upstream.note_weights(order.model, order.version)
         if outcome is OrderOutcome.OTHER_INSTANCE:
             upstream.misdirected = True
+        return outcome is not OrderOutcome.UNKNOWN
 
     async def _follow_loads(
         self, model: str, loads: dict[str, LoadUnderWay]
@@ -311,9 +324,22 @@
             if state is not None:
                 known = state.weights.get(model, 0)
                 load.upstream.note_weights(model, known)
-            if self._is_over(model, load, now):
+            if self._was_lost(load, state) or self._is_over(model, load, now):
                 del loads[instance]
 
+    def _was_lost(self, load: LoadUnderWay, state: EngineState | None) -> bool:
+        """Return whether an order is to be sent again.
+
+        Should it arrive after all, one of the two finds another count of
+        orders than it expects, and does nothing.
+        """
+        return (
+            state is not None
+            and not load.answered
+            and not state.loading
+            and state.orders_accepted == load.orders_accepted
+        )
+
     def _is_over(self, model: str, load: LoadUnderWay, now: float) -> bool:
         upstream = load.upstream
         return (
--- a/tests/cover/test_fleet_weights.py
+++ b/tests/cover/test_fleet_weights.py
@@ -33,6 +33,7 @@
 from lifttrestle.internal.fleet.operator_view import OperatorView
 from lifttrestle.internal.fleet.roster import FLEET_TABLE
 from lifttrestle.internal.fleet.roster import Roster
+from lifttrestle.internal.fleet.roster import RouterRow
 from lifttrestle.internal.fleet.rows import VersionedRow
 from lifttrestle.internal.fleet.settings import Promises
 from lifttrestle.internal.fleet.weights_loader import WeightsLoader
@@ -42,6 +43,7 @@
 
 START = datetime.datetime(2026, 12, 2, tzinfo=datetime.timezone.utc)
 LEASE_SECONDS = Promises().lease_seconds
+ROUTER_ROW = msgspec.json.encode(RouterRow('a'))
 ENGINES = ('e1', 'e2', 'e3', 'e4', 'e5')
 
 
@@ -345,7 +347,7 @@
         routers = [self.make_router(name) for name in ('a', 'b', 'c')]
         for router in routers:
             for name in ('router/a', 'router/b', 'router/c'):
-                router.roster.take(VersionedRow(name, b'{}', 1))
+                router.roster.take(VersionedRow(name, ROUTER_ROW, 1))
             router.name(2)
             router.loader._needed_since['m'] = 0.0
         self.time.advance(60.0)
@@ -360,6 +362,23 @@
         gaps = [after - before for before, after in zip(turns, turns[1:])]
         self.assertGreaterEqual(min(gaps), 0.2)
 
+    def test_regression_order_without_an_answer_is_sent_again_soon(self):
+        # The engine was kept out of work for four seconds, waiting for a
+        # load that nobody had begun (scale-2 of tcpa-grid).
+        router = self.make_router('a')
+        router.name(2)
+        router.control.delays = True
+        router.act()
+        lost = {instance for instance, _ in self.engines.late}
+        router.control.delays = False
+        self.time.advance(0.9)
+        router.act()
+        ordered = {instance for _, instance, _ in self.engines.log}
+        self.assertEqual(ordered, lost)
+        for instance, order in self.engines.late:
+            outcome = self.engines.take(instance, order)
+            self.assertIs(outcome, OrderOutcome.OTHER_ORDER)
+
     def test_silent_engines_leave_the_others_at_work(self):
         router = self.make_router('a')
         router.name(2)
