Last read: fields that nobody reads are gone

Ruled out: the other pairs that stand alike: they share a shape, not a rule. Conclusion: still open: engine_control and weights_loader describe an order's counts in two alike records, and call.py sends beside fleet/attempt.py.

--- a/src/lifttrestle/internal/fleet/parts.py
+++ b/src/lifttrestle/internal/fleet/parts.py
@@ -24,7 +24,6 @@
 from lifttrestle.internal.fleet.roster import Roster
 from lifttrestle.internal.fleet.settings import FleetSettings
 from lifttrestle.internal.fleet.table_watch import TableWatch
-from lifttrestle.internal.fleet.weights_view import WeightsView
 from lifttrestle.internal.telemetry.fleet_metrics import FleetMetrics
 
 
@@ -44,7 +43,6 @@
     operator_watch: TableWatch
     directory: UpstreamDirectory
     sources: CacheSources
-    weights: WeightsView
     roster: Roster
     metrics: FleetMetrics
     budgets: dict[str, SharedRetryBudget] = dataclasses.field(
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -122,7 +122,6 @@
             operator_watch=self._operator_watch,
             directory=self._directory,
             sources=CacheSources(clock),
-            weights=self._weights,
             roster=self._roster,
             metrics=self._make_metrics(),
         )
--- a/src/lifttrestle/internal/fleet/table_watch.py
+++ b/src/lifttrestle/internal/fleet/table_watch.py
@@ -34,7 +34,7 @@
 # the shortest promise (2 s), doubled to spare a store that is overloaded.
 FIRST_PAUSE_SECONDS = 0.1
 MAX_PAUSE_SECONDS = 0.5
-# A read whose answer came this much later than it should is a lost one.
+# Proved at no time yet.
 NEVER = float('-inf')
 
 RowListener = Callable[[VersionedRow], None]
@@ -70,12 +70,6 @@
         self._reading: asyncio.Task[None] | None = None
         self._dependants: list[TableWatch] = []
         self.proved_at = NEVER
-        self.regained_at = NEVER
-
-    @property
-    def loaded(self) -> bool:
-        """Return whether the table was read once."""
-        return self.proved_at != NEVER
 
     @property
     def lost(self) -> bool:
@@ -184,6 +178,5 @@
                 'watch.regained', table=self._table, version=self._version
             )
             self._lost = False
-            self.regained_at = self._clock.monotonic()
             for watch in self._dependants:
                 watch.restart()
