Connections that carry nothing are probed

Cause: only bytes that were not acknowledged broke a connection. One that went silent for good after its request had arrived, or while it was kept, held a caller to the end of its time. Ruled out: a time limit on silence above the connection: an engine that is quiet for a while is no failure, a host that acknowledges nothing is. Before: tests/cover/test_byte_stream.py fails, keep-alive is off. After: it passes; a silent connection breaks three seconds after the last byte.

--- a/src/lifttrestle/internal/http/byte_stream.py
+++ b/src/lifttrestle/internal/http/byte_stream.py
@@ -23,6 +23,12 @@
 # How long written bytes may stay unacknowledged until the connection counts
 # as broken: a host without power or behind a cut link never answers.
 UNACKNOWLEDGED_MS = 3000
+# A connection that carries nothing is probed after this time and then as
+# often again: one that went silent for good while nothing was on its way is
+# broken by the time at which unacknowledged bytes would have broken it.
+PROBE_AFTER_SECONDS = 1
+PROBE_EVERY_SECONDS = 1
+LOST_PROBES = 2
 
 
 class ByteStream(asyncio.Protocol):
@@ -152,7 +158,14 @@
 def bound_silence(transport: asyncio.BaseTransport) -> None:
     """Break a connection whose other side no longer acknowledges."""
     link = transport.get_extra_info('socket')
-    if link is not None:
-        link.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
-        )
+    if link is None:
+        return
+    link.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    options = (
+        (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+        (socket.TCP_KEEPIDLE, PROBE_AFTER_SECONDS),
+        (socket.TCP_KEEPINTVL, PROBE_EVERY_SECONDS),
+        (socket.TCP_KEEPCNT, LOST_PROBES),
+    )
+    for option, value in options:
+        link.setsockopt(socket.IPPROTO_TCP, option, value)
