Engines are chosen and refused by what they have yet to read

Cause: after new weights, or when engines are gone, requests were sent where others had waited up to the objective already. What an engine has to read was guessed from whole prompts; no router knew what another had had read. Routers tell each other the tokens that they wait for and the shared parts that were read; a request is refused by its expected first piece, with a time to come back by the queue; a caller that has come back before is served late.

--- a/src/lifttrestle/internal/fleet/cache_sources.py
+++ b/src/lifttrestle/internal/fleet/cache_sources.py
@@ -17,31 +17,26 @@
 again only after it may have been pushed out.
 """
 
-import collections
-
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.dialect import CacheUse
 from lifttrestle.internal.fleet.dialect import Generation
+from lifttrestle.internal.fleet.shared_parts import SharedParts
 
-# Shared parts that are remembered: some hundred bytes each.
-MAX_PARTS = 20_000
 # Parts of the store last for about its size over what is sent to it.
 KEPT_SECONDS = 30.0
 # Shorter prompts are computed sooner than they are fetched.
 MIN_SHARED_TOKENS = 150
 
 
-NEVER = float('-inf')
-
-
 class CacheSources:
-    """Remembers which shared parts of prompts were sent to the store."""
+    """Decides where engines read cached parts from and send them to.
+
+    :ivar shared: the parts that were sent to the store.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._kept_at: collections.OrderedDict[str, float] = (
-            collections.OrderedDict()
-        )
+        self.shared = SharedParts()
 
     def choose(
         self, salt: str, generation: Generation, kept_address: str
@@ -53,24 +48,17 @@
 
         :param kept_address: of the store, or an empty string.
         """
-        shared = generation.parts[:-1]
+        shared = generation.shared
         tokens = sum(part.tokens for part in shared)
         if not kept_address or tokens < MIN_SHARED_TOKENS:
             return CacheUse(salt, '', '')
-        kept_at = self._kept_at.get(_make_key(salt, generation), NEVER)
-        keeps = self._clock.monotonic() - kept_at > KEPT_SECONDS
-        return CacheUse(salt, kept_address, kept_address if keeps else '')
+        age = self.shared.get_age(salt, shared[-1], self._clock.monotonic())
+        target = kept_address if age > KEPT_SECONDS else ''
+        return CacheUse(salt, kept_address, target)
 
     def note_served(self, use: CacheUse, generation: Generation) -> None:
         """Remember what an engine that began to answer sends to the store."""
-        if not use.target:
-            return
-        key = _make_key(use.salt, generation)
-        self._kept_at[key] = self._clock.monotonic()
-        self._kept_at.move_to_end(key)
-        if len(self._kept_at) > MAX_PARTS:
-            self._kept_at.popitem(last=False)
-
-
-def _make_key(salt: str, generation: Generation) -> str:
-    return f'{salt}/{generation.parts[-2].part_id}'
+        if use.target:
+            self.shared.note_read(
+                use.salt, generation.shared, self._clock.monotonic()
+            )
--- a/src/lifttrestle/internal/fleet/candidates.py
+++ b/src/lifttrestle/internal/fleet/candidates.py
@@ -56,12 +56,13 @@
             now=parts.clock.monotonic(),
             data_centre=parts.settings.data_centre,
             wanted_version=wanted.version if wanted is not None else 0,
-            live_routers=parts.roster.live,
             urgency=get_urgency(admitted),
         )
         if generation is None:
             return choose_plain(fit, around, parts.source)
-        return choose_engine(fit, generation, get_wall(admitted), around)
+        return choose_engine(
+            fit, generation, get_wall(admitted), parts.sources.shared, around
+        )
 
     def list_fit(
         self, admitted: Admitted, service: str
--- a/src/lifttrestle/internal/fleet/dialect.py
+++ b/src/lifttrestle/internal/fleet/dialect.py
@@ -46,6 +46,16 @@
     output_tokens: int
     parts: tuple[PromptPart, ...]
 
+    @property
+    def shared(self) -> tuple[PromptPart, ...]:
+        """Return the parts that other requests may share."""
+        return self.parts[:-1]
+
+    @property
+    def own_tokens(self) -> int:
+        """Return the tokens that no other request shares."""
+        return self.prompt_tokens - sum(part.tokens for part in self.shared)
+
 
 @dataclasses.dataclass(frozen=True)
 class RequestFacts:
--- a/src/lifttrestle/internal/fleet/exchange.py
+++ b/src/lifttrestle/internal/fleet/exchange.py
@@ -41,6 +41,7 @@
 from lifttrestle.internal.fleet.dialect import UpstreamOrder
 from lifttrestle.internal.fleet.parts import FleetParts
 from lifttrestle.internal.fleet.placement import Placement
+from lifttrestle.internal.fleet.shared_parts import build_salt
 from lifttrestle.internal.fleet.story import RequestStory
 from lifttrestle.internal.fleet.upstream import FleetUpstream
 from lifttrestle.internal.http.head import RequestHead
@@ -59,10 +60,15 @@
 # a second. An upstream that is slow but answers others is waited for.
 SILENT_TARGETS = 2.0
 MIN_SILENT_SECONDS = 1.0
-# A request is refused when others have waited for this many times its
-# objective where it would be sent.
+# A request is refused when its first piece would take more than this many
+# times its objective wherever it is sent.
 SHED_TARGETS = 1.0
-SHED_RETRY_SECONDS = 0.6
+MIN_SHED_RETRY_SECONDS = 0.4
+MAX_SHED_RETRY_SECONDS = 1.0
+# A caller with less than this share of its route's time has been here before.
+FIRST_COME_SHARE = 0.95
+# It is served if its first piece comes within this share of what is left.
+RETURNED_SHARE = 0.5
 # A request waits for an upstream at most so long, and at most that share of
 # its time: engines that load are back within about a second.
 MAX_HELD_SECONDS = 0.8
@@ -209,15 +215,11 @@
             )
         upstream = chosen.upstream
         ticket = next(_TICKETS)
-        generation = self._facts.generation
-        tokens = generation.prompt_tokens if generation is not None else 0
         upstream.in_flight += 1
-        upstream.tokens_in_flight += tokens
         try:
-            await self._exchange(upstream, ticket)
+            await self._exchange(chosen, ticket)
         finally:
             upstream.in_flight -= 1
-            upstream.tokens_in_flight -= tokens
             upstream.note_ended(ticket)
 
     async def judge(
@@ -285,7 +287,7 @@
         while True:
             placement = self._candidates.choose(self._admitted, self._service)
             if placement is not None:
-                self._check_queue(self._admitted, placement.upstream)
+                self._check_queue(self._admitted, placement)
                 return placement
             waits = self._candidates.may_become_fit(self._service)
             if clock.monotonic() >= until or not waits:
@@ -299,25 +301,32 @@
             ErrorKind.NO_UPSTREAM, 'no upstream may serve this now'
         )
 
-    def _check_queue(
-        self, admitted: Admitted, upstream: FleetUpstream
-    ) -> None:
+    def _check_queue(self, admitted: Admitted, placement: Placement) -> None:
         """Refuse at once what would only wait too long.
 
         The best engine has a queue: to join it makes this request late, and
-        all that follow as well.
+        all that follow as well. A caller that comes back with a part of its
+        time gone is not turned away again while it can be served at all.
         """
         if self._facts.generation is None or self._sends:
             return
-        now = self._parts.clock.monotonic()
-        urgency = get_urgency(admitted)
-        wait = upstream.get_oldest_wait(now, urgency)
-        if wait > SHED_TARGETS * admitted.route.target_seconds:
-            raise RequestRefused(
-                ErrorKind.OVERLOADED,
-                f'requests wait {wait:.2f} s at the least loaded engine',
-                retry_after=SHED_RETRY_SECONDS,
-            )
+        route = admitted.route
+        left = self._get_left()
+        limit = SHED_TARGETS * route.target_seconds
+        if left < FIRST_COME_SHARE * route.timeout_seconds:
+            limit = max(limit, left * RETURNED_SHARE)
+        wait = placement.expected_seconds
+        if wait <= limit:
+            return
+        excess = wait - limit
+        raise RequestRefused(
+            ErrorKind.OVERLOADED,
+            f'a first piece would take {wait:.2f} s at the least loaded'
+            f' engine, over {limit:.2f} s',
+            retry_after=min(
+                excess + MIN_SHED_RETRY_SECONDS, MAX_SHED_RETRY_SECONDS
+            ),
+        )
 
     def _take_retry(self) -> bool:
         budget = self._parts.get_budget(self._service)
@@ -325,8 +334,9 @@
         self._parts.metrics.count_retry(self._service, granted)
         return granted
 
-    async def _exchange(self, upstream: FleetUpstream, ticket: int) -> None:
+    async def _exchange(self, chosen: Placement, ticket: int) -> None:
         parts = self._parts
+        upstream = chosen.upstream
         admitted = self._admitted
         connection = await upstream.pool.take()
         try:
@@ -339,7 +349,7 @@
             self._progress.move(RequestEvent.SEND)
             sent_at = parts.clock.monotonic()
             urgency = get_urgency(admitted)
-            upstream.note_sent(ticket, sent_at, urgency)
+            upstream.note_sent(ticket, sent_at, urgency, chosen.unread_tokens)
             parts.metrics.count_connection(
                 self._service, connection.exchanges > 0
             )
@@ -415,7 +425,7 @@
             return None
         kept = admitted.catalogue.find_cache_store()
         address = kept.address if kept is not None else ''
-        salt = f'{get_wall(admitted)}/{generation.model}/{weights}'
+        salt = build_salt(get_wall(admitted), generation.model, weights)
         return self._parts.sources.choose(salt, generation, address)
 
     def _give_up(self, kind: ErrorKind, message: str) -> RequestRefused:
--- a/src/lifttrestle/internal/fleet/peer_loads.py
+++ b/src/lifttrestle/internal/fleet/peer_loads.py
@@ -24,6 +24,7 @@
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.roster import Roster
+from lifttrestle.internal.fleet.shared_parts import SharedParts
 from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.http.address import check_address
 from lifttrestle.internal.telemetry.event_log import get_event_log
@@ -41,15 +42,20 @@
 
     instance: str
     in_flight: int
-    tokens: int
+    unread_tokens: int
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
-    """All that one router has under way; it replaces its last report."""
+    """All that one router has under way; it replaces its last report.
+
+    :ivar parts: shared parts of prompts that engines read lately; only those
+        that were not in an earlier report.
+    """
 
     vm: str
     number: int
     loads: list[UpstreamLoad]
+    parts: list[int] = []
 
 
 class PeerLoads(asyncio.DatagramProtocol):
@@ -60,9 +66,11 @@
         vm: str,
         directory: UpstreamDirectory,
         roster: Roster,
+        parts: SharedParts,
         clock: Clock,
     ) -> None:
         self._vm = vm
+        self._parts = parts
         self._directory = directory
         self._roster = roster
         self._clock = clock
@@ -100,6 +108,7 @@
         """Believe a report, unless a newer one overtook it."""
         held = self._reports.get(report.vm)
         now = self._clock.monotonic()
+        self._parts.note_told(report.parts, now)
         fresh = now - self._heard_at.get(report.vm, -FRESH_SECONDS)
         # After a restart a router counts anew; its old report is stale then.
         if held is not None and held.number > report.number:
@@ -117,15 +126,15 @@
             if self._heard_at[vm] < latest:
                 continue
             for load in report.loads:
-                in_flight, tokens = sums.get(load.instance, (0, 0))
+                in_flight, unread = sums.get(load.instance, (0, 0))
                 sums[load.instance] = (
                     in_flight + load.in_flight,
-                    tokens + load.tokens,
+                    unread + load.unread_tokens,
                 )
         for upstream in self._directory:
-            in_flight, tokens = sums.get(upstream.instance, (0, 0))
+            in_flight, unread = sums.get(upstream.instance, (0, 0))
             upstream.peers_in_flight = in_flight
-            upstream.peers_tokens = tokens
+            upstream.peers_unread = unread
 
     async def run(self) -> None:
         """Tell the others, for ever."""
@@ -139,16 +148,17 @@
             UpstreamLoad(
                 upstream.instance,
                 upstream.in_flight,
-                upstream.tokens_in_flight,
+                upstream.unread_tokens,
             )
             for upstream in self._directory
             if upstream.in_flight
         ]
-        if not loads and not self._told_something:
+        parts = self._parts.take_news()
+        if not loads and not parts and not self._told_something:
             return
         self._told_something = bool(loads)
         self._number += 1
-        report = LoadReport(self._vm, self._number, loads)
+        report = LoadReport(self._vm, self._number, loads, parts)
         data = msgspec.msgpack.encode(report)
         if len(data) > MAX_DATAGRAM_BYTES or self._transport is None:
             return
--- a/src/lifttrestle/internal/fleet/placement.py
+++ b/src/lifttrestle/internal/fleet/placement.py
@@ -16,6 +16,8 @@
 import random
 
 from lifttrestle.internal.fleet.dialect import Generation
+from lifttrestle.internal.fleet.shared_parts import build_salt
+from lifttrestle.internal.fleet.shared_parts import SharedParts
 from lifttrestle.internal.fleet.upstream import FleetUpstream
 from lifttrestle.internal.routing.rendezvous import rank_names
 
@@ -25,8 +27,11 @@
 HOMES = 2
 # A running request slows the others on its engine by about this much.
 RUNNING_SECONDS = 0.012
-# The part of a prompt under way that is still to be read, on the average.
-WAITING_SHARE = 0.15
+# From a request's arrival to its first token, beside reading: two steps.
+FIRST_STEP_SECONDS = 0.03
+# Of a part that another engine has read, what fetching it costs of the time
+# to compute it: 18 KB a token over the store's 25 Gbit/s.
+FETCH_SHARE = 0.35
 # A request sent to another data centre: a few ms, and its bytes are priced.
 OTHER_DATA_CENTRE_SECONDS = 0.004
 # What it is worth to answer by the newest weights.
@@ -46,17 +51,32 @@
 class Placement:
     """An upstream and why it was chosen, for the log.
 
-    :ivar candidates: the best few instances with their expected seconds.
+    :ivar expected_seconds: until the first piece of the answer.
+    :ivar unread_tokens: of the prompt, to be computed there.
+    :ivar candidates: the best few instances with their costs in seconds.
     :ivar avoided: some instances that were left out for signs of trouble.
     """
 
     upstream: FleetUpstream
     reason: str
     expected_seconds: float
+    unread_tokens: int = 0
     candidates: tuple[tuple[str, float], ...] = ()
     avoided: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True)
+class Outlook:
+    """What a generation would meet at an engine.
+
+    :ivar unread_tokens: of its prompt, that have to be computed there.
+    :ivar first_piece_seconds: until its first piece.
+    """
+
+    unread_tokens: int
+    first_piece_seconds: float
+
+
 @dataclasses.dataclass(frozen=True)
 class Surroundings:
     """What the choice depends on beside the request.
@@ -64,14 +84,12 @@
     :ivar now: monotonic time in seconds.
     :ivar data_centre: the router's own.
     :ivar wanted_version: the newest weights of the request's model.
-    :ivar live_routers: routers that send work as this one does.
     :ivar urgency: of the request; 0 is first.
     """
 
     now: float
     data_centre: str
     wanted_version: int
-    live_routers: int
     urgency: int = 0
 
 
@@ -87,13 +105,16 @@
         cost += _weigh_distance(upstream, around)
         cost += source.random() * TIE_SECONDS
         costs[upstream.instance] = cost
+    if not sound:
+        return None
     return _take_least(fit, sound, costs, 'least expected time')
 
 
 def choose_engine(
     fit: list[FleetUpstream],
     generation: Generation,
-    salt: str,
+    wall: str,
+    parts: SharedParts,
     around: Surroundings,
 ) -> Placement | None:
     """Return the engine that should begin the generation first.
@@ -104,15 +125,34 @@
     sound = _prefer_sound(fit, around.now)
     if not sound:
         return None
-    ranks = _rank_homes(sound, generation, salt)
+    ranks = _rank_homes(sound, generation, wall)
+    unknown = _count_unknown(sound, generation, wall, parts)
+    outlooks = {}
+    for upstream in sound:
+        rank = ranks[upstream.instance]
+        version = upstream.weights.get(generation.model, 0)
+        unread = _expect_unread(generation, rank, unknown[version])
+        outlooks[upstream.instance] = Outlook(
+            unread, _expect_first_piece(upstream, unread, around)
+        )
     costs = {
-        upstream.instance: _expect_first_piece(
-            upstream, generation, ranks[upstream.instance], around
+        upstream.instance: _weigh_engine(
+            upstream,
+            generation,
+            ranks[upstream.instance],
+            outlooks[upstream.instance],
+            around,
         )
         for upstream in sound
     }
     least = min(costs, key=costs.__getitem__)
-    return _take_least(fit, sound, costs, f'home {ranks[least]}')
+    placement = _take_least(fit, sound, costs, f'home {ranks[least]}')
+    outlook = outlooks[least]
+    return dataclasses.replace(
+        placement,
+        expected_seconds=outlook.first_piece_seconds,
+        unread_tokens=outlook.unread_tokens,
+    )
 
 
 def _take_least(
@@ -120,9 +160,7 @@
     sound: list[FleetUpstream],
     costs: dict[str, float],
     reason: str,
-) -> Placement | None:
-    if not sound:
-        return None
+) -> Placement:
     best = min(sound, key=lambda upstream: costs[upstream.instance])
     ordered = sorted(costs.items(), key=lambda item: item[1])
     avoided = [item.instance for item in fit if item.instance not in costs]
@@ -130,8 +168,8 @@
         best,
         reason,
         costs[best.instance],
-        tuple(ordered[:MAX_TOLD]),
-        tuple(avoided[:MAX_TOLD]),
+        candidates=tuple(ordered[:MAX_TOLD]),
+        avoided=tuple(avoided[:MAX_TOLD]),
     )
 
 
@@ -146,31 +184,67 @@
 
 
 def _rank_homes(
-    sound: list[FleetUpstream], generation: Generation, salt: str
+    sound: list[FleetUpstream], generation: Generation, wall: str
 ) -> dict[str, int]:
-    shared = generation.parts[:-1]
+    shared = generation.shared
     key = shared[-1].part_id if shared else ''
-    digest = f'{salt}/{key}'.encode()[:64]
+    digest = f'{wall}/{key}'.encode()[:64]
     names = rank_names(digest, [upstream.instance for upstream in sound])
     return {name: rank for rank, name in enumerate(names)}
 
 
+def _count_unknown(
+    sound: list[FleetUpstream],
+    generation: Generation,
+    wall: str,
+    parts: SharedParts,
+) -> dict[int, int]:
+    """Return by version of the weights what no engine has read yet."""
+    model = generation.model
+    versions = {upstream.weights.get(model, 0) for upstream in sound}
+    return {
+        version: parts.count_unknown(
+            build_salt(wall, model, version), generation.shared
+        )
+        for version in versions
+    }
+
+
+def _expect_unread(generation: Generation, rank: int, unknown: int) -> int:
+    """Return the tokens that an engine has to read, or their like."""
+    known = sum(part.tokens for part in generation.shared) - unknown
+    fetched = known * _get_miss(rank) * FETCH_SHARE
+    return generation.own_tokens + unknown + round(fetched)
+
+
+def _get_miss(rank: int) -> float:
+    """Return how likely an engine lacks a part that has homes elsewhere."""
+    return min(rank, HOMES) / HOMES
+
+
 def _expect_first_piece(
+    upstream: FleetUpstream, unread: int, around: Surroundings
+) -> float:
+    before = upstream.unread_tokens + upstream.peers_unread
+    queue = before * READ_SECONDS_PER_TOKEN
+    waited = upstream.get_oldest_wait(around.now, around.urgency)
+    # The estimate is wrong where the oldest has waited longer already.
+    queue = max(queue, waited - USUAL_WAIT_SECONDS)
+    return queue + unread * READ_SECONDS_PER_TOKEN + FIRST_STEP_SECONDS
+
+
+def _weigh_engine(
     upstream: FleetUpstream,
     generation: Generation,
     rank: int,
+    outlook: Outlook,
     around: Surroundings,
 ) -> float:
-    shared = sum(part.tokens for part in generation.parts[:-1])
-    read = shared * READ_SECONDS_PER_TOKEN
-    miss = min(rank, HOMES) / HOMES
-    cost = miss * read
+    shared = sum(part.tokens for part in generation.shared)
+    cost = outlook.first_piece_seconds
+    cost += _get_miss(rank) * shared * READ_SECONDS_PER_TOKEN
     running = upstream.in_flight + upstream.peers_in_flight
-    tokens = upstream.tokens_in_flight + upstream.peers_tokens
     cost += running * RUNNING_SECONDS
-    cost += tokens * READ_SECONDS_PER_TOKEN * WAITING_SHARE
-    wait = upstream.get_oldest_wait(around.now, around.urgency)
-    cost += max(wait - USUAL_WAIT_SECONDS, 0)
     cost += _weigh_distance(upstream, around)
     held = upstream.weights.get(generation.model, 0)
     if held < around.wanted_version:
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -138,7 +138,11 @@
             settings.vm,
         )
         self._peer_loads = PeerLoads(
-            settings.vm, self._directory, self._roster, clock
+            settings.vm,
+            self._directory,
+            self._roster,
+            self._parts.sources.shared,
+            clock,
         )
         self._ready = ReadyDoor(self._parts)
         self._callers = HttpServer(
--- /dev/null
+++ b/src/lifttrestle/internal/fleet/shared_parts.py
@@ -0,0 +1,91 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Which shared parts of prompts the fleet's engines have read lately.
+
+A part that was read once can be fetched by any engine; one that was not has
+to be computed, which takes most of the time to a first token. Routers tell
+each other what is new. All of it is a hint: a part that was pushed out since
+costs its computation and nothing else.
+"""
+
+import collections
+import hashlib
+
+from lifttrestle.internal.fleet.dialect import PromptPart
+
+# Some hundred bytes each; several times what engines and store hold.
+MAX_PARTS = 20_000
+# Told to the others in one report; the rest goes with the next one.
+MAX_NEWS = 200
+DIGEST_BYTES = 8
+NEVER = float('-inf')
+
+
+class SharedParts:
+    """Remembers by salt when a shared part was last sent to the store."""
+
+    def __init__(self) -> None:
+        self._read_at: collections.OrderedDict[int, float] = (
+            collections.OrderedDict()
+        )
+        self._news: collections.deque[int] = collections.deque(
+            maxlen=MAX_PARTS
+        )
+
+    def note_read(
+        self, salt: str, parts: tuple[PromptPart, ...], now: float
+    ) -> None:
+        """Note parts that an engine has read and sent to the store."""
+        for part in parts:
+            key = _make_key(salt, part)
+            self._remember(key, now)
+            self._news.append(key)
+
+    def note_told(self, keys: list[int], now: float) -> None:
+        """Note what another router has told."""
+        for key in keys:
+            self._remember(key, now)
+
+    def take_news(self) -> list[int]:
+        """Return what the others have not been told yet."""
+        count = min(len(self._news), MAX_NEWS)
+        return [self._news.popleft() for _ in range(count)]
+
+    def get_age(self, salt: str, part: PromptPart, now: float) -> float:
+        """Return the seconds since a part was read, infinite if never."""
+        return now - self._read_at.get(_make_key(salt, part), NEVER)
+
+    def count_unknown(self, salt: str, parts: tuple[PromptPart, ...]) -> int:
+        """Return the tokens of the parts that no engine is known to have."""
+        return sum(
+            part.tokens
+            for part in parts
+            if _make_key(salt, part) not in self._read_at
+        )
+
+    def _remember(self, key: int, now: float) -> None:
+        self._read_at[key] = now
+        self._read_at.move_to_end(key)
+        if len(self._read_at) > MAX_PARTS:
+            self._read_at.popitem(last=False)
+
+
+def build_salt(wall: str, model: str, weights: int) -> str:
+    """Return the text under which requests may share cached context."""
+    return f'{wall}/{model}/{weights}'
+
+
+def _make_key(salt: str, part: PromptPart) -> int:
+    text = f'{salt}/{part.part_id}'.encode()
+    digest = hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest()
+    return int.from_bytes(digest, 'big')
--- a/src/lifttrestle/internal/fleet/upstream.py
+++ b/src/lifttrestle/internal/fleet/upstream.py
@@ -36,10 +36,12 @@
     """A request that was sent and has no answer yet.
 
     :ivar urgency: 0 is first; upstreams take more urgent ones out of turn.
+    :ivar unread_tokens: of its prompt, that had to be computed when sent.
     """
 
     sent_at: float
     urgency: int
+    unread_tokens: int = 0
 
 
 @dataclasses.dataclass
@@ -49,7 +51,7 @@
     :ivar weights: the newest version of each model's weights that it is
         known to hold.
     :ivar peers_in_flight: requests that other routers have under way there.
-    :ivar peers_tokens: the tokens of their prompts.
+    :ivar peers_unread: the tokens that it has yet to read for them.
     :ivar busy_until: until when it is expected to load weights.
     :ivar vanished_at: when its entry went, or None.
     :ivar first_byte_seconds: average time to the first byte of an answer.
@@ -65,9 +67,8 @@
     vanished_at: float | None = None
     misdirected: bool = False
     in_flight: int = 0
-    tokens_in_flight: int = 0
     peers_in_flight: int = 0
-    peers_tokens: int = 0
+    peers_unread: int = 0
     first_byte_seconds: float = 0.0
     heard_at: float = 0.0
     unreached_at: float = NEVER
@@ -84,9 +85,16 @@
             self.weights[model] = version
             self.busy_until = 0.0
 
-    def note_sent(self, ticket: int, now: float, urgency: int = 0) -> None:
-        """Note that an answer is owed."""
-        self.owed[ticket] = OwedAnswer(now, urgency)
+    @property
+    def unread_tokens(self) -> int:
+        """Return the tokens that it has yet to read for this router."""
+        return sum(owed.unread_tokens for owed in self.owed.values())
+
+    def note_sent(
+        self, ticket: int, now: float, urgency: int = 0, unread: int = 0
+    ) -> None:
+        """Note that an answer is owed, after ``unread`` tokens are read."""
+        self.owed[ticket] = OwedAnswer(now, urgency, unread)
         self.breaker.note_sent(now)
 
     def note_heard(self, ticket: int, now: float) -> None:
--- a/tests/cover/test_fleet_parts.py
+++ b/tests/cover/test_fleet_parts.py
@@ -12,7 +12,6 @@
 
 """The small parts of a fleet router, each by itself."""
 
-import datetime
 import unittest
 
 from hypothesis import given
@@ -21,22 +20,14 @@
 
 from lifttrestle.errors import UpstreamLost
 from lifttrestle.internal.clock.manual import ManualClock
-from lifttrestle.internal.fleet.cache_sources import CacheSources
-from lifttrestle.internal.fleet.cache_sources import KEPT_SECONDS
-from lifttrestle.internal.fleet.dialect import Generation
-from lifttrestle.internal.fleet.dialect import PromptPart
 from lifttrestle.internal.fleet.directory import RETURN_SECONDS
-from lifttrestle.internal.fleet.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.event_relay import EventRelay
-from lifttrestle.internal.fleet.placement import choose_engine
-from lifttrestle.internal.fleet.placement import Surroundings
 from lifttrestle.internal.fleet.retry_budget import SharedRetryBudget
 from lifttrestle.internal.fleet.rows import VersionedRow
 from lifttrestle.internal.fleet.settings import Promises
 from lifttrestle.internal.fleet.upstream import SILENT_SECONDS
-from lifttrestle.internal.platform.stored_format import PlatformFormat
-
-START = datetime.datetime(2026, 12, 2, tzinfo=datetime.timezone.utc)
+from tests.support.directories import DirectoryCase
+from tests.support.directories import START
 
 
 def make_clock():
@@ -154,30 +145,6 @@
         self.assertEqual(sent, sorted(set(sent)))
 
 
-class DirectoryCase(unittest.TestCase):
-    def setUp(self):
-        self.clock = make_clock()
-        self.directory = UpstreamDirectory(PlatformFormat(), self.clock)
-        self.commit = 0
-
-    def put(self, instance, service='s', state='ready', models=()):
-        entry = {
-            'service': service,
-            'address': '127.0.0.1:9',
-            'zone': 'a',
-            'state': state,
-            'models': [{'name': 'm', 'version': v} for v in models],
-        }
-        self.take(instance, msgspec.json.encode(entry))
-
-    def take(self, instance, value):
-        self.commit += 1
-        self.directory.take(VersionedRow(instance, value, self.commit))
-
-    def list_fit(self, service='s'):
-        return [item.instance for item in self.directory.list_fit(service)]
-
-
 class TestDirectory(DirectoryCase):
     def test_draining_and_removed_entries_get_no_work(self):
         self.put('a')
@@ -220,66 +187,3 @@
         self.assertTrue(upstream.is_silent(12.0 + 1.1 * SILENT_SECONDS))
         upstream.note_ended(1)
         self.assertFalse(upstream.is_silent(99.0))
-
-
-GENERATION = Generation(
-    'm', 460, 5, (PromptPart('aa', 400), PromptPart('bb', 60))
-)
-
-
-class TestPlacement(DirectoryCase):
-    def choose(self, wanted=1):
-        fit = self.directory.list_fit('s')
-        around = Surroundings(5.0, 'a', wanted, 8)
-        return choose_engine(fit, GENERATION, 'salt', around).upstream
-
-    def test_shared_part_has_one_home_until_that_is_loaded(self):
-        for name in ('a', 'b', 'c'):
-            self.put(name, models=[1])
-        home = self.choose()
-        self.assertIs(self.choose(), home)
-        home.in_flight += 20
-        self.assertIsNot(self.choose(), home)
-
-    def test_newest_weights_are_preferred(self):
-        for name in ('a', 'b', 'c'):
-            self.put(name, models=[1])
-        other = next(
-            item for item in self.directory if item is not self.choose()
-        )
-        other.note_weights('m', 2)
-        self.assertIs(self.choose(wanted=2), other)
-
-    def test_silent_engine_is_avoided_and_the_log_is_told(self):
-        for name in ('a', 'b', 'c'):
-            self.put(name, models=[1])
-        home = self.choose()
-        home.note_sent(1, 0.0)
-        fit = self.directory.list_fit('s')
-        around = Surroundings(5.0, 'a', 1, 8)
-        placement = choose_engine(fit, GENERATION, 'salt', around)
-        self.assertIsNot(placement.upstream, home)
-        self.assertEqual(placement.avoided, (home.instance,))
-
-
-class TestCacheSources(unittest.TestCase):
-    def test_shared_part_is_sent_to_the_store_once_in_a_while(self):
-        clock = make_clock()
-        sources = CacheSources(clock)
-        first = sources.choose('s', GENERATION, 'store:1')
-        sources.note_served(first, GENERATION)
-        second = sources.choose('s', GENERATION, 'store:1')
-        clock.advance(KEPT_SECONDS + 1)
-        third = sources.choose('s', GENERATION, 'store:1')
-        self.assertEqual(
-            [use.target for use in (first, second, third)],
-            ['store:1', '', 'store:1'],
-        )
-
-    def test_other_salt_is_another_part(self):
-        sources = CacheSources(make_clock())
-        sources.note_served(
-            sources.choose('wall/m/1', GENERATION, 'store:1'), GENERATION
-        )
-        use = sources.choose('wall/m/2', GENERATION, 'store:1')
-        self.assertEqual(use.target, 'store:1')
--- /dev/null
+++ b/tests/cover/test_fleet_placement.py
@@ -0,0 +1,123 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Tests of the choice of an engine and of where cached parts are kept."""
+
+import unittest
+
+from lifttrestle.internal.clock.manual import ManualClock
+from lifttrestle.internal.fleet.cache_sources import CacheSources
+from lifttrestle.internal.fleet.cache_sources import KEPT_SECONDS
+from lifttrestle.internal.fleet.dialect import Generation
+from lifttrestle.internal.fleet.dialect import PromptPart
+from lifttrestle.internal.fleet.placement import choose_engine
+from lifttrestle.internal.fleet.placement import READ_SECONDS_PER_TOKEN
+from lifttrestle.internal.fleet.placement import Surroundings
+from lifttrestle.internal.fleet.shared_parts import build_salt
+from lifttrestle.internal.fleet.shared_parts import SharedParts
+from tests.support.directories import DirectoryCase
+from tests.support.directories import START
+
+GENERATION = Generation(
+    'm', 4600, 5, (PromptPart('aa', 4000), PromptPart('bb', 600))
+)
+
+
+class TestPlacement(DirectoryCase):
+    def setUp(self):
+        super().setUp()
+        self.parts = SharedParts()
+        for name in ('a', 'b', 'c'):
+            self.put(name, models=[1])
+
+    def place(self, wanted=1):
+        return choose_engine(
+            self.directory.list_fit('s'),
+            GENERATION,
+            'shared',
+            self.parts,
+            Surroundings(5.0, 'a', wanted),
+        )
+
+    def choose(self, wanted=1):
+        return self.place(wanted).upstream
+
+    def test_shared_part_has_one_home_until_that_is_loaded(self):
+        home = self.choose()
+        self.assertIs(self.choose(), home)
+        home.in_flight += 20
+        self.assertIsNot(self.choose(), home)
+
+    def test_newest_weights_are_preferred(self):
+        other = next(
+            item for item in self.directory if item is not self.choose()
+        )
+        other.note_weights('m', 2)
+        self.assertIs(self.choose(wanted=2), other)
+
+    def test_silent_engine_is_avoided_and_the_log_is_told(self):
+        home = self.choose()
+        home.note_sent(1, 0.0)
+        placement = self.place()
+        self.assertIsNot(placement.upstream, home)
+        self.assertEqual(placement.avoided, (home.instance,))
+
+    def test_tokens_that_are_to_be_read_move_work_away(self):
+        home = self.choose()
+        home.note_sent(1, 5.0, unread=20_000)
+        self.assertIsNot(self.choose(), home)
+        home.note_heard(1, 5.0)
+        self.assertIs(self.choose(), home)
+        home.peers_unread = 20_000
+        self.assertIsNot(self.choose(), home)
+
+    def test_part_that_was_read_is_not_read_again(self):
+        cold = self.place()
+        salt = build_salt('shared', 'm', 1)
+        self.parts.note_read(salt, GENERATION.shared, 0.0)
+        warm = self.place()
+        self.assertEqual(cold.unread_tokens, 4600)
+        self.assertEqual(warm.unread_tokens, 600)
+        self.assertAlmostEqual(
+            cold.expected_seconds - warm.expected_seconds,
+            4000 * READ_SECONDS_PER_TOKEN,
+        )
+
+    def test_part_that_older_weights_read_counts_for_nothing(self):
+        salt = build_salt('shared', 'm', 1)
+        self.parts.note_read(salt, GENERATION.shared, 0.0)
+        for upstream in self.directory:
+            upstream.note_weights('m', 2)
+        self.assertEqual(self.place(wanted=2).unread_tokens, 4600)
+
+
+class TestCacheSources(unittest.TestCase):
+    def test_shared_part_is_sent_to_the_store_once_in_a_while(self):
+        clock = ManualClock(START)
+        sources = CacheSources(clock)
+        first = sources.choose('s', GENERATION, 'store:1')
+        sources.note_served(first, GENERATION)
+        second = sources.choose('s', GENERATION, 'store:1')
+        clock.advance(KEPT_SECONDS + 1)
+        third = sources.choose('s', GENERATION, 'store:1')
+        self.assertEqual(
+            [use.target for use in (first, second, third)],
+            ['store:1', '', 'store:1'],
+        )
+
+    def test_other_salt_is_another_part(self):
+        sources = CacheSources(ManualClock(START))
+        sources.note_served(
+            sources.choose('wall/m/1', GENERATION, 'store:1'), GENERATION
+        )
+        use = sources.choose('wall/m/2', GENERATION, 'store:1')
+        self.assertEqual(use.target, 'store:1')
--- a/tests/cover/test_peer_loads.py
+++ b/tests/cover/test_peer_loads.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from lifttrestle.internal.clock.manual import ManualClock
+from lifttrestle.internal.fleet.dialect import PromptPart
 from lifttrestle.internal.fleet.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.peer_loads import FRESH_SECONDS
 from lifttrestle.internal.fleet.peer_loads import LoadReport
@@ -27,6 +28,8 @@
 from lifttrestle.internal.fleet.roster import Roster
 from lifttrestle.internal.fleet.roster import RouterRow
 from lifttrestle.internal.fleet.rows import VersionedRow
+from lifttrestle.internal.fleet.shared_parts import MAX_NEWS
+from lifttrestle.internal.fleet.shared_parts import SharedParts
 from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.platform.stored_format import PlatformFormat
 from tests.support.memory_rows import MemoryRows
@@ -48,14 +51,17 @@
         self.directory.take(VersionedRow('u', value, 1))
         self.upstream = self.directory.get('u')
         self.roster = Roster(MemoryRows(), self.clock, name, 'a')
-        self.loads = PeerLoads(name, self.directory, self.roster, self.clock)
+        self.parts = SharedParts()
+        self.loads = PeerLoads(
+            name, self.directory, self.roster, self.parts, self.clock
+        )
 
     def meet(self, name, address):
         row = msgspec.json.encode(RouterRow('a', str(address)))
         self.roster.take(VersionedRow(f'router/{name}', row, 1))
 
     def get_peers(self):
-        return self.upstream.peers_in_flight, self.upstream.peers_tokens
+        return self.upstream.peers_in_flight, self.upstream.peers_unread
 
 
 class TestSums(unittest.TestCase):
@@ -92,6 +98,27 @@
         self.assertEqual(self.router.get_peers()[0], 2)
 
 
+class TestParts(unittest.TestCase):
+    def test_parts_that_one_router_had_read_are_known_to_the_others(self):
+        teller, hearer = Router('a'), Router('b')
+        parts = (PromptPart('aa', 400),)
+        teller.parts.note_read('salt', parts, 0.0)
+        news = teller.parts.take_news()
+        hearer.loads.note(LoadReport('a', 1, [], news))
+        self.assertEqual(hearer.parts.count_unknown('salt', parts), 0)
+        self.assertEqual(hearer.parts.count_unknown('other', parts), 400)
+        # What was told goes no further, and is told once.
+        self.assertEqual(hearer.parts.take_news(), [])
+        self.assertEqual(teller.parts.take_news(), [])
+
+    def test_report_stays_small_whatever_was_read(self):
+        parts = SharedParts()
+        many = tuple(PromptPart(f'{number}', 1) for number in range(450))
+        parts.note_read('salt', many, 0.0)
+        sizes = [len(parts.take_news()) for _ in range(4)]
+        self.assertEqual(sizes, [MAX_NEWS, MAX_NEWS, 50, 0])
+
+
 class TestDatagrams(unittest.IsolatedAsyncioTestCase):
     async def test_routers_hear_each_other_until_the_work_ends(self):
         routers = [Router('a'), Router('b')]
--- a/tests/nocover/test_fleet_exchange.py
+++ b/tests/nocover/test_fleet_exchange.py
@@ -267,6 +267,29 @@
         self.assertEqual(len(runs), 2)
 
 
+class TestOverload(unittest.IsolatedAsyncioTestCase):
+    async def load(self, fleet, tokens):
+        for name in ENGINES:
+            engine = fleet.router.directory.get(name)
+            now = asyncio.get_running_loop().time()
+            engine.note_sent(-1, now, unread=tokens)
+
+    async def test_request_that_would_be_late_is_told_when_to_come_back(self):
+        async with run_fleet() as fleet:
+            await self.load(fleet, 60_000)
+            answer = await fleet.generate('text')
+            arrivals = [fleet.upstreams[name].arrivals for name in ENGINES]
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(dict(answer.headers)['retry-after']), 0.1)
+        self.assertEqual(arrivals, [[], []])
+
+    async def test_caller_that_came_back_is_served_late(self):
+        async with run_fleet() as fleet:
+            await self.load(fleet, 60_000)
+            answer = await fleet.generate('text', wait_ms=6000)
+        self.assertEqual((answer.status, answer.body), (200, WHOLE_STREAM))
+
+
 class TestMembership(unittest.IsolatedAsyncioTestCase):
     async def test_leaving_upstream_gets_no_more_work(self):
         async with run_fleet() as fleet:
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -126,12 +126,15 @@
             connection.close()
         return Answer(head.status, head.headers, data)
 
-    async def generate(self, route: str, **fields: object) -> Answer:
+    async def generate(
+        self, route: str, wait_ms: int = 0, **fields: object
+    ) -> Answer:
         """Ask for a text of an engine."""
         headers = (
             ('model', 'm'),
             ('token-count', '460,5'),
             ('prompt-prefix', 'aa:400,bb:60'),
+            *((('deadline-ms', str(wait_ms)),) if wait_ms else ()),
         )
         return await self.call(
             f'/{route}/x',
--- a/tests/support/fleet_upstream.py
+++ b/tests/support/fleet_upstream.py
@@ -21,6 +21,7 @@
 
 from lifttrestle.errors import CallerGone
 from lifttrestle.internal.http.address import Address
+from lifttrestle.internal.http.answer import Header
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.limits import HttpLimits
 from lifttrestle.internal.http.server import HttpServer
@@ -128,7 +129,12 @@
         self, connection: ServerConnection, head: RequestHead
     ) -> None:
         status = 503 if self._is_meant(head) else 421
-        headers = (('not-executed', '1'), *self._echo(head))
+        headers: tuple[Header, ...] = (
+            ('not-executed', '1'),
+            *self._echo(head),
+        )
+        if status == 421:
+            headers += (('instance-id', self.instance),)
         await connection.start_answer(
             status, (*headers, ('content-length', '0'))
         )
