A start whose address another one has gets nothing more

Cause: after a crash the entry of the old start stays for seconds, while a new start answers at its address. Ruled out: weights that differ: every such answer named another instance. Before: test_regression_start_whose_address_is_taken_gets_nothing: 10 of 12 requests reach the new start.

--- a/src/lifttrestle/internal/fleet/attempt.py
+++ b/src/lifttrestle/internal/fleet/attempt.py
@@ -29,7 +29,9 @@
 from lifttrestle.internal.http.client_connection import ClientConnection
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.head import ResponseHead
+from lifttrestle.internal.telemetry.event_log import get_event_log
 
+LOG = get_event_log('upstreams')
 T = TypeVar('T')
 # Between two looks at an upstream that is silent and can't be left.
 MIN_LOOK_SECONDS = 0.2
@@ -85,6 +87,7 @@
     _learn(upstream, answer.facts)
     if answer.facts.not_run or answer.facts.other_instance:
         await _finish_declined(connection)
+        _note_other_start(upstream, answer.facts)
         raise UpstreamDeclined(
             f'{upstream.instance} answered {answer.facts.status} and did not'
             ' run it'
@@ -155,6 +158,18 @@
         connection.close()
 
 
+def _note_other_start(upstream: FleetUpstream, facts: AnswerFacts) -> None:
+    """Send nothing more to a start whose address another one has."""
+    if facts.instance in ('', upstream.instance) or upstream.misdirected:
+        return
+    upstream.misdirected = True
+    LOG.info(
+        'upstream.address_taken',
+        instance=upstream.instance,
+        by=facts.instance,
+    )
+
+
 def _learn(upstream: FleetUpstream, facts: AnswerFacts) -> None:
     idle = facts.idle_seconds
     if idle is not None:
--- a/src/lifttrestle/internal/fleet/dialect.py
+++ b/src/lifttrestle/internal/fleet/dialect.py
@@ -119,6 +119,8 @@
     :ivar not_run: the upstream says that it did not run the request.
     :ivar other_instance: another upstream, or other weights, are at that
         address; it did not run the request.
+    :ivar instance: the start of an upstream that answered, or an empty string
+        where the answer does not name it.
     :ivar encoded: its body is not what the upstream made.
     :ivar weights: version of the weights in use, or None.
     :ivar leaving: the connection ends with this answer.
@@ -130,6 +132,7 @@
     request_id: str
     not_run: bool
     other_instance: bool
+    instance: str
     encoded: bool
     weights: int | None
     idle_seconds: float | None
--- a/src/lifttrestle/internal/platform/names.py
+++ b/src/lifttrestle/internal/platform/names.py
@@ -54,6 +54,8 @@
 # Headers of answers.
 STAMP = 'server-stamp'
 NOT_RUN = 'not-executed'
+# Which start of an upstream turned a request away.
+INSTANCE = 'instance-id'
 WEIGHTS = 'weight-versions'
 
 # Calls to an engine.
--- a/src/lifttrestle/internal/platform/request_dialect.py
+++ b/src/lifttrestle/internal/platform/request_dialect.py
@@ -94,6 +94,7 @@
             request_id=head.get_header(names.REQUEST_ID),
             not_run=bool(head.get_header(names.NOT_RUN)),
             other_instance=head.status == STATUS_OTHER_INSTANCE,
+            instance=head.get_header(names.INSTANCE),
             encoded=encoding.lower() != IDENTITY,
             weights=int(weights) if weights.isdecimal() else None,
             idle_seconds=read_keep_alive(head.get_header('keep-alive')),
--- a/tests/nocover/test_fleet_exchange.py
+++ b/tests/nocover/test_fleet_exchange.py
@@ -310,6 +310,17 @@
         self.assertEqual(answer.status, 503)
         self.assertEqual(runs, [])
 
+    async def test_regression_start_whose_address_is_taken_gets_nothing(self):
+        # The entry of a crashed start stays for seconds. Each request was
+        # sent there, turned away, and took a retry from the budget.
+        async with run_fleet() as fleet:
+            back = fleet.upstreams['p1']
+            back.instance = 'i-new'
+            for number in range(12):
+                answer = await fleet.call('/safe/a', request_id=str(number))
+                self.assertEqual(answer.status, 200)
+            self.assertLessEqual(len(back.arrivals), 1)
+
     async def test_new_weights_are_brought_to_every_engine(self):
         async with run_fleet() as fleet:
             fleet.store.put('op', 'version/m', {'model': 'm', 'version': 2})
