A vanished router is counted for a quarter of an hour, not for ever

Cause: only a router that was told to stop removed its row. Each VM that was lost for good made everyone's share of retries and connections smaller, and a VM that came back at another address kept the old one. Ruled out: a count by datagrams alone: one that is cut off from its peers and not from its callers would spend a share that nobody counts. After: rows are written anew every five minutes and removed after three such times; nobody's row ages while the store is away.

--- a/src/lifttrestle/internal/fleet/roster.py
+++ b/src/lifttrestle/internal/fleet/roster.py
@@ -12,11 +12,15 @@
 
 """The routers that are live, from a shared table of their own.
 
-Each router writes its row when it starts and removes it when it stops. One
-that vanished keeps its row, so that the count errs on the high side: budgets
-and caps that are divided by it then come out too small, never too large.
+Each router writes its row when it starts, again now and then, and removes it
+when it stops. One that vanished keeps its row for a while, so that the count
+errs on the high side: budgets and caps that are divided by it then come out
+too small, never too large.
 """
 
+from collections.abc import Callable
+import dataclasses
+
 import msgspec
 
 from lifttrestle.errors import ConditionFailed
@@ -32,6 +36,11 @@
 FLEET_TABLE = 'lifttrestle'
 ROUTER_PREFIX = 'router/'
 RETRY_SECONDS = 0.5
+# A row is written anew this often: each write is told to every router.
+REFRESH_SECONDS = 300.0
+# A router whose row has not changed for three such times is not counted, and
+# its row is removed.
+STALE_SECONDS = 3 * REFRESH_SECONDS
 # Counted until the table was read once: more than the deployments that are
 # known have of VMs in a region would make every budget zero; fewer than they
 # have would overspend. Each known deployment has eight or fewer.
@@ -48,8 +57,27 @@
     address: str = ''
 
 
+@dataclasses.dataclass(frozen=True)
+class RosterEntry:
+    """A router's row as it was last seen.
+
+    :ivar seen_at: when it was seen to change.
+    """
+
+    version: int
+    address: str
+    data_centre: str
+    seen_at: float
+
+
 class Roster:
-    """Counts the live routers and keeps this one's row."""
+    """Counts the live routers and keeps this one's row.
+
+    :ivar address: where this router hears of the others' loads.
+    :ivar loaded: the table was read once.
+    :ivar get_proved_at: returns until when the entries are known to be what
+        the store holds. While the store is away nobody's row ages.
+    """
 
     def __init__(
         self, store: RowStore, clock: Clock, vm: str, data_centre: str
@@ -58,30 +86,32 @@
         self._clock = clock
         self._key = f'{ROUTER_PREFIX}{vm}'
         self._data_centre = data_centre
-        self._versions: dict[str, int] = {}
-        self._addresses: dict[str, str] = {}
+        self._entries: dict[str, RosterEntry] = {}
         self.address = ''
         self.loaded = False
+        self.get_proved_at: Callable[[], float] = clock.monotonic
 
     @property
     def live(self) -> int:
         """Return how many routers there are at most."""
         if not self.loaded:
             return UNKNOWN_COUNT
-        return max(len(self._versions), 1)
+        stale = len(self._list_stale())
+        return max(len(self._entries) - stale, 1)
 
     @property
     def routers(self) -> list[str]:
         """Return the routers' keys, in order."""
-        return sorted({*self._versions, self._key})
+        fresh = set(self._entries) - set(self._list_stale())
+        return sorted({*fresh, self._key})
 
     @property
     def addresses(self) -> list[str]:
         """Return where the other routers hear of loads."""
         return [
-            address
-            for key, address in self._addresses.items()
-            if address and key != self._key
+            entry.address
+            for key, entry in self._entries.items()
+            if entry.address and key != self._key
         ]
 
     @property
@@ -89,57 +119,113 @@
         """Return this router's key."""
         return self._key
 
+    @property
+    def data_centre(self) -> str:
+        """Return this router's data centre."""
+        return self._data_centre
+
+    def get_address(self, key: str) -> str:
+        """Return where a router is reached, or an empty string."""
+        entry = self._entries.get(key)
+        return entry.address if entry is not None else ''
+
+    def get_data_centre(self, key: str) -> str:
+        """Return where a router is, or an empty string."""
+        entry = self._entries.get(key)
+        return entry.data_centre if entry is not None else ''
+
     def take(self, row: VersionedRow) -> None:
         """Take in a changed row of the table."""
         if not row.key.startswith(ROUTER_PREFIX):
             return
         before = self.live
         if row.value is None:
-            self._versions.pop(row.key, None)
-            self._addresses.pop(row.key, None)
+            self._entries.pop(row.key, None)
         else:
-            self._versions[row.key] = row.version
-            self._addresses[row.key] = _read_address(row.value)
+            held = _read_row(row.value)
+            self._entries[row.key] = RosterEntry(
+                row.version,
+                held.address,
+                held.data_centre,
+                self._clock.monotonic(),
+            )
         if self.live != before:
             LOG.info('roster.changed', live=self.live, before=before)
 
+    async def run(self) -> None:
+        """Keep this router's row and remove those of the vanished."""
+        await self.join()
+        while True:
+            await self._clock.sleep(REFRESH_SECONDS)
+            await self.refresh()
+            await self.remove_stale()
+
     async def join(self) -> None:
         """Write this router's row, trying until it is there."""
-        while self._key not in self._versions:
+        while not self._is_listed():
             try:
-                await self._write(
-                    msgspec.json.encode(
-                        RouterRow(self._data_centre, self.address)
-                    ),
-                    NO_ROW,
-                )
+                await self._write_own()
                 return
             except ConditionFailed:
-                # An earlier start of this router wrote the same.
-                return
+                # The row of an earlier start is there and not yet seen.
+                LOG.info('roster.row_differs')
             except PlatformUnavailable as error:
                 LOG.info('roster.not_joined', reason=str(error))
-                await self._clock.sleep(RETRY_SECONDS)
+            await self._clock.sleep(RETRY_SECONDS)
+
+    async def refresh(self) -> None:
+        """Write this router's row anew, so that it is not taken for gone."""
+        try:
+            await self._write_own()
+        except (ConditionFailed, PlatformUnavailable) as error:
+            LOG.warning('roster.not_refreshed', reason=str(error))
+
+    def _is_listed(self) -> bool:
+        known = self._entries.get(self._key)
+        return known is not None and known.address == self.address
+
+    async def _write_own(self) -> None:
+        row = msgspec.json.encode(RouterRow(self._data_centre, self.address))
+        known = self._entries.get(self._key)
+        version = known.version if known is not None else NO_ROW
+        await self._write(self._key, row, version)
+
+    async def remove_stale(self) -> None:
+        """Remove the rows of routers that vanished."""
+        for key in self._list_stale():
+            LOG.warning('roster.vanished', router=key)
+            await self._remove(key)
 
     async def leave(self) -> None:
         """Remove this router's row, if that can be done at once."""
-        version = self._versions.get(self._key)
-        if version is None:
-            return
+        if self._key in self._entries:
+            await self._remove(self._key)
+
+    async def _remove(self, key: str) -> None:
         try:
-            await self._write(None, version)
-            self._versions.pop(self._key, None)
+            await self._write(key, None, self._entries[key].version)
+            self._entries.pop(key, None)
         except (ConditionFailed, PlatformUnavailable) as error:
-            LOG.warning('roster.row_left', reason=str(error))
+            LOG.warning('roster.row_left', router=key, reason=str(error))
+
+    def _list_stale(self) -> list[str]:
+        latest = self.get_proved_at() - STALE_SECONDS
+        return [
+            key
+            for key, entry in self._entries.items()
+            if entry.seen_at < latest and key != self._key
+        ]
 
-    async def _write(self, value: bytes | None, version: int) -> None:
-        write = RowWrite(FLEET_TABLE, self._key, value, version)
+    async def _write(
+        self, key: str, value: bytes | None, version: int
+    ) -> None:
+        write = RowWrite(FLEET_TABLE, key, value, version)
         await self._store.write_row(write)
 
 
-def _read_address(value: bytes) -> str:
+def _read_row(value: bytes) -> RouterRow:
     try:
-        return msgspec.json.decode(value, type=RouterRow).address
+        return msgspec.json.decode(value, type=RouterRow)
     except (ValueError, msgspec.MsgspecError) as error:
         LOG.error('roster.unreadable', reason=str(error))
-        return ''
+        return RouterRow('')
--- /dev/null
+++ b/tests/cover/test_roster.py
@@ -0,0 +1,146 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Tests of the count of live routers."""
+
+import asyncio
+import datetime
+import unittest
+
+import msgspec
+
+from lifttrestle.internal.clock.manual import ManualClock
+from lifttrestle.internal.fleet.roster import FLEET_TABLE
+from lifttrestle.internal.fleet.roster import REFRESH_SECONDS
+from lifttrestle.internal.fleet.roster import Roster
+from lifttrestle.internal.fleet.roster import RouterRow
+from lifttrestle.internal.fleet.roster import STALE_SECONDS
+from tests.support.memory_rows import MemoryRows
+
+START = datetime.datetime(2026, 12, 2, tzinfo=datetime.timezone.utc)
+
+
+class RosterCase(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.rows = MemoryRows()
+        self.clock = ManualClock(START)
+        self.proved_at = self.clock.monotonic()
+        self.heard = {}
+
+    def make_roster(self, name, address='1.2.3.4:1'):
+        roster = Roster(self.rows, self.clock, name, 'a')
+        roster.address = address
+        roster.loaded = True
+        roster.get_proved_at = lambda: self.proved_at
+        return roster
+
+    async def hear(self, roster):
+        """Take in what changed, as the watch of the table does."""
+        after = self.heard.get(roster.key, 0)
+        changes = await self.rows.watch_table(FLEET_TABLE, after, 0)
+        for row in changes.rows:
+            roster.take(row)
+        self.heard[roster.key] = changes.version
+
+    def pass_time(self, seconds):
+        self.clock.advance(seconds)
+        self.proved_at = self.clock.monotonic()
+
+
+class TestVanished(RosterCase):
+    async def test_regression_vanished_router_counts_for_a_while_only(self):
+        # Its row stayed for ever: each VM that was lost made the shares of
+        # all others smaller, until they had nothing to spend.
+        one, other = self.make_roster('one'), self.make_roster('other')
+        for roster in (one, other):
+            await roster.join()
+        for _ in range(4):
+            await self.hear(one)
+            self.pass_time(REFRESH_SECONDS)
+            await one.refresh()
+            await one.remove_stale()
+        await self.hear(one)
+        self.assertEqual(one.live, 1)
+        self.assertEqual(one.routers, ['router/one'])
+        gone = self.rows.get(FLEET_TABLE, 'router/other')
+        self.assertIsNone(gone.value)
+
+    async def test_nobody_is_taken_for_gone_while_the_store_is_away(self):
+        one, other = self.make_roster('one'), self.make_roster('other')
+        for roster in (one, other):
+            await roster.join()
+        await self.hear(one)
+        self.clock.advance(2 * STALE_SECONDS)
+        self.assertEqual(one.live, 2)
+        await one.remove_stale()
+        self.assertEqual(one.live, 2)
+
+    async def test_router_that_refreshes_its_row_is_counted(self):
+        one, other = self.make_roster('one'), self.make_roster('other')
+        for roster in (one, other):
+            await roster.join()
+        for _ in range(6):
+            for roster in (one, other):
+                await self.hear(roster)
+            self.pass_time(REFRESH_SECONDS)
+            for roster in (one, other):
+                await roster.refresh()
+                await roster.remove_stale()
+        self.assertEqual((one.live, other.live), (2, 2))
+
+
+class TestJoin(RosterCase):
+    async def test_regression_new_address_replaces_that_of_an_earlier_start(
+        self,
+    ):
+        # A VM that came back at another address kept its old row: nobody
+        # told it of the others' loads.
+        first = self.make_roster('one', '1.2.3.4:1')
+        await first.join()
+        second = self.make_roster('one', '5.6.7.8:1')
+        await self.hear(second)
+        await second.join()
+        row = self.rows.get(FLEET_TABLE, 'router/one')
+        held = msgspec.json.decode(row.value, type=RouterRow)
+        self.assertEqual(held.address, '5.6.7.8:1')
+
+    async def test_row_of_an_earlier_start_is_kept_without_a_write(self):
+        await self.make_roster('one').join()
+        version = self.rows.version
+        again = self.make_roster('one')
+        joining = asyncio.create_task(again.join())
+        while not joining.done():
+            await asyncio.sleep(0)
+            await self.hear(again)
+            self.pass_time(1.0)
+        self.assertEqual(self.rows.version, version)
+
+    async def test_store_that_is_away_is_tried_until_it_is_back(self):
+        roster = self.make_roster('one')
+        self.rows.down = True
+        joining = asyncio.create_task(roster.join())
+        for _ in range(3):
+            await asyncio.sleep(0)
+            self.pass_time(1.0)
+        self.assertFalse(joining.done())
+        self.rows.down = False
+        while not joining.done():
+            await asyncio.sleep(0)
+            self.pass_time(1.0)
+        self.assertIsNotNone(self.rows.get(FLEET_TABLE, roster.key).value)
+
+    async def test_row_goes_with_the_router(self):
+        roster = self.make_roster('one')
+        await roster.join()
+        await self.hear(roster)
+        await roster.leave()
+        self.assertIsNone(self.rows.get(FLEET_TABLE, roster.key).value)
