--- a/tests/cover/test_relay_model.py
+++ b/tests/cover/test_relay_model.py
@@ -24,8 +24,6 @@
 import random
 import unittest
 
-from hypothesis import Phase
-from hypothesis import settings
 from hypothesis import stateful
 from hypothesis import strategies as st
 import msgspec
@@ -42,6 +40,7 @@
 from lifttrestle.internal.fleet.table_copy import CopyNews
 from lifttrestle.internal.fleet.table_watch import TableWatch
 from tests.support.memory_rows import MemoryRows
+from tests.support.models import run_model
 
 START = datetime.datetime(2026, 12, 2, tzinfo=datetime.timezone.utc)
 TABLE = 't'
@@ -309,19 +308,7 @@
 
 
 def run_machine(**faults):
-    machine = type('Machine', (ViewMachine,), {'faults': faults})
-    stateful.run_state_machine_as_test(
-        machine,
-        settings=settings(
-            max_examples=300,
-            stateful_step_count=40,
-            deadline=None,
-            derandomize=True,
-            database=None,
-            report_multiple_bugs=False,
-            phases=(Phase.generate,),
-        ),
-    )
+    run_model(type('Machine', (ViewMachine,), {'faults': faults}), 300)
 
 
 class TestView(unittest.TestCase):
--- /dev/null
+++ b/tests/cover/test_retry_model.py
@@ -0,0 +1,203 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""A model of requests that are sent again by several routers.
+
+Routers serve requests whose attempts are lost, turned away or answered. None
+may say of a request that it has not run while an upstream may have it, and
+all together send again no more than one budget allows in any window.
+
+| state of a request | after | may be said |
+|---|---|---|
+| admitted | a route and a key were found, or every send was turned away | not run |
+| sending | a send that was not turned away | unknown |
+| first byte | an answer began | unknown |
+| ended | the answer is whole | ran |
+"""
+
+import unittest
+
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from lifttrestle.internal.clock.manual import ManualClock
+from lifttrestle.internal.exchange.progress import RequestEvent
+from lifttrestle.internal.exchange.progress import RequestProgress
+from lifttrestle.internal.exchange.progress import RequestState
+from lifttrestle.internal.fleet.retry_budget import SharedRetryBudget
+from lifttrestle.internal.fleet.settings import Promises
+from lifttrestle.internal.refusal.execution import Execution
+from tests.support.directories import START
+from tests.support.models import run_model
+
+PROMISES = Promises(retry_slack=12.0)
+ROUTERS = 2
+WINDOW_SECONDS = PROMISES.retry_window_seconds
+ROUTER = st.integers(0, ROUTERS - 1)
+
+
+class Request:
+    """A request with what really happened to it."""
+
+    def __init__(self, progress):
+        self.progress = progress
+        self.progress.move(RequestEvent.ADMIT)
+        self.sends = 0
+        self.under_way = False
+        self.may_have_run = 0
+
+
+class RetryMachine(stateful.RuleBasedStateMachine):
+    budget_class = SharedRetryBudget
+    progress_class = RequestProgress
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock(START)
+        self.clock.advance(100.0)
+        self.budgets = [
+            self.budget_class(PROMISES, self.clock) for _ in range(ROUTERS)
+        ]
+        self.open = [[] for _ in range(ROUTERS)]
+        # Each router counts those that are there, and some that are not.
+        self.counted = [ROUTERS] * ROUTERS
+        self.requests = []
+        self.retries = []
+
+    @stateful.rule(index=ROUTER, count=st.integers(1, 6))
+    def receive(self, index, count):
+        for _ in range(count):
+            self.budgets[index].note_request()
+            self.requests.append(self.clock.monotonic())
+            self.open[index].append(Request(self.progress_class()))
+
+    @stateful.rule(index=ROUTER, extra=st.integers(0, 3))
+    def count_high(self, index, extra):
+        self.counted[index] = ROUTERS + extra
+
+    @stateful.rule(seconds=st.sampled_from((0.2, 1.0, 5.1, 9.9)))
+    def wait(self, seconds):
+        self.clock.advance(seconds)
+
+    @stateful.rule(index=ROUTER)
+    def send_all(self, index):
+        for request in self.open[index]:
+            if not request.under_way:
+                self.send(index, request)
+
+    def send(self, index, request):
+        if request.sends:
+            if not self.budgets[index].take(self.counted[index]):
+                return
+            self.retries.append(self.clock.monotonic())
+        request.sends += 1
+        request.under_way = True
+        request.may_have_run += 1
+        request.progress.move(RequestEvent.SEND)
+
+    @stateful.rule(index=ROUTER, declined=st.booleans())
+    def fail_one(self, index, declined):
+        for request in self.open[index]:
+            if request.under_way:
+                request.under_way = False
+                if declined:
+                    request.may_have_run -= 1
+                    request.progress.move(RequestEvent.DECLINED)
+                return
+
+    @stateful.rule(index=ROUTER)
+    def fail_all(self, index):
+        for request in self.open[index]:
+            request.under_way = False
+
+    @stateful.rule(index=ROUTER, rounds=st.integers(1, 5))
+    def storm(self, index, rounds):
+        for _ in range(rounds):
+            self.fail_all(index)
+            self.send_all(index)
+
+    @stateful.rule(index=ROUTER)
+    def answer_one(self, index):
+        for request in self.open[index]:
+            if request.under_way:
+                request.under_way = False
+                request.progress.move(RequestEvent.ANSWER)
+                request.progress.move(RequestEvent.END)
+                self.open[index].remove(request)
+                return
+
+    @stateful.invariant()
+    def not_run_is_said_only_when_true(self):
+        for requests in self.open:
+            for request in requests:
+                said = request.progress.execution is Execution.NOT_RUN
+                assert not (said and request.may_have_run)
+
+    @stateful.invariant()
+    def together_they_stay_within_the_budget(self):
+        now = self.clock.monotonic()
+        retries = [at for at in self.retries if at > now - WINDOW_SECONDS]
+        # The users count requests of this window or of the one before.
+        requests = max(
+            sum(begin - WINDOW_SECONDS < at <= begin for at in self.requests)
+            for begin in (now, now - WINDOW_SECONDS / 2, now - WINDOW_SECONDS)
+        )
+        allowed = PROMISES.retry_share * requests + PROMISES.retry_slack
+        assert len(retries) <= allowed, (len(retries), allowed)
+
+
+class SelfishBudget(SharedRetryBudget):
+    """Planted fault: each router takes the slack for its own."""
+
+    def has_room(self, live_routers):
+        return super().has_room(1)
+
+
+class ForgetfulBudget(SharedRetryBudget):
+    """Planted fault: what was spent is forgotten after half the window."""
+
+    def has_room(self, live_routers):
+        oldest = self._clock.monotonic() - WINDOW_SECONDS / 2
+        while self._retries and self._retries[0] < oldest:
+            self._retries.popleft()
+        return super().has_room(live_routers)
+
+
+class ForgetfulProgress(RequestProgress):
+    """Planted fault: a send that is turned away undoes those before it."""
+
+    def move(self, event):
+        if event is RequestEvent.DECLINED:
+            self.state = RequestState.ADMITTED
+            return
+        super().move(event)
+
+
+def run_machine(**fields):
+    run_model(type('Machine', (RetryMachine,), fields))
+
+
+class TestRetries(unittest.TestCase):
+    def test_truth_is_told_and_the_budget_is_kept(self):
+        run_machine()
+
+    def test_planted_slack_for_each_is_found(self):
+        with self.assertRaises(AssertionError):
+            run_machine(budget_class=SelfishBudget)
+
+    def test_planted_short_memory_is_found(self):
+        with self.assertRaises(AssertionError):
+            run_machine(budget_class=ForgetfulBudget)
+
+    def test_planted_forgotten_send_is_found(self):
+        with self.assertRaises(AssertionError):
+            run_machine(progress_class=ForgetfulProgress)
