The exchange and the loader in parts; a retry is taken when it is sent

On the way: a retry was taken from the budget before the connection was there, so that upstreams which take none used it up. Before: test_regression_connection_that_fails_costs_no_retry: 2 spent, not 1.

--- a/src/lifttrestle/internal/fleet/attempt.py
+++ b/src/lifttrestle/internal/fleet/attempt.py
@@ -25,6 +25,7 @@
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.dialect import AnswerFacts
 from lifttrestle.internal.fleet.dialect import RequestDialect
+from lifttrestle.internal.fleet.request_context import PROMISING
 from lifttrestle.internal.fleet.upstream import FleetUpstream
 from lifttrestle.internal.http.client_connection import ClientConnection
 from lifttrestle.internal.http.head import RequestHead
@@ -36,9 +37,6 @@
 # Between two looks at an upstream that is silent and can't be left.
 MIN_LOOK_SECONDS = 0.2
 FIRST_SERVER_ERROR = 500
-# Statuses by which this router promises that a request has not run. An
-# upstream that answers so without saying the same has made no such promise.
-PROMISING = (408, 421, 429, 503)
 MAX_FOREIGN_BYTES = 4 * 1024 * 1024
 # The body of an answer that turns a request away comes with its head.
 DECLINED_READ_SECONDS = 0.1
--- /dev/null
+++ b/src/lifttrestle/internal/fleet/order_building.py
@@ -0,0 +1,59 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""What the router asks of an upstream beside the caller's request."""
+
+from lifttrestle.internal.fleet.admission import get_urgency
+from lifttrestle.internal.fleet.admission import get_wall
+from lifttrestle.internal.fleet.dialect import CacheUse
+from lifttrestle.internal.fleet.dialect import UpstreamOrder
+from lifttrestle.internal.fleet.request_context import RequestContext
+from lifttrestle.internal.fleet.shared_parts import build_salt
+from lifttrestle.internal.fleet.upstream import FleetUpstream
+
+
+def build_order(
+    request: RequestContext, upstream: FleetUpstream, last_event: int | None
+) -> UpstreamOrder:
+    """Return the order for one attempt.
+
+    :param last_event: after which event a stream is to go on, or None.
+    """
+    admitted = request.admitted
+    workspace = admitted.workspace
+    generation = request.facts.generation
+    weights = None
+    if generation is not None:
+        weights = upstream.weights.get(generation.model)
+    return UpstreamOrder(
+        instance=upstream.instance,
+        wait_seconds=request.get_left(),
+        workspace=workspace.name if workspace is not None else '',
+        hide_key=admitted.catalogue.keys is not None,
+        weights=weights,
+        cache=_build_cache_use(request, weights),
+        urgency=get_urgency(admitted) if generation else None,
+        last_event=last_event,
+    )
+
+
+def _build_cache_use(
+    request: RequestContext, weights: int | None
+) -> CacheUse | None:
+    generation = request.facts.generation
+    if generation is None or weights is None:
+        return None
+    admitted = request.admitted
+    kept = admitted.catalogue.find_cache_store()
+    address = kept.address if kept is not None else ''
+    salt = build_salt(get_wall(admitted), generation.model, weights)
+    return request.parts.sources.choose(salt, generation, address)
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -34,6 +34,7 @@
 from lifttrestle.internal.fleet.peer_loads import PeerLoads
 from lifttrestle.internal.fleet.relay_follower import RelayFollower
 from lifttrestle.internal.fleet.relay_server import RelayServer
+from lifttrestle.internal.fleet.retry_budget import SharedRetryBudget
 from lifttrestle.internal.fleet.roster import FLEET_TABLE
 from lifttrestle.internal.fleet.roster import Roster
 from lifttrestle.internal.fleet.rows import RowStore
@@ -224,6 +225,10 @@
         """Return the upstreams that the router knows."""
         return self._directory
 
+    def get_budget(self, service: str) -> SharedRetryBudget:
+        """Return the retry budget of a service."""
+        return self._parts.get_budget(service)
+
     @property
     def catalogue(self) -> Catalogue | None:
         """Return the configuration in force, None before the first."""
--- /dev/null
+++ b/src/lifttrestle/internal/fleet/request_context.py
@@ -0,0 +1,134 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""What one request has come to so far, for all who take part in serving it."""
+
+import dataclasses
+
+from lifttrestle.errors import RequestRefused
+from lifttrestle.internal.exchange.progress import RequestProgress
+from lifttrestle.internal.fleet.admission import admit
+from lifttrestle.internal.fleet.admission import Admitted
+from lifttrestle.internal.fleet.dialect import RequestFacts
+from lifttrestle.internal.fleet.parts import FleetParts
+from lifttrestle.internal.fleet.story import RequestStory
+from lifttrestle.internal.refusal.answers import ANSWERS
+from lifttrestle.internal.refusal.execution import Execution
+from lifttrestle.internal.refusal.kind import ErrorKind
+
+# When a refused caller may come back: engines free a slot within that time.
+RETRY_SECONDS = 0.15
+# Below this there is no time left to be served in.
+MIN_LEFT_SECONDS = 0.01
+# Statuses by which this router promises that a request has not run. An
+# upstream that answers so without saying the same has made no such promise.
+PROMISING = (408, 421, 429, 503)
+
+
+@dataclasses.dataclass
+class RequestContext:
+    """One request and its state.
+
+    :ivar started: when it was received, monotonic seconds.
+    :ivar deadline: when it is answered at the latest, likewise.
+    :ivar admitted: what it may use, by the newest configuration; renewed
+        with each attempt.
+    :ivar service: by which it is served.
+    :ivar sends: attempts that were sent, those turned away among them.
+    :ivar runs: attempts that may have run.
+    """
+
+    parts: FleetParts
+    facts: RequestFacts
+    admitted: Admitted
+    story: RequestStory
+    progress: RequestProgress
+    started: float
+    deadline: float
+    service: str = ''
+    sends: int = 0
+    runs: int = 0
+
+    def get_left(self) -> float:
+        """Return the seconds that are left to serve it in."""
+        now = self.parts.clock.monotonic()
+        return max(self.deadline - now, MIN_LEFT_SECONDS)
+
+    def admit_again(self) -> Admitted:
+        """Return what it may use now, and by which service.
+
+        A key may have been taken away since, the route may lead elsewhere,
+        or the view may have become too old to rely on.
+
+        :raises RequestRefused: if it may not be served any more.
+        """
+        self.admitted = admit(self.parts, self.facts)
+        names = [share.service for share in self.admitted.route.shares]
+        if self.service not in names:
+            self.service = self._choose_service()
+        return self.admitted
+
+    def give_up(self, kind: ErrorKind, message: str) -> RequestRefused:
+        """Return the refusal that is true of it now."""
+        ran = self.progress.execution
+        if ran is Execution.NOT_RUN:
+            return RequestRefused(
+                ErrorKind.NO_UPSTREAM, message, retry_after=RETRY_SECONDS
+            )
+        if kind is ErrorKind.NO_UPSTREAM:
+            kind = ErrorKind.UPSTREAM_FAILED
+        return RequestRefused(kind, message, ran=ran)
+
+    def be_truthful(self, refused: RequestRefused) -> RequestRefused:
+        """Promise that nothing ran only if that is so.
+
+        A repeatable request may be refused for its key or for the age of the
+        view after an attempt of which nobody knows whether it ran.
+        """
+        ran = self.progress.execution
+        promises = ANSWERS[refused.kind].status in PROMISING
+        if ran is Execution.NOT_RUN or not promises:
+            return refused
+        return RequestRefused(
+            ErrorKind.UPSTREAM_FAILED, refused.message, ran=ran
+        )
+
+    def _choose_service(self) -> str:
+        shares = self.admitted.route.shares
+        if len(shares) == 1:
+            return shares[0].service
+        chosen = self.parts.source.choices(
+            shares, [share.weight for share in shares]
+        )
+        return chosen[0].service
+
+
+def begin_request(
+    parts: FleetParts,
+    facts: RequestFacts,
+    story: RequestStory,
+    progress: RequestProgress,
+    started: float,
+) -> RequestContext:
+    """Return a request that may be served, with its time limit.
+
+    :raises RequestRefused: if it may not be served.
+    """
+    admitted = admit(parts, facts)
+    seconds = admitted.route.timeout_seconds
+    if facts.wait_seconds is not None:
+        seconds = min(seconds, facts.wait_seconds)
+    request = RequestContext(
+        parts, facts, admitted, story, progress, started, started + seconds
+    )
+    request.admit_again()
+    return request
--- a/src/lifttrestle/internal/fleet/retry_budget.py
+++ b/src/lifttrestle/internal/fleet/retry_budget.py
@@ -38,6 +38,11 @@
         """Count a request of a caller."""
         self._requests.append(self._clock.monotonic())
 
+    @property
+    def spent(self) -> int:
+        """Return the retries that were spent in the window."""
+        return len(self._retries)
+
     def has_room(self, live_routers: int) -> bool:
         """Return whether a retry may be spent.
 
--- a/src/lifttrestle/internal/fleet/story.py
+++ b/src/lifttrestle/internal/fleet/story.py
@@ -20,6 +20,8 @@
 import dataclasses
 
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.admission import Admitted
+from lifttrestle.internal.fleet.placement import Placement
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
 LOG = get_event_log('request')
@@ -66,3 +68,31 @@
                 after_ms=round(step.after_seconds * MILLISECONDS, 1),
                 **step.fields,
             )
+
+
+def build_admitted(
+    admitted: Admitted, host: str, view_age: float, left: float
+) -> dict[str, object]:
+    """Return what the log tells of a request that may be served."""
+    workspace = admitted.workspace
+    return {
+        'host': host,
+        'route': admitted.route.name,
+        'workspace': workspace.name if workspace is not None else None,
+        'configuration': admitted.catalogue.version,
+        'view_age_ms': round(view_age * MILLISECONDS),
+        'left_ms': round(left * MILLISECONDS),
+    }
+
+
+def build_chosen(placement: Placement) -> dict[str, object]:
+    """Return what the log tells of the choice of an upstream."""
+    return {
+        'instance': placement.upstream.instance,
+        'reason': placement.reason,
+        'candidates_ms': {
+            name: round(cost * MILLISECONDS, 1)
+            for name, cost in placement.candidates
+        },
+        'avoided': list(placement.avoided) or None,
+    }
--- a/src/lifttrestle/internal/fleet/weights_loader.py
+++ b/src/lifttrestle/internal/fleet/weights_loader.py
@@ -20,7 +20,6 @@
 """
 
 import asyncio
-import dataclasses
 import math
 import random
 
@@ -34,6 +33,7 @@
 from lifttrestle.internal.fleet.engine_control import EngineState
 from lifttrestle.internal.fleet.engine_control import LoadOrder
 from lifttrestle.internal.fleet.engine_control import OrderOutcome
+from lifttrestle.internal.fleet.load_tracking import LoadTracker
 from lifttrestle.internal.fleet.operator_view import OperatorView
 from lifttrestle.internal.fleet.roster import FLEET_TABLE
 from lifttrestle.internal.fleet.roster import Roster
@@ -64,27 +64,6 @@
 LOADING_SHARE = 0.4
 # All routers know of a batch this long after its row was written.
 STEER_SECONDS = 0.03
-# A load takes 0.8 s after the running requests have ended (0.5 s typically).
-REPORT_FIRST_SECONDS = 0.7
-REPORT_SECONDS = 0.2
-# An engine that has not loaded by then is ordered once more.
-LOAD_LIMIT_SECONDS = 4.0
-
-
-@dataclasses.dataclass
-class LoadUnderWay:
-    """An order that an engine has not yet been seen to have carried out.
-
-    :ivar orders_accepted: what the engine counted before this order.
-    :ivar answered: it said that it took the order.
-    """
-
-    upstream: FleetUpstream
-    version: int
-    orders_accepted: int
-    answered: bool
-    ordered_at: float
-    ask_at: float
 
 
 class WeightsLoader:
@@ -114,7 +93,7 @@
         self._source = source
         self._holder = holder
         self._needed_since: dict[str, float] = {}
-        self._loads: dict[str, dict[str, LoadUnderWay]] = {}
+        self._loads: dict[str, LoadTracker] = {}
 
     async def run(self) -> None:
         """Load what is missing, for ever."""
@@ -131,8 +110,8 @@
 
     async def serve_model(self, model: str) -> None:
         """Take the next step towards a model's newest weights."""
-        loads = self._loads.setdefault(model, {})
-        await self._follow_loads(model, loads)
+        loads = self._get_loads(model)
+        await loads.follow()
         outdated = self._find_outdated(model)
         now = self._clock.monotonic()
         if not outdated:
@@ -145,6 +124,15 @@
         if self._may_act(model, held, now):
             await self._load_next(model, held, loads, outdated)
 
+    def _get_loads(self, model: str) -> LoadTracker:
+        loads = self._loads.get(model)
+        if loads is None:
+            loads = LoadTracker(
+                model, self._control, self._directory, self._clock
+            )
+            self._loads[model] = loads
+        return loads
+
     def _list_engines(self, model: str) -> list[FleetUpstream]:
         return [
             upstream
@@ -199,7 +187,7 @@
         self,
         model: str,
         held: HeldPlan,
-        loads: dict[str, LoadUnderWay],
+        loads: LoadTracker,
         outdated: list[FleetUpstream],
     ) -> None:
         room = self._count_room(model) - len(loads)
@@ -212,18 +200,20 @@
                 continue
             if upstream.is_doubtful(self._clock.monotonic()):
                 continue
-            state = await self._read_state(upstream)
+            state = await loads.read_state(upstream)
             if state is None:
                 upstream.unreached_at = self._clock.monotonic()
                 continue
-            known = state.weights.get(model, 0)
-            upstream.note_weights(model, known)
+            known = upstream.weights.get(model, 0)
             if known < version and not state.loading:
                 batch.append((upstream, state))
         if not batch:
             return
         asked_at = self._clock.monotonic()
-        names = [*loads, *(upstream.instance for upstream, _ in batch)]
+        names = [
+            *loads.instances,
+            *(upstream.instance for upstream, _ in batch),
+        ]
         fence = await self._write_plan(model, version, held, names)
         await self._clock.sleep(STEER_SECONDS)
         orders = [
@@ -237,16 +227,8 @@
             for upstream, state in batch
         ]
         answered = await asyncio.gather(*orders)
-        now = self._clock.monotonic()
         for (upstream, state), answer in zip(batch, answered):
-            loads[upstream.instance] = LoadUnderWay(
-                upstream,
-                version,
-                state.orders_accepted,
-                answer,
-                now,
-                now + REPORT_FIRST_SECONDS,
-            )
+            loads.add(upstream, version, state.orders_accepted, answer)
 
     def _count_room(self, model: str) -> int:
         """Return how many engines may be without work at the same time.
@@ -309,45 +291,6 @@
             upstream.misdirected = True
         return outcome is not OrderOutcome.UNKNOWN
 
-    async def _follow_loads(
-        self, model: str, loads: dict[str, LoadUnderWay]
-    ) -> None:
-        for instance, load in list(loads.items()):
-            now = self._clock.monotonic()
-            if self._is_over(model, load, now):
-                del loads[instance]
-                continue
-            if now < load.ask_at:
-                continue
-            load.ask_at = now + REPORT_SECONDS
-            state = await self._read_state(load.upstream)
-            if state is not None:
-                known = state.weights.get(model, 0)
-                load.upstream.note_weights(model, known)
-            if self._was_lost(load, state) or self._is_over(model, load, now):
-                del loads[instance]
-
-    def _was_lost(self, load: LoadUnderWay, state: EngineState | None) -> bool:
-        """Return whether an order is to be sent again.
-
-        Should it arrive after all, one of the two finds another count of
-        orders than it expects, and does nothing.
-        """
-        return (
-            state is not None
-            and not load.answered
-            and not state.loading
-            and state.orders_accepted == load.orders_accepted
-        )
-
-    def _is_over(self, model: str, load: LoadUnderWay, now: float) -> bool:
-        upstream = load.upstream
-        return (
-            upstream.weights.get(model, 0) >= load.version
-            or self._directory.get(upstream.instance) is None
-            or now - load.ordered_at > LOAD_LIMIT_SECONDS
-        )
-
     async def _tell_end(self, model: str) -> None:
         """Tell the others that the last engines have loaded."""
         held = self._plans.get(model)
@@ -356,14 +299,3 @@
             return
         version = self._view.wanted[model].version
         await self._write_plan(model, version, held, [])
-
-    async def _read_state(self, upstream: FleetUpstream) -> EngineState | None:
-        try:
-            return await self._control.read_state(upstream)
-        except PlatformUnavailable as error:
-            LOG.info(
-                'weights.no_report',
-                instance=upstream.instance,
-                reason=str(error),
-            )
-            return None
--- a/tests/cover/test_fleet_parts.py
+++ b/tests/cover/test_fleet_parts.py
@@ -16,14 +16,12 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
-import msgspec
 
 from lifttrestle.errors import UpstreamLost
 from lifttrestle.internal.clock.manual import ManualClock
 from lifttrestle.internal.fleet.directory import RETURN_SECONDS
 from lifttrestle.internal.fleet.event_relay import EventRelay
 from lifttrestle.internal.fleet.retry_budget import SharedRetryBudget
-from lifttrestle.internal.fleet.rows import VersionedRow
 from lifttrestle.internal.fleet.settings import Promises
 from lifttrestle.internal.fleet.upstream import SILENT_SECONDS
 from tests.support.directories import DirectoryCase
--- a/tests/cover/test_fleet_weights.py
+++ b/tests/cover/test_fleet_weights.py
@@ -334,7 +334,7 @@
         held = second.plans.get('m')
         first.act()
         second.hear()
-        loads = {}
+        loads = second.loader._get_loads('m')
         outdated = second.loader._find_outdated('m')
         with self.assertRaises(ConditionFailed):
             asyncio.run(second.loader._load_next('m', held, loads, outdated))
--- a/tests/cover/test_retry_model.py
+++ b/tests/cover/test_retry_model.py
@@ -18,7 +18,7 @@
 
 | state of a request | after | may be said |
 |---|---|---|
-| admitted | a route and a key were found, or every send was turned away | not run |
+| admitted | a route and a key were found; all sends turned away | not run |
 | sending | a send that was not turned away | unknown |
 | first byte | an answer began | unknown |
 | ended | the answer is whole | ran |
--- a/tests/nocover/test_fleet_exchange.py
+++ b/tests/nocover/test_fleet_exchange.py
@@ -195,6 +195,23 @@
         self.assertEqual(peers, [1, 1])
 
 
+class TestRetryBudget(unittest.IsolatedAsyncioTestCase):
+    async def test_regression_connection_that_fails_costs_no_retry(self):
+        # A retry was taken before the connection was there: upstreams that
+        # took none used up the budget, though nothing had been sent twice.
+        async with run_fleet() as fleet:
+            known = fleet.router.directory
+            known.get('p1').in_flight += 5
+            known.get('p1').pool.close()
+            await fleet.upstreams['p1'].stop()
+            # Turned away by p2, not connected to p1, then served by p2.
+            fleet.upstreams['p2'].script.append(Behaviour.DECLINE)
+            answer = await fleet.call('/once/a', method='POST')
+            spent = fleet.router.get_budget('plain').spent
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(spent, 1)
+
+
 class TestTruth(unittest.IsolatedAsyncioTestCase):
     async def test_regression_refusal_after_a_lost_attempt_is_no_promise(
         self,
