The fleet's metrics go to a statsd server too

Cause: only the first deployment's router fed one; the fleet's registry was served as text alone. Ruled out: a second set of counters: the feed reads the registry. Two gauges tell who reads the store and for how many.

--- a/src/lifttrestle/internal/cli/fleet_router.py
+++ b/src/lifttrestle/internal/cli/fleet_router.py
@@ -26,6 +26,7 @@
 from lifttrestle.internal.fleet.settings import FleetSettings
 from lifttrestle.internal.platform.names import SETTINGS_VARIABLE
 from lifttrestle.internal.platform.node_settings import check_node_settings
+from lifttrestle.internal.settings.sections import StatsdSection
 from lifttrestle.internal.telemetry.event_log import get_event_log
 from lifttrestle.internal.telemetry.event_sink import start_event_sink
 
@@ -51,7 +52,19 @@
         metavar='SETTINGS',
         help=f'the file that the platform wrote (${SETTINGS_VARIABLE})',
     )
-    parser.add_argument('--metrics-port', type=int, default=0)
+    parser.add_argument(
+        '--metrics-port',
+        type=int,
+        default=0,
+        help='serve metrics as text at this port; 0 for nowhere',
+    )
+    parser.add_argument(
+        '--statsd',
+        type=_read_statsd,
+        default=StatsdSection(),
+        metavar='HOST:PORT',
+        help='send the same metrics to a statsd server every 10 s',
+    )
     parser.set_defaults(run=run)
 
 
@@ -67,13 +80,13 @@
     settings = result.unwrap()
     sink = start_event_sink(sys.stdout, SystemClock(), settings.vm, 'info')
     try:
-        return asyncio.run(_run_router(settings, path, options.metrics_port))
+        return asyncio.run(_run_router(settings, path, options))
     finally:
         sink.close()
 
 
 async def _run_router(
-    settings: FleetSettings, path: pathlib.Path, metrics_port: int
+    settings: FleetSettings, path: pathlib.Path, options: argparse.Namespace
 ) -> int:
     # Imported here so that the operator's commands start without it.
     from lifttrestle.internal.fleet.process import FleetRouterProcess
@@ -83,6 +96,8 @@
     from lifttrestle.internal.platform.request_dialect import PlatformDialect
     from lifttrestle.internal.platform.row_store import PlatformRowStore
     from lifttrestle.internal.platform.stored_format import PlatformFormat
+    from lifttrestle.internal.telemetry.metrics import Metrics
+    from lifttrestle.internal.telemetry.statsd_feed import StatsdFeed
 
     clock = SystemClock()
     client = JsonClient(
@@ -98,13 +113,27 @@
         engine_calls.PlatformEngineControl(clock, ENGINE_SECONDS),
     )
     following = asyncio.create_task(
-        process.follow_settings(lambda: _read_again(path, metrics_port))
+        process.follow_settings(
+            lambda: _read_again(path, options.metrics_port)
+        )
     )
+    feed = StatsdFeed(process.registry, Metrics(options.statsd), clock)
+    feeding = asyncio.create_task(feed.run())
     whole = await process.run()
-    following.cancel()
+    for task in (following, feeding):
+        task.cancel()
     return EXIT_OK if whole else EXIT_CUT
 
 
+def _read_statsd(text: str) -> StatsdSection:
+    host, _, port = text.rpartition(':')
+    if not host or not port.isdecimal():
+        raise argparse.ArgumentTypeError(
+            f'{text!r} is no HOST:PORT, such as 10.0.0.7:8125'
+        )
+    return StatsdSection(host=host, port=int(port))
+
+
 def _read_again(path: pathlib.Path, metrics_port: int) -> FleetSettings | None:
     """Return the settings now, or None if they can't be used."""
     result = check_node_settings(path, metrics_port)
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -18,6 +18,8 @@
 import random
 import signal
 
+import prometheus_client
+
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.cache_sources import CacheSources
 from lifttrestle.internal.fleet.candidates import OLD_WEIGHTS_SHARE
@@ -194,6 +196,16 @@
             'Upstreams that are known.',
             lambda: len(list(self._directory)),
         )
+        metrics.watch(
+            'reads_store',
+            'One if this router reads the store itself, zero if others do.',
+            lambda: float(self.relays.reads_store),
+        )
+        metrics.watch(
+            'followers',
+            'Routers that learn of the store from this one.',
+            lambda: self.relay_server.followers,
+        )
         metrics.watch(
             'requests_running',
             'Requests that are being served.',
@@ -229,6 +241,11 @@
         """Return the retry budget of a service."""
         return self._parts.get_budget(service)
 
+    @property
+    def registry(self) -> prometheus_client.CollectorRegistry:
+        """Return the registry of this router's metrics."""
+        return self._parts.metrics.registry
+
     @property
     def catalogue(self) -> Catalogue | None:
         """Return the configuration in force, None before the first."""
--- a/src/lifttrestle/internal/fleet/relay_server.py
+++ b/src/lifttrestle/internal/fleet/relay_server.py
@@ -60,6 +60,11 @@
         for watch in watches:
             watch.tell(self._tell_all)
 
+    @property
+    def followers(self) -> int:
+        """Return how many routers are told."""
+        return len(self._followers)
+
     async def start(self, address: Address) -> Address:
         """Listen at an address and return the one in force."""
         self._server = await asyncio.start_server(
--- a/src/lifttrestle/internal/fleet/settings.py
+++ b/src/lifttrestle/internal/fleet/settings.py
@@ -50,7 +50,7 @@
 class FleetSettings:
     """One router's place and addresses.
 
-    :ivar peers_address: where it hears of the other routers' loads.
+    :ivar peers_address: where it hears from the other routers.
     :ivar heartbeat_seconds: between two signs of life of an upstream.
     """
 
--- a/src/lifttrestle/internal/telemetry/metrics.py
+++ b/src/lifttrestle/internal/telemetry/metrics.py
@@ -29,7 +29,7 @@
                 settings.host, settings.port, prefix=settings.prefix
             )
 
-    def count(self, name: str, number: int = 1) -> None:
+    def count(self, name: str, number: float = 1) -> None:
         """Add to a counter."""
         if self._client is not None:
             self._client.incr(name, number)
