Readers of the upstreams' table rest after news; a relay for 15 routers

Ruled out: resting on the operator's table (changes are due in 2 s, proofs keep keys working) and on the routers' own (plans steer requests away).

--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -60,6 +60,9 @@
 OPERATOR_WAIT_SECONDS = 0.7
 UPSTREAMS_WAIT_SECONDS = 1.5
 ROUTERS_WAIT_SECONDS = 3.0
+# Entries change in bursts while weights are loaded. A leaving upstream may
+# get work for two seconds more, so a tenth of that is no loss.
+UPSTREAMS_REST_SECONDS = 0.2
 # After the order to stop: the platform turns new connections away within two
 # or three questions, one a second.
 NOTICE_SECONDS = 3.0
@@ -113,6 +116,7 @@
             stored_format.upstreams_table,
             UPSTREAMS_WAIT_SECONDS,
             self._take_upstream_row,
+            UPSTREAMS_REST_SECONDS,
         )
         self._routers_watch = self._make_watch(
             FLEET_TABLE, ROUTERS_WAIT_SECONDS, self._take_routers_row
@@ -168,7 +172,11 @@
         )
 
     def _make_watch(
-        self, table: str, wait_seconds: float, listener: object
+        self,
+        table: str,
+        wait_seconds: float,
+        listener: object,
+        rest_seconds: float = 0.0,
     ) -> TableWatch:
         return TableWatch(
             self.store,
@@ -177,6 +185,7 @@
             self._source,
             wait_seconds,
             listener,  # type: ignore[arg-type]
+            rest_seconds,
         )
 
     def _make_metrics(self) -> FleetMetrics:
--- a/src/lifttrestle/internal/fleet/relay_follower.py
+++ b/src/lifttrestle/internal/fleet/relay_follower.py
@@ -39,9 +39,10 @@
 LOG = get_event_log('relay')
 RANKING = b'relays'
 # Routers that read the store: two at least, so that one may be lost, and one
-# for this many others, so that a change of 64 KiB passes a link of 5 Mbit/s
-# to all that ask one of them within two seconds.
-ROUTERS_PER_RELAY = 10
+# for this many others. Some 30 then ask each of them: a configuration of
+# 40 KiB, twice the largest known, passes a link of 5 Mbit/s to all of them
+# within two seconds.
+ROUTERS_PER_RELAY = 15
 MIN_RELAYS = 2
 # A router asks this many.
 ASKED_RELAYS = 2
--- a/src/lifttrestle/internal/fleet/table_watch.py
+++ b/src/lifttrestle/internal/fleet/table_watch.py
@@ -43,6 +43,8 @@
     :param wait_seconds: how long the store holds a read without news; a
         watch that is silent for longer is taken for dead by the client.
     :param listener: is called with each row that is new, changed or removed.
+    :param rest_seconds: between news and the next read, so that changes that
+        come together cost one read.
     """
 
     def __init__(
@@ -53,17 +55,19 @@
         source: random.Random,
         wait_seconds: float,
         listener: RowListener,
+        rest_seconds: float = 0.0,
     ) -> None:
         self._store = store
         self._table = table
         self._clock = clock
         self._source = source
         self._wait_seconds = wait_seconds
+        self._rest_seconds = rest_seconds
         self._history_gone = False
         self._lost = False
         self._direct = asyncio.Event()
         self._direct.set()
-        self._reading: asyncio.Task[None] | None = None
+        self._reading: asyncio.Task[bool] | None = None
         self._dependants: list[TableWatch] = []
         self._followers: list[Callable[[TableWatch], None]] = []
         self.copy = TableCopy(table, clock, listener)
@@ -132,22 +136,23 @@
             finally:
                 self._reading.cancel()
             try:
-                if not self._reading.cancelled():
-                    self._reading.result()
                 pause = FIRST_PAUSE_SECONDS
+                news = not self._reading.cancelled() and self._reading.result()
+                if news and self._rest_seconds:
+                    await self._clock.sleep(self._rest_seconds)
             except PlatformUnavailable as error:
                 self._note_lost(error)
                 await self._clock.sleep(pause * self._source.uniform(0.5, 1.0))
                 pause = min(pause * 2, MAX_PAUSE_SECONDS)
 
-    async def step(self) -> None:
-        """Make one read and take in what it says."""
+    async def step(self) -> bool:
+        """Make one read and take in what it says; return if it was news."""
         asked_at = self._clock.monotonic()
         if not self.copy.loaded or self._history_gone:
             snapshot = await self._store.read_table(self._table)
             self._take(CopyNews(snapshot, True), asked_at)
             self._history_gone = False
-            return
+            return True
         # While it is lost, a read that waits would tell of the store's
         # return only when it times out.
         wait = 0.0 if self._lost else self._wait_seconds
@@ -160,8 +165,9 @@
                 'watch.history_gone', table=self._table, reason=str(error)
             )
             self._history_gone = True
-            return
+            return False
         self._take(CopyNews(changes, False), asked_at)
+        return bool(changes.rows)
 
     def restart(self) -> None:
         """Give up the read that is under way and send another."""
--- a/tests/cover/test_fleet_watch.py
+++ b/tests/cover/test_fleet_watch.py
@@ -110,6 +110,44 @@
             await asyncio.sleep(0)
         self.clock.advance(1.0)
 
+    def test_changes_that_come_together_cost_one_read(self):
+        reads = []
+        answer = self.rows.watch_table
+
+        async def note_read(table, after, wait_seconds):
+            reads.append(self.clock.monotonic())
+            changes = await answer(table, after, wait_seconds)
+            if not changes.rows:
+                await asyncio.Event().wait()
+            return changes
+
+        self.rows.watch_table = note_read
+        self.watch = TableWatch(
+            self.rows,
+            't',
+            self.clock,
+            random.Random(1),
+            1.5,
+            self.heard.append,
+            0.2,
+        )
+        self.step()
+        self.rows.put('t', 'a', b'1')
+
+        async def run():
+            following = asyncio.create_task(self.watch.run())
+            for number in range(20):
+                for _ in range(10):
+                    await asyncio.sleep(0)
+                self.rows.put('t', 'b', b'%d' % number)
+                self.clock.advance(0.05)
+            following.cancel()
+            await asyncio.gather(following, return_exceptions=True)
+
+        asyncio.run(run())
+        # Twenty changes in a second.
+        self.assertEqual(len(reads), 5)
+
     def test_regression_return_of_one_watch_restarts_the_others(self):
         # A read of the routers' table waits for 10 s; sent just before a
         # short cut it would tell nothing for as long.
