An order has one record; the engine stand-in's answers stand alone

Cause: load_tracking repeated what LoadOrder holds; standin/engine.py held the spelling of its answers beside the engine. Ruled out: nothing.

--- a/src/lifttrestle/internal/fleet/load_tracking.py
+++ b/src/lifttrestle/internal/fleet/load_tracking.py
@@ -19,6 +19,7 @@
 from lifttrestle.internal.fleet.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.engine_control import EngineControl
 from lifttrestle.internal.fleet.engine_control import EngineState
+from lifttrestle.internal.fleet.engine_control import LoadOrder
 from lifttrestle.internal.fleet.upstream import FleetUpstream
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
@@ -34,13 +35,11 @@
 class LoadUnderWay:
     """An order that an engine has not yet been seen to have carried out.
 
-    :ivar orders_accepted: what the engine counted before this order.
     :ivar answered: it said that it took the order.
     """
 
     upstream: FleetUpstream
-    version: int
-    orders_accepted: int
+    order: LoadOrder
     answered: bool
     ordered_at: float
     ask_at: float
@@ -76,21 +75,12 @@
         return list(self._loads)
 
     def add(
-        self,
-        upstream: FleetUpstream,
-        version: int,
-        orders_accepted: int,
-        answered: bool,
+        self, upstream: FleetUpstream, order: LoadOrder, answered: bool
     ) -> None:
         """Follow an order that was just sent."""
         now = self._clock.monotonic()
         self._loads[upstream.instance] = LoadUnderWay(
-            upstream,
-            version,
-            orders_accepted,
-            answered,
-            now,
-            now + REPORT_FIRST_SECONDS,
+            upstream, order, answered, now, now + REPORT_FIRST_SECONDS
         )
 
     async def follow(self) -> None:
@@ -125,7 +115,7 @@
     def _is_over(self, load: LoadUnderWay, now: float) -> bool:
         upstream = load.upstream
         return (
-            upstream.weights.get(self._model, 0) >= load.version
+            upstream.weights.get(self._model, 0) >= load.order.version
             or self._directory.get(upstream.instance) is None
             or now - load.ordered_at > LOAD_LIMIT_SECONDS
         )
@@ -141,5 +131,5 @@
         state is not None
         and not load.answered
         and not state.loading
-        and state.orders_accepted == load.orders_accepted
+        and state.orders_accepted == load.order.orders_accepted
     )
--- a/src/lifttrestle/internal/fleet/weights_loader.py
+++ b/src/lifttrestle/internal/fleet/weights_loader.py
@@ -217,18 +217,20 @@
         fence = await self._write_plan(model, version, held, names)
         await self._clock.sleep(STEER_SECONDS)
         orders = [
-            self._order(
-                upstream,
-                LoadOrder(
-                    model, version, self._holder, fence, state.orders_accepted
-                ),
-                asked_at,
+            LoadOrder(
+                model, version, self._holder, fence, state.orders_accepted
             )
-            for upstream, state in batch
+            for _, state in batch
         ]
-        answered = await asyncio.gather(*orders)
-        for (upstream, state), answer in zip(batch, answered):
-            loads.add(upstream, version, state.orders_accepted, answer)
+        upstreams = [upstream for upstream, _ in batch]
+        answered = await asyncio.gather(
+            *(
+                self._order(upstream, order, asked_at)
+                for upstream, order in zip(upstreams, orders)
+            )
+        )
+        for upstream, order, answer in zip(upstreams, orders, answered):
+            loads.add(upstream, order, answer)
 
     def _count_room(self, model: str) -> int:
         """Return how many engines may be without work at the same time.
--- a/src/lifttrestle/internal/standin/engine.py
+++ b/src/lifttrestle/internal/standin/engine.py
@@ -26,6 +26,10 @@
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.server_connection import ServerConnection
+from lifttrestle.internal.standin.engine_answers import CHAT
+from lifttrestle.internal.standin.engine_answers import encode_chunk
+from lifttrestle.internal.standin.engine_answers import encode_usage
+from lifttrestle.internal.standin.engine_answers import encode_whole
 from lifttrestle.internal.standin.engine_cache import EngineCache
 from lifttrestle.internal.standin.engine_settings import EngineSettings
 from lifttrestle.internal.standin.engine_stream import EngineStream
@@ -34,7 +38,6 @@
 from lifttrestle.internal.standin.server import send_json
 from lifttrestle.internal.standin.server import StandinServer
 
-CHAT = '/v1/chat/completions'
 COMPLETIONS = '/v1/completions'
 STREAMS = '/lifttrestle/streams/'
 DEFAULT_MAX_TOKENS = 16
@@ -174,12 +177,12 @@
                 stream.finish_reason = 'stop'
                 break
             stream.words.append(word)
-            stream.add(_encode_chunk(path, stream, word, None))
+            stream.add(encode_chunk(path, stream, word, None))
             await asyncio.sleep(self._settings.decode_seconds)
-        stream.add(_encode_chunk(path, stream, '', stream.finish_reason))
+        stream.add(encode_chunk(path, stream, '', stream.finish_reason))
         options = request.get('stream_options')
         if isinstance(options, dict) and options.get('include_usage'):
-            stream.add(_encode_usage(path, stream))
+            stream.add(encode_usage(path, stream))
         stream.add(DONE)
 
     async def _send_events(
@@ -234,7 +237,7 @@
     ) -> None:
         while not stream.ended:
             await stream.grown.wait()
-        body = _encode_whole(path, stream)
+        body = encode_whole(path, stream)
         headers.append(('content-type', 'application/json'))
         if self.server.faults.halve_answers > 0:
             self.server.faults.halve_answers -= 1
@@ -360,64 +363,3 @@
         ('x-request-id', request_id),
     )
     await connection.send_answer(Answer(status, headers, body))
-
-
-def _encode_chunk(
-    path: str, stream: EngineStream, word: str, finish_reason: str | None
-) -> bytes:
-    choice: dict[str, object] = {'index': 0, 'finish_reason': finish_reason}
-    if path == CHAT:
-        delta = {'content': word} if finish_reason is None else {}
-        if len(stream.words) == 1 and finish_reason is None:
-            delta = {'role': 'assistant', 'content': word}
-        choice['delta'] = delta
-    else:
-        choice['text'] = word
-    return msgspec.json.encode(_frame(path, stream, [choice]))
-
-
-def _encode_usage(path: str, stream: EngineStream) -> bytes:
-    content = _frame(path, stream, [])
-    content['usage'] = _count_usage(stream)
-    return msgspec.json.encode(content)
-
-
-def _encode_whole(path: str, stream: EngineStream) -> bytes:
-    text = ''.join(stream.words)
-    choice: dict[str, object] = {
-        'index': 0,
-        'finish_reason': stream.finish_reason,
-    }
-    if path == CHAT:
-        choice['message'] = {'role': 'assistant', 'content': text}
-    else:
-        choice['text'] = text
-    content = _frame(path, stream, [choice])
-    content['object'] = (
-        'chat.completion' if path == CHAT else content['object']
-    )
-    content['usage'] = _count_usage(stream)
-    return msgspec.json.encode(content)
-
-
-def _frame(
-    path: str, stream: EngineStream, choices: list[object]
-) -> dict[str, object]:
-    kind = 'chat.completion.chunk' if path == CHAT else 'text_completion'
-    return {
-        'id': stream.stream_id,
-        'object': kind,
-        'created': 0,
-        'model': stream.model,
-        'choices': choices,
-    }
-
-
-def _count_usage(stream: EngineStream) -> dict[str, object]:
-    made = len(stream.words)
-    return {
-        'prompt_tokens': stream.prompt_tokens,
-        'completion_tokens': made,
-        'total_tokens': stream.prompt_tokens + made,
-        'prompt_tokens_details': {'cached_tokens': stream.cached_tokens},
-    }
--- a/tests/cover/test_fleet_weights.py
+++ b/tests/cover/test_fleet_weights.py
@@ -17,7 +17,6 @@
 import random
 import unittest
 
-from hypothesis import settings
 from hypothesis import stateful
 from hypothesis import strategies as st
 import msgspec
@@ -40,6 +39,7 @@
 from lifttrestle.internal.fleet.weights_view import WeightsView
 from lifttrestle.internal.platform.stored_format import PlatformFormat
 from tests.support.memory_rows import MemoryRows
+from tests.support.models import run_model
 
 START = datetime.datetime(2026, 12, 2, tzinfo=datetime.timezone.utc)
 LEASE_SECONDS = Promises().lease_seconds
@@ -256,17 +256,8 @@
 
 
 def run_machine(loader_class):
-    machine = type('Machine', (LoaderMachine,), {'loader_class': loader_class})
-    stateful.run_state_machine_as_test(
-        machine,
-        settings=settings(
-            max_examples=300,
-            stateful_step_count=30,
-            deadline=None,
-            derandomize=True,
-            database=None,
-        ),
-    )
+    fields = {'loader_class': loader_class}
+    run_model(type('Machine', (LoaderMachine,), fields), 300, 30)
 
 
 class TestLoader(unittest.TestCase):
