Relays bound what they read and what waits for a slow follower

Cause: a question of 16 MB was allowed, and 200 followers with 1 MB unread each are more than the 150 MB that a router may have. Ruled out: nothing. After: 4 KB a question, 512 KB unread, 100 followers; garbage on the port and a follower that reads nothing are tests of nocover/test_fleet_relay.py.

--- a/src/lifttrestle/internal/fleet/relay_follower.py
+++ b/src/lifttrestle/internal/fleet/relay_follower.py
@@ -25,6 +25,7 @@
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.relay_messages import encode_frame
+from lifttrestle.internal.fleet.relay_messages import MAX_NEWS_BYTES
 from lifttrestle.internal.fleet.relay_messages import Question
 from lifttrestle.internal.fleet.relay_messages import read_frame
 from lifttrestle.internal.fleet.relay_messages import read_news
@@ -160,7 +161,7 @@
             asked_at = [self._question(writer, 0)]
             while True:
                 message = msgspec.msgpack.decode(
-                    await read_frame(reader), type=TableNews
+                    await read_frame(reader, MAX_NEWS_BYTES), type=TableNews
                 )
                 self._take(message, asked_at)
                 if self._clock.monotonic() - asked_at[-1] > RENEW_SECONDS:
--- a/src/lifttrestle/internal/fleet/relay_messages.py
+++ b/src/lifttrestle/internal/fleet/relay_messages.py
@@ -22,7 +22,9 @@
 
 LENGTH_BYTES = 4
 # Several times what a whole table holds: rows are at most 64 KiB.
-MAX_FRAME_BYTES = 16 * 1024 * 1024
+MAX_NEWS_BYTES = 16 * 1024 * 1024
+# A question holds a number for each of a few tables.
+MAX_QUESTION_BYTES = 4 * 1024
 
 
 class Question(msgspec.Struct, frozen=True, array_like=True):
@@ -101,16 +103,16 @@
     return len(body).to_bytes(LENGTH_BYTES, 'big') + body
 
 
-async def read_frame(reader: asyncio.StreamReader) -> bytes:
-    """Return the next message's bytes.
+async def read_frame(reader: asyncio.StreamReader, limit: int) -> bytes:
+    """Return the next message's bytes, at most ``limit``.
 
     :raises OSError: if the connection ended, or the frame is too long.
     """
     try:
         head = await reader.readexactly(LENGTH_BYTES)
         size = int.from_bytes(head, 'big')
-        if size > MAX_FRAME_BYTES:
-            raise OSError(f'a frame of {size} bytes; {MAX_FRAME_BYTES} fit')
+        if size > limit:
+            raise OSError(f'a frame of {size} bytes; {limit} are allowed')
         return await reader.readexactly(size)
     except asyncio.IncompleteReadError as error:
         raise OSError('the connection ended') from error
--- a/src/lifttrestle/internal/fleet/relay_server.py
+++ b/src/lifttrestle/internal/fleet/relay_server.py
@@ -20,6 +20,7 @@
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.relay_messages import build_news
 from lifttrestle.internal.fleet.relay_messages import encode_frame
+from lifttrestle.internal.fleet.relay_messages import MAX_QUESTION_BYTES
 from lifttrestle.internal.fleet.relay_messages import Question
 from lifttrestle.internal.fleet.relay_messages import read_frame
 from lifttrestle.internal.fleet.table_watch import TableWatch
@@ -28,10 +29,11 @@
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
 LOG = get_event_log('relay')
-# A follower that leaves more than this unread is cut off; it asks anew.
-MAX_UNREAD_BYTES = 1024 * 1024
-# Followers of one router; each has two of some ten relays.
-MAX_FOLLOWERS = 200
+# A follower that leaves more than this unread is cut off; it asks anew. All
+# tables of the known deployments together are a fifth of that.
+MAX_UNREAD_BYTES = 512 * 1024
+# Followers of one router: some 30, more while relays are gone.
+MAX_FOLLOWERS = 100
 
 
 @dataclasses.dataclass(eq=False)
@@ -91,7 +93,7 @@
         self._followers.add(follower)
         try:
             while True:
-                data = await read_frame(reader)
+                data = await read_frame(reader, MAX_QUESTION_BYTES)
                 self._take_question(follower, data)
         except (OSError, msgspec.MsgspecError) as error:
             LOG.info('relay.follower_left', reason=str(error))
--- a/tests/nocover/test_fleet_relay.py
+++ b/tests/nocover/test_fleet_relay.py
@@ -12,10 +12,13 @@
 
 """Tests of routers that learn of the shared tables from each other."""
 
+import asyncio
 import contextlib
 import unittest
 
 from lifttrestle.errors import PlatformUnavailable
+from lifttrestle.internal.fleet.relay_messages import encode_frame
+from lifttrestle.internal.fleet.relay_messages import Question
 from tests.support.fleet import CONFIGURATION
 from tests.support.fleet import make_router
 from tests.support.fleet import PROMISES
@@ -73,5 +76,51 @@
             await wait_until(other.is_ready)
 
 
+class TestGarbage(unittest.IsolatedAsyncioTestCase):
+    async def test_garbage_ends_its_own_connection_only(self):
+        async with run_routers() as (store, relays, other):
+            host, port = relays[0].roster.address.split(':')
+            for data in (
+                b'GET / HTTP/1.1\r\n\r\n',
+                b'\xff\xff\xff\xff',
+                b'\x00\x00\x00\x03abc',
+                b'\x00\x00\x00\x01\xc1',
+                b'\x00',
+            ):
+                reader, writer = await asyncio.open_connection(host, port)
+                writer.write(data)
+                writer.write_eof()
+                with contextlib.suppress(ConnectionError):
+                    self.assertEqual(await reader.read(), b'')
+                writer.close()
+            store.put('op', 'config', {**CONFIGURATION, 'version': 9})
+            await wait_until(lambda: other.catalogue.version == 9)
+
+    async def test_follower_that_reads_nothing_is_cut_off(self):
+        async with run_routers() as (store, relays, other):
+            server = relays[0].relay_server
+            before = server.followers
+            host, port = relays[0].roster.address.split(':')
+            reader, writer = await asyncio.open_connection(
+                host, int(port), limit=1024
+            )
+            writer.write(encode_frame(Question(0, {})))
+            await wait_until(lambda: server.followers == before + 1)
+            padding = 'x' * 200_000
+            version = 10
+            while server.followers > before:
+                version += 1
+                store.put(
+                    'op',
+                    'config',
+                    {**CONFIGURATION, 'version': version, 'pad': padding},
+                )
+                await wait_until(
+                    lambda: relays[0].catalogue.version == version
+                )
+            writer.close()
+        self.assertLess(version, 200)
+
+
 async def _refuse(table, after, wait_seconds):
     raise PlatformUnavailable(f'turned away from {table!r}')
