--- a/src/lifttrestle/internal/fleet/relay_follower.py
+++ b/src/lifttrestle/internal/fleet/relay_follower.py
@@ -74,6 +74,9 @@
         self._asking: dict[str, asyncio.Task[None]] = {}
         self._avoided_until: dict[str, float] = {}
         self._told_at = -math.inf
+        # The routers that were ranked last, and the relays among them.
+        self._ranked: list[str] = []
+        self._relays: list[str] = []
         self._directly = True
 
     async def run(self) -> None:
@@ -101,8 +104,13 @@
 
     def _list_relays(self) -> list[str]:
         routers = self._roster.routers
-        count = max(MIN_RELAYS, math.ceil(len(routers) / ROUTERS_PER_RELAY))
-        return rank_names(RANKING, routers)[:count]
+        if routers != self._ranked:
+            # Ranking hashes every name, and this is asked many times a second.
+            self._ranked = routers
+            count = math.ceil(len(routers) / ROUTERS_PER_RELAY)
+            ranked = rank_names(RANKING, routers)
+            self._relays = ranked[: max(MIN_RELAYS, count)]
+        return self._relays
 
     def _ask_relays(self) -> None:
         wanted = self._choose_relays()
