Gauges of a router in a table of their own

Ruled out: nothing. Before: untested. After: gauges.py; a test reads each. Conclusion: kept; no behaviour changes.

--- /dev/null
+++ b/src/lifttrestle/internal/fleet/gauges.py
@@ -0,0 +1,88 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""What a router tells of itself as gauges, read when they are asked for."""
+
+from collections.abc import Callable
+import dataclasses
+import functools
+
+from lifttrestle.internal.fleet.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.relay_follower import RelayFollower
+from lifttrestle.internal.fleet.relay_server import RelayServer
+from lifttrestle.internal.fleet.roster import Roster
+from lifttrestle.internal.fleet.table_watch import TableWatch
+from lifttrestle.internal.http.server import HttpServer
+from lifttrestle.internal.telemetry.fleet_metrics import FleetMetrics
+
+
+@dataclasses.dataclass(frozen=True)
+class WatchedParts:
+    """The parts of a router that gauges are read from."""
+
+    operator_watch: TableWatch
+    roster: Roster
+    directory: UpstreamDirectory
+    relays: RelayFollower
+    relay_server: RelayServer
+    callers: HttpServer
+
+
+@dataclasses.dataclass(frozen=True)
+class Gauge:
+    """One gauge's name, what it says, and how it is read."""
+
+    name: str
+    text: str
+    read: Callable[[WatchedParts], float]
+
+
+GAUGES = (
+    Gauge(
+        'view_age_seconds',
+        'Since what the operator put in force was proved current.',
+        lambda parts: parts.operator_watch.get_age(),
+    ),
+    Gauge(
+        'live_routers',
+        'Routers that share budgets, counted high.',
+        lambda parts: parts.roster.live,
+    ),
+    Gauge(
+        'upstreams',
+        'Upstreams that are known.',
+        lambda parts: len(list(parts.directory)),
+    ),
+    Gauge(
+        'reads_store',
+        'One if this router reads the store itself, zero if others do.',
+        lambda parts: float(parts.relays.reads_store),
+    ),
+    Gauge(
+        'followers',
+        'Routers that learn of the store from this one.',
+        lambda parts: parts.relay_server.followers,
+    ),
+    Gauge(
+        'requests_running',
+        'Requests that are being served.',
+        lambda parts: parts.callers.busy,
+    ),
+)
+
+
+def watch_parts(metrics: FleetMetrics, parts: WatchedParts) -> None:
+    """Serve every gauge of a router."""
+    for gauge in GAUGES:
+        metrics.watch(
+            gauge.name, gauge.text, functools.partial(gauge.read, parts)
+        )
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -31,6 +31,8 @@
 from lifttrestle.internal.fleet.doors import MetricsDoor
 from lifttrestle.internal.fleet.doors import ReadyDoor
 from lifttrestle.internal.fleet.engine_control import EngineControl
+from lifttrestle.internal.fleet.gauges import watch_parts
+from lifttrestle.internal.fleet.gauges import WatchedParts
 from lifttrestle.internal.fleet.operator_view import OperatorView
 from lifttrestle.internal.fleet.parts import FleetParts
 from lifttrestle.internal.fleet.peer_loads import PeerLoads
@@ -134,7 +136,7 @@
             directory=self._directory,
             sources=CacheSources(clock),
             roster=self.roster,
-            metrics=self._make_metrics(),
+            metrics=FleetMetrics(),
         )
         self._loader = WeightsLoader(
             store,
@@ -166,6 +168,17 @@
         self._callers = HttpServer(
             CallersDoor(self._parts).handle, _make_limits(None)
         )
+        watch_parts(
+            self._parts.metrics,
+            WatchedParts(
+                self._operator_watch,
+                self.roster,
+                self._directory,
+                self.relays,
+                self.relay_server,
+                self._callers,
+            ),
+        )
         self._probes = HttpServer(self._ready.handle, _make_limits(None))
         self._metrics = HttpServer(
             MetricsDoor(self._parts.metrics).handle, _make_limits(None)
@@ -188,40 +201,6 @@
             rest_seconds,
         )
 
-    def _make_metrics(self) -> FleetMetrics:
-        metrics = FleetMetrics()
-        metrics.watch(
-            'view_age_seconds',
-            'Since what the operator put in force was proved current.',
-            self._operator_watch.get_age,
-        )
-        metrics.watch(
-            'live_routers',
-            'Routers that share budgets, counted high.',
-            lambda: self.roster.live,
-        )
-        metrics.watch(
-            'upstreams',
-            'Upstreams that are known.',
-            lambda: len(list(self._directory)),
-        )
-        metrics.watch(
-            'reads_store',
-            'One if this router reads the store itself, zero if others do.',
-            lambda: float(self.relays.reads_store),
-        )
-        metrics.watch(
-            'followers',
-            'Routers that learn of the store from this one.',
-            lambda: self.relay_server.followers,
-        )
-        metrics.watch(
-            'requests_running',
-            'Requests that are being served.',
-            lambda: self._callers.busy,
-        )
-        return metrics
-
     def _take_operator_row(self, row: VersionedRow) -> None:
         before = self._view.catalogue
         self._view.take(row)
--- a/tests/nocover/test_fleet_relay.py
+++ b/tests/nocover/test_fleet_relay.py
@@ -59,6 +59,23 @@
             await wait_until(lambda: other.catalogue.version == 9)
             self.assertFalse(other.relays.reads_store)
 
+    async def test_gauges_tell_who_reads_the_store_and_for_how_many(self):
+        async with run_routers() as (store, relays, other):
+            await wait_until(
+                lambda: all(item.relay_server.followers for item in relays)
+            )
+            for router, reads, followers in (
+                (relays[0], 1.0, 1.0),
+                (other, 0.0, 0.0),
+            ):
+                read = router.registry.get_sample_value
+                self.assertEqual(read('lifttrestle_reads_store'), reads)
+                self.assertEqual(read('lifttrestle_followers'), followers)
+                self.assertEqual(read('lifttrestle_live_routers'), 3.0)
+                self.assertLess(read('lifttrestle_view_age_seconds'), 60.0)
+                self.assertEqual(read('lifttrestle_upstreams'), 0.0)
+                self.assertEqual(read('lifttrestle_requests_running'), 0.0)
+
     async def test_router_reads_the_store_when_its_relays_are_gone(self):
         async with run_routers() as (store, relays, other):
             for relay in relays:
