A stop while a connection is accepted tells no fault

Cause: the standard library's own task for an accepted connection was cancelled before its first step when the process ended; its callback asks for the exception of a cancelled task and prints a traceback. The relays' server left its followers' tasks to that end, too. Ruled out: the listener's order of closing; the task is made before it. Before: a traceback in one of twelve moments of the test, which fails. After: none; connections' tasks are ours from the accept on, in one place.

--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -326,7 +326,7 @@
             task.cancel()
         await asyncio.gather(*self._control, return_exceptions=True)
         self._peer_loads.close()
-        self.relay_server.close()
+        await self.relay_server.close()
         self._directory.close()
         self.store.close()
         return whole
--- a/src/lifttrestle/internal/fleet/relay_server.py
+++ b/src/lifttrestle/internal/fleet/relay_server.py
@@ -26,6 +26,7 @@
 from lifttrestle.internal.fleet.table_watch import TableWatch
 from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.http.byte_stream import bound_silence
+from lifttrestle.internal.http.connection_tasks import ConnectionTasks
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
 LOG = get_event_log('relay')
@@ -58,6 +59,7 @@
         self._watches = {watch.table: watch for watch in watches}
         self._clock = clock
         self._followers: set[Follower] = set()
+        self._tasks = ConnectionTasks()
         self._server: asyncio.Server | None = None
         for watch in watches:
             watch.tell(self._tell_all)
@@ -70,17 +72,21 @@
     async def start(self, address: Address) -> Address:
         """Listen at an address and return the one in force."""
         self._server = await asyncio.start_server(
-            self._serve, address.host, address.port
+            self._accept, address.host, address.port
         )
         host, port = self._server.sockets[0].getsockname()[:2]
         return Address(host, port)
 
-    def close(self) -> None:
+    async def close(self) -> None:
         """Stop listening and cut every follower off."""
         if self._server is not None:
             self._server.close()
-        for follower in self._followers:
-            follower.writer.transport.abort()
+        await self._tasks.end()
+
+    def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._tasks.begin(self._serve(reader, writer), writer)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/src/lifttrestle/internal/http/server.py
+++ b/src/lifttrestle/internal/http/server.py
@@ -21,6 +21,7 @@
 from lifttrestle.errors import CallerGone
 from lifttrestle.errors import RequestRefused
 from lifttrestle.internal.http.address import Address
+from lifttrestle.internal.http.connection_tasks import ConnectionTasks
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.limits import HttpLimits
 from lifttrestle.internal.http.server_connection import ServerConnection
@@ -51,7 +52,7 @@
         self._tls = tls
         self._server: asyncio.Server | None = None
         self._busy: set[asyncio.Task[None]] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = ConnectionTasks()
         self._writers: weakref.WeakSet[asyncio.StreamWriter] = (
             weakref.WeakSet()
         )
@@ -60,7 +61,7 @@
     async def start(self, address: Address) -> Address:
         """Listen at ``address`` and return the address in force."""
         self._server = await asyncio.start_server(
-            self._serve,
+            self._accept,
             address.host,
             address.port,
             ssl=self._tls,
@@ -87,14 +88,13 @@
         self._stopping = True
         if self._server is not None:
             self._server.close()
-        for task in self._tasks - self._busy:
-            task.cancel()
+        for task in self._tasks:
+            if task not in self._busy:
+                task.cancel()
         if self._busy:
             await asyncio.wait(set(self._busy), timeout=grace_seconds)
         complete = not self._busy
-        for task in set(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.end()
         return await self._flush(grace_seconds) and complete
 
     async def _flush(self, grace_seconds: float) -> bool:
@@ -111,13 +111,17 @@
             closing.cancel()
         return not late
 
+    def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        self._tasks.begin(self._serve(reader, writer), writer)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         task = asyncio.current_task()
         assert task is not None
-        self._tasks.add(task)
-        self._writers.add(writer)
         connection = ServerConnection(reader, writer, self._limits)
         try:
             if len(self._tasks) > self._limits.max_connections:
@@ -130,10 +134,6 @@
             # An idle connection may still have the end of its last answer in
             # its buffer; closing it below sends that.
             pass
-        finally:
-            self._busy.discard(task)
-            self._tasks.discard(task)
-            writer.close()
 
     async def _refuse_connection(self, connection: ServerConnection) -> None:
         limit = self._limits.max_connections
--- a/tests/cover/test_http_server.py
+++ b/tests/cover/test_http_server.py
@@ -52,6 +52,32 @@
         self.assertEqual(len(body), ANSWER_BYTES)
         writer.close()
 
+    def test_regression_stop_while_a_connection_is_accepted(self) -> None:
+        # A connection's task that was cancelled before its first step was
+        # told as a fault, with a traceback.
+        for steps in range(12):
+            with self.subTest(steps=steps):
+                self.assertEqual(asyncio.run(self._stop_after(steps)), [])
+
+    async def _stop_after(self, steps: int) -> list[object]:
+        """Return the faults of a process that ends just then."""
+        faults: list[object] = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, told: faults.append(told))
+        server = HttpServer(self.handle, HttpLimits())
+        address = await server.start(Address('127.0.0.1', 0))
+        raw = socket.create_connection((address.host, address.port))
+        for _ in range(steps):
+            await asyncio.sleep(0)
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in others:
+            task.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
+        await asyncio.sleep(0)
+        raw.close()
+        await server.stop(0)
+        return faults
+
     async def handle(
         self, connection: ServerConnection, _head: RequestHead
     ) -> None:
--- a/tests/nocover/test_fleet_relay.py
+++ b/tests/nocover/test_fleet_relay.py
@@ -79,7 +79,7 @@
     async def test_router_reads_the_store_when_its_relays_are_gone(self):
         async with run_routers() as (store, relays, other):
             for relay in relays:
-                relay.relay_server.close()
+                await relay.relay_server.close()
             await wait_until(lambda: other.relays.reads_store)
             store.put('op', 'config', {**CONFIGURATION, 'version': 9})
             await wait_until(lambda: other.catalogue.version == 9)
