--- a/src/lifttrestle/internal/fleet/gauges.py
+++ b/src/lifttrestle/internal/fleet/gauges.py
@@ -16,11 +16,11 @@
 import dataclasses
 import functools
 
-from lifttrestle.internal.fleet.directory import UpstreamDirectory
-from lifttrestle.internal.fleet.relay_follower import RelayFollower
-from lifttrestle.internal.fleet.relay_server import RelayServer
-from lifttrestle.internal.fleet.roster import Roster
-from lifttrestle.internal.fleet.table_watch import TableWatch
+from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.state.relay_follower import RelayFollower
+from lifttrestle.internal.fleet.state.relay_server import RelayServer
+from lifttrestle.internal.fleet.state.roster import Roster
+from lifttrestle.internal.fleet.state.table_watch import TableWatch
 from lifttrestle.internal.http.server import HttpServer
 from lifttrestle.internal.telemetry.fleet_metrics import FleetMetrics
 
--- a/src/lifttrestle/internal/fleet/engine_control.py
+++ b/src/lifttrestle/internal/fleet/loads/engine_control.py
@@ -16,7 +16,7 @@
 import dataclasses
 import enum
 
-from lifttrestle.internal.fleet.upstream import FleetUpstream
+from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/lifttrestle/internal/fleet/load_tracking.py
+++ b/src/lifttrestle/internal/fleet/loads/load_tracking.py
@@ -16,11 +16,11 @@
 
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.fleet.directory import UpstreamDirectory
-from lifttrestle.internal.fleet.engine_control import EngineControl
-from lifttrestle.internal.fleet.engine_control import EngineState
-from lifttrestle.internal.fleet.engine_control import LoadOrder
-from lifttrestle.internal.fleet.upstream import FleetUpstream
+from lifttrestle.internal.fleet.loads.engine_control import EngineControl
+from lifttrestle.internal.fleet.loads.engine_control import EngineState
+from lifttrestle.internal.fleet.loads.engine_control import LoadOrder
+from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
 LOG = get_event_log('weights')
--- a/src/lifttrestle/internal/fleet/weights_loader.py
+++ b/src/lifttrestle/internal/fleet/loads/weights_loader.py
@@ -20,7 +20,6 @@
 """
 
 import asyncio
-import math
 import random
 
 import msgspec
@@ -28,41 +27,35 @@
 from lifttrestle.errors import ConditionFailed
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.fleet.directory import UpstreamDirectory
-from lifttrestle.internal.fleet.engine_control import EngineControl
-from lifttrestle.internal.fleet.engine_control import EngineState
-from lifttrestle.internal.fleet.engine_control import LoadOrder
-from lifttrestle.internal.fleet.engine_control import OrderOutcome
-from lifttrestle.internal.fleet.engine_control import RunsDuringLoad
-from lifttrestle.internal.fleet.load_tracking import LoadTracker
-from lifttrestle.internal.fleet.operator_view import OperatorView
-from lifttrestle.internal.fleet.roster import FLEET_TABLE
-from lifttrestle.internal.fleet.roster import Roster
-from lifttrestle.internal.fleet.roster import ROUTER_PREFIX
-from lifttrestle.internal.fleet.rows import RowStore
-from lifttrestle.internal.fleet.rows import RowWrite
+from lifttrestle.internal.fleet.loads.engine_control import EngineControl
+from lifttrestle.internal.fleet.loads.engine_control import EngineState
+from lifttrestle.internal.fleet.loads.engine_control import LoadOrder
+from lifttrestle.internal.fleet.loads.engine_control import OrderOutcome
+from lifttrestle.internal.fleet.loads.engine_control import RunsDuringLoad
+from lifttrestle.internal.fleet.loads.load_tracking import LoadTracker
+from lifttrestle.internal.fleet.policy.load_pacing import count_room
+from lifttrestle.internal.fleet.policy.load_pacing import find_turn
+from lifttrestle.internal.fleet.policy.load_pacing import list_engines
+from lifttrestle.internal.fleet.policy.load_pacing import list_outdated
+from lifttrestle.internal.fleet.policy.load_pacing import ORDER_SECONDS
+from lifttrestle.internal.fleet.policy.load_pacing import Turn
 from lifttrestle.internal.fleet.settings import Promises
-from lifttrestle.internal.fleet.upstream import FleetUpstream
-from lifttrestle.internal.fleet.weights_view import HeldPlan
-from lifttrestle.internal.fleet.weights_view import PLAN_PREFIX
-from lifttrestle.internal.fleet.weights_view import WeightsPlan
-from lifttrestle.internal.fleet.weights_view import WeightsView
-from lifttrestle.internal.routing.rendezvous import rank_names
+from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.state.operator_view import OperatorView
+from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
+from lifttrestle.internal.fleet.state.roster import Roster
+from lifttrestle.internal.fleet.state.roster import ROUTER_PREFIX
+from lifttrestle.internal.fleet.state.rows import RowStore
+from lifttrestle.internal.fleet.state.rows import RowWrite
+from lifttrestle.internal.fleet.state.upstream import FleetUpstream
+from lifttrestle.internal.fleet.state.weights_view import HeldPlan
+from lifttrestle.internal.fleet.state.weights_view import PLAN_PREFIX
+from lifttrestle.internal.fleet.state.weights_view import WeightsPlan
+from lifttrestle.internal.fleet.state.weights_view import WeightsView
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
 LOG = get_event_log('weights')
 POLL_SECONDS = 0.1
-# Orders of a batch are sent within this time after its row was asked for.
-ORDER_SECONDS = 0.8
-# More than this passes between the last order of one holder and the first of
-# the next, on top of the lease: clocks of the two run at different speeds.
-HANDOVER_SECONDS = 0.5
-# The others leave the last holder this much time to act, each one more.
-FIRST_TURN_SECONDS = 1.5
-NEXT_TURN_SECONDS = 0.25
-# Engines that load at the same time, of all of a model's: 2 of 5, and 18 of
-# 45, load without slowing each other down (the sites' sheets).
-LOADING_SHARE = 0.4
 # An engine whose runs finish first begins nothing for as long as the longest
 # stream lasts, three seconds a load, while one that lets them go on is away
 # for the load itself (0.6 s). Three versions in ten seconds then leave enough
@@ -120,7 +113,8 @@
         """Take the next step towards a model's newest weights."""
         loads = self._get_loads(model)
         await loads.follow()
-        outdated = self._find_outdated(model)
+        version = self._view.wanted[model].version
+        outdated = list_outdated(self._list_engines(model), model, version)
         now = self._clock.monotonic()
         if not outdated:
             await self._tell_end(model)
@@ -142,54 +136,24 @@
         return loads
 
     def _list_engines(self, model: str) -> list[FleetUpstream]:
-        return [
-            upstream
-            for upstream in self._directory
-            if model in upstream.entry.weights
-            and not upstream.entry.draining
-            and not upstream.misdirected
-            and upstream.vanished_at is None
-        ]
-
-    def _find_outdated(self, model: str) -> list[FleetUpstream]:
-        version = self._view.wanted[model].version
-        outdated = [
-            upstream
-            for upstream in self._list_engines(model)
-            if upstream.weights.get(model, 0) < version
-        ]
-        outdated.sort(
-            key=lambda upstream: (
-                upstream.weights.get(model, 0),
-                upstream.in_flight,
-            )
-        )
-        return outdated
+        return list_engines(self._directory, model)
 
     def _may_act(self, model: str, held: HeldPlan, now: float) -> bool:
         if held.plan is not None and held.plan.holder == self._holder:
             return True
-        return now >= self._get_turn(model, held)
+        return now >= self._find_turn(model, held)
 
-    def _get_turn(self, model: str, held: HeldPlan) -> float:
-        """Return when this router may take the row over.
-
-        The routers' turns follow one another, so that they do not all write
-        at the moment at which the last holder's orders are surely over.
-        """
-        needed = self._needed_since[model]
+    def _find_turn(self, model: str, held: HeldPlan) -> float:
+        holder = None
         if held.plan is not None:
-            needed += FIRST_TURN_SECONDS
-        rest = self.promises.lease_seconds + ORDER_SECONDS + HANDOVER_SECONDS
-        holder = held.plan.holder if held.plan is not None else ''
-        others = [
-            key
-            for key in self._roster.routers
-            if key != f'{ROUTER_PREFIX}{holder}'
-        ]
-        ranked = rank_names(model.encode()[:64], others)
-        rank = ranked.index(self._roster.key)
-        return max(needed, held.seen_at + rest) + rank * NEXT_TURN_SECONDS
+            holder = f'{ROUTER_PREFIX}{held.plan.holder}'
+        turn = Turn(
+            needed_since=self._needed_since[model],
+            held_at=held.seen_at,
+            holder=holder,
+            lease_seconds=self.promises.lease_seconds,
+        )
+        return find_turn(model, self._roster.routers, self._roster.key, turn)
 
     async def _load_next(
         self,
@@ -198,7 +162,8 @@
         loads: LoadTracker,
         outdated: list[FleetUpstream],
     ) -> None:
-        room = self._count_room(model) - len(loads)
+        engines = self._list_engines(model)
+        room = count_room(engines, self._clock.monotonic()) - len(loads)
         version = self._view.wanted[model].version
         batch: list[tuple[FleetUpstream, EngineState]] = []
         for upstream in outdated:
@@ -245,17 +210,6 @@
         for upstream, order, answer in zip(upstreams, orders, answered):
             loads.add(upstream, order, answer)
 
-    def _count_room(self, model: str) -> int:
-        """Return how many engines may be without work at the same time.
-
-        Those that seem not to be there are without work already.
-        """
-        now = self._clock.monotonic()
-        engines = self._list_engines(model)
-        absent = [item for item in engines if item.is_doubtful(now)]
-        room = math.floor(LOADING_SHARE * len(engines)) - len(absent)
-        return max(room, 1)
-
     async def _write_plan(
         self, model: str, version: int, held: HeldPlan, loading: list[str]
     ) -> int:
--- a/src/lifttrestle/internal/fleet/parts.py
+++ b/src/lifttrestle/internal/fleet/parts.py
@@ -16,15 +16,15 @@
 import random
 
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.fleet.cache_sources import CacheSources
-from lifttrestle.internal.fleet.cache_stores import CacheStores
-from lifttrestle.internal.fleet.dialect import RequestDialect
-from lifttrestle.internal.fleet.directory import UpstreamDirectory
-from lifttrestle.internal.fleet.operator_view import OperatorView
-from lifttrestle.internal.fleet.retry_budget import SharedRetryBudget
-from lifttrestle.internal.fleet.roster import Roster
+from lifttrestle.internal.fleet.path.dialect import RequestDialect
+from lifttrestle.internal.fleet.policy.cache_sources import CacheSources
+from lifttrestle.internal.fleet.policy.retry_budget import SharedRetryBudget
 from lifttrestle.internal.fleet.settings import FleetSettings
-from lifttrestle.internal.fleet.table_watch import TableWatch
+from lifttrestle.internal.fleet.state.cache_stores import CacheStores
+from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.state.operator_view import OperatorView
+from lifttrestle.internal.fleet.state.roster import Roster
+from lifttrestle.internal.fleet.state.table_watch import TableWatch
 from lifttrestle.internal.telemetry.fleet_metrics import FleetMetrics
 
 
--- a/src/lifttrestle/internal/fleet/answer_passing.py
+++ b/src/lifttrestle/internal/fleet/path/answer_passing.py
@@ -19,14 +19,14 @@
 from lifttrestle.errors import UpstreamLost
 from lifttrestle.internal.exchange.progress import RequestEvent
 from lifttrestle.internal.exchange.progress import RequestProgress
-from lifttrestle.internal.fleet.attempt import await_sound
-from lifttrestle.internal.fleet.attempt import check_served
-from lifttrestle.internal.fleet.attempt import UpstreamAnswer
-from lifttrestle.internal.fleet.catalogue import Route
-from lifttrestle.internal.fleet.event_relay import EventRelay
 from lifttrestle.internal.fleet.parts import FleetParts
-from lifttrestle.internal.fleet.request_context import PROMISING
-from lifttrestle.internal.fleet.upstream import FleetUpstream
+from lifttrestle.internal.fleet.path.attempt import await_sound
+from lifttrestle.internal.fleet.path.attempt import check_served
+from lifttrestle.internal.fleet.path.attempt import UpstreamAnswer
+from lifttrestle.internal.fleet.path.event_relay import EventRelay
+from lifttrestle.internal.fleet.path.request_context import PROMISING
+from lifttrestle.internal.fleet.state.catalogue import Route
+from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.server_connection import ServerConnection
 
--- a/src/lifttrestle/internal/fleet/attempt.py
+++ b/src/lifttrestle/internal/fleet/path/attempt.py
@@ -23,11 +23,11 @@
 from lifttrestle.errors import UpstreamLost
 from lifttrestle.errors import WrongAnswer
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.fleet.dialect import AnswerFacts
-from lifttrestle.internal.fleet.dialect import RequestDialect
-from lifttrestle.internal.fleet.request_context import PROMISING
-from lifttrestle.internal.fleet.upstream import FleetUpstream
-from lifttrestle.internal.fleet.upstream import SILENT_SECONDS
+from lifttrestle.internal.fleet.path.dialect import AnswerFacts
+from lifttrestle.internal.fleet.path.dialect import RequestDialect
+from lifttrestle.internal.fleet.path.request_context import PROMISING
+from lifttrestle.internal.fleet.state.upstream import FleetUpstream
+from lifttrestle.internal.fleet.state.upstream import SILENT_SECONDS
 from lifttrestle.internal.http.client_connection import ClientConnection
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.head import ResponseHead
--- a/src/lifttrestle/internal/fleet/candidates.py
+++ b/src/lifttrestle/internal/fleet/path/candidates.py
@@ -12,21 +12,19 @@
 
 """Which upstreams may serve one request now, and the best of them."""
 
-from lifttrestle.internal.fleet.admission import Admitted
-from lifttrestle.internal.fleet.admission import get_urgency
-from lifttrestle.internal.fleet.admission import get_wall
-from lifttrestle.internal.fleet.dialect import RequestFacts
 from lifttrestle.internal.fleet.parts import FleetParts
-from lifttrestle.internal.fleet.placement import choose_engine
-from lifttrestle.internal.fleet.placement import choose_plain
-from lifttrestle.internal.fleet.placement import Placement
-from lifttrestle.internal.fleet.placement import Surroundings
-from lifttrestle.internal.fleet.upstream import FleetUpstream
+from lifttrestle.internal.fleet.path.dialect import RequestFacts
+from lifttrestle.internal.fleet.policy.admission import Admitted
+from lifttrestle.internal.fleet.policy.admission import get_urgency
+from lifttrestle.internal.fleet.policy.admission import get_wall
+from lifttrestle.internal.fleet.policy.placement import choose_engine
+from lifttrestle.internal.fleet.policy.placement import choose_plain
+from lifttrestle.internal.fleet.policy.placement import Placement
+from lifttrestle.internal.fleet.policy.placement import Surroundings
+from lifttrestle.internal.fleet.policy.weights_fit import select_engines
+from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 
 FOR_EVER = float('inf')
-# The share of the time within which old weights must be gone that may pass
-# before an engine with old weights gets no more work.
-OLD_WEIGHTS_SHARE = 0.85
 
 
 def _get_slots(admitted: Admitted, service: str) -> int:
@@ -90,7 +88,13 @@
         generation = self._facts.generation
         if generation is None:
             return found
-        return self._select_weights(generation.model, found, now)
+        return select_engines(
+            found,
+            generation.model,
+            parts.view.wanted.get(generation.model),
+            now,
+            parts.settings.promises.weights_seconds,
+        )
 
     def has_others(self, admitted: Admitted, service: str) -> bool:
         """Return whether a sound upstream is left to go on."""
@@ -106,24 +110,3 @@
             self._tried.get(upstream.instance) != FOR_EVER
             for upstream in self._parts.directory.list_fit(service)
         )
-
-    def _select_weights(
-        self, model: str, found: list[FleetUpstream], now: float
-    ) -> list[FleetUpstream]:
-        """Return the engines that may begin a generation now."""
-        wanted = self._parts.view.wanted.get(model)
-        loaded = [item for item in found if model in item.weights]
-        idle = [item for item in loaded if item.busy_until <= now]
-        # An engine that loads turns requests away at once; when all do, one
-        # of them may have ended, or may not have had its order.
-        idle = idle or loaded
-        if wanted is None:
-            return idle
-        limit = self._parts.settings.promises.weights_seconds
-        oldest = now - limit * OLD_WEIGHTS_SHARE
-        fit = []
-        for item in idle:
-            replaced_at = wanted.find_replaced(item.weights[model])
-            if replaced_at is None or replaced_at > oldest:
-                fit.append(item)
-        return fit
--- a/src/lifttrestle/internal/fleet/doors.py
+++ b/src/lifttrestle/internal/fleet/path/doors.py
@@ -14,9 +14,9 @@
 
 from lifttrestle.errors import CallerGone
 from lifttrestle.errors import RequestRefused
-from lifttrestle.internal.fleet.admission import is_fresh
-from lifttrestle.internal.fleet.exchange import FleetExchange
 from lifttrestle.internal.fleet.parts import FleetParts
+from lifttrestle.internal.fleet.path.exchange import FleetExchange
+from lifttrestle.internal.fleet.policy.admission import is_fresh
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.server_connection import ServerConnection
--- a/src/lifttrestle/internal/fleet/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -26,25 +26,25 @@
 from lifttrestle.internal.exchange.attempts import Verdict
 from lifttrestle.internal.exchange.progress import RequestEvent
 from lifttrestle.internal.exchange.progress import RequestProgress
-from lifttrestle.internal.fleet.admission import get_urgency
-from lifttrestle.internal.fleet.answer_passing import AnswerPassing
-from lifttrestle.internal.fleet.answer_passing import Patience
-from lifttrestle.internal.fleet.attempt import begin_attempt
-from lifttrestle.internal.fleet.attempt import UpstreamAnswer
-from lifttrestle.internal.fleet.candidates import Candidates
-from lifttrestle.internal.fleet.dialect import RequestFacts
-from lifttrestle.internal.fleet.dialect import UpstreamOrder
-from lifttrestle.internal.fleet.order_building import build_order
 from lifttrestle.internal.fleet.parts import FleetParts
-from lifttrestle.internal.fleet.placement import Placement
-from lifttrestle.internal.fleet.request_context import begin_request
-from lifttrestle.internal.fleet.request_context import RequestContext
-from lifttrestle.internal.fleet.story import build_admitted
-from lifttrestle.internal.fleet.story import build_answered
-from lifttrestle.internal.fleet.story import build_chosen
-from lifttrestle.internal.fleet.story import RequestStory
-from lifttrestle.internal.fleet.upstream import FleetUpstream
-from lifttrestle.internal.fleet.upstream_search import find_upstream
+from lifttrestle.internal.fleet.path.answer_passing import AnswerPassing
+from lifttrestle.internal.fleet.path.answer_passing import Patience
+from lifttrestle.internal.fleet.path.attempt import begin_attempt
+from lifttrestle.internal.fleet.path.attempt import UpstreamAnswer
+from lifttrestle.internal.fleet.path.candidates import Candidates
+from lifttrestle.internal.fleet.path.dialect import RequestFacts
+from lifttrestle.internal.fleet.path.dialect import UpstreamOrder
+from lifttrestle.internal.fleet.path.order_building import build_order
+from lifttrestle.internal.fleet.path.request_context import begin_request
+from lifttrestle.internal.fleet.path.request_context import RequestContext
+from lifttrestle.internal.fleet.path.story import build_admitted
+from lifttrestle.internal.fleet.path.story import build_answered
+from lifttrestle.internal.fleet.path.story import build_chosen
+from lifttrestle.internal.fleet.path.story import RequestStory
+from lifttrestle.internal.fleet.path.upstream_search import find_upstream
+from lifttrestle.internal.fleet.policy.admission import get_urgency
+from lifttrestle.internal.fleet.policy.placement import Placement
+from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.http.client_connection import ClientConnection
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.server_connection import ServerConnection
@@ -93,6 +93,7 @@
         self._request: RequestContext | None = None
         # What the log tells of the last attempt that was answered.
         self._answered: dict[str, object] = {}
+        self._begun_seconds = 0.0
 
     async def run(self) -> None:
         """Serve the request to its end.
@@ -304,8 +305,10 @@
         heard_at = parts.clock.monotonic()
         upstream.note_heard(ticket, heard_at)
         parts.metrics.time_first_byte(request.service, heard_at - sent_at)
+        if not self._answered:
+            self._begun_seconds = heard_at - self._started
         self._answered = build_answered(
-            chosen, heard_at - sent_at, heard_at - self._started, order
+            chosen, heard_at - sent_at, self._begun_seconds, order
         )
         if heard_at - sent_at > chosen.expected_seconds + FETCH_LATE_SECONDS:
             self._suspect_store(order)
--- a/src/lifttrestle/internal/fleet/order_building.py
+++ b/src/lifttrestle/internal/fleet/path/order_building.py
@@ -12,13 +12,13 @@
 
 """What the router asks of an upstream beside the caller's request."""
 
-from lifttrestle.internal.fleet.admission import get_urgency
-from lifttrestle.internal.fleet.admission import get_wall
-from lifttrestle.internal.fleet.dialect import CacheUse
-from lifttrestle.internal.fleet.dialect import UpstreamOrder
-from lifttrestle.internal.fleet.request_context import RequestContext
-from lifttrestle.internal.fleet.shared_parts import build_salt
-from lifttrestle.internal.fleet.upstream import FleetUpstream
+from lifttrestle.internal.fleet.path.dialect import CacheUse
+from lifttrestle.internal.fleet.path.dialect import UpstreamOrder
+from lifttrestle.internal.fleet.path.request_context import RequestContext
+from lifttrestle.internal.fleet.policy.admission import get_urgency
+from lifttrestle.internal.fleet.policy.admission import get_wall
+from lifttrestle.internal.fleet.state.shared_parts import build_salt
+from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 
 
 def build_order(
--- a/src/lifttrestle/internal/fleet/request_context.py
+++ b/src/lifttrestle/internal/fleet/path/request_context.py
@@ -16,11 +16,11 @@
 
 from lifttrestle.errors import RequestRefused
 from lifttrestle.internal.exchange.progress import RequestProgress
-from lifttrestle.internal.fleet.admission import admit
-from lifttrestle.internal.fleet.admission import Admitted
-from lifttrestle.internal.fleet.dialect import RequestFacts
 from lifttrestle.internal.fleet.parts import FleetParts
-from lifttrestle.internal.fleet.story import RequestStory
+from lifttrestle.internal.fleet.path.dialect import RequestFacts
+from lifttrestle.internal.fleet.path.story import RequestStory
+from lifttrestle.internal.fleet.policy.admission import admit
+from lifttrestle.internal.fleet.policy.admission import Admitted
 from lifttrestle.internal.refusal.answers import ANSWERS
 from lifttrestle.internal.refusal.execution import Execution
 from lifttrestle.internal.refusal.kind import ErrorKind
--- a/src/lifttrestle/internal/fleet/story.py
+++ b/src/lifttrestle/internal/fleet/path/story.py
@@ -20,9 +20,9 @@
 import dataclasses
 
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.fleet.admission import Admitted
-from lifttrestle.internal.fleet.dialect import UpstreamOrder
-from lifttrestle.internal.fleet.placement import Placement
+from lifttrestle.internal.fleet.path.dialect import UpstreamOrder
+from lifttrestle.internal.fleet.policy.admission import Admitted
+from lifttrestle.internal.fleet.policy.placement import Placement
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
 LOG = get_event_log('request')
@@ -109,7 +109,7 @@
     """Return what the log tells of an answer's beginning.
 
     :param observed_seconds: from the sending to the answer's head.
-    :param begun_seconds: from the request's arrival to there.
+    :param begun_seconds: from the request's arrival to its first answer.
     """
     cache = order.cache
     return {
--- a/src/lifttrestle/internal/fleet/upstream_search.py
+++ b/src/lifttrestle/internal/fleet/path/upstream_search.py
@@ -15,20 +15,13 @@
 import asyncio
 
 from lifttrestle.errors import RequestRefused
-from lifttrestle.internal.fleet.candidates import Candidates
-from lifttrestle.internal.fleet.placement import Placement
-from lifttrestle.internal.fleet.request_context import RequestContext
+from lifttrestle.internal.fleet.path.candidates import Candidates
+from lifttrestle.internal.fleet.path.request_context import RequestContext
+from lifttrestle.internal.fleet.policy.placement import Placement
+from lifttrestle.internal.fleet.policy.shedding import judge_wait
+from lifttrestle.internal.fleet.policy.shedding import Wait
 from lifttrestle.internal.refusal.kind import ErrorKind
 
-# A request is refused when its first piece would take more than this many
-# times its objective wherever it is sent.
-SHED_TARGETS = 1.0
-MIN_SHED_RETRY_SECONDS = 0.4
-MAX_SHED_RETRY_SECONDS = 1.0
-# A caller with less than this share of its route's time has been here before.
-FIRST_COME_SHARE = 0.95
-# It is served if its first piece comes within this share of what is left.
-RETURNED_SHARE = 0.5
 # A request waits for an upstream at most so long, and at most that share of
 # its time: engines that load are back within about a second.
 MAX_HELD_SECONDS = 0.8
@@ -67,28 +60,22 @@
 
 
 def _check_queue(request: RequestContext, placement: Placement) -> None:
-    """Refuse at once what would only wait too long.
-
-    The best engine has a queue: to join it makes this request late, and all
-    that follow as well. A caller that comes back with a part of its time gone
-    is not turned away again while it can be served at all.
-    """
+    """Refuse at once what would only wait too long at the best engine."""
     if request.facts.generation is None or request.sends:
         return
     route = request.admitted.route
-    left = request.get_left()
-    limit = SHED_TARGETS * route.target_seconds
-    if left < FIRST_COME_SHARE * route.timeout_seconds:
-        limit = max(limit, left * RETURNED_SHARE)
-    wait = placement.expected_seconds
-    if wait <= limit:
+    wait = Wait(
+        expected=placement.expected_seconds,
+        target=route.target_seconds,
+        left=request.get_left(),
+        timeout=route.timeout_seconds,
+    )
+    shedding = judge_wait(wait)
+    if shedding is None:
         return
-    excess = wait - limit
     raise RequestRefused(
         ErrorKind.OVERLOADED,
-        f'a first piece would take {wait:.2f} s at the least loaded'
-        f' engine, over {limit:.2f} s',
-        retry_after=min(
-            excess + MIN_SHED_RETRY_SECONDS, MAX_SHED_RETRY_SECONDS
-        ),
+        f'a first piece would take {wait.expected:.2f} s at the least loaded'
+        f' engine, over {shedding.limit:.2f} s',
+        retry_after=shedding.retry_after,
     )
--- a/src/lifttrestle/internal/fleet/admission.py
+++ b/src/lifttrestle/internal/fleet/policy/admission.py
@@ -15,11 +15,11 @@
 import dataclasses
 
 from lifttrestle.errors import RequestRefused
-from lifttrestle.internal.fleet.catalogue import Catalogue
-from lifttrestle.internal.fleet.catalogue import Route
-from lifttrestle.internal.fleet.catalogue import Workspace
-from lifttrestle.internal.fleet.dialect import RequestFacts
 from lifttrestle.internal.fleet.parts import FleetParts
+from lifttrestle.internal.fleet.path.dialect import RequestFacts
+from lifttrestle.internal.fleet.state.catalogue import Catalogue
+from lifttrestle.internal.fleet.state.catalogue import Route
+from lifttrestle.internal.fleet.state.catalogue import Workspace
 from lifttrestle.internal.refusal.kind import ErrorKind
 
 # Parts of the time within which a key that was taken away may still work.
--- a/src/lifttrestle/internal/fleet/cache_sources.py
+++ b/src/lifttrestle/internal/fleet/policy/cache_sources.py
@@ -18,9 +18,9 @@
 """
 
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.fleet.dialect import CacheUse
-from lifttrestle.internal.fleet.dialect import Generation
-from lifttrestle.internal.fleet.shared_parts import SharedParts
+from lifttrestle.internal.fleet.path.dialect import CacheUse
+from lifttrestle.internal.fleet.path.dialect import Generation
+from lifttrestle.internal.fleet.state.shared_parts import SharedParts
 
 # Parts of the store last for about its size over what is sent to it.
 KEPT_SECONDS = 30.0
--- a/src/lifttrestle/internal/fleet/placement.py
+++ b/src/lifttrestle/internal/fleet/policy/placement.py
@@ -15,10 +15,10 @@
 import dataclasses
 import random
 
-from lifttrestle.internal.fleet.dialect import Generation
-from lifttrestle.internal.fleet.shared_parts import build_salt
-from lifttrestle.internal.fleet.shared_parts import SharedParts
-from lifttrestle.internal.fleet.upstream import FleetUpstream
+from lifttrestle.internal.fleet.path.dialect import Generation
+from lifttrestle.internal.fleet.state.shared_parts import build_salt
+from lifttrestle.internal.fleet.state.shared_parts import SharedParts
+from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.routing.rendezvous import rank_names
 
 # Engines read about 57 prompt tokens in a millisecond (the sites' sheets).
--- /dev/null
+++ b/src/lifttrestle/internal/fleet/policy/shedding.py
@@ -0,0 +1,71 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Decides whether a request is refused rather than sent to wait.
+
+The load that this answers: engines are fewer than their work for some
+seconds, after a change of weights or a crash. To join a queue that is already
+too long makes a request late, and all that follow it as well.
+"""
+
+import dataclasses
+
+# A request is refused when its first piece would take more than this many
+# times its objective wherever it is sent.
+SHED_TARGETS = 1.0
+MIN_RETRY_SECONDS = 0.4
+MAX_RETRY_SECONDS = 1.0
+# A caller with less than this share of its route's time has been here before.
+FIRST_COME_SHARE = 0.95
+# It is served if its first piece comes within this share of what is left: a
+# caller that comes back with a part of its time gone is not turned away again
+# while it can be served at all.
+RETURNED_SHARE = 0.5
+
+
+@dataclasses.dataclass(frozen=True)
+class Wait:
+    """What a request would wait for at the best engine, in seconds.
+
+    :ivar expected: until its first piece.
+    :ivar target: its objective for that.
+    :ivar left: of the caller's time.
+    :ivar timeout: of its route; what a caller's first try may take.
+    """
+
+    expected: float
+    target: float
+    left: float
+    timeout: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Shedding:
+    """A request is refused.
+
+    :ivar limit: seconds that it would have been let wait.
+    :ivar retry_after: seconds after which the queue should be short enough.
+    """
+
+    limit: float
+    retry_after: float
+
+
+def judge_wait(wait: Wait) -> Shedding | None:
+    """Return how a request is refused, or None if it is to be sent."""
+    limit = SHED_TARGETS * wait.target
+    if wait.left < FIRST_COME_SHARE * wait.timeout:
+        limit = max(limit, wait.left * RETURNED_SHARE)
+    if wait.expected <= limit:
+        return None
+    excess = wait.expected - limit
+    return Shedding(limit, min(excess + MIN_RETRY_SECONDS, MAX_RETRY_SECONDS))
--- a/src/lifttrestle/internal/fleet/cache_stores.py
+++ b/src/lifttrestle/internal/fleet/state/cache_stores.py
@@ -19,8 +19,8 @@
 import dataclasses
 
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.fleet.catalogue import CacheStoreFacts
-from lifttrestle.internal.fleet.reach import Reach
+from lifttrestle.internal.fleet.state.catalogue import CacheStoreFacts
+from lifttrestle.internal.fleet.state.reach import Reach
 from lifttrestle.internal.http.address import check_address
 from lifttrestle.internal.http.client_pool import ClientPool
 
--- a/src/lifttrestle/internal/fleet/decoding.py
+++ b/src/lifttrestle/internal/fleet/state/decoding.py
@@ -14,9 +14,9 @@
 
 import abc
 
-from lifttrestle.internal.fleet.catalogue import Catalogue
-from lifttrestle.internal.fleet.upstream_entry import NamedWeights
-from lifttrestle.internal.fleet.upstream_entry import UpstreamEntry
+from lifttrestle.internal.fleet.state.catalogue import Catalogue
+from lifttrestle.internal.fleet.state.upstream_entry import NamedWeights
+from lifttrestle.internal.fleet.state.upstream_entry import UpstreamEntry
 
 
 class StoredFormat(abc.ABC):
--- a/src/lifttrestle/internal/fleet/directory.py
+++ b/src/lifttrestle/internal/fleet/state/directory.py
@@ -15,9 +15,9 @@
 from collections.abc import Iterator
 
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.fleet.decoding import StoredFormat
-from lifttrestle.internal.fleet.rows import VersionedRow
-from lifttrestle.internal.fleet.upstream import FleetUpstream
+from lifttrestle.internal.fleet.state.decoding import StoredFormat
+from lifttrestle.internal.fleet.state.rows import VersionedRow
+from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.http.address import check_address
 from lifttrestle.internal.http.client_pool import ClientPool
 from lifttrestle.internal.telemetry.event_log import get_event_log
--- a/src/lifttrestle/internal/fleet/operator_view.py
+++ b/src/lifttrestle/internal/fleet/state/operator_view.py
@@ -15,9 +15,9 @@
 import dataclasses
 
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.fleet.catalogue import Catalogue
-from lifttrestle.internal.fleet.decoding import StoredFormat
-from lifttrestle.internal.fleet.rows import VersionedRow
+from lifttrestle.internal.fleet.state.catalogue import Catalogue
+from lifttrestle.internal.fleet.state.decoding import StoredFormat
+from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
 LOG = get_event_log('view')
--- a/src/lifttrestle/internal/fleet/peer_loads.py
+++ b/src/lifttrestle/internal/fleet/state/peer_loads.py
@@ -22,9 +22,9 @@
 import msgspec
 
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.fleet.directory import UpstreamDirectory
-from lifttrestle.internal.fleet.roster import Roster
-from lifttrestle.internal.fleet.shared_parts import SharedParts
+from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.state.roster import Roster
+from lifttrestle.internal.fleet.state.shared_parts import SharedParts
 from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.http.address import check_address
 from lifttrestle.internal.telemetry.event_log import get_event_log
--- a/src/lifttrestle/internal/fleet/reach_probing.py
+++ b/src/lifttrestle/internal/fleet/state/reach_probing.py
@@ -22,12 +22,12 @@
 
 from lifttrestle.errors import UpstreamConnectFailed
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.fleet.cache_stores import CacheStore
-from lifttrestle.internal.fleet.cache_stores import CacheStores
-from lifttrestle.internal.fleet.directory import UpstreamDirectory
-from lifttrestle.internal.fleet.reach import Reach
-from lifttrestle.internal.fleet.upstream import FleetUpstream
-from lifttrestle.internal.fleet.upstream import SILENT_SECONDS
+from lifttrestle.internal.fleet.state.cache_stores import CacheStore
+from lifttrestle.internal.fleet.state.cache_stores import CacheStores
+from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.state.reach import Reach
+from lifttrestle.internal.fleet.state.upstream import FleetUpstream
+from lifttrestle.internal.fleet.state.upstream import SILENT_SECONDS
 from lifttrestle.internal.http.client_pool import ClientPool
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
--- a/src/lifttrestle/internal/fleet/relay_follower.py
+++ b/src/lifttrestle/internal/fleet/state/relay_follower.py
@@ -24,14 +24,14 @@
 
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.fleet.relay_messages import encode_frame
-from lifttrestle.internal.fleet.relay_messages import MAX_NEWS_BYTES
-from lifttrestle.internal.fleet.relay_messages import Question
-from lifttrestle.internal.fleet.relay_messages import read_frame
-from lifttrestle.internal.fleet.relay_messages import read_news
-from lifttrestle.internal.fleet.relay_messages import TableNews
-from lifttrestle.internal.fleet.roster import Roster
-from lifttrestle.internal.fleet.table_watch import TableWatch
+from lifttrestle.internal.fleet.state.relay_messages import encode_frame
+from lifttrestle.internal.fleet.state.relay_messages import MAX_NEWS_BYTES
+from lifttrestle.internal.fleet.state.relay_messages import Question
+from lifttrestle.internal.fleet.state.relay_messages import read_frame
+from lifttrestle.internal.fleet.state.relay_messages import read_news
+from lifttrestle.internal.fleet.state.relay_messages import TableNews
+from lifttrestle.internal.fleet.state.roster import Roster
+from lifttrestle.internal.fleet.state.table_watch import TableWatch
 from lifttrestle.internal.http.address import check_address
 from lifttrestle.internal.http.byte_stream import bound_silence
 from lifttrestle.internal.routing.rendezvous import rank_names
--- a/src/lifttrestle/internal/fleet/relay_messages.py
+++ b/src/lifttrestle/internal/fleet/state/relay_messages.py
@@ -16,9 +16,9 @@
 
 import msgspec
 
-from lifttrestle.internal.fleet.rows import RowChanges
-from lifttrestle.internal.fleet.rows import VersionedRow
-from lifttrestle.internal.fleet.table_copy import CopyNews
+from lifttrestle.internal.fleet.state.rows import RowChanges
+from lifttrestle.internal.fleet.state.rows import VersionedRow
+from lifttrestle.internal.fleet.state.table_copy import CopyNews
 
 LENGTH_BYTES = 4
 # Several times what a whole table holds: rows are at most 64 KiB.
--- a/src/lifttrestle/internal/fleet/relay_server.py
+++ b/src/lifttrestle/internal/fleet/state/relay_server.py
@@ -18,12 +18,12 @@
 import msgspec
 
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.fleet.relay_messages import build_news
-from lifttrestle.internal.fleet.relay_messages import encode_frame
-from lifttrestle.internal.fleet.relay_messages import MAX_QUESTION_BYTES
-from lifttrestle.internal.fleet.relay_messages import Question
-from lifttrestle.internal.fleet.relay_messages import read_frame
-from lifttrestle.internal.fleet.table_watch import TableWatch
+from lifttrestle.internal.fleet.state.relay_messages import build_news
+from lifttrestle.internal.fleet.state.relay_messages import encode_frame
+from lifttrestle.internal.fleet.state.relay_messages import MAX_QUESTION_BYTES
+from lifttrestle.internal.fleet.state.relay_messages import Question
+from lifttrestle.internal.fleet.state.relay_messages import read_frame
+from lifttrestle.internal.fleet.state.table_watch import TableWatch
 from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.http.byte_stream import bound_silence
 from lifttrestle.internal.http.connection_tasks import ConnectionTasks
--- a/src/lifttrestle/internal/fleet/roster.py
+++ b/src/lifttrestle/internal/fleet/state/roster.py
@@ -26,10 +26,10 @@
 from lifttrestle.errors import ConditionFailed
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.fleet.rows import NO_ROW
-from lifttrestle.internal.fleet.rows import RowStore
-from lifttrestle.internal.fleet.rows import RowWrite
-from lifttrestle.internal.fleet.rows import VersionedRow
+from lifttrestle.internal.fleet.state.rows import NO_ROW
+from lifttrestle.internal.fleet.state.rows import RowStore
+from lifttrestle.internal.fleet.state.rows import RowWrite
+from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
 LOG = get_event_log('roster')
--- a/src/lifttrestle/internal/fleet/shared_parts.py
+++ b/src/lifttrestle/internal/fleet/state/shared_parts.py
@@ -21,7 +21,7 @@
 import collections
 import hashlib
 
-from lifttrestle.internal.fleet.dialect import PromptPart
+from lifttrestle.internal.fleet.path.dialect import PromptPart
 
 # Some hundred bytes each; several times what engines and store hold.
 MAX_PARTS = 20_000
--- a/src/lifttrestle/internal/fleet/table_copy.py
+++ b/src/lifttrestle/internal/fleet/state/table_copy.py
@@ -22,9 +22,9 @@
 
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.fleet.rows import NO_ROW
-from lifttrestle.internal.fleet.rows import RowChanges
-from lifttrestle.internal.fleet.rows import VersionedRow
+from lifttrestle.internal.fleet.state.rows import NO_ROW
+from lifttrestle.internal.fleet.state.rows import RowChanges
+from lifttrestle.internal.fleet.state.rows import VersionedRow
 
 # Changes that are kept for others who have seen all but the newest.
 MAX_CHANGES = 500
--- a/src/lifttrestle/internal/fleet/table_watch.py
+++ b/src/lifttrestle/internal/fleet/state/table_watch.py
@@ -23,11 +23,11 @@
 from lifttrestle.errors import HistoryGone
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.fleet.rows import RowChanges
-from lifttrestle.internal.fleet.rows import RowStore
-from lifttrestle.internal.fleet.table_copy import CopyNews
-from lifttrestle.internal.fleet.table_copy import RowListener
-from lifttrestle.internal.fleet.table_copy import TableCopy
+from lifttrestle.internal.fleet.state.rows import RowChanges
+from lifttrestle.internal.fleet.state.rows import RowStore
+from lifttrestle.internal.fleet.state.table_copy import CopyNews
+from lifttrestle.internal.fleet.state.table_copy import RowListener
+from lifttrestle.internal.fleet.state.table_copy import TableCopy
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
 LOG = get_event_log('watch')
--- a/src/lifttrestle/internal/fleet/upstream.py
+++ b/src/lifttrestle/internal/fleet/state/upstream.py
@@ -14,8 +14,8 @@
 
 import dataclasses
 
-from lifttrestle.internal.fleet.reach import Reach
-from lifttrestle.internal.fleet.upstream_entry import UpstreamEntry
+from lifttrestle.internal.fleet.state.reach import Reach
+from lifttrestle.internal.fleet.state.upstream_entry import UpstreamEntry
 from lifttrestle.internal.http.client_pool import ClientPool
 from lifttrestle.internal.upstream.breaker import Breaker
 
--- a/src/lifttrestle/internal/fleet/weights_view.py
+++ b/src/lifttrestle/internal/fleet/state/weights_view.py
@@ -23,9 +23,9 @@
 import msgspec
 
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.fleet.directory import UpstreamDirectory
-from lifttrestle.internal.fleet.rows import NO_ROW
-from lifttrestle.internal.fleet.rows import VersionedRow
+from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.state.rows import NO_ROW
+from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
 LOG = get_event_log('weights')
--- a/src/lifttrestle/internal/platform/engine_calls.py
+++ b/src/lifttrestle/internal/platform/engine_calls.py
@@ -19,12 +19,12 @@
 
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.fleet.engine_control import EngineControl
-from lifttrestle.internal.fleet.engine_control import EngineState
-from lifttrestle.internal.fleet.engine_control import LoadOrder
-from lifttrestle.internal.fleet.engine_control import OrderOutcome
-from lifttrestle.internal.fleet.engine_control import RunsDuringLoad
-from lifttrestle.internal.fleet.upstream import FleetUpstream
+from lifttrestle.internal.fleet.loads.engine_control import EngineControl
+from lifttrestle.internal.fleet.loads.engine_control import EngineState
+from lifttrestle.internal.fleet.loads.engine_control import LoadOrder
+from lifttrestle.internal.fleet.loads.engine_control import OrderOutcome
+from lifttrestle.internal.fleet.loads.engine_control import RunsDuringLoad
+from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.json_client import JsonClient
 from lifttrestle.internal.platform import names
--- a/src/lifttrestle/internal/platform/request_dialect.py
+++ b/src/lifttrestle/internal/platform/request_dialect.py
@@ -15,12 +15,12 @@
 import msgspec
 
 from lifttrestle.errors import RequestRefused
-from lifttrestle.internal.fleet.dialect import AnswerFacts
-from lifttrestle.internal.fleet.dialect import Generation
-from lifttrestle.internal.fleet.dialect import PromptPart
-from lifttrestle.internal.fleet.dialect import RequestDialect
-from lifttrestle.internal.fleet.dialect import RequestFacts
-from lifttrestle.internal.fleet.dialect import UpstreamOrder
+from lifttrestle.internal.fleet.path.dialect import AnswerFacts
+from lifttrestle.internal.fleet.path.dialect import Generation
+from lifttrestle.internal.fleet.path.dialect import PromptPart
+from lifttrestle.internal.fleet.path.dialect import RequestDialect
+from lifttrestle.internal.fleet.path.dialect import RequestFacts
+from lifttrestle.internal.fleet.path.dialect import UpstreamOrder
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.answer import Header
 from lifttrestle.internal.http.head import find_single_header
--- a/src/lifttrestle/internal/platform/row_store.py
+++ b/src/lifttrestle/internal/platform/row_store.py
@@ -21,10 +21,10 @@
 from lifttrestle.errors import ConditionFailed
 from lifttrestle.errors import HistoryGone
 from lifttrestle.errors import PlatformUnavailable
-from lifttrestle.internal.fleet.rows import RowChanges
-from lifttrestle.internal.fleet.rows import RowStore
-from lifttrestle.internal.fleet.rows import RowWrite
-from lifttrestle.internal.fleet.rows import VersionedRow
+from lifttrestle.internal.fleet.state.rows import RowChanges
+from lifttrestle.internal.fleet.state.rows import RowStore
+from lifttrestle.internal.fleet.state.rows import RowWrite
+from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.json_client import JsonClient
 from lifttrestle.internal.platform import names
--- a/src/lifttrestle/internal/platform/stored_format.py
+++ b/src/lifttrestle/internal/platform/stored_format.py
@@ -14,18 +14,18 @@
 
 import msgspec
 
-from lifttrestle.internal.fleet.catalogue import CacheStoreFacts
-from lifttrestle.internal.fleet.catalogue import CallerLimits
-from lifttrestle.internal.fleet.catalogue import Catalogue
-from lifttrestle.internal.fleet.catalogue import EngineFacts
-from lifttrestle.internal.fleet.catalogue import Repeat
-from lifttrestle.internal.fleet.catalogue import Route
-from lifttrestle.internal.fleet.catalogue import Service
-from lifttrestle.internal.fleet.catalogue import ServiceShare
-from lifttrestle.internal.fleet.catalogue import Workspace
-from lifttrestle.internal.fleet.decoding import StoredFormat
-from lifttrestle.internal.fleet.upstream_entry import NamedWeights
-from lifttrestle.internal.fleet.upstream_entry import UpstreamEntry
+from lifttrestle.internal.fleet.state.catalogue import CacheStoreFacts
+from lifttrestle.internal.fleet.state.catalogue import CallerLimits
+from lifttrestle.internal.fleet.state.catalogue import Catalogue
+from lifttrestle.internal.fleet.state.catalogue import EngineFacts
+from lifttrestle.internal.fleet.state.catalogue import Repeat
+from lifttrestle.internal.fleet.state.catalogue import Route
+from lifttrestle.internal.fleet.state.catalogue import Service
+from lifttrestle.internal.fleet.state.catalogue import ServiceShare
+from lifttrestle.internal.fleet.state.catalogue import Workspace
+from lifttrestle.internal.fleet.state.decoding import StoredFormat
+from lifttrestle.internal.fleet.state.upstream_entry import NamedWeights
+from lifttrestle.internal.fleet.state.upstream_entry import UpstreamEntry
 from lifttrestle.internal.platform import names
 from lifttrestle.internal.platform.records import ConfigurationRecord
 from lifttrestle.internal.platform.records import RouteRecord
--- /dev/null
+++ b/tests/cover/test_decisions.py
@@ -0,0 +1,113 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Decisions of a fleet's router: plain data in, plain data out."""
+
+import unittest
+
+from lifttrestle.internal.fleet.policy.load_pacing import count_room
+from lifttrestle.internal.fleet.policy.load_pacing import find_turn
+from lifttrestle.internal.fleet.policy.load_pacing import list_engines
+from lifttrestle.internal.fleet.policy.load_pacing import list_outdated
+from lifttrestle.internal.fleet.policy.load_pacing import Turn
+from lifttrestle.internal.fleet.policy.shedding import judge_wait
+from lifttrestle.internal.fleet.policy.shedding import MAX_RETRY_SECONDS
+from lifttrestle.internal.fleet.policy.shedding import MIN_RETRY_SECONDS
+from lifttrestle.internal.fleet.policy.shedding import Wait
+from lifttrestle.internal.fleet.policy.weights_fit import select_engines
+from lifttrestle.internal.fleet.state.operator_view import WantedWeights
+from tests.support.directories import DirectoryCase
+
+
+class TestShedding(unittest.TestCase):
+    def test_first_try_that_can_be_in_time_is_sent(self):
+        self.assertIsNone(judge_wait(Wait(0.5, 0.6, 6.0, 6.0)))
+
+    def test_first_try_that_would_be_late_is_refused_with_a_time(self):
+        shedding = judge_wait(Wait(0.9, 0.6, 6.0, 6.0))
+        self.assertEqual(shedding.limit, 0.6)
+        self.assertAlmostEqual(shedding.retry_after, 0.3 + MIN_RETRY_SECONDS)
+
+    def test_one_that_came_back_is_served_late(self):
+        self.assertIsNone(judge_wait(Wait(2.5, 0.6, 5.5, 6.0)))
+        self.assertIsNotNone(judge_wait(Wait(2.9, 0.6, 5.5, 6.0)))
+
+    def test_time_to_come_back_is_bounded(self):
+        shedding = judge_wait(Wait(60.0, 0.6, 6.0, 6.0))
+        self.assertEqual(shedding.retry_after, MAX_RETRY_SECONDS)
+
+
+class TestLoadPacing(DirectoryCase):
+    def setUp(self):
+        super().setUp()
+        for name in 'abcde':
+            self.put(name, models=[1])
+        self.engines = list_engines(self.directory, 'm')
+
+    def test_two_of_five_may_load_less_those_that_are_lost(self):
+        self.assertEqual(count_room(self.engines, 5.0), 2)
+        self.engines[0].reach.note_unreached()
+        self.assertEqual(count_room(self.engines, 5.0), 1)
+        self.engines[1].reach.note_unreached()
+        # One always may, or nothing newer would ever be loaded.
+        self.assertEqual(count_room(self.engines, 5.0), 1)
+
+    def test_oldest_then_idle_engines_are_first(self):
+        busy, newer, idle = self.engines[:3]
+        busy.in_flight = 4
+        newer.note_weights('m', 2)
+        idle.in_flight = 1
+        self.assertEqual(
+            list_outdated([newer, busy, idle], 'm', 3), [idle, busy, newer]
+        )
+        self.assertEqual(list_outdated([newer], 'm', 2), [])
+
+    def test_one_that_leaves_is_not_loaded(self):
+        self.put('a', models=[1], state='draining')
+        names = {item.instance for item in list_engines(self.directory, 'm')}
+        self.assertEqual(names, set('bcde'))
+
+    def test_first_turn_needs_no_rest_and_turns_differ(self):
+        routers = ['router/a', 'router/b', 'router/c']
+        first = Turn(10.0, float('-inf'), None, 3.0)
+        turns = sorted(find_turn('m', routers, key, first) for key in routers)
+        self.assertEqual(turns, [10.0, 10.25, 10.5])
+
+    def test_taker_waits_out_the_lease(self):
+        routers = ['router/a', 'router/b']
+        turn = Turn(10.0, 20.0, 'router/a', 3.0)
+        self.assertGreater(find_turn('m', routers, 'router/b', turn), 23.0)
+
+
+class TestWeightsFit(DirectoryCase):
+    def setUp(self):
+        super().setUp()
+        for name in 'ab':
+            self.put(name, models=[1])
+        self.engines = list_engines(self.directory, 'm')
+        self.wanted = WantedWeights(2, ((2, 10.0),))
+
+    def _select(self, now):
+        return select_engines(self.engines, 'm', self.wanted, now, 10.0)
+
+    def test_replaced_weights_are_used_for_a_while(self):
+        newer = self.engines[1]
+        newer.note_weights('m', 2)
+        self.assertEqual(self._select(18.0), self.engines)
+        self.assertEqual(self._select(19.0), [newer])
+
+    def test_one_that_loads_is_left_alone_unless_all_do(self):
+        loading, other = self.engines
+        loading.busy_until = 13.0
+        self.assertEqual(self._select(12.0), [other])
+        other.busy_until = 13.0
+        self.assertEqual(self._select(12.0), self.engines)
--- a/tests/cover/test_event_log.py
+++ b/tests/cover/test_event_log.py
@@ -21,7 +21,7 @@
 import msgspec
 
 from lifttrestle.internal.clock.manual import ManualClock
-from lifttrestle.internal.fleet.story import RequestStory
+from lifttrestle.internal.fleet.path.story import RequestStory
 from lifttrestle.internal.telemetry.event_log import get_event_log
 from lifttrestle.internal.telemetry.event_sink import BURST
 from lifttrestle.internal.telemetry.event_sink import EventSink
--- a/tests/cover/test_fleet_parts.py
+++ b/tests/cover/test_fleet_parts.py
@@ -19,11 +19,11 @@
 
 from lifttrestle.errors import UpstreamLost
 from lifttrestle.internal.clock.manual import ManualClock
-from lifttrestle.internal.fleet.directory import RETURN_SECONDS
-from lifttrestle.internal.fleet.event_relay import EventRelay
-from lifttrestle.internal.fleet.retry_budget import SharedRetryBudget
+from lifttrestle.internal.fleet.path.event_relay import EventRelay
+from lifttrestle.internal.fleet.policy.retry_budget import SharedRetryBudget
 from lifttrestle.internal.fleet.settings import Promises
-from lifttrestle.internal.fleet.upstream import SILENT_SECONDS
+from lifttrestle.internal.fleet.state.directory import RETURN_SECONDS
+from lifttrestle.internal.fleet.state.upstream import SILENT_SECONDS
 from tests.support.directories import DirectoryCase
 from tests.support.directories import START
 
--- a/tests/cover/test_fleet_placement.py
+++ b/tests/cover/test_fleet_placement.py
@@ -15,15 +15,15 @@
 import unittest
 
 from lifttrestle.internal.clock.manual import ManualClock
-from lifttrestle.internal.fleet.cache_sources import CacheSources
-from lifttrestle.internal.fleet.cache_sources import KEPT_SECONDS
-from lifttrestle.internal.fleet.dialect import Generation
-from lifttrestle.internal.fleet.dialect import PromptPart
-from lifttrestle.internal.fleet.placement import choose_engine
-from lifttrestle.internal.fleet.placement import READ_SECONDS_PER_TOKEN
-from lifttrestle.internal.fleet.placement import Surroundings
-from lifttrestle.internal.fleet.shared_parts import build_salt
-from lifttrestle.internal.fleet.shared_parts import SharedParts
+from lifttrestle.internal.fleet.path.dialect import Generation
+from lifttrestle.internal.fleet.path.dialect import PromptPart
+from lifttrestle.internal.fleet.policy.cache_sources import CacheSources
+from lifttrestle.internal.fleet.policy.cache_sources import KEPT_SECONDS
+from lifttrestle.internal.fleet.policy.placement import choose_engine
+from lifttrestle.internal.fleet.policy.placement import READ_SECONDS_PER_TOKEN
+from lifttrestle.internal.fleet.policy.placement import Surroundings
+from lifttrestle.internal.fleet.state.shared_parts import build_salt
+from lifttrestle.internal.fleet.state.shared_parts import SharedParts
 from tests.support.directories import DirectoryCase
 from tests.support.directories import START
 
--- a/tests/cover/test_fleet_view.py
+++ b/tests/cover/test_fleet_view.py
@@ -22,11 +22,11 @@
 
 from lifttrestle.errors import RequestRefused
 from lifttrestle.internal.clock.manual import ManualClock
-from lifttrestle.internal.fleet.admission import admit
-from lifttrestle.internal.fleet.dialect import RequestFacts
-from lifttrestle.internal.fleet.operator_view import OperatorView
-from lifttrestle.internal.fleet.rows import VersionedRow
+from lifttrestle.internal.fleet.path.dialect import RequestFacts
+from lifttrestle.internal.fleet.policy.admission import admit
 from lifttrestle.internal.fleet.settings import Promises
+from lifttrestle.internal.fleet.state.operator_view import OperatorView
+from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.platform.stored_format import PlatformFormat
 from lifttrestle.internal.refusal.kind import ErrorKind
 from tests.support.fleet import CONFIGURATION
--- a/tests/cover/test_fleet_watch.py
+++ b/tests/cover/test_fleet_watch.py
@@ -19,8 +19,8 @@
 
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.manual import ManualClock
-from lifttrestle.internal.fleet.rows import RowChanges
-from lifttrestle.internal.fleet.table_watch import TableWatch
+from lifttrestle.internal.fleet.state.rows import RowChanges
+from lifttrestle.internal.fleet.state.table_watch import TableWatch
 from tests.support.memory_rows import MemoryRows
 
 START = datetime.datetime(2026, 12, 2, tzinfo=datetime.timezone.utc)
--- a/tests/cover/test_fleet_weights.py
+++ b/tests/cover/test_fleet_weights.py
@@ -25,18 +25,19 @@
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.clock.manual import ManualClock
-from lifttrestle.internal.fleet.directory import UpstreamDirectory
-from lifttrestle.internal.fleet.engine_control import EngineControl
-from lifttrestle.internal.fleet.engine_control import EngineState
-from lifttrestle.internal.fleet.engine_control import OrderOutcome
-from lifttrestle.internal.fleet.operator_view import OperatorView
-from lifttrestle.internal.fleet.roster import FLEET_TABLE
-from lifttrestle.internal.fleet.roster import Roster
-from lifttrestle.internal.fleet.roster import RouterRow
-from lifttrestle.internal.fleet.rows import VersionedRow
+from lifttrestle.internal.fleet.loads.engine_control import EngineControl
+from lifttrestle.internal.fleet.loads.engine_control import EngineState
+from lifttrestle.internal.fleet.loads.engine_control import OrderOutcome
+from lifttrestle.internal.fleet.loads.weights_loader import WeightsLoader
+from lifttrestle.internal.fleet.policy.load_pacing import list_outdated
 from lifttrestle.internal.fleet.settings import Promises
-from lifttrestle.internal.fleet.weights_loader import WeightsLoader
-from lifttrestle.internal.fleet.weights_view import WeightsView
+from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.state.operator_view import OperatorView
+from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
+from lifttrestle.internal.fleet.state.roster import Roster
+from lifttrestle.internal.fleet.state.roster import RouterRow
+from lifttrestle.internal.fleet.state.rows import VersionedRow
+from lifttrestle.internal.fleet.state.weights_view import WeightsView
 from lifttrestle.internal.platform.stored_format import PlatformFormat
 from tests.support.memory_rows import MemoryRows
 from tests.support.models import run_model
@@ -326,7 +327,7 @@
         first.act()
         second.hear()
         loads = second.loader._get_loads('m')
-        outdated = second.loader._find_outdated('m')
+        outdated = list_outdated(second.directory, 'm', 2)
         with self.assertRaises(ConditionFailed):
             asyncio.run(second.loader._load_next('m', held, loads, outdated))
         holders = {order.holder for _, _, order in self.engines.log}
@@ -347,7 +348,7 @@
             router.hear()
         held = routers[1].plans.get('m')
         turns = sorted(
-            router.loader._get_turn('m', held) for router in routers[1:]
+            router.loader._find_turn('m', held) for router in routers[1:]
         )
         self.assertGreater(turns[0], held.seen_at + LEASE_SECONDS)
         gaps = [after - before for before, after in zip(turns, turns[1:])]
--- a/tests/cover/test_peer_loads.py
+++ b/tests/cover/test_peer_loads.py
@@ -19,19 +19,19 @@
 import msgspec
 
 from lifttrestle.internal.clock.manual import ManualClock
-from lifttrestle.internal.fleet.dialect import PromptPart
-from lifttrestle.internal.fleet.directory import UpstreamDirectory
-from lifttrestle.internal.fleet.peer_loads import FRESH_SECONDS
-from lifttrestle.internal.fleet.peer_loads import FRESH_TELLS
-from lifttrestle.internal.fleet.peer_loads import HEARD_PER_SECOND
-from lifttrestle.internal.fleet.peer_loads import LoadReport
-from lifttrestle.internal.fleet.peer_loads import PeerLoads
-from lifttrestle.internal.fleet.peer_loads import UpstreamLoad
-from lifttrestle.internal.fleet.roster import Roster
-from lifttrestle.internal.fleet.roster import RouterRow
-from lifttrestle.internal.fleet.rows import VersionedRow
-from lifttrestle.internal.fleet.shared_parts import MAX_NEWS
-from lifttrestle.internal.fleet.shared_parts import SharedParts
+from lifttrestle.internal.fleet.path.dialect import PromptPart
+from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.state.peer_loads import FRESH_SECONDS
+from lifttrestle.internal.fleet.state.peer_loads import FRESH_TELLS
+from lifttrestle.internal.fleet.state.peer_loads import HEARD_PER_SECOND
+from lifttrestle.internal.fleet.state.peer_loads import LoadReport
+from lifttrestle.internal.fleet.state.peer_loads import PeerLoads
+from lifttrestle.internal.fleet.state.peer_loads import UpstreamLoad
+from lifttrestle.internal.fleet.state.roster import Roster
+from lifttrestle.internal.fleet.state.roster import RouterRow
+from lifttrestle.internal.fleet.state.rows import VersionedRow
+from lifttrestle.internal.fleet.state.shared_parts import MAX_NEWS
+from lifttrestle.internal.fleet.state.shared_parts import SharedParts
 from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.platform.stored_format import PlatformFormat
 from tests.support.memory_rows import MemoryRows
--- a/tests/cover/test_reach.py
+++ b/tests/cover/test_reach.py
@@ -18,14 +18,14 @@
 
 from lifttrestle.errors import UpstreamConnectFailed
 from lifttrestle.internal.clock.manual import ManualClock
-from lifttrestle.internal.fleet.cache_stores import CacheStores
-from lifttrestle.internal.fleet.catalogue import CacheStoreFacts
-from lifttrestle.internal.fleet.reach import PROBE_SECONDS
-from lifttrestle.internal.fleet.reach import Reach
-from lifttrestle.internal.fleet.reach import SUSPECT_SECONDS
-from lifttrestle.internal.fleet.reach_probing import ReachProber
-from lifttrestle.internal.fleet.upstream import FleetUpstream
-from lifttrestle.internal.fleet.upstream_entry import UpstreamEntry
+from lifttrestle.internal.fleet.state.cache_stores import CacheStores
+from lifttrestle.internal.fleet.state.catalogue import CacheStoreFacts
+from lifttrestle.internal.fleet.state.reach import PROBE_SECONDS
+from lifttrestle.internal.fleet.state.reach import Reach
+from lifttrestle.internal.fleet.state.reach import SUSPECT_SECONDS
+from lifttrestle.internal.fleet.state.reach_probing import ReachProber
+from lifttrestle.internal.fleet.state.upstream import FleetUpstream
+from lifttrestle.internal.fleet.state.upstream_entry import UpstreamEntry
 
 START = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
 
--- a/tests/cover/test_relay_model.py
+++ b/tests/cover/test_relay_model.py
@@ -30,15 +30,15 @@
 
 from lifttrestle.errors import HistoryGone
 from lifttrestle.internal.clock.manual import ManualClock
-from lifttrestle.internal.fleet.relay_follower import RelayFollower
-from lifttrestle.internal.fleet.relay_messages import LENGTH_BYTES
-from lifttrestle.internal.fleet.relay_messages import TableNews
-from lifttrestle.internal.fleet.relay_server import Follower
-from lifttrestle.internal.fleet.relay_server import RelayServer
-from lifttrestle.internal.fleet.roster import Roster
-from lifttrestle.internal.fleet.rows import RowStore
-from lifttrestle.internal.fleet.table_copy import CopyNews
-from lifttrestle.internal.fleet.table_watch import TableWatch
+from lifttrestle.internal.fleet.state.relay_follower import RelayFollower
+from lifttrestle.internal.fleet.state.relay_messages import LENGTH_BYTES
+from lifttrestle.internal.fleet.state.relay_messages import TableNews
+from lifttrestle.internal.fleet.state.relay_server import Follower
+from lifttrestle.internal.fleet.state.relay_server import RelayServer
+from lifttrestle.internal.fleet.state.roster import Roster
+from lifttrestle.internal.fleet.state.rows import RowStore
+from lifttrestle.internal.fleet.state.table_copy import CopyNews
+from lifttrestle.internal.fleet.state.table_watch import TableWatch
 from tests.support.memory_rows import MemoryRows
 from tests.support.models import run_model
 
--- a/tests/cover/test_retry_model.py
+++ b/tests/cover/test_retry_model.py
@@ -33,7 +33,7 @@
 from lifttrestle.internal.exchange.progress import RequestEvent
 from lifttrestle.internal.exchange.progress import RequestProgress
 from lifttrestle.internal.exchange.progress import RequestState
-from lifttrestle.internal.fleet.retry_budget import SharedRetryBudget
+from lifttrestle.internal.fleet.policy.retry_budget import SharedRetryBudget
 from lifttrestle.internal.fleet.settings import Promises
 from lifttrestle.internal.refusal.execution import Execution
 from tests.support.directories import START
--- a/tests/cover/test_roster.py
+++ b/tests/cover/test_roster.py
@@ -19,11 +19,11 @@
 import msgspec
 
 from lifttrestle.internal.clock.manual import ManualClock
-from lifttrestle.internal.fleet.roster import FLEET_TABLE
-from lifttrestle.internal.fleet.roster import REFRESH_SECONDS
-from lifttrestle.internal.fleet.roster import Roster
-from lifttrestle.internal.fleet.roster import RouterRow
-from lifttrestle.internal.fleet.roster import STALE_SECONDS
+from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
+from lifttrestle.internal.fleet.state.roster import REFRESH_SECONDS
+from lifttrestle.internal.fleet.state.roster import Roster
+from lifttrestle.internal.fleet.state.roster import RouterRow
+from lifttrestle.internal.fleet.state.roster import STALE_SECONDS
 from tests.support.memory_rows import MemoryRows
 
 START = datetime.datetime(2026, 12, 2, tzinfo=datetime.timezone.utc)
--- a/tests/cover/test_upstream_life_model.py
+++ b/tests/cover/test_upstream_life_model.py
@@ -30,11 +30,11 @@
 import msgspec
 
 from lifttrestle.internal.clock.manual import ManualClock
-from lifttrestle.internal.fleet.directory import RETURN_SECONDS
-from lifttrestle.internal.fleet.directory import UpstreamDirectory
-from lifttrestle.internal.fleet.placement import choose_plain
-from lifttrestle.internal.fleet.placement import Surroundings
-from lifttrestle.internal.fleet.rows import VersionedRow
+from lifttrestle.internal.fleet.policy.placement import choose_plain
+from lifttrestle.internal.fleet.policy.placement import Surroundings
+from lifttrestle.internal.fleet.state.directory import RETURN_SECONDS
+from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.platform.stored_format import PlatformFormat
 from lifttrestle.internal.upstream.breaker import Breaker
 from tests.support.directories import START
--- a/tests/nocover/test_fleet_relay.py
+++ b/tests/nocover/test_fleet_relay.py
@@ -17,8 +17,8 @@
 import unittest
 
 from lifttrestle.errors import PlatformUnavailable
-from lifttrestle.internal.fleet.relay_messages import encode_frame
-from lifttrestle.internal.fleet.relay_messages import Question
+from lifttrestle.internal.fleet.state.relay_messages import encode_frame
+from lifttrestle.internal.fleet.state.relay_messages import Question
 from tests.support.fleet import CONFIGURATION
 from tests.support.fleet import make_router
 from tests.support.fleet import PROMISES
--- a/tests/support/directories.py
+++ b/tests/support/directories.py
@@ -18,8 +18,8 @@
 import msgspec
 
 from lifttrestle.internal.clock.manual import ManualClock
-from lifttrestle.internal.fleet.directory import UpstreamDirectory
-from lifttrestle.internal.fleet.rows import VersionedRow
+from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.platform.stored_format import PlatformFormat
 
 START = datetime.datetime(2026, 12, 2, tzinfo=datetime.timezone.utc)
--- a/tests/support/fleet_store.py
+++ b/tests/support/fleet_store.py
@@ -19,8 +19,8 @@
 import msgspec
 
 from lifttrestle.errors import ConditionFailed
-from lifttrestle.internal.fleet.rows import RowWrite
-from lifttrestle.internal.fleet.rows import VersionedRow
+from lifttrestle.internal.fleet.state.rows import RowWrite
+from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.server_connection import ServerConnection
--- a/tests/support/memory_rows.py
+++ b/tests/support/memory_rows.py
@@ -17,11 +17,11 @@
 from lifttrestle.errors import ConditionFailed
 from lifttrestle.errors import HistoryGone
 from lifttrestle.errors import PlatformUnavailable
-from lifttrestle.internal.fleet.rows import NO_ROW
-from lifttrestle.internal.fleet.rows import RowChanges
-from lifttrestle.internal.fleet.rows import RowStore
-from lifttrestle.internal.fleet.rows import RowWrite
-from lifttrestle.internal.fleet.rows import VersionedRow
+from lifttrestle.internal.fleet.state.rows import NO_ROW
+from lifttrestle.internal.fleet.state.rows import RowChanges
+from lifttrestle.internal.fleet.state.rows import RowStore
+from lifttrestle.internal.fleet.state.rows import RowWrite
+from lifttrestle.internal.fleet.state.rows import VersionedRow
 
 
 class MemoryRows(RowStore):
