Lost orders are asked after at once; a lost engine takes up no room

Cause: an order without an answer was looked after as if a load were under way, after 0.7 s; an engine that crashed while it loaded counted for four. Ruled out: giving the order again without asking; it may be carried out. Conclusion: kept for the two faults, each with a test that failed before; no gain is claimed.

--- a/src/lifttrestle/internal/fleet/loads/load_tracking.py
+++ b/src/lifttrestle/internal/fleet/loads/load_tracking.py
@@ -79,8 +79,11 @@
     ) -> None:
         """Follow an order that was just sent."""
         now = self._clock.monotonic()
+        # An order that nobody answered may be lost: to find that out late
+        # leaves the engine without work for nothing.
+        pause = REPORT_FIRST_SECONDS if answered else REPORT_SECONDS
         self._loads[upstream.instance] = LoadUnderWay(
-            upstream, order, answered, now, now + REPORT_FIRST_SECONDS
+            upstream, order, answered, now, now + pause
         )
 
     async def follow(self) -> None:
@@ -116,6 +119,7 @@
         upstream = load.upstream
         return (
             upstream.weights.get(self._model, 0) >= load.order.version
+            or upstream.reach.unreached
             or self._directory.get(upstream.instance) is None
             or now - load.ordered_at > LOAD_LIMIT_SECONDS
         )
--- a/tests/cover/test_fleet_weights.py
+++ b/tests/cover/test_fleet_weights.py
@@ -27,7 +27,10 @@
 from lifttrestle.internal.clock.manual import ManualClock
 from lifttrestle.internal.fleet.loads.engine_control import EngineControl
 from lifttrestle.internal.fleet.loads.engine_control import EngineState
+from lifttrestle.internal.fleet.loads.engine_control import LoadOrder
 from lifttrestle.internal.fleet.loads.engine_control import OrderOutcome
+from lifttrestle.internal.fleet.loads.engine_control import RunsDuringLoad
+from lifttrestle.internal.fleet.loads.load_tracking import LoadTracker
 from lifttrestle.internal.fleet.loads.weights_loader import WeightsLoader
 from lifttrestle.internal.fleet.policy.load_pacing import list_outdated
 from lifttrestle.internal.fleet.settings import Promises
@@ -379,3 +382,42 @@
             router.directory.get(name).note_sent(1, 1.0)
         router.act()
         self.assertEqual(len(self.engines.log), 1)
+
+
+class TestTracking(unittest.TestCase):
+    """What becomes of orders that are lost, and of engines that are."""
+
+    def setUp(self):
+        self.time = ManualClock(START)
+        self.engines = Engines(self.time)
+        router = Router(
+            'a', self.time, MemoryRows(), self.engines, WeightsLoader
+        )
+        self.control = router.control
+        self.engine = router.directory.get('e1')
+        self.loads = LoadTracker(
+            'm', self.control, router.directory, PassingClock(self.time)
+        )
+        self.order = LoadOrder('m', 2, 'a', 1, 0, RunsDuringLoad.GO_ON)
+
+    def _follow(self, seconds):
+        self.time.advance(seconds)
+        asyncio.run(self.loads.follow())
+
+    def test_regression_order_without_an_answer_is_asked_after_at_once(self):
+        # It was asked after 0.7 s, as if a load were under way, so that each
+        # lost order kept its engine waiting for 1.2 s.
+        self.loads.add(self.engine, self.order, answered=False)
+        self._follow(0.25)
+        self.assertNotIn('e1', self.loads)
+        self.loads.add(self.engine, self.order, answered=True)
+        self._follow(0.25)
+        self.assertIn('e1', self.loads)
+
+    def test_regression_engine_that_is_lost_takes_up_no_room(self):
+        # One that crashed while it loaded counted as loading for four
+        # seconds, and the others had to wait for it.
+        self.loads.add(self.engine, self.order, answered=True)
+        self.engine.reach.note_unreached()
+        self._follow(0.1)
+        self.assertNotIn('e1', self.loads)
