Known to be unservable is refused at once; nothing is held past an eighth

Cause: where every upstream was behind a cut, each was tried in turn, 0.3 s a connection, and what no upstream was free for was held for up to 0.8 s and then refused. A request that met one upstream behind a cut was late at the next. Ruled out: waiting for a probe to tell; it takes longer than a request may wait.

--- a/src/lifttrestle/internal/fleet/path/candidates.py
+++ b/src/lifttrestle/internal/fleet/path/candidates.py
@@ -52,7 +52,11 @@
     def choose(self, admitted: Admitted, service: str) -> Placement | None:
         """Return the best upstream, or None if none may serve now."""
         parts = self._parts
-        fit = self.list_fit(admitted, service)
+        fit = [
+            upstream
+            for upstream in self.list_fit(admitted, service)
+            if not upstream.reach.unreached
+        ]
         generation = self._facts.generation
         wanted = None
         if generation is not None:
@@ -105,8 +109,13 @@
         )
 
     def may_become_fit(self, service: str) -> bool:
-        """Return whether an upstream is left that can be waited for."""
+        """Return whether an upstream is left that can be waited for.
+
+        One that takes no connections is known to be back by a probe only,
+        later than a request may wait.
+        """
         return any(
             self._tried.get(upstream.instance) != FOR_EVER
+            and not upstream.reach.unreached
             for upstream in self._parts.directory.list_fit(service)
         )
--- a/src/lifttrestle/internal/fleet/path/upstream_search.py
+++ b/src/lifttrestle/internal/fleet/path/upstream_search.py
@@ -18,15 +18,12 @@
 from lifttrestle.internal.fleet.path.candidates import Candidates
 from lifttrestle.internal.fleet.path.request_context import RequestContext
 from lifttrestle.internal.fleet.policy.placement import Placement
+from lifttrestle.internal.fleet.policy.shedding import find_hold_end
 from lifttrestle.internal.fleet.policy.shedding import judge_wait
 from lifttrestle.internal.fleet.policy.shedding import Wait
 from lifttrestle.internal.refusal.kind import ErrorKind
 
-# A request waits for an upstream at most so long, and at most that share of
-# its time: engines that load are back within about a second.
-MAX_HELD_SECONDS = 0.8
-HELD_SHARE = 0.2
-HELD_POLL_SECONDS = 0.03
+HELD_POLL_SECONDS = 0.01
 
 
 async def find_upstream(
@@ -37,8 +34,12 @@
     :raises RequestRefused: if there is none, or it would only wait there.
     """
     clock = request.parts.clock
-    until = clock.monotonic() + min(
-        MAX_HELD_SECONDS, request.get_left() * HELD_SHARE
+    until = find_hold_end(
+        request.started,
+        clock.monotonic(),
+        request.admitted.route.target_seconds,
+        request.get_left(),
+        offered=request.sends > 0,
     )
     held = False
     while True:
--- a/src/lifttrestle/internal/fleet/policy/shedding.py
+++ b/src/lifttrestle/internal/fleet/policy/shedding.py
@@ -30,6 +30,14 @@
 # caller that comes back with a part of its time gone is not turned away again
 # while it can be served at all.
 RETURNED_SHARE = 0.5
+# Without an upstream that may serve it, a request that nobody was offered yet
+# is held for this share of its objective from its arrival, and then refused:
+# what a caller waits for in vain it can't spend elsewhere.
+HELD_TARGETS = 1 / 8
+# One that an upstream has turned away or lost is held longer, and at most that
+# share of its time: engines that load are back within about a second.
+MAX_HELD_SECONDS = 0.8
+HELD_SHARE = 0.2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,3 +77,18 @@
         return None
     excess = wait.expected - limit
     return Shedding(limit, min(excess + MIN_RETRY_SECONDS, MAX_RETRY_SECONDS))
+
+
+def find_hold_end(
+    started: float, now: float, target: float, left: float, *, offered: bool
+) -> float:
+    """Return until when a request may wait for an upstream.
+
+    :param started: when it arrived, monotonic seconds as the result.
+    :param target: its objective in seconds.
+    :param left: of the caller's time, in seconds.
+    :param offered: it was sent to an upstream before.
+    """
+    if not offered:
+        return started + HELD_TARGETS * target
+    return now + min(MAX_HELD_SECONDS, left * HELD_SHARE)
--- a/src/lifttrestle/internal/fleet/state/cache_stores.py
+++ b/src/lifttrestle/internal/fleet/state/cache_stores.py
@@ -24,8 +24,8 @@
 from lifttrestle.internal.http.address import check_address
 from lifttrestle.internal.http.client_pool import ClientPool
 
-# As for an upstream: the round trip of the farthest is 6 ms.
-CONNECT_SECONDS = 0.3
+# As for an upstream.
+CONNECT_SECONDS = 0.1
 
 
 @dataclasses.dataclass
--- a/src/lifttrestle/internal/fleet/state/directory.py
+++ b/src/lifttrestle/internal/fleet/state/directory.py
@@ -23,8 +23,11 @@
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
 LOG = get_event_log('upstreams')
-# A connection within the fleet opens in a few ms; longer means no one there.
-CONNECT_SECONDS = 0.3
+# A connection within the fleet opens in a few ms, within 50 between regions. A
+# lost opening packet is sent again after a second, so that between 0.1 and a
+# second there is nothing to wait for; a request that meets an upstream behind
+# a cut then still is in time at another one (0.15 to 0.6 s).
+CONNECT_SECONDS = 0.1
 # While the store was away, entries lapse of upstreams that live. Those are
 # back within two seconds; such an upstream is used on for a little less.
 RETURN_SECONDS = 1.8
--- a/src/lifttrestle/internal/fleet/state/reach_probing.py
+++ b/src/lifttrestle/internal/fleet/state/reach_probing.py
@@ -35,7 +35,7 @@
 LOOK_SECONDS = 0.1
 # Connections that are tried at the same time. A cut-off data centre has some
 # ten addresses on the largest deployment; each takes as long as a connection
-# may take (0.3 s), so all are known after two turns.
+# may take (0.1 s), so all are known after two turns.
 MAX_PROBES = 8
 
 
--- a/tests/cover/test_decisions.py
+++ b/tests/cover/test_decisions.py
@@ -19,6 +19,7 @@
 from lifttrestle.internal.fleet.policy.load_pacing import list_engines
 from lifttrestle.internal.fleet.policy.load_pacing import list_outdated
 from lifttrestle.internal.fleet.policy.load_pacing import Turn
+from lifttrestle.internal.fleet.policy.shedding import find_hold_end
 from lifttrestle.internal.fleet.policy.shedding import judge_wait
 from lifttrestle.internal.fleet.policy.shedding import MAX_RETRY_SECONDS
 from lifttrestle.internal.fleet.policy.shedding import MIN_RETRY_SECONDS
@@ -46,6 +47,19 @@
         self.assertEqual(shedding.retry_after, MAX_RETRY_SECONDS)
 
 
+class TestHolding(unittest.TestCase):
+    def test_nothing_is_held_past_an_eighth_of_its_objective(self):
+        # It was held for 0.8 s, and then refused.
+        end = find_hold_end(10.0, 10.03, 0.4, 15.0, offered=False)
+        self.assertAlmostEqual(end, 10.05)
+
+    def test_one_that_was_turned_away_may_wait_for_a_load(self):
+        end = find_hold_end(10.0, 10.2, 0.4, 15.0, offered=True)
+        self.assertAlmostEqual(end, 11.0)
+        end = find_hold_end(10.0, 10.2, 0.4, 1.0, offered=True)
+        self.assertAlmostEqual(end, 10.4)
+
+
 class TestLoadPacing(DirectoryCase):
     def setUp(self):
         super().setUp()
--- a/tests/nocover/test_fleet_exchange.py
+++ b/tests/nocover/test_fleet_exchange.py
@@ -248,6 +248,21 @@
         self.assertEqual(first.head.get_header('kv-fetch'), '127.0.0.1:9')
         self.assertEqual(second.head.get_header('kv-fetch'), '')
 
+    async def test_regression_refused_at_once_when_none_takes_connections(
+        self,
+    ):
+        # Each of four upstreams behind a cut was tried in turn, 0.3 s each.
+        async with run_fleet() as fleet:
+            for upstream in fleet.router.directory:
+                upstream.reach.note_unreached()
+                # No probe is to find out otherwise meanwhile.
+                upstream.reach.probed_at = float('inf')
+            answer = await fleet.call('/once/a', method='POST')
+            arrivals = [fleet.upstreams[name].arrivals for name in PLAIN]
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(dict(answer.headers)['retry-after']), 0)
+        self.assertEqual(arrivals, [[], []])
+
 
 class TestTruth(unittest.IsolatedAsyncioTestCase):
     async def test_regression_refusal_after_a_lost_attempt_is_no_promise(
