Sending a request stands apart from the loop of its attempts

Ruled out: nothing behaves otherwise. Before: one class that admits, chooses, sends, judges and refuses.

--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -28,43 +28,27 @@
 from lifttrestle.internal.exchange.progress import RequestProgress
 from lifttrestle.internal.fleet.parts import FleetParts
 from lifttrestle.internal.fleet.path.answer_passing import AnswerPassing
-from lifttrestle.internal.fleet.path.answer_passing import Patience
-from lifttrestle.internal.fleet.path.attempt import begin_attempt
-from lifttrestle.internal.fleet.path.attempt import UpstreamAnswer
 from lifttrestle.internal.fleet.path.candidates import Candidates
 from lifttrestle.internal.fleet.path.dialect import RequestFacts
-from lifttrestle.internal.fleet.path.dialect import UpstreamOrder
-from lifttrestle.internal.fleet.path.order_building import build_order
 from lifttrestle.internal.fleet.path.request_context import begin_request
 from lifttrestle.internal.fleet.path.request_context import RequestContext
+from lifttrestle.internal.fleet.path.sending import RequestSender
 from lifttrestle.internal.fleet.path.story import build_admitted
-from lifttrestle.internal.fleet.path.story import build_answered
 from lifttrestle.internal.fleet.path.story import build_chosen
 from lifttrestle.internal.fleet.path.story import MILLISECONDS
 from lifttrestle.internal.fleet.path.story import RequestStory
 from lifttrestle.internal.fleet.path.upstream_search import find_upstream
-from lifttrestle.internal.fleet.policy.admission import get_urgency
 from lifttrestle.internal.fleet.policy.placement import Placement
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
-from lifttrestle.internal.http.client_connection import ClientConnection
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.server_connection import ServerConnection
 from lifttrestle.internal.refusal.kind import ErrorKind
 
 # Sends of one request, counting those that were turned away unread.
 MAX_SENDS = 4
-# A repeatable request is taken elsewhere when its upstream has sent nothing
-# to anyone for this many times the route's objective, and never sooner than
-# a second. An upstream that is slow but answers others is waited for.
-SILENT_TARGETS = 2.0
-MIN_SILENT_SECONDS = 1.0
 # After an engine has turned a request away, it is avoided until its entry or
 # the plan tells more.
 DECLINED_SECONDS = 0.15
-# An engine that reads from a store which is gone waits some hundred
-# milliseconds for it: a first piece that is later than expected by so much is
-# a reason to look whether the store is there.
-FETCH_LATE_SECONDS = 0.2
 _TICKETS = itertools.count()
 
 
@@ -90,11 +74,9 @@
             parts, connection, self._progress, facts.last_event
         )
         self._candidates = Candidates(parts, facts)
-        # Set once it is admitted, before anything is tried.
+        # Both are set once it is admitted, before anything is tried.
         self._request: RequestContext | None = None
-        # What the log tells of the last attempt that was answered.
-        self._answered: dict[str, object] = {}
-        self._begun_seconds = 0.0
+        self._sender: RequestSender | None = None
 
     async def run(self) -> None:
         """Serve the request to its end.
@@ -123,7 +105,7 @@
                 longest_pause_ms=round(
                     self._passing.longest_pause * MILLISECONDS
                 ),
-                **self._answered,
+                **(self._sender.answered if self._sender else {}),
             )
             self._parts.metrics.count_request(
                 service or 'none',
@@ -156,6 +138,9 @@
             self._started,
         )
         self._request = request
+        self._sender = RequestSender(
+            request, self._head, self._body, self._passing, self._candidates
+        )
         self._progress.move(RequestEvent.ADMIT)
         self._story.add(
             'admitted',
@@ -257,7 +242,10 @@
         upstream = chosen.upstream
         connection = await upstream.pool.take()
         try:
-            answer, patience = await self._send(chosen, ticket, connection)
+            assert self._sender is not None, 'attempts follow admission'
+            answer, patience = await self._sender.send(
+                chosen, ticket, connection
+            )
             await self._passing.pass_on(
                 self._context.admitted.route, upstream, answer, patience
             )
@@ -272,90 +260,6 @@
         upstream.breaker.note_success()
         upstream.pool.give_back(connection)
 
-    async def _send(
-        self, chosen: Placement, ticket: int, connection: ClientConnection
-    ) -> tuple[UpstreamAnswer, Patience]:
-        """Send the request and return its answer once that has begun."""
-        parts = self._parts
-        request = self._context
-        upstream = chosen.upstream
-        # Connecting may have taken a while; only what is sent is a retry.
-        admitted = request.admit_again()
-        if request.sends and not self._take_retry():
-            raise request.give_up(
-                ErrorKind.UPSTREAM_FAILED, 'no retry is left to spend'
-            )
-        order = build_order(request, upstream, self._passing.relay.last_event)
-        head = parts.dialect.build_head(self._head, order)
-        request.sends += 1
-        request.runs += 1
-        self._progress.move(RequestEvent.SEND)
-        sent_at = parts.clock.monotonic()
-        upstream.note_sent(
-            ticket, sent_at, get_urgency(admitted), chosen.unread_tokens
-        )
-        kept = connection.exchanges > 0
-        parts.metrics.count_connection(request.service, kept)
-        self._tell_sent(upstream, order, kept)
-        patience = self._build_patience()
-        answer = await begin_attempt(
-            parts.clock,
-            parts.dialect,
-            upstream,
-            connection,
-            head,
-            self._body,
-            self._facts.request_id,
-            patience.seconds,
-            patience.may_leave,
-        )
-        heard_at = parts.clock.monotonic()
-        upstream.note_heard(ticket, heard_at)
-        parts.metrics.time_first_byte(
-            request.service, heard_at - sent_at, chosen.expected_seconds
-        )
-        if not self._answered:
-            self._begun_seconds = heard_at - self._started
-        self._answered = build_answered(
-            chosen, heard_at - sent_at, self._begun_seconds, order
-        )
-        if heard_at - sent_at > chosen.expected_seconds + FETCH_LATE_SECONDS:
-            self._suspect_store(order)
-        self._note_engine(chosen, order, answer, heard_at - sent_at)
-        return answer, patience
-
-    def _take_retry(self) -> bool:
-        service = self._context.service
-        budget = self._parts.get_budget(service)
-        granted = budget.take(self._parts.roster.live)
-        self._parts.metrics.count_retry(service, granted)
-        return granted
-
-    def _note_engine(
-        self,
-        chosen: Placement,
-        order: UpstreamOrder,
-        answer: UpstreamAnswer,
-        seconds: float,
-    ) -> None:
-        generation = self._facts.generation
-        if generation is None:
-            return
-        self._parts.get_pace(self._context.service).note_answer(
-            chosen.queue_tokens, chosen.unread_tokens, seconds
-        )
-        if answer.facts.weights is not None:
-            chosen.upstream.note_weights(
-                generation.model, answer.facts.weights
-            )
-        if order.cache is not None:
-            self._parts.sources.note_served(order.cache, generation)
-
-    def _suspect_store(self, order: UpstreamOrder) -> None:
-        """Look after a store that an engine may have waited for."""
-        if order.cache is not None and order.cache.source:
-            self._parts.stores.suspect(order.cache.source)
-
     async def _refuse(self, refused: RequestRefused) -> None:
         if self._request is not None:
             refused = self._request.be_truthful(refused)
@@ -377,37 +281,3 @@
         await self._connection.send_answer(
             dialect.build_refusal(refused, self._facts.request_id)
         )
-
-    def _may_leave(self) -> bool:
-        """Return whether another upstream could take the request over."""
-        request = self._context
-        budget = self._parts.get_budget(request.service)
-        return budget.has_room(
-            self._parts.roster.live
-        ) and self._candidates.has_others(request.admitted, request.service)
-
-    def _build_patience(self) -> Patience:
-        request = self._context
-        route = request.admitted.route
-        seconds = None
-        if route.repeatable and request.runs < route.max_attempts:
-            seconds = max(
-                SILENT_TARGETS * route.target_seconds, MIN_SILENT_SECONDS
-            )
-        return Patience(seconds, self._may_leave)
-
-    def _tell_sent(
-        self, upstream: FleetUpstream, order: UpstreamOrder, kept: bool
-    ) -> None:
-        name = 'resumed' if self._passing.relay.started else 'sent'
-        self._story.add(
-            name,
-            instance=upstream.instance,
-            address=upstream.entry.address,
-            weights=order.weights,
-            last_event=order.last_event,
-            in_flight=upstream.in_flight,
-            kept_connection=kept,
-            attempt=self._context.sends,
-            live_routers=self._parts.roster.live,
-        )
