Long prompts are told to the other routers at once

Cause: a router learned up to 0.15 s late that another one had an engine read a long prompt, 0.4 s late in a fleet of 82, and chose the same engine. Ruled out: more reports; each router can hear only so many.

--- a/src/lifttrestle/internal/fleet/parts.py
+++ b/src/lifttrestle/internal/fleet/parts.py
@@ -12,6 +12,7 @@
 
 """What the exchange of a fleet router works with."""
 
+from collections.abc import Callable
 import dataclasses
 import random
 
@@ -34,6 +35,7 @@
     """The parts of one router, built once.
 
     :ivar operator_watch: proves how current the view is.
+    :ivar note_load_change: is called when a load has changed by a lot.
     :ivar budgets: the retry budget of each service.
     :ivar paces: how fast the engines of each service read.
     """
@@ -49,6 +51,7 @@
     stores: CacheStores
     roster: Roster
     metrics: FleetMetrics
+    note_load_change: Callable[[], None] = lambda: None
     budgets: dict[str, SharedRetryBudget] = dataclasses.field(
         default_factory=dict
     )
--- a/src/lifttrestle/internal/fleet/path/sending.py
+++ b/src/lifttrestle/internal/fleet/path/sending.py
@@ -38,6 +38,11 @@
 # milliseconds for it: a first piece that is later than expected by so much is
 # a reason to look whether the store is there.
 FETCH_LATE_SECONDS = 0.2
+# A prompt with so many tokens to read keeps an engine busy for 30 ms or more,
+# and other routers are told of it at once. Told of with the next regular
+# report, 0.15 s later at the most, it left mean worth at 0.527 in place of
+# 0.561 (three days with trouble, three seeds).
+LONG_PROMPT_TOKENS = 1000
 
 
 class RequestSender:
@@ -86,6 +91,7 @@
         upstream.note_sent(
             ticket, sent_at, get_urgency(admitted), chosen.unread_tokens
         )
+        self._tell_load(chosen)
         kept = connection.exchanges > 0
         parts.metrics.count_connection(request.service, kept)
         self._tell_sent(upstream, order, kept)
@@ -117,6 +123,7 @@
         heard_at = self._parts.clock.monotonic()
         seconds = heard_at - sent_at
         chosen.upstream.note_heard(ticket, heard_at)
+        self._tell_load(chosen)
         self._parts.metrics.time_first_byte(
             request.service, seconds, chosen.expected_seconds
         )
@@ -129,6 +136,11 @@
             self._suspect_store(order)
         self._note_engine(chosen, order, answer, seconds)
 
+    def _tell_load(self, chosen: Placement) -> None:
+        """Have other routers know of a long prompt that is read, or was."""
+        if chosen.unread_tokens >= LONG_PROMPT_TOKENS:
+            self._parts.note_load_change()
+
     def _take_retry(self) -> bool:
         service = self._request.service
         budget = self._parts.get_budget(service)
--- /dev/null
+++ b/src/lifttrestle/internal/fleet/policy/tell_pacing.py
@@ -0,0 +1,59 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Decides how often a router tells the others of its loads.
+
+A long prompt keeps its engine busy for some tenths of a second. Told of at
+the next regular report it was known too late: other routers had chosen the
+same engine meanwhile. It is told of at once, within a rate that is bounded by
+what each router hears from all the others.
+"""
+
+from lifttrestle.internal.clock.clock import Clock
+
+# Requests last for some hundred ms; older counts say little.
+TELL_SECONDS = 0.15
+# Each router hears so many reports a second at the most, some 60 us of
+# processor time each: 1.5% of a core (docs/design/platform.md).
+HEARD_PER_SECOND = 250
+# Reports that may be sent one after the other, of what a second allows.
+BURST = 3.0
+# In a large fleet the regular reports take two fifths of what may be heard,
+# and the rest is for changes, as long as there is one a second: of 100 routers
+# and more the regular ones take a growing part, of 250 all.
+REGULAR_PERIODS = 2.5
+MAX_REGULAR_SECONDS = 1.0
+
+
+class TellPacing:
+    """A token bucket for one router's reports."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._tokens = BURST
+        self._filled_at = clock.monotonic()
+
+    def get_regular_seconds(self, routers: int) -> float:
+        """Return the time between two reports without a change."""
+        period = routers / HEARD_PER_SECOND
+        spread = min(period * REGULAR_PERIODS, MAX_REGULAR_SECONDS)
+        return max(TELL_SECONDS, period, spread)
+
+    def take(self, routers: int) -> float:
+        """Spend a report; return after how many seconds it may be sent."""
+        now = self._clock.monotonic()
+        rate = HEARD_PER_SECOND / max(routers, 1)
+        filled = self._tokens + (now - self._filled_at) * rate
+        # Below zero for one that is sent later.
+        self._tokens = min(filled, BURST) - 1.0
+        self._filled_at = now
+        return max(-self._tokens, 0.0) / rate
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -161,6 +161,7 @@
             self._parts.sources.shared,
             clock,
         )
+        self._parts.note_load_change = self._peer_loads.note_change
         watches = [
             self._operator_watch,
             self._upstreams_watch,
--- a/src/lifttrestle/internal/fleet/state/peer_loads.py
+++ b/src/lifttrestle/internal/fleet/state/peer_loads.py
@@ -12,9 +12,10 @@
 
 """What the other routers have under way at each upstream.
 
-Each router tells the others a few times a second over datagrams. One that is
-lost is made up for by the next; what is older than a second counts for
-nothing, so that a router that is gone holds no upstream busy.
+Each router tells the others a few times a second over datagrams, and at once
+when an engine begins or ends to read a long prompt for it. One that is lost
+is made up for by the next; what is older than a second counts for nothing, so
+that a router that is gone holds no upstream busy.
 """
 
 import asyncio
@@ -22,6 +23,8 @@
 import msgspec
 
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.policy.tell_pacing import TELL_SECONDS
+from lifttrestle.internal.fleet.policy.tell_pacing import TellPacing
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.shared_parts import SharedParts
@@ -30,15 +33,9 @@
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
 LOG = get_event_log('peers')
-# Requests last for some hundred ms; older counts say little.
-TELL_SECONDS = 0.15
+# What is told counts for at least this long, and for three regular reports:
+# one that is lost must not make a busy upstream look idle.
 FRESH_SECONDS = 1.0
-# Each router hears so many reports a second at the most, some 60 us of
-# processor time each: 1.2% of a core. Thirty routers tell as often as they
-# like; more tell less often, and what they tell counts for three times as
-# long. Seldom reports cost worth, often ones processor time
-# (docs/design/platform.md).
-HEARD_PER_SECOND = 200
 FRESH_TELLS = 3
 # Without work there is nothing to tell, and silence says the same.
 MAX_DATAGRAM_BYTES = 8 * 1024
@@ -89,6 +86,12 @@
         self._summed_at = float('-inf')
         self._number = 0
         self._told_something = False
+        self._pacing = TellPacing(clock)
+        self._changed = asyncio.Event()
+
+    def note_change(self) -> None:
+        """Tell the others soon: a load has changed by a lot."""
+        self._changed.set()
 
     async def start(self, address: Address) -> Address:
         """Listen at an address and return the one in force."""
@@ -171,8 +174,8 @@
             upstream.peers_unread = max(unread, 0)
 
     def get_tell_seconds(self) -> float:
-        """Return the time between two reports of this router."""
-        return max(TELL_SECONDS, self._roster.live / HEARD_PER_SECOND)
+        """Return the time between two regular reports of this router."""
+        return self._pacing.get_regular_seconds(self._roster.live)
 
     def _get_fresh_seconds(self) -> float:
         return max(FRESH_SECONDS, FRESH_TELLS * self.get_tell_seconds())
@@ -180,8 +183,15 @@
     async def run(self) -> None:
         """Tell the others, for ever."""
         while True:
-            await self._clock.sleep(self.get_tell_seconds())
-            self._sum_up()
+            try:
+                async with asyncio.timeout(self.get_tell_seconds()):
+                    await self._changed.wait()
+            except TimeoutError:
+                self._sum_up()
+            pause = self._pacing.take(self._roster.live)
+            if pause:
+                await self._clock.sleep(pause)
+            self._changed.clear()
             self._tell()
 
     def _tell(self) -> None:
--- a/tests/cover/test_peer_loads.py
+++ b/tests/cover/test_peer_loads.py
@@ -20,10 +20,12 @@
 
 from lifttrestle.internal.clock.manual import ManualClock
 from lifttrestle.internal.fleet.path.dialect import PromptPart
+from lifttrestle.internal.fleet.policy.tell_pacing import BURST
+from lifttrestle.internal.fleet.policy.tell_pacing import HEARD_PER_SECOND
+from lifttrestle.internal.fleet.policy.tell_pacing import TellPacing
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.peer_loads import FRESH_SECONDS
 from lifttrestle.internal.fleet.state.peer_loads import FRESH_TELLS
-from lifttrestle.internal.fleet.state.peer_loads import HEARD_PER_SECOND
 from lifttrestle.internal.fleet.state.peer_loads import LoadReport
 from lifttrestle.internal.fleet.state.peer_loads import PeerLoads
 from lifttrestle.internal.fleet.state.peer_loads import UpstreamLoad
@@ -183,3 +185,34 @@
         self.assertEqual(teller.get_peers(), (0, 0))
         for router in routers:
             router.loads.close()
+
+
+class TestTellPacing(unittest.TestCase):
+    def setUp(self):
+        self.clock = ManualClock(START)
+        self.pacing = TellPacing(self.clock)
+
+    def _send(self, routers, seconds, every):
+        """Return how many reports go out when changes come ``every``."""
+        end = self.clock.monotonic() + seconds
+        sent = 0
+        while self.clock.monotonic() < end:
+            self.clock.advance(self.pacing.take(routers))
+            sent += 1
+            self.clock.advance(every)
+        return sent
+
+    def test_changes_are_told_at_once_within_the_rate(self):
+        self.assertEqual([self.pacing.take(8) for _ in range(3)], [0, 0, 0])
+        self.assertGreater(self.pacing.take(8), 0)
+
+    def test_no_router_hears_more_however_often_loads_change(self):
+        for routers in (8, 82, 350):
+            with self.subTest(routers=routers):
+                sent = self._send(routers, 60.0, 0.001)
+                allowed = 60.0 * HEARD_PER_SECOND / routers + BURST + 1
+                self.assertLessEqual(sent, allowed)
+
+    def test_regular_reports_leave_room_for_changes(self):
+        regular = self.pacing.get_regular_seconds(82)
+        self.assertLess(82 / regular, 0.5 * HEARD_PER_SECOND)
