A single lost upstream makes no other suspect in a large data centre

Cause: every upstream in a data centre was probed once a second while one of them took no connections, by every router. Ruled out: telling a crash from a cut by how the connection fails; a cut may refuse connections too. After: a fifth of a data centre has to be lost.

--- a/src/lifttrestle/internal/fleet/state/reach_probing.py
+++ b/src/lifttrestle/internal/fleet/state/reach_probing.py
@@ -18,6 +18,7 @@
 """
 
 import asyncio
+import collections
 from collections.abc import Iterable
 
 from lifttrestle.errors import UpstreamConnectFailed
@@ -37,6 +38,10 @@
 # ten addresses on the largest deployment; each takes as long as a connection
 # may take (0.1 s), so all are known after two turns.
 MAX_PROBES = 8
+# One upstream of ten that is lost has crashed, and the others are not probed
+# for it. With 82 routers, five crashed engines of thirty had made 10,547
+# connections of a day that took 3,507 without probes.
+LOST_SHARE = 0.2
 
 
 class ReachProber:
@@ -108,9 +113,17 @@
     stores: Iterable[CacheStore],
     now: float,
 ) -> None:
-    """Suspect what is in the data centre of an upstream not reached."""
+    """Suspect what is in a data centre that may be cut off."""
     listed = list(upstreams)
-    lost = {item.entry.data_centre for item in listed if item.reach.unreached}
+    present = collections.Counter(item.entry.data_centre for item in listed)
+    absent = collections.Counter(
+        item.entry.data_centre for item in listed if item.reach.unreached
+    )
+    lost = {
+        name
+        for name, count in absent.items()
+        if count >= LOST_SHARE * present[name]
+    }
     for upstream in listed:
         heard = now - upstream.heard_at < SILENT_SECONDS
         if upstream.entry.data_centre in lost and not heard:
--- a/tests/cover/test_reach.py
+++ b/tests/cover/test_reach.py
@@ -115,6 +115,14 @@
         self.assertTrue(near.reach.unreached)
         self.assertEqual((far.pool.tries, heard.pool.tries), (0, 0))
 
+    async def test_one_of_many_that_is_lost_makes_nobody_suspect(self):
+        lost = make_upstream('a', 'x', reachable=False)
+        others = [make_upstream(f'b{number}', 'x') for number in range(9)]
+        self.upstreams.extend((lost, *others))
+        lost.reach.note_unreached()
+        await self._look(0.1)
+        self.assertEqual(sum(item.pool.tries for item in others), 0)
+
     async def test_store_beside_one_that_is_lost_is_probed(self):
         facts = CacheStoreFacts('127.0.0.1:9', 'x', 1000)
         store = self.stores.get(facts)
