--- a/src/lifttrestle/internal/fleet/loads/weights_loader.py
+++ b/src/lifttrestle/internal/fleet/loads/weights_loader.py
@@ -35,7 +35,6 @@
 from lifttrestle.internal.fleet.loads.load_tracking import LoadTracker
 from lifttrestle.internal.fleet.policy.load_pacing import count_room
 from lifttrestle.internal.fleet.policy.load_pacing import find_turn
-from lifttrestle.internal.fleet.policy.load_pacing import is_due
 from lifttrestle.internal.fleet.policy.load_pacing import list_engines
 from lifttrestle.internal.fleet.policy.load_pacing import list_outdated
 from lifttrestle.internal.fleet.policy.load_pacing import ORDER_SECONDS
@@ -114,19 +113,13 @@
         """Take the next step towards a model's newest weights."""
         loads = self._get_loads(model)
         await loads.follow()
-        wanted = self._view.wanted[model]
-        engines = self._list_engines(model)
-        outdated = list_outdated(engines, model, wanted.version)
+        version = self._view.wanted[model].version
+        outdated = list_outdated(self._list_engines(model), model, version)
         now = self._clock.monotonic()
         if not outdated:
             await self._tell_end(model)
             self._needed_since.pop(model, None)
             return
-        oldest = outdated[0].weights.get(model, 0)
-        if not is_due(wanted, oldest, now, self.promises.weights_seconds):
-            # The others' turns to take over count from when it is due.
-            self._needed_since.pop(model, None)
-            return
         self._needed_since.setdefault(model, now)
         # Whoever writes in between makes the condition on this row fail.
         held = self._plans.get(model)
--- a/src/lifttrestle/internal/fleet/policy/load_pacing.py
+++ b/src/lifttrestle/internal/fleet/policy/load_pacing.py
@@ -16,7 +16,6 @@
 import dataclasses
 import math
 
-from lifttrestle.internal.fleet.state.operator_view import WantedWeights
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.routing.rendezvous import rank_names
 
@@ -32,17 +31,6 @@
 # without slowing each other down (the sites' sheets); one at a time, and what
 # versions follow one another put off, made no difference beyond noise.
 LOADING_SHARE = 0.4
-# Versions follow one another if the last two came within this share of the
-# time in which the old one must be gone. Each load costs its engine a second
-# and all that it has cached; the one that the next version will replace is
-# better not made. Over five days of three seeds the mean worth rose by 0.01,
-# by 0.018 where six versions came in 23 s.
-FOLLOWING_SHARE = 0.75
-# The next version is waited for that much longer than the last one took.
-WAITED_GAPS = 1.3
-# From then on what is there is loaded: the rest of the time is for batches of
-# engines one after the other, and for orders that are lost.
-PUT_OFF_SHARE = 0.45
 
 
 @dataclasses.dataclass(frozen=True)
@@ -88,31 +76,6 @@
     return outdated
 
 
-def is_due(
-    wanted: WantedWeights, oldest: int, now: float, weights_seconds: float
-) -> bool:
-    """Return whether the newest version is to be loaded now.
-
-    It is put off where another one is likely to follow soon.
-
-    :param oldest: the version that the engine furthest behind holds.
-    :param weights_seconds: after which none may begin on replaced weights.
-    """
-    if len(wanted.seen_at) < 2:
-        return True
-    before, last = (seen_at for _, seen_at in wanted.seen_at[-2:])
-    gap = last - before
-    if gap >= weights_seconds * FOLLOWING_SHARE:
-        return True
-    replaced_at = wanted.find_replaced(oldest)
-    if replaced_at is None:
-        return True
-    return (
-        now - last >= gap * WAITED_GAPS
-        or now - replaced_at >= weights_seconds * PUT_OFF_SHARE
-    )
-
-
 def count_room(engines: list[FleetUpstream], now: float) -> int:
     """Return how many engines may be without work at the same time.
 
--- a/tests/cover/test_decisions.py
+++ b/tests/cover/test_decisions.py
@@ -16,7 +16,6 @@
 
 from lifttrestle.internal.fleet.policy.load_pacing import count_room
 from lifttrestle.internal.fleet.policy.load_pacing import find_turn
-from lifttrestle.internal.fleet.policy.load_pacing import is_due
 from lifttrestle.internal.fleet.policy.load_pacing import list_engines
 from lifttrestle.internal.fleet.policy.load_pacing import list_outdated
 from lifttrestle.internal.fleet.policy.load_pacing import Turn
@@ -97,33 +96,6 @@
         self.assertGreater(find_turn('m', routers, 'router/b', turn), 23.0)
 
 
-class TestPutOff(unittest.TestCase):
-    """Whether weights are loaded that the next version may soon replace."""
-
-    def _is_due(self, now, *seen_at):
-        wanted = WantedWeights(
-            len(seen_at) + 1,
-            tuple((n + 2, at) for n, at in enumerate(seen_at)),
-        )
-        return is_due(wanted, 1, now, 8.0)
-
-    def test_single_version_is_loaded_at_once(self):
-        self.assertTrue(self._is_due(10.0, 10.0))
-        self.assertTrue(self._is_due(30.0, 10.0, 30.0))
-
-    def test_versions_that_follow_one_another_are_loaded_together(self):
-        self.assertFalse(self._is_due(13.0, 10.0, 13.0))
-        self.assertFalse(self._is_due(13.5, 10.0, 13.0))
-
-    def test_loaded_when_the_next_one_does_not_come(self):
-        self.assertFalse(self._is_due(12.2, 10.0, 11.0))
-        self.assertTrue(self._is_due(12.4, 10.0, 11.0))
-
-    def test_no_version_is_put_off_for_half_of_its_time(self):
-        self.assertFalse(self._is_due(13.5, 10.0, 12.9))
-        self.assertTrue(self._is_due(13.7, 10.0, 12.9))
-
-
 class TestWeightsFit(DirectoryCase):
     def setUp(self):
         super().setUp()
