--- a/tests/nocover/test_configuration.py
+++ b/tests/nocover/test_configuration.py
@@ -169,8 +169,8 @@
         statuses = sorted(reply.status for reply in replies)
         self.assertEqual(statuses[0], 200)
         self.assertEqual(statuses[1:], [409] * 3)
-        # The router that confirmed knows of it at once, the other with its next
-        # poll; and none of the refused plans makes a third revision.
+        # The router that confirmed knows of it at once, the other with its
+        # next poll; and none of the refused plans makes a third revision.
         routers = (self.silom, self.bangna)
         winner = routers[[reply.status for reply in replies].index(200) % 2]
         self.assertEqual(winner.status()['revision'], 2)
