The pace of a service is made once, not at each choice

Cause: asking for a pace built an empty one each time, to throw it away where one was there: once or twice a request. Before: a new object at each choice.

--- a/src/lifttrestle/internal/fleet/parts.py
+++ b/src/lifttrestle/internal/fleet/parts.py
@@ -60,7 +60,11 @@
 
     def get_pace(self, service: str) -> EnginePace:
         """Return what is learned of the engines of a service."""
-        return self.paces.setdefault(service, EnginePace())
+        pace = self.paces.get(service)
+        if pace is None:
+            pace = EnginePace()
+            self.paces[service] = pace
+        return pace
 
     def get_budget(self, service: str) -> SharedRetryBudget:
         """Return the retry budget of a service."""
