Sight of planned stops: cut requests and faults are told as such

Cause: a cancelled task kept the outcome it began with, `complete`, so that neither the log, the metrics, `explain` nor `losses` showed what a stop cut.

--- a/src/lifttrestle/internal/fleet/parts.py
+++ b/src/lifttrestle/internal/fleet/parts.py
@@ -26,6 +26,7 @@
 from lifttrestle.internal.fleet.state.engine_pace import EnginePace
 from lifttrestle.internal.fleet.state.operator_view import OperatorView
 from lifttrestle.internal.fleet.state.roster import Roster
+from lifttrestle.internal.fleet.state.shutdown import Shutdown
 from lifttrestle.internal.fleet.state.table_watch import TableWatch
 from lifttrestle.internal.telemetry.fleet_metrics import FleetMetrics
 
@@ -36,6 +37,7 @@
 
     :ivar operator_watch: proves how current the view is.
     :ivar stores: of cached context, and whether they can be reached.
+    :ivar shutdown: the order to stop, if there was one.
     :ivar note_load_change: is called when a load has changed by a lot.
     :ivar budgets: the retry budget of each service.
     :ivar paces: how fast the engines of each service read.
@@ -52,6 +54,7 @@
     stores: CacheStores
     roster: Roster
     metrics: FleetMetrics
+    shutdown: Shutdown
     note_load_change: Callable[[], None] = lambda: None
     budgets: dict[str, SharedRetryBudget] = dataclasses.field(
         default_factory=dict
--- a/src/lifttrestle/internal/fleet/path/answer_passing.py
+++ b/src/lifttrestle/internal/fleet/path/answer_passing.py
@@ -115,6 +115,10 @@
             await self.relay.feed(data)
         await self.relay.finish()
 
+    def get_quiet(self, now: float) -> float | None:
+        """Return the seconds since the last part of a stream, None if none."""
+        return None if self._part_at is None else now - self._part_at
+
     def _note_part(self, now: float) -> None:
         if self._part_at is not None:
             self.longest_pause = max(self.longest_pause, now - self._part_at)
--- a/src/lifttrestle/internal/fleet/path/doors.py
+++ b/src/lifttrestle/internal/fleet/path/doors.py
@@ -76,14 +76,10 @@
 
 
 class ReadyDoor:
-    """Says whether new connections are welcome.
-
-    :ivar stopping: the process was told to stop.
-    """
+    """Says whether new connections are welcome."""
 
     def __init__(self, parts: FleetParts) -> None:
         self._parts = parts
-        self.stopping = False
 
     async def handle(
         self, connection: ServerConnection, head: RequestHead
@@ -96,7 +92,7 @@
         """Return whether requests can be served."""
         parts = self._parts
         return (
-            not self.stopping
+            not parts.shutdown.begun
             and parts.view.catalogue is not None
             and is_fresh(parts)
         )
--- a/src/lifttrestle/internal/fleet/path/event_relay.py
+++ b/src/lifttrestle/internal/fleet/path/event_relay.py
@@ -29,6 +29,7 @@
     leaves nothing behind that another run could not follow.
 
     :ivar last_event: the id of the last event sent, or None.
+    :ivar sent: how many events were sent.
     """
 
     def __init__(
@@ -37,6 +38,7 @@
         self._connection = connection
         self.last_event = last_event
         self.started = False
+        self.sent = 0
         self._held = b''
         self._status = 0
         self._headers: tuple[Header, ...] = ()
@@ -66,6 +68,7 @@
             if self._is_next(event):
                 ready.append(event)
         if ready:
+            self.sent += len(ready)
             await self._send(b''.join(ready))
 
     async def finish(self) -> None:
--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -83,18 +83,23 @@
 
         :raises CallerGone: if the caller left.
         """
-        outcome = 'complete'
-        failed = False
+        # Told of whatever ends the request in none of the ways below.
+        outcome = 'fault'
+        failed = True
         try:
             self._body = await self._connection.read_body()
             await self._serve_watched()
+            outcome = 'complete'
+            failed = False
         except RequestRefused as refused:
             outcome = refused.kind.value
-            failed = True
             await self._refuse(refused)
-        except CallerGone as gone:
+        except (CallerGone, OSError) as gone:
             outcome = f'caller gone: {gone}'
-            failed = True
+            raise
+        except asyncio.CancelledError:
+            # This process ends before the request does.
+            outcome = 'cut'
             raise
         finally:
             service = self._request.service if self._request else ''
@@ -105,6 +110,8 @@
                 longest_pause_ms=round(
                     self._passing.longest_pause * MILLISECONDS
                 ),
+                events=self._passing.relay.sent or None,
+                quiet_ms=self._get_quiet_ms() if outcome == 'cut' else None,
                 **(self._sender.answered if self._sender else {}),
             )
             self._parts.metrics.count_request(
@@ -113,6 +120,11 @@
                 self._parts.clock.monotonic() - self._started,
             )
 
+    def _get_quiet_ms(self) -> int | None:
+        """Return since when the upstream has sent nothing, if it began."""
+        seconds = self._passing.get_quiet(self._parts.clock.monotonic())
+        return None if seconds is None else round(seconds * MILLISECONDS)
+
     async def _serve_watched(self) -> None:
         """Serve, and stop at once when the caller leaves."""
         work = asyncio.create_task(self._serve())
@@ -146,9 +158,10 @@
             'admitted',
             **build_admitted(
                 request.admitted,
-                self._facts.host,
+                self._facts,
                 self._parts.operator_watch.get_age(),
                 request.get_left(),
+                self._parts.shutdown.get_left(),
             ),
         )
         self._parts.get_budget(request.service).note_request()
--- a/src/lifttrestle/internal/fleet/path/story.py
+++ b/src/lifttrestle/internal/fleet/path/story.py
@@ -18,8 +18,10 @@
 """
 
 import dataclasses
+import math
 
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.path.dialect import RequestFacts
 from lifttrestle.internal.fleet.path.dialect import UpstreamOrder
 from lifttrestle.internal.fleet.policy.admission import Admitted
 from lifttrestle.internal.fleet.policy.placement import Placement
@@ -72,18 +74,30 @@
 
 
 def build_admitted(
-    admitted: Admitted, host: str, view_age: float, left: float
+    admitted: Admitted,
+    facts: RequestFacts,
+    view_age: float,
+    left: float,
+    stop_left: float,
 ) -> dict[str, object]:
-    """Return what the log tells of a request that may be served."""
+    """Return what the log tells of a request that may be served.
+
+    :param stop_left: seconds until this process is killed, or infinity.
+    """
     workspace = admitted.workspace
+    generation = facts.generation
     return {
-        'host': host,
+        'host': facts.host,
         'route': admitted.route.name,
         'workspace': workspace.name if workspace is not None else None,
         'configuration': admitted.catalogue.version,
         'view_age_ms': round(view_age * MILLISECONDS),
         'left_ms': round(left * MILLISECONDS),
         'target_ms': round(admitted.route.target_seconds * MILLISECONDS),
+        'asked_tokens': generation.output_tokens if generation else None,
+        'stop_left_ms': _to_milliseconds(
+            None if math.isinf(stop_left) else stop_left
+        ),
         'pause_target_ms': _to_milliseconds(admitted.route.pause_seconds),
     }
 
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -48,6 +48,7 @@
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.rows import RowStore
 from lifttrestle.internal.fleet.state.rows import VersionedRow
+from lifttrestle.internal.fleet.state.shutdown import Shutdown
 from lifttrestle.internal.fleet.state.table_watch import TableWatch
 from lifttrestle.internal.fleet.state.weights_view import WeightsView
 from lifttrestle.internal.http.address import Address
@@ -75,6 +76,7 @@
 # Callers reuse connections up to four fifths of the idle limit.
 IDLE_EXTRA_SECONDS = 2.0
 MAX_CONNECTIONS = 1500
+MILLISECONDS = 1000
 # Between two looks at the settings file, which may change without a signal.
 SETTINGS_SECONDS = 5.0
 SettingsReader = Callable[[], FleetSettings | None]
@@ -141,6 +143,7 @@
             stores=self.stores,
             roster=self.roster,
             metrics=FleetMetrics(),
+            shutdown=Shutdown(clock),
         )
         self._loader = WeightsLoader(
             store,
@@ -345,20 +348,35 @@
         self._stop.set()
 
     async def _shut_down(self) -> bool:
-        LOG.info('router.stopping', requests=self._callers.busy)
         grace = self._settings.promises.grace_seconds
-        self._ready.stopping = True
+        shutdown = self._parts.shutdown
+        shutdown.begin(grace)
+        LOG.info('router.stopping', requests=self._callers.busy, grace_s=grace)
         self._callers.announce_stop()
         notice = min(NOTICE_SECONDS, grace / 2)
         await self._clock.sleep(notice)
         await self.roster.leave()
+        LOG.info(
+            'router.closing',
+            after_ms=_to_milliseconds(shutdown.get_passed()),
+            requests=self._callers.busy,
+        )
         whole = await self._callers.stop(grace - notice - END_SECONDS)
         await self._probes.stop(0)
         await self._metrics.stop(0)
-        LOG.info('router.stopped', every_request_ended=whole)
+        LOG.info(
+            'router.stopped',
+            after_ms=_to_milliseconds(shutdown.get_passed()),
+            every_request_ended=whole,
+            cut=self._callers.cut,
+        )
         return whole
 
 
+def _to_milliseconds(seconds: float) -> int:
+    return round(seconds * MILLISECONDS)
+
+
 def _make_limits(catalogue: Catalogue | None) -> HttpLimits:
     if catalogue is None:
         return HttpLimits(max_connections=MAX_CONNECTIONS)
--- a/src/lifttrestle/internal/http/server.py
+++ b/src/lifttrestle/internal/http/server.py
@@ -57,6 +57,7 @@
             weakref.WeakSet()
         )
         self._stopping = False
+        self._cut = 0
 
     async def start(self, address: Address) -> Address:
         """Listen at ``address`` and return the address in force."""
@@ -75,6 +76,11 @@
         """Return the number of requests being served."""
         return len(self._busy)
 
+    @property
+    def cut(self) -> int:
+        """Return how many requests the stop has cut."""
+        return self._cut
+
     def set_limits(self, limits: HttpLimits) -> None:
         """Bound the connections that come from now on."""
         self._limits = limits
@@ -93,7 +99,8 @@
                 task.cancel()
         if self._busy:
             await asyncio.wait(set(self._busy), timeout=grace_seconds)
-        complete = not self._busy
+        self._cut = len(self._busy)
+        complete = not self._cut
         await self._tasks.end()
         return await self._flush(grace_seconds) and complete
 
--- a/src/lifttrestle/internal/telemetry/losses.py
+++ b/src/lifttrestle/internal/telemetry/losses.py
@@ -32,6 +32,7 @@
 from lifttrestle.internal.telemetry.log_lines import REQUEST
 
 COMPLETE = 'complete'
+CUT = 'cut'
 CALLER_GONE = 'caller gone'
 # An answer that began this much later than the choice of its upstream had
 # expected was not late by the choice alone: the error of nine in ten
@@ -233,6 +234,10 @@
     return float(first) - float(expected) > SURPRISE_MS
 
 
+def _was_cut(steps: dict[str, Line], last: Line) -> bool:
+    return last.fields.get('outcome') == CUT
+
+
 def _tell_attempt(steps: dict[str, Line], last: Line) -> str:
     return f'an attempt ended with {steps["attempt_failed"].fields["kind"]}'
 
@@ -251,6 +256,7 @@
 ]
 # What may have made a request end badly, the most telling first.
 CAUSES: tuple[Rule, ...] = (
+    (_was_cut, lambda steps, last: 'its router stopped'),
     (_has('attempt_failed'), _tell_attempt),
     (_has('out_of_time'), lambda steps, last: 'the upstream did not answer'),
     (_has('refused'), _tell_refusal),
--- a/tests/cover/test_losses.py
+++ b/tests/cover/test_losses.py
@@ -85,6 +85,9 @@
         ('refused', {'kind': 'deadline_exceeded', 'ran': 'unknown'}),
         outcome='deadline_exceeded',
     ),
+    'failed: its router stopped': make_story(
+        'i', 3.3, SENT, outcome='cut', begun_ms=90, first_ms=80
+    ),
     'left: the upstream did not answer': make_story(
         'h', 3.2, SENT, outcome='caller gone: closed'
     ),
@@ -123,7 +126,7 @@
             counts,
             [
                 {**zeros, 'in time': 1, 'late': 5},
-                {**zeros, 'refused': 1, 'failed': 1, 'left': 1},
+                {**zeros, 'refused': 1, 'failed': 2, 'left': 1},
             ],
         )
 
