--- a/tests/cover/test_http_server.py
+++ b/tests/cover/test_http_server.py
@@ -26,7 +26,7 @@
 # Less than the server buffers for a caller, so that sending returns at once.
 ANSWER_BYTES = 60_000
 GRACE_SECONDS = 10.0
-# More turns of the loop than an accepted connection needs to wait for a request.
+# More turns of the loop than an accepted connection needs until it waits.
 TURNS = 10
 
 
--- a/tests/nocover/test_fleet_stop.py
+++ b/tests/nocover/test_fleet_stop.py
@@ -30,6 +30,7 @@
 from lifttrestle.errors import UpstreamLost
 from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
 from lifttrestle.internal.http.address import Address
+from lifttrestle.internal.http.answer import Answer
 from tests.support.fleet import Fleet
 from tests.support.fleet import run_fleet
 from tests.support.fleet import wait_until
@@ -40,6 +41,8 @@
 # More requests than it takes to know how long they last.
 WARM_UP = 20
 POLL_SECONDS = 0.01
+# The routes' timeout.
+ROUTE_SECONDS = 8.0
 
 
 def hold_streams(fleet: Fleet) -> None:
@@ -111,12 +114,28 @@
         async with run_fleet() as fleet:
             for _ in range(WARM_UP):
                 await fleet.call('/safe/a')
-            stopping = asyncio.create_task(fleet.router.stop())
-            await wait_until(lambda: not fleet.router.is_ready())
-            answer = await fleet.call('/safe/a')
-            self.assertTrue(await stopping)
+            # As long as a request may last on that route: from now on its
+            # router knows that none does.
+            fleet.clock.skip(ROUTE_SECONDS)
+            await wait_until(fleet.router.is_ready)
+            answer = await self.call_while_stopping(fleet)
         self.assertEqual(answer.status, 200)
 
+    async def test_router_that_knows_little_refuses(self) -> None:
+        async with run_fleet() as fleet:
+            for _ in range(WARM_UP):
+                await fleet.call('/safe/a')
+            answer = await self.call_while_stopping(fleet)
+        self.assertEqual(answer.status, 503)
+        self.assertIn(b'"ran":"not run"', answer.body)
+
+    async def call_while_stopping(self, fleet: Fleet) -> Answer:
+        stopping = asyncio.create_task(fleet.router.stop())
+        await wait_until(lambda: not fleet.router.is_ready())
+        answer = await fleet.call('/safe/a')
+        self.assertTrue(await stopping)
+        return answer
+
 
 class TestEndOfGrace(unittest.IsolatedAsyncioTestCase):
     async def test_regression_request_without_an_answer_is_told_the_truth(
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -18,6 +18,7 @@
 import dataclasses
 import random
 
+from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.clock.system import SystemClock
 from lifttrestle.internal.fleet.process import FleetRouterProcess
 from lifttrestle.internal.fleet.settings import FleetSettings
@@ -35,6 +36,7 @@
 from lifttrestle.internal.platform.stored_format import PlatformFormat
 from tests.support.fleet_store import FleetStoreStandin
 from tests.support.fleet_upstream import FleetUpstreamStandin
+from tests.support.shifted_clock import ShiftedClock
 
 WAIT_SECONDS = 20.0
 PROMISES = Promises(retry_slack=40.0, grace_seconds=0.4)
@@ -95,6 +97,7 @@
     store: FleetStoreStandin
     router: FleetRouterProcess
     upstreams: dict[str, FleetUpstreamStandin]
+    clock: ShiftedClock
 
     async def call(
         self,
@@ -180,8 +183,9 @@
     upstreams = {
         name: FleetUpstreamStandin(name) for name in ('p1', 'p2', 'e1', 'e2')
     }
-    router = make_router(address, promises)
-    fleet = Fleet(store, router, upstreams)
+    clock = ShiftedClock()
+    router = make_router(address, promises, clock=clock)
+    fleet = Fleet(store, router, upstreams, clock)
     for name, upstream in upstreams.items():
         await upstream.start()
         service = 'plain' if name.startswith('p') else 'engines'
@@ -200,10 +204,13 @@
 
 
 def make_router(
-    store: Address, promises: Promises, vm: str = 'front-a-1'
+    store: Address,
+    promises: Promises,
+    vm: str = 'front-a-1',
+    clock: Clock | None = None,
 ) -> FleetRouterProcess:
     """Return a router that uses a store."""
-    clock = SystemClock()
+    clock = clock or SystemClock()
     settings = FleetSettings(
         vm=vm,
         data_centre='a',
