--- a/src/lifttrestle/internal/cli/fleet_router.py
+++ b/src/lifttrestle/internal/cli/fleet_router.py
@@ -32,7 +32,7 @@
 
 LOG = get_event_log('router')
 EXIT_OK = 0
-EXIT_CUT = 1
+EXIT_FAILED = 1
 # A call to the store answers in 4 ms, in 0.4 s when it is slow.
 STORE_SECONDS = 0.8
 # A report or an order is answered in a few ms.
@@ -69,7 +69,7 @@
 
 
 def run(options: argparse.Namespace) -> int:
-    """Run until a signal; exit 0 if every request was ended."""
+    """Run until a signal; exit 0 if every request was ended, without fault."""
     path = options.settings or pathlib.Path(
         os.environ.get(SETTINGS_VARIABLE, '')
     )
@@ -122,7 +122,7 @@
     whole = await process.run()
     for task in (following, feeding):
         task.cancel()
-    return EXIT_OK if whole else EXIT_CUT
+    return EXIT_OK if whole else EXIT_FAILED
 
 
 def _read_statsd(text: str) -> StatsdSection:
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -96,6 +96,7 @@
         self.store = store
         self._format = stored_format
         self._stop = asyncio.Event()
+        self._failed = False
         self._reload = asyncio.Event()
         self._control: list[asyncio.Task[None]] = []
         self.callers_address = Address('', 0)
@@ -256,14 +257,18 @@
         return self._ready.is_ready()
 
     async def run(self) -> bool:
-        """Serve until a signal; return whether every request was ended."""
+        """Serve until a signal or a fault; return whether all went well.
+
+        It did if no control task failed, and if every request was ended.
+        """
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self.request_reload)
         await self.start()
         await self._stop.wait()
-        return await self.stop()
+        whole = await self.stop()
+        return whole and not self._failed
 
     async def follow_settings(self, read: SettingsReader) -> None:
         """Apply the settings whenever they change, for ever.
@@ -342,6 +347,7 @@
         if task.cancelled() or task.exception() is None:
             return
         LOG.critical('router.control_failed', exc_info=task.exception())
+        self._failed = True
         self._stop.set()
 
 
--- a/tests/nocover/test_fleet_stop.py
+++ b/tests/nocover/test_fleet_stop.py
@@ -26,14 +26,18 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from lifttrestle.errors import UpstreamLost
 from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
 from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.http.answer import Answer
 from tests.support.fleet import Fleet
+from tests.support.fleet import make_router
+from tests.support.fleet import PROMISES
 from tests.support.fleet import run_fleet
 from tests.support.fleet import wait_until
+from tests.support.fleet_store import FleetStoreStandin
 from tests.support.fleet_upstream import Behaviour
 
 ENGINES = ('e1', 'e2')
@@ -168,5 +172,24 @@
         self.assertEqual(held.rows, ())
 
 
+class TestControlTask(unittest.IsolatedAsyncioTestCase):
+    async def test_regression_failed_control_task_is_no_clean_end(
+        self,
+    ) -> None:
+        # The process stopped in order and exited with 0, as if it had been
+        # told to.
+        store = FleetStoreStandin()
+        router = make_router(await store.start(), PROMISES)
+        with mock.patch.object(router.relays, 'run', fail):
+            with self.assertLogs('lifttrestle', 'CRITICAL') as logs:
+                self.assertFalse(await router.run())
+        await store.server.stop()
+        self.assertEqual(len(find_events(logs, 'router.control_failed')), 1)
+
+
+async def fail() -> None:
+    raise RuntimeError('a control task failed')
+
+
 if __name__ == '__main__':
     unittest.main()
