--- a/tests/cover/test_peer_loads.py
+++ b/tests/cover/test_peer_loads.py
@@ -15,6 +15,7 @@
 import asyncio
 import datetime
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -186,6 +187,25 @@
         for router in routers:
             router.loads.close()
 
+    async def test_regression_unreadable_address_ends_no_router(self):
+        # The work that tells of loads ended with an error, and a router
+        # stops when any such work does: one row stopped all of them.
+        router = Router('me')
+        transport = mock.Mock()
+        router.loads._transport = transport
+        router.meet('a', 'router.example:7400')
+        router.meet('b', '1.2.3.4:7400')
+        router.upstream.in_flight = 1
+        telling = asyncio.create_task(router.loads.run())
+        await asyncio.sleep(0)
+        router.loads.note_change()
+        for _ in range(6):
+            await asyncio.sleep(0)
+        self.assertFalse(telling.done())
+        told = [call.args[1] for call in transport.sendto.call_args_list]
+        self.assertEqual(told, [('1.2.3.4', 7400)])
+        telling.cancel()
+
 
 class TestTellPacing(unittest.TestCase):
     def setUp(self):
