A router's address that can't be read is refused at its row

Cause: the address of a row was read where it is used. The task that asks a router ended with an error that nobody read, and its turn came again after two seconds, at the cost of another relay's connection; the work that tells of loads ended for good, and a router stops when that ends. Ruled out: catching the error at both uses; a third one would have it again, and the follower would still give up a connection for a router that it can't ask. Before: three tests fail; no log line. After: the row counts as one without an address, with a log line (roster.address_refused) that tells its router and the reason, once for each write of the row. 57 tests of the roster, relays, loads, weights and views pass, among them the three; the linter is clean.

--- a/src/lifttrestle/internal/fleet/state/roster.py
+++ b/src/lifttrestle/internal/fleet/state/roster.py
@@ -30,6 +30,7 @@
 from lifttrestle.internal.fleet.state.rows import RowStore
 from lifttrestle.internal.fleet.state.rows import RowWrite
 from lifttrestle.internal.fleet.state.rows import VersionedRow
+from lifttrestle.internal.http.address import check_address
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
 LOG = get_event_log('roster')
@@ -145,7 +146,7 @@
             held = _read_row(row.value)
             self._entries[row.key] = RosterEntry(
                 row.version,
-                held.address,
+                _read_address(row.key, held.address),
                 held.data_centre,
                 self._clock.monotonic(),
             )
@@ -229,3 +230,17 @@
     except (ValueError, msgspec.MsgspecError) as error:
         LOG.error('roster.unreadable', reason=str(error))
         return RouterRow('')
+
+
+def _read_address(key: str, text: str) -> str:
+    """Return an address that can be used, or an empty string.
+
+    A router without one is counted; nobody asks it or tells it anything.
+    """
+    if text:
+        try:
+            check_address(text)
+        except ValueError as error:
+            LOG.error('roster.address_refused', router=key, reason=str(error))
+            return ''
+    return text
