One way for commands to report a fault

Cause: `explain` and `losses` each printed an error with its remedy and returned the same code; that code stood in four commands. Ruled out: one remedy for both; one reads files, the other writes one as well. Before: the same lines twice, the code four times. After: `cli/faults.py` holds both. The messages and codes are as before: 19 tests of the commands pass, as do runs of three of them on a file that is not there; the linter is clean.

--- a/src/lifttrestle/internal/cli/check.py
+++ b/src/lifttrestle/internal/cli/check.py
@@ -17,6 +17,7 @@
 
 from returns.result import Failure
 
+from lifttrestle.internal.cli.faults import EXIT_FAULT
 from lifttrestle.internal.platform.node_settings import check_node_settings
 from lifttrestle.internal.settings.fault import Fault
 from lifttrestle.internal.settings.load import check_settings
@@ -24,7 +25,6 @@
 EXIT_OK = 0
 # Settings that the users' platform writes; our own are TOML.
 NODE_SUFFIXES = ('.yaml', '.yml')
-EXIT_FAULT = 2
 
 
 def add_commands(commands: 'argparse._SubParsersAction') -> None:
--- a/src/lifttrestle/internal/cli/explain.py
+++ b/src/lifttrestle/internal/cli/explain.py
@@ -16,6 +16,7 @@
 import pathlib
 import sys
 
+from lifttrestle.internal.cli.faults import report_fault
 from lifttrestle.internal.telemetry.explanation import explain
 from lifttrestle.internal.telemetry.explanation import render_json
 from lifttrestle.internal.telemetry.explanation import render_text
@@ -23,7 +24,6 @@
 
 EXIT_OK = 0
 EXIT_UNKNOWN = 1
-EXIT_FAULT = 2
 
 
 def add_commands(commands: 'argparse._SubParsersAction') -> None:
@@ -49,8 +49,7 @@
         print(error, file=sys.stderr)
         return EXIT_UNKNOWN
     except OSError as error:
-        print(f'{error}; give files that can be read', file=sys.stderr)
-        return EXIT_FAULT
+        return report_fault(error, 'give files that can be read')
     render = render_json if options.json else render_text
     print(render(explanation))
     return EXIT_OK
--- a/src/lifttrestle/internal/cli/losses.py
+++ b/src/lifttrestle/internal/cli/losses.py
@@ -17,6 +17,7 @@
 import pathlib
 import sys
 
+from lifttrestle.internal.cli.faults import report_fault
 from lifttrestle.internal.telemetry.losses import find_losses
 from lifttrestle.internal.telemetry.losses import Losses
 from lifttrestle.internal.telemetry.losses import Outcome
@@ -25,9 +26,9 @@
 
 EXIT_OK = 0
 EXIT_NONE = 1
-EXIT_FAULT = 2
 WINDOW_SECONDS = 2.0
 INCHES = (10, 4)
+INSTALL = "install the extra: pip install 'lifttrestle[plots]'"
 
 
 def add_commands(commands: 'argparse._SubParsersAction') -> None:
@@ -64,9 +65,10 @@
         losses = find_losses(options.logs, options.window)
         if options.picture is not None:
             _draw(losses, options.picture)
-    except (OSError, ModuleNotFoundError) as error:
-        print(_explain_fault(error), file=sys.stderr)
-        return EXIT_FAULT
+    except ModuleNotFoundError as error:
+        return report_fault(error, INSTALL)
+    except OSError as error:
+        return report_fault(error, 'give files that can be read and written')
     if not losses.windows:
         print(
             f'no request ends in {len(options.logs)} files; give the logs of'
@@ -91,12 +93,6 @@
     return datetime.timedelta(seconds=seconds)
 
 
-def _explain_fault(error: Exception) -> str:
-    if isinstance(error, ModuleNotFoundError):
-        return f"{error}; install the extra: pip install 'lifttrestle[plots]'"
-    return f'{error}; give files that can be read and written'
-
-
 def _draw(losses: Losses, path: pathlib.Path) -> None:
     """Draw the outcomes over time.
 
--- a/src/lifttrestle/internal/cli/main.py
+++ b/src/lifttrestle/internal/cli/main.py
@@ -18,6 +18,7 @@
 from lifttrestle.errors import LifttrestleError
 import lifttrestle.internal.cli.check as check
 import lifttrestle.internal.cli.explain as explain
+from lifttrestle.internal.cli.faults import EXIT_FAULT
 import lifttrestle.internal.cli.fleet_router as fleet_router
 import lifttrestle.internal.cli.losses as losses
 import lifttrestle.internal.cli.operator as operator
@@ -25,7 +26,6 @@
 import lifttrestle.internal.cli.router as router
 import lifttrestle.internal.cli.standin as standin
 
-EXIT_FAULT = 2
 COMMANDS = (
     router,
     fleet_router,
