Rankings, draws and numbers of headers: one piece of code each

Cause: the routing policy and the first policy, kept as its baseline, held the same memory of rankings and the same two draws; a request's two numbers were read by two functions alike but for the type. Ruled out: sharing how the two policies weigh and cut homes, which is what a replay compares; wire codes and declarations of a like shape, which only look alike; the scenarios, which are data. Before: the same logic twice. After: `routing/ranking_memory.py`, `routing/draws.py` and one `_read_number`.

--- a/src/lifttrestle/internal/platform/request_dialect.py
+++ b/src/lifttrestle/internal/platform/request_dialect.py
@@ -12,6 +12,9 @@
 
 """Translates the heads of callers' requests and of upstreams' answers."""
 
+from collections.abc import Callable
+import typing
+
 import msgspec
 
 from lifttrestle.errors import RequestRefused
@@ -32,6 +35,7 @@
 from lifttrestle.internal.refusal.answers import ANSWERS
 from lifttrestle.internal.refusal.kind import ErrorKind
 
+Number = typing.TypeVar('Number', int, float)
 MILLISECONDS = 1000
 STATUS_OTHER_INSTANCE = 421
 IDENTITY = 'identity'
@@ -43,7 +47,7 @@
     def read_request(self, head: RequestHead) -> RequestFacts:
         """Return what a request's head says."""
         host = find_single_header(head, 'host').rpartition(':')
-        wait = _read_number(head, names.DEADLINE)
+        wait = _read_number(head, names.DEADLINE, float, 'a number')
         return RequestFacts(
             request_id=find_single_header(head, names.REQUEST_ID),
             host=(host[0] if host[2].isdecimal() else ''.join(host)).lower(),
@@ -51,7 +55,9 @@
             key=_read_key(head),
             wait_seconds=None if wait is None else wait / MILLISECONDS,
             generation=_read_generation(head),
-            last_event=_read_integer(head, names.LAST_EVENT),
+            last_event=_read_number(
+                head, names.LAST_EVENT, int, 'a whole number'
+            ),
         )
 
     def build_head(
@@ -158,24 +164,20 @@
     return tuple(parts)
 
 
-def _read_number(head: RequestHead, name: str) -> float | None:
-    text = find_single_header(head, name)
-    if not text:
-        return None
-    try:
-        return float(text)
-    except ValueError:
-        raise _refuse(name, text, 'a number') from None
-
+def _read_number(
+    head: RequestHead, name: str, read: Callable[[str], Number], wanted: str
+) -> Number | None:
+    """Return a header's number, or nothing if it is not there.
 
-def _read_integer(head: RequestHead, name: str) -> int | None:
+    :param read: raises ``ValueError`` for what is not ``wanted``.
+    """
     text = find_single_header(head, name)
     if not text:
         return None
     try:
-        return int(text)
+        return read(text)
     except ValueError:
-        raise _refuse(name, text, 'a whole number') from None
+        raise _refuse(name, text, wanted) from None
 
 
 def _refuse(name: str, value: str, wanted: str) -> RequestRefused:
--- a/src/lifttrestle/internal/replay/nested_first.py
+++ b/src/lifttrestle/internal/replay/nested_first.py
@@ -19,16 +19,17 @@
 random as a way out of a crowd, the least expected time to first token wins.
 """
 
-import collections
 import dataclasses
 import random
 
 from lifttrestle.internal.routing.candidate import Candidate
 from lifttrestle.internal.routing.choice import Choice
+from lifttrestle.internal.routing.draws import draw_beside
+from lifttrestle.internal.routing.draws import draw_nearest
 from lifttrestle.internal.routing.evidence import Evidence
 from lifttrestle.internal.routing.policy import Policy
 from lifttrestle.internal.routing.prompt import Prompt
-from lifttrestle.internal.routing.rendezvous import rank_names
+from lifttrestle.internal.routing.ranking_memory import RankingMemory
 
 NO_PROMPT = Prompt((), 0)
 
@@ -71,9 +72,7 @@
         self._evidence = Evidence(
             self._settings.evidence_seconds, self._settings.evidence_entries
         )
-        self._rankings: collections.OrderedDict[object, list[str]] = (
-            collections.OrderedDict()
-        )
+        self._rankings = RankingMemory(self._settings.ranking_entries)
 
     def choose(
         self, prompt: Prompt, candidates: list[Candidate], now: float
@@ -84,7 +83,10 @@
             return self._spread(candidates, by_name, now)
         homes = self._find_homes(prompt, tuple(by_name))
         best = self._weigh(prompt, homes, by_name, now)
-        others = self._draw(candidates, homes)
+        drawn = draw_beside(
+            self._source, candidates, homes, self._settings.random_choices
+        )
+        others = [item.name for item in drawn]
         if not others:
             return best
         way_out = self._weigh(
@@ -115,13 +117,11 @@
         now: float,
     ) -> Choice:
         """Return the better of two drawn at random, the nearest first."""
-        nearest = min(item.distance_seconds for item in candidates)
-        near = [
-            item for item in candidates if item.distance_seconds == nearest
-        ]
-        count = min(self._settings.random_choices, len(near))
-        drawn = [item.name for item in self._source.sample(near, count)]
-        return self._weigh(NO_PROMPT, drawn, by_name, now, 'least loaded')
+        drawn = draw_nearest(
+            self._source, candidates, self._settings.random_choices
+        )
+        names = [item.name for item in drawn]
+        return self._weigh(NO_PROMPT, names, by_name, now, 'least loaded')
 
     def observe(
         self,
@@ -138,26 +138,9 @@
         counts = self._settings.homes
         for index, level in enumerate(prompt.levels):
             count = counts[min(index, len(counts) - 1)]
-            homes = self._rank(level.digest, homes)[: max(count, 1)]
+            homes = self._rankings.rank(level.digest, homes)[: max(count, 1)]
         return homes
 
-    def _rank(self, digest: bytes, names: list[str]) -> list[str]:
-        key = (digest, tuple(names))
-        ranking = self._rankings.get(key)
-        if ranking is None:
-            ranking = rank_names(digest, names)
-            self._rankings[key] = ranking
-            if len(self._rankings) > self._settings.ranking_entries:
-                self._rankings.popitem(last=False)
-        return ranking
-
-    def _draw(
-        self, candidates: list[Candidate], homes: list[str]
-    ) -> list[str]:
-        count = min(self._settings.random_choices, len(candidates))
-        drawn = self._source.sample(candidates, count)
-        return [item.name for item in drawn if item.name not in homes]
-
     def _weigh(
         self,
         prompt: Prompt,
--- /dev/null
+++ b/src/lifttrestle/internal/routing/draws.py
@@ -0,0 +1,37 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Candidates that policies draw at random."""
+
+import random
+
+from lifttrestle.internal.routing.candidate import Candidate
+
+
+def draw_nearest(
+    source: random.Random, candidates: list[Candidate], count: int
+) -> list[Candidate]:
+    """Return up to ``count`` of the candidates that are nearest."""
+    nearest = min(item.distance_seconds for item in candidates)
+    near = [item for item in candidates if item.distance_seconds == nearest]
+    return source.sample(near, min(count, len(near)))
+
+
+def draw_beside(
+    source: random.Random,
+    candidates: list[Candidate],
+    homes: list[str],
+    count: int,
+) -> list[Candidate]:
+    """Draw up to ``count`` candidates; return those that are no homes."""
+    drawn = source.sample(candidates, min(count, len(candidates)))
+    return [item for item in drawn if item.name not in homes]
--- a/src/lifttrestle/internal/routing/nested.py
+++ b/src/lifttrestle/internal/routing/nested.py
@@ -19,16 +19,17 @@
 upstream would have to do.
 """
 
-import collections
 import dataclasses
 import random
 
 from lifttrestle.internal.routing.candidate import Candidate
 from lifttrestle.internal.routing.choice import Choice
+from lifttrestle.internal.routing.draws import draw_beside
+from lifttrestle.internal.routing.draws import draw_nearest
 from lifttrestle.internal.routing.evidence import Evidence
 from lifttrestle.internal.routing.policy import Policy
 from lifttrestle.internal.routing.prompt import Prompt
-from lifttrestle.internal.routing.rendezvous import rank_names
+from lifttrestle.internal.routing.ranking_memory import RankingMemory
 
 NO_PROMPT = Prompt((), 0)
 
@@ -67,9 +68,7 @@
         self._evidence = Evidence(
             self._settings.evidence_seconds, self._settings.evidence_entries
         )
-        self._rankings: collections.OrderedDict[object, list[str]] = (
-            collections.OrderedDict()
-        )
+        self._rankings = RankingMemory(self._settings.ranking_entries)
 
     def choose(
         self, prompt: Prompt, candidates: list[Candidate], now: float
@@ -81,7 +80,9 @@
         homes = self._rank_homes(prompt, tuple(by_name))
         first = self._expect(prompt, by_name[homes[0]], now, is_first=True)
         others = [by_name[name] for name in homes[1:]]
-        others += self._draw(candidates, homes)
+        others += draw_beside(
+            self._source, candidates, homes, self._settings.random_choices
+        )
         if not others:
             return first
         choices = [self._expect(prompt, item, now) for item in others]
@@ -100,12 +101,9 @@
 
     def _spread(self, candidates: list[Candidate], now: float) -> Choice:
         """Return the better of two drawn at random among the nearest."""
-        nearest = min(item.distance_seconds for item in candidates)
-        near = [
-            item for item in candidates if item.distance_seconds == nearest
-        ]
-        count = min(self._settings.random_choices, len(near))
-        drawn = self._source.sample(near, count)
+        drawn = draw_nearest(
+            self._source, candidates, self._settings.random_choices
+        )
         choices = [
             self._expect(NO_PROMPT, item, now, reason='least loaded')
             for item in drawn
@@ -115,29 +113,12 @@
     def _rank_homes(self, prompt: Prompt, names: tuple[str, ...]) -> list[str]:
         homes = list(names)
         for level in prompt.levels[:-1]:
-            ranking = self._rank(level.digest, homes)
+            ranking = self._rankings.rank(level.digest, homes)
             homes = ranking[: self._settings.upper_homes]
-        return self._rank(prompt.levels[-1].digest, homes)[
+        return self._rankings.rank(prompt.levels[-1].digest, homes)[
             : self._settings.upper_homes
         ]
 
-    def _rank(self, digest: bytes, names: list[str]) -> list[str]:
-        key = (digest, tuple(names))
-        ranking = self._rankings.get(key)
-        if ranking is None:
-            ranking = rank_names(digest, names)
-            self._rankings[key] = ranking
-            if len(self._rankings) > self._settings.ranking_entries:
-                self._rankings.popitem(last=False)
-        return ranking
-
-    def _draw(
-        self, candidates: list[Candidate], homes: list[str]
-    ) -> list[Candidate]:
-        count = min(self._settings.random_choices, len(candidates))
-        drawn = self._source.sample(candidates, count)
-        return [item for item in drawn if item.name not in homes]
-
     def _expect(
         self,
         prompt: Prompt,
--- /dev/null
+++ b/src/lifttrestle/internal/routing/ranking_memory.py
@@ -0,0 +1,38 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""A bounded memory of rankings, since ranking hashes every name."""
+
+import collections
+
+from lifttrestle.internal.routing.rendezvous import rank_names
+
+
+class RankingMemory:
+    """Ranks names and remembers the rankings that were made last."""
+
+    def __init__(self, max_entries: int) -> None:
+        self._max_entries = max_entries
+        self._rankings: collections.OrderedDict[object, list[str]] = (
+            collections.OrderedDict()
+        )
+
+    def rank(self, digest: bytes, names: list[str]) -> list[str]:
+        """Return ``names`` in the order in which ``digest`` prefers them."""
+        key = (digest, tuple(names))
+        ranking = self._rankings.get(key)
+        if ranking is None:
+            ranking = rank_names(digest, names)
+            self._rankings[key] = ranking
+            if len(self._rankings) > self._max_entries:
+                self._rankings.popitem(last=False)
+        return ranking
