The configuration's rows and large changes stand apart from its store

Cause: one file of 305 lines made the store's transactions, read and wrote what rows hold, and put large changes aside as objects. Ruled out: splitting the keeper (333 lines): its parts share the view, and a cut would only hand that to and fro. Before: one file of 305 lines; no test had a change large enough for an object.

--- a/src/lifttrestle/internal/configuration/keeper.py
+++ b/src/lifttrestle/internal/configuration/keeper.py
@@ -30,9 +30,9 @@
 from lifttrestle.internal.configuration.plan import AcceptedChange
 from lifttrestle.internal.configuration.plan import Plan
 from lifttrestle.internal.configuration.plan import PlanState
+from lifttrestle.internal.configuration.row_format import Versioned
 from lifttrestle.internal.configuration.store import ConfigurationStore
 from lifttrestle.internal.configuration.store import Heads
-from lifttrestle.internal.configuration.store import Versioned
 from lifttrestle.internal.configuration.view import build_view
 from lifttrestle.internal.configuration.view import EMPTY_VIEW
 from lifttrestle.internal.configuration.view import View
--- a/src/lifttrestle/internal/configuration/store.py
+++ b/src/lifttrestle/internal/configuration/store.py
@@ -19,17 +19,18 @@
 
 from lifttrestle.errors import ConditionFailed
 from lifttrestle.errors import PlatformUnavailable
-from lifttrestle.internal.configuration.change import Change
-from lifttrestle.internal.configuration.document import convert_item
 from lifttrestle.internal.configuration.document import Document
-from lifttrestle.internal.configuration.document import encode_item
 import lifttrestle.internal.configuration.keys as keys
-from lifttrestle.internal.configuration.model import Item
-from lifttrestle.internal.configuration.model import ItemKind
+from lifttrestle.internal.configuration.large_changes import LargeChanges
 from lifttrestle.internal.configuration.plan import AcceptedChange
 from lifttrestle.internal.configuration.plan import Head
 from lifttrestle.internal.configuration.plan import Plan
 from lifttrestle.internal.configuration.plan import PlanState
+from lifttrestle.internal.configuration.row_format import build_document
+from lifttrestle.internal.configuration.row_format import decode_existing
+from lifttrestle.internal.configuration.row_format import decode_row
+from lifttrestle.internal.configuration.row_format import Versioned
+from lifttrestle.internal.configuration.row_format import write_item
 from lifttrestle.internal.membership.member import Member
 from lifttrestle.internal.membership.member import Members
 from lifttrestle.internal.store.objects import ObjectStore
@@ -37,25 +38,13 @@
 from lifttrestle.internal.store.row import Check
 from lifttrestle.internal.store.row import make_write
 from lifttrestle.internal.store.row import REMOVED
-from lifttrestle.internal.store.row import Row
 from lifttrestle.internal.store.row import Transaction
 from lifttrestle.internal.store.row import Write
 from lifttrestle.internal.store.table import TableService
 
-T = typing.TypeVar('T')
-# A row of the table service should stay small; larger changes are objects.
-MAX_ROW_BYTES = 32 * 1024
 LOAD_TRIES = 5
 
 
-@dataclasses.dataclass(frozen=True)
-class Versioned(typing.Generic[T]):
-    """A decoded row with the version that a later check needs."""
-
-    value: T
-    version: int
-
-
 @dataclasses.dataclass(frozen=True)
 class Heads:
     """The two rows that every router polls, read as of one commit."""
@@ -73,20 +62,20 @@
 
     def __init__(self, table: TableService, objects: ObjectStore) -> None:
         self._table = table
-        self._objects = objects
+        self._large_changes = LargeChanges(objects)
 
     async def read_heads(self) -> Heads:
         """Return the head and the members."""
         rows = await self._table.read((keys.HEAD, keys.MEMBERS))
         return Heads(
-            _decode(rows.get(keys.HEAD), Head),
-            _decode(rows.get(keys.MEMBERS), Members),
+            decode_row(rows.get(keys.HEAD), Head),
+            decode_row(rows.get(keys.MEMBERS), Members),
         )
 
     async def read_head(self) -> Versioned[Head]:
         """Return the head alone, which stays small at any size."""
         rows = await self._table.read((keys.HEAD,))
-        return _decode(rows.get(keys.HEAD), Head)
+        return decode_row(rows.get(keys.HEAD), Head)
 
     async def load_document(self) -> tuple[int, Document]:
         """Return the accepted revision and its whole document."""
@@ -95,7 +84,7 @@
             rows = await self._table.scan(keys.ITEMS)
             after = (await self.read_heads()).head
             if before.value.revision == after.value.revision:
-                return after.value.revision, _build_document(rows)
+                return after.value.revision, build_document(rows)
         raise PlatformUnavailable(
             f'the configuration changed during each of {LOAD_TRIES} reads'
         )
@@ -111,8 +100,8 @@
         rows = await self._table.read(wanted)
         changes = []
         for key in wanted:
-            change = _decode_existing(rows, key, AcceptedChange)
-            changes.append(await self._fill_change(change))
+            change = decode_existing(rows, key, AcceptedChange)
+            changes.append(await self._large_changes.fill(change))
         return changes
 
     async def read_plan(self, plan_id: str) -> Versioned[Plan] | None:
@@ -198,7 +187,7 @@
         """
         revision = heads.head.value.revision + 1
         plan_id = plan.value.plan_id
-        change = await self._pack_change(revision, plan.value)
+        change = await self._large_changes.pack(revision, plan.value)
         accepted = msgspec.structs.replace(
             plan.value, state=PlanState.ACCEPTED, revision=revision
         )
@@ -206,7 +195,7 @@
             make_write(keys.HEAD, Head(revision)),
             make_write(keys.name_plan(plan_id), accepted),
             make_write(keys.name_change(revision), change),
-            *(_write_item(item) for item in plan.value.changes),
+            *(write_item(item) for item in plan.value.changes),
             *(
                 Write(keys.name_acknowledgement(plan_id, instance), REMOVED)
                 for instance in sorted(acknowledged)
@@ -250,56 +239,3 @@
             except ConditionFailed:
                 continue
             return
-
-    async def _pack_change(self, revision: int, plan: Plan) -> AcceptedChange:
-        body = msgspec.json.encode(plan.changes)
-        if len(body) <= MAX_ROW_BYTES:
-            return AcceptedChange(revision, plan.plan_id, plan.changes)
-        key = f'change-{plan.plan_id}'
-        await self._objects.put(key, body)
-        return AcceptedChange(revision, plan.plan_id, object_key=key)
-
-    async def _fill_change(self, change: AcceptedChange) -> AcceptedChange:
-        if not change.object_key:
-            return change
-        body = await self._objects.get(change.object_key)
-        if body is None:
-            raise PlatformUnavailable(
-                f'the object {change.object_key!r} is missing'
-            )
-        changes = msgspec.json.decode(body, type=tuple[Change, ...])
-        return msgspec.structs.replace(change, changes=changes)
-
-
-def _build_document(rows: list[Row]) -> Document:
-    tables: dict[ItemKind, dict[str, Item]] = {kind: {} for kind in ItemKind}
-    for row in rows:
-        kind_name, _, name = row.key.removeprefix(keys.ITEMS).partition('/')
-        kind = ItemKind(kind_name)
-        body = msgspec.json.decode(row.value)
-        tables[kind][name] = convert_item(kind, body)
-    return Document(
-        tables[ItemKind.WORKSPACE],  # type: ignore[arg-type]
-        tables[ItemKind.MODEL],  # type: ignore[arg-type]
-        tables[ItemKind.SERVICE],  # type: ignore[arg-type]
-    )
-
-
-def _write_item(change: Change) -> Write:
-    key = keys.name_item(change.kind, change.name)
-    if change.body is None:
-        return Write(key, REMOVED)
-    item = convert_item(change.kind, change.body)
-    return make_write(key, encode_item(item))
-
-
-def _decode(row: Row | None, model: type[T]) -> Versioned[T]:
-    if row is None:
-        return Versioned(model(), ABSENT)
-    return Versioned(msgspec.json.decode(row.value, type=model), row.version)
-
-
-def _decode_existing(rows: dict[str, Row], key: str, model: type[T]) -> T:
-    if key not in rows:
-        raise PlatformUnavailable(f'the row {key!r} is missing')
-    return msgspec.json.decode(rows[key].value, type=model)
--- a/src/lifttrestle/internal/operators/intent.py
+++ b/src/lifttrestle/internal/operators/intent.py
@@ -27,9 +27,9 @@
 from lifttrestle.internal.configuration.plan import Plan
 from lifttrestle.internal.configuration.plan import PlanState
 from lifttrestle.internal.configuration.planner import make_plan
+from lifttrestle.internal.configuration.row_format import Versioned
 from lifttrestle.internal.configuration.store import ConfigurationStore
 from lifttrestle.internal.configuration.store import Heads
-from lifttrestle.internal.configuration.store import Versioned
 from lifttrestle.internal.operators.outcome import PlanOutcome
 from lifttrestle.internal.refusal.execution import Execution
 from lifttrestle.internal.refusal.kind import ErrorKind
