How long a route's requests last: broken off ones hide no long one

Cause: a request that engines turned away unread, or that its caller left, counted as one that had ended; a hundred of them pushed the long ones out, and a stopping router took a stream that it had to cut. The durations of a route that a configuration moves to another service were kept with it. Ruled out: forgetting them all: one that was broken off late tells that others may last as long.

--- a/src/lifttrestle/internal/fleet/parts.py
+++ b/src/lifttrestle/internal/fleet/parts.py
@@ -46,7 +46,7 @@
     :ivar note_load_change: is called when a load has changed by a lot.
     :ivar budgets: the retry budget of each service.
     :ivar paces: how fast the engines of each service read.
-    :ivar durations: how long the requests of each route last.
+    :ivar durations: how long requests last, by service and route.
     """
 
     settings: FleetSettings
@@ -66,7 +66,7 @@
         default_factory=dict
     )
     paces: dict[str, EnginePace] = dataclasses.field(default_factory=dict)
-    durations: dict[str, RouteDurations] = dataclasses.field(
+    durations: dict[tuple[str, str], RouteDurations] = dataclasses.field(
         default_factory=dict
     )
 
@@ -78,15 +78,16 @@
             self.paces[service] = pace
         return pace
 
-    def get_durations(self, route: str) -> RouteDurations:
-        """Return how long the requests of a route last."""
-        durations = self.durations.pop(route, None)
+    def get_durations(self, service: str, route: str) -> RouteDurations:
+        """Return how long the requests of a route last at a service."""
+        key = (service, route)
+        durations = self.durations.pop(key, None)
         if durations is None:
             durations = RouteDurations()
             if len(self.durations) >= MAX_ROUTES:
                 del self.durations[next(iter(self.durations))]
         # The last one is the one that was asked for last.
-        self.durations[route] = durations
+        self.durations[key] = durations
         return durations
 
     def get_budget(self, service: str) -> SharedRetryBudget:
--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -179,12 +179,16 @@
             ),
         )
         self._parts.get_budget(request.service).note_request()
-        durations = self._parts.get_durations(request.admitted.route.name)
+        durations = self._parts.get_durations(
+            request.service, request.admitted.route.name
+        )
         ticket = next(_TICKETS)
         durations.note_begun(ticket, self._started)
+        complete = False
         try:
             async with asyncio.timeout(request.get_left()):
                 await run_attempts(self)
+            complete = True
         except TimeoutError:
             self._story.add('out_of_time')
             raise RequestRefused(
@@ -194,7 +198,7 @@
             ) from None
         finally:
             now = self._parts.clock.monotonic()
-            durations.note_ended(ticket, now, sent=request.sends > 0)
+            durations.note_ended(ticket, now, complete=complete)
 
     @property
     def _context(self) -> RequestContext:
--- a/src/lifttrestle/internal/fleet/path/request_context.py
+++ b/src/lifttrestle/internal/fleet/path/request_context.py
@@ -74,10 +74,10 @@
         :raises RequestRefused: if it may not be served any more.
         """
         self.admitted = admit(self.parts, self.facts)
-        self._check_stop()
         names = [share.service for share in self.admitted.route.shares]
         if self.service not in names:
             self.service = self._choose_service()
+        self._check_stop()
         return self.admitted
 
     def give_up(self, kind: ErrorKind, message: str) -> RequestRefused:
@@ -119,7 +119,8 @@
         route = self.admitted.route.name
         now = self.parts.clock.monotonic()
         limit = self.get_left()
-        longest = self.parts.get_durations(route).find_longest(now, limit)
+        durations = self.parts.get_durations(self.service, route)
+        longest = durations.find_longest(now, limit)
         left = shutdown.get_serving_left()
         if may_end_in_time(limit, longest, left):
             return
--- a/src/lifttrestle/internal/fleet/state/route_durations.py
+++ b/src/lifttrestle/internal/fleet/state/route_durations.py
@@ -26,13 +26,14 @@
 
 
 class RouteDurations:
-    """The latest requests of one route that were sent to an upstream."""
+    """The latest requests of one route, at one service."""
 
     def __init__(self) -> None:
         self._since: float | None = None
         self._ended: collections.deque[float] = collections.deque(
             maxlen=MAX_ENDED
         )
+        # In the order in which they began, so that the first is the oldest.
         self._running: dict[int, float] = {}
 
     def note_begun(self, ticket: int, started: float) -> None:
@@ -41,14 +42,16 @@
             self._since = started
         self._running[ticket] = started
 
-    def note_ended(self, ticket: int, now: float, *, sent: bool) -> None:
-        """Note its end, whatever it was.
+    def note_ended(self, ticket: int, now: float, *, complete: bool) -> None:
+        """Note its end.
 
-        :param sent: an upstream had it; else it tells nothing.
+        :param complete: it was answered to its end. One that was turned away,
+            lost or left by its caller would have lasted longer: it may tell
+            of a longer one, but must not hide those that are known.
         """
-        started = self._running.pop(ticket, None)
-        if started is not None and sent:
-            self._ended.append(now - started)
+        age = now - self._running.pop(ticket)
+        if complete or age > max(self._ended, default=0.0):
+            self._ended.append(age)
 
     def find_longest(self, now: float, limit: float) -> float | None:
         """Return the seconds of the longest, None if they can't be known yet.
@@ -62,5 +65,5 @@
             return None
         if len(self._ended) + len(self._running) < MIN_KNOWN:
             return None
-        ages = [now - started for started in self._running.values()]
-        return max([*self._ended, *ages])
+        oldest = next(iter(self._running.values()), now)
+        return max(now - oldest, max(self._ended, default=0.0))
