The HTTP server loses no connection or request when it stops

A connection whose listener closed within two turns of the loop from its acceptance was neither answered nor reset, and one that had just begun was read and closed. Where an answer had begun before the order to stop, its connection was closed after it without having been told, and a request that came meanwhile was read and dropped. Reading was resumed also where a caller had sent too much ahead. Ruled out: a fault of the callers: the listener was closed in the middle of an acceptance. Before: on the code before, three of 14 turns lost their connection, and the tests of a request sent ahead and of a paused reader fail. After: they pass, and a body that comes late is read.

--- a/src/lifttrestle/internal/http/server.py
+++ b/src/lifttrestle/internal/http/server.py
@@ -35,6 +35,8 @@
 # ended: 64 KiB, the most that a connection buffers, pass a link of 5 Mbit/s in
 # 0.1 s.
 FLUSH_SECONDS = 0.1
+# Turns of the loop from accepting a connection to its first read, and more.
+ACCEPT_TURNS = 8
 
 
 class HttpServer:
@@ -61,6 +63,10 @@
         self._writers: weakref.WeakSet[asyncio.StreamWriter] = (
             weakref.WeakSet()
         )
+        # Connections that have answered their last request.
+        self._closing: set[asyncio.Task[None]] = set()
+        # Is set while no request is served.
+        self._quiet = asyncio.Event()
         self._stopping = False
         self._cut = 0
 
@@ -104,34 +110,72 @@
             to leave the buffers; what requests leave of their time is added.
         """
         self._stopping = True
-        if self._server is not None:
-            self._server.close()
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + grace_seconds + flush_seconds
-        await self._end_idle()
-        if self._busy:
-            await asyncio.wait(set(self._busy), timeout=grace_seconds)
+        deadline = loop.time() + grace_seconds
+        await self._stop_accepting()
+        await self._wait_quiet(deadline)
         self._cut = len(self._busy)
         complete = not self._cut
+        await self._wait_closed(deadline)
         await self._tasks.end()
-        left = max(deadline - loop.time(), 0.0)
+        left = max(deadline + flush_seconds - loop.time(), 0.0)
         return await self._flush(left) and complete
 
-    async def _end_idle(self) -> None:
-        """End the connections that serve no request.
+    async def _stop_accepting(self) -> None:
+        """Close the listener; what it has accepted is served first.
 
-        One that has arrived whole and was not looked at yet is served: its
+        The standard library takes some turns of its loop from accepting a
+        connection to its first read, and loses one whose listener is closed
+        meanwhile: neither answered nor reset.
+        """
+        if self._server is None:
+            return
+        loop = asyncio.get_running_loop()
+        for listening in self._server.sockets:
+            loop.remove_reader(listening.fileno())
+        for _ in range(ACCEPT_TURNS):
+            await asyncio.sleep(0)
+        self._server.close()
+
+    async def _wait_quiet(self, deadline: float) -> None:
+        """Return when no request is served, or at the deadline.
+
+        Connections whose caller was not told that they end are kept as long
+        as others are busy: a request that comes is answered, and told so.
+        """
+        await self._end_waiting()
+        while self._busy:
+            try:
+                async with asyncio.timeout_at(deadline):
+                    await self._quiet.wait()
+            except TimeoutError:
+                return
+            await self._end_waiting()
+
+    async def _end_waiting(self) -> None:
+        """End the connections on which nothing has come of a request.
+
+        One that has arrived and was not looked at yet is served: its
         connection takes in nothing more and is given one turn.
         """
-        connections = dict(self._connections)
-        for connection in connections.values():
-            connection.pause_reading()
+        paused = {
+            task: connection
+            for task, connection in self._connections.items()
+            if connection.pause_reading()
+        }
         await asyncio.sleep(0)
-        for task in self._tasks:
-            if task not in self._busy:
+        for task, connection in tuple(self._connections.items()):
+            if connection.waiting:
                 task.cancel()
-            elif task in connections:
-                connections[task].resume_reading()
+            elif task in paused:
+                connection.resume_reading()
+
+    async def _wait_closed(self, deadline: float) -> None:
+        """Let the callers of what was answered close their connections."""
+        if not self._closing:
+            return
+        left = max(deadline - asyncio.get_running_loop().time(), 0.0)
+        await asyncio.wait(set(self._closing), timeout=left)
 
     async def _flush(self, grace_seconds: float) -> bool:
         """Wait until what was answered has left the buffers."""
@@ -173,6 +217,7 @@
             pass
         finally:
             del self._connections[task]
+            self._closing.discard(task)
 
     async def _refuse_connection(self, connection: ServerConnection) -> None:
         limit = self._limits.max_connections
@@ -199,6 +244,7 @@
                 await connection.close()
                 return
             self._busy.add(task)
+            self._quiet.clear()
             try:
                 if self._stopping:
                     connection.close_after_answer()
@@ -208,7 +254,10 @@
                 raise
             finally:
                 self._busy.discard(task)
-            if self._stopping or not connection.start_next():
+                if not self._busy:
+                    self._quiet.set()
+            if not connection.start_next():
+                self._closing.add(task)
                 await connection.close()
                 return
 
--- a/src/lifttrestle/internal/http/server_connection.py
+++ b/src/lifttrestle/internal/http/server_connection.py
@@ -55,6 +55,7 @@
             h11.SERVER, max_incomplete_event_size=limits.head_bytes
         )
         self._closing = False
+        self._waiting = False
         # A connection's transport, which the writer knows as one to write to.
         self._transport = cast(asyncio.Transport, writer.transport)
         bound_silence(self._transport)
@@ -75,9 +76,16 @@
         """Tell the caller with its answer that this connection ends."""
         self._closing = True
 
-    def pause_reading(self) -> None:
-        """Take in no further bytes."""
+    @property
+    def waiting(self) -> bool:
+        """Return whether nothing has come of a next request."""
+        return self._waiting
+
+    def pause_reading(self) -> bool:
+        """Take in no further bytes; return whether any were taken in."""
+        was_reading = self._transport.is_reading()
         self._transport.pause_reading()
+        return was_reading
 
     def resume_reading(self) -> None:
         """Take in bytes again."""
@@ -227,11 +235,14 @@
     async def _wait_for_bytes(self) -> bool:
         if self._wire.trailing_data[0]:
             return True
+        self._waiting = True
         try:
             async with asyncio.timeout(self._limits.idle_seconds):
                 data = await self._reader.read(READ_BYTES)
         except (TimeoutError, OSError):
             return False
+        finally:
+            self._waiting = False
         if not data:
             return False
         self._wire.receive_data(data)
--- a/tests/cover/test_http_server.py
+++ b/tests/cover/test_http_server.py
@@ -13,6 +13,7 @@
 """The HTTP server's stop, in one process."""
 
 import asyncio
+import contextlib
 import socket
 import unittest
 
@@ -20,12 +21,14 @@
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.limits import HttpLimits
+from lifttrestle.internal.http.server import ACCEPT_TURNS
 from lifttrestle.internal.http.server import HttpServer
 from lifttrestle.internal.http.server_connection import ServerConnection
 
 # Less than the server buffers for a caller, so that sending returns at once.
 ANSWER_BYTES = 60_000
 GRACE_SECONDS = 10.0
+REQUEST = b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
 # More turns of the loop than an accepted connection needs until it waits.
 TURNS = 10
 
@@ -42,7 +45,7 @@
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         raw.connect((address.host, address.port))
         reader, writer = await asyncio.open_connection(sock=raw, limit=2048)
-        writer.write(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+        writer.write(REQUEST)
         self.answered = asyncio.Event()
         async with asyncio.timeout(GRACE_SECONDS):
             await self.answered.wait()
@@ -84,10 +87,13 @@
         # A request that had been read from its connection, and not been
         # looked at yet, went with the connection when the server stopped.
         # A close with unread bytes resets; one after they were read does not.
+        answered = 0
         for steps in range(6):
             with self.subTest(steps=steps):
                 received = await self._stop_after_request(steps)
                 self.assertNotEqual(received, b'')
+                answered += received is not None
+        self.assertGreater(answered, 0)
 
     async def _stop_after_request(self, steps: int) -> bytes | None:
         """Return what a caller got, None if its request was never read."""
@@ -99,17 +105,137 @@
         )
         for _ in range(TURNS):
             await asyncio.sleep(0)
-        writer.write(b'GET / HTTP/1.1\r\nHost: a\r\n\r\n')
+        writer.write(REQUEST)
         for _ in range(steps):
             await asyncio.sleep(0)
+        return await self._read_while_stopping(server, reader, writer)
+
+    async def _read_while_stopping(
+        self,
+        server: HttpServer,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bytes | None:
+        """Return what comes until the end, None if the connection is reset."""
         async with asyncio.timeout(GRACE_SECONDS):
-            await server.stop(GRACE_SECONDS)
+            stopping = asyncio.create_task(server.stop(GRACE_SECONDS))
             try:
                 return await reader.read()
             except ConnectionResetError:
                 return None
             finally:
                 writer.close()
+                await stopping
+
+    async def test_regression_connection_just_accepted_is_not_lost(
+        self,
+    ) -> None:
+        # One whose listener closed within two turns of its acceptance was
+        # neither answered nor reset; within four, it was read and closed.
+        for steps in range(14):
+            with self.subTest(steps=steps):
+                server = HttpServer(self.handle, HttpLimits())
+                self.answered = asyncio.Event()
+                address = await server.start(Address('127.0.0.1', 0))
+                raw = socket.create_connection((address.host, address.port))
+                raw.sendall(REQUEST)
+                for _ in range(steps):
+                    await asyncio.sleep(0)
+                stopping = asyncio.create_task(server.stop(GRACE_SECONDS))
+                await asyncio.sleep(0)
+                reader, writer = await asyncio.open_connection(sock=raw)
+                async with asyncio.timeout(GRACE_SECONDS):
+                    with contextlib.suppress(ConnectionResetError):
+                        self.assertNotEqual(await reader.read(), b'')
+                    writer.close()
+                    await stopping
+
+    async def test_body_that_comes_after_the_order_to_stop_is_read(
+        self,
+    ) -> None:
+        async def echo(
+            connection: ServerConnection, _head: RequestHead
+        ) -> None:
+            body = await connection.read_body()
+            await connection.send_answer(Answer(200, (), body))
+
+        server = HttpServer(echo, HttpLimits())
+        address = await server.start(Address('127.0.0.1', 0))
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        head = b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n'
+        writer.write(head + b'ab')
+        while not server.busy:
+            await asyncio.sleep(0)
+        stopping = asyncio.create_task(server.stop(GRACE_SECONDS))
+        for _ in range(TURNS):
+            await asyncio.sleep(0)
+        writer.write(b'cd')
+        async with asyncio.timeout(GRACE_SECONDS):
+            self.assertTrue((await reader.read()).endswith(b'abcd'))
+            writer.close()
+            self.assertTrue(await stopping)
+
+    async def test_regression_request_sent_ahead_is_answered(self) -> None:
+        # An answer that had begun before the order to stop told nothing of a
+        # close. The next request on its connection was read and dropped.
+        release = asyncio.Event()
+
+        async def stream(
+            connection: ServerConnection, _head: RequestHead
+        ) -> None:
+            await connection.read_body()
+            await connection.start_answer(200, ())
+            await release.wait()
+            await connection.end_answer()
+
+        server = HttpServer(stream, HttpLimits())
+        address = await server.start(Address('127.0.0.1', 0))
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port
+        )
+        writer.write(REQUEST)
+        async with asyncio.timeout(GRACE_SECONDS):
+            first = await reader.readuntil(b'\r\n\r\n')
+            self.assertNotIn(b'close', first)
+            server.announce_stop()
+            writer.write(REQUEST)
+            stopping = asyncio.create_task(server.stop(GRACE_SECONDS))
+            release.set()
+            await reader.readuntil(b'0\r\n\r\n')
+            second = await reader.read()
+            self.assertTrue(second.startswith(b'HTTP/1.1 200'))
+            self.assertIn(b'connection: close', second)
+            writer.close()
+            self.assertTrue(await stopping)
+
+    async def test_stop_leaves_a_reader_that_was_paused(self) -> None:
+        # It was paused because its caller had sent too much ahead.
+        release = asyncio.Event()
+
+        async def wait(
+            connection: ServerConnection, _head: RequestHead
+        ) -> None:
+            self.connection = connection
+            await release.wait()
+            await connection.send_answer(Answer(200, (), b''))
+
+        server = HttpServer(wait, HttpLimits())
+        address = await server.start(Address('127.0.0.1', 0))
+        _, writer = await asyncio.open_connection(address.host, address.port)
+        writer.write(REQUEST)
+        while not server.busy:
+            await asyncio.sleep(0)
+        self.connection.pause_reading()
+        stopping = asyncio.create_task(server.stop(GRACE_SECONDS))
+        for _ in range(TURNS + ACCEPT_TURNS):
+            await asyncio.sleep(0)
+        self.assertFalse(self.connection.pause_reading())
+        release.set()
+        writer.close()
+        async with asyncio.timeout(GRACE_SECONDS):
+            await stopping
 
     async def handle(
         self, connection: ServerConnection, _head: RequestHead
