What a stop can't serve is told the truth, and counted as such

Cause: a body was read before anything looked at the end of the process, so a slow one was closed without a word; a repeat of a lost request was begun whatever was left; a request that got 502 at the end was logged and counted as `stopping`, which says that it has not run; and such a stop counted as whole. Before: the three tests fail (no answer, a second run that was cut, a stop that told that all went well). After: 503 "not run" for the body, 502 for the repeat without a second run, the outcome as it was answered, `given_up` in `router.stopped` and exit code 1.

--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -88,11 +88,13 @@
         outcome = 'fault'
         failed = True
         try:
-            self._body = await self._connection.read_body()
+            self._body = await self._read_body()
             await self._serve_watched()
             outcome = 'complete'
             failed = False
         except RequestRefused as refused:
+            if self._request is not None:
+                refused = self._request.be_truthful(refused)
             outcome = refused.kind.value
             await self._refuse(refused)
         except (CallerGone, OSError) as gone:
@@ -121,6 +123,36 @@
                 self._parts.clock.monotonic() - self._started,
             )
 
+    async def _read_body(self) -> bytes:
+        """Return the request's body, unless this process ends before it.
+
+        :raises RequestRefused: likewise, and for a faulty body.
+        """
+        loop = asyncio.get_running_loop()
+        ending = self._parts.shutdown.ending
+        try:
+            async with asyncio.timeout(None) as waiting:
+
+                def end(_: object) -> None:
+                    waiting.reschedule(loop.time())
+
+                ending.add_done_callback(end)
+                try:
+                    return await self._connection.read_body()
+                finally:
+                    ending.remove_done_callback(end)
+        except TimeoutError:
+            raise self._give_up('the body was complete') from None
+
+    def _give_up(self, missing: str) -> RequestRefused:
+        """Return the refusal of what this process can't finish."""
+        self._parts.shutdown.given_up += 1
+        return RequestRefused(
+            ErrorKind.STOPPING,
+            f'this router ended before {missing}',
+            retry_after=STOPPING_RETRY_SECONDS,
+        )
+
     def _get_quiet_ms(self) -> int | None:
         """Return since when the upstream has sent nothing, if it began."""
         seconds = self._passing.get_quiet(self._parts.clock.monotonic())
@@ -145,11 +177,7 @@
             elif gone.done():
                 raise CallerGone('the caller closed its connection')
             else:
-                raise RequestRefused(
-                    ErrorKind.STOPPING,
-                    'this router ended before the answer began',
-                    retry_after=STOPPING_RETRY_SECONDS,
-                )
+                raise self._give_up('the answer began')
         finally:
             for task in (work, gone):
                 task.cancel()
@@ -298,8 +326,6 @@
         upstream.pool.give_back(connection)
 
     async def _refuse(self, refused: RequestRefused) -> None:
-        if self._request is not None:
-            refused = self._request.be_truthful(refused)
         self._story.add(
             'refused',
             kind=refused.kind.value,
--- a/src/lifttrestle/internal/fleet/path/request_context.py
+++ b/src/lifttrestle/internal/fleet/path/request_context.py
@@ -16,6 +16,7 @@
 
 from lifttrestle.errors import RequestRefused
 from lifttrestle.internal.exchange.progress import RequestProgress
+from lifttrestle.internal.exchange.progress import RequestState
 from lifttrestle.internal.fleet.parts import FleetParts
 from lifttrestle.internal.fleet.path.dialect import RequestFacts
 from lifttrestle.internal.fleet.path.story import RequestStory
@@ -106,15 +107,16 @@
         )
 
     def _check_stop(self) -> None:
-        """Refuse what has not run and may not end before this process does.
+        """Refuse what may not end before this process does.
 
-        Asked before each sending, since an upstream may have turned it away
-        when its time was nearly over.
+        Asked before each sending, since an upstream may have turned it away,
+        or lost it, when its time was nearly over. A stream that has begun goes
+        on as far as it gets.
         """
         shutdown = self.parts.shutdown
         if not shutdown.begun:
             return
-        if self.progress.execution is not Execution.NOT_RUN:
+        if self.progress.state is RequestState.FIRST_BYTE:
             return
         route = self.admitted.route.name
         now = self.parts.clock.monotonic()
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -243,6 +243,11 @@
         """Return the configuration in force, None before the first."""
         return self._view.catalogue
 
+    @property
+    def busy(self) -> int:
+        """Return how many requests of callers are being served."""
+        return self._callers.busy
+
     @property
     def settings(self) -> FleetSettings:
         """Return the settings in force."""
--- a/src/lifttrestle/internal/fleet/state/shutdown.py
+++ b/src/lifttrestle/internal/fleet/state/shutdown.py
@@ -31,12 +31,14 @@
     """The stop of one process, with one deadline for all that it has to do.
 
     :ivar ending: is done when requests without an answer have to get one.
+    :ivar given_up: requests that got one then, in place of being served.
     """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._began: float | None = None
         self._seconds = 0.0
+        self.given_up = 0
         self.ending: asyncio.Future[None] = asyncio.Future()
 
     @property
--- a/src/lifttrestle/internal/fleet/stop_sequence.py
+++ b/src/lifttrestle/internal/fleet/stop_sequence.py
@@ -51,6 +51,7 @@
     whole = await callers.stop(
         shutdown.get_cut_left(), shutdown.get_flush_seconds()
     )
+    whole = whole and not shutdown.given_up
     await asyncio.wait({leaving}, timeout=shutdown.get_left())
     if not leaving.done():
         LOG.warning('router.row_left', reason='the store did not answer')
@@ -62,6 +63,7 @@
         after_ms=_get_passed_ms(shutdown),
         every_request_ended=whole,
         cut=callers.cut,
+        given_up=shutdown.given_up,
     )
     return whole
 
--- a/tests/nocover/test_fleet_stop.py
+++ b/tests/nocover/test_fleet_stop.py
@@ -46,6 +46,10 @@
 # More requests than it takes to know how long they last.
 WARM_UP = 20
 POLL_SECONDS = 0.01
+HALF_A_REQUEST = (
+    b'POST /once/a HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: r1\r\n'
+    b'Authorization: Token k1\r\nContent-Length: 10\r\n\r\n12345'
+)
 # Longer than any step of these tests takes, and shorter than a view of the
 # configuration is good for.
 GRACE_SECONDS = 3.0
@@ -63,6 +67,10 @@
     return sum(len(fleet.upstreams[name].runs) for name in ENGINES)
 
 
+def count_plain_runs(fleet: Fleet) -> int:
+    return sum(len(fleet.upstreams[name].runs) for name in PLAIN)
+
+
 def count_arrivals(fleet: Fleet) -> int:
     return sum(len(fleet.upstreams[name].arrivals) for name in ENGINES)
 
@@ -179,21 +187,66 @@
 
 
 class TestEndOfGrace(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.promises = dataclasses.replace(
+            PROMISES, grace_seconds=GRACE_SECONDS
+        )
+
+    async def call_silent(self, fleet: Fleet, path: str) -> asyncio.Task:
+        """Send a request that runs and gets no answer."""
+        for name in PLAIN:
+            fleet.upstreams[name].script.append(Behaviour.SILENT)
+        call = asyncio.create_task(fleet.call(path, method='POST'))
+        await wait_until(lambda: count_plain_runs(fleet) == 1)
+        return call
+
     async def test_regression_request_without_an_answer_is_told_the_truth(
         self,
     ) -> None:
-        promises = dataclasses.replace(PROMISES, grace_seconds=GRACE_SECONDS)
-        async with run_fleet(promises) as fleet:
-            for name in PLAIN:
-                fleet.upstreams[name].script.append(Behaviour.SILENT)
-            call = asyncio.create_task(fleet.call('/once/a', method='POST'))
-            await wait_until(
-                lambda: any(fleet.upstreams[x].runs for x in PLAIN)
+        with self.assertLogs('lifttrestle', 'INFO') as logs:
+            async with run_fleet(self.promises) as fleet:
+                call = await self.call_silent(fleet, '/once/a')
+                # Nothing is cut, and yet a request was not served.
+                self.assertFalse(await fleet.router.stop())
+                answer = await call
+        self.assertEqual(answer.status, 502)
+        self.assertIn(b'"ran":"unknown"', answer.body)
+        (ended,) = find_events(logs, 'request.ended')
+        self.assertEqual(ended['outcome'], 'upstream_failed')
+        stopped = find_events(logs, 'router.stopped')[0]
+        self.assertEqual((stopped['cut'], stopped['given_up']), (0, 1))
+
+    async def test_regression_slow_body_is_told_that_it_has_not_run(
+        self,
+    ) -> None:
+        async with run_fleet() as fleet:
+            address = fleet.router.callers_address
+            reader, writer = await asyncio.open_connection(
+                address.host, address.port
             )
+            writer.write(HALF_A_REQUEST)
+            await wait_until(lambda: fleet.router.busy == 1)
             await fleet.router.stop()
+            received = await reader.read()
+            writer.close()
+        self.assertTrue(received.startswith(b'HTTP/1.1 503'), received)
+        self.assertIn(b'"ran":"not run"', received)
+
+    async def test_regression_repeat_without_time_for_it_is_not_begun(
+        self,
+    ) -> None:
+        async with run_fleet(self.promises) as fleet:
+            call = await self.call_silent(fleet, '/safe/a')
+            stopping = asyncio.create_task(fleet.router.stop())
+            await wait_until(lambda: not fleet.router.is_ready())
+            fleet.clock.skip(GRACE_SECONDS)
+            for name in PLAIN:
+                if fleet.upstreams[name].runs:
+                    await fleet.upstreams[name].stop()
             answer = await call
+            self.assertEqual(count_plain_runs(fleet), 1)
+            await stopping
         self.assertEqual(answer.status, 502)
-        self.assertIn(b'"ran":"unknown"', answer.body)
 
     async def test_regression_slow_store_does_not_hold_the_listener_open(
         self,
