Work that ends with its caller or its process stands in a file of its own

Ruled out: nothing behaves otherwise; moved, not changed. Before: reading a body and watching for the end stood among the attempts.

--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -38,8 +38,9 @@
 from lifttrestle.internal.fleet.path.story import MILLISECONDS
 from lifttrestle.internal.fleet.path.story import RequestStory
 from lifttrestle.internal.fleet.path.upstream_search import find_upstream
+from lifttrestle.internal.fleet.path.watched_work import read_body
+from lifttrestle.internal.fleet.path.watched_work import run_watched
 from lifttrestle.internal.fleet.policy.placement import Placement
-from lifttrestle.internal.fleet.policy.stopping import STOPPING_RETRY_SECONDS
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.server_connection import ServerConnection
@@ -88,8 +89,9 @@
         outcome = 'fault'
         failed = True
         try:
-            self._body = await self._read_body()
-            await self._serve_watched()
+            shutdown = self._parts.shutdown
+            self._body = await read_body(self._connection, shutdown)
+            await run_watched(self._serve(), self._connection, shutdown)
             outcome = 'complete'
             failed = False
         except RequestRefused as refused:
@@ -123,66 +125,11 @@
                 self._parts.clock.monotonic() - self._started,
             )
 
-    async def _read_body(self) -> bytes:
-        """Return the request's body, unless this process ends before it.
-
-        :raises RequestRefused: likewise, and for a faulty body.
-        """
-        loop = asyncio.get_running_loop()
-        ending = self._parts.shutdown.ending
-        try:
-            async with asyncio.timeout(None) as waiting:
-
-                def end(_: object) -> None:
-                    waiting.reschedule(loop.time())
-
-                ending.add_done_callback(end)
-                try:
-                    return await self._connection.read_body()
-                finally:
-                    ending.remove_done_callback(end)
-        except TimeoutError:
-            raise self._give_up('the body was complete') from None
-
-    def _give_up(self, missing: str) -> RequestRefused:
-        """Return the refusal of what this process can't finish."""
-        self._parts.shutdown.given_up += 1
-        return RequestRefused(
-            ErrorKind.STOPPING,
-            f'this router ended before {missing}',
-            retry_after=STOPPING_RETRY_SECONDS,
-        )
-
     def _get_quiet_ms(self) -> int | None:
         """Return since when the upstream has sent nothing, if it began."""
         seconds = self._passing.get_quiet(self._parts.clock.monotonic())
         return None if seconds is None else round(seconds * MILLISECONDS)
 
-    async def _serve_watched(self) -> None:
-        """Serve, and stop at once when the caller leaves."""
-        work = asyncio.create_task(self._serve())
-        gone = asyncio.create_task(self._connection.wait_gone())
-        ending = self._parts.shutdown.ending
-        try:
-            await asyncio.wait(
-                {work, gone, ending}, return_when=asyncio.FIRST_COMPLETED
-            )
-            if ending.done() and self._connection.answer_started:
-                # It goes on for as long as the process does.
-                await asyncio.wait(
-                    {work, gone}, return_when=asyncio.FIRST_COMPLETED
-                )
-            if work.done():
-                work.result()
-            elif gone.done():
-                raise CallerGone('the caller closed its connection')
-            else:
-                raise self._give_up('the answer began')
-        finally:
-            for task in (work, gone):
-                task.cancel()
-            await asyncio.gather(work, gone, return_exceptions=True)
-
     async def _serve(self) -> None:
         request = begin_request(
             self._parts,
