A soak of planned stops with real router processes

Cause: planned stops were tested one at a time, in one process; signals, pauses and restarts that overlap, before a bad store, were not played at all. Ruled out: times that a busy machine could break: the only bounds are the kill by the driver, 1.5 s after the grace for a router that it did not pause, and half a second before the listener closes, within which a request may come too late to be read. Routers run in a process group of their own: a run of the whole script was hung up on by the system as its group lost its parent while a router in it was paused. Before: no test sent a real router SIGSTOP, SIGHUP or a second SIGTERM while it stopped.

--- a/tests/support/process.py
+++ b/tests/support/process.py
@@ -30,10 +30,15 @@
 
     :param arguments: the command line behind the program's name.
     :param program: how to start the program, if not from the source tree.
+    :param own_group: start it in a process group of its own. The system hangs
+        up on all of a group that loses its parent while one is paused.
     """
 
     def __init__(
-        self, arguments: list[str], program: list[str] | None = None
+        self,
+        arguments: list[str],
+        program: list[str] | None = None,
+        own_group: bool = False,
     ) -> None:
         command = [*(program or [sys.executable, '-m', 'lifttrestle'])]
         self.lines: list[str] = []
@@ -44,6 +49,7 @@
             stderr=subprocess.STDOUT,
             stdin=subprocess.DEVNULL,
             text=True,
+            process_group=0 if own_group else None,
             env={**os.environ, 'PYTHONUNBUFFERED': '1'},
         )
         self._reader = threading.Thread(target=self._read, daemon=True)
--- /dev/null
+++ b/tests/support/soak_play.py
@@ -0,0 +1,232 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""One play of a soak: routers, stand-ins, callers, stops and a bad store."""
+
+import asyncio
+import contextlib
+import dataclasses
+import pathlib
+import random
+import signal
+import tempfile
+
+from lifttrestle.internal.standin.faults import Faults
+from tests.support.fleet import CONFIGURATION
+from tests.support.fleet import make_route
+from tests.support.fleet_store import FleetStoreStandin
+from tests.support.soak_caller import SoakCaller
+from tests.support.soak_caller import Wish
+from tests.support.soak_records import Record
+from tests.support.soak_router import SoakRouter
+from tests.support.soak_rules import find_faults
+from tests.support.soak_upstream import PacedUpstream
+
+CALLERS = 14
+SHORT_SECONDS = 0.9
+
+
+@dataclasses.dataclass(frozen=True)
+class Case:
+    """What a play depends on.
+
+    :ivar limit: the timeout of the routes whose requests may outlast the
+        grace; a router that served for longer guesses how long they last.
+    :ivar calm: seconds for which each router serves, at least.
+    :ivar late: send further signals up to the end of the grace.
+    :ivar slack: seconds that a router has to exit in after its grace; wide,
+        so that a busy machine is not taken for a fault.
+    """
+
+    seed: int
+    grace: float = 2.0
+    limit: float = 8.0
+    calm: float = 0.2
+    late: bool = False
+    slack: float = 1.5
+
+
+@dataclasses.dataclass
+class Outcome:
+    """What came of a play."""
+
+    case: Case
+    record: Record
+    faults: list[str]
+    logs: dict[str, list[str]]
+
+
+def make_routes(limit: float) -> list[dict]:
+    """Return the routes, two of them with a timeout that is always short."""
+    long = {'timeout_ms': limit * 1000, 'max_attempts': 1}
+    short = {'timeout_ms': SHORT_SECONDS * 1000}
+    stream = {**long, 'service': 'engines'}
+    return [
+        make_route('safe', 'idempotent', **short),
+        make_route('once', 'non_idempotent', **{**long, **short}),
+        make_route('late', 'non_idempotent', **long),
+        make_route(
+            'text', 'stream', **{**stream, 'max_attempts': 2}, can_resume=True
+        ),
+        make_route('essay', 'stream', **stream),
+    ]
+
+
+def choose_wish(source: random.Random, limit: float) -> Wish:
+    """Return what a caller asks for next."""
+    route = source.choice(('safe', 'once', 'late', 'text', 'text', 'essay'))
+    if route in ('safe', 'once'):
+        pause = source.choice((0.0, 0.02, 0.1, 0.3, 0.5))
+        return Wish(route, SHORT_SECONDS, 0, pause)
+    if route == 'late':
+        pause = source.choice((0.0, 0.1, 0.4, 1.0, 2.5))
+        return Wish(route, limit, 0, pause)
+    events = source.randint(1, 40)
+    pause = source.choice((0.002, 0.01, 0.05, 0.12))
+    hurried = source.random() < 0.3
+    wait = events * pause * 1.5 + 0.3 if hurried else 0.0
+    return Wish(route, limit, events, pause, wait)
+
+
+class SoakPlay:
+    """Plays the seed's stops before the seed's traffic."""
+
+    def __init__(self, case: Case, folder: pathlib.Path) -> None:
+        self._case = case
+        self._folder = folder
+        self._record = Record(case.grace)
+        self._store = FleetStoreStandin()
+        self._upstreams = [
+            PacedUpstream(name, self._get_source(name))
+            for name in ('p1', 'p2', 'e1', 'e2', 'e3')
+        ]
+        self._routers: list[SoakRouter] = []
+        self._done = asyncio.Event()
+
+    def _get_source(self, name: str) -> random.Random:
+        return random.Random(f'{self._case.seed}/{name}')
+
+    async def run(self) -> Outcome:
+        """Play, and judge what was seen."""
+        record = self._record
+        try:
+            await self._set_up()
+            await self._play()
+        finally:
+            for router in self._routers:
+                router.kill()
+            for upstream in self._upstreams:
+                await upstream.stop()
+            await self._store.server.stop()
+        logs: dict[str, list[str]] = {}
+        for router in self._routers:
+            logs.update(router.logs)
+        for upstream in self._upstreams:
+            heads = [item.head for item in upstream.runs]
+            record.runs.update(x.get_header('request-id') for x in heads)
+            heads = upstream.arrivals
+            record.arrivals.update(x.get_header('request-id') for x in heads)
+        return Outcome(self._case, record, find_faults(record), logs)
+
+    async def _set_up(self) -> None:
+        store = await self._store.start()
+        routes = make_routes(self._case.limit)
+        self._store.put('op', 'config', {**CONFIGURATION, 'routes': routes})
+        for upstream in self._upstreams:
+            await upstream.start()
+            engine = upstream.instance.startswith('e')
+            entry = {
+                'service': 'engines' if engine else 'plain',
+                'address': str(upstream.address),
+                'zone': 'a',
+                'slots': 8,
+                'state': 'ready',
+                'models': [{'name': 'm', 'version': 1}] if engine else [],
+            }
+            self._store.put('servers', upstream.instance, entry)
+        count = self._get_source('shape').randint(2, 3)
+        for name in ('r1', 'r2', 'r3')[:count]:
+            source = self._get_source(name)
+            router = SoakRouter(
+                name, self._folder, store, self._record, source
+            )
+            router.signals_share = 0.9 if self._case.late else 0.45
+            router.slack = self._case.slack
+            self._routers.append(router)
+        await asyncio.gather(*(router.start() for router in self._routers))
+
+    async def _play(self) -> None:
+        series = self._get_source('series').random() < 0.4
+        gate = asyncio.Semaphore(1 if series else len(self._routers))
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._disturb_store())
+            for number in range(CALLERS):
+                tasks.create_task(self._send(f'c{number}'))
+            stops = [
+                self._stop_often(router, 1 if series else 2, gate)
+                for router in self._routers
+            ]
+            await asyncio.gather(*stops)
+            # The last ones stop while callers still call.
+            await asyncio.gather(*(router.stop() for router in self._routers))
+            self._done.set()
+
+    async def _stop_often(
+        self, router: SoakRouter, turns: int, gate: asyncio.Semaphore
+    ) -> None:
+        source = self._get_source(f'stops of {router.name}')
+        for _ in range(turns):
+            calm = self._case.calm + source.uniform(0.0, 1.3)
+            await asyncio.sleep(calm)
+            if source.random() < 0.3:
+                router.signal(signal.SIGHUP)
+            async with gate:
+                await router.stop()
+                await asyncio.sleep(source.uniform(0.0, 0.3))
+                await router.start()
+
+    async def _send(self, name: str) -> None:
+        source = self._get_source(name)
+        caller = SoakCaller(name, self._routers, self._record, source)
+        limit = self._case.limit
+        number = 0
+        while not self._done.is_set():
+            number += 1
+            await caller.call(number, choose_wish(source, limit))
+            await asyncio.sleep(source.uniform(0.0, 0.05))
+        caller.close()
+
+    async def _disturb_store(self) -> None:
+        source = self._get_source('store')
+        while not self._done.is_set():
+            await self._rest(source.uniform(0.3, 2.0))
+            if source.random() < 0.5:
+                self._record.tell('the store answers no writes')
+                self._store.writable.clear()
+            else:
+                self._record.tell('the store is slow')
+                delay = source.uniform(0.05, 0.3)
+                self._store.server.faults = Faults(delay_seconds=delay)
+            await self._rest(source.uniform(0.5, 2.5))
+            self._store.writable.set()
+            self._store.server.faults = Faults()
+            self._record.tell('the store is well')
+
+    async def _rest(self, seconds: float) -> None:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._done.wait(), seconds)
+
+
+async def play(case: Case) -> Outcome:
+    """Play one case."""
+    with tempfile.TemporaryDirectory() as folder:
+        return await SoakPlay(case, pathlib.Path(folder)).run()
--- /dev/null
+++ b/tests/support/soak_records.py
@@ -0,0 +1,114 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""What a soak of planned stops has seen, for its rules to judge."""
+
+import collections
+import dataclasses
+import enum
+import time
+
+PROMISING = (408, 421, 429, 503)
+
+
+class Kind(enum.Enum):
+    """How one try of a request ended for its caller."""
+
+    UNREACHED = 'no connection'
+    CLOSED = 'closed without an answer'
+    CUT = 'answer cut short'
+    HUNG = 'neither answer nor end'
+    WHOLE = 'whole answer'
+
+
+@dataclasses.dataclass
+class Life:
+    """One process of a router; times are monotonic seconds.
+
+    :ivar ready: when it was seen to be.
+    :ivar signalled: when it was told to stop.
+    :ivar announced: when it was seen to know that.
+    :ivar paused: the driver did that, so that it can't keep its times.
+    """
+
+    name: str
+    ready: float | None = None
+    signalled: float | None = None
+    announced: float | None = None
+    exited: float | None = None
+    code: int | None = None
+    paused: bool = False
+    killed: bool = False
+
+
+@dataclasses.dataclass
+class Try:
+    """One try of a request.
+
+    :ivar limit: seconds after which it may be given up in any case.
+    :ivar wanted: the events of its stream, of which it has ``after``.
+    :ivar sent: when it was written whole, None before.
+    """
+
+    id: str
+    route: str
+    life: Life
+    limit: float
+    wanted: int
+    after: int
+    began: float = dataclasses.field(default_factory=time.monotonic)
+    sent: float | None = None
+    ended: float = 0.0
+    kept: bool = False
+    kind: Kind = Kind.HUNG
+    status: int = 0
+    body: bytes = b''
+
+    @property
+    def refused(self) -> bool:
+        """Return whether it was told that it did not run."""
+        return self.kind is Kind.WHOLE and self.status in PROMISING
+
+    @property
+    def good(self) -> bool:
+        """Return whether it was served."""
+        return self.kind is Kind.WHOLE and self.status == 200
+
+    @property
+    def overdue(self) -> bool:
+        """Return whether its time was over when it ended."""
+        return self.ended - self.began >= self.limit
+
+
+@dataclasses.dataclass
+class Record:
+    """All that was seen in one play.
+
+    :ivar runs: how often each try ran, by its id.
+    :ivar arrivals: how often it reached an upstream.
+    :ivar story: what the driver did, and when.
+    """
+
+    grace: float
+    lives: list[Life] = dataclasses.field(default_factory=list)
+    tries: list[Try] = dataclasses.field(default_factory=list)
+    runs: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    arrivals: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    story: list[str] = dataclasses.field(default_factory=list)
+
+    def tell(self, what: str) -> None:
+        """Note what the driver did."""
+        self.story.append(f'{time.monotonic():.3f} {what}')
--- /dev/null
+++ b/tests/support/soak_rules.py
@@ -0,0 +1,135 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""The rules of planned stops, asked of what callers and upstreams saw."""
+
+import collections
+from collections.abc import Iterator
+import math
+
+from tests.support.soak_records import Kind
+from tests.support.soak_records import Life
+from tests.support.soak_records import Record
+from tests.support.soak_records import Try
+from tests.support.soak_upstream import get_text
+from tests.support.soak_upstream import make_event
+
+ONCE = ('once', 'late', 'essay')
+# Until this share of the grace nothing is given up; timers are never early.
+SERVED_SHARE = 0.93
+# The listener stays open for this share, three seconds at the most.
+NOTICE_SHARE = 0.5
+NOTICE_SECONDS = 3.0
+# What is sent this long before the listener closes was read before that.
+READ_SECONDS = 0.5
+
+
+def find_faults(record: Record) -> list[str]:
+    """Return a line on each breach of a rule."""
+    found: list[str] = []
+    texts: collections.Counter[str] = collections.Counter()
+    for item in record.tries:
+        for fault in (*_judge_answer(record, item), _judge_end(record, item)):
+            if fault:
+                found.append(f'{fault}: {describe(record, item)}')
+        if item.route in ONCE:
+            texts[get_text(item.id)] += record.runs[item.id]
+    found += [f'b: {x} ran {texts[x]} times' for x in texts if texts[x] > 1]
+    for life in record.lives:
+        found.extend(_judge_life(record, life))
+    return found
+
+
+def describe(record: Record, item: Try) -> str:
+    """Return what was seen of a try, in seconds after its router's signal."""
+    life = item.life
+    zero = life.signalled or item.began
+    moments = {
+        'began': item.began,
+        'sent': item.sent,
+        'ended': item.ended,
+        'announced': life.announced,
+        'exited': life.exited,
+    }
+    times = [f'{k} {v - zero:.3f}' for k, v in moments.items() if v]
+    return (
+        f'{item.id} {item.route} at {life.name} {item.kind.value}'
+        f' {item.status}, {", ".join(times)}, arrived'
+        f' {record.arrivals[item.id]}, ran {record.runs[item.id]}, kept'
+        f' {item.kept}, wanted {item.wanted} after {item.after}, limit'
+        f' {item.limit:.2f}, {item.body[-200:]!r}'
+    )
+
+
+def _judge_answer(record: Record, item: Try) -> Iterator[str]:
+    """Judge what holds for any router, also a paused or killed one."""
+    whole = item.kind is Kind.WHOLE
+    if item.kind is Kind.HUNG:
+        yield 'a: no end'
+    if item.refused and record.runs[item.id]:
+        yield 'b: refused as not run, and ran'
+    if item.status != 200:
+        return
+    text = get_text(item.id)
+    numbers = range(item.after + 1, item.wanted + 1)
+    body = b''.join(make_event(text, number) for number in numbers)
+    if not item.wanted:
+        body = f'{text} ran'.encode()
+    if not body.startswith(item.body):
+        yield 'c: parts are missing, doubled or out of order'
+    if whole and item.body != body:
+        yield 'c: cut short, and looks complete'
+
+
+def _judge_end(record: Record, item: Try) -> str:
+    """Judge what a router that was let run did not serve."""
+    life = item.life
+    if life.paused or item.good or item.refused:
+        return ''
+    if item.kind is Kind.UNREACHED and item.began < (life.ready or math.inf):
+        return ''
+    if item.overdue and (item.kind is Kind.CUT or item.status == 504):
+        return ''
+    if life.signalled is None:
+        return 'e: lost at a router that nobody told to stop'
+    passed = item.ended - life.signalled
+    notice = min(record.grace * NOTICE_SHARE, NOTICE_SECONDS)
+    if item.sent is None:
+        return 'a: closed too early' if passed < notice else ''
+    if item.kind is Kind.CLOSED:
+        read = item.sent < life.signalled + notice - READ_SECONDS
+        taken = read or record.arrivals[item.id] or passed < notice
+        return 'a: taken, and closed without an answer' if taken else ''
+    if item.began > (life.announced or math.inf):
+        return 'a: taken after the signal, and not ended'
+    early = passed < record.grace * SERVED_SHARE
+    return 'e: given up while there was time' if early else ''
+
+
+def _judge_life(record: Record, life: Life) -> Iterator[str]:
+    if life.paused or life.signalled is None:
+        return
+    if life.killed:
+        yield f'd: {life.name} had to be killed'
+        return
+    cut = [
+        item
+        for item in record.tries
+        if item.life is life
+        and not item.overdue
+        and (
+            item.kind is Kind.CUT
+            or (item.kind is Kind.CLOSED and record.arrivals[item.id])
+        )
+    ]
+    if life.code != int(bool(cut)):
+        yield f'd: {life.name} exited with {life.code} and cut {len(cut)}'
