Signals at the edges of a process's life do not end it

Cause: the event loop gives its signal handlers back when it closes, and the interpreter takes some 0.1 s more to end; before the loop starts, SIGHUP has its default way as well. The soak saw a router end by SIGHUP after it had served everything. Ruled out: the stop itself: it had ended, and nothing was cut. Before: exit codes -1 after SIGHUP and -15 after SIGTERM in place of 0.

--- a/src/lifttrestle/internal/cli/fleet_router.py
+++ b/src/lifttrestle/internal/cli/fleet_router.py
@@ -22,6 +22,8 @@
 from returns.result import Failure
 
 from lifttrestle.errors import SettingsInvalid
+from lifttrestle.internal.cli.signals import ignore_hangup
+from lifttrestle.internal.cli.signals import ignore_signals
 from lifttrestle.internal.clock.system import SystemClock
 from lifttrestle.internal.fleet.settings import FleetSettings
 from lifttrestle.internal.platform.names import SETTINGS_VARIABLE
@@ -78,6 +80,7 @@
         lines = [str(fault) for fault in result.failure()]
         raise SettingsInvalid('\n'.join(lines))
     settings = result.unwrap()
+    ignore_hangup()
     sink = start_event_sink(sys.stdout, SystemClock(), settings.vm, 'info')
     try:
         return asyncio.run(_run_router(settings, path, options))
@@ -121,6 +124,7 @@
     )
     # What has changed since the last time, the stop's own counts among it.
     feed.feed()
+    ignore_signals()
     return EXIT_OK if whole else EXIT_FAILED
 
 
