Our own router tells a cut request as cut, and by whom

Cause: a cancelled attempt was logged as `caller gone` (models) or with the outcome it began with, `pending` (services); the request itself got no line and no counter. An answer that broke off was logged as a refusal with a status that no caller saw, and a broken stream not at all. Ruled out: `complete` for a cut request, as in the fleet router: here that is set only after the end was sent. Conclusion: a cancellation is told as the stop's only after the signal; any other as cancelled, a fault as a fault.

--- a/src/lifttrestle/internal/router/caller_handler.py
+++ b/src/lifttrestle/internal/router/caller_handler.py
@@ -23,6 +23,7 @@
 from lifttrestle.internal.configuration.model import Workspace
 from lifttrestle.internal.configuration.view import View
 from lifttrestle.internal.exchange.progress import RequestEvent
+from lifttrestle.internal.exchange.progress import RequestProgress
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.server_connection import ServerConnection
@@ -32,6 +33,7 @@
 from lifttrestle.internal.refusal.execution import join_executions
 from lifttrestle.internal.refusal.kind import ErrorKind
 from lifttrestle.internal.router.chooser import UpstreamChooser
+from lifttrestle.internal.router.cut import find_cut_cause
 from lifttrestle.internal.router.identify import check_place
 from lifttrestle.internal.router.identify import identify_workspace
 from lifttrestle.internal.router.model_exchange import ModelExchange
@@ -68,11 +70,15 @@
     ) -> None:
         """Answer one request, with a refusal if it comes to that."""
         request_id = make_request_id(self._parts.source)
+        progress = RequestProgress()
         try:
-            await self._serve(connection, head, request_id)
+            await self._serve(connection, head, request_id, progress)
         except RequestRefused as refused:
             await self._refuse(connection, refused, request_id)
-        except (CallerGone, asyncio.CancelledError):
+        except (CallerGone, asyncio.CancelledError) as error:
+            cause = find_cut_cause(error, self._parts.stop.begun)
+            ran = progress.execution
+            self._note_cut(request_id, ran, cause.value, cause.name.lower())
             raise
         except Exception:
             LOG.exception('router: request %s failed', request_id)
@@ -89,6 +95,7 @@
         connection: ServerConnection,
         head: RequestHead,
         request_id: str,
+        progress: RequestProgress,
     ) -> None:
         route = find_route(head.path)
         if route.kind is RouteKind.READY:
@@ -101,7 +108,9 @@
             view = self._parts.keeper.view
             await connection.send_answer(list_models(view, workspace))
             return
-        scope = self._make_scope(connection, head, request_id, workspace)
+        scope = self._make_scope(
+            connection, head, request_id, workspace, progress
+        )
         if route.kind is RouteKind.SERVICE:
             self._services.check_path(scope, route)
         await self._admit(scope, route)
@@ -184,11 +193,12 @@
         head: RequestHead,
         request_id: str,
         workspace: Workspace,
+        progress: RequestProgress,
     ) -> RequestScope:
         now = self._parts.clock.monotonic()
         deadline = now + self._parts.settings.deadlines.request
         return RequestScope(
-            request_id, connection, head, workspace, now, deadline
+            request_id, connection, head, workspace, now, deadline, progress
         )
 
     async def _refuse(
@@ -197,20 +207,35 @@
         refused: RequestRefused,
         request_id: str,
     ) -> None:
+        kind = refused.kind.value
+        if connection.answer_started:
+            cause = f'{kind}: {refused.message}'
+            self._note_cut(request_id, refused.ran, cause, kind)
+            connection.abort()
+            return
         LOG.info(
             'router: refused request=%s kind=%s status=%d ran="%s" message=%s',
             request_id,
-            refused.kind.value,
+            kind,
             ANSWERS[refused.kind].status,
             refused.ran.value,
             refused.message,
         )
-        self._parts.metrics.count(f'refused.{refused.kind.value}')
-        if connection.answer_started:
-            connection.abort()
-            return
+        self._parts.metrics.count(f'refused.{kind}')
         await connection.send_answer(build_refusal(refused, request_id))
 
+    def _note_cut(
+        self, request_id: str, ran: Execution, cause: str, counter: str
+    ) -> None:
+        """Tell of a request whose caller got no whole answer."""
+        LOG.info(
+            'router: cut request=%s ran="%s" cause="%s"',
+            request_id,
+            ran.value,
+            cause,
+        )
+        self._parts.metrics.count(f'cut.{counter}')
+
     async def _tell_ready(self, connection: ServerConnection) -> None:
         status = 200 if self._readiness.is_ready() else 503
         await connection.send_answer(Answer(status))
--- a/src/lifttrestle/internal/router/chooser.py
+++ b/src/lifttrestle/internal/router/chooser.py
@@ -21,6 +21,7 @@
 from lifttrestle.internal.exchange.progress import RequestEvent
 from lifttrestle.internal.refusal.kind import ErrorKind
 from lifttrestle.internal.router.attempt import Attempt
+from lifttrestle.internal.router.cut import name_attempt_end
 from lifttrestle.internal.router.parts import RouterParts
 from lifttrestle.internal.router.scope import RequestScope
 from lifttrestle.internal.routing.candidate import Candidate
@@ -119,6 +120,11 @@
         attempt.upstream.breaker.note_sent(attempt.sent_at)
         try:
             yield
+        except BaseException as error:
+            attempt.decision.outcome = name_attempt_end(
+                error, parts.stop.begun
+            )
+            raise
         finally:
             attempt.upstream.in_flight -= 1
             parts.decisions.write(attempt.decision)
@@ -128,7 +134,6 @@
         self, scope: RequestScope, attempt: Attempt, error: Exception
     ) -> None:
         """Hold a failure against the upstream, unless it only declined."""
-        attempt.decision.outcome = str(error)
         if isinstance(error, UpstreamDeclined):
             scope.progress.move(RequestEvent.DECLINED)
             return
--- a/src/lifttrestle/internal/router/model_exchange.py
+++ b/src/lifttrestle/internal/router/model_exchange.py
@@ -18,8 +18,6 @@
 delivered, else it fails in a way that can't be taken for its end.
 """
 
-import asyncio
-
 import msgspec
 
 from lifttrestle.errors import CallerGone
@@ -96,7 +94,8 @@
     async def run(self) -> None:
         """Serve the request to its end.
 
-        :raises RequestRefused: if no answer could be begun.
+        :raises RequestRefused: if no answer could be begun, or it broke
+            off; then the caller's connection is cut already.
         """
         self._parts.budget.note_request()
         try:
@@ -168,9 +167,6 @@
         except FAILURES as error:
             self._chooser.note_failure(self._scope, attempt, error)
             raise
-        except (CallerGone, asyncio.CancelledError):
-            attempt.decision.outcome = 'caller gone'
-            raise
 
     async def _take_answer(
         self, attempt: Attempt, call: UpstreamCall, request_id: str
@@ -302,6 +298,7 @@
             'request_id': self._scope.request_id,
         }
         await relay.fail(msgspec.json.encode({'error': error}))
+        raise refused
 
     def _refuse(self, message: str) -> RequestRefused:
         return RequestRefused(
--- a/src/lifttrestle/internal/router/parts.py
+++ b/src/lifttrestle/internal/router/parts.py
@@ -23,6 +23,7 @@
 from lifttrestle.internal.membership.peers import Peers
 from lifttrestle.internal.replay.recorder import TraceRecorder
 from lifttrestle.internal.router.background import BackgroundTasks
+from lifttrestle.internal.router.planned_stop import PlannedStop
 from lifttrestle.internal.routing.policy import Policy
 from lifttrestle.internal.runrecord.ledger import RunLedger
 from lifttrestle.internal.settings.router import RouterSettings
@@ -51,4 +52,5 @@
     decisions: DecisionLog
     metrics: Metrics
     background: BackgroundTasks
+    stop: PlannedStop
     recorder: TraceRecorder | None = None
--- a/src/lifttrestle/internal/router/process.py
+++ b/src/lifttrestle/internal/router/process.py
@@ -47,6 +47,7 @@
 from lifttrestle.internal.router.caller_handler import CallerHandler
 from lifttrestle.internal.router.caller_handler import make_request_id
 from lifttrestle.internal.router.parts import RouterParts
+from lifttrestle.internal.router.planned_stop import PlannedStop
 from lifttrestle.internal.router.readiness import Readiness
 from lifttrestle.internal.routing.nested import NestedPolicy
 from lifttrestle.internal.runrecord.ledger import RunLedger
@@ -87,6 +88,7 @@
         self._clock = GuardedClock(clock, settings.control.clock_error_seconds)
         self._source = source
         self._stop = asyncio.Event()
+        self._planned = PlannedStop()
         self._hurry = asyncio.Event()
         self._control: list[asyncio.Task[None]] = []
         self._build_control()
@@ -125,7 +127,9 @@
             settings.peers.seeds,
             self._source,
         )
-        self._readiness = Readiness(self._keeper, self._exchange, self._clock)
+        self._readiness = Readiness(
+            self._keeper, self._exchange, self._clock, self._planned
+        )
 
     def _build_doors(self) -> None:
         settings = self._settings
@@ -150,6 +154,7 @@
             decisions=DecisionLog(),
             metrics=metrics,
             background=BackgroundTasks(),
+            stop=self._planned,
             recorder=self._make_recorder(),
         )
         intent = IntentService(
@@ -280,7 +285,7 @@
     async def _shut_down(self) -> bool:
         """Stop in the order that cuts no request."""
         LOG.info('router: stopping, %d requests', self._callers_door.busy)
-        self._readiness.stopping = True
+        self._planned.begun = True
         self._exchange.leaving = True
         self._callers_door.announce_stop()
         stop = self._settings.stop
--- a/src/lifttrestle/internal/router/readiness.py
+++ b/src/lifttrestle/internal/router/readiness.py
@@ -17,6 +17,7 @@
 from lifttrestle.internal.configuration.keeper import ConfigurationKeeper
 from lifttrestle.internal.membership.exchange import PeerExchange
 from lifttrestle.internal.refusal.kind import ErrorKind
+from lifttrestle.internal.router.planned_stop import PlannedStop
 
 # How long an unregistered router serves after its sponsor's last word.
 SPONSOR_SECONDS = 3.0
@@ -31,11 +32,12 @@
         keeper: ConfigurationKeeper,
         exchange: PeerExchange,
         clock: Clock,
+        stop: PlannedStop,
     ) -> None:
         self._keeper = keeper
         self._exchange = exchange
         self._clock = clock
-        self.stopping = False
+        self._stop = stop
 
     def can_serve(self) -> bool:
         """Return whether no change can be accepted behind this router.
@@ -52,7 +54,7 @@
 
     def is_ready(self) -> bool:
         """Return whether the balancer should send work here."""
-        return self.can_serve() and not self.stopping
+        return self.can_serve() and not self._stop.begun
 
     def check(self) -> None:
         """Refuse a request that may not be served yet.
