A hang-up ends no router of our own any more

Cause: the default action of SIGHUP. Ruled out: reading the settings again, as the fleet router does: these are immutable once read, and the doors and upstreams are built from them.

--- a/src/lifttrestle/internal/router/process.py
+++ b/src/lifttrestle/internal/router/process.py
@@ -328,6 +328,8 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._note_signal)
+        # Left alone, a hang-up would end the process with its requests.
+        loop.add_signal_handler(signal.SIGHUP, _note_hang_up)
 
     def _note_signal(self) -> None:
         if self._stop.is_set():
@@ -345,6 +347,13 @@
         )
 
 
+def _note_hang_up() -> None:
+    LOG.warning(
+        'router: hang-up (SIGHUP) ignored: settings are read at the start'
+        ' only; stop with SIGTERM and start anew'
+    )
+
+
 def _read_platform_token(path: str) -> tuple[Header, ...]:
     if not path:
         return ()
