A router that lost a control task exits with 0: a failing test

Cause: only cut requests decide the exit code; whoever watches it takes the end for a planned stop and starts nothing anew. Ruled out: an abrupt end: the stop goes in order, and a request that comes during the notice is answered. Before: not tested. A row that stays unreadable is another fault: leaving the list raises then, and the stop breaks off before its end.

--- a/tests/nocover/test_stop_signals.py
+++ b/tests/nocover/test_stop_signals.py
@@ -21,6 +21,7 @@
 from tests.support.deployment import wait_until
 
 TOKEN = 'daily-token'
+HEAD = 'configuration/head'
 
 
 class TestHangUp(unittest.TestCase):
@@ -42,5 +43,39 @@
         self.assertEqual(router.process.stop(), 0)
 
 
+class TestControlTask(unittest.TestCase):
+    def setUp(self) -> None:
+        self.deployment = Deployment(
+            engines=0, extra='stop = { notice_seconds = 1, grace_seconds = 9 }'
+        )
+        self.enterContext(self.deployment)
+        self.deployment.configure_usual()
+        self.process = self.deployment.router.process
+
+    def call_table(self, target: str, **content: object) -> dict:
+        table = self.deployment.addresses['table']
+        return request(table, 'POST', target, content=content).json()
+
+    def write_head(self, value: object) -> None:
+        writes = [{'key': HEAD, 'value': value}]
+        self.call_table('/v1/transact', checks=[], writes=writes)
+
+    def find(self, text: str) -> list[str]:
+        return [line for line in self.process.lines if text in line]
+
+    def test_router_that_lost_one_ends_in_order_and_says_so(self) -> None:
+        (row,) = self.call_table('/v1/read', keys=[HEAD])['rows']
+        # No router can read this; it takes the task that polls along.
+        self.write_head('unreadable')
+        wait_until(lambda: self.find('router: stopping'))
+        self.write_head(row['value'])
+        callers = self.deployment.router.callers
+        reply = request(callers, 'GET', f'/{SERVICE}/x', TOKEN)
+        self.assertEqual(reply.status, 200)
+        self.assertNotEqual(self.process.wait(), 0)
+        self.assertTrue(self.find('a control task failed'))
+        self.assertTrue(self.find('router: stopped'))
+
+
 if __name__ == '__main__':
     unittest.main()
