A router that lost a control task stops in order and exits with 1

Cause: the exit code told of cut requests only; a task that returned or was cancelled from within was not noticed at all. Ruled out: an end at once: it would cut what the router can still end. Conclusion: any end of a control task is a fault, but for the stop's own.

--- a/src/lifttrestle/internal/cli/router.py
+++ b/src/lifttrestle/internal/cli/router.py
@@ -23,7 +23,7 @@
 from lifttrestle.internal.telemetry.logs import set_up_logs
 
 EXIT_OK = 0
-EXIT_CUT = 1
+EXIT_FAULT = 1
 
 
 def add_commands(commands: 'argparse._SubParsersAction') -> None:
@@ -40,7 +40,7 @@
 
 
 def run(options: argparse.Namespace) -> int:
-    """Run until a signal; exit 0 if every request was ended."""
+    """Run until a signal; exit 0 if all ended well."""
     settings = load_settings(options.settings)
     set_up_logs(settings.log.level)
     return asyncio.run(_run_router(settings, options.record))
@@ -57,4 +57,4 @@
     process = RouterProcess(
         settings, SystemClock(), random.SystemRandom(), record
     )
-    return EXIT_OK if await process.run() else EXIT_CUT
+    return EXIT_OK if await process.run() else EXIT_FAULT
--- a/src/lifttrestle/internal/router/process.py
+++ b/src/lifttrestle/internal/router/process.py
@@ -91,6 +91,7 @@
         self._planned = PlannedStop()
         self._hurry = asyncio.Event()
         self._control: list[asyncio.Task[None]] = []
+        self._failed = False
         self._build_control()
         self._build_doors()
 
@@ -215,7 +216,10 @@
         )
 
     async def run(self) -> bool:
-        """Serve until a signal; return whether every request was ended."""
+        """Serve until a signal or a fault, and stop in order.
+
+        :return: whether every request was ended and no control task failed.
+        """
         self._watch_signals()
         listen = self._settings.listen
         peers = self._exchange.start(check_address(listen.peers))
@@ -235,7 +239,8 @@
                 peers,
             )
         await self._stop.wait()
-        return await self._shut_down()
+        whole = await self._shut_down()
+        return whole and not self._failed
 
     def _start_control(self) -> None:
         exchange_seconds = self._settings.peers.exchange_seconds
@@ -259,12 +264,11 @@
             task.add_done_callback(self._note_control_end)
 
     def _note_control_end(self, task: asyncio.Task[None]) -> None:
-        if task.cancelled() or task.exception() is None:
-            return
-        # Without one of its control tasks a router would go stale unseen.
-        LOG.critical(
-            'router: a control task failed', exc_info=task.exception()
-        )
+        # Without one of its control tasks a router would go stale unseen,
+        # however that task came to its end.
+        error = None if task.cancelled() else task.exception()
+        LOG.critical('router: a control task failed', exc_info=error)
+        self._failed = True
         self._stop.set()
 
     async def _wait_until_ready(self) -> None:
@@ -296,6 +300,7 @@
         await self._parts.ledger.flush(RECORDS_SECONDS)
         # The last act: until here this router obeyed, and was counted.
         for task in self._control:
+            task.remove_done_callback(self._note_control_end)
             task.cancel()
         await asyncio.gather(*self._control, return_exceptions=True)
         await self._keeper.leave()
