A list that can't be read breaks a stop off: a failing test

Cause: leaving catches an outage of the platform only; a row that can't be decoded raises through the stop, which ends with a traceback before the peers' socket, the upstreams' connections and the trace are closed. Ruled out: cut requests: their door was closed before. Before: not tested. That one such row makes every router stop of itself is a finding of its own, left as it is here.

--- a/tests/nocover/test_stop_signals.py
+++ b/tests/nocover/test_stop_signals.py
@@ -76,6 +76,12 @@
         self.assertTrue(self.find('a control task failed'))
         self.assertTrue(self.find('router: stopped'))
 
+    def test_list_that_can_not_be_read_breaks_no_stop_off(self) -> None:
+        self.write_head('unreadable')
+        self.assertNotEqual(self.process.wait(), 0)
+        self.assertTrue(self.find('not taken off the list'))
+        self.assertTrue(self.find('router: stopped'))
+
 
 if __name__ == '__main__':
     unittest.main()
