A stop goes on to its end when leaving the list fails

Cause: any fault but an outage raised through the stop. Ruled out: catching the decoding alone: the steps behind it have to be taken whatever it was; the log keeps the whole fault. Conclusion: kept; until it leaves the list the router obeys and is counted.

--- a/src/lifttrestle/internal/router/process.py
+++ b/src/lifttrestle/internal/router/process.py
@@ -298,12 +298,7 @@
         await self._operators_door.stop(RECORDS_SECONDS)
         await self._parts.background.flush(RECORDS_SECONDS)
         await self._parts.ledger.flush(RECORDS_SECONDS)
-        # The last act: until here this router obeyed, and was counted.
-        for task in self._control:
-            task.remove_done_callback(self._note_control_end)
-            task.cancel()
-        await asyncio.gather(*self._control, return_exceptions=True)
-        await self._keeper.leave()
+        await self._leave()
         self._exchange.stop()
         self._parts.registry.close()
         if self._parts.recorder is not None:
@@ -311,6 +306,18 @@
         LOG.info('router: stopped, every request ended: %s', whole)
         return whole
 
+    async def _leave(self) -> None:
+        """Stop obeying, and leave the list of routers that are counted."""
+        for task in self._control:
+            task.remove_done_callback(self._note_control_end)
+            task.cancel()
+        await asyncio.gather(*self._control, return_exceptions=True)
+        try:
+            await self._keeper.leave()
+        except Exception:
+            # Whatever it was, what is left of the stop is still to be done.
+            LOG.exception('router: not taken off the list')
+
     async def _close_callers(self, grace_seconds: float) -> bool:
         closing = asyncio.create_task(self._callers_door.stop(grace_seconds))
         hurry = asyncio.create_task(self._hurry.wait())
