One deadline for the whole stop of our own router

Cause: each step behind the requests had a bound of its own, or none. Ruled out: an end of the stop behind the grace: whoever stops the process knows notice and grace, and ends it by force then.

--- a/src/lifttrestle/internal/router/process.py
+++ b/src/lifttrestle/internal/router/process.py
@@ -49,6 +49,9 @@
 from lifttrestle.internal.router.parts import RouterParts
 from lifttrestle.internal.router.planned_stop import PlannedStop
 from lifttrestle.internal.router.readiness import Readiness
+from lifttrestle.internal.router.stop_times import hurry_stop
+from lifttrestle.internal.router.stop_times import plan_stop
+from lifttrestle.internal.router.stop_times import StopTimes
 from lifttrestle.internal.routing.nested import NestedPolicy
 from lifttrestle.internal.runrecord.ledger import RunLedger
 from lifttrestle.internal.settings.router import RouterSettings
@@ -65,7 +68,6 @@
 LOG = logging.getLogger('lifttrestle.router')
 BUCKET = 'lifttrestle'
 START_POLL_SECONDS = 0.02
-RECORDS_SECONDS = 10.0
 LOADER_LEASE_SECONDS = 10.0
 
 
@@ -92,6 +94,8 @@
         self._hurry = asyncio.Event()
         self._control: list[asyncio.Task[None]] = []
         self._failed = False
+        # Of the stop, once it has begun.
+        self._times = StopTimes(0.0, 0.0, 0.0, 0.0)
         self._build_control()
         self._build_doors()
 
@@ -289,15 +293,18 @@
     async def _shut_down(self) -> bool:
         """Stop in the order that cuts no request."""
         LOG.info('router: stopping, %d requests', self._callers_door.busy)
+        self._times = self._begin_times()
         self._planned.begun = True
         self._exchange.leaving = True
         self._callers_door.announce_stop()
-        stop = self._settings.stop
-        await self._pause(stop.notice_seconds)
-        whole = await self._close_callers(stop.grace_seconds)
-        await self._operators_door.stop(RECORDS_SECONDS)
-        await self._parts.background.flush(RECORDS_SECONDS)
-        await self._parts.ledger.flush(RECORDS_SECONDS)
+        await self._pause(self._count_left(self._times.closes_at))
+        whole = await self._close_callers()
+        await asyncio.gather(
+            self._operators_door.stop(
+                self._count_left(self._times.recorded_at)
+            ),
+            self._write_records(),
+        )
         await self._leave()
         self._exchange.stop()
         self._parts.registry.close()
@@ -306,31 +313,56 @@
         LOG.info('router: stopped, every request ended: %s', whole)
         return whole
 
+    def _begin_times(self) -> StopTimes:
+        stop = self._settings.stop
+        return plan_stop(
+            self._clock.monotonic(),
+            stop.notice_seconds,
+            stop.grace_seconds,
+            self._settings.platform.timeout_seconds,
+        )
+
+    def _count_left(self, until: float) -> float:
+        return max(until - self._clock.monotonic(), 0.0)
+
+    async def _close_callers(self) -> bool:
+        """End the requests, or what is left of them; return if all ended."""
+        left = self._count_left(self._times.closed_at)
+        closing = asyncio.create_task(self._callers_door.stop(left))
+        hurry = asyncio.create_task(self._hurry.wait())
+        await asyncio.wait(
+            {closing, hurry},
+            timeout=left,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        hurry.cancel()
+        if self._hurry.is_set():
+            self._times = hurry_stop(self._times, self._clock.monotonic())
+        if closing.done():
+            return closing.result()
+        closing.cancel()
+        await self._callers_door.stop(0)
+        return False
+
+    async def _write_records(self) -> None:
+        until = self._times.recorded_at
+        await self._parts.background.flush(self._count_left(until))
+        # What ran in the background has left records to be written.
+        await self._parts.ledger.flush(self._count_left(until))
+
     async def _leave(self) -> None:
         """Stop obeying, and leave the list of routers that are counted."""
         for task in self._control:
             task.remove_done_callback(self._note_control_end)
             task.cancel()
-        await asyncio.gather(*self._control, return_exceptions=True)
         try:
-            await self._keeper.leave()
+            async with asyncio.timeout(self._count_left(self._times.ends_at)):
+                await asyncio.gather(*self._control, return_exceptions=True)
+                await self._keeper.leave()
         except Exception:
             # Whatever it was, what is left of the stop is still to be done.
             LOG.exception('router: not taken off the list')
 
-    async def _close_callers(self, grace_seconds: float) -> bool:
-        closing = asyncio.create_task(self._callers_door.stop(grace_seconds))
-        hurry = asyncio.create_task(self._hurry.wait())
-        await asyncio.wait(
-            {closing, hurry}, return_when=asyncio.FIRST_COMPLETED
-        )
-        if not closing.done():
-            closing.cancel()
-            await self._callers_door.stop(0)
-            return False
-        hurry.cancel()
-        return closing.result()
-
     async def _pause(self, seconds: float) -> None:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(seconds):
--- a/src/lifttrestle/internal/settings/sections.py
+++ b/src/lifttrestle/internal/settings/sections.py
@@ -117,7 +117,8 @@
 
     :ivar notice_seconds: how long the listener stays open while the
         balancer learns that the router is leaving.
-    :ivar grace_seconds: how long running requests may take to end.
+    :ivar grace_seconds: how long all that follows the notice may take:
+        running requests first, then records and leaving the list.
     """
 
     notice_seconds: float = 5.0
