A stop cuts what it could answer: a failing test

Cause: at the end of the grace each request's task is cancelled and its connection aborted, also where no byte of an answer was sent; the caller can't tell one that never ran from one that may have. Ruled out: a caller that left: all three wait for their answers. Before: not tested.

--- a/tests/nocover/test_stop_deadline.py
+++ b/tests/nocover/test_stop_deadline.py
@@ -19,9 +19,12 @@
 
 from tests.support.deployment import Deployment
 from tests.support.deployment import OPERATOR_TOKEN
+from tests.support.deployment import Reply
 from tests.support.deployment import request
 from tests.support.deployment import SERVICE
 from tests.support.deployment import wait_until
+from tests.support.raw import read_error
+from tests.support.raw import read_status
 
 TOKEN = 'daily-token'
 # Of the stop below, in seconds; a step that took its own time would need more
@@ -76,5 +79,74 @@
         self.assertEqual(process.wait(), 0)
 
 
+class TestUnanswered(unittest.TestCase):
+    """Requests whose answer has not begun when the grace ends."""
+
+    def setUp(self) -> None:
+        self.deployment = Deployment(
+            engines=0, extra=f'{STOP}\nadmission = {{ running = 2 }}'
+        )
+        self.enterContext(self.deployment)
+        self.deployment.configure_usual()
+        self.router = self.deployment.router
+        self.service = f'{SERVICE}-bkk-silom-1'
+        self.deployment.set_faults(self.service, delay_seconds=60.0)
+        self.pool = self.enterContext(concurrent.futures.ThreadPoolExecutor(3))
+
+    def send(self, path: str, **headers: str) -> concurrent.futures.Future:
+        return self.pool.submit(
+            request,
+            self.router.callers,
+            'POST',
+            f'/{SERVICE}{path}',
+            TOKEN,
+            {},
+            headers,
+        )
+
+    def wait_sent(self, path: str) -> None:
+        wait_until(lambda: self.deployment.count_arrivals(self.service, path))
+
+    def begin_to_wait(self) -> socket.socket:
+        """Return the connection of a request that was read, not begun."""
+        host, _, port = self.router.callers.rpartition(':')
+        raw = socket.create_connection((host, int(port)), 10.0)
+        self.addCleanup(raw.close)
+        raw.sendall(
+            f'POST /{SERVICE}/waiting HTTP/1.1\r\nHost: a\r\n'
+            f'Authorization: Bearer {TOKEN}\r\nContent-Length: 2\r\n'
+            'Expect: 100-continue\r\n\r\n'.encode()
+        )
+        self.assertEqual(read_status(raw.recv(65536)), 100)
+        raw.sendall(b'{}')
+        return raw
+
+    def check_refusal(self, reply: Reply, status: int, ran: str) -> None:
+        self.assertEqual(reply.status, status)
+        self.assertEqual(reply.error['ran'], ran)
+        self.assertEqual(reply.headers['connection'], 'close')
+
+    def test_each_gets_an_answer_that_says_whether_it_ran(self) -> None:
+        sent = self.send('/sent')
+        self.wait_sent('/sent')
+        keyed = self.send('/keyed', **{'Idempotency-Key': 'once'})
+        self.wait_sent('/keyed')
+        waiting = self.begin_to_wait()
+        process = self.router.process
+        process.send_signal(signal.SIGTERM)
+        self.check_refusal(sent.result(), 504, 'unknown')
+        self.check_refusal(keyed.result(), 504, 'unknown')
+        answer = b''.join(iter(lambda: waiting.recv(65536), b''))
+        self.assertEqual(read_status(answer), 503)
+        self.assertEqual(read_error(answer)['ran'], 'not run')
+        self.assertIn(b'retry-after: ', answer)
+        # They were ended by the stop, which is not a whole one.
+        self.assertEqual(process.wait(), 1)
+        cuts = [line for line in process.lines if 'router: cut' in line]
+        self.assertEqual(len(cuts), 3)
+        for line in cuts:
+            self.assertIn('cause="cut by the stop"', line)
+
+
 if __name__ == '__main__':
     unittest.main()
