A stop answers what it can't wait for, truthfully

Cause: the end of the grace was known to the server alone, which can only cancel and abort. Ruled out: an answer from the cancelled task: it can't tell a stop from another cancellation. Each request has a time limit, set at the signal; a second signal sets it to now. Conclusion: a keyed request is told as unknown, since its work goes on without its caller; it is not sent any more after that.

--- a/src/lifttrestle/errors.py
+++ b/src/lifttrestle/errors.py
@@ -101,5 +101,9 @@
     """An answer is for another request or from other weights."""
 
 
+class CutByStop(LifttrestleError):
+    """A planned stop ended a request that it could not wait for."""
+
+
 class CallerGone(LifttrestleError):
     """The caller closed its connection or stopped reading."""
--- a/src/lifttrestle/internal/exchange/progress.py
+++ b/src/lifttrestle/internal/exchange/progress.py
@@ -68,11 +68,16 @@
 
 
 class RequestProgress:
-    """One request's state."""
+    """One request's state.
+
+    :ivar detached: the work goes on without the one who tells the caller of
+        it: what has not run may run yet.
+    """
 
     def __init__(self) -> None:
         self.state = RequestState.RECEIVED
         self._sends = 0
+        self.detached = False
 
     def move(self, event: RequestEvent) -> None:
         """Move on; an event that the table lacks is a programming error."""
@@ -90,4 +95,6 @@
     @property
     def execution(self) -> Execution:
         """Return whether the request ran, as far as is known."""
+        if self.detached and self.state is not RequestState.ENDED:
+            return Execution.UNKNOWN
         return EXECUTIONS[self.state]
--- a/src/lifttrestle/internal/refusal/answers.py
+++ b/src/lifttrestle/internal/refusal/answers.py
@@ -97,6 +97,9 @@
     ErrorKind.NOT_CONFIGURED: AnswerRule(
         503, True, 'Come back after the time in Retry-After.'
     ),
+    ErrorKind.STOPPING: AnswerRule(
+        503, True, 'Come back after the time in Retry-After.'
+    ),
     ErrorKind.UPSTREAM_FAILED: AnswerRule(
         502, False, 'Check the outcome before you send it again.'
     ),
--- a/src/lifttrestle/internal/refusal/kind.py
+++ b/src/lifttrestle/internal/refusal/kind.py
@@ -43,6 +43,7 @@
     NO_UPSTREAM = 'no_upstream'
     TABLE_UNAVAILABLE = 'table_unavailable'
     NOT_CONFIGURED = 'not_configured'
+    STOPPING = 'stopping'
     UPSTREAM_FAILED = 'upstream_failed'
     DEADLINE_EXCEEDED = 'deadline_exceeded'
     INTERNAL = 'internal'
--- a/src/lifttrestle/internal/router/caller_handler.py
+++ b/src/lifttrestle/internal/router/caller_handler.py
@@ -18,6 +18,7 @@
 import uuid
 
 from lifttrestle.errors import CallerGone
+from lifttrestle.errors import CutByStop
 from lifttrestle.errors import RequestRefused
 from lifttrestle.internal.configuration.model import ItemKind
 from lifttrestle.internal.configuration.model import Workspace
@@ -33,6 +34,7 @@
 from lifttrestle.internal.refusal.execution import join_executions
 from lifttrestle.internal.refusal.kind import ErrorKind
 from lifttrestle.internal.router.chooser import UpstreamChooser
+from lifttrestle.internal.router.cut import build_cut_refusal
 from lifttrestle.internal.router.cut import find_cut_cause
 from lifttrestle.internal.router.identify import check_place
 from lifttrestle.internal.router.identify import identify_workspace
@@ -75,10 +77,11 @@
             await self._serve(connection, head, request_id, progress)
         except RequestRefused as refused:
             await self._refuse(connection, refused, request_id)
+        except CutByStop as error:
+            self._note_end(request_id, progress, error)
+            await self._answer_cut(connection, request_id, progress)
         except (CallerGone, asyncio.CancelledError) as error:
-            cause = find_cut_cause(error, self._parts.stop.begun)
-            ran = progress.execution
-            self._note_cut(request_id, ran, cause.value, cause.name.lower())
+            self._note_end(request_id, progress, error)
             raise
         except Exception:
             LOG.exception('router: request %s failed', request_id)
@@ -113,7 +116,8 @@
         )
         if route.kind is RouteKind.SERVICE:
             self._services.check_path(scope, route)
-        await self._admit(scope, route)
+        async with self._parts.stop.bound_request():
+            await self._admit(scope, route)
 
     async def _admit(self, scope: RequestScope, route: Route) -> None:
         # The limits come before the body, so that a workspace which is over
@@ -224,6 +228,30 @@
         self._parts.metrics.count(f'refused.{kind}')
         await connection.send_answer(build_refusal(refused, request_id))
 
+    async def _answer_cut(
+        self,
+        connection: ServerConnection,
+        request_id: str,
+        progress: RequestProgress,
+    ) -> None:
+        """Tell the caller as much of the truth as can still be told."""
+        if connection.answer_started:
+            connection.abort()
+            return
+        connection.close_after_answer()
+        refused = build_cut_refusal(progress.execution)
+        await self._refuse(connection, refused, request_id)
+
+    def _note_end(
+        self,
+        request_id: str,
+        progress: RequestProgress,
+        error: CallerGone | CutByStop | asyncio.CancelledError,
+    ) -> None:
+        cause = find_cut_cause(error, self._parts.stop.begun)
+        ran = progress.execution
+        self._note_cut(request_id, ran, cause.value, cause.name.lower())
+
     def _note_cut(
         self, request_id: str, ran: Execution, cause: str, counter: str
     ) -> None:
--- a/src/lifttrestle/internal/router/cut.py
+++ b/src/lifttrestle/internal/router/cut.py
@@ -16,7 +16,14 @@
 import enum
 
 from lifttrestle.errors import CallerGone
+from lifttrestle.errors import CutByStop
 from lifttrestle.errors import LifttrestleError
+from lifttrestle.errors import RequestRefused
+from lifttrestle.internal.refusal.execution import Execution
+from lifttrestle.internal.refusal.kind import ErrorKind
+
+# Others have taken over by then, for all that this router knows.
+RETRY_SECONDS = 1.0
 
 
 class CutCause(enum.Enum):
@@ -31,7 +38,7 @@
 
 
 def find_cut_cause(
-    error: CallerGone | asyncio.CancelledError, stopping: bool
+    error: CallerGone | CutByStop | asyncio.CancelledError, stopping: bool
 ) -> CutCause:
     """Return who ended an exchange.
 
@@ -40,6 +47,8 @@
     """
     if isinstance(error, CallerGone):
         return CutCause.CALLER_GONE
+    if isinstance(error, CutByStop):
+        return CutCause.STOP
     return CutCause.STOP if stopping else CutCause.CANCELLED
 
 
@@ -50,3 +59,21 @@
     if isinstance(error, LifttrestleError):
         return str(error)
     return f'fault: {error!r}'
+
+
+def build_cut_refusal(ran: Execution) -> RequestRefused:
+    """Return what to tell a caller whose answer had not begun.
+
+    A 503 says that nothing ran, so it may be sent again by anyone.
+    """
+    if ran is Execution.NOT_RUN:
+        return RequestRefused(
+            ErrorKind.STOPPING,
+            'this router stops and did not come to the request',
+            retry_after=RETRY_SECONDS,
+        )
+    return RequestRefused(
+        ErrorKind.DEADLINE_EXCEEDED,
+        'this router stops and can not wait for the answer any longer',
+        ran=ran,
+    )
--- a/src/lifttrestle/internal/router/once_exchange.py
+++ b/src/lifttrestle/internal/router/once_exchange.py
@@ -84,7 +84,11 @@
         The work goes on in a task of its own when the caller leaves.
         """
         task = self._parts.background.start(self._run_to_end())
-        outcome = await asyncio.shield(task)
+        try:
+            outcome = await asyncio.shield(task)
+        except asyncio.CancelledError:
+            self._scope.progress.detached = True
+            raise
         if isinstance(outcome, RequestRefused):
             raise outcome
         assert isinstance(outcome, Answer)
@@ -194,11 +198,12 @@
         return Answer(answer.status, (*answer.headers, own), answer.body)
 
     def _check_deadline(self) -> None:
-        if self._parts.clock.monotonic() < self._scope.deadline:
+        in_time = self._parts.clock.monotonic() < self._scope.deadline
+        if in_time and not self._scope.progress.detached:
             return
         raise RequestRefused(
             ErrorKind.DEADLINE_EXCEEDED,
-            'the deadline passed before the request was sent',
+            'its time was over before the request was sent',
             retry_after=RETRY_SECONDS,
         )
 
--- a/src/lifttrestle/internal/router/planned_stop.py
+++ b/src/lifttrestle/internal/router/planned_stop.py
@@ -12,12 +12,48 @@
 
 """What the requests of a router have to know of its stop."""
 
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+
+from lifttrestle.errors import CutByStop
+
 
 class PlannedStop:
-    """Set once by the router's process, read by its requests.
+    """Told by the router's process, obeyed by its requests.
 
     :ivar begun: whether the router was told to stop.
+    :ivar cut: how many requests it could not wait for.
     """
 
     def __init__(self) -> None:
         self.begun = False
+        self.cut = 0
+        self._cut_at: float | None = None
+        self._bounds: set[asyncio.Timeout] = set()
+
+    def end_requests_in(self, seconds: float) -> None:
+        """Have each request end in time, also those that come yet."""
+        self._cut_at = asyncio.get_running_loop().time() + seconds
+        for bound in self._bounds:
+            if not bound.expired():
+                bound.reschedule(self._cut_at)
+
+    @contextlib.asynccontextmanager
+    async def bound_request(self) -> AsyncIterator[None]:
+        """Let a request run until the stop can't wait for it.
+
+        :raises CutByStop: then.
+        """
+        bound = asyncio.timeout_at(self._cut_at)
+        try:
+            async with bound:
+                self._bounds.add(bound)
+                yield
+        except TimeoutError:
+            if not bound.expired():
+                raise
+            self.cut += 1
+            raise CutByStop('the grace of the stop is over') from None
+        finally:
+            self._bounds.discard(bound)
--- a/src/lifttrestle/internal/router/process.py
+++ b/src/lifttrestle/internal/router/process.py
@@ -95,7 +95,7 @@
         self._control: list[asyncio.Task[None]] = []
         self._failed = False
         # Of the stop, once it has begun.
-        self._times = StopTimes(0.0, 0.0, 0.0, 0.0)
+        self._times = StopTimes(0.0, 0.0, 0.0, 0.0, 0.0)
         self._build_control()
         self._build_doors()
 
@@ -294,6 +294,7 @@
         """Stop in the order that cuts no request."""
         LOG.info('router: stopping, %d requests', self._callers_door.busy)
         self._times = self._begin_times()
+        self._planned.end_requests_in(self._count_left(self._times.cut_at))
         self._planned.begun = True
         self._exchange.leaving = True
         self._callers_door.announce_stop()
@@ -338,8 +339,11 @@
         hurry.cancel()
         if self._hurry.is_set():
             self._times = hurry_stop(self._times, self._clock.monotonic())
+            self._planned.end_requests_in(0.0)
+            left = self._count_left(self._times.closed_at)
+            await asyncio.wait({closing}, timeout=left)
         if closing.done():
-            return closing.result()
+            return closing.result() and not self._planned.cut
         closing.cancel()
         await self._callers_door.stop(0)
         return False
--- a/src/lifttrestle/internal/router/stop_times.py
+++ b/src/lifttrestle/internal/router/stop_times.py
@@ -35,12 +35,14 @@
     """The ends of the steps, in their order.
 
     :ivar closes_at: the balancer had its notice, the listener closes.
-    :ivar closed_at: the requests have ended and their answers have left.
+    :ivar cut_at: requests that have not ended are ended.
+    :ivar closed_at: the last answers have left, the connections are closed.
     :ivar recorded_at: operators' calls have ended, records are written.
     :ivar ends_at: the router has left the list; the end of the whole stop.
     """
 
     closes_at: float
+    cut_at: float
     closed_at: float
     recorded_at: float
     ends_at: float
@@ -58,11 +60,12 @@
     ends_at = now + notice + grace
     leave = LEAVE_CALLS * call_seconds
     record = RECORD_CALLS * call_seconds
-    wanted = record + leave
+    wanted = LAST_BYTES_SECONDS + record + leave
     scale = min(1.0, END_SHARE * grace / wanted)
     return StopTimes(
         closes_at=now + notice,
-        closed_at=ends_at - wanted * scale,
+        cut_at=ends_at - wanted * scale,
+        closed_at=ends_at - (record + leave) * scale,
         recorded_at=ends_at - leave * scale,
         ends_at=ends_at,
     )
@@ -70,9 +73,10 @@
 
 def hurry_stop(times: StopTimes, now: float) -> StopTimes:
     """Return the times of a stop that waits for no request any longer."""
-    early = max(times.closed_at - LAST_BYTES_SECONDS - now, 0.0)
+    early = max(times.cut_at - now, 0.0)
     return StopTimes(
         closes_at=min(times.closes_at, now),
+        cut_at=times.cut_at - early,
         closed_at=times.closed_at - early,
         recorded_at=times.recorded_at - early,
         ends_at=times.ends_at - early,
--- a/tests/cover/test_cut.py
+++ b/tests/cover/test_cut.py
@@ -16,10 +16,17 @@
 import unittest
 
 from lifttrestle.errors import CallerGone
+from lifttrestle.errors import CutByStop
 from lifttrestle.errors import UpstreamLost
+from lifttrestle.internal.exchange.progress import RequestEvent
+from lifttrestle.internal.exchange.progress import RequestProgress
+from lifttrestle.internal.refusal.body import build_refusal
+from lifttrestle.internal.refusal.execution import Execution
+from lifttrestle.internal.router.cut import build_cut_refusal
 from lifttrestle.internal.router.cut import CutCause
 from lifttrestle.internal.router.cut import find_cut_cause
 from lifttrestle.internal.router.cut import name_attempt_end
+from lifttrestle.internal.router.planned_stop import PlannedStop
 
 
 class TestCut(unittest.TestCase):
@@ -45,5 +52,57 @@
         self.assertEqual(fault, "fault: KeyError('x')")
 
 
+class TestCutRefusal(unittest.TestCase):
+    def test_only_what_did_not_run_may_be_sent_again(self) -> None:
+        for ran in Execution:
+            refused = build_cut_refusal(ran)
+            answer = build_refusal(refused, 'id')
+            headers = dict(answer.headers)
+            not_run = ran is Execution.NOT_RUN
+            with self.subTest(ran=ran):
+                self.assertEqual(answer.status, 503 if not_run else 504)
+                self.assertIs(refused.ran, ran)
+                self.assertEqual('retry-after' in headers, not_run)
+
+    def test_work_that_goes_on_alone_is_never_not_run(self) -> None:
+        progress = RequestProgress()
+        progress.move(RequestEvent.ADMIT)
+        self.assertIs(progress.execution, Execution.NOT_RUN)
+        progress.detached = True
+        self.assertIs(progress.execution, Execution.UNKNOWN)
+
+
+class TestPlannedStop(unittest.IsolatedAsyncioTestCase):
+    async def wait_for_ever(self, stop: PlannedStop) -> None:
+        async with stop.bound_request():
+            await asyncio.Event().wait()
+
+    async def test_requests_before_and_after_the_order_are_ended(self) -> None:
+        stop = PlannedStop()
+        running = asyncio.create_task(self.wait_for_ever(stop))
+        await asyncio.sleep(0)
+        stop.end_requests_in(600.0)
+        await asyncio.sleep(0)
+        self.assertFalse(running.done())
+        stop.end_requests_in(0.0)
+        with self.assertRaises(CutByStop):
+            await running
+        with self.assertRaises(CutByStop):
+            await self.wait_for_ever(stop)
+        self.assertEqual(stop.cut, 2)
+
+    async def test_other_ends_stay_what_they_are(self) -> None:
+        stop = PlannedStop()
+        with self.assertRaises(TimeoutError):
+            async with stop.bound_request():
+                raise TimeoutError
+        running = asyncio.create_task(self.wait_for_ever(stop))
+        await asyncio.sleep(0)
+        running.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await running
+        self.assertEqual(stop.cut, 0)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/cover/test_stop_times.py
+++ b/tests/cover/test_stop_times.py
@@ -37,11 +37,13 @@
         times = plan_stop(NOW, 5.0, 600.0, 2.0)
         self.assertEqual(times.recorded_at, times.ends_at - 4.0)
         self.assertEqual(times.closed_at, times.ends_at - 8.0)
+        early = times.closed_at - LAST_BYTES_SECONDS
+        self.assertEqual(times.cut_at, early)
 
     def test_short_grace_is_the_requests_but_for_a_share(self) -> None:
         times = plan_stop(NOW, 0.0, 8.0, 2.0)
-        self.assertEqual(times.closed_at, NOW + 6.0)
-        self.assertEqual(times.recorded_at, NOW + 7.0)
+        self.assertEqual(times.cut_at, NOW + 6.0)
+        self.assertAlmostEqual(times.recorded_at, NOW + 8.0 - 8.0 / 9.0)
 
 
 class TestHurryStop(unittest.TestCase):
@@ -49,6 +51,7 @@
         times = plan_stop(NOW, 5.0, 600.0, 2.0)
         hurried = hurry_stop(times, NOW + 1.0)
         self.assertEqual(hurried.closes_at, NOW + 1.0)
+        self.assertEqual(hurried.cut_at, NOW + 1.0)
         closed_at = NOW + 1.0 + LAST_BYTES_SECONDS
         self.assertEqual(hurried.closed_at, closed_at)
         self.assertEqual(hurried.ends_at, closed_at + 8.0)
