A router that stops takes what it can't end: a failing test

Cause: until the listener closes nothing asks how much of the grace is left. Ruled out: a first request of its kind, of which nothing can be known: the same stream of 4 s was read to its end before the signal. Before: not tested.

--- a/tests/nocover/test_stop_deadline.py
+++ b/tests/nocover/test_stop_deadline.py
@@ -18,6 +18,7 @@
 import unittest
 
 from tests.support.deployment import Deployment
+from tests.support.deployment import MODEL
 from tests.support.deployment import OPERATOR_TOKEN
 from tests.support.deployment import Reply
 from tests.support.deployment import request
@@ -148,5 +149,47 @@
             self.assertIn('cause="cut by the stop"', line)
 
 
+class TestTakenLate(unittest.TestCase):
+    """Requests that come after the signal, while the listener is open."""
+
+    def setUp(self) -> None:
+        self.deployment = Deployment(
+            engines=1,
+            engine_arguments=('--decode-seconds', '0.05'),
+            extra='stop = { notice_seconds = 2, grace_seconds = 1.2 }',
+        )
+        self.enterContext(self.deployment)
+        self.deployment.configure_usual()
+        self.router = self.deployment.router
+
+    def stream(self) -> Reply:
+        """Read a stream of 4 s or more, to its end."""
+        body = {
+            'model': MODEL,
+            'messages': [{'role': 'user', 'content': 'a long one'}],
+            'max_tokens': 80,
+            'stream': True,
+        }
+        target = '/v1/chat/completions'
+        return request(self.router.callers, 'POST', target, TOKEN, body)
+
+    def test_stream_that_can_not_end_is_not_taken(self) -> None:
+        self.assertIn(b'[DONE]', self.stream().body)
+        process = self.router.process
+        process.send_signal(signal.SIGTERM)
+        wait_until(
+            lambda: any('router: stopping' in line for line in process.lines)
+        )
+        late = self.stream()
+        self.assertEqual(late.status, 503)
+        self.assertEqual(late.error['code'], 'stopping')
+        self.assertEqual(late.error['ran'], 'not run')
+        self.assertEqual(late.headers['connection'], 'close')
+        # What is known to end in time is served as before.
+        short = request(self.router.callers, 'GET', f'/{SERVICE}/x', TOKEN)
+        self.assertEqual(short.status, 200)
+        self.assertEqual(process.wait(), 0)
+
+
 if __name__ == '__main__':
     unittest.main()
