A router that stops takes only what can end in its grace

Cause: what is left of the grace decided nothing. Ruled out: refusing everything from the signal on: the balancer still sends for the notice, and short requests end in time; a choice by the limit on tokens: few callers set one, and the pace of an engine is not known to this router.

--- a/src/lifttrestle/internal/router/caller_handler.py
+++ b/src/lifttrestle/internal/router/caller_handler.py
@@ -13,6 +13,8 @@
 """Serves one caller's request, from its head to its answer."""
 
 import asyncio
+from collections.abc import Iterator
+import contextlib
 import logging
 import random
 import uuid
@@ -148,7 +150,8 @@
         # The configuration may have changed while the request waited.
         scope.workspace = self._identify(scope.head)
         if route.kind is RouteKind.SERVICE:
-            await self._services.run(scope, route, body)
+            with self._take_in_time(route.service):
+                await self._services.run(scope, route, body)
             return
         request = parse_model_request(route.kind, body)
         view = await self._wait_while_held(ItemKind.MODEL, request.model)
@@ -160,7 +163,22 @@
         exchange = ModelExchange(
             self._parts, self._chooser, scope, request, model
         )
-        await exchange.run()
+        with self._take_in_time(request.model):
+            await exchange.run()
+
+    @contextlib.contextmanager
+    def _take_in_time(self, target: str) -> Iterator[None]:
+        """Begin the work on a request, if it can end before a stop does.
+
+        :raises RequestRefused: if requests like it took longer lately than
+            what is left.
+        """
+        needed = self._parts.needed
+        if needed.get_longest(target) > self._parts.stop.count_left():
+            raise build_cut_refusal(Execution.NOT_RUN)
+        started = self._parts.clock.monotonic()
+        yield
+        needed.note(target, self._parts.clock.monotonic() - started)
 
     def _identify(self, head: RequestHead) -> Workspace:
         """Return the caller's workspace, if it may be served here now."""
--- a/src/lifttrestle/internal/router/cut.py
+++ b/src/lifttrestle/internal/router/cut.py
@@ -69,7 +69,7 @@
     if ran is Execution.NOT_RUN:
         return RequestRefused(
             ErrorKind.STOPPING,
-            'this router stops and did not come to the request',
+            'this router stops before the request could have ended',
             retry_after=RETRY_SECONDS,
         )
     return RequestRefused(
--- a/src/lifttrestle/internal/router/parts.py
+++ b/src/lifttrestle/internal/router/parts.py
@@ -23,6 +23,7 @@
 from lifttrestle.internal.membership.peers import Peers
 from lifttrestle.internal.replay.recorder import TraceRecorder
 from lifttrestle.internal.router.background import BackgroundTasks
+from lifttrestle.internal.router.needed_times import NeededTimes
 from lifttrestle.internal.router.planned_stop import PlannedStop
 from lifttrestle.internal.routing.policy import Policy
 from lifttrestle.internal.runrecord.ledger import RunLedger
@@ -53,4 +54,5 @@
     metrics: Metrics
     background: BackgroundTasks
     stop: PlannedStop
+    needed: NeededTimes
     recorder: TraceRecorder | None = None
--- a/src/lifttrestle/internal/router/planned_stop.py
+++ b/src/lifttrestle/internal/router/planned_stop.py
@@ -15,6 +15,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+import math
 
 from lifttrestle.errors import CutByStop
 
@@ -39,6 +40,12 @@
             if not bound.expired():
                 bound.reschedule(self._cut_at)
 
+    def count_left(self) -> float:
+        """Return the seconds that a request has, without end before a stop."""
+        if self._cut_at is None:
+            return math.inf
+        return self._cut_at - asyncio.get_running_loop().time()
+
     @contextlib.asynccontextmanager
     async def bound_request(self) -> AsyncIterator[None]:
         """Let a request run until the stop can't wait for it.
--- a/src/lifttrestle/internal/router/process.py
+++ b/src/lifttrestle/internal/router/process.py
@@ -46,6 +46,7 @@
 from lifttrestle.internal.router.background import BackgroundTasks
 from lifttrestle.internal.router.caller_handler import CallerHandler
 from lifttrestle.internal.router.caller_handler import make_request_id
+from lifttrestle.internal.router.needed_times import NeededTimes
 from lifttrestle.internal.router.parts import RouterParts
 from lifttrestle.internal.router.planned_stop import PlannedStop
 from lifttrestle.internal.router.readiness import Readiness
@@ -160,6 +161,7 @@
             metrics=metrics,
             background=BackgroundTasks(),
             stop=self._planned,
+            needed=NeededTimes(self._clock),
             recorder=self._make_recorder(),
         )
         intent = IntentService(
--- /dev/null
+++ b/tests/cover/test_needed_times.py
@@ -0,0 +1,50 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Tests of the memory of how long requests take."""
+
+import datetime
+import unittest
+
+from lifttrestle.internal.clock.manual import ManualClock
+from lifttrestle.internal.router.needed_times import NeededTimes
+from lifttrestle.internal.router.needed_times import SPAN_SECONDS
+
+START = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
+
+
+class TestNeededTimes(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock(START)
+        self.times = NeededTimes(self.clock)
+
+    def test_longest_of_each_target(self) -> None:
+        self.assertEqual(self.times.get_longest('model'), 0.0)
+        for seconds in (2.0, 9.0, 3.0):
+            self.times.note('model', seconds)
+        self.times.note('service', 0.1)
+        self.assertEqual(self.times.get_longest('model'), 9.0)
+        self.assertEqual(self.times.get_longest('service'), 0.1)
+
+    def test_is_kept_for_one_span_and_forgotten_after_two(self) -> None:
+        self.times.note('model', 9.0)
+        self.clock.advance(SPAN_SECONDS)
+        self.assertEqual(self.times.get_longest('model'), 9.0)
+        self.times.note('model', 2.0)
+        self.clock.advance(SPAN_SECONDS)
+        self.assertEqual(self.times.get_longest('model'), 2.0)
+        self.clock.advance(2 * SPAN_SECONDS)
+        self.assertEqual(self.times.get_longest('model'), 0.0)
+
+
+if __name__ == '__main__':
+    unittest.main()
