A first signal cuts the requests of a router that stops by itself: a test

Cause: a signal counts as the second where the stop was begun by anything; a router that lost a control task begins it by itself. Ruled out: the lost task: without the signal the same request is answered. Before: not tested.

--- a/tests/nocover/test_stop_signals.py
+++ b/tests/nocover/test_stop_signals.py
@@ -12,6 +12,7 @@
 
 """What else than SIGTERM may end a router, and what it says of that."""
 
+import concurrent.futures
 import signal
 import unittest
 
@@ -76,6 +77,22 @@
         self.assertTrue(self.find('a control task failed'))
         self.assertTrue(self.find('router: stopped'))
 
+    def test_first_signal_after_that_cuts_no_request(self) -> None:
+        service = f'{SERVICE}-bkk-silom-1'
+        self.deployment.set_faults(service, delay_seconds=3.0)
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            callers = self.deployment.router.callers
+            target = f'/{SERVICE}/slow'
+            running = pool.submit(request, callers, 'GET', target, TOKEN)
+            wait_until(
+                lambda: self.deployment.count_arrivals(service, '/slow')
+            )
+            self.write_head('unreadable')
+            wait_until(lambda: self.find('router: stopping'))
+            self.process.send_signal(signal.SIGTERM)
+            self.assertEqual(running.result().status, 200)
+        self.assertNotEqual(self.process.wait(), 0)
+
     def test_list_that_can_not_be_read_breaks_no_stop_off(self) -> None:
         self.write_head('unreadable')
         self.assertNotEqual(self.process.wait(), 0)
