Only a second signal ends the wait, however the stop was begun

Cause: one event told both that a stop was begun and that a signal had come. Ruled out: leaving signals out of such a stop: an operator may end its wait too.

--- a/src/lifttrestle/internal/router/process.py
+++ b/src/lifttrestle/internal/router/process.py
@@ -95,6 +95,7 @@
         self._hurry = asyncio.Event()
         self._control: list[asyncio.Task[None]] = []
         self._failed = False
+        self._signalled = False
         # Of the stop, once it has begun.
         self._times = StopTimes(0.0, 0.0, 0.0, 0.0, 0.0)
         self._build_control()
@@ -382,9 +383,10 @@
         loop.add_signal_handler(signal.SIGHUP, _note_hang_up)
 
     def _note_signal(self) -> None:
-        if self._stop.is_set():
+        if self._signalled:
             LOG.warning('router: second signal, not waiting any longer')
             self._hurry.set()
+        self._signalled = True
         self._stop.set()
 
     def _make_client(self, address: str) -> JsonClient:
