The steps of a stop stand in a file of their own

Ruled out: a change of what the steps do. Before: 17 tests of stops, signals, deadlines and cut requests pass.

--- a/src/lifttrestle/internal/router/process.py
+++ b/src/lifttrestle/internal/router/process.py
@@ -13,7 +13,6 @@
 """One router process: builds its parts, runs them, stops without a cut."""
 
 import asyncio
-import contextlib
 import logging
 import pathlib
 import random
@@ -50,9 +49,7 @@
 from lifttrestle.internal.router.parts import RouterParts
 from lifttrestle.internal.router.planned_stop import PlannedStop
 from lifttrestle.internal.router.readiness import Readiness
-from lifttrestle.internal.router.stop_times import hurry_stop
-from lifttrestle.internal.router.stop_times import plan_stop
-from lifttrestle.internal.router.stop_times import StopTimes
+from lifttrestle.internal.router.stop_sequence import StopSequence
 from lifttrestle.internal.routing.nested import NestedPolicy
 from lifttrestle.internal.runrecord.ledger import RunLedger
 from lifttrestle.internal.settings.router import RouterSettings
@@ -96,8 +93,6 @@
         self._control: list[asyncio.Task[None]] = []
         self._failed = False
         self._signalled = False
-        # Of the stop, once it has begun.
-        self._times = StopTimes(0.0, 0.0, 0.0, 0.0, 0.0)
         self._build_control()
         self._build_doors()
 
@@ -294,22 +289,16 @@
             await asyncio.sleep(self._settings.control.vms_poll_seconds)
 
     async def _shut_down(self) -> bool:
-        """Stop in the order that cuts no request."""
         LOG.info('router: stopping, %d requests', self._callers_door.busy)
-        self._times = self._begin_times()
-        self._planned.end_requests_in(self._count_left(self._times.cut_at))
-        self._planned.begun = True
         self._exchange.leaving = True
-        self._callers_door.announce_stop()
-        await self._pause(self._count_left(self._times.closes_at))
-        whole = await self._close_callers()
-        await asyncio.gather(
-            self._operators_door.stop(
-                self._count_left(self._times.recorded_at)
-            ),
-            self._write_records(),
+        sequence = StopSequence(
+            self._parts,
+            self._callers_door,
+            self._operators_door,
+            self._leave,
+            self._hurry,
         )
-        await self._leave()
+        whole = await sequence.run()
         self._exchange.stop()
         self._parts.registry.close()
         if self._parts.recorder is not None:
@@ -317,63 +306,13 @@
         LOG.info('router: stopped, every request ended: %s', whole)
         return whole
 
-    def _begin_times(self) -> StopTimes:
-        stop = self._settings.stop
-        return plan_stop(
-            self._clock.monotonic(),
-            stop.notice_seconds,
-            stop.grace_seconds,
-            self._settings.platform.timeout_seconds,
-        )
-
-    def _count_left(self, until: float) -> float:
-        return max(until - self._clock.monotonic(), 0.0)
-
-    async def _close_callers(self) -> bool:
-        """End the requests, or what is left of them; return if all ended."""
-        left = self._count_left(self._times.closed_at)
-        closing = asyncio.create_task(self._callers_door.stop(left))
-        hurry = asyncio.create_task(self._hurry.wait())
-        await asyncio.wait(
-            {closing, hurry},
-            timeout=left,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        hurry.cancel()
-        if self._hurry.is_set():
-            self._times = hurry_stop(self._times, self._clock.monotonic())
-            self._planned.end_requests_in(0.0)
-            left = self._count_left(self._times.closed_at)
-            await asyncio.wait({closing}, timeout=left)
-        if closing.done():
-            return closing.result() and not self._planned.cut
-        closing.cancel()
-        await self._callers_door.stop(0)
-        return False
-
-    async def _write_records(self) -> None:
-        until = self._times.recorded_at
-        await self._parts.background.flush(self._count_left(until))
-        # What ran in the background has left records to be written.
-        await self._parts.ledger.flush(self._count_left(until))
-
     async def _leave(self) -> None:
         """Stop obeying, and leave the list of routers that are counted."""
         for task in self._control:
             task.remove_done_callback(self._note_control_end)
             task.cancel()
-        try:
-            async with asyncio.timeout(self._count_left(self._times.ends_at)):
-                await asyncio.gather(*self._control, return_exceptions=True)
-                await self._keeper.leave()
-        except Exception:
-            # Whatever it was, what is left of the stop is still to be done.
-            LOG.exception('router: not taken off the list')
-
-    async def _pause(self, seconds: float) -> None:
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(seconds):
-                await self._hurry.wait()
+        await asyncio.gather(*self._control, return_exceptions=True)
+        await self._keeper.leave()
 
     def _watch_signals(self) -> None:
         loop = asyncio.get_running_loop()
