--- a/src/lifttrestle/internal/cli/router.py
+++ b/src/lifttrestle/internal/cli/router.py
@@ -17,13 +17,15 @@
 import pathlib
 import random
 
+from lifttrestle.internal.cli.signals import ignore_hangup
+from lifttrestle.internal.cli.signals import ignore_signals
 from lifttrestle.internal.clock.system import SystemClock
 from lifttrestle.internal.settings.load import load_settings
 from lifttrestle.internal.settings.router import RouterSettings
 from lifttrestle.internal.telemetry.logs import set_up_logs
 
 EXIT_OK = 0
-EXIT_CUT = 1
+EXIT_FAULT = 1
 
 
 def add_commands(commands: 'argparse._SubParsersAction') -> None:
@@ -40,9 +42,10 @@
 
 
 def run(options: argparse.Namespace) -> int:
-    """Run until a signal; exit 0 if every request was ended."""
+    """Run until a signal; exit 0 if all ended well."""
     settings = load_settings(options.settings)
     set_up_logs(settings.log.level)
+    ignore_hangup()
     return asyncio.run(_run_router(settings, options.record))
 
 
@@ -57,4 +60,6 @@
     process = RouterProcess(
         settings, SystemClock(), random.SystemRandom(), record
     )
-    return EXIT_OK if await process.run() else EXIT_CUT
+    whole = await process.run()
+    ignore_signals()
+    return EXIT_OK if whole else EXIT_FAULT
--- a/src/lifttrestle/internal/router/caller_handler.py
+++ b/src/lifttrestle/internal/router/caller_handler.py
@@ -13,16 +13,20 @@
 """Serves one caller's request, from its head to its answer."""
 
 import asyncio
+from collections.abc import Iterator
+import contextlib
 import logging
 import random
 import uuid
 
 from lifttrestle.errors import CallerGone
+from lifttrestle.errors import CutByStop
 from lifttrestle.errors import RequestRefused
 from lifttrestle.internal.configuration.model import ItemKind
 from lifttrestle.internal.configuration.model import Workspace
 from lifttrestle.internal.configuration.view import View
 from lifttrestle.internal.exchange.progress import RequestEvent
+from lifttrestle.internal.exchange.progress import RequestProgress
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.server_connection import ServerConnection
@@ -32,6 +36,8 @@
 from lifttrestle.internal.refusal.execution import join_executions
 from lifttrestle.internal.refusal.kind import ErrorKind
 from lifttrestle.internal.router.chooser import UpstreamChooser
+from lifttrestle.internal.router.cut import build_cut_refusal
+from lifttrestle.internal.router.cut import find_cut_cause
 from lifttrestle.internal.router.identify import check_place
 from lifttrestle.internal.router.identify import identify_workspace
 from lifttrestle.internal.router.model_exchange import ModelExchange
@@ -68,11 +74,16 @@
     ) -> None:
         """Answer one request, with a refusal if it comes to that."""
         request_id = make_request_id(self._parts.source)
+        progress = RequestProgress()
         try:
-            await self._serve(connection, head, request_id)
+            await self._serve(connection, head, request_id, progress)
         except RequestRefused as refused:
             await self._refuse(connection, refused, request_id)
-        except (CallerGone, asyncio.CancelledError):
+        except CutByStop as error:
+            self._note_end(request_id, progress, error)
+            await self._answer_cut(connection, request_id, progress)
+        except (CallerGone, asyncio.CancelledError) as error:
+            self._note_end(request_id, progress, error)
             raise
         except Exception:
             LOG.exception('router: request %s failed', request_id)
@@ -89,6 +100,7 @@
         connection: ServerConnection,
         head: RequestHead,
         request_id: str,
+        progress: RequestProgress,
     ) -> None:
         route = find_route(head.path)
         if route.kind is RouteKind.READY:
@@ -101,10 +113,13 @@
             view = self._parts.keeper.view
             await connection.send_answer(list_models(view, workspace))
             return
-        scope = self._make_scope(connection, head, request_id, workspace)
+        scope = self._make_scope(
+            connection, head, request_id, workspace, progress
+        )
         if route.kind is RouteKind.SERVICE:
             self._services.check_path(scope, route)
-        await self._admit(scope, route)
+        async with self._parts.stop.bound_request():
+            await self._admit(scope, route)
 
     async def _admit(self, scope: RequestScope, route: Route) -> None:
         # The limits come before the body, so that a workspace which is over
@@ -135,7 +150,8 @@
         # The configuration may have changed while the request waited.
         scope.workspace = self._identify(scope.head)
         if route.kind is RouteKind.SERVICE:
-            await self._services.run(scope, route, body)
+            with self._take_in_time(route.service):
+                await self._services.run(scope, route, body)
             return
         request = parse_model_request(route.kind, body)
         view = await self._wait_while_held(ItemKind.MODEL, request.model)
@@ -147,7 +163,22 @@
         exchange = ModelExchange(
             self._parts, self._chooser, scope, request, model
         )
-        await exchange.run()
+        with self._take_in_time(request.model):
+            await exchange.run()
+
+    @contextlib.contextmanager
+    def _take_in_time(self, target: str) -> Iterator[None]:
+        """Begin the work on a request, if it can end before a stop does.
+
+        :raises RequestRefused: if requests like it took longer lately than
+            what is left.
+        """
+        needed = self._parts.needed
+        if needed.get_longest(target) > self._parts.stop.count_left():
+            raise build_cut_refusal(Execution.NOT_RUN)
+        started = self._parts.clock.monotonic()
+        yield
+        needed.note(target, self._parts.clock.monotonic() - started)
 
     def _identify(self, head: RequestHead) -> Workspace:
         """Return the caller's workspace, if it may be served here now."""
@@ -184,11 +215,12 @@
         head: RequestHead,
         request_id: str,
         workspace: Workspace,
+        progress: RequestProgress,
     ) -> RequestScope:
         now = self._parts.clock.monotonic()
         deadline = now + self._parts.settings.deadlines.request
         return RequestScope(
-            request_id, connection, head, workspace, now, deadline
+            request_id, connection, head, workspace, now, deadline, progress
         )
 
     async def _refuse(
@@ -197,19 +229,58 @@
         refused: RequestRefused,
         request_id: str,
     ) -> None:
+        kind = refused.kind.value
+        if connection.answer_started:
+            cause = f'{kind}: {refused.message}'
+            self._note_cut(request_id, refused.ran, cause, kind)
+            connection.abort()
+            return
         LOG.info(
             'router: refused request=%s kind=%s status=%d ran="%s" message=%s',
             request_id,
-            refused.kind.value,
+            kind,
             ANSWERS[refused.kind].status,
             refused.ran.value,
             refused.message,
         )
-        self._parts.metrics.count(f'refused.{refused.kind.value}')
+        self._parts.metrics.count(f'refused.{kind}')
+        await connection.send_answer(build_refusal(refused, request_id))
+
+    async def _answer_cut(
+        self,
+        connection: ServerConnection,
+        request_id: str,
+        progress: RequestProgress,
+    ) -> None:
+        """Tell the caller as much of the truth as can still be told."""
         if connection.answer_started:
             connection.abort()
             return
-        await connection.send_answer(build_refusal(refused, request_id))
+        connection.close_after_answer()
+        refused = build_cut_refusal(progress.execution)
+        await self._refuse(connection, refused, request_id)
+
+    def _note_end(
+        self,
+        request_id: str,
+        progress: RequestProgress,
+        error: CallerGone | CutByStop | asyncio.CancelledError,
+    ) -> None:
+        cause = find_cut_cause(error, self._parts.stop.begun)
+        ran = progress.execution
+        self._note_cut(request_id, ran, cause.value, cause.name.lower())
+
+    def _note_cut(
+        self, request_id: str, ran: Execution, cause: str, counter: str
+    ) -> None:
+        """Tell of a request whose caller got no whole answer."""
+        LOG.info(
+            'router: cut request=%s ran="%s" cause="%s"',
+            request_id,
+            ran.value,
+            cause,
+        )
+        self._parts.metrics.count(f'cut.{counter}')
 
     async def _tell_ready(self, connection: ServerConnection) -> None:
         status = 200 if self._readiness.is_ready() else 503
--- a/src/lifttrestle/internal/router/process.py
+++ b/src/lifttrestle/internal/router/process.py
@@ -13,7 +13,6 @@
 """One router process: builds its parts, runs them, stops without a cut."""
 
 import asyncio
-import contextlib
 import logging
 import pathlib
 import random
@@ -46,8 +45,11 @@
 from lifttrestle.internal.router.background import BackgroundTasks
 from lifttrestle.internal.router.caller_handler import CallerHandler
 from lifttrestle.internal.router.caller_handler import make_request_id
+from lifttrestle.internal.router.needed_times import NeededTimes
 from lifttrestle.internal.router.parts import RouterParts
+from lifttrestle.internal.router.planned_stop import PlannedStop
 from lifttrestle.internal.router.readiness import Readiness
+from lifttrestle.internal.router.stop_sequence import StopSequence
 from lifttrestle.internal.routing.nested import NestedPolicy
 from lifttrestle.internal.runrecord.ledger import RunLedger
 from lifttrestle.internal.settings.router import RouterSettings
@@ -64,7 +66,6 @@
 LOG = logging.getLogger('lifttrestle.router')
 BUCKET = 'lifttrestle'
 START_POLL_SECONDS = 0.02
-RECORDS_SECONDS = 10.0
 LOADER_LEASE_SECONDS = 10.0
 
 
@@ -87,8 +88,11 @@
         self._clock = GuardedClock(clock, settings.control.clock_error_seconds)
         self._source = source
         self._stop = asyncio.Event()
+        self._planned = PlannedStop()
         self._hurry = asyncio.Event()
         self._control: list[asyncio.Task[None]] = []
+        self._failed = False
+        self._signalled = False
         self._build_control()
         self._build_doors()
 
@@ -125,7 +129,9 @@
             settings.peers.seeds,
             self._source,
         )
-        self._readiness = Readiness(self._keeper, self._exchange, self._clock)
+        self._readiness = Readiness(
+            self._keeper, self._exchange, self._clock, self._planned
+        )
 
     def _build_doors(self) -> None:
         settings = self._settings
@@ -150,6 +156,8 @@
             decisions=DecisionLog(),
             metrics=metrics,
             background=BackgroundTasks(),
+            stop=self._planned,
+            needed=NeededTimes(self._clock),
             recorder=self._make_recorder(),
         )
         intent = IntentService(
@@ -210,7 +218,10 @@
         )
 
     async def run(self) -> bool:
-        """Serve until a signal; return whether every request was ended."""
+        """Serve until a signal or a fault, and stop in order.
+
+        :return: whether every request was ended and no control task failed.
+        """
         self._watch_signals()
         listen = self._settings.listen
         peers = self._exchange.start(check_address(listen.peers))
@@ -230,7 +241,8 @@
                 peers,
             )
         await self._stop.wait()
-        return await self._shut_down()
+        whole = await self._shut_down()
+        return whole and not self._failed
 
     def _start_control(self) -> None:
         exchange_seconds = self._settings.peers.exchange_seconds
@@ -254,12 +266,11 @@
             task.add_done_callback(self._note_control_end)
 
     def _note_control_end(self, task: asyncio.Task[None]) -> None:
-        if task.cancelled() or task.exception() is None:
-            return
-        # Without one of its control tasks a router would go stale unseen.
-        LOG.critical(
-            'router: a control task failed', exc_info=task.exception()
-        )
+        # Without one of its control tasks a router would go stale unseen,
+        # however that task came to its end.
+        error = None if task.cancelled() else task.exception()
+        LOG.critical('router: a control task failed', exc_info=error)
+        self._failed = True
         self._stop.set()
 
     async def _wait_until_ready(self) -> None:
@@ -278,22 +289,16 @@
             await asyncio.sleep(self._settings.control.vms_poll_seconds)
 
     async def _shut_down(self) -> bool:
-        """Stop in the order that cuts no request."""
         LOG.info('router: stopping, %d requests', self._callers_door.busy)
-        self._readiness.stopping = True
         self._exchange.leaving = True
-        self._callers_door.announce_stop()
-        stop = self._settings.stop
-        await self._pause(stop.notice_seconds)
-        whole = await self._close_callers(stop.grace_seconds)
-        await self._operators_door.stop(RECORDS_SECONDS)
-        await self._parts.background.flush(RECORDS_SECONDS)
-        await self._parts.ledger.flush(RECORDS_SECONDS)
-        # The last act: until here this router obeyed, and was counted.
-        for task in self._control:
-            task.cancel()
-        await asyncio.gather(*self._control, return_exceptions=True)
-        await self._keeper.leave()
+        sequence = StopSequence(
+            self._parts,
+            self._callers_door,
+            self._operators_door,
+            self._leave,
+            self._hurry,
+        )
+        whole = await sequence.run()
         self._exchange.stop()
         self._parts.registry.close()
         if self._parts.recorder is not None:
@@ -301,33 +306,26 @@
         LOG.info('router: stopped, every request ended: %s', whole)
         return whole
 
-    async def _close_callers(self, grace_seconds: float) -> bool:
-        closing = asyncio.create_task(self._callers_door.stop(grace_seconds))
-        hurry = asyncio.create_task(self._hurry.wait())
-        await asyncio.wait(
-            {closing, hurry}, return_when=asyncio.FIRST_COMPLETED
-        )
-        if not closing.done():
-            closing.cancel()
-            await self._callers_door.stop(0)
-            return False
-        hurry.cancel()
-        return closing.result()
-
-    async def _pause(self, seconds: float) -> None:
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(seconds):
-                await self._hurry.wait()
+    async def _leave(self) -> None:
+        """Stop obeying, and leave the list of routers that are counted."""
+        for task in self._control:
+            task.remove_done_callback(self._note_control_end)
+            task.cancel()
+        await asyncio.gather(*self._control, return_exceptions=True)
+        await self._keeper.leave()
 
     def _watch_signals(self) -> None:
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._note_signal)
+        # Left alone, a hang-up would end the process with its requests.
+        loop.add_signal_handler(signal.SIGHUP, _note_hang_up)
 
     def _note_signal(self) -> None:
-        if self._stop.is_set():
+        if self._signalled:
             LOG.warning('router: second signal, not waiting any longer')
             self._hurry.set()
+        self._signalled = True
         self._stop.set()
 
     def _make_client(self, address: str) -> JsonClient:
@@ -340,6 +338,13 @@
         )
 
 
+def _note_hang_up() -> None:
+    LOG.warning(
+        'router: hang-up (SIGHUP) ignored: settings are read at the start'
+        ' only; stop with SIGTERM and start anew'
+    )
+
+
 def _read_platform_token(path: str) -> tuple[Header, ...]:
     if not path:
         return ()
