--- a/src/lifttrestle/internal/fleet/stop_sequence.py
+++ b/src/lifttrestle/internal/fleet/stop_sequence.py
@@ -15,6 +15,7 @@
 import asyncio
 
 from lifttrestle.internal.fleet.parts import FleetParts
+from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.shutdown import Shutdown
 from lifttrestle.internal.http.server import HttpServer
 from lifttrestle.internal.telemetry.event_log import get_event_log
@@ -48,7 +49,7 @@
         after_ms=_get_passed_ms(shutdown),
         requests=callers.busy,
     )
-    leaving = asyncio.create_task(parts.roster.leave())
+    leaving = asyncio.create_task(_leave(parts.roster))
     whole = await callers.stop(
         shutdown.get_cut_left(), shutdown.get_flush_seconds()
     )
@@ -69,5 +70,13 @@
     return whole
 
 
+async def _leave(roster: Roster) -> None:
+    """Leave the roster; whatever goes wrong there holds nothing up."""
+    try:
+        await roster.leave()
+    except Exception:
+        LOG.exception('router.row_left', reason='see the error')
+
+
 def _get_passed_ms(shutdown: Shutdown) -> int:
     return round(shutdown.get_passed() * MILLISECONDS)
