--- a/src/lifttrestle/internal/fleet/path/story.py
+++ b/src/lifttrestle/internal/fleet/path/story.py
@@ -85,7 +85,6 @@
     :param stop_left: seconds until this process is killed, or infinity.
     """
     workspace = admitted.workspace
-    generation = facts.generation
     return {
         'host': facts.host,
         'route': admitted.route.name,
@@ -94,7 +93,6 @@
         'view_age_ms': round(view_age * MILLISECONDS),
         'left_ms': round(left * MILLISECONDS),
         'target_ms': round(admitted.route.target_seconds * MILLISECONDS),
-        'asked_tokens': generation.output_tokens if generation else None,
         'stop_left_ms': _to_milliseconds(
             None if math.isinf(stop_left) else stop_left
         ),
