--- a/src/lifttrestle/internal/cli/router.py
+++ b/src/lifttrestle/internal/cli/router.py
@@ -25,7 +25,7 @@
 from lifttrestle.internal.telemetry.logs import set_up_logs
 
 EXIT_OK = 0
-EXIT_FAULT = 1
+EXIT_FAILED = 1
 
 
 def add_commands(commands: 'argparse._SubParsersAction') -> None:
@@ -62,4 +62,4 @@
     )
     whole = await process.run()
     ignore_signals()
-    return EXIT_OK if whole else EXIT_FAULT
+    return EXIT_OK if whole else EXIT_FAILED
--- a/src/lifttrestle/internal/cli/signals.py
+++ b/src/lifttrestle/internal/cli/signals.py
@@ -26,8 +26,8 @@
 def ignore_hangup() -> None:
     """Let SIGHUP do nothing until the event loop handles it.
 
-    It asks for the settings to be read again, which happens every few seconds
-    without it.
+    Nothing is lost by that: settings that follow their file are looked at
+    every few seconds as well, and others are read at the start only.
     """
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
