--- a/src/lifttrestle/errors.py
+++ b/src/lifttrestle/errors.py
@@ -15,6 +15,7 @@
 Every message quotes the offending value and says what to do about it.
 """
 
+from lifttrestle.internal.intake.fault import InputFault
 from lifttrestle.internal.refusal.execution import Execution
 from lifttrestle.internal.refusal.kind import ErrorKind
 
@@ -57,6 +58,18 @@
     """A settings file has faults; the message lists every one of them."""
 
 
+class InputRefused(LifttrestleError, ValueError):
+    """Data of another writer can't be used.
+
+    :param fault: why, from the closed list.
+    :param message: one sentence that quotes what is wrong.
+    """
+
+    def __init__(self, fault: InputFault, message: str) -> None:
+        super().__init__(message)
+        self.fault = fault
+
+
 class PlatformUnavailable(LifttrestleError):
     """The table service, object store or VM list gave no usable answer.
 
--- a/src/lifttrestle/internal/fleet/loads/engine_control.py
+++ b/src/lifttrestle/internal/fleet/loads/engine_control.py
@@ -23,6 +23,7 @@
 class EngineState:
     """What an engine says of itself, some hundred milliseconds late.
 
+    :ivar born: Unix milliseconds of the start that says it, None if not told.
     :ivar loading: it is carrying an order out.
     :ivar orders_accepted: since its start; an order that expects another
         number is refused, so that a late one does no harm.
@@ -33,6 +34,7 @@
     orders_accepted: int
     waiting: int
     running: int
+    born: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/lifttrestle/internal/fleet/loads/load_tracking.py
+++ b/src/lifttrestle/internal/fleet/loads/load_tracking.py
@@ -66,13 +66,13 @@
         """Return how many loads are under way."""
         return len(self._loads)
 
-    def __contains__(self, instance: object) -> bool:
+    def __contains__(self, start: object) -> bool:
         """Return whether an engine is loading."""
-        return instance in self._loads
+        return start in self._loads
 
     @property
-    def instances(self) -> list[str]:
-        """Return the engines that are loading."""
+    def starts(self) -> list[str]:
+        """Return the starts of the engines that are loading."""
         return list(self._loads)
 
     def add(
@@ -83,26 +83,30 @@
         # An order that nobody answered may be lost: to find that out late
         # leaves the engine without work for nothing.
         pause = REPORT_FIRST_SECONDS if answered else REPORT_SECONDS
-        self._loads[upstream.instance] = LoadUnderWay(
+        self._loads[upstream.start] = LoadUnderWay(
             upstream, order, answered, now, now + pause
         )
 
     async def follow(self) -> None:
         """Ask the engines how far they are, and drop what is over."""
-        for instance, load in list(self._loads.items()):
+        for start, load in list(self._loads.items()):
             now = self._clock.monotonic()
             if self._is_over(load, now):
-                del self._loads[instance]
+                del self._loads[start]
                 continue
             if now < load.ask_at:
                 continue
             load.ask_at = now + REPORT_SECONDS
             state = await self.read_state(load.upstream)
             if _was_lost(load, state) or self._is_over(load, now):
-                del self._loads[instance]
+                del self._loads[start]
 
     async def read_state(self, upstream: FleetUpstream) -> EngineState | None:
-        """Return what an engine says of itself, None without an answer."""
+        """Return what an engine says of itself.
+
+        None if there is no answer, or if it is that of another start, which
+        knows nothing of what the known one was ordered.
+        """
         try:
             state = await self._control.read_state(upstream)
         except PlatformUnavailable as error:
@@ -112,8 +116,16 @@
                 reason=str(error),
             )
             return None
+        if not self._directory.note_start(upstream, state.born, state.weights):
+            LOG.info(
+                'weights.other_start',
+                instance=upstream.instance,
+                born=state.born,
+                expected=upstream.entry.born,
+            )
+            return None
         known = state.weights.get(self._model, 0)
-        upstream.note_weights(self._model, known)
+        upstream.note_weights(self._model, known, self._clock.monotonic())
         return state
 
     def _is_over(self, load: LoadUnderWay, now: float) -> bool:
@@ -121,7 +133,7 @@
         return (
             upstream.weights.get(self._model, 0) >= load.order.version
             or upstream.reach.unreached
-            or self._directory.get(upstream.instance) is None
+            or self._directory.get_start(upstream.start) is None
             or now - load.ordered_at > LOAD_LIMIT_SECONDS
         )
 
--- a/src/lifttrestle/internal/fleet/loads/weights_loader.py
+++ b/src/lifttrestle/internal/fleet/loads/weights_loader.py
@@ -161,7 +161,7 @@
         for upstream in outdated:
             if len(batch) >= room:
                 break
-            if upstream.instance in loads:
+            if upstream.start in loads:
                 continue
             if upstream.is_doubtful(self._clock.monotonic()):
                 continue
@@ -176,8 +176,8 @@
             return
         asked_at = self._clock.monotonic()
         names = [
-            *loads.instances,
-            *(upstream.instance for upstream, _ in batch),
+            *loads.starts,
+            *(upstream.start for upstream, _ in batch),
         ]
         fence = await self._write_plan(model, version, held, names)
         await self._clock.sleep(STEER_SECONDS)
@@ -205,7 +205,7 @@
         self, model: str, version: int, held: HeldPlan, loading: list[str]
     ) -> int:
         loaded = [
-            upstream.instance
+            upstream.start
             for upstream in self._directory
             if upstream.weights.get(model, 0) >= version
         ]
@@ -227,6 +227,10 @@
         if self._clock.monotonic() - asked_at > ORDER_SECONDS:
             LOG.warning('weights.lease_ran_out', instance=upstream.instance)
             return False
+        if self._directory.get_start(upstream.start) is None:
+            # What was asked of one start is no order for the next.
+            LOG.info('weights.start_gone', instance=upstream.instance)
+            return False
         try:
             outcome = await self._control.send_load(upstream, order)
         except PlatformUnavailable as error:
@@ -246,7 +250,9 @@
             outcome=outcome.value,
         )
         if outcome is OrderOutcome.HOLDS:
-            upstream.note_weights(order.model, order.version)
+            upstream.note_weights(
+                order.model, order.version, self._clock.monotonic()
+            )
         if outcome is OrderOutcome.OTHER_INSTANCE:
             upstream.misdirected = True
         return outcome is not OrderOutcome.UNKNOWN
--- a/src/lifttrestle/internal/fleet/path/candidates.py
+++ b/src/lifttrestle/internal/fleet/path/candidates.py
@@ -47,7 +47,7 @@
         self, upstream: FleetUpstream, until: float = FOR_EVER
     ) -> None:
         """Do not try an upstream again before ``until``."""
-        self._tried[upstream.instance] = until
+        self._tried[upstream.start] = until
 
     def choose(self, admitted: Admitted, service: str) -> Placement | None:
         """Return the best upstream, or None if none may serve now."""
@@ -88,7 +88,7 @@
         found = [
             upstream
             for upstream in parts.directory.list_fit(service)
-            if self._tried.get(upstream.instance, now) <= now
+            if self._tried.get(upstream.start, now) <= now
             and upstream.in_flight < cap
         ]
         generation = self._facts.generation
@@ -117,7 +117,7 @@
         later than a request may wait.
         """
         return any(
-            self._tried.get(upstream.instance) != FOR_EVER
+            self._tried.get(upstream.start) != FOR_EVER
             and not upstream.reach.unreached
             for upstream in self._parts.directory.list_fit(service)
         )
--- a/src/lifttrestle/internal/fleet/path/sending.py
+++ b/src/lifttrestle/internal/fleet/path/sending.py
@@ -163,7 +163,9 @@
         )
         if answer.facts.weights is not None:
             chosen.upstream.note_weights(
-                generation.model, answer.facts.weights
+                generation.model,
+                answer.facts.weights,
+                self._parts.clock.monotonic(),
             )
         if order.cache is not None:
             self._parts.sources.note_served(order.cache, generation)
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -57,6 +57,7 @@
 from lifttrestle.internal.http.address import check_address
 from lifttrestle.internal.http.limits import HttpLimits
 from lifttrestle.internal.http.server import HttpServer
+from lifttrestle.internal.intake.refusals import InputRefusals
 from lifttrestle.internal.telemetry.event_log import get_event_log
 from lifttrestle.internal.telemetry.fleet_metrics import FleetMetrics
 
@@ -102,14 +103,20 @@
         self._control: list[asyncio.Task[None]] = []
         self.callers_address = Address('', 0)
         self.ready_address = Address('', 0)
+        metrics = FleetMetrics()
+        refusals = InputRefusals(metrics.count_refused_input)
         self._view = OperatorView(
             stored_format,
             clock,
             settings.promises.weights_seconds * OLD_WEIGHTS_SHARE,
+            refusals,
+        )
+        self._directory = UpstreamDirectory(stored_format, clock, refusals)
+        self._directory.get_catalogue = lambda: self._view.catalogue
+        self._weights = WeightsView(self._directory, clock, refusals)
+        self.roster = Roster(
+            store, clock, settings.vm, settings.data_centre, refusals
         )
-        self._directory = UpstreamDirectory(stored_format, clock)
-        self._weights = WeightsView(self._directory, clock)
-        self.roster = Roster(store, clock, settings.vm, settings.data_centre)
         self._operator_watch = self._make_watch(
             stored_format.operator_table,
             OPERATOR_WAIT_SECONDS,
@@ -139,7 +146,7 @@
             sources=CacheSources(clock),
             stores=self.stores,
             roster=self.roster,
-            metrics=FleetMetrics(),
+            metrics=metrics,
             shutdown=Shutdown(clock),
         )
         self._loader = WeightsLoader(
@@ -160,6 +167,7 @@
             self.roster,
             self._parts.sources.shared,
             clock,
+            refusals,
         )
         self._parts.note_load_change = self._peer_loads.note_change
         watches = [
--- a/src/lifttrestle/internal/fleet/state/catalogue.py
+++ b/src/lifttrestle/internal/fleet/state/catalogue.py
@@ -19,6 +19,7 @@
 import dataclasses
 import enum
 
+from lifttrestle.internal.fleet.state.upstream_entry import UpstreamEntry
 from lifttrestle.internal.routing.rendezvous import rank_names
 
 
@@ -158,6 +159,16 @@
     limits: CallerLimits
     keys: dict[str, Workspace] | None
 
+    def names(self, entry: UpstreamEntry) -> bool:
+        """Return whether an entry is one of a service's upstreams.
+
+        An engine that tells of no model is none that can be used.
+        """
+        service = self.services.get(entry.service)
+        if service is None:
+            return False
+        return service.engine is None or bool(entry.weights)
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of ``path``, or None."""
         for route in self.routes.get(host, ()):
--- a/src/lifttrestle/internal/fleet/state/directory.py
+++ b/src/lifttrestle/internal/fleet/state/directory.py
@@ -12,14 +12,22 @@
 
 """All upstreams of the fleet, from their entries in the shared list."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
+import dataclasses
+import re
 
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.state.catalogue import Catalogue
 from lifttrestle.internal.fleet.state.decoding import StoredFormat
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
+from lifttrestle.internal.fleet.state.upstream_entry import compare_starts
+from lifttrestle.internal.fleet.state.upstream_entry import StartOrder
+from lifttrestle.internal.fleet.state.upstream_entry import UpstreamEntry
 from lifttrestle.internal.http.address import check_address
 from lifttrestle.internal.http.client_pool import ClientPool
+from lifttrestle.internal.intake.refusals import InputRefusals
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
 LOG = get_event_log('upstreams')
@@ -31,26 +39,51 @@
 # While the store was away, entries lapse of upstreams that live. Those are
 # back within two seconds; such an upstream is used on for a little less.
 RETURN_SECONDS = 1.8
+# A name goes into a header: other characters would end or spoil it.
+INSTANCE = re.compile(r'[!-~]{1,200}')
 
 
 class UpstreamDirectory:
-    """Holds the upstreams by instance; old starts are forgotten."""
-
-    def __init__(self, stored_format: StoredFormat, clock: Clock) -> None:
+    """Holds the newest start of each upstream; old ones are forgotten.
+
+    :ivar get_catalogue: returns the configuration in force; an upstream of
+        a service that it does not name is not used.
+    """
+
+    def __init__(
+        self,
+        stored_format: StoredFormat,
+        clock: Clock,
+        refusals: InputRefusals | None = None,
+    ) -> None:
         self._format = stored_format
         self._clock = clock
+        self._refusals = refusals or InputRefusals()
         self._known: dict[str, FleetUpstream] = {}
+        self._starts: dict[str, FleetUpstream] = {}
+        self.get_catalogue: Callable[[], Catalogue | None] = lambda: None
         # Set from outside: when the list was last read after an outage.
         self.outage_until = float('-inf')
 
     def __iter__(self) -> Iterator[FleetUpstream]:
         """Iterate over the upstreams that may be used."""
-        return iter(self._known.values())
+        catalogue = self.get_catalogue()
+        return iter(
+            [
+                upstream
+                for upstream in self._known.values()
+                if catalogue is None or catalogue.names(upstream.entry)
+            ]
+        )
 
     def get(self, instance: str) -> FleetUpstream | None:
-        """Return an upstream by its instance."""
+        """Return an upstream by its name."""
         return self._known.get(instance)
 
+    def get_start(self, start: str) -> FleetUpstream | None:
+        """Return an upstream if this start of it is the newest known."""
+        return self._starts.get(start)
+
     def take(self, row: VersionedRow) -> None:
         """Take in a changed row of the list."""
         if row.value is None:
@@ -58,37 +91,102 @@
             return
         try:
             entry = self._format.read_upstream(row.key, row.value)
-            address = check_address(entry.address)
+            _check_names(entry)
         except ValueError as error:
-            LOG.error(
-                'upstream.unreadable', instance=row.key, reason=str(error)
-            )
+            self._refusals.note('upstreams', row.key, error)
+            self._drop(row.key)
             return
         known = self._known.get(row.key)
         if known is None:
-            pool = ClientPool(address, self._clock, CONNECT_SECONDS)
-            known = FleetUpstream(entry, pool)
-            self._known[row.key] = known
+            self._add(entry)
+            return
+        self._update(known, entry)
+
+    def note_start(
+        self,
+        upstream: FleetUpstream,
+        born: int | None,
+        weights: dict[str, int],
+    ) -> bool:
+        """Take in that a start of an upstream has answered.
+
+        :param born: Unix milliseconds of that start, None if not told.
+        :param weights: that it holds.
+        :return: whether it is the start that ``upstream`` stands for.
+        """
+        if self._starts.get(upstream.start) is not upstream:
+            return False
+        order = compare_starts(upstream.entry.born, born)
+        if order is StartOrder.NEWER:
+            entry = dataclasses.replace(
+                upstream.entry, born=born, weights=dict(weights)
+            )
+            self._replace(upstream, entry)
+        return order is StartOrder.SAME
+
+    def _update(self, known: FleetUpstream, entry: UpstreamEntry) -> None:
+        order = compare_starts(known.entry.born, entry.born)
+        if order is StartOrder.OLDER:
             LOG.info(
-                'upstream.new',
+                'upstream.older_start',
                 instance=entry.instance,
-                service=entry.service,
-                address=entry.address,
-                weights=entry.weights,
+                born=entry.born,
             )
-        elif entry.draining and not known.entry.draining:
+            return
+        if order is StartOrder.NEWER or entry.address != known.entry.address:
+            self._replace(known, entry)
+            return
+        if entry.draining and not known.entry.draining:
             LOG.info('upstream.draining', instance=entry.instance)
-        known.entry = entry
+        known.entry = dataclasses.replace(entry, born=known.entry.born)
         known.vanished_at = None
+        now = self._clock.monotonic()
         for model, version in entry.weights.items():
-            known.note_weights(model, version)
+            known.note_listed_weights(model, version, now)
+
+    def _replace(self, known: FleetUpstream, entry: UpstreamEntry) -> None:
+        """Forget what was learned of a start; another one has its name."""
+        LOG.info(
+            'upstream.started_again',
+            instance=entry.instance,
+            born=entry.born,
+            before=known.entry.born,
+        )
+        self._forget(known)
+        self._add(entry)
+
+    def _add(self, entry: UpstreamEntry) -> None:
+        address = check_address(entry.address)
+        pool = ClientPool(address, self._clock, CONNECT_SECONDS)
+        upstream = FleetUpstream(
+            entry,
+            pool,
+            weights=dict(entry.weights),
+            weights_noted_at=self._clock.monotonic(),
+        )
+        self._known[entry.instance] = upstream
+        self._starts[entry.start] = upstream
+        LOG.info(
+            'upstream.new',
+            instance=entry.instance,
+            born=entry.born,
+            service=entry.service,
+            address=entry.address,
+            weights=entry.weights,
+        )
+
+    def _drop(self, instance: str) -> None:
+        """Use an upstream no more whose entry does not name one now."""
+        known = self._known.get(instance)
+        if known is not None:
+            self._forget(known)
 
     def list_fit(self, service: str) -> list[FleetUpstream]:
         """Return the upstreams of a service that may get new work."""
         self._forget_lapsed()
         return [
             upstream
-            for upstream in self._known.values()
+            for upstream in self
             if upstream.entry.service == service
             and not upstream.entry.draining
             and not upstream.misdirected
@@ -125,5 +223,19 @@
 
     def _forget(self, upstream: FleetUpstream) -> None:
         self._known.pop(upstream.instance, None)
+        self._starts.pop(upstream.start, None)
         upstream.pool.close()
         LOG.info('upstream.gone', instance=upstream.instance)
+
+
+def _check_names(entry: UpstreamEntry) -> None:
+    """Check what is used as a header or an address.
+
+    :raises ValueError: if it can't be used as such.
+    """
+    check_address(entry.address)
+    if INSTANCE.fullmatch(entry.instance) is None:
+        raise ValueError(
+            f'{entry.instance!r} is no name; write 1 to 200 printable ASCII'
+            ' characters without blanks'
+        )
--- a/src/lifttrestle/internal/fleet/state/operator_view.py
+++ b/src/lifttrestle/internal/fleet/state/operator_view.py
@@ -18,6 +18,7 @@
 from lifttrestle.internal.fleet.state.catalogue import Catalogue
 from lifttrestle.internal.fleet.state.decoding import StoredFormat
 from lifttrestle.internal.fleet.state.rows import VersionedRow
+from lifttrestle.internal.intake.refusals import InputRefusals
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
 LOG = get_event_log('view')
@@ -63,7 +64,9 @@
         stored_format: StoredFormat,
         clock: Clock,
         weights_seconds: float,
+        refusals: InputRefusals | None = None,
     ) -> None:
+        self._refusals = refusals or InputRefusals()
         self._format = stored_format
         self._clock = clock
         self._weights_seconds = weights_seconds
@@ -79,7 +82,7 @@
             catalogue = self._format.read_catalogue(row.key, row.value)
             named = self._format.read_weights(row.key, row.value)
         except ValueError as error:
-            LOG.error('view.unreadable', key=row.key, reason=str(error))
+            self._refusals.note('operator', row.key, error)
             return
         if catalogue is not None:
             self._swap(catalogue)
--- a/src/lifttrestle/internal/fleet/state/peer_loads.py
+++ b/src/lifttrestle/internal/fleet/state/peer_loads.py
@@ -19,6 +19,7 @@
 """
 
 import asyncio
+from typing import Annotated
 
 import msgspec
 
@@ -30,9 +31,10 @@
 from lifttrestle.internal.fleet.state.shared_parts import SharedParts
 from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.http.address import check_address
-from lifttrestle.internal.telemetry.event_log import get_event_log
+from lifttrestle.internal.intake.decoding import decode_msgpack
+from lifttrestle.internal.intake.refusals import InputRefusals
 
-LOG = get_event_log('peers')
+Count = Annotated[int, msgspec.Meta(ge=0)]
 # What is told counts for at least this long, and for three regular reports:
 # one that is lost must not make a busy upstream look idle.
 FRESH_SECONDS = 1.0
@@ -42,11 +44,11 @@
 
 
 class UpstreamLoad(msgspec.Struct, frozen=True, array_like=True):
-    """What one router has under way at one upstream."""
+    """What one router has under way at one start of an upstream."""
 
-    instance: str
-    in_flight: int
-    unread_tokens: int
+    start: str
+    in_flight: Count
+    unread_tokens: Count
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
@@ -72,7 +74,9 @@
         roster: Roster,
         parts: SharedParts,
         clock: Clock,
+        refusals: InputRefusals | None = None,
     ) -> None:
+        self._refusals = refusals or InputRefusals()
         self._vm = vm
         self._parts = parts
         self._directory = directory
@@ -111,9 +115,9 @@
     def datagram_received(self, data: bytes, address: object) -> None:
         """Take in a report; what is none is dropped."""
         try:
-            report = msgspec.msgpack.decode(data, type=LoadReport)
-        except (ValueError, msgspec.MsgspecError) as error:
-            LOG.warning('peers.garbage', peer=str(address), reason=str(error))
+            report = decode_msgpack(data, LoadReport)
+        except ValueError as error:
+            self._refusals.note('loads', str(address), error)
             return
         self.note(report)
 
@@ -163,7 +167,7 @@
 
     def _add(self, report: LoadReport, sign: int) -> None:
         for load in report.loads:
-            upstream = self._directory.get(load.instance)
+            upstream = self._directory.get_start(load.start)
             if upstream is None:
                 continue
             # An upstream that was forgotten and is back starts from zero; the
@@ -197,7 +201,7 @@
     def _tell(self) -> None:
         loads = [
             UpstreamLoad(
-                upstream.instance,
+                upstream.start,
                 upstream.in_flight,
                 upstream.unread_tokens,
             )
--- a/src/lifttrestle/internal/fleet/state/reach_probing.py
+++ b/src/lifttrestle/internal/fleet/state/reach_probing.py
@@ -79,7 +79,7 @@
         for upstream in upstreams:
             silent = upstream.is_silent(now)
             if upstream.reach.is_due(now, silent=silent):
-                self._begin(upstream.instance, upstream.reach, upstream.pool)
+                self._begin(upstream.start, upstream.reach, upstream.pool)
         for store in self._stores:
             if store.reach.is_due(now):
                 self._begin(store.address, store.reach, store.pool)
--- a/src/lifttrestle/internal/fleet/state/relay_follower.py
+++ b/src/lifttrestle/internal/fleet/state/relay_follower.py
@@ -20,8 +20,7 @@
 import asyncio
 import math
 
-import msgspec
-
+from lifttrestle.errors import InputRefused
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.state.relay_messages import encode_frame
@@ -34,6 +33,8 @@
 from lifttrestle.internal.fleet.state.table_watch import TableWatch
 from lifttrestle.internal.http.address import check_address
 from lifttrestle.internal.http.byte_stream import bound_silence
+from lifttrestle.internal.intake.decoding import decode_msgpack
+from lifttrestle.internal.intake.fault import InputFault
 from lifttrestle.internal.routing.rendezvous import rank_names
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
@@ -150,7 +151,7 @@
             OSError,
             TimeoutError,
             PlatformUnavailable,
-            msgspec.MsgspecError,
+            InputRefused,
         ) as error:
             LOG.info('relay.lost', router=key, reason=str(error))
         finally:
@@ -168,10 +169,8 @@
         try:
             asked_at = [self._question(writer, 0)]
             while True:
-                message = msgspec.msgpack.decode(
-                    await read_frame(reader, MAX_NEWS_BYTES), type=TableNews
-                )
-                self._take(message, asked_at)
+                data = await read_frame(reader, MAX_NEWS_BYTES)
+                self._take(decode_msgpack(data, TableNews), asked_at)
                 if self._clock.monotonic() - asked_at[-1] > RENEW_SECONDS:
                     asked_at.append(self._question(writer, len(asked_at)))
         finally:
@@ -189,12 +188,22 @@
         return now
 
     def _take(self, message: TableNews, asked_at: list[float]) -> None:
-        """Believe a proof, counted from when the question was sent."""
+        """Believe a proof, counted from when the question was sent.
+
+        :raises InputRefused: if it proves what is not yet.
+        """
         watch = self._watches.get(message.table)
         if watch is None or not 0 <= message.question < len(asked_at):
             LOG.warning('relay.unexpected', table=message.table)
             return
         proved_at = asked_at[message.question] + message.proved_after
+        if not proved_at <= self._clock.monotonic():
+            # Keys that are taken away would work for as long as it says.
+            raise InputRefused(
+                InputFault.FIELD,
+                f'a proof as of {message.proved_after} s after the question'
+                ' is not over yet',
+            )
         if watch is self._leading and proved_at > watch.proved_at:
             self._told_at = self._clock.monotonic()
         watch.take_relayed(read_news(message), proved_at, message.after_outage)
--- a/src/lifttrestle/internal/fleet/state/relay_server.py
+++ b/src/lifttrestle/internal/fleet/state/relay_server.py
@@ -15,8 +15,7 @@
 import asyncio
 import dataclasses
 
-import msgspec
-
+from lifttrestle.errors import InputRefused
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.state.relay_messages import build_news
 from lifttrestle.internal.fleet.state.relay_messages import encode_frame
@@ -27,6 +26,7 @@
 from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.http.byte_stream import bound_silence
 from lifttrestle.internal.http.connection_tasks import ConnectionTasks
+from lifttrestle.internal.intake.decoding import decode_msgpack
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
 LOG = get_event_log('relay')
@@ -101,14 +101,14 @@
             while True:
                 data = await read_frame(reader, MAX_QUESTION_BYTES)
                 self._take_question(follower, data)
-        except (OSError, msgspec.MsgspecError) as error:
+        except (OSError, InputRefused) as error:
             LOG.info('relay.follower_left', reason=str(error))
         finally:
             self._followers.discard(follower)
             writer.transport.abort()
 
     def _take_question(self, follower: Follower, data: bytes) -> None:
-        question = msgspec.msgpack.decode(data, type=Question)
+        question = decode_msgpack(data, Question)
         follower.asked_at = self._clock.monotonic()
         follower.question = question
         follower.versions = dict(question.versions)
--- a/src/lifttrestle/internal/fleet/state/roster.py
+++ b/src/lifttrestle/internal/fleet/state/roster.py
@@ -32,6 +32,8 @@
 from lifttrestle.internal.fleet.state.rows import RowWrite
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.http.address import check_address
+from lifttrestle.internal.intake.decoding import decode_json
+from lifttrestle.internal.intake.refusals import InputRefusals
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
 LOG = get_event_log('roster')
@@ -82,8 +84,14 @@
     """
 
     def __init__(
-        self, store: RowStore, clock: Clock, vm: str, data_centre: str
+        self,
+        store: RowStore,
+        clock: Clock,
+        vm: str,
+        data_centre: str,
+        refusals: InputRefusals | None = None,
     ) -> None:
+        self._refusals = refusals or InputRefusals()
         self._store = store
         self._clock = clock
         self._key = f'{ROUTER_PREFIX}{vm}'
@@ -150,10 +158,10 @@
         if row.value is None:
             self._entries.pop(row.key, None)
         else:
-            held = _read_row(row.value)
+            held = self._read_row(row.key, row.value)
             self._entries[row.key] = RosterEntry(
                 row.version,
-                _read_address(row.key, held.address),
+                held.address,
                 held.data_centre,
                 self._clock.monotonic(),
             )
@@ -240,24 +248,16 @@
         write = RowWrite(FLEET_TABLE, key, value, version)
         return await self._store.write_row(write)
 
+    def _read_row(self, key: str, value: bytes) -> RouterRow:
+        """Return what a row tells, nothing for one that can't be used.
 
-def _read_row(value: bytes) -> RouterRow:
-    try:
-        return msgspec.json.decode(value, type=RouterRow)
-    except (ValueError, msgspec.MsgspecError) as error:
-        LOG.error('roster.unreadable', reason=str(error))
-        return RouterRow('')
-
-
-def _read_address(key: str, text: str) -> str:
-    """Return an address that can be used, or an empty string.
-
-    A router without one is counted; nobody asks it or tells it anything.
-    """
-    if text:
+        Such a router is counted; nobody asks it or tells it anything.
+        """
         try:
-            check_address(text)
+            row = decode_json(value, RouterRow)
+            if row.address:
+                check_address(row.address)
         except ValueError as error:
-            LOG.error('roster.address_refused', router=key, reason=str(error))
-            return ''
-    return text
+            self._refusals.note('routers', key, error)
+            return RouterRow('')
+        return row
--- a/src/lifttrestle/internal/fleet/state/upstream.py
+++ b/src/lifttrestle/internal/fleet/state/upstream.py
@@ -27,6 +27,12 @@
 # calm days, and to avoid an engine for a moment costs little.
 SILENT_SECONDS = 0.5
 
+# Entries tell of weights up to a heartbeat (1.2 s on the known deployments)
+# and a read of the list after an answer or a report did. An entry that tells
+# of older weights later than this is right: taken for late, it left an engine
+# that turned every request away without ever being ordered to load again.
+ENTRY_LAG_SECONDS = 4.0
+
 
 @dataclasses.dataclass(frozen=True)
 class OwedAnswer:
@@ -50,6 +56,7 @@
     :ivar peers_in_flight: requests that other routers have under way there.
     :ivar peers_unread: the tokens that it has yet to read for them.
     :ivar busy_until: until when it is expected to load weights.
+    :ivar weights_noted_at: when it was first seen to hold its weights.
     :ivar vanished_at: when its entry went, or None.
     :ivar first_byte_seconds: average time to the first byte of an answer.
     :ivar reach: whether it takes connections.
@@ -61,6 +68,7 @@
     breaker: Breaker = dataclasses.field(default_factory=Breaker)
     weights: dict[str, int] = dataclasses.field(default_factory=dict)
     busy_until: float = 0.0
+    weights_noted_at: float = 0.0
     vanished_at: float | None = None
     misdirected: bool = False
     in_flight: int = 0
@@ -73,15 +81,35 @@
 
     @property
     def instance(self) -> str:
-        """Return the identity of this start."""
+        """Return its name."""
         return self.entry.instance
 
-    def note_weights(self, model: str, version: int) -> None:
-        """Note weights that it was seen to hold; they never go back."""
+    @property
+    def start(self) -> str:
+        """Return the identity of this start."""
+        return self.entry.start
+
+    def note_weights(self, model: str, version: int, now: float) -> None:
+        """Note weights that it was seen to hold; older news is dropped."""
         if version > self.weights.get(model, 0):
             self.weights[model] = version
+            self.weights_noted_at = now
             self.busy_until = 0.0
 
+    def note_listed_weights(
+        self, model: str, version: int, now: float
+    ) -> None:
+        """Note weights by its own entry, which may tell that they went back.
+
+        A late order that was sent to its start before, which had accepted
+        as many orders, does that.
+        """
+        settled = now - self.weights_noted_at > ENTRY_LAG_SECONDS
+        if settled and version < self.weights.get(model, 0):
+            self.weights[model] = version
+            return
+        self.note_weights(model, version, now)
+
     @property
     def unread_tokens(self) -> int:
         """Return the tokens that it has yet to read for this router."""
--- a/src/lifttrestle/internal/fleet/state/upstream_entry.py
+++ b/src/lifttrestle/internal/fleet/state/upstream_entry.py
@@ -13,17 +13,19 @@
 """What an upstream tells of itself in the shared list."""
 
 import dataclasses
+import enum
 
 
 @dataclasses.dataclass(frozen=True)
 class UpstreamEntry:
     """One upstream's own entry.
 
-    :ivar instance: unique to this start of the upstream.
+    :ivar instance: its name; it may start again under the same one.
     :ivar address: where it is reached, ``IP:PORT``; used again by others
         once it is gone.
     :ivar draining: it leaves soon and takes no new work.
     :ivar weights: the version of the weights of each model.
+    :ivar born: Unix milliseconds of its start, None where it is not told.
     """
 
     instance: str
@@ -33,6 +35,38 @@
     slots: int
     draining: bool
     weights: dict[str, int]
+    born: int | None = None
+
+    @property
+    def start(self) -> str:
+        """Return the identity of this start, for keys and other routers."""
+        if self.born is None:
+            return self.instance
+        return f'{self.instance}@{self.born}'
+
+
+class StartOrder(enum.Enum):
+    """How a start that is told relates to the one that is known."""
+
+    SAME = enum.auto()
+    NEWER = enum.auto()
+    OLDER = enum.auto()
+
+
+def compare_starts(known: int | None, told: int | None) -> StartOrder:
+    """Return how the start ``told`` relates to ``known``.
+
+    One that does not say when it began claims nothing new. Where the known
+    one did not say, the two may differ: to take them for one would hold a
+    new start to what an old one did, and to forget costs a little warmth.
+
+    :param known: Unix milliseconds of the start, None if it was not told.
+    """
+    if told is None or told == known:
+        return StartOrder.SAME
+    if known is None or told > known:
+        return StartOrder.NEWER
+    return StartOrder.OLDER
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/lifttrestle/internal/fleet/state/weights_view.py
+++ b/src/lifttrestle/internal/fleet/state/weights_view.py
@@ -26,6 +26,8 @@
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.rows import NO_ROW
 from lifttrestle.internal.fleet.state.rows import VersionedRow
+from lifttrestle.internal.intake.decoding import decode_json
+from lifttrestle.internal.intake.refusals import InputRefusals
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
 LOG = get_event_log('weights')
@@ -38,8 +40,8 @@
 class WeightsPlan(msgspec.Struct, frozen=True):
     """The row's content.
 
-    :ivar loading: instances of the batch that is being ordered.
-    :ivar loaded: instances that were seen to hold the version.
+    :ivar loading: starts of the batch that is being ordered.
+    :ivar loaded: starts that were seen to hold the version.
     """
 
     holder: str
@@ -61,8 +63,14 @@
 class WeightsView:
     """Follows the plans and tells the directory what they mean."""
 
-    def __init__(self, directory: UpstreamDirectory, clock: Clock) -> None:
+    def __init__(
+        self,
+        directory: UpstreamDirectory,
+        clock: Clock,
+        refusals: InputRefusals | None = None,
+    ) -> None:
         self._directory = directory
+        self._refusals = refusals or InputRefusals()
         self._clock = clock
         self._held: dict[str, HeldPlan] = {}
 
@@ -71,18 +79,34 @@
         return self._held.get(model, HeldPlan(None, NO_ROW, float('-inf')))
 
     def take(self, row: VersionedRow) -> None:
-        """Take in a changed row of the routers' table."""
-        if not row.key.startswith(PLAN_PREFIX) or row.value is None:
+        """Take in a changed row of the routers' table.
+
+        A row that holds no plan has no holder; it still is the row that the
+        next holder's write has to be conditional on.
+        """
+        if not row.key.startswith(PLAN_PREFIX):
+            return
+        model = row.key.removeprefix(PLAN_PREFIX)
+        if row.value is None:
+            self._note_no_plan(model, row.version, NO_ROW)
             return
         try:
-            plan = msgspec.json.decode(row.value, type=WeightsPlan)
-        except (ValueError, msgspec.MsgspecError) as error:
-            LOG.error(
-                'weights.plan_unreadable', key=row.key, reason=str(error)
-            )
+            plan = _read_plan(model, row.value)
+        except ValueError as error:
+            self._refusals.note('plans', row.key, error)
+            self._note_no_plan(model, row.version, row.version)
             return
         self.note(plan, row.version)
 
+    def _note_no_plan(
+        self, model: str, seen_version: int, row_version: int
+    ) -> None:
+        if seen_version <= self.get(model).row_version:
+            return
+        now = self._clock.monotonic()
+        self._held[model] = HeldPlan(None, row_version, now)
+        LOG.warning('weights.no_plan', model=model, fence=row_version)
+
     def note(self, plan: WeightsPlan, row_version: int) -> None:
         """Believe a plan, unless a newer one is known."""
         if row_version <= self.get(plan.model).row_version:
@@ -98,13 +122,20 @@
             loading=plan.loading,
             loaded=plan.loaded,
         )
-        for instance in plan.loaded:
-            upstream = self._directory.get(instance)
+        for start in plan.loaded:
+            upstream = self._directory.get_start(start)
             if upstream is not None:
-                upstream.note_weights(plan.model, plan.version)
-        for instance in plan.loading:
-            upstream = self._directory.get(instance)
+                upstream.note_weights(plan.model, plan.version, now)
+        for start in plan.loading:
+            upstream = self._directory.get_start(start)
             if upstream is None:
                 continue
             if upstream.weights.get(plan.model, 0) < plan.version:
                 upstream.busy_until = now + BATCH_SECONDS
+
+
+def _read_plan(model: str, value: bytes) -> WeightsPlan:
+    plan = decode_json(value, WeightsPlan)
+    if plan.model != model:
+        raise ValueError(f'the plan is for {plan.model!r}, not {model!r}')
+    return plan
--- a/src/lifttrestle/internal/platform/engine_calls.py
+++ b/src/lifttrestle/internal/platform/engine_calls.py
@@ -15,8 +15,7 @@
 Calls go over the connections that requests use, since new ones are dear.
 """
 
-import msgspec
-
+from lifttrestle.errors import InputRefused
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.loads.engine_control import EngineControl
@@ -26,7 +25,9 @@
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.json_client import JsonClient
+from lifttrestle.internal.intake.decoding import decode_json
 from lifttrestle.internal.platform import names
+from lifttrestle.internal.platform.records import read_born
 from lifttrestle.internal.platform.records import ReportRecord
 
 STATUS_OK = 200
@@ -65,8 +66,8 @@
                 f'{engine.instance} answered {answer.status} to a report'
             )
         try:
-            record = msgspec.json.decode(answer.body, type=ReportRecord)
-        except (ValueError, msgspec.MsgspecError) as error:
+            record = decode_json(answer.body, ReportRecord)
+        except InputRefused as error:
             raise PlatformUnavailable(
                 f'{engine.instance} gave an unreadable report: {error}'
             ) from error
@@ -76,6 +77,7 @@
             orders_accepted=record.seq_no,
             waiting=record.waiting,
             running=record.running,
+            born=read_born(record.born),
         )
 
     async def send_load(
--- a/src/lifttrestle/internal/platform/records.py
+++ b/src/lifttrestle/internal/platform/records.py
@@ -12,8 +12,18 @@
 
 """The bodies of the platform's messages, as they are on the wire."""
 
+import enum
+from typing import Annotated
+
 import msgspec
 
+Text = Annotated[str, msgspec.Meta(min_length=1)]
+Count = Annotated[int, msgspec.Meta(ge=0)]
+Slots = Annotated[int, msgspec.Meta(ge=1)]
+Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
+# Unix milliseconds of a start; a deployment may not tell it at all.
+Born = Count | msgspec.UnsetType
+
 
 class Share(msgspec.Struct):
     """A service of a route, with its part of the traffic."""
@@ -46,10 +56,16 @@
 
 
 class ModelRecord(msgspec.Struct):
-    """A model of a service, or the weights that an engine holds of it."""
+    """A model of a service."""
 
     name: str
-    version: int = 0
+
+
+class HeldModelRecord(msgspec.Struct):
+    """The weights that an engine holds of a model."""
+
+    name: Text
+    version: Count
 
 
 class EngineRecord(msgspec.Struct):
@@ -120,15 +136,31 @@
     version: int
 
 
+class EntryState(enum.Enum):
+    """What an upstream's entry may say of its state."""
+
+    READY = 'ready'
+    DRAINING = 'draining'
+
+
 class UpstreamRecord(msgspec.Struct):
-    """An upstream's entry."""
+    """An upstream's entry; what every upstream tells has no default.
 
-    service: str
-    address: str
-    zone: str = ''
-    slots: int = 1
-    state: str = 'ready'
-    models: list[ModelRecord] = []
+    :ivar version: of its software.
+    :ivar seq_no: grows with what it has accepted since its start.
+    :ivar models: of an engine; others have none.
+    """
+
+    service: Text
+    address: Text
+    zone: Text
+    version: str
+    slots: Slots
+    state: EntryState
+    cold_left_ms: Milliseconds
+    seq_no: Count
+    models: list[HeldModelRecord] = []
+    born: Born = msgspec.UNSET
 
 
 class RowRecord(msgspec.Struct):
@@ -160,10 +192,16 @@
     :ivar busy: an order is being carried out.
     """
 
-    models: list[ModelRecord] = []
+    models: list[HeldModelRecord] = []
     busy: bool = False
-    seq_no: int = 0
+    seq_no: Count = 0
     waiting: int = 0
     running: int = 0
     kv_used: int = 0
     kv_total: int = 0
+    born: Born = msgspec.UNSET
+
+
+def read_born(born: Born) -> int | None:
+    """Return when an upstream started, None where it is not told."""
+    return None if born is msgspec.UNSET else born
--- a/src/lifttrestle/internal/platform/row_store.py
+++ b/src/lifttrestle/internal/platform/row_store.py
@@ -16,10 +16,9 @@
 import binascii
 import urllib.parse
 
-import msgspec
-
 from lifttrestle.errors import ConditionFailed
 from lifttrestle.errors import HistoryGone
+from lifttrestle.errors import InputRefused
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.fleet.state.rows import RowChanges
 from lifttrestle.internal.fleet.state.rows import RowStore
@@ -27,10 +26,13 @@
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.json_client import JsonClient
+from lifttrestle.internal.intake.decoding import decode_json
 from lifttrestle.internal.platform import names
 from lifttrestle.internal.platform.records import RowRecord
 from lifttrestle.internal.platform.records import RowsRecord
+from lifttrestle.internal.telemetry.event_log import get_event_log
 
+LOG = get_event_log('store')
 MILLISECONDS = 1000
 STATUS_OK = 200
 STATUS_GONE = 410
@@ -135,8 +137,8 @@
     if answer.status != STATUS_OK:
         raise PlatformUnavailable(f'the store answered {answer.status}')
     try:
-        return msgspec.json.decode(answer.body, type=RowsRecord)
-    except (ValueError, msgspec.MsgspecError) as error:
+        return decode_json(answer.body, RowsRecord)
+    except InputRefused as error:
         raise PlatformUnavailable(
             f'the store gave an unreadable answer: {error}'
         ) from error
@@ -147,8 +149,8 @@
         return VersionedRow(record.key, None, record.ver)
     try:
         value = base64.b64decode(record.value)
-    except (ValueError, binascii.Error) as error:
-        raise PlatformUnavailable(
-            f'the row {record.key!r} is not base64: {error}'
-        ) from error
+    except binascii.Error as error:
+        # Its reader refuses a value without bytes; the other rows hold.
+        LOG.error('store.row_not_base64', key=record.key, reason=str(error))
+        value = b''
     return VersionedRow(record.key, value, record.ver)
--- a/src/lifttrestle/internal/platform/stored_format.py
+++ b/src/lifttrestle/internal/platform/stored_format.py
@@ -12,8 +12,6 @@
 
 """Translates the rows of the operator and of the upstreams."""
 
-import msgspec
-
 from lifttrestle.internal.fleet.state.catalogue import CacheStoreFacts
 from lifttrestle.internal.fleet.state.catalogue import CallerLimits
 from lifttrestle.internal.fleet.state.catalogue import Catalogue
@@ -26,8 +24,11 @@
 from lifttrestle.internal.fleet.state.decoding import StoredFormat
 from lifttrestle.internal.fleet.state.upstream_entry import NamedWeights
 from lifttrestle.internal.fleet.state.upstream_entry import UpstreamEntry
+from lifttrestle.internal.intake.decoding import decode_json
 from lifttrestle.internal.platform import names
 from lifttrestle.internal.platform.records import ConfigurationRecord
+from lifttrestle.internal.platform.records import EntryState
+from lifttrestle.internal.platform.records import read_born
 from lifttrestle.internal.platform.records import RouteRecord
 from lifttrestle.internal.platform.records import ServiceRecord
 from lifttrestle.internal.platform.records import UpstreamRecord
@@ -36,7 +37,9 @@
 MILLISECONDS = 1000
 IDEMPOTENT = 'idempotent'
 STREAM = 'stream'
-DRAINING = 'draining'
+# An entry is some 300 bytes long; an engine of many models has a few times
+# that. What is longer comes from no upstream.
+MAX_ENTRY_BYTES = 16 * 1024
 
 
 class PlatformFormat(StoredFormat):
@@ -49,7 +52,7 @@
         """Return the configuration, or None for a row that holds none."""
         if key != names.CONFIGURATION_KEY:
             return None
-        record = msgspec.json.decode(value, type=ConfigurationRecord)
+        record = decode_json(value, ConfigurationRecord)
         limits = record.limits
         return Catalogue(
             version=record.version,
@@ -70,20 +73,21 @@
         """Return the named weights, or None for a row that names none."""
         if not key.startswith(names.WEIGHTS_PREFIX):
             return None
-        record = msgspec.json.decode(value, type=WeightsRecord)
+        record = decode_json(value, WeightsRecord)
         return NamedWeights(record.model, record.version)
 
     def read_upstream(self, key: str, value: bytes) -> UpstreamEntry:
         """Return an upstream's entry."""
-        record = msgspec.json.decode(value, type=UpstreamRecord)
+        record = decode_json(value, UpstreamRecord, MAX_ENTRY_BYTES)
         return UpstreamEntry(
             instance=key,
             service=record.service,
             address=record.address,
             data_centre=record.zone,
             slots=record.slots,
-            draining=record.state == DRAINING,
+            draining=record.state is EntryState.DRAINING,
             weights={item.name: item.version for item in record.models},
+            born=read_born(record.born),
         )
 
 
--- a/src/lifttrestle/internal/telemetry/fleet_metrics.py
+++ b/src/lifttrestle/internal/telemetry/fleet_metrics.py
@@ -59,6 +59,9 @@
         self._connections = self._make_counter(
             'connections', 'Connections to upstreams.', ('service', 'kind')
         )
+        self._refused_input = self._make_counter(
+            'refused_input', 'Data that was refused.', ('source', 'fault')
+        )
         self._seconds = self._make_histogram(
             'request_seconds', 'From the head of a request to its end.'
         )
@@ -82,6 +85,10 @@
         """Count a send by how it went."""
         self._attempts.labels(service, result).inc()
 
+    def count_refused_input(self, source: str, fault: str) -> None:
+        """Count data of another writer that can't be used."""
+        self._refused_input.labels(source, fault).inc()
+
     def count_retry(self, service: str, granted: bool) -> None:
         """Count a retry that the budget granted or refused."""
         result = 'granted' if granted else 'refused'
--- a/tests/cover/test_decisions.py
+++ b/tests/cover/test_decisions.py
@@ -80,7 +80,7 @@
     def test_oldest_then_idle_engines_are_first(self):
         busy, newer, idle = self.engines[:3]
         busy.in_flight = 4
-        newer.note_weights('m', 2)
+        newer.note_weights('m', 2, 0.0)
         idle.in_flight = 1
         self.assertEqual(
             list_outdated([newer, busy, idle], 'm', 3), [idle, busy, newer]
@@ -117,7 +117,7 @@
 
     def test_replaced_weights_are_used_for_a_while(self):
         newer = self.engines[1]
-        newer.note_weights('m', 2)
+        newer.note_weights('m', 2, 0.0)
         self.assertEqual(self._select(18.0), self.engines)
         self.assertEqual(self._select(19.0), [newer])
 
--- a/tests/cover/test_fleet_placement.py
+++ b/tests/cover/test_fleet_placement.py
@@ -62,7 +62,7 @@
         other = next(
             item for item in self.directory if item is not self.choose()
         )
-        other.note_weights('m', 2)
+        other.note_weights('m', 2, 0.0)
         self.assertIs(self.choose(wanted=2), other)
 
     def test_silent_engine_is_avoided_and_the_log_is_told(self):
@@ -108,7 +108,7 @@
         salt = build_salt('shared', 'm', 1)
         self.parts.note_read(salt, GENERATION.shared, 0.0)
         for upstream in self.directory:
-            upstream.note_weights('m', 2)
+            upstream.note_weights('m', 2, 0.0)
         self.assertEqual(self.place(wanted=2).unread_tokens, 4600)
 
 
--- a/tests/cover/test_fleet_view.py
+++ b/tests/cover/test_fleet_view.py
@@ -168,7 +168,7 @@
 
     def test_unreadable_row_leaves_what_is_in_force(self):
         self.configure()
-        with self.assertLogs('lifttrestle.view', 'ERROR'):
+        with self.assertLogs('lifttrestle.intake', 'ERROR'):
             self.view.take(VersionedRow('config', b'{"version":', 9))
         self.assertEqual(self.view.catalogue.version, 3)
 
--- a/tests/cover/test_fleet_weights.py
+++ b/tests/cover/test_fleet_weights.py
@@ -41,6 +41,7 @@
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.fleet.state.weights_view import WeightsView
 from lifttrestle.internal.platform.stored_format import PlatformFormat
+from tests.support.entries import make_entry
 from tests.support.memory_rows import MemoryRows
 from tests.support.models import run_model
 
@@ -122,11 +123,7 @@
         self.roster = Roster(rows, clock, name, 'a')
         self._heard = 0
         for instance in ENGINES:
-            entry = {
-                'service': 's',
-                'address': '127.0.0.1:9',
-                'models': [{'name': 'm', 'version': 1}],
-            }
+            entry = make_entry(models=[{'name': 'm', 'version': 1}])
             self.directory.take(
                 VersionedRow(instance, msgspec.json.encode(entry), 1)
             )
--- a/tests/cover/test_peer_loads.py
+++ b/tests/cover/test_peer_loads.py
@@ -37,6 +37,7 @@
 from lifttrestle.internal.fleet.state.shared_parts import SharedParts
 from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.platform.stored_format import PlatformFormat
+from tests.support.entries import make_entry
 from tests.support.memory_rows import MemoryRows
 
 START = datetime.datetime(2026, 12, 2, tzinfo=datetime.timezone.utc)
@@ -51,8 +52,7 @@
     def __init__(self, name):
         self.clock = ManualClock(START)
         self.directory = UpstreamDirectory(PlatformFormat(), self.clock)
-        entry = {'service': 's', 'address': '127.0.0.1:9'}
-        value = msgspec.json.encode(entry)
+        value = msgspec.json.encode(make_entry())
         self.directory.take(VersionedRow('u', value, 1))
         self.upstream = self.directory.get('u')
         self.roster = Roster(MemoryRows(), self.clock, name, 'a')
@@ -90,7 +90,7 @@
     def test_upstream_that_came_in_between_has_no_load_below_zero(self):
         self.router.loads.note(make_report('a', 1, 4))
         self.router.directory.take(VersionedRow('u', None, 2))
-        value = msgspec.json.encode({'service': 's', 'address': '1.2.3.4:9'})
+        value = msgspec.json.encode(make_entry(address='1.2.3.4:9'))
         self.router.directory.take(VersionedRow('u', value, 3))
         upstream = self.router.directory.get('u')
         self.router.loads.note(make_report('a', 2, 1))
@@ -140,7 +140,7 @@
     def test_garbage_is_dropped_and_told(self):
         self.router.loads.note(make_report('a', 1, 2))
         for data in (b'', b'\xc1', b'not a report', b'\x93\x01\x02\x03'):
-            with self.assertLogs('lifttrestle.peers', 'WARNING'):
+            with self.assertLogs('lifttrestle.intake', 'ERROR'):
                 self.router.loads.datagram_received(data, ('1.2.3.4', 5))
         self.assertEqual(self.router.get_peers()[0], 2)
 
--- /dev/null
+++ b/tests/cover/test_refused_input.py
@@ -0,0 +1,256 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+
+"""Tests of what other writers write that no upstream would."""
+
+import datetime
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+import msgspec
+
+from lifttrestle.errors import InputRefused
+from lifttrestle.internal.clock.manual import ManualClock
+from lifttrestle.internal.fleet.state.catalogue import CallerLimits
+from lifttrestle.internal.fleet.state.catalogue import Catalogue
+from lifttrestle.internal.fleet.state.catalogue import EngineFacts
+from lifttrestle.internal.fleet.state.catalogue import Service
+from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.state.operator_view import OperatorView
+from lifttrestle.internal.fleet.state.peer_loads import LoadReport
+from lifttrestle.internal.fleet.state.relay_messages import Question
+from lifttrestle.internal.fleet.state.relay_messages import TableNews
+from lifttrestle.internal.fleet.state.roster import Roster
+from lifttrestle.internal.fleet.state.rows import VersionedRow
+from lifttrestle.internal.fleet.state.weights_view import WeightsPlan
+from lifttrestle.internal.fleet.state.weights_view import WeightsView
+from lifttrestle.internal.intake.decoding import decode_json
+from lifttrestle.internal.intake.decoding import decode_msgpack
+from lifttrestle.internal.intake.refusals import InputRefusals
+from lifttrestle.internal.platform.records import ReportRecord
+from lifttrestle.internal.platform.records import RowRecord
+from lifttrestle.internal.platform.row_store import _read_row
+from lifttrestle.internal.platform.stored_format import MAX_ENTRY_BYTES
+from lifttrestle.internal.platform.stored_format import PlatformFormat
+from tests.support.entries import make_entry
+from tests.support.memory_rows import MemoryRows
+
+START = datetime.datetime(2026, 12, 2, tzinfo=datetime.timezone.utc)
+DEEP = b'{"deep":' + b'[' * 5_000
+DEEP_PACKED = b'\x91' * 5_000
+ENGINE_ENTRY = make_entry(
+    service='engines', stage='combined', models=[{'name': 'm', 'version': 1}]
+)
+PROMISED = tuple(make_entry())
+WRONG_VALUES = {
+    'state': ('weird', '', 'READY', None, 1, ['ready']),
+    'slots': (-1, 0, '8', 1.5, None, True, [8]),
+    'address': ('', 'x', '1.2.3.4', '1.2.3.4:99999999', 'a.b:80', None, 9),
+    'service': ('', None, 7),
+    'zone': ('', None, {}),
+    'version': (None, 1, ['v1']),
+    'seq_no': (None, -1, '1', 1.5),
+    'cold_left_ms': ('soon', -1, None),
+    'models': (
+        None,
+        'm',
+        [{'name': 'm'}],
+        [{'version': 1}],
+        [[]],
+        [{'name': 'm', 'version': -1}],
+        [{'name': '', 'version': 1}],
+    ),
+    'born': (None, '1767225600000', 1.5, -1, True, [1]),
+}
+SERVICES = {
+    's': Service('s', 8),
+    'engines': Service('engines', 8, EngineFacts(8, 9000, ('m',))),
+}
+CATALOGUE = Catalogue(1, {}, SERVICES, CallerLimits(1, 1, 1.0, 1.0), None)
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=8,
+)
+
+
+class DoorCase(unittest.TestCase):
+    """Has a directory that knows one plain upstream and one engine."""
+
+    def setUp(self):
+        self.counted = []
+        self.refusals = InputRefusals(
+            lambda source, fault: self.counted.append((source, fault))
+        )
+        self.clock = ManualClock(START)
+        self.directory = UpstreamDirectory(
+            PlatformFormat(), self.clock, self.refusals
+        )
+        self.directory.get_catalogue = lambda: CATALOGUE
+        self.commit = 0
+        self.take('sound', make_entry())
+        self.take('engine', ENGINE_ENTRY)
+
+    def take(self, key, entry):
+        value = entry
+        if not isinstance(entry, bytes):
+            value = msgspec.json.encode(entry)
+        self.commit += 1
+        self.directory.take(VersionedRow(key, value, self.commit))
+
+    def list_names(self):
+        return sorted(upstream.instance for upstream in self.directory)
+
+
+class TestEntries(DoorCase):
+    def test_promised_entry_names_an_upstream(self):
+        self.take('new', make_entry(born=1767225600000, extra={'a': [1]}))
+        self.assertEqual(self.list_names(), ['engine', 'new', 'sound'])
+        self.assertEqual(self.counted, [])
+
+    def test_entry_that_tells_no_start_stays_usable(self):
+        entry = make_entry()
+        self.assertNotIn('born', entry)
+        self.assertIn('sound', self.list_names())
+
+    def test_missing_field_names_no_upstream(self):
+        for field in PROMISED:
+            with self.subTest(field=field):
+                entry = make_entry()
+                del entry[field]
+                with self.assertLogs('lifttrestle.intake', 'ERROR') as logs:
+                    self.take('new', entry)
+                self.assertEqual(len(logs.records), 1)
+                self.assertEqual(self.list_names(), ['engine', 'sound'])
+                self.assertEqual(self.counted[-1], ('upstreams', 'field'))
+
+    def test_wrong_field_names_no_upstream(self):
+        for field, values in WRONG_VALUES.items():
+            for value in values:
+                with self.subTest(field=field, value=value):
+                    with self.assertLogs('lifttrestle.intake', 'ERROR'):
+                        self.take('new', {**ENGINE_ENTRY, field: value})
+                    self.assertEqual(self.list_names(), ['engine', 'sound'])
+
+    def test_unreadable_bytes_name_no_upstream(self):
+        long = msgspec.json.encode(make_entry(pad='x' * MAX_ENTRY_BYTES))
+        told = {
+            b'': 'malformed',
+            b'\xff\xfe': 'malformed',
+            b'{"service":': 'malformed',
+            b'[]': 'field',
+            DEEP: 'too deep',
+            long: 'too long',
+        }
+        for value, fault in told.items():
+            with self.subTest(value=value[:20]):
+                with self.assertLogs('lifttrestle.intake', 'ERROR'):
+                    self.take('new', value)
+                self.assertEqual(self.list_names(), ['engine', 'sound'])
+                self.assertEqual(self.counted[-1], ('upstreams', fault))
+
+    def test_name_that_is_no_header_names_no_upstream(self):
+        for key in ('', 'a b', 'a\r\nx: y', 'ä', 'x' * 300):
+            with self.subTest(key=key):
+                with self.assertLogs('lifttrestle.intake', 'ERROR'):
+                    self.take(key, make_entry())
+                self.assertEqual(self.list_names(), ['engine', 'sound'])
+
+    def test_entry_that_became_unusable_names_its_upstream_no_more(self):
+        with self.assertLogs('lifttrestle.intake', 'ERROR'):
+            self.take('sound', b'?')
+        self.assertEqual(self.list_names(), ['engine'])
+        self.take('sound', make_entry())
+        self.assertEqual(self.list_names(), ['engine', 'sound'])
+
+    def test_service_that_is_not_configured_has_no_upstreams(self):
+        self.take('new', make_entry(service='other'))
+        self.assertEqual(self.list_names(), ['engine', 'sound'])
+        self.assertEqual(self.directory.list_fit('other'), [])
+
+    def test_engine_without_a_model_is_not_used(self):
+        self.take('new', make_entry(service='engines'))
+        self.assertEqual(self.list_names(), ['engine', 'sound'])
+
+    @given(st.binary(max_size=200))
+    def test_any_bytes_leave_the_others(self, value):
+        self.directory.take(VersionedRow('new', value, 1))
+        self.assertEqual(self.list_names(), ['engine', 'sound'])
+
+    @given(st.text(), st.sampled_from((*WRONG_VALUES, 'stage')), JSON)
+    def test_any_field_leaves_the_others(self, key, field, value):
+        data = msgspec.json.encode({**ENGINE_ENTRY, field: value})
+        self.directory.take(VersionedRow(f'n{key}', data, 1))
+        self.assertLessEqual({'engine', 'sound'}, set(self.list_names()))
+        self.directory.take(VersionedRow(f'n{key}', None, 2))
+
+
+class TestOtherRows(DoorCase):
+    def test_plan_that_is_none_has_no_holder_and_can_be_replaced(self):
+        view = WeightsView(self.directory, self.clock, self.refusals)
+        plan = msgspec.json.encode(WeightsPlan('r1', 'm', 2))
+        other = msgspec.json.encode(WeightsPlan('r1', 'other', 2))
+        for commit, value in enumerate((b'?', DEEP, other, None), 10):
+            with self.subTest(value=value and value[:20]):
+                view.take(VersionedRow('weights/m', plan, commit * 10))
+                view.take(VersionedRow('weights/m', value, commit * 10 + 1))
+                held = view.get('m')
+                self.assertIsNone(held.plan)
+                # A write has to name the row as it now is.
+                expected = commit * 10 + 1 if value else 0
+                self.assertEqual(held.row_version, expected)
+
+    def test_router_row_that_is_none_is_counted_and_never_asked(self):
+        roster = Roster(MemoryRows(), self.clock, 'me', 'a', self.refusals)
+        roster.loaded = True
+        for commit, value in enumerate((b'?', DEEP, b'{"address":1}'), 1):
+            roster.take(VersionedRow(f'router/{commit}', value, commit))
+        self.assertEqual(roster.live, 3)
+        self.assertEqual(roster.addresses, [])
+        self.assertEqual(len(self.counted), 3)
+
+    def test_operator_row_that_is_none_changes_nothing(self):
+        view = OperatorView(PlatformFormat(), self.clock, 8.0, self.refusals)
+        for key in ('config', 'version/m'):
+            for value in (b'?', DEEP, b'{"version":"x"}'):
+                view.take(VersionedRow(key, value, 1))
+        self.assertIsNone(view.catalogue)
+        self.assertEqual(view.wanted, {})
+        self.assertEqual(len(self.counted), 6)
+
+    def test_value_that_is_not_base64_is_a_row_without_bytes(self):
+        with self.assertLogs('lifttrestle.store', 'ERROR'):
+            row = _read_row(RowRecord('servers', 'a', value='abc', ver=4))
+        self.assertEqual(row, VersionedRow('a', b'', 4))
+
+
+class TestMessages(unittest.TestCase):
+    def test_deep_nesting_is_refused_like_anything_else(self):
+        for decode, data, model in (
+            (decode_json, DEEP, ReportRecord),
+            (decode_msgpack, DEEP_PACKED, LoadReport),
+            (decode_msgpack, DEEP_PACKED, Question),
+            (decode_msgpack, DEEP_PACKED, TableNews),
+        ):
+            with self.subTest(model=model):
+                with self.assertRaises(InputRefused):
+                    decode(data, model)
+
+    @given(st.binary(max_size=300))
+    def test_any_bytes_are_a_message_or_refused(self, data):
+        for model in (LoadReport, Question, TableNews):
+            try:
+                self.assertIsInstance(decode_msgpack(data, model), model)
+            except InputRefused:
+                pass
--- a/tests/cover/test_relay_follower.py
+++ b/tests/cover/test_relay_follower.py
@@ -20,11 +20,13 @@
 
 import msgspec
 
+from lifttrestle.errors import InputRefused
 from lifttrestle.internal.clock.manual import ManualClock
 from lifttrestle.internal.fleet.state.relay_follower import AVOID_SECONDS
 from lifttrestle.internal.fleet.state.relay_follower import LOOK_SECONDS
 from lifttrestle.internal.fleet.state.relay_follower import RANKING
 from lifttrestle.internal.fleet.state.relay_follower import RelayFollower
+from lifttrestle.internal.fleet.state.relay_messages import TableNews
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.roster import RouterRow
 from lifttrestle.internal.fleet.state.rows import VersionedRow
@@ -70,10 +72,10 @@
         own_name = OWN_KEY.removeprefix('router/')
         self.roster = Roster(rows, self.clock, own_name, 'a')
         self.roster.loaded = True
-        watch = TableWatch(
+        self.watch = TableWatch(
             rows, 't', self.clock, random.Random(1), 1.5, lambda row: None
         )
-        self.follower = RelayFollower([watch], self.roster, self.clock)
+        self.follower = RelayFollower([self.watch], self.roster, self.clock)
         self.addresses = {
             f'router/{name}': f'10.0.0.{number}:7400'
             for number, name in enumerate(NAMES)
@@ -103,7 +105,7 @@
         told = [
             record.fields['reason']
             for record in logs.records
-            if record.fields.get('router') == RELAYS[0]
+            if record.fields.get('key') == RELAYS[0]
         ]
         self.assertEqual(len(told), 1, logs.output)
         self.assertIn(UNREADABLE, told[0])
@@ -116,3 +118,17 @@
         await self.follow()
         others = [self.addresses[key] for key in RELAYS[1:]]
         self.assertCountEqual(self.network.asked, others)
+
+    async def test_proof_of_what_is_not_yet_is_refused(self):
+        # A view that is proved until then would let keys that were taken
+        # away work on.
+        asked_at = [self.clock.monotonic()]
+        for seconds in (0.5, float('inf'), float('nan')):
+            news = TableNews(0, 't', 1, seconds, False, True, [])
+            with self.subTest(seconds=seconds):
+                with self.assertRaises(InputRefused):
+                    self.follower._take(news, asked_at)
+        self.follower._take(
+            TableNews(0, 't', 1, -0.5, False, True, []), asked_at
+        )
+        self.assertEqual(self.watch.proved_at, asked_at[0] - 0.5)
--- a/tests/cover/test_upstream_life_model.py
+++ b/tests/cover/test_upstream_life_model.py
@@ -38,6 +38,7 @@
 from lifttrestle.internal.platform.stored_format import PlatformFormat
 from lifttrestle.internal.upstream.breaker import Breaker
 from tests.support.directories import START
+from tests.support.entries import make_entry
 from tests.support.models import run_model
 
 NAMES = ('i-1', 'i-2', 'i-3')
@@ -84,7 +85,7 @@
         state = 'draining' if draining else 'ready'
         self.listed[name] = state
         self.removed_at.pop(name, None)
-        entry = {'service': 's', 'address': '127.0.0.1:9', 'state': state}
+        entry = make_entry(state=state)
         self.take(name, entry)
         self.give_breaker(name)
 
--- /dev/null
+++ b/tests/cover/test_upstream_starts.py
@@ -0,0 +1,187 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+
+"""Tests of upstreams that start again under the name that they had."""
+
+import asyncio
+import unittest
+
+import msgspec
+
+from lifttrestle.internal.fleet.loads.engine_control import EngineState
+from lifttrestle.internal.fleet.loads.engine_control import LoadOrder
+from lifttrestle.internal.fleet.loads.load_tracking import LoadTracker
+from lifttrestle.internal.fleet.state.peer_loads import LoadReport
+from lifttrestle.internal.fleet.state.peer_loads import PeerLoads
+from lifttrestle.internal.fleet.state.peer_loads import UpstreamLoad
+from lifttrestle.internal.fleet.state.roster import Roster
+from lifttrestle.internal.fleet.state.shared_parts import SharedParts
+from lifttrestle.internal.fleet.state.upstream import ENTRY_LAG_SECONDS
+from lifttrestle.internal.fleet.state.upstream_entry import compare_starts
+from lifttrestle.internal.fleet.state.upstream_entry import StartOrder
+from lifttrestle.internal.fleet.state.weights_view import WeightsPlan
+from lifttrestle.internal.fleet.state.weights_view import WeightsView
+from tests.support.directories import DirectoryCase
+from tests.support.entries import make_entry
+from tests.support.memory_rows import MemoryRows
+
+FIRST = 1_767_225_600_000
+SECOND = FIRST + 4_000
+
+
+class StartCase(DirectoryCase):
+    def list_start(self, born=FIRST, weights=1, **fields):
+        models = [{'name': 'm', 'version': weights}]
+        entry = make_entry(models=models, **fields)
+        if born is not None:
+            entry['born'] = born
+        self.take('e1', msgspec.json.encode(entry))
+        return self.directory.get('e1')
+
+
+class TestOrder(unittest.TestCase):
+    def test_table(self):
+        for known, told, order in (
+            (FIRST, FIRST, StartOrder.SAME),
+            (FIRST, SECOND, StartOrder.NEWER),
+            (SECOND, FIRST, StartOrder.OLDER),
+            (FIRST, None, StartOrder.SAME),
+            (None, FIRST, StartOrder.NEWER),
+            (None, None, StartOrder.SAME),
+        ):
+            with self.subTest(known=known, told=told):
+                self.assertIs(compare_starts(known, told), order)
+
+
+class TestEntries(StartCase):
+    def test_new_start_inherits_nothing(self):
+        old = self.list_start()
+        now = self.clock.monotonic()
+        old.note_weights('m', 7, now)
+        old.note_sent(1, now, unread=4000)
+        old.breaker.note_failure(now)
+        old.reach.note_unreached()
+        old.in_flight = old.peers_in_flight = old.peers_unread = 3
+        old.misdirected = True
+        old.busy_until = now + 9
+        new = self.list_start(SECOND, weights=2)
+        self.assertIsNot(new, old)
+        self.assertEqual(new.weights, {'m': 2})
+        self.assertEqual((new.in_flight, new.owed), (0, {}))
+        self.assertEqual((new.peers_in_flight, new.peers_unread), (0, 0))
+        self.assertFalse(new.reach.unreached or new.misdirected)
+        self.assertEqual(new.busy_until, 0.0)
+        self.assertIsNot(new.pool, old.pool)
+        self.assertIsNone(self.directory.get_start(old.start))
+
+    def test_new_start_of_one_that_was_leaving_is_used(self):
+        self.list_start(state='draining')
+        self.assertEqual(self.list_fit(), [])
+        self.list_start(SECOND)
+        self.assertEqual(self.list_fit(), ['e1'])
+
+    def test_late_entry_of_an_older_start_is_not_believed(self):
+        new = self.list_start(SECOND, weights=3)
+        self.list_start(FIRST, state='draining')
+        self.assertIs(self.directory.get('e1'), new)
+        self.assertEqual(self.list_fit(), ['e1'])
+
+    def test_same_start_keeps_what_was_learned(self):
+        old = self.list_start()
+        for born in (FIRST, None):
+            self.assertIs(self.list_start(born), old)
+        self.assertEqual(old.entry.born, FIRST)
+
+    def test_other_address_is_another_start(self):
+        old = self.list_start()
+        self.assertIsNot(self.list_start(address='127.0.0.1:10'), old)
+
+    def test_weights_that_went_back_are_believed_once_it_is_no_lag(self):
+        upstream = self.list_start()
+        upstream.note_weights('m', 3, self.clock.monotonic())
+        self.list_start(weights=2)
+        self.assertEqual(upstream.weights, {'m': 3})
+        self.clock.advance(ENTRY_LAG_SECONDS + 0.1)
+        self.list_start(weights=2)
+        self.assertEqual(upstream.weights, {'m': 2})
+
+
+class TestOtherRouters(StartCase):
+    def test_load_at_another_start_counts_for_nothing(self):
+        old = self.list_start()
+        roster = Roster(MemoryRows(), self.clock, 'me', 'a')
+        loads = PeerLoads(
+            'me', self.directory, roster, SharedParts(), self.clock
+        )
+        report = LoadReport('r', 1, [UpstreamLoad(old.start, 4, 900)])
+        new = self.list_start(SECOND)
+        loads.note(report)
+        self.assertEqual((new.peers_in_flight, new.peers_unread), (0, 0))
+        again = LoadReport('r', 2, [UpstreamLoad(new.start, 1, 0)])
+        loads.note(again)
+        self.assertEqual(new.peers_in_flight, 1)
+
+    def test_plan_tells_of_one_start_only(self):
+        old = self.list_start()
+        view = WeightsView(self.directory, self.clock)
+        new = self.list_start(SECOND)
+        plan = WeightsPlan('r', 'm', 5, [old.start], [old.start])
+        view.note(plan, 9)
+        self.assertEqual(new.weights, {'m': 1})
+        self.assertEqual(new.busy_until, 0.0)
+
+
+class StartedAgain:
+    """An engine whose reports are those of the start that it is given."""
+
+    def __init__(self, born):
+        self.born = born
+
+    async def read_state(self, engine):
+        return EngineState({'m': 1}, False, 0, 0, 0, self.born)
+
+
+class TestReports(StartCase):
+    def read(self, upstream, born):
+        tracker = LoadTracker(
+            'm', StartedAgain(born), self.directory, self.clock
+        )
+        tracker.add(upstream, LoadOrder('m', 2, 'r', 1, 0), True)
+        state = asyncio.run(tracker.read_state(upstream))
+        self.clock.advance(0.1)
+        asyncio.run(tracker.follow())
+        return state, len(tracker)
+
+    def test_report_of_the_known_start_is_believed(self):
+        state, loading = self.read(self.list_start(), FIRST)
+        self.assertEqual(state.orders_accepted, 0)
+        self.assertEqual(loading, 1)
+
+    def test_report_without_a_start_is_believed(self):
+        state, _ = self.read(self.list_start(), None)
+        self.assertIsNotNone(state)
+
+    def test_report_of_a_newer_start_ends_what_the_old_one_was_ordered(self):
+        old = self.list_start(weights=4)
+        state, loading = self.read(old, SECOND)
+        self.assertIsNone(state)
+        self.assertEqual(loading, 0)
+        new = self.directory.get('e1')
+        self.assertEqual(new.entry.born, SECOND)
+        self.assertEqual(new.weights, {'m': 1})
+
+    def test_report_of_an_older_start_is_not_believed(self):
+        new = self.list_start(SECOND)
+        state, _ = self.read(new, FIRST)
+        self.assertIsNone(state)
+        self.assertIs(self.directory.get('e1'), new)
--- a/tests/nocover/test_fleet_callers.py
+++ b/tests/nocover/test_fleet_callers.py
@@ -19,6 +19,7 @@
 
 from lifttrestle.internal.http.client_connection import ClientConnection
 from lifttrestle.internal.http.head import RequestHead
+from tests.support.entries import make_entry
 from tests.support.fleet import make_route
 from tests.support.fleet import ROUTES
 from tests.support.fleet import run_fleet
@@ -101,7 +102,7 @@
     async def test_while_an_upstream_is_connected_to(self):
         with hold_connections() as address:
             async with run_fleet() as fleet:
-                entry = {'service': 'plain', 'address': address, 'zone': 'a'}
+                entry = make_entry(service='plain', address=address)
                 for name in PLAIN:
                     fleet.store.remove('servers', name)
                     fleet.store.put('servers', f'{name}-held', entry)
--- a/tests/support/directories.py
+++ b/tests/support/directories.py
@@ -21,6 +21,7 @@
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.platform.stored_format import PlatformFormat
+from tests.support.entries import make_entry
 
 START = datetime.datetime(2026, 12, 2, tzinfo=datetime.timezone.utc)
 
@@ -34,13 +35,11 @@
         self.commit = 0
 
     def put(self, instance, service='s', state='ready', models=()):
-        entry = {
-            'service': service,
-            'address': '127.0.0.1:9',
-            'zone': 'a',
-            'state': state,
-            'models': [{'name': 'm', 'version': v} for v in models],
-        }
+        entry = make_entry(
+            service=service,
+            state=state,
+            models=[{'name': 'm', 'version': v} for v in models],
+        )
         self.take(instance, msgspec.json.encode(entry))
 
     def take(self, instance, value):
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -34,6 +34,7 @@
 from lifttrestle.internal.platform.request_dialect import PlatformDialect
 from lifttrestle.internal.platform.row_store import PlatformRowStore
 from lifttrestle.internal.platform.stored_format import PlatformFormat
+from tests.support.entries import make_entry
 from tests.support.fleet_store import FleetStoreStandin
 from tests.support.fleet_upstream import FleetUpstreamStandin
 from tests.support.shifted_clock import ShiftedClock
@@ -154,14 +155,9 @@
         self, service: str, upstream: FleetUpstreamStandin, **fields: object
     ) -> None:
         """Write an upstream's entry."""
-        entry = {
-            'service': service,
-            'address': str(upstream.address),
-            'zone': 'a',
-            'slots': 8,
-            'state': 'ready',
-            **fields,
-        }
+        entry = make_entry(
+            service=service, address=str(upstream.address), slots=8, **fields
+        )
         if service == 'engines':
             weights = {'name': 'm', 'version': upstream.weights}
             entry.setdefault('models', [weights])
--- a/tests/support/played_load.py
+++ b/tests/support/played_load.py
@@ -46,6 +46,7 @@
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.fleet.state.shared_parts import SharedParts
 from lifttrestle.internal.platform.stored_format import PlatformFormat
+from tests.support.entries import make_entry
 from tests.support.memory_rows import MemoryRows
 
 START = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
@@ -94,11 +95,7 @@
         self.clock = clock
         self.directory = UpstreamDirectory(PlatformFormat(), clock)
         for engine in engines:
-            entry = {
-                'service': 's',
-                'address': '127.0.0.1:9',
-                'models': [{'name': 'm', 'version': 1}],
-            }
+            entry = make_entry(models=[{'name': 'm', 'version': 1}])
             row = VersionedRow(engine, msgspec.json.encode(entry), 1)
             self.directory.take(row)
         self.parts = SharedParts()
--- a/tests/support/soak_play.py
+++ b/tests/support/soak_play.py
@@ -21,6 +21,7 @@
 import tempfile
 
 from lifttrestle.internal.standin.faults import Faults
+from tests.support.entries import make_entry
 from tests.support.fleet import CONFIGURATION
 from tests.support.fleet import make_route
 from tests.support.fleet_store import FleetStoreStandin
@@ -144,14 +145,12 @@
         for upstream in self._upstreams:
             await upstream.start()
             engine = upstream.instance.startswith('e')
-            entry = {
-                'service': 'engines' if engine else 'plain',
-                'address': str(upstream.address),
-                'zone': 'a',
-                'slots': 8,
-                'state': 'ready',
-                'models': [{'name': 'm', 'version': 1}] if engine else [],
-            }
+            entry = make_entry(
+                service='engines' if engine else 'plain',
+                address=str(upstream.address),
+                slots=8,
+                models=[{'name': 'm', 'version': 1}] if engine else [],
+            )
             self._store.put('servers', upstream.instance, entry)
         count = self._get_source('shape').randint(2, 3)
         for name in ('r1', 'r2', 'r3')[:count]:
