A rest after news of routers, so that a starting fleet reads them together

Cause: each read of the routers' table ended with the next row, and 195 rows come one after the other while a fleet starts. Ruled out: that this is most of the calls at a start: the rest of them are the reads of each table by every router, and their first watches.

--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -76,6 +76,10 @@
 MAX_CONNECTIONS = 1500
 # Between two looks at the settings file, which may change without a signal.
 SETTINGS_SECONDS = 5.0
+# Routers' rows come one after the other while a fleet starts, and each read
+# ended with one of them: 195 routers made 3,800 calls to the store before the
+# first request. A plan of loads, in the same table, waits for this at most.
+ROUTERS_REST_SECONDS = 0.1
 SettingsReader = Callable[[], FleetSettings | None]
 
 
@@ -129,7 +133,10 @@
             UPSTREAMS_REST_SECONDS,
         )
         self._routers_watch = self._make_watch(
-            FLEET_TABLE, ROUTERS_WAIT_SECONDS, self._take_routers_row
+            FLEET_TABLE,
+            ROUTERS_WAIT_SECONDS,
+            self._take_routers_row,
+            ROUTERS_REST_SECONDS,
         )
         self.roster.get_proved_at = lambda: self._routers_watch.proved_at
         self._upstreams_watch.restart_with(self._operator_watch)
--- a/tests/support/played_load.py
+++ b/tests/support/played_load.py
@@ -38,7 +38,6 @@
 from lifttrestle.internal.fleet.policy.placement import Surroundings
 from lifttrestle.internal.fleet.policy.shedding import judge_wait
 from lifttrestle.internal.fleet.policy.tell_pacing import TELL_SECONDS
-from lifttrestle.internal.fleet.state import peer_loads
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.engine_pace import EnginePace
 from lifttrestle.internal.fleet.state.engine_pace import FIRST_STEP_SECONDS
@@ -54,6 +53,7 @@
 
 START = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
 DATA_CENTRES = 6
+SUMS_PAY = 'lifttrestle.internal.fleet.state.peer_loads.sums_pay'
 # Between two routers, one way.
 DATAGRAM_SECONDS = 0.002
 # From a refusal to the next try, beside the time that the caller was told.
@@ -164,10 +164,7 @@
     def play(self) -> collections.Counter[Fate]:
         """Return what the callers got."""
         if self._load.sums is not None:
-            chosen = mock.patch.object(
-                peer_loads, 'sums_pay', lambda routers: self._load.sums
-            )
-            with chosen:
+            with mock.patch(SUMS_PAY, lambda routers: self._load.sums):
                 return self._play()
         return self._play()
 
