A router that starts asks others for the tables before it reads them

Cause: every router read each table and watched each once at its start, 3,434 calls of 195 routers before the first request, and five of seven calls of each restart. Ruled out: the rows of routers one by one (a rest after them saved a tenth). Before: tests/nocover/test_fleet_relay.py TestStart: reads of op, servers and lifttrestle by a router that starts among three others. After: one read, of the routers' table.

--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -137,6 +137,8 @@
             ROUTERS_WAIT_SECONDS,
             self._take_routers_row,
             ROUTERS_REST_SECONDS,
+            # It names the routers that can be asked for the others.
+            eager=True,
         )
         self.roster.get_proved_at = lambda: self._routers_watch.proved_at
         self._upstreams_watch.restart_with(self._operator_watch)
@@ -210,6 +212,8 @@
         wait_seconds: float,
         listener: object,
         rest_seconds: float = 0.0,
+        *,
+        eager: bool = False,
     ) -> TableWatch:
         return TableWatch(
             self.store,
@@ -219,6 +223,7 @@
             wait_seconds,
             listener,  # type: ignore[arg-type]
             rest_seconds,
+            eager=eager,
         )
 
     def _take_operator_row(self, row: VersionedRow) -> None:
@@ -338,6 +343,7 @@
             data_centre=settings.data_centre,
         )
         work = (
+            self.relays.run(),
             self._operator_watch.run(),
             self._upstreams_watch.run(),
             self._routers_watch.run(),
@@ -346,7 +352,6 @@
             watch_stalls(self._clock),
             ReachProber(self._directory, self.stores, self._clock).run(),
             self._peer_loads.run(),
-            self.relays.run(),
         )
         self._control = [self._begin_control(item) for item in work]
 
--- a/src/lifttrestle/internal/fleet/state/relay_follower.py
+++ b/src/lifttrestle/internal/fleet/state/relay_follower.py
@@ -52,6 +52,11 @@
 # long they are taken for lost. A change must be in force within 2 s.
 SILENT_SECONDS = 1.1
 LOOK_SECONDS = 0.2
+# A router that starts asks others for the tables, and reads them itself when
+# it was told nothing for this long. With a read of each table and a first
+# watch by each, 195 routers made 3,434 calls to the store at their start.
+START_SECONDS = 0.5
+START_LOOK_SECONDS = 0.02
 CONNECT_SECONDS = 0.3
 # A relay that was lost is asked again after this time.
 AVOID_SECONDS = 2.0
@@ -82,11 +87,16 @@
 
     async def run(self) -> None:
         """Ask other routers, or see to it that the store is read."""
+        self._told_at = (
+            self._clock.monotonic() - SILENT_SECONDS + START_SECONDS
+        )
         try:
             while True:
                 self._ask_relays()
                 self._choose_source()
-                await self._clock.sleep(LOOK_SECONDS)
+                started = self._leading.copy.loaded
+                pause = LOOK_SECONDS if started else START_LOOK_SECONDS
+                await self._clock.sleep(pause)
         finally:
             for task in self._asking.values():
                 task.cancel()
@@ -211,7 +221,7 @@
     def _choose_source(self) -> None:
         now = self._clock.monotonic()
         silent = now - self._told_at > SILENT_SECONDS
-        directly = silent or self.is_relay()
+        directly = silent or (self._roster.loaded and self.is_relay())
         for watch in self._watches.values():
             watch.read_directly(directly)
         if directly is not self._directly:
--- a/src/lifttrestle/internal/fleet/state/table_watch.py
+++ b/src/lifttrestle/internal/fleet/state/table_watch.py
@@ -45,6 +45,8 @@
     :param listener: is called with each row that is new, changed or removed.
     :param rest_seconds: between news and the next read, so that changes that
         come together cost one read.
+    :param eager: read the table once without being told to; else another
+        router may tell all of it first.
     """
 
     def __init__(
@@ -56,8 +58,11 @@
         wait_seconds: float,
         listener: RowListener,
         rest_seconds: float = 0.0,
+        *,
+        eager: bool = True,
     ) -> None:
         self._store = store
+        self._eager = eager
         self._table = table
         self._clock = clock
         self._source = source
@@ -66,7 +71,8 @@
         self._history_gone = False
         self._lost = False
         self._direct = asyncio.Event()
-        self._direct.set()
+        if eager:
+            self._direct.set()
         self._reading: asyncio.Task[bool] | None = None
         self._dependants: list[TableWatch] = []
         self._followers: list[Callable[[TableWatch], None]] = []
@@ -128,7 +134,7 @@
         """Follow the table for ever."""
         pause = FIRST_PAUSE_SECONDS
         while True:
-            if self.copy.loaded:
+            if self.copy.loaded or not self._eager:
                 await self._direct.wait()
             self._reading = asyncio.create_task(self.step())
             try:
--- a/tests/nocover/test_fleet_relay.py
+++ b/tests/nocover/test_fleet_relay.py
@@ -17,8 +17,12 @@
 import unittest
 
 from lifttrestle.errors import PlatformUnavailable
+from lifttrestle.internal.fleet.state.relay_follower import MIN_RELAYS
+from lifttrestle.internal.fleet.state.relay_follower import RANKING
 from lifttrestle.internal.fleet.state.relay_messages import encode_frame
 from lifttrestle.internal.fleet.state.relay_messages import Question
+from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
+from lifttrestle.internal.routing.rendezvous import rank_names
 from tests.support.fleet import CONFIGURATION
 from tests.support.fleet import make_router
 from tests.support.fleet import PROMISES
@@ -28,6 +32,19 @@
 NAMES = ('front-a-1', 'front-a-2', 'front-a-3')
 
 
+def find_follower():
+    """Return the name of a fourth router that others read the store for."""
+    for number in range(100):
+        name = f'front-b-{number}'
+        keys = [f'router/{item}' for item in (*NAMES, name)]
+        if f'router/{name}' not in rank_names(RANKING, keys)[:MIN_RELAYS]:
+            return name
+    raise AssertionError('one of two is a follower')
+
+
+NEWCOMER = find_follower()
+
+
 @contextlib.asynccontextmanager
 async def run_routers():
     """Run three routers before one store; two of them read it."""
@@ -93,6 +110,47 @@
             await wait_until(other.is_ready)
 
 
+class TestStart(unittest.IsolatedAsyncioTestCase):
+    async def test_router_that_starts_among_others_reads_one_table(self):
+        # Of 195 routers each read every table, and watched it once.
+        async with run_routers() as (store, relays, other):
+            newcomer = make_router(store.address, PROMISES, NEWCOMER)
+            reads = []
+            watches = []
+            read_table = newcomer.store.read_table
+            watch_table = newcomer.store.watch_table
+
+            async def note_read(table):
+                reads.append(table)
+                return await read_table(table)
+
+            async def note_watch(table, after, wait_seconds):
+                watches.append(table)
+                return await watch_table(table, after, wait_seconds)
+
+            newcomer.store.read_table = note_read
+            newcomer.store.watch_table = note_watch
+            await newcomer.start()
+            try:
+                await wait_until(newcomer.is_ready)
+                self.assertFalse(newcomer.relays.is_relay())
+                self.assertEqual(reads, [FLEET_TABLE])
+                self.assertLessEqual(len(watches), 1)
+            finally:
+                await newcomer.stop()
+
+    async def test_router_without_an_answer_reads_the_tables_itself(self):
+        async with run_routers() as (store, relays, other):
+            for relay in relays:
+                await relay.relay_server.close()
+            newcomer = make_router(store.address, PROMISES, NEWCOMER)
+            await newcomer.start()
+            try:
+                await wait_until(newcomer.is_ready)
+            finally:
+                await newcomer.stop()
+
+
 class TestGarbage(unittest.IsolatedAsyncioTestCase):
     async def test_garbage_ends_its_own_connection_only(self):
         async with run_routers() as (store, relays, other):
--- a/tests/support/fleet_store.py
+++ b/tests/support/fleet_store.py
@@ -48,10 +48,12 @@
         self.writable.set()
         self._changed = asyncio.Event()
         self.server = StandinServer(self._handle)
+        self.address = Address('', 0)
 
     async def start(self) -> Address:
         """Listen at a free port."""
-        return await self.server.start(Address('127.0.0.1', 0))
+        self.address = await self.server.start(Address('127.0.0.1', 0))
+        return self.address
 
     def put(self, table: str, key: str, content: object) -> int:
         """Set a row to a JSON value and wake the watches."""
