--- a/src/lifttrestle/internal/fleet/policy/load_paths.py
+++ b/src/lifttrestle/internal/fleet/policy/load_paths.py
@@ -30,7 +30,7 @@
 RANKING = b'loads'
 # Of each data centre so many are told the other groups' sums. While the
 # first is gone its routers ask the second, which has to be found by others.
-LIKELY_SUMMERS = 2
+LIKELY_AGGREGATORS = 2
 
 
 def sums_pay(routers: int) -> bool:
@@ -38,7 +38,7 @@
     return routers > DIRECT_ROUTERS
 
 
-def choose_summer(
+def choose_aggregator(
     neighbours: list[str], avoided: Collection[str]
 ) -> str | None:
     """Return which router of a data centre adds up for the others.
@@ -53,6 +53,6 @@
     return next(iter(sound or ranked), None)
 
 
-def list_summers(neighbours: list[str]) -> list[str]:
+def list_aggregators(neighbours: list[str]) -> list[str]:
     """Return which routers of a data centre are likely to add up."""
-    return rank_names(RANKING, neighbours)[:LIKELY_SUMMERS]
+    return rank_names(RANKING, neighbours)[:LIKELY_AGGREGATORS]
--- a/src/lifttrestle/internal/fleet/policy/placement.py
+++ b/src/lifttrestle/internal/fleet/policy/placement.py
@@ -49,6 +49,11 @@
 # time with eight others, 0.974 with four, 0.981 with two (played load).
 CONSIDERED_HOMES = 4
 CONSIDERED_OTHERS = 4
+# An upstream without a kept connection: two ways of the network and its own
+# work for the new one. In a large fleet a router has each of 65 upstreams
+# asked once in half a minute; what has no home there goes where a connection
+# is kept. Well below what reading a shared part of 600 tokens takes.
+NEW_CONNECTION_SECONDS = 0.01
 # Candidates that the log tells of.
 MAX_TOLD = 5
 # Engines begin to answer within this time while nothing waits; a request that
@@ -147,7 +152,7 @@
     for upstream in sound:
         cost = upstream.first_byte_seconds
         cost += upstream.in_flight * PLAIN_RUNNING_SECONDS
-        cost += _weigh_distance(upstream, around)
+        cost += _weigh_way(upstream, around)
         cost += source.random() * TIE_SECONDS
         costs[upstream.instance] = cost
     if not sound:
@@ -219,10 +224,15 @@
         for upstream in source.sample(ranked, len(ranked) // 2)
         if upstream not in homes
     ]
+    others.sort(key=_lacks_connection)
     considered = homes + _take_sound(others, now, CONSIDERED_OTHERS)
     return considered or _prefer_sound(ranked, now)
 
 
+def _lacks_connection(upstream: FleetUpstream) -> bool:
+    return not upstream.pool.has_kept
+
+
 def _is_large(fit: list[FleetUpstream]) -> bool:
     return len(fit) > CONSIDERED_HOMES + CONSIDERED_OTHERS
 
@@ -330,14 +340,18 @@
     cost += running * RUNNING_SECONDS
     if around.slots:
         cost += max(running + 1 - around.slots, 0) * SLOT_SECONDS
-    cost += _weigh_distance(upstream, around)
+    cost += _weigh_way(upstream, around)
     held = upstream.weights.get(prompt.model, 0)
     if held < around.wanted_version:
         cost += OLD_WEIGHTS_SECONDS
     return cost
 
 
-def _weigh_distance(upstream: FleetUpstream, around: Surroundings) -> float:
-    if upstream.entry.data_centre == around.data_centre:
-        return 0.0
-    return OTHER_DATA_CENTRE_SECONDS
+def _weigh_way(upstream: FleetUpstream, around: Surroundings) -> float:
+    """Return what it costs to reach an upstream."""
+    cost = 0.0
+    if upstream.entry.data_centre != around.data_centre:
+        cost += OTHER_DATA_CENTRE_SECONDS
+    if _lacks_connection(upstream):
+        cost += NEW_CONNECTION_SECONDS
+    return cost
--- a/src/lifttrestle/internal/fleet/state/summer_choice.py
+++ b/src/lifttrestle/internal/fleet/state/aggregator_choice.py
@@ -14,8 +14,8 @@
 """Which routers add up loads, as one router sees it."""
 
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.fleet.policy.load_paths import choose_summer
-from lifttrestle.internal.fleet.policy.load_paths import list_summers
+from lifttrestle.internal.fleet.policy.load_paths import choose_aggregator
+from lifttrestle.internal.fleet.policy.load_paths import list_aggregators
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
@@ -27,7 +27,7 @@
 AVOID_SECONDS = 3.0
 
 
-class SummerChoice:
+class AggregatorChoice:
     """Chooses whom to tell loads, and notices when there is no answer."""
 
     def __init__(self, roster: Roster, clock: Clock) -> None:
@@ -48,11 +48,11 @@
         silent = now - self._heard_at > SILENT_SECONDS
         if silent and self._chosen != own:
             self._avoided[self._chosen] = now + AVOID_SECONDS
-            LOG.info('peers.summer_silent', router=self._chosen)
+            LOG.info('peers.aggregator_silent', router=self._chosen)
         self._avoided = {
             key: until for key, until in self._avoided.items() if until > now
         }
-        chosen = choose_summer(self._neighbours, self._avoided) or own
+        chosen = choose_aggregator(self._neighbours, self._avoided) or own
         if chosen != self._chosen or silent:
             self._chosen = chosen
             self._heard_at = now
@@ -88,5 +88,5 @@
         own = groups.get(self._roster.data_centre, [])
         self._neighbours = own or [self._roster.key]
         self._all = [
-            key for group in groups.values() for key in list_summers(group)
+            key for group in groups.values() for key in list_aggregators(group)
         ]
--- a/src/lifttrestle/internal/fleet/state/load_summing.py
+++ b/src/lifttrestle/internal/fleet/state/load_aggregation.py
@@ -39,7 +39,7 @@
     at: float
 
 
-class LoadSummer:
+class LoadAggregator:
     """What one router adds up for others.
 
     :param vm: this router's.
@@ -76,12 +76,12 @@
         """Return the routers that want to be told the sum."""
         return self._list_fresh(self._members, now)
 
-    def list_summers(self, now: float) -> list[str]:
+    def list_aggregators(self, now: float) -> list[str]:
         """Return the other routers that have told their groups' sums."""
         return self._list_fresh(self._groups, now)
 
     def build_group_sum(self, now: float) -> GroupSum:
-        """Return what is told to other summers."""
+        """Return what is told to other aggregators."""
         self._number += 1
         members = [self._members[vm] for vm in self.list_members(now)]
         return GroupSum(
@@ -98,7 +98,7 @@
 
         :param group: the sum of this group.
         """
-        groups = [self._groups[vm] for vm in self.list_summers(now)]
+        groups = [self._groups[vm] for vm in self.list_aggregators(now)]
         loads = add_up(
             [group.loads, *(heard.message.loads for heard in groups)]
         )
--- a/src/lifttrestle/internal/fleet/state/peer_loads.py
+++ b/src/lifttrestle/internal/fleet/state/peer_loads.py
@@ -28,7 +28,10 @@
 from lifttrestle.internal.fleet.policy.load_paths import sums_pay
 from lifttrestle.internal.fleet.policy.tell_pacing import TELL_SECONDS
 from lifttrestle.internal.fleet.policy.tell_pacing import TellPacing
+from lifttrestle.internal.fleet.state.aggregator_choice import AggregatorChoice
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.state.load_aggregation import LoadAggregator
+from lifttrestle.internal.fleet.state.load_aggregation import take_off
 from lifttrestle.internal.fleet.state.load_messages import FleetSum
 from lifttrestle.internal.fleet.state.load_messages import GroupSum
 from lifttrestle.internal.fleet.state.load_messages import LoadMessage
@@ -37,12 +40,9 @@
 from lifttrestle.internal.fleet.state.load_messages import read_message
 from lifttrestle.internal.fleet.state.load_messages import UpstreamLoad
 from lifttrestle.internal.fleet.state.load_messages import write_message
-from lifttrestle.internal.fleet.state.load_summing import LoadSummer
-from lifttrestle.internal.fleet.state.load_summing import take_off
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.roster import ROUTER_PREFIX
 from lifttrestle.internal.fleet.state.shared_parts import SharedParts
-from lifttrestle.internal.fleet.state.summer_choice import SummerChoice
 from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.http.address import check_address
 from lifttrestle.internal.intake.refusals import InputRefusals
@@ -101,8 +101,8 @@
         self._own_reports: dict[int, list[UpstreamLoad]] = {}
         self._pacing = TellPacing(clock)
         self._changed = asyncio.Event()
-        self._summer = LoadSummer(vm, self._get_fresh_seconds)
-        self._choice = SummerChoice(roster, clock)
+        self._aggregator = LoadAggregator(vm, self._get_fresh_seconds)
+        self._choice = AggregatorChoice(roster, clock)
         self._asked_for_sums = asyncio.Event()
         self._takers: dict[type, Callable[..., None]] = {
             LoadReport: self._take_report,
@@ -143,11 +143,11 @@
             self.note(report)
             return
         self._parts.note_told(report.parts, self._clock.monotonic())
-        self._summer.take_report(report, self._clock.monotonic())
+        self._aggregator.take_report(report, self._clock.monotonic())
         self._asked_for_sums.set()
 
     def _take_group_sum(self, group: GroupSum) -> None:
-        self._summer.take_group(group, self._clock.monotonic())
+        self._aggregator.take_group(group, self._clock.monotonic())
 
     def _take_fleet_sum(self, whole: FleetSum) -> None:
         """Believe the sum of the router that this one tells its loads."""
@@ -252,17 +252,18 @@
     def tell_sums(self) -> bool:
         """Tell the sums to whoever wants them; return if anybody does."""
         now = self._clock.monotonic()
-        if not self._summer.list_members(now):
+        if not self._aggregator.list_members(now):
             return False
-        group = self._summer.build_group_sum(now)
+        group = self._aggregator.build_group_sum(now)
         others = {
-            f'{ROUTER_PREFIX}{vm}' for vm in self._summer.list_summers(now)
+            f'{ROUTER_PREFIX}{vm}'
+            for vm in self._aggregator.list_aggregators(now)
         }
         others.update(self._choice.list_all())
         others.discard(self._roster.key)
         for key in others:
             self._send(group, key)
-        sums = self._summer.build_fleet_sums(group, now)
+        sums = self._aggregator.build_fleet_sums(group, now)
         for vm, whole in sums.items():
             if vm == self._vm:
                 self._take_fleet_sum(whole)
@@ -280,7 +281,7 @@
         ]
         parts = self._parts.take_news()
         if sums_pay(self._roster.live):
-            self._tell_summer(loads, parts)
+            self._tell_aggregator(loads, parts)
             return
         if not loads and not parts and not self._told_something:
             # Without work there is nothing to tell, and silence says so.
@@ -291,7 +292,7 @@
         for key in self._roster.list_others():
             self._send(report, key)
 
-    def _tell_summer(
+    def _tell_aggregator(
         self, loads: list[UpstreamLoad], parts: list[int]
     ) -> None:
         """Tell the router that adds up; it tells the sum in return."""
--- a/src/lifttrestle/internal/http/client_pool.py
+++ b/src/lifttrestle/internal/http/client_pool.py
@@ -40,6 +40,14 @@
         self._idle: list[tuple[float, ClientConnection]] = []
         self.idle_seconds = IDLE_SECONDS
 
+    @property
+    def has_kept(self) -> bool:
+        """Return whether a connection is kept that should be of use."""
+        if not self._idle:
+            return False
+        newest, _ = self._idle[-1]
+        return newest >= self._clock.monotonic() - self.idle_seconds
+
     async def take(self, *, fresh: bool = False) -> ClientConnection:
         """Return a connection that no one else uses.
 
--- a/tests/cover/test_fleet_placement.py
+++ b/tests/cover/test_fleet_placement.py
@@ -14,6 +14,7 @@
 
 import random
 import unittest
+from unittest import mock
 
 from lifttrestle.internal.clock.manual import ManualClock
 from lifttrestle.internal.fleet.path.dialect import Generation
@@ -21,6 +22,7 @@
 from lifttrestle.internal.fleet.policy.cache_sources import CacheSources
 from lifttrestle.internal.fleet.policy.cache_sources import KEPT_SECONDS
 from lifttrestle.internal.fleet.policy.placement import choose_engine
+from lifttrestle.internal.fleet.policy.placement import choose_plain
 from lifttrestle.internal.fleet.policy.placement import Surroundings
 from lifttrestle.internal.fleet.state.engine_pace import EnginePace
 from lifttrestle.internal.fleet.state.engine_pace import PRIOR_READ_SECONDS
@@ -114,6 +116,57 @@
         self.assertEqual(self.place(wanted=2).unread_tokens, 4600)
 
 
+class TestConnections(DirectoryCase):
+    """An upstream to which a connection is kept is a little nearer."""
+
+    def setUp(self):
+        super().setUp()
+        for name in ('a', 'b', 'c'):
+            self.put(name, models=[1])
+        self.kept = self.directory.get('b')
+        connection = mock.Mock(reusable=True)
+        self.kept.pool.give_back(connection)
+
+    def choose(self, *parts):
+        tokens = sum(part.tokens for part in parts)
+        return choose_engine(
+            self.directory.list_fit('s'),
+            Generation('m', tokens, 5, parts),
+            'shared',
+            SharedParts(),
+            Surroundings(5.0, 'a', 1),
+            random.Random(1),
+        ).upstream
+
+    def test_prompt_without_a_home_goes_where_a_connection_is_kept(self):
+        for number in range(9):
+            self.assertIs(
+                self.choose(PromptPart(f'{number:x}', 600)), self.kept
+            )
+
+    def test_home_of_a_long_part_is_worth_more(self):
+        chosen = {
+            self.choose(
+                PromptPart(f'{number:x}', 4000), PromptPart('1', 60)
+            ).instance
+            for number in range(9)
+        }
+        self.assertGreater(len(chosen), 1)
+
+    def test_connection_that_was_kept_too_long_counts_for_nothing(self):
+        self.clock.advance(self.kept.pool.idle_seconds + 0.1)
+        self.assertFalse(self.kept.pool.has_kept)
+
+    def test_plain_upstream_with_a_kept_connection_is_taken(self):
+        for _ in range(9):
+            placement = choose_plain(
+                self.directory.list_fit('s'),
+                Surroundings(5.0, 'a', 0),
+                random.Random(1),
+            )
+            self.assertIs(placement.upstream, self.kept)
+
+
 class TestPace(unittest.TestCase):
     def test_pace_is_that_of_the_answers(self):
         # 17 microseconds a token were expected and 30 seen, so first pieces
--- a/tests/cover/test_load_sums.py
+++ b/tests/cover/test_load_sums.py
@@ -22,20 +22,20 @@
 import msgspec
 
 from lifttrestle.internal.clock.manual import ManualClock
-from lifttrestle.internal.fleet.policy.load_paths import choose_summer
+from lifttrestle.internal.fleet.policy.load_paths import choose_aggregator
 from lifttrestle.internal.fleet.policy.load_paths import DIRECT_ROUTERS
 from lifttrestle.internal.fleet.policy.tell_pacing import HEARD_PER_SECOND
+from lifttrestle.internal.fleet.state.aggregator_choice import SILENT_SECONDS
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.state.load_aggregation import add_up
+from lifttrestle.internal.fleet.state.load_aggregation import take_off
 from lifttrestle.internal.fleet.state.load_messages import UpstreamLoad
-from lifttrestle.internal.fleet.state.load_summing import add_up
-from lifttrestle.internal.fleet.state.load_summing import take_off
 from lifttrestle.internal.fleet.state.peer_loads import PeerLoads
 from lifttrestle.internal.fleet.state.peer_loads import SUM_SECONDS
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.roster import RouterRow
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.fleet.state.shared_parts import SharedParts
-from lifttrestle.internal.fleet.state.summer_choice import SILENT_SECONDS
 from lifttrestle.internal.platform.stored_format import PlatformFormat
 from tests.support.directories import START
 from tests.support.entries import make_entry
@@ -157,7 +157,7 @@
 
     def test_loss_of_those_that_add_up_is_made_up_for(self):
         chosen = {
-            choose_summer(
+            choose_aggregator(
                 [
                     f'router/{name}'
                     for name, router in self.fleet.routers.items()
