--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -85,10 +85,10 @@
 
     def hear(self, number: int) -> None:
         """Hear a report of another router."""
-        marks = [item.mark for item in self.directory]
+        digests = [item.digest for item in self.directory]
         loads = [
-            UpstreamLoad(mark, 1, 900)
-            for mark in self.source.sample(marks, BUSY_ENGINES)
+            UpstreamLoad(digest, 1, 900)
+            for digest in self.source.sample(digests, BUSY_ENGINES)
         ]
         report = LoadReport(f'r{number % ROUTERS}', number, loads)
         data = msgspec.msgpack.encode(report)
--- a/src/lifttrestle/internal/fleet/state/directory.py
+++ b/src/lifttrestle/internal/fleet/state/directory.py
@@ -61,7 +61,7 @@
         self._refusals = refusals or InputRefusals()
         self._known: dict[str, FleetUpstream] = {}
         self._starts: dict[str, FleetUpstream] = {}
-        self._marks: dict[int, FleetUpstream] = {}
+        self._digests: dict[int, FleetUpstream] = {}
         self.get_catalogue: Callable[[], Catalogue | None] = lambda: None
         # Set from outside: when the list was last read after an outage.
         self.outage_until = float('-inf')
@@ -85,9 +85,9 @@
         """Return an upstream if this start of it is the newest known."""
         return self._starts.get(start)
 
-    def get_mark(self, mark: int) -> FleetUpstream | None:
-        """Return the newest known start that a message's mark stands for."""
-        return self._marks.get(mark)
+    def get_by_digest(self, digest: int) -> FleetUpstream | None:
+        """Return the newest known start that a message's digest stands for."""
+        return self._digests.get(digest)
 
     def take(self, row: VersionedRow) -> None:
         """Take in a changed row of the list."""
@@ -171,7 +171,7 @@
         )
         self._known[entry.instance] = upstream
         self._starts[entry.start] = upstream
-        self._marks[upstream.mark] = upstream
+        self._digests[upstream.digest] = upstream
         LOG.info(
             'upstream.new',
             instance=entry.instance,
@@ -230,7 +230,7 @@
     def _forget(self, upstream: FleetUpstream) -> None:
         self._known.pop(upstream.instance, None)
         self._starts.pop(upstream.start, None)
-        self._marks.pop(upstream.mark, None)
+        self._digests.pop(upstream.digest, None)
         upstream.pool.close()
         LOG.info('upstream.gone', instance=upstream.instance)
 
--- a/src/lifttrestle/internal/fleet/state/load_aggregation.py
+++ b/src/lifttrestle/internal/fleet/state/load_aggregation.py
@@ -146,12 +146,12 @@
     unread: collections.Counter[int] = collections.Counter()
     for loads in several:
         for load in loads:
-            running[load.mark] += load.in_flight
-            unread[load.mark] += load.unread_tokens
+            running[load.digest] += load.in_flight
+            unread[load.digest] += load.unread_tokens
     return [
-        UpstreamLoad(mark, count, unread[mark])
-        for mark, count in running.items()
-        if count or unread[mark]
+        UpstreamLoad(digest, count, unread[digest])
+        for digest, count in running.items()
+        if count or unread[digest]
     ]
 
 
@@ -159,16 +159,16 @@
     whole: list[UpstreamLoad], part: list[UpstreamLoad]
 ) -> list[UpstreamLoad]:
     """Return ``whole`` without ``part``, which may have changed since."""
-    own = {load.mark: load for load in part}
+    own = {load.digest: load for load in part}
     rest = []
     for load in whole:
-        mine = own.get(load.mark)
+        mine = own.get(load.digest)
         if mine is None:
             rest.append(load)
             continue
         running = max(load.in_flight - mine.in_flight, 0)
         unread = max(load.unread_tokens - mine.unread_tokens, 0)
-        rest.append(UpstreamLoad(load.mark, running, unread))
+        rest.append(UpstreamLoad(load.digest, running, unread))
     return rest
 
 
--- a/src/lifttrestle/internal/fleet/state/load_messages.py
+++ b/src/lifttrestle/internal/fleet/state/load_messages.py
@@ -29,10 +29,10 @@
 class UpstreamLoad(msgspec.Struct, frozen=True, array_like=True):
     """What there is under way at one start of an upstream.
 
-    :ivar mark: of the start, shorter than its name.
+    :ivar digest: of the start, shorter than its name.
     """
 
-    mark: Count
+    digest: Count
     in_flight: Count
     unread_tokens: Count
 
--- a/src/lifttrestle/internal/fleet/state/peer_loads.py
+++ b/src/lifttrestle/internal/fleet/state/peer_loads.py
@@ -203,7 +203,7 @@
 
     def _add(self, loads: list[UpstreamLoad], sign: int) -> None:
         for load in loads:
-            upstream = self._directory.get_mark(load.mark)
+            upstream = self._directory.get_by_digest(load.digest)
             if upstream is None:
                 continue
             # An upstream that was forgotten and is back starts from zero; the
@@ -274,7 +274,7 @@
     def _tell(self) -> None:
         loads = [
             UpstreamLoad(
-                upstream.mark, upstream.in_flight, upstream.unread_tokens
+                upstream.digest, upstream.in_flight, upstream.unread_tokens
             )
             for upstream in self._directory
             if upstream.in_flight
--- a/src/lifttrestle/internal/fleet/state/upstream.py
+++ b/src/lifttrestle/internal/fleet/state/upstream.py
@@ -15,7 +15,7 @@
 import dataclasses
 
 from lifttrestle.internal.fleet.state.reach import Reach
-from lifttrestle.internal.fleet.state.upstream_entry import build_mark
+from lifttrestle.internal.fleet.state.upstream_entry import build_digest
 from lifttrestle.internal.fleet.state.upstream_entry import UpstreamEntry
 from lifttrestle.internal.http.client_pool import ClientPool
 from lifttrestle.internal.upstream.breaker import Breaker
@@ -61,7 +61,7 @@
     :ivar vanished_at: when its entry went, or None.
     :ivar first_byte_seconds: average time to the first byte of an answer.
     :ivar reach: whether it takes connections.
-    :ivar mark: stands for this start in messages to other routers.
+    :ivar digest: stands for this start in messages to other routers.
     :ivar owed: the unanswered requests, by ticket.
     """
 
@@ -80,11 +80,11 @@
     heard_at: float = 0.0
     reach: Reach = dataclasses.field(default_factory=Reach)
     owed: dict[int, OwedAnswer] = dataclasses.field(default_factory=dict)
-    mark: int = 0
+    digest: int = 0
 
     def __post_init__(self) -> None:
         """Build what stands for this start in messages."""
-        self.mark = build_mark(self.start)
+        self.digest = build_digest(self.start)
 
     @property
     def instance(self) -> str:
--- a/src/lifttrestle/internal/fleet/state/upstream_entry.py
+++ b/src/lifttrestle/internal/fleet/state/upstream_entry.py
@@ -16,7 +16,7 @@
 import enum
 import hashlib
 
-MARK_BYTES = 4
+DIGEST_BYTES = 4
 
 
 @dataclasses.dataclass(frozen=True)
@@ -48,13 +48,13 @@
         return f'{self.instance}@{self.born}'
 
 
-def build_mark(start: str) -> int:
+def build_digest(start: str) -> int:
     """Return a number that stands for a start in short messages.
 
     Of 600 upstreams two have the same one once in 24,000 fleets; a load then
     counts for the wrong one of them.
     """
-    digest = hashlib.blake2b(start.encode(), digest_size=MARK_BYTES).digest()
+    digest = hashlib.blake2b(start.encode(), digest_size=DIGEST_BYTES).digest()
     return int.from_bytes(digest, 'big')
 
 
--- a/tests/cover/test_load_sums.py
+++ b/tests/cover/test_load_sums.py
@@ -50,7 +50,7 @@
         st.integers(0, 9),
         st.integers(0, 9000),
     ),
-    unique_by=lambda load: load.mark,
+    unique_by=lambda load: load.digest,
 )
 
 
@@ -232,7 +232,7 @@
     @given(st.lists(LOADS, max_size=4), LOADS)
     def test_taking_off_one_of_a_sum_leaves_the_others(self, others, own):
         rest = take_off(add_up([*others, own]), own)
-        expected = {load.mark: load for load in add_up(others)}
+        expected = {load.digest: load for load in add_up(others)}
         for load in rest:
-            left = expected.get(load.mark, UpstreamLoad(load.mark, 0, 0))
+            left = expected.get(load.digest, UpstreamLoad(load.digest, 0, 0))
             self.assertEqual(load, left)
--- a/tests/cover/test_peer_loads.py
+++ b/tests/cover/test_peer_loads.py
@@ -35,7 +35,7 @@
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.fleet.state.shared_parts import MAX_NEWS
 from lifttrestle.internal.fleet.state.shared_parts import SharedParts
-from lifttrestle.internal.fleet.state.upstream_entry import build_mark
+from lifttrestle.internal.fleet.state.upstream_entry import build_digest
 from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.platform.stored_format import PlatformFormat
 from tests.support.entries import make_entry
@@ -45,11 +45,11 @@
 WAIT_SECONDS = 10.0
 
 
-MARK = build_mark('u')
+DIGEST = build_digest('u')
 
 
 def make_report(vm, number, in_flight, tokens=0):
-    return LoadReport(vm, number, [UpstreamLoad(MARK, in_flight, tokens)])
+    return LoadReport(vm, number, [UpstreamLoad(DIGEST, in_flight, tokens)])
 
 
 class Router:
--- a/tests/cover/test_upstream_starts.py
+++ b/tests/cover/test_upstream_starts.py
@@ -123,11 +123,11 @@
         loads = PeerLoads(
             'me', self.directory, roster, SharedParts(), self.clock
         )
-        report = LoadReport('r', 1, [UpstreamLoad(old.mark, 4, 900)])
+        report = LoadReport('r', 1, [UpstreamLoad(old.digest, 4, 900)])
         new = self.list_start(SECOND)
         loads.note(report)
         self.assertEqual((new.peers_in_flight, new.peers_unread), (0, 0))
-        again = LoadReport('r', 2, [UpstreamLoad(new.mark, 1, 0)])
+        again = LoadReport('r', 2, [UpstreamLoad(new.digest, 1, 0)])
         loads.note(again)
         self.assertEqual(new.peers_in_flight, 1)
 
