--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -26,8 +26,8 @@
 from lifttrestle.internal.clock.manual import ManualClock
 from lifttrestle.internal.fleet.path.dialect import Generation
 from lifttrestle.internal.fleet.path.dialect import PromptPart
+from lifttrestle.internal.fleet.policy.engine_costs import Surroundings
 from lifttrestle.internal.fleet.policy.placement import choose_engine
-from lifttrestle.internal.fleet.policy.placement import Surroundings
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.load_messages import LoadReport
 from lifttrestle.internal.fleet.state.load_messages import UpstreamLoad
--- a/src/lifttrestle/internal/fleet/path/candidates.py
+++ b/src/lifttrestle/internal/fleet/path/candidates.py
@@ -17,10 +17,10 @@
 from lifttrestle.internal.fleet.policy.admission import Admitted
 from lifttrestle.internal.fleet.policy.admission import get_urgency
 from lifttrestle.internal.fleet.policy.admission import get_wall
+from lifttrestle.internal.fleet.policy.engine_costs import Surroundings
 from lifttrestle.internal.fleet.policy.placement import choose_engine
 from lifttrestle.internal.fleet.policy.placement import choose_plain
 from lifttrestle.internal.fleet.policy.placement import Placement
-from lifttrestle.internal.fleet.policy.placement import Surroundings
 from lifttrestle.internal.fleet.policy.weights_fit import select_engines
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 
--- a/src/lifttrestle/internal/fleet/policy/placement.py
+++ b/src/lifttrestle/internal/fleet/policy/placement.py
@@ -10,6 +10,7 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
+
 """Chooses the upstream that a request is sent to."""
 
 import dataclasses
@@ -17,27 +18,17 @@
 import random
 
 from lifttrestle.internal.fleet.path.dialect import Generation
-from lifttrestle.internal.fleet.state.engine_pace import FIRST_STEP_SECONDS
-from lifttrestle.internal.fleet.state.engine_pace import PRIOR_READ_SECONDS
-from lifttrestle.internal.fleet.state.shared_parts import build_salt
+from lifttrestle.internal.fleet.policy.engine_costs import count_queue
+from lifttrestle.internal.fleet.policy.engine_costs import lacks_connection
+from lifttrestle.internal.fleet.policy.engine_costs import look_ahead
+from lifttrestle.internal.fleet.policy.engine_costs import measure_prompt
+from lifttrestle.internal.fleet.policy.engine_costs import Surroundings
+from lifttrestle.internal.fleet.policy.engine_costs import weigh_engine
+from lifttrestle.internal.fleet.policy.engine_costs import weigh_way
 from lifttrestle.internal.fleet.state.shared_parts import SharedParts
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.routing.rendezvous import rank_names
 
-# Engines beside the first home that keep a shared part too.
-HOMES = 2
-# A running request slows the others on its engine by about this much.
-RUNNING_SECONDS = 0.012
-# Of a part that another engine has read, what fetching it costs of the time
-# to compute it, where the configuration tells no pace of links.
-USUAL_FETCH_SHARE = 0.35
-# What waits for a slot waits for about this long for each request before it:
-# runs take 0.1 to 1 s, and an engine with few slots ends some ten a second.
-SLOT_SECONDS = 0.15
-# A request sent to another data centre: a few ms, and its bytes are priced.
-OTHER_DATA_CENTRE_SECONDS = 0.004
-# What it is worth to answer by the newest weights.
-OLD_WEIGHTS_SECONDS = 0.05
 # Spreads requests over upstreams that are as good as each other.
 TIE_SECONDS = 0.002
 # Engines that are weighed: a few homes, so that the loss of some and a load
@@ -49,16 +40,8 @@
 # time with eight others, 0.974 with four, 0.981 with two (played load).
 CONSIDERED_HOMES = 4
 CONSIDERED_OTHERS = 4
-# An upstream without a kept connection: two ways of the network and its own
-# work for the new one. In a large fleet a router has each of 65 upstreams
-# asked once in half a minute; what has no home there goes where a connection
-# is kept. Well below what reading a shared part of 600 tokens takes.
-NEW_CONNECTION_SECONDS = 0.01
 # Candidates that the log tells of.
 MAX_TOLD = 5
-# Engines begin to answer within this time while nothing waits; a request that
-# has waited longer tells how long the queue is.
-USUAL_WAIT_SECONDS = 0.15
 # A running request of a plain service holds one of few slots.
 PLAIN_RUNNING_SECONDS = 0.03
 
@@ -85,64 +68,6 @@
     avoided: tuple[str, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True)
-class Outlook:
-    """What a generation would meet at an engine.
-
-    :ivar unread_tokens: of its prompt, that have to be computed there.
-    :ivar queue_seconds: until its own prompt's turn.
-    :ivar first_piece_seconds: until its first piece.
-    """
-
-    unread_tokens: int
-    queue_seconds: float
-    first_piece_seconds: float
-
-
-@dataclasses.dataclass(frozen=True)
-class PromptMeasure:
-    """What of a prompt has to be read, for all engines alike.
-
-    :ivar own_tokens: that no other request shares.
-    :ivar unknown_tokens: of the shared ones, those that no engine is known
-        to have read, by the version of the weights.
-    """
-
-    model: str
-    own_tokens: int
-    shared_tokens: int
-    unknown_tokens: dict[int, int]
-
-
-@dataclasses.dataclass(frozen=True)
-class Surroundings:
-    """What the choice depends on beside the request.
-
-    :ivar now: monotonic time in seconds.
-    :ivar data_centre: the router's own.
-    :ivar wanted_version: the newest weights of the request's model.
-    :ivar urgency: of the request; 0 is first.
-    :ivar slots: requests that one engine runs at once, zero if not known.
-    :ivar read_seconds: that engines take to compute a token of a prompt.
-    :ivar fetch_seconds: that they take to fetch one, None if not known.
-    """
-
-    now: float
-    data_centre: str
-    wanted_version: int
-    urgency: int = 0
-    slots: int = 0
-    read_seconds: float = PRIOR_READ_SECONDS
-    fetch_seconds: float | None = None
-
-    @property
-    def fetch_share(self) -> float:
-        """Return what fetching a token costs of the time to compute it."""
-        if self.fetch_seconds is None:
-            return USUAL_FETCH_SHARE
-        return min(self.fetch_seconds / self.read_seconds, 1.0)
-
-
 def choose_plain(
     fit: list[FleetUpstream], around: Surroundings, source: random.Random
 ) -> Placement | None:
@@ -152,7 +77,7 @@
     for upstream in sound:
         cost = upstream.first_byte_seconds
         cost += upstream.in_flight * PLAIN_RUNNING_SECONDS
-        cost += _weigh_way(upstream, around)
+        cost += weigh_way(upstream, around)
         cost += source.random() * TIE_SECONDS
         costs[upstream.instance] = cost
     if not sound:
@@ -177,13 +102,13 @@
     considered = _list_considered(ranked, around.now, source)
     if not considered:
         return None
-    prompt = _measure_prompt(considered, generation, wall, parts)
+    prompt = measure_prompt(considered, generation, wall, parts)
     outlooks = {}
     costs = {}
     for rank, upstream in enumerate(considered):
-        outlook = _look_ahead(upstream, rank, prompt, around)
+        outlook = look_ahead(upstream, rank, prompt, around)
         outlooks[upstream.instance] = outlook
-        costs[upstream.instance] = _weigh_engine(
+        costs[upstream.instance] = weigh_engine(
             upstream, rank, prompt, outlook, around
         )
     homes = ranked[:CONSIDERED_HOMES] if _is_large(ranked) else ranked
@@ -196,7 +121,7 @@
         expected_seconds=outlook.first_piece_seconds,
         queue_seconds=outlook.queue_seconds,
         unread_tokens=outlook.unread_tokens,
-        queue_tokens=_count_queue(chosen),
+        queue_tokens=count_queue(chosen),
     )
 
 
@@ -224,15 +149,11 @@
         for upstream in source.sample(ranked, len(ranked) // 2)
         if upstream not in homes
     ]
-    others.sort(key=_lacks_connection)
+    others.sort(key=lacks_connection)
     considered = homes + _take_sound(others, now, CONSIDERED_OTHERS)
     return considered or _prefer_sound(ranked, now)
 
 
-def _lacks_connection(upstream: FleetUpstream) -> bool:
-    return not upstream.pool.has_kept
-
-
 def _is_large(fit: list[FleetUpstream]) -> bool:
     return len(fit) > CONSIDERED_HOMES + CONSIDERED_OTHERS
 
@@ -271,87 +192,3 @@
 
 def _is_sound(upstream: FleetUpstream, now: float) -> bool:
     return upstream.breaker.allows(now) and not upstream.is_doubtful(now)
-
-
-def _measure_prompt(
-    considered: list[FleetUpstream],
-    generation: Generation,
-    wall: str,
-    parts: SharedParts,
-) -> PromptMeasure:
-    model = generation.model
-    shared = generation.shared
-    versions = {upstream.weights.get(model, 0) for upstream in considered}
-    return PromptMeasure(
-        model=model,
-        own_tokens=generation.own_tokens,
-        shared_tokens=sum(part.tokens for part in shared),
-        unknown_tokens={
-            version: parts.count_unknown(
-                build_salt(wall, model, version), shared
-            )
-            for version in versions
-        },
-    )
-
-
-def _look_ahead(
-    upstream: FleetUpstream,
-    rank: int,
-    prompt: PromptMeasure,
-    around: Surroundings,
-) -> Outlook:
-    """Return what a generation would meet at an engine."""
-    unknown = prompt.unknown_tokens[upstream.weights.get(prompt.model, 0)]
-    known = prompt.shared_tokens - unknown
-    fetched = known * _get_miss(rank) * around.fetch_share
-    unread = prompt.own_tokens + unknown + round(fetched)
-    queue = _expect_queue(upstream, around)
-    reading = unread * around.read_seconds
-    return Outlook(unread, queue, queue + reading + FIRST_STEP_SECONDS)
-
-
-def _get_miss(rank: int) -> float:
-    """Return how likely an engine lacks a part that has homes elsewhere."""
-    return min(rank, HOMES) / HOMES
-
-
-def _expect_queue(upstream: FleetUpstream, around: Surroundings) -> float:
-    queue = _count_queue(upstream) * around.read_seconds
-    waited = upstream.get_oldest_wait(around.now, around.urgency)
-    # The estimate is wrong where the oldest has waited longer already.
-    return max(queue, waited - USUAL_WAIT_SECONDS)
-
-
-def _count_queue(upstream: FleetUpstream) -> int:
-    return upstream.unread_tokens + upstream.peers_unread
-
-
-def _weigh_engine(
-    upstream: FleetUpstream,
-    rank: int,
-    prompt: PromptMeasure,
-    outlook: Outlook,
-    around: Surroundings,
-) -> float:
-    cost = outlook.first_piece_seconds
-    cost += _get_miss(rank) * prompt.shared_tokens * around.read_seconds
-    running = upstream.in_flight + upstream.peers_in_flight
-    cost += running * RUNNING_SECONDS
-    if around.slots:
-        cost += max(running + 1 - around.slots, 0) * SLOT_SECONDS
-    cost += _weigh_way(upstream, around)
-    held = upstream.weights.get(prompt.model, 0)
-    if held < around.wanted_version:
-        cost += OLD_WEIGHTS_SECONDS
-    return cost
-
-
-def _weigh_way(upstream: FleetUpstream, around: Surroundings) -> float:
-    """Return what it costs to reach an upstream."""
-    cost = 0.0
-    if upstream.entry.data_centre != around.data_centre:
-        cost += OTHER_DATA_CENTRE_SECONDS
-    if _lacks_connection(upstream):
-        cost += NEW_CONNECTION_SECONDS
-    return cost
--- a/tests/cover/test_fleet_placement.py
+++ b/tests/cover/test_fleet_placement.py
@@ -21,9 +21,9 @@
 from lifttrestle.internal.fleet.path.dialect import PromptPart
 from lifttrestle.internal.fleet.policy.cache_sources import CacheSources
 from lifttrestle.internal.fleet.policy.cache_sources import KEPT_SECONDS
+from lifttrestle.internal.fleet.policy.engine_costs import Surroundings
 from lifttrestle.internal.fleet.policy.placement import choose_engine
 from lifttrestle.internal.fleet.policy.placement import choose_plain
-from lifttrestle.internal.fleet.policy.placement import Surroundings
 from lifttrestle.internal.fleet.state.engine_pace import EnginePace
 from lifttrestle.internal.fleet.state.engine_pace import PRIOR_READ_SECONDS
 from lifttrestle.internal.fleet.state.shared_parts import build_salt
--- a/tests/cover/test_upstream_life_model.py
+++ b/tests/cover/test_upstream_life_model.py
@@ -30,8 +30,8 @@
 import msgspec
 
 from lifttrestle.internal.clock.manual import ManualClock
+from lifttrestle.internal.fleet.policy.engine_costs import Surroundings
 from lifttrestle.internal.fleet.policy.placement import choose_plain
-from lifttrestle.internal.fleet.policy.placement import Surroundings
 from lifttrestle.internal.fleet.state.directory import RETURN_SECONDS
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.rows import VersionedRow
--- a/tests/support/played_load.py
+++ b/tests/support/played_load.py
@@ -33,9 +33,9 @@
 from lifttrestle.internal.clock.manual import ManualClock
 from lifttrestle.internal.fleet.path.dialect import Generation
 from lifttrestle.internal.fleet.path.dialect import PromptPart
+from lifttrestle.internal.fleet.policy.engine_costs import Surroundings
 from lifttrestle.internal.fleet.policy.placement import choose_engine
 from lifttrestle.internal.fleet.policy.placement import Placement
-from lifttrestle.internal.fleet.policy.placement import Surroundings
 from lifttrestle.internal.fleet.policy.shedding import judge_wait
 from lifttrestle.internal.fleet.policy.tell_pacing import TELL_SECONDS
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
