Routers look after weights and reach only when there is something to see

Cause: each router looked at all engines ten times a second for weights that are missing, and at all upstreams for data centres that are lost. Ruled out: requests that are lost by it: a list that changed, a new version, a new start and another configuration are each looked at (test_fleet_weights TestComplete).

--- a/src/lifttrestle/internal/fleet/loads/weights_loader.py
+++ b/src/lifttrestle/internal/fleet/loads/weights_loader.py
@@ -87,6 +87,8 @@
         self._holder = holder
         self._needed_since: dict[str, float] = {}
         self._loads: dict[str, LoadTracker] = {}
+        # All engines held the weights when things stood like this.
+        self._complete: dict[str, tuple[int, ...]] = {}
 
     async def run(self) -> None:
         """Load what is missing, for ever."""
@@ -103,14 +105,19 @@
 
     async def serve_model(self, model: str) -> None:
         """Take the next step towards a model's newest weights."""
+        version = self._view.wanted[model].version
+        state = self._get_state(version)
+        if self._complete.get(model) == state:
+            # Each router asks ten times a second, among all engines.
+            return
         loads = self._get_loads(model)
         await loads.follow()
-        version = self._view.wanted[model].version
         outdated = list_outdated(self._list_engines(model), model, version)
         now = self._clock.monotonic()
         if not outdated:
             await self._tell_end(model)
             self._needed_since.pop(model, None)
+            self._complete[model] = state
             return
         self._needed_since.setdefault(model, now)
         # Whoever writes in between makes the condition on this row fail.
@@ -118,6 +125,12 @@
         if self._may_act(model, held, now):
             await self._load_next(model, held, loads, outdated)
 
+    def _get_state(self, version: int) -> tuple[int, ...]:
+        """Return what decides which engines there are, and what they lack."""
+        catalogue = self._view.catalogue
+        configuration = catalogue.version if catalogue is not None else 0
+        return version, self._directory.changes, configuration
+
     def _get_loads(self, model: str) -> LoadTracker:
         loads = self._loads.get(model)
         if loads is None:
--- a/src/lifttrestle/internal/fleet/state/directory.py
+++ b/src/lifttrestle/internal/fleet/state/directory.py
@@ -46,6 +46,7 @@
 class UpstreamDirectory:
     """Holds the newest start of each upstream; old ones are forgotten.
 
+    :ivar changes: grows with each row and each start that is taken in.
     :ivar get_catalogue: returns the configuration in force; an upstream of
         a service that it does not name is not used.
     """
@@ -62,6 +63,7 @@
         self._known: dict[str, FleetUpstream] = {}
         self._starts: dict[str, FleetUpstream] = {}
         self._digests: dict[int, FleetUpstream] = {}
+        self.changes = 0
         self.get_catalogue: Callable[[], Catalogue | None] = lambda: None
         # Set from outside: when the list was last read after an outage.
         self.outage_until = float('-inf')
@@ -91,6 +93,7 @@
 
     def take(self, row: VersionedRow) -> None:
         """Take in a changed row of the list."""
+        self.changes += 1
         if row.value is None:
             self._note_removed(row.key)
             return
@@ -161,6 +164,7 @@
         self._add(entry)
 
     def _add(self, entry: UpstreamEntry) -> None:
+        self.changes += 1
         address = check_address(entry.address)
         pool = ClientPool(address, self._clock, CONNECT_SECONDS)
         upstream = FleetUpstream(
@@ -228,6 +232,7 @@
             self._forget(upstream)
 
     def _forget(self, upstream: FleetUpstream) -> None:
+        self.changes += 1
         self._known.pop(upstream.instance, None)
         self._starts.pop(upstream.start, None)
         self._digests.pop(upstream.digest, None)
--- a/src/lifttrestle/internal/fleet/state/reach_probing.py
+++ b/src/lifttrestle/internal/fleet/state/reach_probing.py
@@ -115,6 +115,8 @@
 ) -> None:
     """Suspect what is in a data centre that may be cut off."""
     listed = list(upstreams)
+    if not any(item.reach.unreached for item in listed):
+        return
     present = collections.Counter(item.entry.data_centre for item in listed)
     absent = collections.Counter(
         item.entry.data_centre for item in listed if item.reach.unreached
--- a/tests/cover/test_fleet_weights.py
+++ b/tests/cover/test_fleet_weights.py
@@ -380,6 +380,53 @@
         self.assertEqual(len(self.engines.log), 1)
 
 
+class TestComplete(unittest.TestCase):
+    """Routers look at the engines again only when something has changed."""
+
+    def setUp(self):
+        self.time = ManualClock(START)
+        self.engines = Engines(self.time)
+        self.router = Router(
+            'a', self.time, MemoryRows(), self.engines, WeightsLoader
+        )
+        self.router.name(2)
+        for _ in range(12):
+            self.router.act()
+            self.time.advance(1.0)
+        self.assertEqual(set(self.engines.weights.values()), {2})
+
+    def list_engine(self, weights, **fields):
+        entry = make_entry(
+            models=[{'name': 'm', 'version': weights}], **fields
+        )
+        self.engines.weights['e1'] = weights
+        self.router.directory.take(
+            VersionedRow('e1', msgspec.json.encode(entry), 9)
+        )
+
+    def count_orders(self):
+        before = len(self.engines.log)
+        for _ in range(3):
+            self.router.act()
+            self.time.advance(1.0)
+        return len(self.engines.log) - before
+
+    def test_nothing_is_ordered_while_all_hold_the_weights(self):
+        self.assertEqual(self.count_orders(), 0)
+
+    def test_engine_whose_weights_went_back_is_ordered_to_load(self):
+        self.list_engine(1)
+        self.assertEqual(self.count_orders(), 1)
+
+    def test_new_start_with_older_weights_is_ordered_to_load(self):
+        self.list_engine(1, born=1_767_225_600_000)
+        self.assertEqual(self.count_orders(), 1)
+
+    def test_newer_weights_are_ordered(self):
+        self.router.name(3)
+        self.assertGreater(self.count_orders(), 0)
+
+
 class TestTracking(unittest.TestCase):
     """What becomes of orders that are lost, and of engines that are."""
 
