A router that waits for the store at its start looks less often

Cause: it looked for relays every 0.02 s until it had a configuration, also while the store was away for long. Ruled out: a later start: the first 0.5 s are as before (test_fleet_relay TestStart). Before: 50 looks a second without an end. After: 50 a second for 0.5 s, then five.

--- a/src/lifttrestle/internal/fleet/state/relay_follower.py
+++ b/src/lifttrestle/internal/fleet/state/relay_follower.py
@@ -87,16 +87,13 @@
 
     async def run(self) -> None:
         """Ask other routers, or see to it that the store is read."""
-        self._told_at = (
-            self._clock.monotonic() - SILENT_SECONDS + START_SECONDS
-        )
+        began = self._clock.monotonic()
+        self._told_at = began - SILENT_SECONDS + START_SECONDS
         try:
             while True:
                 self._ask_relays()
                 self._choose_source()
-                started = self._leading.copy.loaded
-                pause = LOOK_SECONDS if started else START_LOOK_SECONDS
-                await self._clock.sleep(pause)
+                await self._clock.sleep(self._get_pause(began))
         finally:
             for task in self._asking.values():
                 task.cancel()
@@ -104,6 +101,13 @@
                 *self._asking.values(), return_exceptions=True
             )
 
+    def _get_pause(self, began: float) -> float:
+        """Return the time until the next look: short while it starts."""
+        since = self._clock.monotonic() - began
+        if self._leading.copy.loaded or since > START_SECONDS:
+            return LOOK_SECONDS
+        return START_LOOK_SECONDS
+
     @property
     def reads_store(self) -> bool:
         """Return whether this router reads the store itself."""
