An aggregator is always chosen; one blank line after a licence

Ruled out: another choice: the own router is among its neighbours or stands for them, as before. Before: choose_aggregator returned None for nobody, and its caller made up.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -10,7 +10,6 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-
 """Processor time of what a fleet's router does most, without any I/O.
 
 Prints a table: microseconds a choice of an engine and a report of loads that
--- a/src/lifttrestle/internal/fleet/policy/engine_costs.py
+++ b/src/lifttrestle/internal/fleet/policy/engine_costs.py
@@ -10,7 +10,6 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-
 """What a request would meet at an upstream, and what that costs in seconds."""
 
 import dataclasses
--- a/src/lifttrestle/internal/fleet/policy/load_paths.py
+++ b/src/lifttrestle/internal/fleet/policy/load_paths.py
@@ -10,7 +10,6 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-
 """Decides how routers learn of each other's loads.
 
 In a small fleet each tells all others. What each hears grows with their
@@ -38,19 +37,17 @@
     return routers > DIRECT_ROUTERS
 
 
-def choose_aggregator(
-    neighbours: list[str], avoided: Collection[str]
-) -> str | None:
+def choose_aggregator(neighbours: list[str], avoided: Collection[str]) -> str:
     """Return which router of a data centre adds up for the others.
 
     All choose the same one while they know the same routers.
 
-    :param neighbours: the routers of the data centre.
+    :param neighbours: the routers of the data centre, one at least.
     :param avoided: those that did not answer lately.
     """
     ranked = rank_names(RANKING, neighbours)
     sound = [router for router in ranked if router not in avoided]
-    return next(iter(sound or ranked), None)
+    return (sound or ranked)[0]
 
 
 def list_aggregators(neighbours: list[str]) -> list[str]:
--- a/src/lifttrestle/internal/fleet/policy/placement.py
+++ b/src/lifttrestle/internal/fleet/policy/placement.py
@@ -10,7 +10,6 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-
 """Chooses the upstream that a request is sent to."""
 
 import dataclasses
--- a/src/lifttrestle/internal/fleet/state/aggregator_choice.py
+++ b/src/lifttrestle/internal/fleet/state/aggregator_choice.py
@@ -10,7 +10,6 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-
 """Which routers add up loads, as one router sees it."""
 
 from lifttrestle.internal.clock.clock import Clock
@@ -44,15 +43,14 @@
         """Return the router that is to be told now."""
         self._look_again()
         now = self._clock.monotonic()
-        own = self._roster.key
         silent = now - self._heard_at > SILENT_SECONDS
-        if silent and self._chosen != own:
+        if silent and self._chosen != self._roster.key:
             self._avoided[self._chosen] = now + AVOID_SECONDS
             LOG.info('peers.aggregator_silent', router=self._chosen)
         self._avoided = {
             key: until for key, until in self._avoided.items() if until > now
         }
-        chosen = choose_aggregator(self._neighbours, self._avoided) or own
+        chosen = choose_aggregator(self._neighbours, self._avoided)
         if chosen != self._chosen or silent:
             self._chosen = chosen
             self._heard_at = now
--- a/src/lifttrestle/internal/fleet/state/load_aggregation.py
+++ b/src/lifttrestle/internal/fleet/state/load_aggregation.py
@@ -10,7 +10,6 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-
 """Adds up what routers have under way, for a group of them.
 
 Any router does this for those that ask it by telling it their loads. In a
--- a/src/lifttrestle/internal/fleet/state/load_messages.py
+++ b/src/lifttrestle/internal/fleet/state/load_messages.py
@@ -10,7 +10,6 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-
 """What routers tell each other of the work that they have at upstreams.
 
 Datagrams: one that is lost is made up for by the next of its kind.
--- a/src/lifttrestle/internal/fleet/state/peer_loads.py
+++ b/src/lifttrestle/internal/fleet/state/peer_loads.py
@@ -10,7 +10,6 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-
 """What the other routers have under way at each upstream.
 
 Each router tells its loads a few times a second over datagrams, and at once
--- a/src/lifttrestle/internal/intake/decoding.py
+++ b/src/lifttrestle/internal/intake/decoding.py
@@ -10,7 +10,6 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-
 """Decodes data of other writers into typed messages.
 
 Whatever the bytes are, the outcome is a message or ``InputRefused``: a
--- a/src/lifttrestle/internal/intake/fault.py
+++ b/src/lifttrestle/internal/intake/fault.py
@@ -10,7 +10,6 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-
 """Why data of another writer can't be used."""
 
 import enum
--- a/src/lifttrestle/internal/intake/refusals.py
+++ b/src/lifttrestle/internal/intake/refusals.py
@@ -10,7 +10,6 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-
 """Tells of data of other writers that is refused."""
 
 from collections.abc import Callable
--- a/tests/cover/test_load_sums.py
+++ b/tests/cover/test_load_sums.py
@@ -10,7 +10,6 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-
 """Tests of sums of loads, which a few routers tell the others."""
 
 import collections
--- a/tests/cover/test_refused_input.py
+++ b/tests/cover/test_refused_input.py
@@ -10,7 +10,6 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-
 """Tests of what other writers write that no upstream would."""
 
 import datetime
--- a/tests/cover/test_upstream_starts.py
+++ b/tests/cover/test_upstream_starts.py
@@ -10,7 +10,6 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-
 """Tests of upstreams that start again under the name that they had."""
 
 import asyncio
--- a/tests/support/entries.py
+++ b/tests/support/entries.py
@@ -10,7 +10,6 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-
 """Entries of upstreams as the platform's pages promise them."""
 
 
