Tests of relays wait until each router has the tables

Ruled out: load alone: with relays that answer 0.25 s late the same error shows each time, also on an idle machine. Before: 3 of 4 tests of the class fail with relays that answer late. After: none; the new test fails on the old fixture. Conclusion: the fixture waits for readiness; the product is unchanged.

--- a/tests/nocover/test_fleet_relay.py
+++ b/tests/nocover/test_fleet_relay.py
@@ -15,12 +15,15 @@
 import asyncio
 import contextlib
 import unittest
+from unittest import mock
 
 from lifttrestle.errors import PlatformUnavailable
+from lifttrestle.internal.fleet.state import relay_follower
 from lifttrestle.internal.fleet.state.relay_follower import MIN_RELAYS
 from lifttrestle.internal.fleet.state.relay_follower import RANKING
 from lifttrestle.internal.fleet.state.relay_messages import encode_frame
 from lifttrestle.internal.fleet.state.relay_messages import Question
+from lifttrestle.internal.fleet.state.relay_messages import read_frame
 from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
 from lifttrestle.internal.routing.rendezvous import rank_names
 from tests.support.fleet import CONFIGURATION
@@ -29,6 +32,8 @@
 from tests.support.fleet import wait_until
 from tests.support.fleet_store import FleetStoreStandin
 
+# Longer than it takes three routers to list each other.
+LATE_SECONDS = 0.25
 NAMES = ('front-a-1', 'front-a-2', 'front-a-3')
 
 
@@ -60,6 +65,8 @@
         )
         relays = [item for item in routers if item.relays.is_relay()]
         (other,) = [item for item in routers if item not in relays]
+        # It may be told of the tables some time after it asked for them.
+        await wait_until(lambda: all(item.is_ready() for item in routers))
         await wait_until(lambda: not other.relays.reads_store)
         yield store, relays, other
     finally:
@@ -110,6 +117,21 @@
             await wait_until(other.is_ready)
 
 
+class TestLateNews(unittest.IsolatedAsyncioTestCase):
+    async def test_follower_waits_for_relays_that_answer_late(self):
+        # A router whose relays had not answered yet was asked for its
+        # configuration by a test, and had none.
+        async def read_late(reader, max_bytes):
+            data = await read_frame(reader, max_bytes)
+            await asyncio.sleep(LATE_SECONDS)
+            return data
+
+        with mock.patch.object(relay_follower, 'read_frame', read_late):
+            async with run_routers() as (store, relays, other):
+                self.assertIsNotNone(other.catalogue)
+                self.assertFalse(other.relays.reads_store)
+
+
 class TestStart(unittest.IsolatedAsyncioTestCase):
     async def test_router_that_starts_among_others_reads_one_table(self):
         # Of 195 routers each read every table, and watched it once.
