Routers ask for the sum of loads when they choose an engine

Cause: in a large fleet each router heard the sum of all loads every 0.05 s, and chose two or three times a second: most sums served no choice, and the one that did was up to 0.05 s old, with reports that were older still. A sum from another router than the last was passed over for up to 1 s if its number was lower. Ruled out: a shorter period for all (0.03 s: 9,400 datagrams a second of 195 routers).

--- a/src/lifttrestle/internal/fleet/parts.py
+++ b/src/lifttrestle/internal/fleet/parts.py
@@ -12,6 +12,7 @@
 
 """What the exchange of a fleet router works with."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
 import random
@@ -31,6 +32,10 @@
 from lifttrestle.internal.telemetry.fleet_metrics import FleetMetrics
 
 
+async def _know_loads() -> None:
+    """Go by the loads that are known."""
+
+
 @dataclasses.dataclass
 class FleetParts:
     """The parts of one router, built once.
@@ -39,6 +44,7 @@
     :ivar stores: of cached context, and whether they can be reached.
     :ivar shutdown: the order to stop, if there was one.
     :ivar note_load_change: is called when a load has changed by a lot.
+    :ivar learn_loads: is awaited before an engine is chosen.
     :ivar budgets: the retry budget of each service.
     :ivar paces: how fast the engines of each service read.
     """
@@ -56,6 +62,7 @@
     metrics: FleetMetrics
     shutdown: Shutdown
     note_load_change: Callable[[], None] = lambda: None
+    learn_loads: Callable[[], Awaitable[None]] = _know_loads
     budgets: dict[str, SharedRetryBudget] = dataclasses.field(
         default_factory=dict
     )
--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -172,6 +172,8 @@
 
     async def choose(self) -> Placement:
         """Return an upstream, by what is in force now."""
+        if self._facts.generation is not None:
+            await self._parts.learn_loads()
         self._context.admit_again()
         placement = await find_upstream(self._context, self._candidates)
         self._candidates.exclude(placement.upstream)
--- a/src/lifttrestle/internal/fleet/policy/tell_pacing.py
+++ b/src/lifttrestle/internal/fleet/policy/tell_pacing.py
@@ -25,6 +25,9 @@
 # Each router hears so many reports a second at the most, some 60 us of
 # processor time each: 1.5% of a core (docs/design/platform.md).
 HEARD_PER_SECOND = 250
+# Questions for the sum of all loads that one router may get from all others, a
+# quarter of a ms each. Those of 200 routers are 70 at a usual time.
+ASKED_PER_SECOND = 400
 # Reports that may be sent one after the other, of what a second allows.
 BURST = 3.0
 # In a large fleet the regular reports take two fifths of what may be heard,
@@ -35,25 +38,45 @@
 
 
 class TellPacing:
-    """A token bucket for one router's reports."""
+    """A token bucket for one router's reports.
 
-    def __init__(self, clock: Clock) -> None:
+    :param heard_per_second: from all routers together, by any of them.
+    """
+
+    def __init__(
+        self, clock: Clock, heard_per_second: float = HEARD_PER_SECOND
+    ) -> None:
         self._clock = clock
+        self._heard_per_second = heard_per_second
         self._tokens = BURST
         self._filled_at = clock.monotonic()
 
     def get_regular_seconds(self, routers: int) -> float:
         """Return the time between two reports without a change."""
-        period = routers / HEARD_PER_SECOND
+        period = routers / self._heard_per_second
         spread = min(period * REGULAR_PERIODS, MAX_REGULAR_SECONDS)
         return max(TELL_SECONDS, period, spread)
 
     def take(self, routers: int) -> float:
         """Spend a report; return after how many seconds it may be sent."""
+        rate = self._fill(routers)
+        # Below zero for one that is sent later.
+        self._tokens -= 1.0
+        return max(-self._tokens, 0.0) / rate
+
+    def try_take(self, routers: int) -> bool:
+        """Spend a report if it may be sent now; return whether it may."""
+        self._fill(routers)
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def _fill(self, routers: int) -> float:
+        """Add what the time since has allowed; return that for a second."""
         now = self._clock.monotonic()
-        rate = HEARD_PER_SECOND / max(routers, 1)
+        rate = self._heard_per_second / max(routers, 1)
         filled = self._tokens + (now - self._filled_at) * rate
-        # Below zero for one that is sent later.
-        self._tokens = min(filled, BURST) - 1.0
+        self._tokens = min(filled, BURST)
         self._filled_at = now
-        return max(-self._tokens, 0.0) / rate
+        return rate
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -180,6 +180,7 @@
             refusals,
         )
         self._parts.note_load_change = self._peer_loads.note_change
+        self._parts.learn_loads = self._peer_loads.learn
         watches = [
             self._operator_watch,
             self._upstreams_watch,
--- a/src/lifttrestle/internal/fleet/state/aggregator_choice.py
+++ b/src/lifttrestle/internal/fleet/state/aggregator_choice.py
@@ -19,9 +19,9 @@
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
 LOG = get_event_log('peers')
-# Sums come every 0.05 s, the first one a report and a turn later; after this
-# long without any another router is asked.
-SILENT_SECONDS = 0.45
+# An answer takes some ms, 0.1 s from a router that is busy; when a question
+# has had none for this long, another router is asked.
+SILENT_SECONDS = 0.25
 # A router that was killed is back after some two seconds.
 AVOID_SECONDS = 3.0
 
@@ -33,7 +33,8 @@
         self._roster = roster
         self._clock = clock
         self._chosen = roster.key
-        self._heard_at = float('-inf')
+        # Since when a question is open, None while there is none.
+        self._open_since: float | None = None
         self._avoided: dict[str, float] = {}
         self._seen_changes = -1
         self._neighbours: list[str] = [roster.key]
@@ -43,7 +44,7 @@
         """Return the router that is to be told now."""
         self._look_again()
         now = self._clock.monotonic()
-        silent = now - self._heard_at > SILENT_SECONDS
+        silent = self._is_silent(now)
         if silent and self._chosen != self._roster.key:
             self._avoided[self._chosen] = now + AVOID_SECONDS
             LOG.info('peers.aggregator_silent', router=self._chosen)
@@ -53,14 +54,24 @@
         chosen = choose_aggregator(self._neighbours, self._avoided)
         if chosen != self._chosen or silent:
             self._chosen = chosen
-            self._heard_at = now
+            self._open_since = None
         return chosen
 
+    def _is_silent(self, now: float) -> bool:
+        if self._open_since is None:
+            return False
+        return now - self._open_since > SILENT_SECONDS
+
+    def note_asked(self) -> None:
+        """Note a question to the chosen router."""
+        if self._open_since is None:
+            self._open_since = self._clock.monotonic()
+
     def note_heard(self, key: str) -> bool:
         """Note a sum; return whether it is that of the chosen router."""
         if key != self._chosen:
             return False
-        self._heard_at = self._clock.monotonic()
+        self._open_since = None
         return True
 
     def count_neighbours(self) -> int:
--- a/src/lifttrestle/internal/fleet/state/load_aggregation.py
+++ b/src/lifttrestle/internal/fleet/state/load_aggregation.py
@@ -12,14 +12,16 @@
 
 """Adds up what routers have under way, for a group of them.
 
-Any router does this for those that ask it by telling it their loads. In a
-fleet of n routers each then hears one sum a period in place of n reports.
+Any router does this for those that tell it their loads, and answers with the
+sum when it is asked. In a fleet of n routers each then hears one sum for each
+of its choices, in place of n reports a period.
 """
 
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
+import itertools
 
 from lifttrestle.internal.fleet.state.load_messages import FleetSum
 from lifttrestle.internal.fleet.state.load_messages import GroupSum
@@ -28,6 +30,9 @@
 
 # Parts that are told on in one message.
 MAX_NEWS = 200
+# Parts that are kept for those that ask later: of some two seconds after new
+# weights, when a fleet of 195 routers has 1,000 a second read.
+KEPT_NEWS = 2000
 
 
 @dataclasses.dataclass
@@ -38,6 +43,32 @@
     at: float
 
 
+class NewsLog:
+    """The newest of what is told on, for hearers that ask now and then."""
+
+    def __init__(self) -> None:
+        self._items: collections.deque[int] = collections.deque(
+            maxlen=KEPT_NEWS
+        )
+        self._end = 0
+
+    def add(self, items: list[int]) -> None:
+        """Keep items; the oldest yield."""
+        self._items.extend(items)
+        self._end += len(items)
+
+    def list_since(self, place: int) -> tuple[list[int], int]:
+        """Return the next items from a place on, and the place after them."""
+        first = self._end - len(self._items)
+        begin = min(max(place, first), self._end)
+        items = list(
+            itertools.islice(
+                self._items, begin - first, begin - first + MAX_NEWS
+            )
+        )
+        return items, begin + len(items)
+
+
 class LoadAggregator:
     """What one router adds up for others.
 
@@ -53,23 +84,22 @@
         self._number = 0
         self._members: dict[str, Heard] = {}
         self._groups: dict[str, Heard] = {}
-        self._group_news: collections.deque[int] = collections.deque(
-            maxlen=10 * MAX_NEWS
-        )
-        self._fleet_news: collections.deque[int] = collections.deque(
-            maxlen=10 * MAX_NEWS
-        )
+        self._group_news = NewsLog()
+        self._fleet_news = NewsLog()
+        # How far the other groups, and each member, have been told.
+        self._group_told = 0
+        self._member_told: dict[str, int] = {}
 
     def take_report(self, report: LoadReport, now: float) -> None:
         """Take in the report of a member, unless a newer one overtook it."""
         if self._take(self._members, report, now):
-            self._group_news.extend(report.parts)
-            self._fleet_news.extend(report.parts)
+            self._group_news.add(report.parts)
+            self._fleet_news.add(report.parts)
 
     def take_group(self, group: GroupSum, now: float) -> None:
         """Take in the sum of another group."""
         if self._take(self._groups, group, now):
-            self._fleet_news.extend(group.parts)
+            self._fleet_news.add(group.parts)
 
     def list_members(self, now: float) -> list[str]:
         """Return the routers that want to be told the sum."""
@@ -82,36 +112,28 @@
     def build_group_sum(self, now: float) -> GroupSum:
         """Return what is told to other aggregators."""
         self._number += 1
-        members = [self._members[vm] for vm in self.list_members(now)]
-        return GroupSum(
-            self._vm,
-            self._number,
-            add_up(heard.message.loads for heard in members),
-            _take_news(self._group_news),
-        )
+        parts, self._group_told = self._group_news.list_since(self._group_told)
+        return GroupSum(self._vm, self._number, self._add_group(now), parts)
 
-    def build_fleet_sums(
-        self, group: GroupSum, now: float
-    ) -> dict[str, FleetSum]:
-        """Return what is told to each member.
-
-        :param group: the sum of this group.
-        """
-        groups = [self._groups[vm] for vm in self.list_aggregators(now)]
+    def build_fleet_sum(self, vm: str, now: float) -> FleetSum:
+        """Return what is told to a member that asks."""
+        self._number += 1
+        groups = [self._groups[name] for name in self.list_aggregators(now)]
         loads = add_up(
-            [group.loads, *(heard.message.loads for heard in groups)]
+            [
+                self._add_group(now),
+                *(heard.message.loads for heard in groups),
+            ]
         )
-        parts = _take_news(self._fleet_news)
-        return {
-            vm: FleetSum(
-                self._vm,
-                group.number,
-                self._members[vm].message.number,
-                loads,
-                parts,
-            )
-            for vm in self.list_members(now)
-        }
+        parts, self._member_told[vm] = self._fleet_news.list_since(
+            self._member_told.get(vm, 0)
+        )
+        included = self._members[vm].message.number
+        return FleetSum(self._vm, self._number, included, loads, parts)
+
+    def _add_group(self, now: float) -> list[UpstreamLoad]:
+        members = [self._members[vm] for vm in self.list_members(now)]
+        return add_up(heard.message.loads for heard in members)
 
     def _take(
         self,
@@ -134,6 +156,7 @@
         latest = now - self._get_fresh_seconds()
         for vm in [vm for vm, item in heard.items() if item.at < latest]:
             del heard[vm]
+            self._member_told.pop(vm, None)
         return list(heard)
 
 
@@ -169,7 +192,3 @@
         unread = max(load.unread_tokens - mine.unread_tokens, 0)
         rest.append(UpstreamLoad(load.digest, running, unread))
     return rest
-
-
-def _take_news(news: 'collections.deque[int]') -> list[int]:
-    return [news.popleft() for _ in range(min(len(news), MAX_NEWS))]
--- a/src/lifttrestle/internal/fleet/state/load_messages.py
+++ b/src/lifttrestle/internal/fleet/state/load_messages.py
@@ -41,8 +41,8 @@
 
     :ivar parts: shared parts of prompts that engines read lately; only those
         that were not in an earlier report.
-    :ivar summed: the hearer is to add it up with those of others, and to
-        tell its sender the sum.
+    :ivar summed: the hearer is to add it up with those of others.
+    :ivar asks: the hearer is to tell its sender the sum at once.
     """
 
     vm: str
@@ -50,6 +50,7 @@
     loads: list[UpstreamLoad]
     parts: list[int] = []
     summed: bool = False
+    asks: bool = False
 
 
 class GroupSum(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/src/lifttrestle/internal/fleet/state/peer_loads.py
+++ b/src/lifttrestle/internal/fleet/state/peer_loads.py
@@ -14,23 +14,25 @@
 
 Each router tells its loads a few times a second over datagrams, and at once
 when an engine begins or ends to read a long prompt for it: all others in a
-small fleet, one of its data centre that adds up in a large one. A datagram
-that is lost is made up for by the next; what is older than a second counts
-for nothing, so that a router that is gone holds no upstream busy.
+small fleet, one of its data centre that adds up in a large one. That one
+answers with the sum of the whole fleet when it is asked, before an engine is
+chosen. A datagram that is lost is made up for by the next; what is older than
+a second counts for nothing, so that a router that is gone holds no upstream
+busy.
 """
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
 
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.policy.load_paths import sums_pay
-from lifttrestle.internal.fleet.policy.tell_pacing import TELL_SECONDS
+from lifttrestle.internal.fleet.policy.tell_pacing import ASKED_PER_SECOND
 from lifttrestle.internal.fleet.policy.tell_pacing import TellPacing
 from lifttrestle.internal.fleet.state.aggregator_choice import AggregatorChoice
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.load_aggregation import LoadAggregator
 from lifttrestle.internal.fleet.state.load_aggregation import take_off
+from lifttrestle.internal.fleet.state.load_ledger import LoadLedger
 from lifttrestle.internal.fleet.state.load_messages import FleetSum
 from lifttrestle.internal.fleet.state.load_messages import GroupSum
 from lifttrestle.internal.fleet.state.load_messages import LoadMessage
@@ -45,33 +47,29 @@
 from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.http.address import check_address
 from lifttrestle.internal.intake.refusals import InputRefusals
+from lifttrestle.internal.telemetry.event_log import get_event_log
 
+LOG = get_event_log('peers')
 # What is told counts for at least this long, and for three regular reports:
 # one that is lost must not make a busy upstream look idle.
 FRESH_SECONDS = 1.0
 FRESH_TELLS = 3
-# Between two sums. A long prompt keeps its engine busy for 0.16 s in the
-# mean, so that older sums tell of prompts that are read already: with 195
-# routers before 59 engines at 0.75 of what they can read 0.904 of the callers
-# are in time with a sum every 0.1 s, 0.947 with this, 0.982 with 0.03 s, at
-# 3,500, 6,000 and 9,400 datagrams a second of all routers together (played
-# load); with reports of each to all 0.741, at 60,000.
-SUM_SECONDS = 0.05
+# Between two sums of a data centre that are told to the others. With 195
+# routers before 59 engines at 0.9 of what they can read 0.985 of the callers
+# are in time with a sum every 0.05 s and 0.996 with this, at 4,100 and 4,950
+# datagrams a second of all routers together (played load).
+SUM_SECONDS = 0.03
+# A sum that was heard within this time is not asked for again.
+CURRENT_SECONDS = 0.01
+# A choice waits so long for the sum. The answer takes two ways within the
+# data centre, 2 ms, and a first piece may take 500 ms.
+ANSWER_SECONDS = 0.01
 # The fleet's sum is held like the report of one router more.
 FLEET = ''
 # Own reports that a sum may yet include: those of some two seconds.
 REMEMBERED_REPORTS = 32
 
 
-@dataclasses.dataclass(frozen=True)
-class Told:
-    """What one other router told last."""
-
-    number: int
-    loads: list[UpstreamLoad]
-    at: float
-
-
 class PeerLoads(asyncio.DatagramProtocol):
     """Tells this router's loads and keeps what the others told."""
 
@@ -91,14 +89,16 @@
         self._roster = roster
         self._clock = clock
         self._transport: asyncio.DatagramTransport | None = None
-        self._told: dict[str, Told] = {}
-        # The loads that the upstreams' figures hold, by who told them.
-        self._counted: dict[str, list[UpstreamLoad]] = {}
-        self._summed_at = float('-inf')
+        self._ledger = LoadLedger(directory, clock, self._get_fresh_seconds)
         self._number = 0
         self._told_something = False
         self._own_reports: dict[int, list[UpstreamLoad]] = {}
         self._pacing = TellPacing(clock)
+        self._asking = TellPacing(clock, ASKED_PER_SECOND)
+        self._asked_at = float('-inf')
+        self._heard_at = float('-inf')
+        self._summed_by = ''
+        self._answered = asyncio.Event()
         self._changed = asyncio.Event()
         self._aggregator = LoadAggregator(vm, self._get_fresh_seconds)
         self._choice = AggregatorChoice(roster, clock)
@@ -144,6 +144,16 @@
         self._parts.note_told(report.parts, self._clock.monotonic())
         self._aggregator.take_report(report, self._clock.monotonic())
         self._asked_for_sums.set()
+        if report.asks:
+            self._answer(report.vm)
+
+    def _answer(self, vm: str) -> None:
+        """Tell a router that asks what all have under way."""
+        whole = self._aggregator.build_fleet_sum(vm, self._clock.monotonic())
+        if vm == self._vm:
+            self._take_fleet_sum(whole)
+        else:
+            self._send(whole, f'{ROUTER_PREFIX}{vm}')
 
     def _take_group_sum(self, group: GroupSum) -> None:
         self._aggregator.take_group(group, self._clock.monotonic())
@@ -154,63 +164,19 @@
         self._parts.note_told(whole.parts, now)
         if self._choice.note_heard(f'{ROUTER_PREFIX}{whole.vm}'):
             own = self._own_reports.get(whole.included, [])
-            self._believe(FLEET, whole.number, take_off(whole.loads, own))
+            rest = take_off(whole.loads, own)
+            if whole.vm != self._summed_by:
+                # Each counts its sums by itself.
+                self._ledger.forget(FLEET)
+                self._summed_by = whole.vm
+            self._ledger.believe(FLEET, whole.number, rest)
+            self._heard_at = now
+            self._answered.set()
 
     def note(self, report: LoadReport) -> None:
         """Believe a router's report, unless a newer one overtook it."""
         self._parts.note_told(report.parts, self._clock.monotonic())
-        self._believe(report.vm, report.number, report.loads)
-
-    def _believe(
-        self, teller: str, number: int, loads: list[UpstreamLoad]
-    ) -> None:
-        now = self._clock.monotonic()
-        held = self._told.get(teller)
-        # After a restart a router counts anew; its old report is stale then.
-        if held is not None and held.number > number:
-            if now - held.at < self._get_fresh_seconds():
-                return
-        self._told[teller] = Told(number, loads, now)
-        if now - self._summed_at >= TELL_SECONDS:
-            self._sum_up()
-        else:
-            self._replace(teller, loads)
-
-    def _sum_up(self) -> None:
-        """Add up all that counts, and forget the rest."""
-        self._summed_at = self._clock.monotonic()
-        latest = self._summed_at - self._get_fresh_seconds()
-        for upstream in self._directory:
-            upstream.peers_in_flight = 0
-            upstream.peers_unread = 0
-        self._counted = {
-            teller: told.loads
-            for teller, told in self._told.items()
-            if told.at >= latest
-        }
-        for loads in self._counted.values():
-            self._add(loads, 1)
-
-    def _replace(self, teller: str, loads: list[UpstreamLoad]) -> None:
-        """Put loads in the place of the same router's last ones.
-
-        To sum up anew at each report would cost the square of the routers.
-        """
-        self._add(self._counted.get(teller, []), -1)
-        self._counted[teller] = loads
-        self._add(loads, 1)
-
-    def _add(self, loads: list[UpstreamLoad], sign: int) -> None:
-        for load in loads:
-            upstream = self._directory.get_by_digest(load.digest)
-            if upstream is None:
-                continue
-            # An upstream that was forgotten and is back starts from zero; the
-            # next sum is right again.
-            running = upstream.peers_in_flight + sign * load.in_flight
-            unread = upstream.peers_unread + sign * load.unread_tokens
-            upstream.peers_in_flight = max(running, 0)
-            upstream.peers_unread = max(unread, 0)
+        self._ledger.believe(report.vm, report.number, report.loads)
 
     def get_tell_seconds(self) -> float:
         """Return the time between two regular reports of this router."""
@@ -230,16 +196,19 @@
 
     async def _run_telling(self) -> None:
         while True:
+            regular = False
             try:
                 async with asyncio.timeout(self.get_tell_seconds()):
                     await self._changed.wait()
             except TimeoutError:
-                self._sum_up()
+                self._ledger.sum_up()
+                regular = True
             pause = self._pacing.take(self._count_tellers())
             if pause:
                 await self._clock.sleep(pause)
             self._changed.clear()
-            self._tell()
+            # A regular question finds out whether the other one lives.
+            self._tell(asks=regular)
 
     async def _run_summing(self) -> None:
         while True:
@@ -249,7 +218,7 @@
                 await self._clock.sleep(SUM_SECONDS)
 
     def tell_sums(self) -> bool:
-        """Tell the sums to whoever wants them; return if anybody does."""
+        """Tell this group's sum to the others; return if there is one."""
         now = self._clock.monotonic()
         if not self._aggregator.list_members(now):
             return False
@@ -262,15 +231,46 @@
         others.discard(self._roster.key)
         for key in others:
             self._send(group, key)
-        sums = self._aggregator.build_fleet_sums(group, now)
-        for vm, whole in sums.items():
-            if vm == self._vm:
-                self._take_fleet_sum(whole)
-            else:
-                self._send(whole, f'{ROUTER_PREFIX}{vm}')
         return True
 
-    def _tell(self) -> None:
+    def is_current(self) -> bool:
+        """Return whether a choice can go by what was told."""
+        if not sums_pay(self._roster.live):
+            return True
+        return self._clock.monotonic() - self._heard_at < CURRENT_SECONDS
+
+    def ask(self) -> None:
+        """Ask for the sum, unless that is under way or was done too often."""
+        now = self._clock.monotonic()
+        under_way = now - self._asked_at < ANSWER_SECONDS
+        if under_way and self._heard_at < self._asked_at:
+            return
+        if self._asking.try_take(self._count_tellers()):
+            self._tell(asks=True)
+
+    async def learn(self) -> None:
+        """Wait a moment for the newest loads, if they are to be asked for.
+
+        Sums that each router was told every 0.05 s, asked for or not, left
+        0.945 of the callers in time in place of 0.996, at 6,100 datagrams a
+        second in place of 4,950 (played load, 195 routers before 59 engines
+        at 0.9 of what they can read).
+        """
+        if self.is_current():
+            return
+        self.ask()
+        if self._heard_at >= self._asked_at:
+            # It adds up itself, or it has asked too often.
+            return
+        try:
+            async with asyncio.timeout(ANSWER_SECONDS):
+                await self._answered.wait()
+        except TimeoutError:
+            # What was heard before is the best there is; a router that does
+            # not answer at all is told of when another one is chosen.
+            LOG.debug('peers.no_sum')
+
+    def _tell(self, *, asks: bool = False) -> None:
         loads = [
             UpstreamLoad(
                 upstream.digest, upstream.in_flight, upstream.unread_tokens
@@ -280,7 +280,7 @@
         ]
         parts = self._parts.take_news()
         if sums_pay(self._roster.live):
-            self._tell_aggregator(loads, parts)
+            self._tell_aggregator(loads, parts, asks=asks)
             return
         if not loads and not parts and not self._told_something:
             # Without work there is nothing to tell, and silence says so.
@@ -292,14 +292,18 @@
             self._send(report, key)
 
     def _tell_aggregator(
-        self, loads: list[UpstreamLoad], parts: list[int]
+        self, loads: list[UpstreamLoad], parts: list[int], *, asks: bool
     ) -> None:
-        """Tell the router that adds up; it tells the sum in return."""
+        """Tell the router that adds up, which answers if it is asked."""
         self._number += 1
-        report = LoadReport(self._vm, self._number, loads, parts, True)
+        report = LoadReport(self._vm, self._number, loads, parts, True, asks)
         self._own_reports[self._number] = loads
         self._own_reports.pop(self._number - REMEMBERED_REPORTS, None)
         key = self._choice.choose()
+        if asks:
+            self._asked_at = self._clock.monotonic()
+            self._answered.clear()
+            self._choice.note_asked()
         if key == self._roster.key:
             self._take_report(report)
         else:
@@ -307,9 +311,11 @@
 
     def _send(self, message: LoadMessage, key: str) -> None:
         text = self._roster.get_address(key)
-        data = write_message(message)
         if self._transport is None or not text:
             return
-        if len(data) <= MAX_DATAGRAM_BYTES:
-            address = check_address(text)
-            self._transport.sendto(data, (address.host, address.port))
+        data = write_message(message)
+        if len(data) > MAX_DATAGRAM_BYTES:
+            LOG.warning('peers.message_too_long', bytes=len(data))
+            return
+        address = check_address(text)
+        self._transport.sendto(data, (address.host, address.port))
--- a/tests/cover/test_event_log.py
+++ b/tests/cover/test_event_log.py
@@ -94,7 +94,9 @@
         stream.let_go.set()
         sink.close()
         lines = self.read(stream)
-        self.assertEqual([line.get('number') for line in lines[1:]], [*range(5)])
+        self.assertEqual(
+            [line.get('number') for line in lines[1:]], [*range(5)]
+        )
         self.assertEqual(stream.writes, 2)
 
     def test_what_is_over_the_rate_is_counted_by_kind(self):
--- a/tests/cover/test_load_sums.py
+++ b/tests/cover/test_load_sums.py
@@ -23,14 +23,20 @@
 from lifttrestle.internal.clock.manual import ManualClock
 from lifttrestle.internal.fleet.policy.load_paths import choose_aggregator
 from lifttrestle.internal.fleet.policy.load_paths import DIRECT_ROUTERS
+from lifttrestle.internal.fleet.policy.tell_pacing import ASKED_PER_SECOND
+from lifttrestle.internal.fleet.policy.tell_pacing import BURST
 from lifttrestle.internal.fleet.policy.tell_pacing import HEARD_PER_SECOND
 from lifttrestle.internal.fleet.state.aggregator_choice import SILENT_SECONDS
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.load_aggregation import add_up
+from lifttrestle.internal.fleet.state.load_aggregation import KEPT_NEWS
+from lifttrestle.internal.fleet.state.load_aggregation import MAX_NEWS
+from lifttrestle.internal.fleet.state.load_aggregation import NewsLog
 from lifttrestle.internal.fleet.state.load_aggregation import take_off
 from lifttrestle.internal.fleet.state.load_messages import UpstreamLoad
+from lifttrestle.internal.fleet.state.peer_loads import CURRENT_SECONDS
+from lifttrestle.internal.fleet.state.peer_loads import FRESH_SECONDS
 from lifttrestle.internal.fleet.state.peer_loads import PeerLoads
-from lifttrestle.internal.fleet.state.peer_loads import SUM_SECONDS
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.roster import RouterRow
 from lifttrestle.internal.fleet.state.rows import VersionedRow
@@ -40,6 +46,10 @@
 from tests.support.entries import make_entry
 from tests.support.memory_rows import MemoryRows
 
+# Longer than sums take; twelve turns are longer than loads are fresh.
+TURN_SECONDS = 0.05
+# After this a sum is not current.
+PAST_SECONDS = 2 * CURRENT_SECONDS
 ENGINES = ('e1', 'e2', 'e3')
 DATA_CENTRES = ('a', 'b', 'c')
 LOADS = st.lists(
@@ -98,15 +108,20 @@
             self.routers[name].loads.datagram_received(data, None)
 
     def turn(self):
-        """Let every router tell, and every one that is asked add up."""
-        for name, router in self.routers.items():
-            if name not in self.down:
-                router.loads._tell()
+        """Let every router tell, those that add up too, and then ask."""
+        living = [
+            router.loads
+            for name, router in self.routers.items()
+            if name not in self.down
+        ]
+        for loads in living:
+            loads._tell()
         for _ in range(2):
-            self.clock.advance(SUM_SECONDS)
-            for name, router in self.routers.items():
-                if name not in self.down:
-                    router.loads.tell_sums()
+            self.clock.advance(TURN_SECONDS)
+            for loads in living:
+                loads.tell_sums()
+        for loads in living:
+            loads._tell(asks=True)
 
     def get_seen(self, name, engine='e1'):
         """Return what a router takes to be under way there, its own too."""
@@ -208,13 +223,117 @@
         self.assertLessEqual(usual, 2)
 
     def test_silence_of_the_chosen_one_is_noticed_in_time(self):
+        # Each asks with its regular reports at the latest.
         fleet = self.fleet
         fleet.turn()
         router = fleet.routers['r0']
         first = router.loads._choice.choose()
         fleet.down = {first.removeprefix('router/')}
+        router.loads._tell(asks=True)
         fleet.clock.advance(SILENT_SECONDS + 0.01)
         self.assertNotEqual(router.loads._choice.choose(), first)
+        regular = router.loads.get_tell_seconds()
+        self.assertLess(regular + SILENT_SECONDS, FRESH_SECONDS)
+
+    def test_sum_of_another_router_replaces_one_with_a_higher_number(self):
+        fleet = self.fleet
+        for _ in range(5):
+            fleet.turn()
+        router = fleet.routers['r0']
+        first = router.loads._choice.choose()
+        self.assertNotEqual(first, 'router/r0')
+        fleet.down = {first.removeprefix('router/')}
+        for name in ('r9', 'r0'):
+            fleet.routers[name].loads._tell(asks=True)
+        fleet.clock.advance(SILENT_SECONDS + 0.01)
+        self.add_load('r9', 3, 500)
+        for name in ('r9', 'r0'):
+            fleet.routers[name].loads._tell(asks=True)
+        self.assertEqual(fleet.get_seen('r0'), (3, 500))
+
+
+class TestQuestions(unittest.TestCase):
+    """A router asks for the sum when it has to choose."""
+
+    def setUp(self):
+        self.fleet = Fleet(60)
+        self.fleet.turn()
+        self.loads = self.fleet.routers['r0'].loads
+
+    def test_nobody_is_told_who_does_not_ask(self):
+        self.fleet.heard.clear()
+        for router in self.fleet.routers.values():
+            router.loads.tell_sums()
+        adding = {
+            router.loads._choice.choose().removeprefix('router/')
+            for router in self.fleet.routers.values()
+        }
+        self.assertLessEqual(
+            set(self.fleet.heard),
+            adding | self.list_likely(),
+        )
+
+    def list_likely(self):
+        return {
+            key.removeprefix('router/')
+            for key in self.loads._choice.list_all()
+        }
+
+    def test_answer_holds_what_was_told_a_moment_ago(self):
+        self.fleet.clock.advance(PAST_SECONDS)
+        other = self.fleet.routers['r3']
+        upstream = other.directory.get('e1')
+        upstream.in_flight = 1
+        upstream.note_sent(1, 0.0, unread=9000)
+        other.loads._tell()
+        self.assertFalse(self.loads.is_current())
+        self.loads.ask()
+        self.assertTrue(self.loads.is_current())
+        self.assertEqual(self.fleet.get_seen('r0'), (1, 9000))
+
+    def test_one_question_serves_choices_that_come_together(self):
+        self.fleet.clock.advance(PAST_SECONDS)
+        self.fleet.down = {self.loads._choice.choose().removeprefix('router/')}
+        sent = self.loads._transport.sendto = mock.Mock()
+        self.loads.ask()
+        self.loads.ask()
+        sent.assert_called_once()
+
+    def test_many_choices_ask_no_more_than_they_may(self):
+        sent = self.loads._transport.sendto = mock.Mock()
+        for _ in range(500):
+            self.fleet.clock.advance(PAST_SECONDS)
+            self.loads.ask()
+        neighbours = self.loads._count_tellers()
+        seconds = 500 * PAST_SECONDS
+        allowed = seconds * ASKED_PER_SECOND / neighbours + BURST
+        self.assertLessEqual(sent.call_count, allowed)
+        self.assertGreater(sent.call_count, 0.9 * allowed)
+
+    def test_parts_are_told_to_each_that_asks_once(self):
+        log = NewsLog()
+        log.add(list(range(MAX_NEWS + 5)))
+        first, place = log.list_since(0)
+        rest, place = log.list_since(place)
+        self.assertEqual([*first, *rest], list(range(MAX_NEWS + 5)))
+        self.assertEqual(log.list_since(place), ([], place))
+
+    def test_parts_that_are_kept_no_more_are_passed_over(self):
+        log = NewsLog()
+        log.add(list(range(KEPT_NEWS + 7)))
+        first, _ = log.list_since(0)
+        self.assertEqual(first[0], 7)
+
+
+class TestWaiting(unittest.IsolatedAsyncioTestCase):
+    async def test_choice_goes_on_without_an_answer(self):
+        fleet = Fleet(60)
+        fleet.turn()
+        fleet.clock.advance(PAST_SECONDS)
+        loads = fleet.routers['r0'].loads
+        fleet.down = {loads._choice.choose().removeprefix('router/')}
+        await loads.learn()
+        self.assertFalse(loads.is_current())
 
 
 class TestSmallFleet(unittest.TestCase):
--- a/tests/cover/test_peer_loads.py
+++ b/tests/cover/test_peer_loads.py
@@ -88,7 +88,7 @@
                 self.router.loads.note(make_report(vm, number, number, 10))
                 self.router.clock.advance(0.04)
         self.assertEqual(self.router.get_peers(), (15, 30))
-        self.router.loads._sum_up()
+        self.router.loads._ledger.sum_up()
         self.assertEqual(self.router.get_peers(), (15, 30))
 
     def test_upstream_that_came_in_between_has_no_load_below_zero(self):
--- a/tests/cover/test_played_load.py
+++ b/tests/cover/test_played_load.py
@@ -62,8 +62,9 @@
 class TestSums(unittest.TestCase):
     """200 routers before 60 engines that are asked for 0.6 of their work."""
 
-    def play(self, sums):
-        fleet = PlayedFleet(dataclasses.replace(LARGE, sums=sums), 1)
+    def play(self, sums, **fields):
+        load = dataclasses.replace(LARGE, sums=sums, **fields)
+        fleet = PlayedFleet(load, 1)
         fates = fleet.play()
         return fates[Fate.LATE] / fates.total(), fleet.datagrams
 
@@ -71,9 +72,15 @@
         direct_late, direct_sent = self.play(False)
         late, sent = self.play(None)
         self.assertGreater(direct_late, 0.06)
-        self.assertLess(late, 0.02)
+        self.assertLess(late, 0.005)
         self.assertLess(sent, 0.25 * direct_sent)
 
+    def test_sums_that_are_asked_for_keep_busy_engines_in_time(self):
+        # Of engines that are asked for 0.9 of their work 0.055 of the callers
+        # were late while each router was told the sum every 0.05 s.
+        late, _ = self.play(None, rate=1.5 * LARGE.rate)
+        self.assertLess(late, 0.015)
+
 
 class TestShedding(unittest.TestCase):
     """Engines that are asked for 1.27 times what they can read."""
--- a/tests/nocover/test_fleet_exchange.py
+++ b/tests/nocover/test_fleet_exchange.py
@@ -427,3 +427,19 @@
             answer = await stream
             self.assertTrue(await stopping)
         self.assertEqual(answer.body, WHOLE_STREAM)
+
+
+class TestLoads(unittest.IsolatedAsyncioTestCase):
+    async def test_loads_are_learned_before_an_engine_is_chosen(self):
+        async with run_fleet() as fleet:
+            arrived = []
+
+            async def learn():
+                arrived.append(len(list_runs(fleet, ENGINES)))
+
+            fleet.router._parts.learn_loads = learn
+            await fleet.call('/safe/a')
+            self.assertEqual(arrived, [])
+            answer = await fleet.generate('text')
+            self.assertEqual(answer.body, WHOLE_STREAM)
+        self.assertEqual(arrived, [0])
--- a/tests/support/played_load.py
+++ b/tests/support/played_load.py
@@ -41,6 +41,7 @@
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.engine_pace import EnginePace
 from lifttrestle.internal.fleet.state.engine_pace import FIRST_STEP_SECONDS
+from lifttrestle.internal.fleet.state.peer_loads import ANSWER_SECONDS
 from lifttrestle.internal.fleet.state.peer_loads import PeerLoads
 from lifttrestle.internal.fleet.state.peer_loads import SUM_SECONDS
 from lifttrestle.internal.fleet.state.roster import Roster
@@ -124,6 +125,8 @@
             f'r{number}', self.directory, self.roster, self.parts, clock
         )
         self.loads._transport = mock.Mock(sendto=carry)
+        # Choices that wait until the loads are known.
+        self.waiting: list[Callable[[], None]] = []
 
     def find_pause(self) -> float:
         """Return after how long the next report may go out."""
@@ -209,10 +212,22 @@
         hearer = self._routers[250 * int(high) + int(low)]
         self.datagrams += 1
         at = self._clock.monotonic() + DATAGRAM_SECONDS
-        self._at(at, lambda: hearer.loads.datagram_received(data, address))
+        self._at(at, lambda: self._hear(hearer, data, address))
+
+    def _hear(
+        self, hearer: PlayedRouter, data: bytes, address: tuple[str, int]
+    ) -> None:
+        hearer.loads.datagram_received(data, address)
+        if hearer.loads.is_current():
+            self._go_on(hearer)
+
+    def _go_on(self, router: PlayedRouter) -> None:
+        waiting, router.waiting = router.waiting, []
+        for choose in waiting:
+            choose()
 
     def _tell_regularly(self, router: PlayedRouter) -> None:
-        self._tell(router)
+        self._tell(router, asks=True)
         at = self._clock.monotonic() + router.loads.get_tell_seconds()
         if at < self._load.seconds:
             self._at(at, lambda: self._tell_regularly(router))
@@ -223,22 +238,44 @@
         if at < self._load.seconds:
             self._at(at, lambda: self._tell_sums(router))
 
-    def _tell(self, router: PlayedRouter) -> None:
+    def _tell(self, router: PlayedRouter, *, asks: bool = False) -> None:
         """Have a router tell its loads as soon as it may."""
         if router in self._telling:
             return
         self._telling.add(router)
         at = self._clock.monotonic() + router.find_pause()
-        self._at(at, lambda: self._tell_now(router))
+        self._at(at, lambda: self._tell_now(router, asks))
 
-    def _tell_now(self, router: PlayedRouter) -> None:
+    def _tell_now(self, router: PlayedRouter, asks: bool) -> None:
         self._telling.discard(router)
-        router.loads._tell()
+        router.loads._tell(asks=asks)
 
     def _arrive(self, first_at: float, is_long: bool) -> None:
-        """Place a request; ``first_at`` is when its caller first tried."""
-        load = self._load
+        """Take a request; ``first_at`` is when its caller first tried."""
         router = self._source.choice(self._routers)
+        if not router.loads.is_current():
+            router.loads.ask()
+        if router.loads.is_current():
+            self._place(router, first_at, is_long)
+            return
+
+        def choose() -> None:
+            if choose in router.waiting:
+                router.waiting.remove(choose)
+            self._place(router, first_at, is_long)
+
+        def wait_no_longer() -> None:
+            if choose in router.waiting:
+                choose()
+
+        router.waiting.append(choose)
+        self._at(self._clock.monotonic() + ANSWER_SECONDS, wait_no_longer)
+
+    def _place(
+        self, router: PlayedRouter, first_at: float, is_long: bool
+    ) -> None:
+        """Place a request on an engine, or refuse it."""
+        load = self._load
         tokens = load.long_tokens if is_long else load.short_tokens
         own = PromptPart(f'{self._source.getrandbits(32):x}', tokens)
         now = self._clock.monotonic()
