The log is written by the event loop, without a thread

Cause: each batch of lines woke a thread of its own, which then took turns with the event loop: ten and more system calls a request. Ruled out: a writer thread that rests longer: what it saves is half. A descriptor is written to only while it takes a chunk at once, so a reader that stops holds nobody; what is over 8,000 lines is dropped and counted, as before. Lines of a running process are written every 0.1 s.

--- a/src/lifttrestle/internal/cli/fleet_router.py
+++ b/src/lifttrestle/internal/cli/fleet_router.py
@@ -31,6 +31,7 @@
 from lifttrestle.internal.platform.node_settings import check_node_settings
 from lifttrestle.internal.settings.sections import StatsdSection
 from lifttrestle.internal.telemetry.event_log import get_event_log
+from lifttrestle.internal.telemetry.event_sink import EventSink
 from lifttrestle.internal.telemetry.event_sink import start_event_sink
 
 LOG = get_event_log('router')
@@ -84,13 +85,16 @@
     ignore_hangup()
     sink = start_event_sink(sys.stdout, SystemClock(), settings.vm, 'info')
     try:
-        return asyncio.run(_run_router(settings, path, options))
+        return asyncio.run(_run_router(settings, path, options, sink))
     finally:
         sink.close()
 
 
 async def _run_router(
-    settings: FleetSettings, path: pathlib.Path, options: argparse.Namespace
+    settings: FleetSettings,
+    path: pathlib.Path,
+    options: argparse.Namespace,
+    sink: EventSink,
 ) -> int:
     # Imported here so that the operator's commands start without it.
     from lifttrestle.internal.fleet.process import FleetRouterProcess
@@ -120,7 +124,10 @@
         engine_calls.PlatformEngineControl(clock, ENGINE_SECONDS),
     )
     file = SettingsFile(path, options.metrics_port)
-    beside = [process.follow_settings(file.read_changed)]
+    beside = [
+        process.follow_settings(file.read_changed),
+        sink.run(process.beat),
+    ]
     feed = None
     if options.statsd.host:
         feed = StatsdFeed(process.registry, Metrics(options.statsd), clock)
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -103,6 +103,7 @@
         self._source = source
         self.store = store
         self._format = stored_format
+        self.beat = Beat(clock, source.random())
         self._stop = asyncio.Event()
         self._failed = False
         self._reload = asyncio.Event()
@@ -345,17 +346,16 @@
             ready=str(self.ready_address),
             data_centre=settings.data_centre,
         )
-        beat = Beat(self._clock, self._source.random())
         prober = ReachProber(self._directory, self.stores, self._clock)
         work = (
-            self.relays.run(beat),
+            self.relays.run(self.beat),
             self._operator_watch.run(),
             self._upstreams_watch.run(),
             self._routers_watch.run(),
             self.roster.run(),
-            self._loader.run(beat),
-            watch_stalls(beat),
-            prober.run(beat),
+            self._loader.run(self.beat),
+            watch_stalls(self.beat),
+            prober.run(self.beat),
             self._peer_loads.run(),
         )
         self._control = [self._begin_control(item) for item in work]
--- a/src/lifttrestle/internal/telemetry/event_sink.py
+++ b/src/lifttrestle/internal/telemetry/event_sink.py
@@ -13,63 +13,66 @@
 """Writes events to a stream, bounded in rate and never in the way.
 
 Each kind of event has a rate; what is over it is left out and counted, and a
-summary tells how many. A writer thread does the writing: when the reader of
-the stream stops, the queue fills up, and what does not fit is dropped and
-counted. The event loop never waits.
+summary tells how many. Lines wait in memory until the reader of the stream
+has room for them, and what is too much is dropped and counted. The event loop
+never waits.
 """
 
 import collections
 import logging
-import queue
-import threading
 from typing import TextIO
 
 import msgspec
 
 from lifttrestle.internal.admission.bucket import TokenBucket
+from lifttrestle.internal.clock.beat import Beat
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.telemetry.event_log import FIELDS
 from lifttrestle.internal.telemetry.event_log import ROOT
 from lifttrestle.internal.telemetry.event_log import WHOLE
+from lifttrestle.internal.telemetry.line_output import LineOutput
 
 # Events of one kind a second, and at once. A router of the known deployments
 # serves some 20 requests a second; ten times that is logged in full.
 RATE = 200.0
 BURST = 400.0
-# Lines that wait for the writer: about 2 MB.
-QUEUE_LINES = 8000
-# Lines that go out in one write: those of some twenty requests.
-BATCH_LINES = 100
-# The writer lets lines come together for this long after the first one.
-COLLECT_SECONDS = 0.05
 SUMMARY_SECONDS = 10.0
 CLOSE_SECONDS = 0.3
+# Lines of a running process come together for this long; one that is killed
+# loses the last ones.
+COLLECT_SECONDS = 0.1
 
 
 class EventSink(logging.Handler):
-    """Formats events as JSON lines and hands them to a writer thread.
+    """Formats events as JSON lines and writes them.
 
     :param vm: stands in each line.
     """
 
     def __init__(self, stream: TextIO, clock: Clock, vm: str) -> None:
         super().__init__()
-        self._stream = stream
+        self._output = LineOutput(stream.fileno())
         self._clock = clock
         self._vm = vm
         self._buckets: dict[str, TokenBucket] = {}
         self._left_out: collections.Counter[str] = collections.Counter()
-        self._dropped = 0
         self._summary_at = clock.monotonic() + SUMMARY_SECONDS
-        self._lines: queue.SimpleQueue[str | None] = queue.SimpleQueue()
-        self._closing = threading.Event()
-        self._writer = threading.Thread(target=self._write, daemon=True)
-        self._writer.start()
+        self._collects = False
 
     @property
     def dropped(self) -> int:
-        """Return how many lines the queue had no room for."""
-        return self._dropped
+        """Return how many lines were not written since the last summary."""
+        return self._output.dropped
+
+    async def run(self, beat: Beat) -> None:
+        """Let lines come together, and write them now and then, for ever."""
+        self._collects = True
+        try:
+            while True:
+                await beat.wait(COLLECT_SECONDS)
+                self._output.flush()
+        finally:
+            self._collects = False
 
     def emit(self, record: logging.LogRecord) -> None:
         """Take an event, or leave it out."""
@@ -83,12 +86,9 @@
 
     def close(self) -> None:
         """Write what waits, but do not wait for a reader that stopped."""
-        if self._left_out or self._dropped:
+        if self._left_out or self._output.dropped:
             self._summarize(self._clock.monotonic())
-        self._lines.put(None)
-        self._closing.set()
-        # If the reader has stopped, the writer ends with the process.
-        self._writer.join(CLOSE_SECONDS)
+        self._output.flush(CLOSE_SECONDS)
         super().close()
 
     def _admit(self, record: logging.LogRecord, now: float) -> bool:
@@ -114,7 +114,8 @@
 
     def _summarize(self, now: float) -> None:
         self._summary_at = now + SUMMARY_SECONDS
-        if not self._left_out and not self._dropped:
+        dropped = self._output.dropped
+        if not self._left_out and not dropped:
             return
         summary = {
             'at': self._clock.now(),
@@ -122,47 +123,16 @@
             'level': 'warning',
             'event': 'log.left_out',
             'over_rate': dict(self._left_out),
-            'dropped': self._dropped,
+            'dropped': dropped,
         }
         self._left_out.clear()
-        self._dropped = 0
+        self._output.dropped = 0
         self._put(msgspec.json.encode(summary).decode())
 
     def _put(self, line: str) -> None:
-        if self._lines.qsize() >= QUEUE_LINES:
-            self._dropped += 1
-            return
-        self._lines.put(line)
-
-    def _write(self) -> None:
-        closed = False
-        while not closed:
-            lines = self._take_batch()
-            closed = lines[-1] is None
-            written = [line for line in lines if line is not None]
-            try:
-                self._stream.write(''.join(f'{line}\n' for line in written))
-                self._stream.flush()
-            except (OSError, ValueError):
-                # Nobody reads any more, and there is no other place to tell.
-                self._dropped += len(written)
-
-    def _take_batch(self) -> list[str | None]:
-        """Wait for a line, and return it with those that follow soon.
-
-        A request's five lines come together. Written one by one, each cost
-        a system call and a turn of this thread; while it rests, lines that
-        come wake nobody. A process that is killed loses the last ones.
-        """
-        batch = [self._lines.get()]
-        if batch[0] is not None:
-            self._closing.wait(COLLECT_SECONDS)
-        while batch[-1] is not None and len(batch) < BATCH_LINES:
-            try:
-                batch.append(self._lines.get_nowait())
-            except queue.Empty:
-                break
-        return batch
+        self._output.put(line)
+        if not self._collects:
+            self._output.flush()
 
 
 def start_event_sink(
--- a/tests/cover/test_event_log.py
+++ b/tests/cover/test_event_log.py
@@ -12,43 +12,33 @@
 
 """Events: bounded in rate, never in the way, whole for what failed."""
 
+import asyncio
 import datetime
-import io
 import logging
 import os
-import threading
+import tempfile
 import unittest
+from unittest import mock
 
+from hypothesis import given
+from hypothesis import strategies as st
 import msgspec
 
+from lifttrestle.internal.clock.beat import Beat
 from lifttrestle.internal.clock.manual import ManualClock
 from lifttrestle.internal.fleet.path.story import RequestStory
 from lifttrestle.internal.telemetry.event_log import get_event_log
 from lifttrestle.internal.telemetry.event_sink import BURST
+from lifttrestle.internal.telemetry.event_sink import COLLECT_SECONDS
 from lifttrestle.internal.telemetry.event_sink import EventSink
-from lifttrestle.internal.telemetry.event_sink import QUEUE_LINES
 from lifttrestle.internal.telemetry.event_sink import SUMMARY_SECONDS
+from lifttrestle.internal.telemetry.line_output import LineOutput
+from lifttrestle.internal.telemetry.line_output import MAX_LINES
 
 START = datetime.datetime(2026, 12, 2, tzinfo=datetime.timezone.utc)
 OVER = 50
 
 
-class SlowStream(io.StringIO):
-    """Holds the first write until it is let go, and counts all of them."""
-
-    def __init__(self):
-        super().__init__()
-        self.entered = threading.Event()
-        self.let_go = threading.Event()
-        self.writes = 0
-
-    def write(self, text):
-        self.writes += 1
-        self.entered.set()
-        self.let_go.wait()
-        return super().write(text)
-
-
 class SinkCase(unittest.TestCase):
     def setUp(self):
         self.clock = ManualClock(START)
@@ -66,14 +56,20 @@
         self.logger.setLevel('INFO')
         return sink
 
+    def open_stream(self):
+        stream = tempfile.TemporaryFile('w+')
+        self.addCleanup(stream.close)
+        return stream
+
     def read(self, stream):
-        lines = stream.getvalue().splitlines()
+        stream.seek(0)
+        lines = stream.read().splitlines()
         return [msgspec.json.decode(line) for line in lines]
 
 
 class TestSink(SinkCase):
     def test_event_is_one_json_line_with_its_fields(self):
-        stream = io.StringIO()
+        stream = self.open_stream()
         sink = self.open_sink(stream)
         get_event_log('x').info('view.applied', version=7)
         sink.close()
@@ -82,25 +78,35 @@
         self.assertEqual((line['version'], line['vm']), (7, 'vm-1'))
         self.assertEqual(line['at'], '2026-12-02T00:00:00Z')
 
-    def test_lines_that_come_together_are_written_together(self):
+    def test_lines_of_a_running_process_are_written_together(self):
         # The five lines of a request took five writes.
-        stream = SlowStream()
+        stream = self.open_stream()
         sink = self.open_sink(stream)
         log = get_event_log('x')
-        log.info('first')
-        stream.entered.wait()
-        for number in range(5):
-            log.info('step', number=number)
-        stream.let_go.set()
-        sink.close()
-        lines = self.read(stream)
-        self.assertEqual(
-            [line.get('number') for line in lines[1:]], [*range(5)]
-        )
-        self.assertEqual(stream.writes, 2)
+
+        async def run():
+            writing = asyncio.create_task(sink.run(Beat(self.clock)))
+            await asyncio.sleep(0)
+            for number in range(5):
+                log.info('step', number=number)
+            self.assertEqual(self.read(stream), [])
+            with mock.patch('os.write', wraps=os.write) as write:
+                self.clock.advance(COLLECT_SECONDS)
+                await asyncio.sleep(0)
+                await asyncio.sleep(0)
+            write.assert_called_once()
+            writing.cancel()
+            await asyncio.gather(writing, return_exceptions=True)
+
+        asyncio.run(run())
+        numbers = [line['number'] for line in self.read(stream)]
+        self.assertEqual(numbers, [*range(5)])
+        # What comes after it is written at once.
+        log.info('last')
+        self.assertEqual(self.read(stream)[-1]['event'], 'last')
 
     def test_what_is_over_the_rate_is_counted_by_kind(self):
-        stream = io.StringIO()
+        stream = self.open_stream()
         sink = self.open_sink(stream)
         log = get_event_log('x')
         for _ in range(int(BURST) + OVER):
@@ -117,7 +123,7 @@
         self.assertEqual(kinds.count('other.kind'), 2)
 
     def test_story_of_a_failed_request_is_whole_over_the_rate(self):
-        stream = io.StringIO()
+        stream = self.open_stream()
         sink = self.open_sink(stream)
         for number in range(int(BURST) + OVER):
             story = RequestStory(self.clock, f'good-{number}')
@@ -141,10 +147,72 @@
         stream = os.fdopen(writing, 'w')
         sink = self.open_sink(stream)
         log = get_event_log('x')
-        for _ in range(2 * QUEUE_LINES):
+        for _ in range(2 * MAX_LINES):
             log.info('much', whole=True, text='x' * 100)
-        # Nothing was read; the pipe and the queue are full.
+        # Nothing was read; the pipe is full, and what waits is bounded.
         self.assertGreater(sink.dropped, 0)
         drained = os.fdopen(os.dup(reading), 'rb')
         drained.read(1024)
         drained.close()
+
+
+class TestLineOutput(unittest.TestCase):
+    def setUp(self):
+        self.reading, self.writing = os.pipe()
+        self.addCleanup(os.close, self.writing)
+        os.set_blocking(self.reading, False)
+        self.output = LineOutput(self.writing)
+
+    def drain(self):
+        data = b''
+        while True:
+            try:
+                data += os.read(self.reading, 1 << 16)
+            except BlockingIOError:
+                return data
+
+    def read_all(self):
+        data = b''
+        while True:
+            self.output.flush()
+            part = self.drain()
+            data += part
+            if not part:
+                return data
+
+    @given(
+        st.lists(
+            st.tuples(st.characters(codec='utf-8'), st.integers(0, 90_000)),
+            max_size=5,
+        )
+    )
+    def test_lines_of_any_length_arrive_whole_and_in_order(self, lines):
+        texts = [sign.replace('\n', 'x') * count for sign, count in lines]
+        for text in texts:
+            self.output.put(text)
+        expected = ''.join(f'{text}\n' for text in texts).encode()
+        self.assertEqual(self.read_all(), expected)
+
+    def test_line_longer_than_the_pipe_makes_no_one_wait(self):
+        self.output.put('x' * 1_000_000)
+        self.output.flush()
+        self.assertEqual(self.read_all(), b'x' * 1_000_000 + b'\n')
+
+    def test_lines_for_a_reader_that_is_gone_are_counted(self):
+        os.close(self.reading)
+        for _ in range(3):
+            self.output.put('x' * 3000)
+        self.output.flush()
+        self.assertEqual(self.output.dropped, 3)
+        self.reading, writing = os.pipe()
+        os.close(writing)
+
+    def test_part_of_a_chunk_that_was_not_taken_follows(self):
+        real = os.write
+        with mock.patch('os.write', lambda fd, data: real(fd, data[:7])):
+            self.output.put('abcdefghijkl')
+            self.output.put('mnop')
+            self.assertEqual(self.read_all(), b'abcdefghijkl\nmnop\n')
+
+    def tearDown(self):
+        os.close(self.reading)
--- a/tests/nocover/test_fleet_stop.py
+++ b/tests/nocover/test_fleet_stop.py
@@ -293,11 +293,11 @@
         self.assertEqual(len(find_events(logs, 'router.control_failed')), 1)
 
 
-async def fail() -> None:
+async def fail(*_: object) -> None:
     raise RuntimeError('a control task failed')
 
 
-async def end_early() -> None:
+async def end_early(*_: object) -> None:
     return
 
 
