No timer for what is sent at once, and whole answers in one piece

Cause: each head that was there already, and each piece of a stream that went out at once, set a timer and took it back: four looks at the running loop each, which are system calls. A short answer went out in three pieces. Ruled out: that processor time shows it on an idle loop: means of five runs of 600 requests lie within 0.1 ms of 4.8 ms before and after. Before: 186 system calls a request (four HTTP sides in one process). Conclusion: kept for the calls, which are counted; processor time unchanged within noise here.

--- a/src/lifttrestle/internal/http/server_connection.py
+++ b/src/lifttrestle/internal/http/server_connection.py
@@ -98,15 +98,9 @@
         """
         if not await self._wait_for_bytes():
             return None
-        try:
-            async with asyncio.timeout(self._limits.head_seconds):
-                event = await self._next_event()
-        except TimeoutError:
-            raise RequestRefused(
-                ErrorKind.SLOW_REQUEST,
-                'the head of the request did not arrive within'
-                f' {self._limits.head_seconds:g} s',
-            ) from None
+        event = self._parse()
+        if event is h11.NEED_DATA:
+            event = await self._wait_for_head()
         if not isinstance(event, h11.Request):
             return None
         head = RequestHead(
@@ -119,6 +113,17 @@
         self._check_lengths(head)
         return head
 
+    async def _wait_for_head(self) -> object:
+        try:
+            async with asyncio.timeout(self._limits.head_seconds):
+                return await self._next_event()
+        except TimeoutError:
+            raise RequestRefused(
+                ErrorKind.SLOW_REQUEST,
+                'the head of the request did not arrive within'
+                f' {self._limits.head_seconds:g} s',
+            ) from None
+
     async def read_body(self) -> bytes:
         """Return the whole body of the current request.
 
@@ -159,28 +164,31 @@
         await asyncio.Event().wait()
 
     async def send_answer(self, answer: Answer) -> None:
-        """Send a whole answer, with its length."""
+        """Send a whole answer, with its length, in one piece."""
         headers = [*answer.headers, ('content-length', str(len(answer.body)))]
-        await self.start_answer(answer.status, tuple(headers))
+        events = [self._build_head(answer.status, tuple(headers))]
         if answer.body:
-            await self._send(h11.Data(data=answer.body))
-        await self.end_answer()
+            events.append(h11.Data(data=answer.body))
+        await self._send(*events, h11.EndOfMessage())
 
     async def start_answer(
         self, status: int, headers: tuple[Header, ...]
     ) -> None:
         """Send the head of an answer; without a length it is chunked."""
+        await self._send(self._build_head(status, headers))
+
+    def _build_head(
+        self, status: int, headers: tuple[Header, ...]
+    ) -> h11.Event:
         all_headers = list(headers)
         if self._wire.their_state not in (h11.DONE, h11.MUST_CLOSE):
             self._closing = True
         if self._closing:
             all_headers.append(('connection', 'close'))
-        await self._send(
-            h11.Response(
-                status_code=status,
-                headers=all_headers,
-                reason=_find_phrase(status),
-            )
+        return h11.Response(
+            status_code=status,
+            headers=all_headers,
+            reason=_find_phrase(status),
         )
 
     async def send_part(self, data: bytes) -> None:
@@ -329,14 +337,18 @@
             field='body',
         )
 
-    async def _send(self, event: h11.Event) -> None:
+    async def _send(self, *events: h11.Event) -> None:
         try:
-            data = self._wire.send(event)
+            data = b''.join(self._wire.send(event) or b'' for event in events)
         except h11.LocalProtocolError as error:
             raise CallerGone(f'the connection is unusable: {error}') from error
         if not data:
             return
         self._writer.write(data)
+        if self._has_left():
+            # Nearly always. Timers for pieces and heads that needed
+            # none made 50 of the 186 system calls of a request.
+            return
         try:
             async with asyncio.timeout(self._limits.stalled_reader_seconds):
                 await self._writer.drain()
@@ -346,6 +358,14 @@
         except OSError as error:
             raise CallerGone('the caller closed its connection') from error
 
+    def _has_left(self) -> bool:
+        """Return whether all that was written has been handed on."""
+        transport = self._transport
+        return (
+            not transport.is_closing()
+            and transport.get_write_buffer_size() == 0
+        )
+
 
 def _find_phrase(status: int) -> bytes:
     try:
