The log tells by a digest whether a request comes again

Cause: nothing in the log identified what a request asks for, so that repeats with new ids, at other routers, could not be told from others. Ruled out: a secret key for the digest; a router that starts while the store is away would not have it. Before: chains of crashed upstreams without a common request in the log.

--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -32,6 +32,8 @@
 from lifttrestle.internal.fleet.path.dialect import RequestFacts
 from lifttrestle.internal.fleet.path.request_context import begin_request
 from lifttrestle.internal.fleet.path.request_context import RequestContext
+from lifttrestle.internal.fleet.path.request_digest import build_request_digest
+from lifttrestle.internal.fleet.path.request_digest import name_request
 from lifttrestle.internal.fleet.path.sending import RequestSender
 from lifttrestle.internal.fleet.path.story import build_admitted
 from lifttrestle.internal.fleet.path.story import build_chosen
@@ -139,6 +141,9 @@
             self._started,
         )
         self._request = request
+        request.digest = build_request_digest(
+            request.admitted, self._facts.host, self._head, self._body
+        )
         self._sender = RequestSender(
             request, self._head, self._body, self._passing, self._candidates
         )
@@ -152,6 +157,7 @@
                 request.get_left(),
                 self._parts.shutdown.get_left(),
             ),
+            digest=name_request(request.digest),
         )
         self._parts.get_budget(request.service).note_request()
         try:
--- a/src/lifttrestle/internal/fleet/path/request_context.py
+++ b/src/lifttrestle/internal/fleet/path/request_context.py
@@ -48,6 +48,7 @@
     :ivar service: by which it is served.
     :ivar sends: attempts that were sent, those turned away among them.
     :ivar runs: attempts that may have run.
+    :ivar digest: is the same when the request comes again.
     """
 
     parts: FleetParts
@@ -60,6 +61,7 @@
     service: str = ''
     sends: int = 0
     runs: int = 0
+    digest: int = 0
 
     def get_left(self) -> float:
         """Return the seconds that are left to serve it in."""
