--- /dev/null
+++ b/tests/support/crashing_upstream.py
@@ -0,0 +1,113 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""An upstream that a request can crash, and that is back after a while."""
+
+import asyncio
+
+from lifttrestle.errors import CallerGone
+from lifttrestle.internal.http.head import RequestHead
+from lifttrestle.internal.http.limits import HttpLimits
+from lifttrestle.internal.http.server import HttpServer
+from lifttrestle.internal.http.server_connection import ServerConnection
+from tests.support.entries import make_entry
+from tests.support.fleet_store import FleetStoreStandin
+from tests.support.fleet_upstream import Behaviour
+from tests.support.fleet_upstream import FleetUpstreamStandin
+
+FIRST_BORN = 1_767_225_600_000
+# Such a body crashes whatever begins to run it.
+FATAL = b'crash'
+
+
+class CrashingUpstream(FleetUpstreamStandin):
+    """Ends with all its connections, and starts again under its name.
+
+    :ivar crashed: ids of the requests that crashed it.
+    :ivar away_seconds: from a crash to its next start.
+    :ivar run_seconds: that a request runs before it ends, either way.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        store: FleetStoreStandin,
+        away_seconds: float = 0.3,
+        run_seconds: float = 0.01,
+    ) -> None:
+        super().__init__(instance)
+        self.crashed: list[str] = []
+        self.away_seconds = away_seconds
+        self.run_seconds = run_seconds
+        self._store = store
+        self._starts = 0
+        self._restarts: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Listen, and write the entry of this start."""
+        if self._starts:
+            limits = HttpLimits(idle_seconds=3600)
+            self._server = HttpServer(self._handle, limits)
+            await self._server.start(self.address)
+        else:
+            await super().start()
+        self._starts += 1
+        self.list_start()
+
+    def list_start(self, **fields: object) -> None:
+        """Write the entry of the start that runs."""
+        entry = make_entry(
+            service='plain',
+            address=str(self.address),
+            slots=8,
+            born=FIRST_BORN + self._starts,
+            **fields,
+        )
+        self._store.put('servers', self.instance, entry)
+
+    async def crash(self) -> None:
+        """End with every connection, and start again after a while."""
+        await self._server.stop(0)
+        await asyncio.sleep(self.away_seconds)
+        await self.start()
+
+    async def stop(self) -> None:
+        """Stop at once, for good."""
+        for restart in self._restarts:
+            restart.cancel()
+        await asyncio.gather(*self._restarts, return_exceptions=True)
+        await super().stop()
+
+    def begin_crash(self) -> None:
+        """Crash, without waiting for the next start."""
+        restart = asyncio.create_task(self.crash())
+        self._restarts.add(restart)
+        restart.add_done_callback(self._restarts.discard)
+
+    async def _run(
+        self,
+        connection: ServerConnection,
+        head: RequestHead,
+        behaviour: Behaviour,
+    ) -> None:
+        request_id = head.get_header('request-id')
+        (body,) = [
+            run.body
+            for run in self.runs[-50:]
+            if run.head.get_header('request-id') == request_id
+        ][-1:]
+        await asyncio.sleep(self.run_seconds)
+        if body.startswith(FATAL):
+            self.crashed.append(request_id)
+            self.begin_crash()
+            raise CallerGone('crashed by a request')
+        await super()._run(connection, head, behaviour)
