Routers remember under which requests upstreams crashed

Each loss of an upstream is judged by what follows it (fleet/crashes/loss_watch), counted for the requests that it had under way (ledger), told to the routers that count it, and, once three upstreams have crashed under a request that has not ended well, told to all and written to the routers' table (holds). A held request is refused at once as not run, without a time to come back.

Cause: what a request did to upstreams was forgotten when it ended; each send of it, at any router, crashed as many upstreams as its route has attempts. Ruled out: a row a crash (20 a crashed engine: too many calls to the store); telling all routers of each loss (37,800 messages where half of 59 engines crash under 195 routers, by arithmetic); a limit of two, which holds what merely ran beside a dangerous request and was sent on with it.

--- a/src/lifttrestle/errors.py
+++ b/src/lifttrestle/errors.py
@@ -95,13 +95,24 @@
 
 
 class UpstreamConnectFailed(LifttrestleError):
-    """No connection to the upstream could be made, so nothing was sent."""
+    """No connection to the upstream could be made, so nothing was sent.
+
+    :param refused: nothing listens at its address.
+    """
+
+    def __init__(self, message: str, *, refused: bool = False) -> None:
+        super().__init__(message)
+        self.refused = refused
 
 
 class UpstreamLost(LifttrestleError):
     """The exchange with an upstream broke off after sending had begun."""
 
 
+class UpstreamBrokeOff(UpstreamLost):
+    """The connection ended before the upstream's answer did."""
+
+
 class UpstreamDeclined(LifttrestleError):
     """The upstream refused a request unread, so it did not run there."""
 
--- a/src/lifttrestle/internal/fleet/parts.py
+++ b/src/lifttrestle/internal/fleet/parts.py
@@ -18,6 +18,7 @@
 import random
 
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.crashes.memory import CrashMemory
 from lifttrestle.internal.fleet.path.dialect import RequestDialect
 from lifttrestle.internal.fleet.policy.cache_sources import CacheSources
 from lifttrestle.internal.fleet.policy.retry_budget import SharedRetryBudget
@@ -43,6 +44,7 @@
     :ivar operator_watch: proves how current the view is.
     :ivar stores: of cached context, and whether they can be reached.
     :ivar shutdown: the order to stop, if there was one.
+    :ivar crashes: which requests must not run.
     :ivar note_load_change: is called when a load has changed by a lot.
     :ivar learn_loads: is awaited before an engine is chosen.
     :ivar budgets: the retry budget of each service.
@@ -61,6 +63,7 @@
     roster: Roster
     metrics: FleetMetrics
     shutdown: Shutdown
+    crashes: CrashMemory
     note_load_change: Callable[[], None] = lambda: None
     learn_loads: Callable[[], Awaitable[None]] = _know_loads
     budgets: dict[str, SharedRetryBudget] = dataclasses.field(
--- a/src/lifttrestle/internal/fleet/path/doors.py
+++ b/src/lifttrestle/internal/fleet/path/doors.py
@@ -12,6 +12,8 @@
 
 """What is served at the router's addresses of a fleet."""
 
+from collections.abc import Callable
+
 from lifttrestle.errors import CallerGone
 from lifttrestle.errors import RequestRefused
 from lifttrestle.internal.fleet.parts import FleetParts
@@ -78,8 +80,11 @@
 class ReadyDoor:
     """Says whether new connections are welcome."""
 
-    def __init__(self, parts: FleetParts) -> None:
+    def __init__(
+        self, parts: FleetParts, knows_holds: Callable[[], bool]
+    ) -> None:
         self._parts = parts
+        self._knows_holds = knows_holds
 
     async def handle(
         self, connection: ServerConnection, head: RequestHead
@@ -95,6 +100,7 @@
             not parts.shutdown.begun
             and parts.view.catalogue is not None
             and is_fresh(parts)
+            and self._knows_holds()
         )
 
 
--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -18,6 +18,7 @@
 from lifttrestle.errors import CallerGone
 from lifttrestle.errors import LifttrestleError
 from lifttrestle.errors import RequestRefused
+from lifttrestle.errors import UpstreamBrokeOff
 from lifttrestle.errors import UpstreamConnectFailed
 from lifttrestle.errors import UpstreamDeclined
 from lifttrestle.errors import UpstreamFailed
@@ -26,6 +27,8 @@
 from lifttrestle.internal.exchange.attempts import Verdict
 from lifttrestle.internal.exchange.progress import RequestEvent
 from lifttrestle.internal.exchange.progress import RequestProgress
+from lifttrestle.internal.fleet.crashes.loss_watch import StartSign
+from lifttrestle.internal.fleet.crashes.memory import RequestOrigin
 from lifttrestle.internal.fleet.parts import FleetParts
 from lifttrestle.internal.fleet.path.answer_passing import AnswerPassing
 from lifttrestle.internal.fleet.path.candidates import Candidates
@@ -181,6 +184,7 @@
         if self._facts.generation is not None:
             await self._parts.learn_loads()
         self._context.admit_again()
+        await self._context.check_held()
         placement = await find_upstream(self._context, self._candidates)
         self._candidates.exclude(placement.upstream)
         self._story.add('chosen', **build_chosen(placement))
@@ -209,6 +213,11 @@
             )
         if request.runs == 0:
             return Verdict.AGAIN
+        if self._parts.crashes.must_end(request.digest):
+            raise request.give_up(
+                ErrorKind.UPSTREAM_FAILED,
+                f'upstreams crash under this request: {error}',
+            )
         route = request.admitted.route
         if not route.repeatable:
             raise request.give_up(
@@ -232,12 +241,26 @@
             reason=str(error),
         )
         now = self._parts.clock.monotonic()
+        losses = self._parts.crashes.losses
         if isinstance(error, UpstreamDeclined):
             self._note_declined(upstream, now)
+            if upstream.misdirected:
+                losses.note_sign(upstream.start, StartSign.REPLACED)
         elif isinstance(error, UpstreamConnectFailed):
             upstream.reach.note_unreached()
+            losses.note_probed(upstream.start, False, error.refused)
         else:
             upstream.breaker.note_failure(now)
+        if isinstance(error, UpstreamBrokeOff):
+            self._parts.crashes.note_lost(
+                self._context.digest, self._build_origin(), upstream
+            )
+
+    def _build_origin(self) -> RequestOrigin:
+        admitted = self._context.admitted
+        workspace = admitted.workspace
+        name = workspace.name if workspace is not None else ''
+        return RequestOrigin(name, admitted.route.name)
 
     def _note_declined(self, upstream: FleetUpstream, now: float) -> None:
         """Take a run back that was none; its upstream may do better soon."""
@@ -259,13 +282,19 @@
             await self._passing.pass_on(
                 self._context.admitted.route, upstream, answer, patience
             )
-        except (UpstreamDeclined, UpstreamFailed, RequestRefused):
+        except UpstreamFailed:
+            # A whole answer, if no good one: it has not crashed the upstream.
+            self._parts.crashes.note_good_end(self._context.digest)
+            upstream.pool.give_back(connection)
+            raise
+        except (UpstreamDeclined, RequestRefused):
             # Its answer was read to the end, or nothing was sent.
             upstream.pool.give_back(connection)
             raise
         except BaseException:
             connection.close()
             raise
+        self._parts.crashes.note_good_end(self._context.digest)
         self._parts.metrics.count_attempt(self._context.service, 'good')
         upstream.breaker.note_success()
         upstream.pool.give_back(connection)
--- a/src/lifttrestle/internal/fleet/path/request_context.py
+++ b/src/lifttrestle/internal/fleet/path/request_context.py
@@ -19,6 +19,7 @@
 from lifttrestle.internal.exchange.progress import RequestState
 from lifttrestle.internal.fleet.parts import FleetParts
 from lifttrestle.internal.fleet.path.dialect import RequestFacts
+from lifttrestle.internal.fleet.path.request_digest import name_request
 from lifttrestle.internal.fleet.path.story import RequestStory
 from lifttrestle.internal.fleet.policy.admission import admit
 from lifttrestle.internal.fleet.policy.admission import Admitted
@@ -49,6 +50,7 @@
     :ivar sends: attempts that were sent, those turned away among them.
     :ivar runs: attempts that may have run.
     :ivar digest: is the same when the request comes again.
+    :ivar on_trial: it is held, and may run once more all the same.
     """
 
     parts: FleetParts
@@ -62,6 +64,7 @@
     sends: int = 0
     runs: int = 0
     digest: int = 0
+    on_trial: bool = False
 
     def get_left(self) -> float:
         """Return the seconds that are left to serve it in."""
@@ -83,6 +86,24 @@
         self._check_stop()
         return self.admitted
 
+    async def check_held(self) -> None:
+        """Return if it may run for all that is known of its earlier runs.
+
+        :raises RequestRefused: if it must not. There is no time to come back
+            in: the next try would be refused, too.
+        """
+        crashes = self.parts.crashes
+        if self.on_trial or not crashes.is_held(self.digest):
+            return
+        if not self.sends:
+            self.on_trial = await crashes.claim_trial(self.digest)
+        if not self.on_trial:
+            raise RequestRefused(
+                ErrorKind.CRASHES_UPSTREAMS,
+                'upstreams have crashed under this request; it is held as'
+                f' {name_request(self.digest)}',
+            )
+
     def give_up(self, kind: ErrorKind, message: str) -> RequestRefused:
         """Return the refusal that is true of it now."""
         ran = self.progress.execution
--- a/src/lifttrestle/internal/fleet/path/sending.py
+++ b/src/lifttrestle/internal/fleet/path/sending.py
@@ -78,6 +78,7 @@
         upstream = chosen.upstream
         # Connecting may have taken a while; only what is sent is a retry.
         admitted = request.admit_again()
+        await request.check_held()
         if request.sends and not self._take_retry():
             raise request.give_up(
                 ErrorKind.UPSTREAM_FAILED, 'no retry is left to spend'
@@ -96,17 +97,19 @@
         parts.metrics.count_connection(request.service, kept)
         self._tell_sent(upstream, order, kept)
         patience = self._build_patience()
-        answer = await begin_attempt(
-            parts.clock,
-            parts.dialect,
-            upstream,
-            connection,
-            head,
-            self._body,
-            request.facts.request_id,
-            patience.seconds,
-            patience.may_leave,
-        )
+        async with parts.crashes.guard(request.digest):
+            answer = await begin_attempt(
+                parts.clock,
+                parts.dialect,
+                upstream,
+                connection,
+                head,
+                self._body,
+                request.facts.request_id,
+                patience.seconds,
+                patience.may_leave,
+            )
+        parts.crashes.losses.note_answered(upstream, sent_at)
         self._note_answer(chosen, ticket, order, answer, sent_at)
         return answer, patience
 
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -23,6 +23,8 @@
 
 from lifttrestle.internal.clock.beat import Beat
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.crashes.memory import CrashMemory
+from lifttrestle.internal.fleet.crashes.messages import CrashNews
 from lifttrestle.internal.fleet.gauges import watch_parts
 from lifttrestle.internal.fleet.gauges import WatchedParts
 from lifttrestle.internal.fleet.loads.engine_control import EngineControl
@@ -147,6 +149,18 @@
         self._upstreams_watch.restart_with(self._operator_watch)
         self._routers_watch.restart_with(self._operator_watch)
         self.stores = CacheStores(clock)
+        self.crashes = CrashMemory(
+            settings.vm,
+            store,
+            self._directory,
+            self.roster,
+            clock,
+            settings.heartbeat_seconds,
+            refusals,
+        )
+        losses = self.crashes.losses
+        losses.is_list_current = self._is_list_current
+        self._directory.tell_ended = losses.note_ended
         self._parts = FleetParts(
             settings=settings,
             clock=clock,
@@ -160,6 +174,7 @@
             roster=self.roster,
             metrics=metrics,
             shutdown=Shutdown(clock),
+            crashes=self.crashes,
         )
         self._loader = WeightsLoader(
             store,
@@ -181,6 +196,8 @@
             clock,
             refusals,
         )
+        self._peer_loads.hear(CrashNews, self.crashes.take_news)
+        self.crashes.telling.send = self._peer_loads.send
         self._parts.note_load_change = self._peer_loads.note_change
         self._parts.learn_loads = self._peer_loads.learn
         watches = [
@@ -190,7 +207,10 @@
         ]
         self.relay_server = RelayServer(watches, clock)
         self.relays = RelayFollower(watches, self.roster, clock)
-        self._ready = ReadyDoor(self._parts)
+        # A router that does not know yet what is held would run it.
+        self._ready = ReadyDoor(
+            self._parts, lambda: self._routers_watch.copy.loaded
+        )
         self._callers = HttpServer(
             CallersDoor(self._parts).handle, _make_limits(None)
         )
@@ -248,6 +268,12 @@
         self.roster.loaded = True
         self.roster.take(row)
         self._weights.take(row)
+        self.crashes.take_row(row)
+
+    def _is_list_current(self) -> bool:
+        """Return whether an entry that has ended would be known to have."""
+        watch = self._upstreams_watch
+        return watch.get_age() < 2 * UPSTREAMS_WAIT_SECONDS
 
     @property
     def directory(self) -> UpstreamDirectory:
@@ -347,6 +373,7 @@
             data_centre=settings.data_centre,
         )
         prober = ReachProber(self._directory, self.stores, self._clock)
+        prober.tell_probed = self.crashes.losses.note_probed
         work = (
             self.relays.run(self.beat),
             self._operator_watch.run(),
@@ -357,6 +384,7 @@
             watch_stalls(self.beat),
             prober.run(self.beat),
             self._peer_loads.run(),
+            self.crashes.run(self.beat),
         )
         self._control = [self._begin_control(item) for item in work]
 
--- a/src/lifttrestle/internal/fleet/state/directory.py
+++ b/src/lifttrestle/internal/fleet/state/directory.py
@@ -23,6 +23,7 @@
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.fleet.state.upstream_entry import compare_starts
+from lifttrestle.internal.fleet.state.upstream_entry import StartEnd
 from lifttrestle.internal.fleet.state.upstream_entry import StartOrder
 from lifttrestle.internal.fleet.state.upstream_entry import UpstreamEntry
 from lifttrestle.internal.http.address import check_address
@@ -67,6 +68,10 @@
         self.get_catalogue: Callable[[], Catalogue | None] = lambda: None
         # Set from outside: when the list was last read after an outage.
         self.outage_until = float('-inf')
+        # Set from outside: is told how a start of an upstream ended.
+        self.tell_ended: Callable[[FleetUpstream, StartEnd], None] = (
+            _tell_nobody
+        )
 
     def __iter__(self) -> Iterator[FleetUpstream]:
         """Iterate over the upstreams that may be used."""
@@ -160,7 +165,7 @@
             born=entry.born,
             before=known.entry.born,
         )
-        self._forget(known)
+        self._forget(known, StartEnd.REPLACED)
         self._add(entry)
 
     def _add(self, entry: UpstreamEntry) -> None:
@@ -189,7 +194,7 @@
         """Use an upstream no more whose entry does not name one now."""
         known = self._known.get(instance)
         if known is not None:
-            self._forget(known)
+            self._forget(known, StartEnd.WITHDRAWN)
 
     def list_fit(self, service: str) -> list[FleetUpstream]:
         """Return the upstreams of a service that may get new work."""
@@ -214,7 +219,7 @@
         known.vanished_at = self._clock.monotonic()
         LOG.info('upstream.entry_removed', instance=instance)
         if not self._may_return(known):
-            self._forget(known)
+            self._forget(known, _find_end(known))
 
     def _may_return(self, upstream: FleetUpstream) -> bool:
         if upstream.entry.draining:
@@ -229,15 +234,29 @@
             and not self._may_return(upstream)
         ]
         for upstream in lapsed:
-            self._forget(upstream)
+            self._forget(upstream, _find_end(upstream))
 
-    def _forget(self, upstream: FleetUpstream) -> None:
+    def _forget(self, upstream: FleetUpstream, end: StartEnd) -> None:
         self.changes += 1
         self._known.pop(upstream.instance, None)
         self._starts.pop(upstream.start, None)
         self._digests.pop(upstream.digest, None)
         upstream.pool.close()
-        LOG.info('upstream.gone', instance=upstream.instance)
+        LOG.info(
+            'upstream.gone', instance=upstream.instance, end=end.name.lower()
+        )
+        self.tell_ended(upstream, end)
+
+
+def _find_end(upstream: FleetUpstream) -> StartEnd:
+    """Return how an upstream whose entry was removed has ended."""
+    if upstream.entry.draining:
+        return StartEnd.WITHDRAWN
+    return StartEnd.VANISHED
+
+
+def _tell_nobody(upstream: FleetUpstream, end: StartEnd) -> None:
+    """Tell nobody."""
 
 
 def _check_names(entry: UpstreamEntry) -> None:
--- a/src/lifttrestle/internal/fleet/state/load_messages.py
+++ b/src/lifttrestle/internal/fleet/state/load_messages.py
@@ -19,6 +19,7 @@
 
 import msgspec
 
+from lifttrestle.internal.fleet.crashes.messages import CrashNews
 from lifttrestle.internal.intake.decoding import decode_msgpack
 
 Count = Annotated[int, msgspec.Meta(ge=0)]
@@ -75,7 +76,7 @@
     parts: list[int] = []
 
 
-LoadMessage = LoadReport | GroupSum | FleetSum
+LoadMessage = LoadReport | GroupSum | FleetSum | CrashNews
 
 
 def read_message(data: bytes) -> LoadMessage:
--- a/src/lifttrestle/internal/fleet/state/peer_loads.py
+++ b/src/lifttrestle/internal/fleet/state/peer_loads.py
@@ -113,6 +113,10 @@
             FleetSum: self._take_fleet_sum,
         }
 
+    def hear(self, kind: type, take: Callable[..., None]) -> None:
+        """Have another part of the router take one kind of message."""
+        self._takers[kind] = take
+
     def note_change(self) -> None:
         """Tell the others soon: a load has changed by a lot."""
         self._changed.set()
@@ -139,7 +143,9 @@
         except ValueError as error:
             self._refusals.note('loads', str(address), error)
             return
-        self._takers[type(message)](message)
+        take = self._takers.get(type(message))
+        if take is not None:
+            take(message)
 
     def _take_report(self, report: LoadReport) -> None:
         if not report.summed:
@@ -157,7 +163,7 @@
         if vm == self._vm:
             self._take_fleet_sum(whole)
         else:
-            self._send(whole, f'{ROUTER_PREFIX}{vm}')
+            self.send(whole, f'{ROUTER_PREFIX}{vm}')
 
     def _take_group_sum(self, group: GroupSum) -> None:
         self._aggregator.take_group(group, self._clock.monotonic())
@@ -240,7 +246,7 @@
         others.update(self._choice.list_all())
         others.discard(self._roster.key)
         for key in others:
-            self._send(group, key)
+            self.send(group, key)
         return True
 
     def is_current(self) -> bool:
@@ -299,7 +305,7 @@
         self._number += 1
         report = LoadReport(self._vm, self._number, loads, parts)
         for key in self._roster.list_others():
-            self._send(report, key)
+            self.send(report, key)
 
     def _tell_aggregator(
         self, loads: list[UpstreamLoad], parts: list[int], *, asks: bool
@@ -318,9 +324,10 @@
         if key == self._roster.key:
             self._take_report(report)
         else:
-            self._send(report, key)
+            self.send(report, key)
 
-    def _send(self, message: LoadMessage, key: str) -> None:
+    def send(self, message: LoadMessage, key: str) -> None:
+        """Send a message to the router with a key, if it can be reached."""
         text = self._roster.get_address(key)
         if self._transport is None or not text:
             return
--- a/src/lifttrestle/internal/fleet/state/reach.py
+++ b/src/lifttrestle/internal/fleet/state/reach.py
@@ -33,12 +33,15 @@
 
     :ivar unreached: the last connection failed.
     :ivar suspected: there are signs that it can't be reached.
+    :ivar lost: it broke an answer off, and nobody looked since whether it is
+        still there.
     :ivar probed_at: when a connection was last tried for its own sake.
     :ivar reached_at: when it last took a connection, or answered.
     """
 
     unreached: bool = False
     suspected: bool = False
+    lost: bool = False
     probed_at: float = NEVER
     reached_at: float = NEVER
 
@@ -46,11 +49,17 @@
         """Note that it took a connection, or answered."""
         self.unreached = False
         self.suspected = False
+        self.lost = False
         self.reached_at = now
 
     def note_unreached(self) -> None:
         """Note that it took no connection."""
         self.unreached = True
+        self.lost = False
+
+    def note_lost(self) -> None:
+        """Note that it broke an answer off; it is probed at once."""
+        self.lost = True
 
     def suspect(self) -> None:
         """Have it probed soon; it is used until that fails."""
@@ -62,7 +71,7 @@
         :param silent: it owes answers and sends nothing.
         """
         since = now - self.probed_at
-        if self.unreached or silent:
+        if self.unreached or silent or self.lost:
             return since >= PROBE_SECONDS
         known_since = now - self.reached_at
         return self.suspected and min(since, known_since) >= SUSPECT_SECONDS
--- a/src/lifttrestle/internal/fleet/state/reach_probing.py
+++ b/src/lifttrestle/internal/fleet/state/reach_probing.py
@@ -19,6 +19,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 from collections.abc import Iterable
 
 from lifttrestle.errors import UpstreamConnectFailed
@@ -58,6 +59,9 @@
         self._stores = stores
         self._clock = clock
         self._probes: dict[str, asyncio.Task[None]] = {}
+        # Set from outside: is told of each probe whether it was taken, and
+        # if it was not, whether nothing listens there.
+        self.tell_probed: Callable[[str, bool, bool], None] = _tell_nobody
 
     async def run(self, beat: Beat) -> None:
         """Probe what is in doubt, for ever."""
@@ -99,16 +103,22 @@
             connection = await pool.take(fresh=True)
         except UpstreamConnectFailed as error:
             reach.note_unreached()
+            self.tell_probed(name, False, error.refused)
             if not before:
                 LOG.info('reach.lost', target=name, reason=str(error))
             return
         # The next request there has use for it.
         pool.give_back(connection)
         reach.note_reached(self._clock.monotonic())
+        self.tell_probed(name, True, False)
         if before:
             LOG.info('reach.regained', target=name)
 
 
+def _tell_nobody(name: str, taken: bool, refused: bool) -> None:
+    """Tell nobody."""
+
+
 def suspect_neighbours(
     upstreams: Iterable[FleetUpstream],
     stores: Iterable[CacheStore],
--- a/src/lifttrestle/internal/fleet/state/upstream_entry.py
+++ b/src/lifttrestle/internal/fleet/state/upstream_entry.py
@@ -66,6 +66,17 @@
     OLDER = enum.auto()
 
 
+class StartEnd(enum.Enum):
+    """How a start was seen to be there no more."""
+
+    # A newer start has its name, or its address.
+    REPLACED = enum.auto()
+    # Its entry ended without a word.
+    VANISHED = enum.auto()
+    # It had said that it leaves, or its entry can't be read any more.
+    WITHDRAWN = enum.auto()
+
+
 def compare_starts(known: int | None, told: int | None) -> StartOrder:
     """Return how the start ``told`` relates to ``known``.
 
--- a/src/lifttrestle/internal/http/client_connection.py
+++ b/src/lifttrestle/internal/http/client_connection.py
@@ -18,6 +18,7 @@
 
 import h11
 
+from lifttrestle.errors import UpstreamBrokeOff
 from lifttrestle.errors import UpstreamConnectFailed
 from lifttrestle.errors import UpstreamLost
 from lifttrestle.internal.http.address import Address
@@ -63,7 +64,8 @@
                 stream = await ByteStream.open(address, tls)
         except (OSError, TimeoutError) as error:
             raise UpstreamConnectFailed(
-                f'no connection to {address}: {error or "timed out"}'
+                f'no connection to {address}: {error or "timed out"}',
+                refused=isinstance(error, ConnectionRefusedError),
             ) from error
         return cls(address, stream)
 
@@ -99,7 +101,7 @@
             self._request = request
             await self._stream.write(data)
         except (OSError, h11.ProtocolError) as error:
-            raise UpstreamLost(
+            raise UpstreamBrokeOff(
                 f'{self.address} broke off while a request was sent: {error}'
             ) from error
 
@@ -116,7 +118,7 @@
                 return ResponseHead(
                     event.status_code, decode_headers(event.headers)
                 )
-            raise UpstreamLost(f'{self.address} closed without an answer')
+            raise UpstreamBrokeOff(f'{self.address} closed without an answer')
 
     async def iterate_body(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body as they arrive, to the explicit end.
@@ -142,7 +144,7 @@
             if isinstance(event, h11.EndOfMessage):
                 self._finish()
                 return b''
-            raise UpstreamLost(f'{self.address} cut its answer short')
+            raise UpstreamBrokeOff(f'{self.address} cut its answer short')
 
     async def read_body(self, limit: int) -> bytes:
         """Return the whole body.
@@ -202,6 +204,6 @@
                     return event
                 self._wire.receive_data(await self._stream.read())
             except (OSError, h11.ProtocolError) as error:
-                raise UpstreamLost(
+                raise UpstreamBrokeOff(
                     f'{self.address} broke off its answer: {error}'
                 ) from error
--- a/src/lifttrestle/internal/refusal/answers.py
+++ b/src/lifttrestle/internal/refusal/answers.py
@@ -103,6 +103,13 @@
     ErrorKind.UPSTREAM_FAILED: AnswerRule(
         502, False, 'Check the outcome before you send it again.'
     ),
+    # A status that promises that this try has not run. A 4xx would say that
+    # the request is at fault, which nobody knows of one that was wronged.
+    ErrorKind.CRASHES_UPSTREAMS: AnswerRule(
+        503,
+        False,
+        'Change the request, or ask the operators to lift the hold.',
+    ),
     ErrorKind.DEADLINE_EXCEEDED: AnswerRule(
         504, False, 'Allow more time, or send a shorter request.'
     ),
--- a/src/lifttrestle/internal/refusal/kind.py
+++ b/src/lifttrestle/internal/refusal/kind.py
@@ -45,5 +45,6 @@
     NOT_CONFIGURED = 'not_configured'
     STOPPING = 'stopping'
     UPSTREAM_FAILED = 'upstream_failed'
+    CRASHES_UPSTREAMS = 'crashes_upstreams'
     DEADLINE_EXCEEDED = 'deadline_exceeded'
     INTERNAL = 'internal'
