Tests of what routers know of crashes; nothing in flight is given up

Cause: whoever holds a request gave up what of it had no answer yet, and with it the good ends that would have cleared one that was wronged by a herd. Before: a request that nobody had seen end well, under way at five upstreams that died at once, was held by all three routers. Conclusion: given up is taken out. A row that is removed ends the writes that were to follow it, and a trial run is claimed through the row (it failed with a fault before, found by its test).

--- a/src/lifttrestle/internal/fleet/crashes/holds.py
+++ b/src/lifttrestle/internal/fleet/crashes/holds.py
@@ -19,7 +19,8 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
-import datetime
+
+import msgspec
 
 from lifttrestle.errors import ConditionFailed
 from lifttrestle.errors import PlatformUnavailable
@@ -50,7 +51,6 @@
 # seconds of its return.
 FIRST_PAUSE_SECONDS = 0.25
 MAX_PAUSE_SECONDS = 2.0
-UTC = datetime.timezone.utc
 MILLISECONDS = 1000
 
 
@@ -120,15 +120,18 @@
         except ValueError as error:
             self._refusals.note('holds', row.key, error)
             return
+        due = self._due.get(digest)
         if held is not None:
             self._held[digest] = Hold(held, row.version)
-            due = self._due.get(digest)
             if due is not None and due.row is not None:
                 # Another router was sooner.
                 del self._due[digest]
-        elif self._held.pop(digest, None) is not None:
-            LOG.warning('request.lifted', digest=row.key)
-            self.tell_lifted(digest)
+            return
+        # A write that was to follow must not bring it back.
+        self._due.pop(digest, None)
+        self._held.pop(digest, None)
+        LOG.warning('request.lifted', digest=row.key)
+        self.tell_lifted(digest)
 
     def write_later(
         self, digest: int, seconds: float, row: HeldRow | None
@@ -188,7 +191,7 @@
 
         The row's version decides between routers that ask at the same time.
         """
-        row = dataclasses.replace(hold.row, tried=True)
+        row = msgspec.structs.replace(hold.row, tried=True)
         try:
             await self._put(digest, row, hold.version)
         except (ConditionFailed, PlatformUnavailable) as error:
--- a/src/lifttrestle/internal/fleet/crashes/memory.py
+++ b/src/lifttrestle/internal/fleet/crashes/memory.py
@@ -13,12 +13,8 @@
 """What a router asks, and tells, of requests that crash upstreams."""
 
 import asyncio
-from collections.abc import AsyncIterator
-from collections.abc import Callable
-import contextlib
 import dataclasses
 
-from lifttrestle.errors import RequestRefused
 from lifttrestle.internal.clock.beat import Beat
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.crashes.held_row import build_key
@@ -36,8 +32,6 @@
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.intake.refusals import InputRefusals
-from lifttrestle.internal.refusal.execution import Execution
-from lifttrestle.internal.refusal.kind import ErrorKind
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
 LOG = get_event_log('crashes')
@@ -85,7 +79,6 @@
         self._directory = directory
         self._ledger = CrashLedger(clock)
         self._origins: dict[int, RequestOrigin] = {}
-        self._waiting: dict[int, set[Callable[[], None]]] = {}
         self.holds = HoldRows(store, clock, refusals or InputRefusals())
         self.holds.tell_lifted = self._ledger.clear
         self.holds.is_wanted = self._ledger.is_dangerous
@@ -135,39 +128,6 @@
             return False
         return await self.holds.claim_trial(digest, hold)
 
-    @contextlib.asynccontextmanager
-    async def guard(self, digest: int) -> AsyncIterator[None]:
-        """Give up what has no answer yet when the request turns dangerous.
-
-        The same request may be on its way to many upstreams before the first
-        one has crashed.
-
-        :raises RequestRefused: if it does.
-        """
-        loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(None) as limit:
-
-                def end() -> None:
-                    limit.reschedule(loop.time())
-
-                waiting = self._waiting.setdefault(digest, set())
-                waiting.add(end)
-                try:
-                    yield
-                finally:
-                    waiting.discard(end)
-                    if not waiting:
-                        self._waiting.pop(digest, None)
-        except TimeoutError:
-            if not limit.expired():
-                raise
-            raise RequestRefused(
-                ErrorKind.UPSTREAM_FAILED,
-                'the same request has crashed upstreams meanwhile',
-                ran=Execution.UNKNOWN,
-            ) from None
-
     def note_lost(
         self, digest: int, origin: RequestOrigin, upstream: FleetUpstream
     ) -> None:
@@ -246,8 +206,6 @@
             workspace=origin.workspace,
             route=origin.route,
         )
-        for end in tuple(self._waiting.get(digest, ())):
-            end()
         row = build_held(
             self._clock, origin.workspace, origin.route, crashed, self._vm
         )
--- a/src/lifttrestle/internal/fleet/path/sending.py
+++ b/src/lifttrestle/internal/fleet/path/sending.py
@@ -97,18 +97,17 @@
         parts.metrics.count_connection(request.service, kept)
         self._tell_sent(upstream, order, kept)
         patience = self._build_patience()
-        async with parts.crashes.guard(request.digest):
-            answer = await begin_attempt(
-                parts.clock,
-                parts.dialect,
-                upstream,
-                connection,
-                head,
-                self._body,
-                request.facts.request_id,
-                patience.seconds,
-                patience.may_leave,
-            )
+        answer = await begin_attempt(
+            parts.clock,
+            parts.dialect,
+            upstream,
+            connection,
+            head,
+            self._body,
+            request.facts.request_id,
+            patience.seconds,
+            patience.may_leave,
+        )
         parts.crashes.losses.note_answered(upstream, sent_at)
         self._note_answer(chosen, ticket, order, answer, sent_at)
         return answer, patience
--- /dev/null
+++ b/tests/cover/test_crash_ledger.py
@@ -0,0 +1,179 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Tests of what is counted against a request, and by whom."""
+
+import datetime
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lifttrestle.internal.clock.manual import ManualClock
+from lifttrestle.internal.fleet.crashes.judgement import choose_evicted
+from lifttrestle.internal.fleet.crashes.judgement import CRASH_LIMIT
+from lifttrestle.internal.fleet.crashes.judgement import EPISODE_SECONDS
+from lifttrestle.internal.fleet.crashes.judgement import HOLD_SECONDS
+from lifttrestle.internal.fleet.crashes.judgement import is_dangerous
+from lifttrestle.internal.fleet.crashes.judgement import may_try_again
+from lifttrestle.internal.fleet.crashes.judgement import TRIAL_SECONDS
+from lifttrestle.internal.fleet.crashes.ledger import CrashLedger
+from lifttrestle.internal.fleet.crashes.ledger import MAX_RECORDS
+from lifttrestle.internal.fleet.crashes.messages import CrashItem
+from lifttrestle.internal.fleet.path.dialect import RequestFacts
+from lifttrestle.internal.fleet.path.request_digest import build_request_digest
+from lifttrestle.internal.fleet.policy.admission import Admitted
+from lifttrestle.internal.fleet.state.catalogue import Workspace
+from lifttrestle.internal.http.head import RequestHead
+
+START = datetime.datetime(2026, 12, 3, tzinfo=datetime.timezone.utc)
+DIGEST = 0xCAE7
+STARTS = list(range(100, 100 + CRASH_LIMIT))
+
+
+def make_ledger():
+    """Return an empty ledger and its clock."""
+    clock = ManualClock(START)
+    return CrashLedger(clock), clock
+
+
+class TestJudgement(unittest.TestCase):
+    def test_three_upstreams_are_enough(self):
+        self.assertFalse(is_dangerous([0.0, 0.1], ended_well=False))
+        self.assertTrue(is_dangerous([0.0, 0.1, 0.1], ended_well=False))
+
+    def test_of_one_that_has_ended_well_a_herd_counts_once(self):
+        herd = [EPISODE_SECONDS * share for share in (0.0, 0.3, 0.6, 1.0)]
+        self.assertFalse(is_dangerous(herd, ended_well=True))
+        again = [time + 5.0 * turn for turn in range(2) for time in herd]
+        self.assertFalse(is_dangerous(again, ended_well=True))
+        again.append(20.0)
+        self.assertTrue(is_dangerous(again, ended_well=True))
+
+    def test_one_try_after_a_while(self):
+        self.assertFalse(may_try_again(TRIAL_SECONDS - 1, tried=False))
+        self.assertTrue(may_try_again(TRIAL_SECONDS, tried=False))
+        self.assertFalse(may_try_again(TRIAL_SECONDS, tried=True))
+
+    def test_a_caller_with_many_makes_place_for_itself(self):
+        workspaces = {1: 'acme', 2: 'vault', 3: 'vault', 4: 'acme', 5: 'vault'}
+        self.assertEqual(choose_evicted(workspaces), 2)
+
+
+class TestLedger(unittest.TestCase):
+    def test_starts_count_once(self):
+        ledger, _ = make_ledger()
+        for _ in range(CRASH_LIMIT):
+            ledger.note_crashes(DIGEST, STARTS[:1])
+        self.assertFalse(ledger.is_dangerous(DIGEST))
+        self.assertFalse(ledger.note_crashes(DIGEST, STARTS[:1]))
+        ledger.note_crashes(DIGEST, STARTS)
+        self.assertTrue(ledger.is_dangerous(DIGEST))
+
+    def test_crashes_that_three_routers_saw_are_three(self):
+        ledger, _ = make_ledger()
+        for start in STARTS:
+            ledger.merge(CrashItem(DIGEST, [start]))
+        self.assertTrue(ledger.is_dangerous(DIGEST))
+
+    def test_what_was_lost_just_now_counts_before_it_is_proved(self):
+        ledger, _ = make_ledger()
+        ledger.note_crashes(DIGEST, STARTS[:2])
+        self.assertFalse(ledger.is_dangerous(DIGEST))
+        self.assertTrue(ledger.is_dangerous(DIGEST, unproved=1))
+
+    def test_good_end_clears(self):
+        ledger, _ = make_ledger()
+        ledger.note_crashes(DIGEST, STARTS)
+        self.assertTrue(ledger.note_good_end(DIGEST))
+        self.assertFalse(ledger.is_dangerous(DIGEST))
+        # The same crashes are told again, by one that is behind.
+        ledger.merge(CrashItem(DIGEST, STARTS))
+        self.assertFalse(ledger.is_dangerous(DIGEST))
+
+    def test_good_end_of_earlier_is_told_to_one_that_does_not_know(self):
+        ledger, _ = make_ledger()
+        ledger.note_good_end(DIGEST)
+        self.assertTrue(ledger.merge(CrashItem(DIGEST, STARTS)))
+        self.assertFalse(ledger.is_dangerous(DIGEST))
+        known = CrashItem(DIGEST, STARTS, ended_well=True)
+        self.assertFalse(ledger.merge(known))
+
+    def test_crashes_end_some_time(self):
+        ledger, clock = make_ledger()
+        ledger.note_crashes(DIGEST, STARTS)
+        clock.advance(HOLD_SECONDS + 1)
+        self.assertFalse(ledger.is_dangerous(DIGEST))
+
+    def test_many_requests_fill_nothing(self):
+        ledger, _ = make_ledger()
+        for digest in range(2 * MAX_RECORDS):
+            ledger.note_crashes(digest, [1])
+            ledger.note_good_end(digest)
+        self.assertEqual(len(ledger._records), MAX_RECORDS)
+        self.assertLessEqual(len(ledger._good), 2 * MAX_RECORDS)
+        ledger.note_crashes(DIGEST, list(range(5000)))
+        self.assertLess(ledger.count_crashed(DIGEST), 100)
+
+    items = st.builds(
+        CrashItem,
+        st.just(DIGEST),
+        st.lists(st.sampled_from(STARTS), unique=True),
+        st.lists(st.sampled_from(STARTS), unique=True),
+        st.booleans(),
+    )
+
+    @given(st.lists(items, max_size=6), st.randoms())
+    def test_order_and_repeats_make_no_difference(
+        self, items: list[CrashItem], source: random.Random
+    ):
+        outcomes = []
+        for _ in range(2):
+            ledger, _clock = make_ledger()
+            for item in items:
+                ledger.merge(item)
+            told = ledger.build_item(DIGEST)
+            outcomes.append(
+                (sorted(told.crashed), sorted(told.forgiven), told.ended_well)
+            )
+            items = items + source.sample(items, len(items) // 2)
+            source.shuffle(items)
+        self.assertEqual(*outcomes)
+
+
+class TestDigest(unittest.TestCase):
+    def build(self, workspace='acme', target='/a?b=c', body=b'grid', **fields):
+        admitted = Admitted(
+            None,  # type: ignore[arg-type]
+            None,  # type: ignore[arg-type]
+            Workspace(workspace, None, False) if workspace else None,
+        )
+        facts = RequestFacts('r', 'shop', '/a', 'k', None, None, None)
+        head = RequestHead(fields.pop('method', 'POST'), target, **fields)
+        return build_request_digest(admitted, facts.host, head, body)
+
+    def test_what_makes_no_difference(self):
+        headers = (('request-id', 'r2'), ('last-event-id', '7'))
+        self.assertEqual(self.build(), self.build(headers=headers))
+
+    def test_what_makes_another_request(self):
+        others = (
+            self.build('vault'),
+            self.build(''),
+            self.build(target='/a?b=d'),
+            self.build(target='/a'),
+            self.build(method='PUT'),
+            self.build(body=b''),
+            self.build(body=b'Grid'),
+        )
+        self.assertEqual(len({self.build(), *others}), len(others) + 1)
--- a/tests/nocover/test_crashing_requests.py
+++ b/tests/nocover/test_crashing_requests.py
@@ -28,7 +28,11 @@
 import asyncio
 import contextlib
 import unittest
+from unittest import mock
 
+from lifttrestle.internal.fleet.crashes.holds import HoldRows
+from lifttrestle.internal.fleet.crashes.judgement import TRIAL_SECONDS
+from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
 from tests.support.crashing_upstream import CrashingUpstream
 from tests.support.crashing_upstream import FATAL
 from tests.support.fleet import CONFIGURATION
@@ -82,16 +86,42 @@
 
 def count_crashes(upstreams):
     """Return how often any of them was crashed."""
-    return sum(len(upstream.crashed) for upstream in upstreams)
+    return sum(upstream.crashes for upstream in upstreams)
 
 
-async def send_fatal(fleet, request_id):
+async def send_fatal(fleet, request_id, route='safe'):
     """Send the request that crashes what runs it."""
     return await fleet.call(
-        '/safe/a', method='POST', body=FATAL, request_id=request_id
+        f'/{route}/a', method='POST', body=FATAL, request_id=request_id
     )
 
 
+async def make_dangerous(fleets, route='safe'):
+    """Send it until routers hold it, and return once all do."""
+    for number, fleet in enumerate(fleets):
+        await send_fatal(fleet, f'first-{number}', route)
+    routers = [fleet.router for fleet in fleets]
+    await wait_until(
+        lambda: all(any(list_dangerous(router)) for router in routers)
+    )
+
+
+def list_dangerous(router):
+    """Return the requests that a router knows to be dangerous."""
+    crashes = router.crashes
+    return [
+        digest
+        for digest in crashes._ledger._records
+        if crashes.is_held(digest)
+    ] + list(crashes.holds._held)
+
+
+def drop_datagrams(fleets):
+    """Have no router tell another anything by datagrams."""
+    for fleet in fleets:
+        fleet.router.crashes.telling.send = lambda news, key: None
+
+
 class TestFleet(unittest.IsolatedAsyncioTestCase):
     async def test_regression_request_that_crashed_three_runs_no_more(self):
         async with run_routers() as (fleets, upstreams):
@@ -113,3 +143,205 @@
         self.assertEqual(after, before)
         self.assertEqual({answer.status for answer in answers}, {503})
         self.assertEqual({answer.status for answer in others}, {200})
+
+    async def test_crashes_that_three_routers_saw_are_added_up(self):
+        async with run_routers() as (fleets, upstreams):
+            await make_dangerous(fleets, 'once')
+            self.assertEqual(count_crashes(upstreams), LIMIT)
+            answer = await send_fatal(fleets[0], 'again', 'once')
+            self.assertEqual(count_crashes(upstreams), LIMIT)
+        self.assertEqual(answer.status, 503)
+        self.assertIn(b'"ran":"not run"', answer.body)
+        self.assertEqual(dict(answer.headers).get('retry-after'), None)
+
+    async def test_row_alone_is_enough(self):
+        async with run_routers() as (fleets, upstreams):
+            drop_datagrams(fleets)
+            for number in range(2):
+                await send_fatal(fleets[0], f'first-{number}')
+            others = [fleet.router.crashes.holds for fleet in fleets[1:]]
+            await wait_until(lambda: all(len(holds) for holds in others))
+            before = count_crashes(upstreams)
+            for fleet in fleets:
+                await send_fatal(fleet, 'again')
+            self.assertEqual(count_crashes(upstreams), before)
+
+    async def test_datagrams_are_enough_while_the_store_is_away(self):
+        async with run_routers() as (fleets, upstreams):
+            store = fleets[0].store
+            store.writable.clear()
+            await make_dangerous(fleets)
+            before = count_crashes(upstreams)
+            for fleet in fleets:
+                await send_fatal(fleet, 'again')
+            self.assertEqual(count_crashes(upstreams), before)
+            self.assertEqual(list_rows(store), [])
+            store.writable.set()
+            await wait_until(lambda: list_rows(store))
+
+    async def test_same_request_at_many_routers_at_once(self):
+        async with run_routers() as (fleets, upstreams):
+            for upstream in upstreams:
+                upstream.away_seconds = 1.0
+            await asyncio.gather(
+                *(
+                    send_fatal(fleets[number % 3], f'first-{number}')
+                    for number in range(20)
+                )
+            )
+            before = count_crashes(upstreams)
+            answer = await send_fatal(fleets[0], 'again')
+            self.assertEqual(count_crashes(upstreams), before)
+        self.assertEqual(answer.status, 503)
+
+    async def test_other_caller_with_the_same_body_is_not_held(self):
+        async with run_routers() as (fleets, upstreams):
+            await make_dangerous(fleets)
+            before = count_crashes(upstreams)
+            answer = await fleets[0].call(
+                '/safe/a', method='POST', body=FATAL, key='k3'
+            )
+            self.assertGreater(count_crashes(upstreams), before)
+            other_key = await fleets[0].call(
+                '/safe/a', method='POST', body=FATAL, key='k2'
+            )
+        self.assertEqual((answer.status, other_key.status), (502, 503))
+
+
+class TestLater(unittest.IsolatedAsyncioTestCase):
+    async def test_router_that_starts_after_all_were_gone_knows(self):
+        async with run_routers() as (fleets, upstreams):
+            await make_dangerous(fleets)
+            store = fleets[0].store
+            await wait_until(lambda: list_rows(store))
+            for fleet in fleets:
+                await fleet.router.stop()
+            newcomer = make_router(store.address, PROMISES, 'front-a-9')
+            fleet = Fleet(store, newcomer, {}, ShiftedClock())
+            await newcomer.start()
+            try:
+                await wait_until(newcomer.is_ready)
+                before = count_crashes(upstreams)
+                answer = await send_fatal(fleet, 'again')
+                self.assertEqual(count_crashes(upstreams), before)
+            finally:
+                await newcomer.stop()
+        self.assertEqual(answer.status, 503)
+
+    async def test_router_is_not_ready_before_it_has_read_what_is_held(self):
+        async with run_routers() as (fleets, upstreams):
+            store = fleets[0].store
+            newcomer = make_router(store.address, PROMISES, 'front-a-9')
+            read_table = newcomer.store.read_table
+            read = asyncio.Event()
+
+            async def read_late(table):
+                if table == FLEET_TABLE:
+                    await read.wait()
+                return await read_table(table)
+
+            newcomer.store.read_table = read_late
+            newcomer._operator_watch.read_directly(True)
+            await newcomer.start()
+            try:
+                await wait_until(lambda: newcomer.catalogue is not None)
+                self.assertFalse(newcomer.is_ready())
+                read.set()
+                await wait_until(newcomer.is_ready)
+            finally:
+                await newcomer.stop()
+
+
+class TestWayBack(unittest.IsolatedAsyncioTestCase):
+    async def test_lifted_request_runs_again(self):
+        async with run_routers() as (fleets, upstreams):
+            await make_dangerous(fleets)
+            store = fleets[0].store
+            holds = [fleet.router.crashes.holds for fleet in fleets]
+            await wait_until(
+                lambda: all(len(item) and not item._due for item in holds)
+            )
+            (row,) = list_rows(store)
+            store.remove(FLEET_TABLE, row)
+            await wait_until(
+                lambda: (
+                    not any(list_dangerous(fleet.router) for fleet in fleets)
+                )
+            )
+            before = count_crashes(upstreams)
+            await send_fatal(fleets[0], 'again')
+            self.assertGreater(count_crashes(upstreams), before)
+
+    async def test_held_request_may_run_once_more_in_the_whole_fleet(self):
+        async with run_routers() as (fleets, upstreams):
+            await make_dangerous(fleets)
+            holds = [fleet.router.crashes.holds for fleet in fleets]
+            await wait_until(lambda: all(len(item) for item in holds))
+            before = count_crashes(upstreams)
+            with mock.patch.object(
+                HoldRows, 'get_age', return_value=TRIAL_SECONDS
+            ):
+                await asyncio.gather(
+                    *(send_fatal(fleet, 'again') for fleet in fleets)
+                )
+            self.assertEqual(count_crashes(upstreams), before + 1)
+
+    async def test_one_that_ends_well_then_is_held_no_more(self):
+        async with run_routers() as (fleets, upstreams):
+            await make_dangerous(fleets)
+            holds = [fleet.router.crashes.holds for fleet in fleets]
+            await wait_until(lambda: all(len(item) for item in holds))
+            for upstream in upstreams:
+                upstream.fatal = b'something else'
+            with mock.patch.object(
+                HoldRows, 'get_age', return_value=TRIAL_SECONDS
+            ):
+                answer = await send_fatal(fleets[0], 'again')
+            await wait_until(lambda: not any(len(item) for item in holds))
+            last = await send_fatal(fleets[2], 'last')
+        self.assertEqual((answer.status, last.status), (200, 200))
+
+
+class TestInnocent(unittest.IsolatedAsyncioTestCase):
+    async def test_what_many_ask_for_is_not_held_for_a_herd(self):
+        # Identical requests are under way everywhere when upstreams die by
+        # themselves, again and again.
+        async with run_routers() as (fleets, upstreams):
+            for upstream in upstreams:
+                upstream.run_seconds = 0.1
+            answers = []
+            for _ in range(3):
+                calls = [
+                    asyncio.create_task(
+                        fleet.call('/safe/a', method='POST', body=b'popular')
+                    )
+                    for fleet in fleets
+                    for _ in range(6)
+                ]
+                await asyncio.sleep(0.05)
+                for upstream in upstreams[:5]:
+                    upstream.begin_crash()
+                answers += await asyncio.gather(*calls)
+                await wait_until(
+                    lambda: all(
+                        len(fleet.router.directory.list_fit('plain'))
+                        == UPSTREAMS
+                        for fleet in fleets
+                    )
+                )
+                answers += [
+                    await fleet.call('/safe/a', method='POST', body=b'popular')
+                    for fleet in fleets
+                ]
+            held = [list_dangerous(fleet.router) for fleet in fleets]
+        self.assertEqual(held, [[], [], []])
+        self.assertIn(200, {answer.status for answer in answers[-3:]})
+
+
+def list_rows(store):
+    """Return the keys of the rows of held requests."""
+    return [
+        key
+        for key, row in store.rows._rows.get(FLEET_TABLE, {}).items()
+        if key.startswith('held/') and row.value is not None
+    ]
--- a/tests/support/crashing_upstream.py
+++ b/tests/support/crashing_upstream.py
@@ -32,7 +32,9 @@
 class CrashingUpstream(FleetUpstreamStandin):
     """Ends with all its connections, and starts again under its name.
 
-    :ivar crashed: ids of the requests that crashed it.
+    :ivar crashed: ids of the requests that would crash it.
+    :ivar crashes: how often it was crashed.
+    :ivar fatal: a body that begins so crashes it.
     :ivar away_seconds: from a crash to its next start.
     :ivar run_seconds: that a request runs before it ends, either way.
     """
@@ -46,8 +48,10 @@
     ) -> None:
         super().__init__(instance)
         self.crashed: list[str] = []
+        self.crashes = 0
         self.away_seconds = away_seconds
         self.run_seconds = run_seconds
+        self.fatal = FATAL
         self._store = store
         self._starts = 0
         self._restarts: set[asyncio.Task[None]] = set()
@@ -89,6 +93,10 @@
 
     def begin_crash(self) -> None:
         """Crash, without waiting for the next start."""
+        if self._restarts:
+            # It has crashed already, under another request.
+            return
+        self.crashes += 1
         restart = asyncio.create_task(self.crash())
         self._restarts.add(restart)
         restart.add_done_callback(self._restarts.discard)
@@ -106,7 +114,7 @@
             if run.head.get_header('request-id') == request_id
         ][-1:]
         await asyncio.sleep(self.run_seconds)
-        if body.startswith(FATAL):
+        if body.startswith(self.fatal):
             self.crashed.append(request_id)
             self.begin_crash()
             raise CallerGone('crashed by a request')
