The pause after a failed read of a table grows until one succeeds

Cause: it was set back to 0.1 s before the result of the read was looked at. Ruled out: nothing else; the listed test shows it.

--- a/src/lifttrestle/internal/fleet/state/table_watch.py
+++ b/src/lifttrestle/internal/fleet/state/table_watch.py
@@ -142,8 +142,8 @@
             finally:
                 self._reading.cancel()
             try:
-                pause = FIRST_PAUSE_SECONDS
                 news = not self._reading.cancelled() and self._reading.result()
+                pause = FIRST_PAUSE_SECONDS
                 if news and self._rest_seconds:
                     await self._clock.sleep(self._rest_seconds)
             except PlatformUnavailable as error:
