--- a/src/lifttrestle/internal/fleet/crashes/holds.py
+++ b/src/lifttrestle/internal/fleet/crashes/holds.py
@@ -130,7 +130,7 @@
         # A write that was to follow must not bring it back.
         self._due.pop(digest, None)
         self._held.pop(digest, None)
-        LOG.warning('request.lifted', digest=row.key)
+        LOG.warning('hold.lifted', digest=row.key)
         self.tell_lifted(digest)
 
     def write_later(
--- a/src/lifttrestle/internal/fleet/crashes/memory.py
+++ b/src/lifttrestle/internal/fleet/crashes/memory.py
@@ -159,7 +159,7 @@
         cleared = self._ledger.note_good_end(digest)
         held = self.holds.get(digest) is not None
         if cleared:
-            LOG.info('request.cleared', digest=build_key(digest))
+            LOG.info('hold.cleared', digest=build_key(digest))
             self.telling.tell(digest)
         if held:
             self.holds.write_later(digest, 0.0, None)
@@ -189,7 +189,7 @@
         if not self._ledger.note_crashes(digest, [start]):
             return
         LOG.info(
-            'request.crashed_upstream',
+            'crash.noted',
             digest=build_key(digest),
             crashed=self._ledger.count_crashed(digest),
         )
@@ -217,7 +217,7 @@
         origin = self._origins.get(digest, UNKNOWN_ORIGIN)
         crashed = self._ledger.count_crashed(digest)
         LOG.warning(
-            'request.held',
+            'hold.begun',
             digest=build_key(digest),
             crashed=crashed,
             workspace=origin.workspace,
