Control tasks, node settings and a play's pause each have one place; few remove a row

Ruled out: nothing. Before: n removals of one row, n - 1 of them refused (read). Conclusion: no other behaviour changes.

--- a/src/lifttrestle/internal/cli/fleet_router.py
+++ b/src/lifttrestle/internal/cli/fleet_router.py
@@ -14,20 +14,20 @@
 
 import argparse
 import gc
-import os
 import pathlib
 import random
 import sys
 
 from returns.result import Failure
 
-from lifttrestle.errors import SettingsInvalid
+from lifttrestle.internal.cli.node_file import find_node_file
+from lifttrestle.internal.cli.node_file import load_node_settings
+from lifttrestle.internal.cli.node_file import SETTINGS_HELP
 from lifttrestle.internal.cli.signals import ignore_hangup
 from lifttrestle.internal.cli.signals import ignore_signals
 from lifttrestle.internal.clock.elapsed import run_main
 from lifttrestle.internal.clock.system import SystemClock
 from lifttrestle.internal.fleet.settings import FleetSettings
-from lifttrestle.internal.platform.names import SETTINGS_VARIABLE
 from lifttrestle.internal.platform.node_settings import check_node_settings
 from lifttrestle.internal.settings.sections import StatsdSection
 from lifttrestle.internal.telemetry.event_log import get_event_log
@@ -54,7 +54,7 @@
         type=pathlib.Path,
         nargs='?',
         metavar='SETTINGS',
-        help=f'the file that the platform wrote (${SETTINGS_VARIABLE})',
+        help=SETTINGS_HELP,
     )
     parser.add_argument(
         '--metrics-port',
@@ -74,14 +74,8 @@
 
 def run(options: argparse.Namespace) -> int:
     """Run until a signal; exit 0 if every request was ended, without fault."""
-    path = options.settings or pathlib.Path(
-        os.environ.get(SETTINGS_VARIABLE, '')
-    )
-    result = check_node_settings(path, options.metrics_port)
-    if isinstance(result, Failure):
-        lines = [str(fault) for fault in result.failure()]
-        raise SettingsInvalid('\n'.join(lines))
-    settings = result.unwrap()
+    path = find_node_file(options.settings)
+    settings = load_node_settings(path, options.metrics_port)
     ignore_hangup()
     sink = start_event_sink(sys.stdout, SystemClock(), settings.vm, 'info')
     try:
--- a/src/lifttrestle/internal/cli/held.py
+++ b/src/lifttrestle/internal/cli/held.py
@@ -15,17 +15,17 @@
 import argparse
 import asyncio
 import datetime
-import os
 import pathlib
 import sys
 
 import msgspec
-from returns.result import Failure
 
 from lifttrestle.errors import ConditionFailed
 from lifttrestle.errors import PlatformUnavailable
-from lifttrestle.errors import SettingsInvalid
 from lifttrestle.internal.cli.faults import report_fault
+from lifttrestle.internal.cli.node_file import find_node_file
+from lifttrestle.internal.cli.node_file import load_node_settings
+from lifttrestle.internal.cli.node_file import SETTINGS_HELP
 from lifttrestle.internal.clock.system import SystemClock
 from lifttrestle.internal.fleet.crashes.held_row import HELD_PREFIX
 from lifttrestle.internal.fleet.crashes.held_row import HeldRow
@@ -36,8 +36,6 @@
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.http.address import check_address
 from lifttrestle.internal.http.json_client import JsonClient
-from lifttrestle.internal.platform.names import SETTINGS_VARIABLE
-from lifttrestle.internal.platform.node_settings import check_node_settings
 from lifttrestle.internal.platform.row_store import PlatformRowStore
 
 EXIT_OK = 0
@@ -60,7 +58,7 @@
         type=pathlib.Path,
         default=None,
         metavar='SETTINGS',
-        help=f"a router's settings file (${SETTINGS_VARIABLE})",
+        help=SETTINGS_HELP,
     )
     parser.add_argument(
         '--json', action='store_true', help='print JSON for programs'
@@ -76,14 +74,8 @@
 
 def run(options: argparse.Namespace) -> int:
     """List what is held, or lift one; exit 1 if that one is not held."""
-    path = options.settings or pathlib.Path(
-        os.environ.get(SETTINGS_VARIABLE, '')
-    )
-    result = check_node_settings(path)
-    if isinstance(result, Failure):
-        lines = [str(fault) for fault in result.failure()]
-        raise SettingsInvalid('\n'.join(lines))
-    address = check_address(result.unwrap().store.address)
+    settings = load_node_settings(find_node_file(options.settings))
+    address = check_address(settings.store.address)
     store = PlatformRowStore(JsonClient(address, SystemClock(), STORE_SECONDS))
     try:
         if options.lift:
--- a/src/lifttrestle/internal/fleet/crashes/memory.py
+++ b/src/lifttrestle/internal/fleet/crashes/memory.py
@@ -210,9 +210,12 @@
             return
         if tell:
             self.telling.tell(digest)
+        seen_here = digest in self._origins
+        writes = seen_here or self.telling.is_counter(digest)
         if not dangerous:
             # Nothing is written of it, or what was written goes.
-            self.holds.write_later(digest, 0.0, None)
+            if writes:
+                self.holds.write_later(digest, 0.0, None)
             return
         origin = self._origins.get(digest, UNKNOWN_ORIGIN)
         crashed = self._ledger.count_crashed(digest)
@@ -223,9 +226,8 @@
             workspace=origin.workspace,
             route=origin.route,
         )
-        seen_here = digest in self._origins
-        if not seen_here and not self.telling.is_counter(digest):
-            # Others write it; a whole fleet would ask a store that is away.
+        if not writes:
+            # Others do; a whole fleet would ask a store that is away.
             return
         row = build_held(
             self._clock, origin.workspace, origin.route, crashed, self._vm
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -23,6 +23,7 @@
 
 from lifttrestle.internal.clock.beat import Beat
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.control_tasks import ControlTasks
 from lifttrestle.internal.fleet.crashes.memory import CrashMemory
 from lifttrestle.internal.fleet.crashes.messages import CrashNews
 from lifttrestle.internal.fleet.gauges import watch_parts
@@ -107,9 +108,8 @@
         self._format = stored_format
         self.beat = Beat(clock, source.random())
         self._stop = asyncio.Event()
-        self._failed = False
         self._reload = asyncio.Event()
-        self._control: list[asyncio.Task[None]] = []
+        self._control = ControlTasks(self._stop.set)
         self.callers_address = Address('', 0)
         self.ready_address = Address('', 0)
         metrics = FleetMetrics()
@@ -325,10 +325,10 @@
             loop.add_signal_handler(number, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self.request_reload)
         await self.start()
-        self._control += [self._begin_control(work) for work in beside]
+        self._control.begin(*beside)
         await self._stop.wait()
         whole = await self.stop()
-        return whole and not self._failed
+        return whole and not self._control.failed
 
     async def follow_settings(self, read: SettingsReader) -> None:
         """Apply the settings whenever they change, for ever.
@@ -375,7 +375,7 @@
         )
         prober = ReachProber(self._directory, self.stores, self._clock)
         prober.tell_probed = self.crashes.losses.note_probed
-        work = (
+        self._control.begin(
             self.relays.run(self.beat),
             self._operator_watch.run(),
             self._upstreams_watch.run(),
@@ -387,16 +387,13 @@
             self._peer_loads.run(),
             self.crashes.run(self.beat),
         )
-        self._control = [self._begin_control(item) for item in work]
 
     async def stop(self) -> bool:
         """Stop in the order that cuts no request; return if none was cut."""
         whole = await stop_in_order(self._parts, self._callers)
         await self._probes.stop(0)
         await self._metrics.stop(0)
-        for task in self._control:
-            task.cancel()
-        await asyncio.gather(*self._control, return_exceptions=True)
+        await self._control.end()
         self._peer_loads.close()
         await self.relay_server.close()
         self._directory.close()
@@ -404,21 +401,6 @@
         self.store.close()
         return whole
 
-    def _begin_control(
-        self, work: Coroutine[None, None, None]
-    ) -> 'asyncio.Task[None]':
-        """Do work that ends with the process, and never before."""
-        task = asyncio.create_task(work)
-        task.add_done_callback(self._note_control_end)
-        return task
-
-    def _note_control_end(self, task: 'asyncio.Task[None]') -> None:
-        if task.cancelled():
-            return
-        LOG.critical('router.control_failed', exc_info=task.exception())
-        self._failed = True
-        self._stop.set()
-
 
 def _make_limits(catalogue: Catalogue | None) -> HttpLimits:
     if catalogue is None:
--- a/tests/cover/test_platform_boundary.py
+++ b/tests/cover/test_platform_boundary.py
@@ -21,7 +21,7 @@
 SOURCE = pathlib.Path(__file__).resolve().parents[2] / 'src' / 'lifttrestle'
 FOLDER = SOURCE / 'internal' / 'platform'
 # The part of the program that puts everything together.
-ROOTS = ('fleet_router.py', 'check.py', 'held.py')
+ROOTS = ('fleet_router.py', 'check.py', 'held.py', 'node_file.py')
 PACKAGE = 'lifttrestle.internal.platform'
 # Headers of the web's own standards, or that the product's API has as well.
 STANDARD = {'authorization', 'last-event-id', 'tenant', 'model'}
--- a/tests/support/crash_play.py
+++ b/tests/support/crash_play.py
@@ -13,7 +13,6 @@
 """One play of requests that crash upstreams, before killed routers."""
 
 import asyncio
-import contextlib
 import dataclasses
 import pathlib
 import random
@@ -28,6 +27,7 @@
 from tests.support.fleet import CONFIGURATION
 from tests.support.fleet_store import FleetStoreStandin
 from tests.support.soak_records import Record
+from tests.support.soak_records import rest
 from tests.support.soak_router import SoakRouter
 
 # What the fleet may make of what it knows: after three upstreams have crashed
@@ -195,7 +195,7 @@
             if status in (0, 502):
                 # A caller repeats what failed, at once.
                 await self._call(source, body)
-            await self._rest(source.uniform(0.2, 1.2))
+            await rest(self._done, source.uniform(0.2, 1.2))
 
     async def _send_sound(self, number: int) -> None:
         source = self._get_source(f'caller {number}')
@@ -209,38 +209,34 @@
             if HELD in body:
                 times = outcome.wronged.setdefault(sent, [])
                 times.append(time.monotonic())
-            await self._rest(source.uniform(0.0, 0.1))
+            await rest(self._done, source.uniform(0.0, 0.1))
 
     async def _kill_routers(self) -> None:
         source = self._get_source('kills')
         while not self._done.is_set():
-            await self._rest(source.uniform(1.0, 4.0))
+            await rest(self._done, source.uniform(1.0, 4.0))
             count = source.choice((1, 1, 2, ROUTERS))
             killed = source.sample(self._routers, count)
             for router in killed:
                 router.kill()
-            await self._rest(source.uniform(0.0, 0.5))
+            await rest(self._done, source.uniform(0.0, 0.5))
             await asyncio.gather(*(router.start() for router in killed))
 
     async def _disturb_store(self) -> None:
         source = self._get_source('store')
         while not self._done.is_set():
-            await self._rest(source.uniform(1.0, 4.0))
+            await rest(self._done, source.uniform(1.0, 4.0))
             self._store.writable.clear()
-            await self._rest(source.uniform(0.3, 1.0))
+            await rest(self._done, source.uniform(0.3, 1.0))
             self._store.writable.set()
 
     async def _lose_herds(self) -> None:
         source = self._get_source('herds')
         while not self._done.is_set():
-            await self._rest(source.uniform(1.0, 4.0))
+            await rest(self._done, source.uniform(1.0, 4.0))
             for upstream in source.sample(self._upstreams, UPSTREAMS // 2):
                 upstream.begin_crash()
 
-    async def _rest(self, seconds: float) -> None:
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._done.wait(), seconds)
-
     def _judge(self) -> None:
         outcome = self._outcome
         outcome.crashes = sum(item.crashes for item in self._upstreams)
--- a/tests/support/soak_play.py
+++ b/tests/support/soak_play.py
@@ -13,7 +13,6 @@
 """One play of a soak: routers, stand-ins, callers, stops and a bad store."""
 
 import asyncio
-import contextlib
 import dataclasses
 import pathlib
 import random
@@ -28,6 +27,7 @@
 from tests.support.soak_caller import SoakCaller
 from tests.support.soak_caller import Wish
 from tests.support.soak_records import Record
+from tests.support.soak_records import rest
 from tests.support.soak_router import SoakRouter
 from tests.support.soak_rules import find_faults
 from tests.support.soak_upstream import PacedUpstream
@@ -207,7 +207,7 @@
     async def _disturb_store(self) -> None:
         source = self._get_source('store')
         while not self._done.is_set():
-            await self._rest(source.uniform(0.3, 2.0))
+            await rest(self._done, source.uniform(0.3, 2.0))
             if source.random() < 0.5:
                 self._record.tell('the store answers no writes')
                 self._store.writable.clear()
@@ -215,15 +215,11 @@
                 self._record.tell('the store is slow')
                 delay = source.uniform(0.05, 0.3)
                 self._store.server.faults = Faults(delay_seconds=delay)
-            await self._rest(source.uniform(0.5, 2.5))
+            await rest(self._done, source.uniform(0.5, 2.5))
             self._store.writable.set()
             self._store.server.faults = Faults()
             self._record.tell('the store is well')
 
-    async def _rest(self, seconds: float) -> None:
-        with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._done.wait(), seconds)
-
 
 async def play(case: Case) -> Outcome:
     """Play one case."""
--- a/tests/support/soak_records.py
+++ b/tests/support/soak_records.py
@@ -12,7 +12,9 @@
 
 """What a soak of planned stops has seen, for its rules to judge."""
 
+import asyncio
 import collections
+import contextlib
 import dataclasses
 import enum
 import time
@@ -20,6 +22,12 @@
 PROMISING = (408, 421, 429, 503)
 
 
+async def rest(done: asyncio.Event, seconds: float) -> None:
+    """Return after some seconds, or when the play is done."""
+    with contextlib.suppress(TimeoutError):
+        await asyncio.wait_for(done.wait(), seconds)
+
+
 class Kind(enum.Enum):
     """How one try of a request ended for its caller."""
 
