--- a/src/lifttrestle/internal/fleet/crashes/held_row.py
+++ b/src/lifttrestle/internal/fleet/crashes/held_row.py
@@ -39,9 +39,14 @@
     trials: int = 0
 
 
+def name_request(digest: int) -> str:
+    """Return how a digest is written in logs, rows and answers."""
+    return f'{digest:016x}'
+
+
 def build_key(digest: int) -> str:
     """Return the key of a request's row."""
-    return f'{HELD_PREFIX}{digest:016x}'
+    return f'{HELD_PREFIX}{name_request(digest)}'
 
 
 def read_key(key: str) -> int:
--- a/src/lifttrestle/internal/fleet/crashes/holds.py
+++ b/src/lifttrestle/internal/fleet/crashes/holds.py
@@ -29,6 +29,7 @@
 from lifttrestle.internal.fleet.crashes.held_row import build_key
 from lifttrestle.internal.fleet.crashes.held_row import HELD_PREFIX
 from lifttrestle.internal.fleet.crashes.held_row import HeldRow
+from lifttrestle.internal.fleet.crashes.held_row import name_request
 from lifttrestle.internal.fleet.crashes.held_row import read_held
 from lifttrestle.internal.fleet.crashes.held_row import read_key
 from lifttrestle.internal.fleet.crashes.held_row import write_held
@@ -130,7 +131,7 @@
         # A write that was to follow must not bring it back.
         self._due.pop(digest, None)
         self._held.pop(digest, None)
-        LOG.warning('hold.lifted', digest=row.key)
+        LOG.warning('hold.lifted', digest=name_request(digest))
         self.tell_lifted(digest)
 
     def write_later(
@@ -168,7 +169,7 @@
         except PlatformUnavailable as error:
             LOG.warning(
                 'hold.not_written',
-                digest=build_key(digest),
+                digest=name_request(digest),
                 reason=str(error),
             )
             due.at = self._clock.monotonic() + due.pause
@@ -197,7 +198,7 @@
         except (ConditionFailed, PlatformUnavailable) as error:
             LOG.info('hold.trial_not_claimed', reason=str(error))
             return False
-        LOG.warning('hold.trial', digest=build_key(digest))
+        LOG.warning('hold.trial', digest=name_request(digest))
         return True
 
     async def _put(
--- a/src/lifttrestle/internal/fleet/crashes/loss_watch.py
+++ b/src/lifttrestle/internal/fleet/crashes/loss_watch.py
@@ -176,6 +176,7 @@
             return
         LOG.info(
             'upstream.loss_judged',
+            instance=loss.upstream.instance,
             start=start,
             sign=sign.name.lower(),
             state=loss.state.name.lower(),
--- a/src/lifttrestle/internal/fleet/crashes/memory.py
+++ b/src/lifttrestle/internal/fleet/crashes/memory.py
@@ -17,7 +17,7 @@
 
 from lifttrestle.internal.clock.beat import Beat
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.fleet.crashes.held_row import build_key
+from lifttrestle.internal.fleet.crashes.held_row import name_request
 from lifttrestle.internal.fleet.crashes.holds import build_held
 from lifttrestle.internal.fleet.crashes.holds import HoldRows
 from lifttrestle.internal.fleet.crashes.holds import MAX_HELD
@@ -159,7 +159,7 @@
         cleared = self._ledger.note_good_end(digest)
         held = self.holds.get(digest) is not None
         if cleared:
-            LOG.info('hold.cleared', digest=build_key(digest))
+            LOG.info('hold.cleared', digest=name_request(digest))
             self.telling.tell(digest)
         if held:
             self.holds.write_later(digest, 0.0, None)
@@ -190,7 +190,7 @@
             return
         LOG.info(
             'crash.noted',
-            digest=build_key(digest),
+            digest=name_request(digest),
             crashed=self._ledger.count_crashed(digest),
         )
         self.telling.tell(digest)
@@ -221,7 +221,7 @@
         crashed = self._ledger.count_crashed(digest)
         LOG.warning(
             'hold.begun',
-            digest=build_key(digest),
+            digest=name_request(digest),
             crashed=crashed,
             workspace=origin.workspace,
             route=origin.route,
--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -27,6 +27,7 @@
 from lifttrestle.internal.exchange.attempts import Verdict
 from lifttrestle.internal.exchange.progress import RequestEvent
 from lifttrestle.internal.exchange.progress import RequestProgress
+from lifttrestle.internal.fleet.crashes.held_row import name_request
 from lifttrestle.internal.fleet.crashes.loss_watch import StartSign
 from lifttrestle.internal.fleet.crashes.memory import RequestOrigin
 from lifttrestle.internal.fleet.parts import FleetParts
@@ -36,7 +37,6 @@
 from lifttrestle.internal.fleet.path.request_context import begin_request
 from lifttrestle.internal.fleet.path.request_context import RequestContext
 from lifttrestle.internal.fleet.path.request_digest import build_request_digest
-from lifttrestle.internal.fleet.path.request_digest import name_request
 from lifttrestle.internal.fleet.path.sending import RequestSender
 from lifttrestle.internal.fleet.path.story import build_admitted
 from lifttrestle.internal.fleet.path.story import build_chosen
--- a/src/lifttrestle/internal/fleet/path/request_context.py
+++ b/src/lifttrestle/internal/fleet/path/request_context.py
@@ -17,9 +17,9 @@
 from lifttrestle.errors import RequestRefused
 from lifttrestle.internal.exchange.progress import RequestProgress
 from lifttrestle.internal.exchange.progress import RequestState
+from lifttrestle.internal.fleet.crashes.held_row import name_request
 from lifttrestle.internal.fleet.parts import FleetParts
 from lifttrestle.internal.fleet.path.dialect import RequestFacts
-from lifttrestle.internal.fleet.path.request_digest import name_request
 from lifttrestle.internal.fleet.path.story import RequestStory
 from lifttrestle.internal.fleet.policy.admission import admit
 from lifttrestle.internal.fleet.policy.admission import Admitted
--- a/src/lifttrestle/internal/fleet/path/request_digest.py
+++ b/src/lifttrestle/internal/fleet/path/request_digest.py
@@ -52,8 +52,3 @@
         digest.update(SEPARATOR)
     digest.update(body)
     return int.from_bytes(digest.digest(), 'big')
-
-
-def name_request(digest: int) -> str:
-    """Return how a digest is written in logs and rows."""
-    return f'{digest:0{2 * DIGEST_BYTES}x}'
--- a/src/lifttrestle/internal/telemetry/explanation.py
+++ b/src/lifttrestle/internal/telemetry/explanation.py
@@ -29,6 +29,9 @@
 # Events of a router's beliefs; those of upstreams count if they were chosen.
 BELIEFS = ('view.', 'watch.', 'weights.', 'roster.', 'router.', 'log.')
 UPSTREAM = 'upstream.'
+# Events of a request by its digest, which may be of another try of it, and as
+# old as the hold that they tell of.
+SAME_REQUEST = ('crash.', 'hold.')
 # Fields that each line has and the story does not repeat.
 FRAME = ('at', 'vm', 'level', 'event', 'request', 'after_ms')
 
@@ -102,6 +105,9 @@
     mine = [step for step in steps if step.vm == line.vm]
     if not mine or line.event.startswith(REQUEST):
         return False
+    if line.event.startswith(SAME_REQUEST):
+        digests = {step.fields.get('digest') for step in mine}
+        return line.fields['digest'] in digests and line.at <= mine[-1].at
     began = mine[-1].at - mine[-1].after
     if not began - BEFORE <= line.at <= mine[-1].at + AFTER:
         return False
--- a/tests/cover/test_explain.py
+++ b/tests/cover/test_explain.py
@@ -49,6 +49,18 @@
 ]
 
 
+HELD_LINES = [
+    make_line(1.0, 'crash.noted', digest='d1', crashed=2),
+    make_line(1.1, 'hold.begun', digest='d1', crashed=3),
+    make_line(1.2, 'hold.begun', digest='d2', crashed=3),
+    make_line(1.3, 'hold.begun', vm='vm-2', digest='d1', crashed=3),
+    make_step(59.0, 'admitted', 0.2, digest='d1'),
+    make_step(59.0, 'refused', 0.3, kind='crashes_upstreams'),
+    make_step(59.0, 'ended', 0.4, outcome='crashes_upstreams'),
+    make_line(59.5, 'hold.lifted', digest='d1'),
+]
+
+
 class TestExplain(unittest.TestCase):
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
@@ -98,3 +110,11 @@
         code, _, err = self.run_command('r1', '/no/such.log')
         self.assertEqual(code, 2)
         self.assertIn('/no/such.log', err)
+
+    def test_held_request_is_explained_by_what_its_tries_did_before(self):
+        self.log.write_text('\n'.join(HELD_LINES))
+        code, out, _ = self.run_command('r1', str(self.log))
+        self.assertEqual(code, 0)
+        told = [line.split()[3] for line in out.splitlines()[2:]]
+        self.assertEqual(told[:2], ['crash.noted', 'hold.begun'])
+        self.assertEqual(out.count('hold.'), 1)
