--- a/src/lifttrestle/internal/fleet/crashes/judgement.py
+++ b/src/lifttrestle/internal/fleet/crashes/judgement.py
@@ -15,7 +15,8 @@
 The load that this answers: one request that crashes each upstream that begins
 to run it, and whose caller comes again, at any router. Three upstreams are
 away for some seconds each, with all that they had under way for others; the
-same load without this took all of five engines away, seven times in 80 s.
+same load without this took four or all of five engines away, seven times in
+70 s.
 """
 
 import collections
--- a/src/lifttrestle/internal/fleet/crashes/telling.py
+++ b/src/lifttrestle/internal/fleet/crashes/telling.py
@@ -32,7 +32,7 @@
 # would be told 37,800.
 COUNTERS = 5
 # The same is told so often, with this pause between: 3 in 100 datagrams are
-# lost on a bad link, and 3 in a million of such threes.
+# lost on a bad link, and 27 in a million of such threes.
 TELLS = 3
 TELL_SECONDS = 0.4
 # Items of one message: some 40 bytes each, of at most 8 KiB.
