Only a success clears a request

Cause: an upstream may reject what it has not begun to run, as it may fail it; its rejection counted as a good end. Ruled out: nothing. Before: a request under which two upstreams had crashed was cleared by a 413 (its test fails so, by waiting for the hold in vain). After: the test passes.

--- a/src/lifttrestle/internal/fleet/crashes/memory.py
+++ b/src/lifttrestle/internal/fleet/crashes/memory.py
@@ -153,8 +153,8 @@
     def note_good_end(self, digest: int) -> None:
         """Note that an upstream served a request.
 
-        Its own failure is no good end: an upstream may fail a request that it
-        has not begun to run.
+        A failure or rejection of its own is no good end: an upstream may
+        answer so before it begins to run a request.
         """
         cleared = self._ledger.note_good_end(digest)
         held = self.holds.get(digest) is not None
--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -56,6 +56,7 @@
 # After an engine has turned a request away, it is avoided until its entry or
 # the plan tells more.
 DECLINED_SECONDS = 0.15
+FIRST_ERROR = 400
 _TICKETS = itertools.count()
 
 
@@ -289,7 +290,9 @@
         except BaseException:
             connection.close()
             raise
-        self._parts.crashes.note_good_end(self._context.digest)
+        if answer.facts.status < FIRST_ERROR:
+            # An upstream may reject what it has not begun to run.
+            self._parts.crashes.note_good_end(self._context.digest)
         self._parts.metrics.count_attempt(self._context.service, 'good')
         upstream.breaker.note_success()
         upstream.pool.give_back(connection)
