Answers' limits are read and told in the log; nothing is decided by them yet

Before: the header was passed on unread. After: limit.named for each change at each router; a value that is no rate is told once a start, with value and remedy.

--- a/src/lifttrestle/internal/fleet/parts.py
+++ b/src/lifttrestle/internal/fleet/parts.py
@@ -19,6 +19,7 @@
 
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.crashes.memory import CrashMemory
+from lifttrestle.internal.fleet.limits.memory import UpstreamLimits
 from lifttrestle.internal.fleet.path.dialect import RequestDialect
 from lifttrestle.internal.fleet.policy.cache_sources import CacheSources
 from lifttrestle.internal.fleet.policy.retry_budget import SharedRetryBudget
@@ -48,6 +49,7 @@
     :ivar shutdown: the order to stop, if there was one.
     :ivar crashes: which requests must not run.
     :ivar usage: what workspaces have left of their caps.
+    :ivar limits: what upstreams in need take.
     :ivar note_load_change: is called when a load has changed by a lot.
     :ivar learn_loads: is awaited before an engine is chosen; a workspace
         whose use is to be known is passed.
@@ -69,6 +71,7 @@
     shutdown: Shutdown
     crashes: CrashMemory
     usage: UsageLedger
+    limits: UpstreamLimits
     note_load_change: Callable[[], None] = lambda: None
     learn_loads: Callable[[Workspace | None], Awaitable[None]] = _know_loads
     budgets: dict[str, SharedRetryBudget] = dataclasses.field(
--- a/src/lifttrestle/internal/fleet/path/attempt.py
+++ b/src/lifttrestle/internal/fleet/path/attempt.py
@@ -26,6 +26,7 @@
 from lifttrestle.internal.fleet.path.dialect import AnswerFacts
 from lifttrestle.internal.fleet.path.dialect import RequestDialect
 from lifttrestle.internal.fleet.path.request_context import PROMISING
+from lifttrestle.internal.fleet.policy.limit_belief import NamedLimit
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.fleet.state.upstream import SILENT_SECONDS
 from lifttrestle.internal.http.client_connection import ClientConnection
@@ -67,10 +68,12 @@
     request_id: str,
     patience: float | None,
     may_leave: Callable[[], bool],
+    note_limit: Callable[[NamedLimit], None],
 ) -> UpstreamAnswer:
     """Send a request and return the answer once its head is proved.
 
     :param patience: and ``may_leave`` as for ``await_sound``.
+    :param note_limit: is told what the upstream says of its limit.
     :raises UpstreamLost: if there is none; the request may have run.
     :raises UpstreamDeclined: if the upstream did not run the request.
     :raises WrongAnswer: if what came is not the upstream's answer.
@@ -84,6 +87,8 @@
         lambda: _read_own_head(dialect, connection, request_id),
     )
     _learn(upstream, answer.facts)
+    if _speaks_for(upstream, answer.facts, request_id):
+        note_limit(answer.facts.limit)
     if answer.facts.not_run or answer.facts.other_instance:
         await _finish_declined(connection)
         _note_other_start(upstream, answer.facts)
@@ -174,6 +179,16 @@
     )
 
 
+def _speaks_for(
+    upstream: FleetUpstream, facts: AnswerFacts, request_id: str
+) -> bool:
+    """Return whether an answer tells of the upstream that was meant."""
+    if facts.other_instance or facts.instance not in ('', upstream.instance):
+        return False
+    own = facts.proved and facts.request_id == request_id
+    return own or facts.not_run
+
+
 def _learn(upstream: FleetUpstream, facts: AnswerFacts) -> None:
     idle = facts.idle_seconds
     if idle is not None:
--- a/src/lifttrestle/internal/fleet/path/dialect.py
+++ b/src/lifttrestle/internal/fleet/path/dialect.py
@@ -20,6 +20,7 @@
 import dataclasses
 
 from lifttrestle.errors import RequestRefused
+from lifttrestle.internal.fleet.policy.limit_belief import NamedLimit
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.answer import Header
 from lifttrestle.internal.http.head import RequestHead
@@ -130,6 +131,7 @@
     :ivar weights: version of the weights in use, or None.
     :ivar leaving: the connection ends with this answer.
     :ivar idle_seconds: how long the connection may rest, or None.
+    :ivar limit: what it says of the rate that its upstream takes.
     """
 
     status: int
@@ -141,6 +143,7 @@
     encoded: bool
     weights: int | None
     idle_seconds: float | None
+    limit: NamedLimit
 
 
 class RequestDialect(abc.ABC):
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -28,6 +28,7 @@
 from lifttrestle.internal.fleet.crashes.messages import CrashNews
 from lifttrestle.internal.fleet.gauges import watch_parts
 from lifttrestle.internal.fleet.gauges import WatchedParts
+from lifttrestle.internal.fleet.limits.memory import UpstreamLimits
 from lifttrestle.internal.fleet.loads.engine_control import EngineControl
 from lifttrestle.internal.fleet.loads.weights_loader import WeightsLoader
 from lifttrestle.internal.fleet.parts import FleetParts
@@ -164,6 +165,7 @@
         losses.is_list_current = self._is_list_current
         self._directory.tell_ended = losses.note_ended
         self._usage = UsageLedger(clock, settings.promises, self._get_caps)
+        self._limits = UpstreamLimits(refusals)
         self._parts = FleetParts(
             settings=settings,
             clock=clock,
@@ -179,6 +181,7 @@
             shutdown=Shutdown(clock),
             crashes=self.crashes,
             usage=self._usage,
+            limits=self._limits,
         )
         self._loader = WeightsLoader(
             store,
--- a/src/lifttrestle/internal/platform/names.py
+++ b/src/lifttrestle/internal/platform/names.py
@@ -57,6 +57,8 @@
 # Which start of an upstream turned a request away.
 INSTANCE = 'instance-id'
 WEIGHTS = 'weight-versions'
+# Requests a second that an upstream takes from all routers together.
+LIMIT = 'server-limit'
 
 # Calls to an engine.
 REPORT_PATH = '/report'
--- a/src/lifttrestle/internal/platform/request_dialect.py
+++ b/src/lifttrestle/internal/platform/request_dialect.py
@@ -32,6 +32,7 @@
 from lifttrestle.internal.http.hop_headers import drop_hop_headers
 from lifttrestle.internal.http.hop_headers import read_keep_alive
 from lifttrestle.internal.platform import names
+from lifttrestle.internal.platform.upstream_limit import read_limit
 from lifttrestle.internal.refusal.answers import ANSWERS
 from lifttrestle.internal.refusal.kind import ErrorKind
 
@@ -104,6 +105,7 @@
             encoded=encoding.lower() != IDENTITY,
             weights=int(weights) if weights.isdecimal() else None,
             idle_seconds=read_keep_alive(head.get_header('keep-alive')),
+            limit=read_limit(head),
         )
 
     def select_answer_headers(self, head: ResponseHead) -> tuple[Header, ...]:
--- /dev/null
+++ b/src/lifttrestle/internal/platform/upstream_limit.py
@@ -0,0 +1,57 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Reads the rate that an upstream says it takes from all routers together.
+
+| what an answer bears | what it means |
+| --- | --- |
+| nothing | no limit is in force |
+| a decimal number, also zero, also with an exponent | that many a second |
+| the same number twice | the same |
+| two different ones, nothing between blanks, a word, a comma | a fault |
+| a sign, NaN, infinity, more than a float holds, 40 characters | a fault |
+
+A faulty value says nothing: it neither names a limit nor ends one.
+"""
+
+import math
+import re
+
+from lifttrestle.errors import InputRefused
+from lifttrestle.internal.fleet.policy.limit_belief import NamedLimit
+from lifttrestle.internal.http.head import ResponseHead
+from lifttrestle.internal.intake.fault import InputFault
+from lifttrestle.internal.platform import names
+
+MAX_CHARACTERS = 40
+DECIMAL = re.compile(r'[0-9]+(\.[0-9]*)?([eE][+-]?[0-9]{1,3})?')
+NO_LIMIT = NamedLimit()
+
+
+def read_limit(head: ResponseHead) -> NamedLimit:
+    """Return what an answer's head says of its upstream's limit."""
+    values = {value for key, value in head.headers if key == names.LIMIT}
+    if not values:
+        return NO_LIMIT
+    text = ', '.join(sorted(values))
+    if len(text) <= MAX_CHARACTERS and DECIMAL.fullmatch(text):
+        rate = float(text)
+        if math.isfinite(rate):
+            return NamedLimit(rate)
+    return NamedLimit(
+        fault=InputRefused(
+            InputFault.FIELD,
+            f'the limit {text[:MAX_CHARACTERS]!r} is no rate and is passed'
+            ' over; send one decimal number of requests a second, zero or'
+            ' more',
+        )
+    )
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -204,12 +204,13 @@
     promises: Promises,
     vm: str = 'front-a-1',
     clock: Clock | None = None,
+    data_centre: str = 'a',
 ) -> FleetRouterProcess:
     """Return a router that uses a store."""
     clock = clock or SystemClock()
     settings = FleetSettings(
         vm=vm,
-        data_centre='a',
+        data_centre=data_centre,
         callers_address='127.0.0.1:0',
         ready_address='127.0.0.1:0',
         metrics_address='',
--- a/tests/support/fleet_upstream.py
+++ b/tests/support/fleet_upstream.py
@@ -16,6 +16,7 @@
 import collections
 import dataclasses
 import enum
+import time
 
 import msgspec
 
@@ -72,6 +73,8 @@
     :ivar silenced: those of them that are answered no more, nor closed.
     :ivar left: ids of requests whose caller closed the connection.
     :ivar released: streams go on after their second event once it is set.
+    :ivar limit: what its answers name as the rate that it takes, or None.
+    :ivar arrived_at: when each of the arrivals came, monotonic seconds.
     """
 
     def __init__(self, instance: str) -> None:
@@ -86,6 +89,8 @@
         self.orders: list[dict[str, object]] = []
         self.released = asyncio.Event()
         self.released.set()
+        self.limit: str | None = None
+        self.arrived_at: list[float] = []
         limits = HttpLimits(idle_seconds=3600)
         self._server = HttpServer(self._handle, limits)
         self.address = Address('', 0)
@@ -109,6 +114,7 @@
             await self._take_order(connection, msgspec.json.decode(body))
             return
         self.arrivals.append(head)
+        self.arrived_at.append(time.monotonic())
         self.peers.add(connection.peer)
         behaviour = self.script.popleft() if self.script else Behaviour.GOOD
         if connection.peer in self.silenced:
@@ -214,7 +220,10 @@
         await connection.end_answer()
 
     def _echo(self, head: RequestHead) -> tuple[tuple[str, str], ...]:
-        return (('request-id', head.get_header('request-id')),)
+        echoed = (('request-id', head.get_header('request-id')),)
+        if self.limit is None:
+            return echoed
+        return (*echoed, ('server-limit', self.limit))
 
     async def _report(self, connection: ServerConnection) -> None:
         content = {
