Limits that upstreams name are kept over all routers, by permits

Cause: nobody decided by the limit; each router sent by place and load alone. The class of fault: a word to one router that binds the sum over all. Conclusion: one router of the upstream's data centre gives a permit for each send; it is told of limits by those that hear them, and tells all.

--- a/src/lifttrestle/internal/fleet/gauges.py
+++ b/src/lifttrestle/internal/fleet/gauges.py
@@ -17,6 +17,7 @@
 import functools
 
 from lifttrestle.internal.fleet.crashes.memory import CrashMemory
+from lifttrestle.internal.fleet.limits.memory import UpstreamLimits
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.relay_follower import RelayFollower
 from lifttrestle.internal.fleet.state.relay_server import RelayServer
@@ -37,6 +38,7 @@
     relay_server: RelayServer
     callers: HttpServer
     crashes: CrashMemory
+    limits: UpstreamLimits
 
 
 @dataclasses.dataclass(frozen=True)
@@ -84,6 +86,23 @@
         'Requests that run no more, as upstreams crashed under them.',
         lambda parts: len(parts.crashes.holds),
     ),
+    Gauge(
+        'limited_upstreams',
+        'Upstreams that get a request with a permit only.',
+        lambda parts: len(parts.limits),
+    ),
+    Gauge(
+        'limit_rate_lowest',
+        'The lowest limit in force, requests a second; -1 without any.',
+        lambda parts: min(
+            (
+                held.belief.rate
+                for held in parts.limits
+                if held.belief.rate is not None
+            ),
+            default=-1.0,
+        ),
+    ),
 )
 
 
--- a/src/lifttrestle/internal/fleet/limits/memory.py
+++ b/src/lifttrestle/internal/fleet/limits/memory.py
@@ -10,39 +10,164 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-"""What upstreams in need have named as the rate that they take."""
+"""Limits that upstreams in need name, kept over all routers.
 
+Nothing is sent to such an upstream without a permit, until its limit has
+ended and all was given back in steps.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterator
+
+from lifttrestle.internal.clock.beat import Beat
+from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.limits.book import LimitBook
+from lifttrestle.internal.fleet.limits.held_limit import HeldLimit
+from lifttrestle.internal.fleet.limits.keepers import LimitKeepers
+from lifttrestle.internal.fleet.limits.messages import LimitCall
+from lifttrestle.internal.fleet.limits.messages import LimitNews
+from lifttrestle.internal.fleet.limits.messages import PermitAnswer
+from lifttrestle.internal.fleet.limits.messages import PermitQuery
+from lifttrestle.internal.fleet.limits.permits import Permit
+from lifttrestle.internal.fleet.limits.permits import PermitDesk
+from lifttrestle.internal.fleet.limits.telling import LimitTelling
+from lifttrestle.internal.fleet.limits.telling import Send
+from lifttrestle.internal.fleet.policy.limit_belief import LimitSign
 from lifttrestle.internal.fleet.policy.limit_belief import NamedLimit
+from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.intake.refusals import InputRefusals
-from lifttrestle.internal.telemetry.event_log import get_event_log
 
-LOG = get_event_log('limits')
+# Between two looks at what is over and what is to be told again.
+LOOK_SECONDS = 0.5
+# Between two looks at whether others have told of their limits.
+SETTLE_LOOK_SECONDS = 0.05
+FREE = Permit(0.0)
+Hear = Callable[[type, Callable[..., None]], None]
 
 
 class UpstreamLimits:
-    """Notes what each answer says of its upstream's limit."""
+    """What a router asks before it sends, and tells after an answer."""
 
-    def __init__(self, refusals: InputRefusals) -> None:
+    def __init__(
+        self,
+        vm: str,
+        directory: UpstreamDirectory,
+        roster: Roster,
+        clock: Clock,
+        refusals: InputRefusals,
+    ) -> None:
+        self._clock = clock
         self._refusals = refusals
-        self._rates: dict[str, float] = {}
         self._told_faults: set[str] = set()
+        keepers = LimitKeepers(roster, clock)
+        self._book = LimitBook(keepers, clock)
+        self._telling = LimitTelling(
+            vm, self._book, keepers, directory, roster, clock
+        )
+        self._desk = PermitDesk(
+            vm, self._book, keepers, self._telling, directory, roster, clock
+        )
+
+    def connect(
+        self, hear: Hear, send: Send, count: Callable[[str], None]
+    ) -> None:
+        """Exchange messages with the other routers.
 
-    def note_answer(self, upstream: FleetUpstream, named: NamedLimit) -> None:
-        """Take in what an answer says; a fault is told once a start."""
-        start = upstream.start
+        :param hear: has a kind of message passed to a function.
+        :param send: sends a message to the router with a key.
+        :param count: is told of each question for a permit how it ended.
+        """
+        hear(LimitNews, self._telling.take_news)
+        hear(LimitCall, self._telling.take_call)
+        hear(PermitQuery, self._desk.take_query)
+        hear(PermitAnswer, self._desk.take_answer)
+        self._telling.send = send
+        self._desk.count = count
+
+    def __iter__(self) -> Iterator[HeldLimit]:
+        """Iterate over the limits for which permits are needed."""
+        return (held for held in self._book if held.needs_permits)
+
+    def __len__(self) -> int:
+        """Return for how many upstreams permits are needed."""
+        return sum(1 for _ in self)
+
+    def note_answer(
+        self, upstream: FleetUpstream, named: NamedLimit, sent_at: float
+    ) -> None:
+        """Take in what an answer says; a fault is told once a start.
+
+        :param sent_at: when its request was sent, monotonic seconds.
+        """
         if named.fault is not None:
-            if start not in self._told_faults:
-                self._told_faults.add(start)
-                self._refusals.note('limits', start, named.fault)
+            if upstream.start not in self._told_faults:
+                self._told_faults.add(upstream.start)
+                self._refusals.note('limits', upstream.start, named.fault)
             return
-        before = self._rates.get(start)
-        if named.rate == before:
+        if named.rate is None and self._book.get(upstream.digest) is None:
             return
-        if named.rate is None:
-            del self._rates[start]
-        else:
-            self._rates[start] = named.rate
-        LOG.info(
-            'limit.named', start=start, rate_per_s=named.rate, before=before
+        held = self._book.hold(upstream)
+        sign = LimitSign(named.rate, sent_at, self._clock.monotonic())
+        if self._book.note(held, sign, 'an answer'):
+            self._telling.tell_soon(held)
+
+    def forget(self, upstream: FleetUpstream) -> None:
+        """Believe nothing more of a start that is there no more."""
+        self._told_faults.discard(upstream.start)
+        self._book.forget(upstream)
+
+    def is_limited(self, upstream: FleetUpstream) -> bool:
+        """Return whether a request needs a permit to be sent there."""
+        return self._book.find_limited(upstream) is not None
+
+    def is_closed(self, upstream: FleetUpstream, rank: int) -> bool:
+        """Return whether a request is known to get no permit now."""
+        held = self._book.find_limited(upstream)
+        if held is None:
+            return False
+        return held.is_closed(rank, self._clock.monotonic())
+
+    def get_wait(self, upstream: FleetUpstream) -> float:
+        """Return the seconds until a permit may be asked for again."""
+        held = self._book.find_limited(upstream)
+        if held is None:
+            return 0.0
+        return max(held.closed_until - self._clock.monotonic(), 0.0)
+
+    async def ask(self, upstream: FleetUpstream, rank: int) -> Permit:
+        """Return whether one request may be sent now.
+
+        :param rank: of the request, as ``rank_request`` tells it.
+        """
+        held = self._book.find_limited(upstream)
+        if held is None:
+            return FREE
+        return await self._desk.ask(held, rank)
+
+    def is_settled(self) -> bool:
+        """Return whether others had the time to tell of their limits."""
+        return self._telling.is_settled()
+
+    async def run(self, beat: Beat) -> None:
+        """Tell and look again, for ever."""
+        await asyncio.gather(
+            self._telling.run(), self._run_looking(beat), self._settle()
         )
+
+    async def _settle(self) -> None:
+        while not self.is_settled():
+            await self._clock.sleep(SETTLE_LOOK_SECONDS)
+
+    async def _run_looking(self, beat: Beat) -> None:
+        while True:
+            await beat.wait(LOOK_SECONDS)
+            self.look()
+
+    def look(self) -> None:
+        """End recoveries that are over, and tell what is in force."""
+        for held in self._book.look():
+            self._telling.tell_soon(held)
+        self._telling.tell_regularly()
--- a/src/lifttrestle/internal/fleet/path/candidates.py
+++ b/src/lifttrestle/internal/fleet/path/candidates.py
@@ -18,6 +18,7 @@
 from lifttrestle.internal.fleet.policy.admission import get_urgency
 from lifttrestle.internal.fleet.policy.admission import get_wall
 from lifttrestle.internal.fleet.policy.engine_costs import Surroundings
+from lifttrestle.internal.fleet.policy.limit_permits import rank_request
 from lifttrestle.internal.fleet.policy.placement import choose_engine
 from lifttrestle.internal.fleet.policy.placement import choose_plain
 from lifttrestle.internal.fleet.policy.placement import Placement
@@ -42,6 +43,8 @@
         self._facts = facts
         # Until when an upstream is not to be tried again.
         self._tried: dict[str, float] = {}
+        # Of the request among those that want a permit, when last chosen.
+        self.rank = 0
 
     def exclude(
         self, upstream: FleetUpstream, until: float = FOR_EVER
@@ -49,14 +52,20 @@
         """Do not try an upstream again before ``until``."""
         self._tried[upstream.start] = until
 
-    def choose(self, admitted: Admitted, service: str) -> Placement | None:
-        """Return the best upstream, or None if none may serve now."""
+    def choose(
+        self, admitted: Admitted, service: str, *, repeated: bool
+    ) -> Placement | None:
+        """Return the best upstream, or None if none may serve now.
+
+        :param repeated: the request was sent before.
+        """
         parts = self._parts
         fit = [
             upstream
             for upstream in self.list_fit(admitted, service)
             if not upstream.reach.unreached
         ]
+        fit = self._select_open(fit, get_urgency(admitted), repeated)
         generation = self._facts.generation
         wanted = None
         if generation is not None:
@@ -81,6 +90,32 @@
             parts.source,
         )
 
+    def _select_open(
+        self, fit: list[FleetUpstream], urgency: int, repeated: bool
+    ) -> list[FleetUpstream]:
+        """Return the upstreams that may still take this request."""
+        limits = self._parts.limits
+        free = [item for item in fit if not limits.is_limited(item)]
+        if len(free) == len(fit):
+            return fit
+        self.rank = rank_request(
+            urgency, has_others=bool(free), repeated=repeated
+        )
+        if repeated and free:
+            return free
+        return [item for item in fit if not limits.is_closed(item, self.rank)]
+
+    def find_permit_seconds(self, service: str) -> float | None:
+        """Return when the first limited upstream may take one more request.
+
+        None if there are other reasons for which none may serve.
+        """
+        limits = self._parts.limits
+        left = self._list_left(service)
+        if not left or not all(limits.is_limited(item) for item in left):
+            return None
+        return min(limits.get_wait(item) for item in left)
+
     def list_fit(
         self, admitted: Admitted, service: str
     ) -> list[FleetUpstream]:
@@ -121,8 +156,12 @@
         One that takes no connections is known to be back by a probe only,
         later than a request may wait.
         """
-        return any(
-            self._tried.get(upstream.start) != FOR_EVER
-            and not upstream.reach.unreached
+        return bool(self._list_left(service))
+
+    def _list_left(self, service: str) -> list[FleetUpstream]:
+        return [
+            upstream
             for upstream in self._parts.directory.list_fit(service)
-        )
+            if self._tried.get(upstream.start) != FOR_EVER
+            and not upstream.reach.unreached
+        ]
--- a/src/lifttrestle/internal/fleet/path/sending.py
+++ b/src/lifttrestle/internal/fleet/path/sending.py
@@ -109,7 +109,7 @@
             request.facts.request_id,
             patience.seconds,
             patience.may_leave,
-            lambda named: parts.limits.note_answer(upstream, named),
+            lambda named: parts.limits.note_answer(upstream, named, sent_at),
         )
         parts.crashes.losses.note_answered(upstream, sent_at)
         self._note_answer(chosen, ticket, order, answer, sent_at)
--- a/src/lifttrestle/internal/fleet/path/story.py
+++ b/src/lifttrestle/internal/fleet/path/story.py
@@ -21,10 +21,12 @@
 import math
 
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.limits.permits import Permit
 from lifttrestle.internal.fleet.path.dialect import RequestFacts
 from lifttrestle.internal.fleet.path.dialect import UpstreamOrder
 from lifttrestle.internal.fleet.policy.admission import Admitted
 from lifttrestle.internal.fleet.policy.placement import Placement
+from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.fleet.usage.ledger import UsageFacts
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
@@ -114,6 +116,24 @@
     }
 
 
+def build_permit(
+    upstream: FleetUpstream, permit: Permit, rank: int
+) -> dict[str, object]:
+    """Return what the log tells of a limited upstream that was asked for.
+
+    :param rank: of the request among those that want a permit.
+    """
+    return {
+        'instance': upstream.instance,
+        'granted': not permit.wait,
+        'rate_per_s': permit.rate,
+        'age_ms': _to_milliseconds(permit.age),
+        'retry_ms': _to_milliseconds(permit.wait or None),
+        'rank': rank,
+        'keeper': permit.keeper,
+    }
+
+
 def build_chosen(placement: Placement) -> dict[str, object]:
     """Return what the log tells of the choice of an upstream."""
     return {
--- a/src/lifttrestle/internal/fleet/path/upstream_search.py
+++ b/src/lifttrestle/internal/fleet/path/upstream_search.py
@@ -17,12 +17,16 @@
 from lifttrestle.errors import RequestRefused
 from lifttrestle.internal.fleet.path.candidates import Candidates
 from lifttrestle.internal.fleet.path.request_context import RequestContext
+from lifttrestle.internal.fleet.path.story import build_permit
 from lifttrestle.internal.fleet.policy.placement import Placement
 from lifttrestle.internal.fleet.policy.shedding import find_hold_end
 from lifttrestle.internal.fleet.policy.shedding import judge_wait
+from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.refusal.kind import ErrorKind
 
 HELD_POLL_SECONDS = 0.01
+# Callers that no upstream takes are told to come back over this time at least.
+PERMIT_SPREAD_SECONDS = 0.5
 
 
 async def find_upstream(
@@ -42,10 +46,15 @@
     )
     held = False
     while True:
-        placement = candidates.choose(request.admitted, request.service)
+        placement = candidates.choose(
+            request.admitted, request.service, repeated=request.sends > 0
+        )
         if placement is not None:
             _check_queue(request, placement)
-            return placement
+            if await _get_permit(request, candidates, placement.upstream):
+                return placement
+            continue
+        _check_permits(request, candidates, until)
         waits = candidates.may_become_fit(request.service)
         if clock.monotonic() >= until or not waits:
             break
@@ -59,6 +68,44 @@
     )
 
 
+async def _get_permit(
+    request: RequestContext,
+    candidates: Candidates,
+    upstream: FleetUpstream,
+) -> bool:
+    """Return whether a request may be sent to an upstream now."""
+    limits = request.parts.limits
+    if not limits.is_limited(upstream):
+        return True
+    permit = await limits.ask(upstream, candidates.rank)
+    request.story.add(
+        'permit',
+        **build_permit(upstream, permit, candidates.rank),
+    )
+    return not permit.wait
+
+
+def _check_permits(
+    request: RequestContext, candidates: Candidates, until: float
+) -> None:
+    """Refuse at once what no upstream takes in time.
+
+    Callers that are refused together are told times that lie apart.
+    """
+    wait = candidates.find_permit_seconds(request.service)
+    if wait is None or request.parts.clock.monotonic() + wait <= until:
+        return
+    refused = request.give_up(
+        ErrorKind.NO_UPSTREAM,
+        'all upstreams name limits, and take no more requests for'
+        f' {wait:.2f} s',
+    )
+    if refused.retry_after:
+        spread = max(wait, PERMIT_SPREAD_SECONDS)
+        refused.retry_after = wait + request.parts.source.uniform(0, spread)
+    raise refused
+
+
 def _check_queue(request: RequestContext, placement: Placement) -> None:
     """Refuse at once what would only wait too long at the best engine."""
     if request.facts.generation is None or request.sends:
--- a/src/lifttrestle/internal/fleet/policy/limit_belief.py
+++ b/src/lifttrestle/internal/fleet/policy/limit_belief.py
@@ -10,9 +10,19 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-"""What answers prove of the rate that an upstream takes."""
+"""Decides what to believe of the rate that an upstream takes.
+
+The load that it answers: many requests are under way at an upstream when it
+begins to name a limit, changes it or names none any more, at several routers
+and for different times. Their answers arrive in another order than they were
+made in. Each was made between the moments at which its request was sent and
+the answer was heard. A lower limit counts if it may be the newest word; the
+end of a limit, and a higher one, only if they surely are.
+"""
 
 import dataclasses
+import enum
+import math
 
 from lifttrestle.errors import InputRefused
 
@@ -29,3 +39,69 @@
 
     rate: float | None = None
     fault: InputRefused | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class LimitSign:
+    """What an answer said, and when it was made, monotonic seconds.
+
+    :ivar begin: it was made at this time at the soonest.
+    :ivar end: and at this time at the latest.
+    """
+
+    rate: float | None
+    begin: float
+    end: float
+
+
+class LimitChange(enum.Enum):
+    """What a sign changes."""
+
+    NOTHING = 'nothing'
+    LEARNT = 'learnt'
+    CHANGED = 'changed'
+    ENDED = 'ended'
+
+
+@dataclasses.dataclass
+class LimitBelief:
+    """What is believed of one start of an upstream.
+
+    :ivar rate: in force, None without a limit.
+    :ivar named: the newest sign that named a limit; its end is minus infinity
+        before the first.
+    :ivar ended_at: when an answer without a limit was heard that ended one.
+    """
+
+    rate: float | None = None
+    named: LimitSign = LimitSign(None, -math.inf, -math.inf)
+    ended_at: float = -math.inf
+
+    def note(self, sign: LimitSign) -> LimitChange:
+        """Take in a sign; return what it changes."""
+        if sign.rate is None:
+            return self._note_none(sign)
+        if sign.begin < self.ended_at:
+            # It may have been under way while the limit was ended.
+            return LimitChange.NOTHING
+        before = self.rate
+        newer = sign.begin >= self.named.end
+        if before is not None and not newer and sign.rate > before:
+            return LimitChange.NOTHING
+        if before is not None and sign.end < self.named.begin:
+            return LimitChange.NOTHING
+        self.rate = sign.rate
+        if sign.end > self.named.end:
+            self.named = sign
+        if before is None:
+            return LimitChange.LEARNT
+        if before != sign.rate:
+            return LimitChange.CHANGED
+        return LimitChange.NOTHING
+
+    def _note_none(self, sign: LimitSign) -> LimitChange:
+        if self.rate is None or sign.begin < self.named.end:
+            return LimitChange.NOTHING
+        self.rate = None
+        self.ended_at = sign.end
+        return LimitChange.ENDED
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -57,6 +57,8 @@
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.fleet.state.shutdown import Shutdown
 from lifttrestle.internal.fleet.state.table_watch import TableWatch
+from lifttrestle.internal.fleet.state.upstream import FleetUpstream
+from lifttrestle.internal.fleet.state.upstream_entry import StartEnd
 from lifttrestle.internal.fleet.state.weights_view import WeightsView
 from lifttrestle.internal.fleet.stop_sequence import stop_in_order
 from lifttrestle.internal.fleet.usage.ledger import UsageLedger
@@ -161,11 +163,13 @@
             settings.heartbeat_seconds,
             refusals,
         )
+        self.limits = UpstreamLimits(
+            settings.vm, self._directory, self.roster, clock, refusals
+        )
         losses = self.crashes.losses
         losses.is_list_current = self._is_list_current
-        self._directory.tell_ended = losses.note_ended
+        self._directory.tell_ended = self._note_ended
         self._usage = UsageLedger(clock, settings.promises, self._get_caps)
-        self._limits = UpstreamLimits(refusals)
         self._parts = FleetParts(
             settings=settings,
             clock=clock,
@@ -181,7 +185,7 @@
             shutdown=Shutdown(clock),
             crashes=self.crashes,
             usage=self._usage,
-            limits=self._limits,
+            limits=self.limits,
         )
         self._loader = WeightsLoader(
             store,
@@ -206,6 +210,9 @@
         )
         self._peer_loads.hear(CrashNews, self.crashes.take_news)
         self.crashes.telling.send = self._peer_loads.send
+        self.limits.connect(
+            self._peer_loads.hear, self._peer_loads.send, metrics.count_permit
+        )
         self._parts.note_load_change = self._peer_loads.note_change
         self._parts.learn_loads = self._peer_loads.learn
         watches = [
@@ -215,9 +222,13 @@
         ]
         self.relay_server = RelayServer(watches, clock)
         self.relays = RelayFollower(watches, self.roster, clock)
-        # A router that does not know yet what is held would run it.
+        # A router that does not know yet what is held would run it, and one
+        # that knows no limits would send what upstreams do not take.
         self._ready = ReadyDoor(
-            self._parts, lambda: self._routers_watch.copy.loaded
+            self._parts,
+            lambda: (
+                self._routers_watch.copy.loaded and self.limits.is_settled()
+            ),
         )
         self._callers = HttpServer(
             CallersDoor(self._parts).handle, _make_limits(None)
@@ -232,6 +243,7 @@
                 self.relay_server,
                 self._callers,
                 self.crashes,
+                self.limits,
             ),
         )
         self._probes = HttpServer(self._ready.handle, _make_limits(None))
@@ -279,6 +291,10 @@
         self._weights.take(row)
         self.crashes.take_row(row)
 
+    def _note_ended(self, upstream: FleetUpstream, end: StartEnd) -> None:
+        self.crashes.losses.note_ended(upstream, end)
+        self.limits.forget(upstream)
+
     def _get_caps(self) -> dict[int, UsageCap]:
         """Return the caps in force by the digests of their workspaces."""
         catalogue = self._view.catalogue
@@ -400,6 +416,7 @@
             prober.run(self.beat),
             self._peer_loads.run(),
             self.crashes.run(self.beat),
+            self.limits.run(self.beat),
         )
 
     async def stop(self) -> bool:
--- a/src/lifttrestle/internal/fleet/state/load_messages.py
+++ b/src/lifttrestle/internal/fleet/state/load_messages.py
@@ -20,6 +20,10 @@
 import msgspec
 
 from lifttrestle.internal.fleet.crashes.messages import CrashNews
+from lifttrestle.internal.fleet.limits.messages import LimitCall
+from lifttrestle.internal.fleet.limits.messages import LimitNews
+from lifttrestle.internal.fleet.limits.messages import PermitAnswer
+from lifttrestle.internal.fleet.limits.messages import PermitQuery
 from lifttrestle.internal.fleet.usage.messages import LevelEntry
 from lifttrestle.internal.fleet.usage.messages import UsedEntry
 from lifttrestle.internal.intake.decoding import decode_msgpack
@@ -86,7 +90,8 @@
     levels: list[LevelEntry] | None = None
 
 
-LoadMessage = LoadReport | GroupSum | FleetSum | CrashNews
+LimitMessage = LimitNews | LimitCall | PermitQuery | PermitAnswer
+LoadMessage = LoadReport | GroupSum | FleetSum | CrashNews | LimitMessage
 
 
 def read_message(data: bytes) -> LoadMessage:
--- a/src/lifttrestle/internal/telemetry/fleet_metrics.py
+++ b/src/lifttrestle/internal/telemetry/fleet_metrics.py
@@ -68,6 +68,9 @@
         self._over_cap = self._make_counter(
             'over_cap', 'Requests refused over a usage cap.', ('workspace',)
         )
+        self._permits = self._make_counter(
+            'permits', 'Questions for a permit to send.', ('result',)
+        )
         self._over_cap_names: set[str] = set()
         self._seconds = self._make_histogram(
             'request_seconds', 'From the head of a request to its end.'
@@ -108,6 +111,10 @@
         known = workspace in self._over_cap_names
         self._over_cap.labels(workspace if known else OTHERS).inc()
 
+    def count_permit(self, result: str) -> None:
+        """Count a question for a permit by how it ended."""
+        self._permits.labels(result).inc()
+
     def count_connection(self, service: str, kept: bool) -> None:
         """Count a send by whether its connection was a kept one."""
         self._connections.labels(service, 'kept' if kept else 'new').inc()
