--- a/src/lifttrestle/internal/fleet/loads/engine_control.py
+++ b/src/lifttrestle/internal/fleet/loads/engine_control.py
@@ -13,11 +13,15 @@
 """Orders to and reports of engines, behind an interface."""
 
 import abc
+from collections.abc import Callable
 import dataclasses
 import enum
 
+from lifttrestle.internal.fleet.policy.limit_belief import NamedLimit
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 
+LimitNote = Callable[[FleetUpstream, NamedLimit, float], None]
+
 
 @dataclasses.dataclass(frozen=True)
 class EngineState:
@@ -66,8 +70,20 @@
     UNKNOWN = 'unknown'
 
 
+def _note_nowhere(
+    engine: FleetUpstream, named: NamedLimit, sent_at: float
+) -> None:
+    """Note nothing."""
+
+
 class EngineControl(abc.ABC):
-    """Calls engines; raises ``PlatformUnavailable`` without an answer."""
+    """Calls engines; raises ``PlatformUnavailable`` without an answer.
+
+    :ivar note_limit: is told what each answer says of its engine's limit,
+        and when the call was sent.
+    """
+
+    note_limit: LimitNote = staticmethod(_note_nowhere)
 
     @abc.abstractmethod
     async def read_state(self, engine: FleetUpstream) -> EngineState:
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -166,6 +166,7 @@
         self.limits = UpstreamLimits(
             settings.vm, self._directory, self.roster, clock, refusals
         )
+        control.note_limit = self.limits.note_answer
         losses = self.crashes.losses
         losses.is_list_current = self._is_list_current
         self._directory.tell_ended = self._note_ended
--- a/src/lifttrestle/internal/platform/engine_calls.py
+++ b/src/lifttrestle/internal/platform/engine_calls.py
@@ -29,6 +29,7 @@
 from lifttrestle.internal.platform import names
 from lifttrestle.internal.platform.records import read_born
 from lifttrestle.internal.platform.records import ReportRecord
+from lifttrestle.internal.platform.upstream_limit import read_limit
 
 STATUS_OK = 200
 # An engine whose runs finish first begins nothing for as long as the longest
@@ -108,4 +109,8 @@
         headers = [(names.EXPECT_INSTANCE, engine.instance)]
         if content is not None:
             headers.append(('content-type', 'application/json'))
-        return await client.call(method, path, content, tuple(headers))
+        sent_at = self._clock.monotonic()
+        answer = await client.call(method, path, content, tuple(headers))
+        if answer.status != names.STATUS_OTHER_INSTANCE:
+            self.note_limit(engine, read_limit(answer.headers), sent_at)
+        return answer
--- a/src/lifttrestle/internal/platform/names.py
+++ b/src/lifttrestle/internal/platform/names.py
@@ -54,6 +54,8 @@
 # Headers of answers.
 STAMP = 'server-stamp'
 NOT_RUN = 'not-executed'
+# Another start, or other weights, are where one was expected.
+STATUS_OTHER_INSTANCE = 421
 # Which start of an upstream turned a request away.
 INSTANCE = 'instance-id'
 WEIGHTS = 'weight-versions'
--- a/src/lifttrestle/internal/platform/request_dialect.py
+++ b/src/lifttrestle/internal/platform/request_dialect.py
@@ -38,7 +38,6 @@
 
 Number = typing.TypeVar('Number', int, float)
 MILLISECONDS = 1000
-STATUS_OTHER_INSTANCE = 421
 IDENTITY = 'identity'
 
 
@@ -100,12 +99,12 @@
             proved=bool(head.get_header(names.STAMP)),
             request_id=head.get_header(names.REQUEST_ID),
             not_run=bool(head.get_header(names.NOT_RUN)),
-            other_instance=head.status == STATUS_OTHER_INSTANCE,
+            other_instance=head.status == names.STATUS_OTHER_INSTANCE,
             instance=head.get_header(names.INSTANCE),
             encoded=encoding.lower() != IDENTITY,
             weights=int(weights) if weights.isdecimal() else None,
             idle_seconds=read_keep_alive(head.get_header('keep-alive')),
-            limit=read_limit(head),
+            limit=read_limit(head.headers),
         )
 
     def select_answer_headers(self, head: ResponseHead) -> tuple[Header, ...]:
--- a/src/lifttrestle/internal/platform/upstream_limit.py
+++ b/src/lifttrestle/internal/platform/upstream_limit.py
@@ -28,7 +28,7 @@
 
 from lifttrestle.errors import InputRefused
 from lifttrestle.internal.fleet.policy.limit_belief import NamedLimit
-from lifttrestle.internal.http.head import ResponseHead
+from lifttrestle.internal.http.answer import Header
 from lifttrestle.internal.intake.fault import InputFault
 from lifttrestle.internal.platform import names
 
@@ -37,9 +37,9 @@
 NO_LIMIT = NamedLimit()
 
 
-def read_limit(head: ResponseHead) -> NamedLimit:
-    """Return what an answer's head says of its upstream's limit."""
-    values = {value for key, value in head.headers if key == names.LIMIT}
+def read_limit(headers: tuple[Header, ...]) -> NamedLimit:
+    """Return what an answer's headers say of its upstream's limit."""
+    values = {value for key, value in headers if key == names.LIMIT}
     if not values:
         return NO_LIMIT
     text = ', '.join(sorted(values))
--- a/tests/cover/test_upstream_limit_header.py
+++ b/tests/cover/test_upstream_limit_header.py
@@ -14,7 +14,6 @@
 
 import unittest
 
-from lifttrestle.internal.http.head import ResponseHead
 from lifttrestle.internal.platform.upstream_limit import read_limit
 
 NAMED = {
@@ -45,37 +44,37 @@
 )
 
 
-def make_head(*values):
+def make_headers(*values):
     headers = tuple(('server-limit', value) for value in values)
-    return ResponseHead(200, (('request-id', 'r1'), *headers))
+    return (('request-id', 'r1'), *headers)
 
 
 class TestLimitHeader(unittest.TestCase):
     def test_answer_without_one_names_no_limit(self):
-        named = read_limit(make_head())
+        named = read_limit(make_headers())
         self.assertIsNone(named.rate)
         self.assertIsNone(named.fault)
 
     def test_decimal_numbers_are_rates(self):
         for text, rate in NAMED.items():
             with self.subTest(text):
-                named = read_limit(make_head(text))
+                named = read_limit(make_headers(text))
                 self.assertEqual(named.rate, rate)
                 self.assertIsNone(named.fault)
 
     def test_anything_else_is_told_with_its_remedy(self):
         for text in FAULTY:
             with self.subTest(text[:20]):
-                named = read_limit(make_head(text))
+                named = read_limit(make_headers(text))
                 self.assertIsNone(named.rate)
                 self.assertIn(text[:20], str(named.fault))
                 self.assertIn('send one decimal number', str(named.fault))
                 self.assertLess(len(str(named.fault)), 250)
 
     def test_two_that_agree_are_one(self):
-        self.assertEqual(read_limit(make_head('2', '2')).rate, 2.0)
+        self.assertEqual(read_limit(make_headers('2', '2')).rate, 2.0)
 
     def test_two_that_differ_are_a_fault(self):
-        named = read_limit(make_head('2', '3'))
+        named = read_limit(make_headers('2', '3'))
         self.assertIsNone(named.rate)
         self.assertIn('2, 3', str(named.fault))
--- a/tests/support/played_limits.py
+++ b/tests/support/played_limits.py
@@ -191,26 +191,41 @@
         super().__init__(play)
         self.limits: list[UpstreamLimits] = []
         self.directories: list[UpstreamDirectory] = []
-        rows = MemoryRows()
-        names = [f'router/r{n}' for n in range(play.settings.routers)]
+        self._rows = MemoryRows()
         self._tasks = []
         for number in range(play.settings.routers):
-            directory = self._make_directory()
-            place = play.get_place(number)
-            roster = Roster(rows, play.clock, f'r{number}', place)
-            roster.loaded = True
-            for other, name in enumerate(names):
-                row = RouterRow(play.get_place(other), '127.0.0.1:9')
-                value = msgspec.json.encode(row)
-                roster.take(VersionedRow(name, value, 1))
-            limits = UpstreamLimits(
-                f'r{number}', directory, roster, play.clock, InputRefusals()
-            )
-            self._connect(limits, number)
-            self.limits.append(limits)
-            self.directories.append(directory)
-            beat = Beat(play.clock, play.source.random())
-            self._tasks.append(asyncio.create_task(limits.run(beat)))
+            self.directories.append(self._make_directory())
+            self.limits.append(self._start(number))
+
+    def restart(self, number: int) -> None:
+        """Have a router begin anew, with its view of the upstreams."""
+        self._tasks[number].cancel()
+        self.limits[number] = self._start(number)
+
+    def _start(self, number: int) -> UpstreamLimits:
+        play = self.play
+        limits = UpstreamLimits(
+            f'r{number}',
+            self.directories[number],
+            self._make_roster(number),
+            play.clock,
+            InputRefusals(),
+        )
+        self._connect(limits, number)
+        beat = Beat(play.clock, play.source.random())
+        self._tasks.append(asyncio.create_task(limits.run(beat)))
+        return limits
+
+    def _make_roster(self, number: int) -> Roster:
+        play = self.play
+        place = play.get_place(number)
+        roster = Roster(self._rows, play.clock, f'r{number}', place)
+        roster.loaded = True
+        for other in range(play.settings.routers):
+            row = RouterRow(play.get_place(other), '127.0.0.1:9')
+            value = msgspec.json.encode(row)
+            roster.take(VersionedRow(f'router/r{other}', value, 1))
+        return roster
 
     def _make_directory(self) -> UpstreamDirectory:
         directory = UpstreamDirectory(PlatformFormat(), self.play.clock)
@@ -240,13 +255,14 @@
             lambda result: None,
         )
 
-    def _get(self, router, upstream):
+    def get_upstream(self, router, upstream):
+        """Return an upstream as one router knows it."""
         return self.directories[router].get(f'p{upstream}')
 
     async def may_send(self, router, upstream, has_others):
         """Ask for a permit."""
         limits = self.limits[router]
-        target = self._get(router, upstream)
+        target = self.get_upstream(router, upstream)
         rank = rank_request(URGENCY, has_others=has_others, repeated=False)
         if limits.is_closed(target, rank):
             return False
@@ -255,12 +271,14 @@
     def note_answer(self, router, upstream, rate, sent_at):
         """Take in what an answer names."""
         self.limits[router].note_answer(
-            self._get(router, upstream), NamedLimit(rate), sent_at
+            self.get_upstream(router, upstream), NamedLimit(rate), sent_at
         )
 
     def is_limited(self, router, upstream):
         """Return whether permits are needed."""
-        return self.limits[router].is_limited(self._get(router, upstream))
+        return self.limits[router].is_limited(
+            self.get_upstream(router, upstream)
+        )
 
     async def close(self):
         """End the routers' tasks."""
@@ -337,6 +355,11 @@
         await design.close()
         return self._judge(spent)
 
+    async def pass_time(self, seconds: float) -> None:
+        """Let time pass without a request."""
+        for _ in range(round(seconds / STEP_SECONDS)):
+            await self._step()
+
     def _draw(self, expected: float) -> int:
         whole = int(expected)
         return whole + (self.source.random() < expected - whole)
