Tests of whole routers before upstreams that name limits

Ruled out: nothing. After: what names a limit (each kind of answer, a stream's head, a report), what does not (an answer without its mark, a value that is no rate), refusals where nothing else is left, a start that asks before it is ready, gauges.

--- a/tests/nocover/test_upstream_limits.py
+++ b/tests/nocover/test_upstream_limits.py
@@ -12,8 +12,13 @@
 
 """Tests that all routers together keep the limits that upstreams name."""
 
+import contextlib
 import unittest
 
+from lifttrestle.internal.platform.engine_calls import PlatformEngineControl
+from tests.support.fleet import run_fleet
+from tests.support.fleet import wait_until
+from tests.support.fleet_upstream import Behaviour
 from tests.support.limited_fleet import count_fullest
 from tests.support.limited_fleet import find_allowed
 from tests.support.limited_fleet import get_now
@@ -41,3 +46,142 @@
             self.assertLessEqual(fullest, find_allowed(rate), name)
             late = count_fullest(times, named_at + TOLD_SECONDS + 0.5)
             self.assertLessEqual(late, find_allowed(rate), name)
+
+
+class TestWhereNothingElseIsLeft(unittest.IsolatedAsyncioTestCase):
+    async def test_what_no_upstream_takes_is_refused_at_once_as_not_run(self):
+        async with run_limited_fleet(routers=2, upstreams=2) as fleet:
+            for upstream in fleet.upstreams.values():
+                upstream.limit = '0.4'
+            await fleet.load(8, 40.0)
+            before = sum(len(u.runs) for u in fleet.upstreams.values())
+            answers = await fleet.load(40, 40.0)
+            after = sum(len(u.runs) for u in fleet.upstreams.values())
+        served = [answer for answer in answers if answer.status == 200]
+        refused = [answer for answer in answers if answer.status == 503]
+        self.assertEqual(len(served) + len(refused), 40)
+        self.assertEqual(after - before, len(served))
+        self.assertGreaterEqual(len(refused), 35)
+        for answer in refused:
+            self.assertIn(b'"ran":"not run"', answer.body)
+        waits = {dict(answer.headers)['retry-after'] for answer in refused}
+        self.assertGreater(len(waits), len(refused) // 2)
+        self.assertGreater(min(map(float, waits)), 0.01)
+
+    async def test_upstream_that_takes_nothing_is_left_alone(self):
+        async with run_limited_fleet(routers=2, upstreams=2) as fleet:
+            await fleet.load(8, 40.0)
+            busiest = fleet.upstreams[fleet.list_busiest()[0]]
+            busiest.limit = '0'
+            await fleet.load(8, 40.0)
+            before = len(busiest.arrivals)
+            answers = await fleet.load(80, 40.0)
+            after = len(busiest.arrivals)
+        self.assertEqual({answer.status for answer in answers}, {200})
+        self.assertLessEqual(after - before, 1)
+
+
+class TestWhatNamesALimit(unittest.IsolatedAsyncioTestCase):
+    @contextlib.asynccontextmanager
+    async def run_with(self, name, limit='1.5'):
+        async with run_fleet() as fleet:
+            fleet.upstreams[name].limit = limit
+            yield fleet
+
+    def list_limited(self, fleet):
+        return {
+            held.start.partition('@')[0]: held.belief.rate
+            for held in fleet.router.limits
+        }
+
+    async def test_each_answer_to_a_request_does(self):
+        for behaviour in (
+            Behaviour.GOOD,
+            Behaviour.DECLINE,
+            Behaviour.FAIL,
+            Behaviour.REJECT,
+        ):
+            with self.subTest(behaviour.name):
+                async with self.run_with('p1') as fleet:
+                    fleet.upstreams['p1'].script.extend([behaviour] * 8)
+                    for number in range(12):
+                        await fleet.call('/once/a', request_id=f'r{number}')
+                        if fleet.upstreams['p1'].arrivals:
+                            break
+                    self.assertEqual(self.list_limited(fleet), {'p1': 1.5})
+
+    async def test_head_of_a_stream_does(self):
+        async with run_fleet() as fleet:
+            for name in ('e1', 'e2'):
+                fleet.upstreams[name].limit = '2'
+            await fleet.generate('text')
+            self.assertEqual(set(self.list_limited(fleet).values()), {2.0})
+
+    async def test_report_and_answer_to_an_order_do(self):
+        async with self.run_with('e1') as fleet:
+            control = PlatformEngineControl(fleet.clock, 0.5)
+            control.note_limit = fleet.router.limits.note_answer
+            await control.read_state(fleet.router.directory.get('e1'))
+            self.assertEqual(self.list_limited(fleet), {'e1': 1.5})
+
+    async def test_answer_without_its_mark_does_not(self):
+        async with self.run_with('p1') as fleet:
+            for name in ('p1', 'p2'):
+                fleet.upstreams[name].limit = '1.5'
+                fleet.upstreams[name].script.append(Behaviour.UNSTAMPED)
+            await fleet.call('/once/a')
+            self.assertEqual(self.list_limited(fleet), {})
+
+    async def test_value_that_is_no_rate_takes_nothing_from_its_request(self):
+        async with run_fleet() as fleet:
+            for name in ('p1', 'p2'):
+                fleet.upstreams[name].limit = '-1'
+            answers = [
+                await fleet.call('/safe/a', request_id=f'r{number}')
+                for number in range(6)
+            ]
+            refused = fleet.router.registry.get_sample_value(
+                'lifttrestle_refused_input_total',
+                {'source': 'limits', 'fault': 'field'},
+            )
+            limited = self.list_limited(fleet)
+        self.assertEqual({answer.status for answer in answers}, {200})
+        self.assertEqual(limited, {})
+        self.assertIn(refused, (1.0, 2.0))
+
+    async def test_start_that_is_gone_is_believed_nothing_of(self):
+        async with self.run_with('p1') as fleet:
+            while not self.list_limited(fleet):
+                await fleet.call('/safe/a')
+                fleet.upstreams['p2'].script.append(Behaviour.DECLINE)
+            fleet.store.remove('servers', 'p1')
+            await wait_until(lambda: not self.list_limited(fleet))
+
+    async def test_gauges_and_counters_tell_of_it(self):
+        async with run_fleet() as fleet:
+            for name in ('p1', 'p2'):
+                fleet.upstreams[name].limit = '0.5'
+            for number in range(8):
+                await fleet.call('/safe/a', request_id=f'r{number}')
+            read = fleet.router.registry.get_sample_value
+            self.assertEqual(read('lifttrestle_limited_upstreams'), 2.0)
+            self.assertEqual(read('lifttrestle_limit_rate_lowest'), 0.5)
+            refused = read('lifttrestle_permits_total', {'result': 'refused'})
+            self.assertGreaterEqual(refused, 1.0)
+
+
+class TestRouterThatStarts(unittest.IsolatedAsyncioTestCase):
+    async def test_limits_are_known_once_it_is_ready(self):
+        async with run_limited_fleet(routers=3, upstreams=2) as fleet:
+            await fleet.load(9, 40.0)
+            name = fleet.list_busiest()[0]
+            fleet.upstreams[name].limit = '0.7'
+            await fleet.load(9, 40.0)
+            router = fleet.make_router('front-new')
+            await router.start()
+            try:
+                await wait_until(router.is_ready)
+                known = {held.belief.rate for held in router.limits}
+            finally:
+                await router.stop()
+        self.assertEqual(known, {0.7})
--- a/tests/support/fleet_upstream.py
+++ b/tests/support/fleet_upstream.py
@@ -22,12 +22,12 @@
 
 from lifttrestle.errors import CallerGone
 from lifttrestle.internal.http.address import Address
+from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.answer import Header
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.limits import HttpLimits
 from lifttrestle.internal.http.server import HttpServer
 from lifttrestle.internal.http.server_connection import ServerConnection
-from lifttrestle.internal.standin.server import send_json
 
 EVENTS = 5
 STAMP = '3e1b.07'
@@ -220,10 +220,11 @@
         await connection.end_answer()
 
     def _echo(self, head: RequestHead) -> tuple[tuple[str, str], ...]:
-        echoed = (('request-id', head.get_header('request-id')),)
-        if self.limit is None:
-            return echoed
-        return (*echoed, ('server-limit', self.limit))
+        echoed = ('request-id', head.get_header('request-id'))
+        return (echoed, *self._name_limit())
+
+    def _name_limit(self) -> tuple[Header, ...]:
+        return () if self.limit is None else (('server-limit', self.limit),)
 
     async def _report(self, connection: ServerConnection) -> None:
         content = {
@@ -231,14 +232,24 @@
             'busy': False,
             'seq_no': len(self.orders),
         }
-        await send_json(connection, content)
+        await self._send_json(connection, content)
+
+    async def _send_json(
+        self,
+        connection: ServerConnection,
+        content: dict[str, object],
+        status: int = 200,
+    ) -> None:
+        headers = (('content-type', 'application/json'), *self._name_limit())
+        body = msgspec.json.encode(content)
+        await connection.send_answer(Answer(status, headers, body))
 
     async def _take_order(
         self, connection: ServerConnection, order: dict[str, object]
     ) -> None:
         if order['expected'] != len(self.orders):
-            await send_json(connection, {}, 409)
+            await self._send_json(connection, {}, 409)
             return
         self.orders.append(order)
         self.weights = int(str(order['version']))
-        await send_json(connection, {}, 202)
+        await self._send_json(connection, {}, 202)
--- a/tests/support/limited_fleet.py
+++ b/tests/support/limited_fleet.py
@@ -19,6 +19,7 @@
 import time
 
 from lifttrestle.internal.fleet.process import FleetRouterProcess
+from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.http.answer import Answer
 from tests.support.fleet import CONFIGURATION
 from tests.support.fleet import Fleet
@@ -44,9 +45,16 @@
     """Routers, and the upstreams that name limits."""
 
     store: FleetStoreStandin
+    store_address: Address
     routers: list[FleetRouterProcess]
     upstreams: dict[str, FleetUpstreamStandin]
 
+    def make_router(self, vm: str) -> FleetRouterProcess:
+        """Return a router more, which has not begun yet."""
+        return make_router(
+            self.store_address, PROMISES, vm, data_centre=DATA_CENTRES[0]
+        )
+
     def view(self, number: int) -> Fleet:
         """Return the fleet as callers of one router see it."""
         router = self.routers[number % len(self.routers)]
@@ -109,6 +117,7 @@
     }
     fleet = LimitedFleet(
         store,
+        address,
         [
             make_router(
                 address,
