--- a/tests/support/crash_play.py
+++ b/tests/support/crash_play.py
@@ -19,13 +19,12 @@
 import tempfile
 import time
 
-from lifttrestle.errors import LifttrestleError
-from lifttrestle.internal.http.client_connection import ClientConnection
-from lifttrestle.internal.http.head import RequestHead
 from tests.support.crashing_upstream import CrashingUpstream
 from tests.support.crashing_upstream import FATAL
 from tests.support.fleet import CONFIGURATION
 from tests.support.fleet_store import FleetStoreStandin
+from tests.support.soak_call import call_router
+from tests.support.soak_call import SoakCall
 from tests.support.soak_records import Record
 from tests.support.soak_records import rest
 from tests.support.soak_router import SoakRouter
@@ -41,7 +40,6 @@
 UPSTREAMS = 6
 ROUTERS = 3
 PLAY_SECONDS = 12.0
-WAIT_SECONDS = 10.0
 HELD = b'crashes_upstreams'
 # What many ask for, and has ended well nowhere yet, can't be told from what
 # crashes upstreams when three of them crash under it in the first moments. It
@@ -166,25 +164,9 @@
     ) -> tuple[int, bytes]:
         """Send a request to some router; status 0 if there is no answer."""
         address = source.choice(self._routers).address
-        headers = (
-            ('host', 'shop.example'),
-            ('request-id', f'{source.getrandbits(64):x}'),
-            ('authorization', 'Token k1'),
-        )
-        connection = None
-        try:
-            async with asyncio.timeout(WAIT_SECONDS):
-                connection = await ClientConnection.open(address, 1.0)
-                head = RequestHead('POST', '/safe/a', headers)
-                await connection.send_request(head, body)
-                answer = await connection.read_head()
-                return answer.status, await connection.read_body(100_000)
-        except (LifttrestleError, TimeoutError):
-            # A router that was killed.
-            return 0, b''
-        finally:
-            if connection is not None:
-                connection.close()
+        name = f'{source.getrandbits(64):x}'
+        answer = await call_router(SoakCall(address, name, body=body))
+        return (answer.status, answer.body) if answer else (0, b'')
 
     async def _send_fatal(self, body: bytes) -> None:
         source = self._get_source(f'fatal {body!r}')
