A command that lists limits in force, and their lines in a request's story

Cause: an operator could not see which upstreams take few requests, how much of that is used, and why a request was sent elsewhere. Ruled out: a row in the store for each limit: calls are priced, and a limit holds for seconds. Before: log lines at each router. After: lifttrestle limits HOST:PORT ..., from /limits at a router's metrics address; explain shows limit.* lines of the upstreams that a request was chosen for, however old.

--- a/src/lifttrestle/internal/cli/main.py
+++ b/src/lifttrestle/internal/cli/main.py
@@ -28,6 +28,7 @@
     'explain',
     'losses',
     'held',
+    'limits',
     'operator',
     'replay',
     'standin',
--- a/src/lifttrestle/internal/fleet/path/doors.py
+++ b/src/lifttrestle/internal/fleet/path/doors.py
@@ -14,8 +14,13 @@
 
 from collections.abc import Callable
 
+import msgspec
+
 from lifttrestle.errors import CallerGone
 from lifttrestle.errors import RequestRefused
+from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.limits.listing import list_limits
+from lifttrestle.internal.fleet.limits.memory import UpstreamLimits
 from lifttrestle.internal.fleet.parts import FleetParts
 from lifttrestle.internal.fleet.path.exchange import FleetExchange
 from lifttrestle.internal.fleet.policy.admission import is_fresh
@@ -30,7 +35,9 @@
 LOG = get_event_log('router')
 STATUS_OK = 200
 TEXT = (('content-type', 'text/plain; version=0.0.4; charset=utf-8'),)
+JSON = (('content-type', 'application/json'),)
 STATUS_UNAVAILABLE = 503
+LIMITS_PATH = '/limits'
 
 
 class CallersDoor:
@@ -105,14 +112,21 @@
 
 
 class MetricsDoor:
-    """Serves the metrics as text, whatever the path."""
+    """Serves the limits in force as JSON, and the metrics at other paths."""
 
-    def __init__(self, metrics: FleetMetrics) -> None:
+    def __init__(
+        self, metrics: FleetMetrics, limits: UpstreamLimits, clock: Clock
+    ) -> None:
         self._metrics = metrics
+        self._limits = limits
+        self._clock = clock
 
     async def handle(
         self, connection: ServerConnection, head: RequestHead
     ) -> None:
-        """Answer with every metric."""
+        """Answer with what the path asks for."""
         answer = Answer(STATUS_OK, TEXT, self._metrics.render())
+        if head.path == LIMITS_PATH:
+            listed = list_limits(self._limits, self._clock.monotonic())
+            answer = Answer(STATUS_OK, JSON, msgspec.json.encode(listed))
         await connection.send_answer(answer)
--- a/src/lifttrestle/internal/fleet/policy/limit_permits.py
+++ b/src/lifttrestle/internal/fleet/policy/limit_permits.py
@@ -21,6 +21,8 @@
 
 import math
 
+from lifttrestle.internal.fleet.policy.recent_use import RecentUse
+
 # What may be saved up beside one request: another one at the router that gives
 # the whole limit, and what it allows in this time. A request that comes a
 # little late then finds its permit.
@@ -65,13 +67,15 @@
 class PermitBucket:
     """Permits to send to one start of an upstream.
 
-    :param share: of the limit that this router gives out.
     :ivar rate: what the upstream takes a second, None after its limit ended.
+    :ivar share: of the limit that this router gives out.
+    :ivar use: permits that it gave lately.
     """
 
     def __init__(self, rate: float, share: float, now: float) -> None:
         self.rate: float | None = rate
-        self._share = share
+        self.share = share
+        self.use = RecentUse()
         # What was sent before anybody knew was the upstream's for now.
         self._level = 0.0
         self._at = now
@@ -84,7 +88,7 @@
     def set_share(self, share: float, now: float) -> None:
         """Give out another part of the limit."""
         self._advance(now)
-        self._share = share
+        self.share = share
 
     def set_rate(self, rate: float | None, now: float) -> None:
         """Go by another limit, or by none; more is given in steps."""
@@ -123,6 +127,7 @@
         if self._level >= 1.0 and not self._is_kept(rank, now):
             self._level -= 1.0
             self._kept.pop(rank, None)
+            self.use.note(1.0, now)
             return 0.0
         self._refused_at = now
         if rank < FIRST_CHOICE_RANK:
@@ -133,11 +138,11 @@
         seconds = max(now - self._at, 0.0)
         self._at = now
         rate = self._get_own_rate(now)
-        most = 1.0 + self._share + SAVED_SECONDS * rate
+        most = 1.0 + self.share + SAVED_SECONDS * rate
         self._level = min(self._level + rate * seconds, most)
 
     def _get_own_rate(self, now: float) -> float:
-        return self.get_rate(now) * self._share
+        return self.get_rate(now) * self.share
 
     def _is_kept(self, rank: int, now: float) -> bool:
         """Return whether the next permit is for a more important request."""
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -249,7 +249,8 @@
         )
         self._probes = HttpServer(self._ready.handle, _make_limits(None))
         self._metrics = HttpServer(
-            MetricsDoor(self._parts.metrics).handle, _make_limits(None)
+            MetricsDoor(metrics, self.limits, clock).handle,
+            _make_limits(None),
         )
 
     def _make_watch(
--- a/src/lifttrestle/internal/telemetry/explanation.py
+++ b/src/lifttrestle/internal/telemetry/explanation.py
@@ -29,6 +29,8 @@
 # Events of a router's beliefs; those of upstreams count if they were chosen.
 BELIEFS = ('view.', 'watch.', 'weights.', 'roster.', 'router.', 'log.')
 UPSTREAM = 'upstream.'
+# Events of limits name the start of an upstream, and hold for long.
+LIMIT = 'limit.'
 # Events of a request by its digest, which may be of another try of it, and as
 # old as the hold that they tell of.
 SAME_REQUEST = ('crash.', 'hold.')
@@ -108,11 +110,14 @@
     if line.event.startswith(SAME_REQUEST):
         digests = {step.fields.get('digest') for step in mine}
         return line.fields['digest'] in digests and line.at <= mine[-1].at
+    chosen = {step.fields.get('instance') for step in mine}
+    if line.event.startswith(LIMIT):
+        start = line.fields.get('start', '')
+        return start.partition('@')[0] in chosen and line.at <= mine[-1].at
     began = mine[-1].at - mine[-1].after
     if not began - BEFORE <= line.at <= mine[-1].at + AFTER:
         return False
     if line.event.startswith(UPSTREAM):
-        chosen = {step.fields.get('instance') for step in mine}
         return line.fields.get('instance') in chosen
     return line.event.startswith(BELIEFS)
 
--- a/tests/cover/test_explain.py
+++ b/tests/cover/test_explain.py
@@ -60,6 +60,15 @@
     make_line(59.5, 'hold.lifted', digest='d1'),
 ]
 
+LIMIT_LINES = [
+    make_line(1.0, 'limit.learnt', start='p1@17', rate_per_s=0.4),
+    make_line(2.0, 'limit.learnt', start='p2@17', rate_per_s=7.0),
+    make_step(59.0, 'permit', 0.2, instance='p1', granted=False),
+    make_step(59.0, 'sent', 0.3, instance='p3'),
+    make_step(59.0, 'ended', 0.4, outcome='complete'),
+    make_line(59.5, 'limit.ended', start='p1@17'),
+]
+
 
 class TestExplain(unittest.TestCase):
     def setUp(self):
@@ -118,3 +127,12 @@
         told = [line.split()[3] for line in out.splitlines()[2:]]
         self.assertEqual(told[:2], ['crash.noted', 'hold.begun'])
         self.assertEqual(out.count('hold.'), 1)
+
+    def test_request_sent_elsewhere_is_explained_by_a_limit(self):
+        self.log.write_text('\n'.join(LIMIT_LINES))
+        code, out, _ = self.run_command('r1', str(self.log))
+        self.assertEqual(code, 0)
+        self.assertIn('limit.learnt', out)
+        self.assertIn('rate_per_s=0.4', out)
+        self.assertNotIn('rate_per_s=7', out)
+        self.assertNotIn('limit.ended', out)
