A stream that goes on is no second send to a limited upstream

Cause: second sends to a limited upstream come last, and so did a stream that goes on for a caller who has its beginning; that is lost if it is refused. Ruled out: nothing. Before: ranked with repeats. After: ranked with first sends. A test that second sends go to upstreams without a limit.

--- a/src/lifttrestle/internal/fleet/path/request_context.py
+++ b/src/lifttrestle/internal/fleet/path/request_context.py
@@ -71,6 +71,15 @@
     on_trial: bool = False
     charge: UsageCharge | None = None
 
+    @property
+    def is_repeat(self) -> bool:
+        """Return whether a send would begin anew what was sent before.
+
+        A stream that goes on for a caller who has its beginning does not.
+        """
+        begun = self.progress.state is RequestState.FIRST_BYTE
+        return self.sends > 0 and not begun
+
     def get_left(self) -> float:
         """Return the seconds that are left to serve it in."""
         now = self.parts.clock.monotonic()
--- a/src/lifttrestle/internal/fleet/path/upstream_search.py
+++ b/src/lifttrestle/internal/fleet/path/upstream_search.py
@@ -47,7 +47,7 @@
     held = False
     while True:
         placement = candidates.choose(
-            request.admitted, request.service, repeated=request.sends > 0
+            request.admitted, request.service, repeated=request.is_repeat
         )
         if placement is not None:
             _check_queue(request, placement)
--- a/tests/nocover/test_upstream_limits.py
+++ b/tests/nocover/test_upstream_limits.py
@@ -81,6 +81,34 @@
         self.assertLessEqual(after - before, 1)
 
 
+class TestSecondSends(unittest.IsolatedAsyncioTestCase):
+    async def test_they_go_to_upstreams_without_a_limit(self):
+        async with run_limited_fleet(routers=1, upstreams=3) as fleet:
+            await fleet.load(6, 40.0)
+            limited, full, sound = fleet.list_busiest()
+            fleet.upstreams[limited].limit = '20'
+            await fleet.load(6, 40.0)
+            script = fleet.upstreams[full].script
+            script.extend([Behaviour.DECLINE] * 100)
+            # The sound one looks slow, so that it is nobody's first choice.
+            router = fleet.routers[0]
+            router.directory.get(sound).first_byte_seconds = 5.0
+            router.directory.get(limited).first_byte_seconds = 1.0
+            before = {
+                name: len(upstream.arrivals)
+                for name, upstream in fleet.upstreams.items()
+            }
+            answers = await fleet.load(8, 5.0)
+            arrived = {
+                name: len(upstream.arrivals) - before[name]
+                for name, upstream in fleet.upstreams.items()
+            }
+        self.assertEqual({answer.status for answer in answers}, {200})
+        self.assertEqual(
+            arrived, {limited: 0, full: 8, sound: 8}, 'second sends'
+        )
+
+
 class TestWhatNamesALimit(unittest.IsolatedAsyncioTestCase):
     @contextlib.asynccontextmanager
     async def run_with(self, name, limit='1.5'):
