A router that starts asks for limits once it knows the upstreams

Cause: it asked as soon as it knew the other routers, and what they told of upstreams whose entries it had not read yet was passed over; it then counted as told. Ruled out: load alone: with a directory that is read later the new test fails each time without the mend. Before: test_regression_start_heard_limits_before_it_knew_upstreams fails. Conclusion: asked once both are read. Where no upstream has named a limit, a choice looks at none of them one by one.

--- a/src/lifttrestle/internal/fleet/limits/book.py
+++ b/src/lifttrestle/internal/fleet/limits/book.py
@@ -41,6 +41,10 @@
         """Iterate over all that is believed, also of limits that ended."""
         return iter(list(self._held.values()))
 
+    def __len__(self) -> int:
+        """Return of how many starts anything is believed."""
+        return len(self._held)
+
     def get(self, digest: int) -> HeldLimit | None:
         """Return what is believed of a start, None if nothing is."""
         return self._held.get(digest)
--- a/src/lifttrestle/internal/fleet/limits/memory.py
+++ b/src/lifttrestle/internal/fleet/limits/memory.py
@@ -49,7 +49,10 @@
 
 
 class UpstreamLimits:
-    """What a router asks before it sends, and tells after an answer."""
+    """What a router asks before it sends, and tells after an answer.
+
+    :param knows_upstreams: returns whether the directory was read.
+    """
 
     def __init__(
         self,
@@ -58,6 +61,7 @@
         roster: Roster,
         clock: Clock,
         refusals: InputRefusals,
+        knows_upstreams: Callable[[], bool],
     ) -> None:
         self._clock = clock
         self._refusals = refusals
@@ -65,7 +69,13 @@
         keepers = LimitKeepers(roster, clock)
         self._book = LimitBook(keepers, clock)
         self._telling = LimitTelling(
-            vm, self._book, keepers, directory, roster, clock
+            vm,
+            self._book,
+            keepers,
+            directory,
+            roster,
+            clock,
+            knows_upstreams,
         )
         self._desk = PermitDesk(
             vm, self._book, keepers, self._telling, directory, roster, clock
@@ -119,6 +129,11 @@
         self._told_faults.discard(upstream.start)
         self._book.forget(upstream)
 
+    @property
+    def in_use(self) -> bool:
+        """Return whether any upstream has named a limit lately."""
+        return len(self._book) > 0
+
     def is_limited(self, upstream: FleetUpstream) -> bool:
         """Return whether a request needs a permit to be sent there."""
         return self._book.find_limited(upstream) is not None
--- a/src/lifttrestle/internal/fleet/limits/telling.py
+++ b/src/lifttrestle/internal/fleet/limits/telling.py
@@ -51,6 +51,7 @@
 class LimitTelling:
     """Sends and takes news of limits.
 
+    :param knows_upstreams: returns whether the directory was read.
     :ivar send: sends a message to the router with a key.
     """
 
@@ -62,6 +63,7 @@
         directory: UpstreamDirectory,
         roster: Roster,
         clock: Clock,
+        knows_upstreams: Callable[[], bool],
     ) -> None:
         self._vm = vm
         self._book = book
@@ -69,6 +71,7 @@
         self._directory = directory
         self._roster = roster
         self._clock = clock
+        self._knows_upstreams = knows_upstreams
         self._changed: set[int] = set()
         self._news = asyncio.Event()
         self._told_at = clock.monotonic()
@@ -113,7 +116,10 @@
 
     def is_settled(self) -> bool:
         """Return whether others had the time to tell of their limits."""
-        if not self._settled and self._roster.loaded:
+        if self._settled:
+            return True
+        # What is told of an upstream that is not known yet is passed over.
+        if self._roster.loaded and self._knows_upstreams():
             self._settled = self._ask_others()
         return self._settled
 
--- a/src/lifttrestle/internal/fleet/path/candidates.py
+++ b/src/lifttrestle/internal/fleet/path/candidates.py
@@ -95,6 +95,8 @@
     ) -> list[FleetUpstream]:
         """Return the upstreams that may still take this request."""
         limits = self._parts.limits
+        if not limits.in_use:
+            return fit
         free = [item for item in fit if not limits.is_limited(item)]
         if len(free) == len(fit):
             return fit
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -164,7 +164,12 @@
             refusals,
         )
         self.limits = UpstreamLimits(
-            settings.vm, self._directory, self.roster, clock, refusals
+            settings.vm,
+            self._directory,
+            self.roster,
+            clock,
+            refusals,
+            lambda: self._upstreams_watch.copy.loaded,
         )
         control.note_limit = self.limits.note_answer
         losses = self.crashes.losses
--- a/tests/cover/test_limit_memory.py
+++ b/tests/cover/test_limit_memory.py
@@ -188,6 +188,28 @@
         self.assertTrue(self.design.limits[number].is_settled())
         self.assertTrue(self.design.is_limited(number, 0))
 
+    async def test_regression_start_heard_limits_before_it_knew_upstreams(
+        self,
+    ):
+        self.answer(3, 1.0)
+        await self.play.pass_time(KNOWN_SECONDS)
+        number = self.list_others()[0]
+        known = self.design.directories[number]
+        self.design.directories[number] = self.design.make_directory(0)
+        listed = False
+        self.design.restart(number, lambda: listed)
+        await self.play.pass_time(0.5)
+        self.assertFalse(self.design.limits[number].is_settled())
+        for upstream in range(self.play.settings.upstreams):
+            row = self.design.make_row(upstream)
+            self.design.directories[number].take(row)
+        listed = True
+        self.assertFalse(self.design.limits[number].is_settled())
+        await self.play.pass_time(0.1)
+        self.assertTrue(self.design.limits[number].is_settled())
+        self.assertTrue(self.design.is_limited(number, 0))
+        self.assertIsNotNone(known.get('p0'))
+
     async def test_start_that_nobody_answers_is_ready_soon(self):
         for number in range(1, ROUTERS):
             self.play.takers[number] = lambda data: None
--- a/tests/support/played_limits.py
+++ b/tests/support/played_limits.py
@@ -20,6 +20,7 @@
 import abc
 import asyncio
 import collections
+from collections.abc import Callable
 import dataclasses
 import datetime
 import heapq
@@ -194,15 +195,21 @@
         self._rows = MemoryRows()
         self._tasks = []
         for number in range(play.settings.routers):
-            self.directories.append(self._make_directory())
+            self.directories.append(
+                self.make_directory(play.settings.upstreams)
+            )
             self.limits.append(self._start(number))
 
-    def restart(self, number: int) -> None:
+    def restart(
+        self, number: int, knows_upstreams: Callable[[], bool] = lambda: True
+    ) -> None:
         """Have a router begin anew, with its view of the upstreams."""
         self._tasks[number].cancel()
-        self.limits[number] = self._start(number)
+        self.limits[number] = self._start(number, knows_upstreams)
 
-    def _start(self, number: int) -> UpstreamLimits:
+    def _start(
+        self, number: int, knows_upstreams: Callable[[], bool] = lambda: True
+    ) -> UpstreamLimits:
         play = self.play
         limits = UpstreamLimits(
             f'r{number}',
@@ -210,6 +217,7 @@
             self._make_roster(number),
             play.clock,
             InputRefusals(),
+            knows_upstreams,
         )
         self._connect(limits, number)
         beat = Beat(play.clock, play.source.random())
@@ -227,18 +235,22 @@
             roster.take(VersionedRow(f'router/r{other}', value, 1))
         return roster
 
-    def _make_directory(self) -> UpstreamDirectory:
+    def make_directory(self, upstreams: int) -> UpstreamDirectory:
+        """Return a directory of the first few upstreams."""
         directory = UpstreamDirectory(PlatformFormat(), self.play.clock)
-        for number in range(self.play.settings.upstreams):
-            entry = make_entry(
-                born=1_767_225_600_000,
-                address=f'127.0.0.1:{number + 1}',
-                zone=self.play.get_place(number),
-            )
-            value = msgspec.json.encode(entry)
-            directory.take(VersionedRow(f'p{number}', value, 1))
+        for number in range(upstreams):
+            directory.take(self.make_row(number))
         return directory
 
+    def make_row(self, number: int) -> VersionedRow:
+        """Return an upstream's entry."""
+        entry = make_entry(
+            born=1_767_225_600_000,
+            address=f'127.0.0.1:{number + 1}',
+            zone=self.play.get_place(number),
+        )
+        return VersionedRow(f'p{number}', msgspec.json.encode(entry), 1)
+
     def _connect(self, limits: UpstreamLimits, number: int) -> None:
         takers = {}
 
