What starts may give out before they hear others: a quarter of the slack

Cause: where a fleet is split from the start, a third of what routers tell is lost and one restarts each second, each start of a window had its part of half of the slack, beside what killed routers had given out and not told.

--- a/src/lifttrestle/internal/fleet/policy/usage_caps.py
+++ b/src/lifttrestle/internal/fleet/policy/usage_caps.py
@@ -19,9 +19,10 @@
 
 # Part of what a window may hold beyond the cap that a process may give out
 # before it has heard from another. All may have been killed in the moment in
-# which a whole burst had just been used; the rest is for what routers use
-# without each other's knowledge.
-START_SHARE = 0.5
+# which a whole burst had just been used, and in a fleet that is split each of
+# those that start one after the other in a window has its part of it; the rest
+# is for what routers use without each other's knowledge.
+START_SHARE = 0.25
 
 
 class UsageUnit(enum.Enum):
