One skeleton for soaks of router processes, one command for their seeds

Ruled out: the soak of stops as well: its upstreams, signals and cases differ. Before: 140 lines stood twice. After: tests/support/router_play.py.

--- a/tests/nocover/test_crash_soak.py
+++ b/tests/nocover/test_crash_soak.py
@@ -28,13 +28,12 @@
     python -m tests.nocover.test_crash_soak --seeds 20
 """
 
-import argparse
-import asyncio
 import sys
 import unittest
 
 from tests.support.crash_play import CrashOutcome
 from tests.support.crash_play import play
+from tests.support.router_play import play_by_hand
 
 # In 10 what many ask for was held for good: every upstream crashed under other
 # requests in the first 0.6 s, three of them under it, too.
@@ -62,26 +61,5 @@
                 self.assertGreater(outcome.served, 0)
 
 
-async def play_by_hand(seeds: range) -> int:
-    """Play seeds, print what came of each; return how many broke a rule."""
-    broken = 0
-    for seed in seeds:
-        outcome = await play(seed)
-        print(tell_figures(outcome), flush=True)
-        broken += bool(outcome.faults)
-    print(f'{broken} of {len(seeds)} seeds broke a rule')
-    return broken
-
-
-def main() -> int:
-    """Play the seeds that the command line asks for."""
-    parser = argparse.ArgumentParser()
-    parser.add_argument('--seeds', type=int, default=20)
-    parser.add_argument('--first', type=int, default=1)
-    options = parser.parse_args()
-    seeds = range(options.first, options.first + options.seeds)
-    return int(asyncio.run(play_by_hand(seeds)) > 0)
-
-
 if __name__ == '__main__':
-    sys.exit(main())
+    sys.exit(play_by_hand(play, tell_figures))
--- a/tests/support/crash_play.py
+++ b/tests/support/crash_play.py
@@ -13,21 +13,19 @@
 """One play of requests that crash upstreams, before killed routers."""
 
 import asyncio
+from collections.abc import Coroutine
 import dataclasses
 import pathlib
 import random
-import tempfile
 import time
 
 from tests.support.crashing_upstream import CrashingUpstream
 from tests.support.crashing_upstream import FATAL
-from tests.support.fleet import CONFIGURATION
-from tests.support.fleet_store import FleetStoreStandin
+from tests.support.router_play import play_seed
+from tests.support.router_play import RouterPlay
 from tests.support.soak_call import call_router
 from tests.support.soak_call import SoakCall
-from tests.support.soak_records import Record
 from tests.support.soak_records import rest
-from tests.support.soak_router import SoakRouter
 
 # What the fleet may make of what it knows: after three upstreams have crashed
 # and routers had this long to hear of it, a request reaches three more at the
@@ -98,66 +96,29 @@
         await super()._run(connection, head, behaviour)
 
 
-class CrashPlay:
+class CrashPlay(RouterPlay[CrashOutcome, RecordingUpstream]):
     """Plays one seed."""
 
+    seconds = PLAY_SECONDS
+    router_count = ROUTERS
+    upstream_count = UPSTREAMS
+
     def __init__(self, seed: int, folder: pathlib.Path) -> None:
-        self._seed = seed
-        self._folder = folder
-        self._store = FleetStoreStandin()
-        self._record = Record(8.0)
-        self._upstreams = [
-            RecordingUpstream(
-                f'p{number}', self._store, self._get_source(f'p{number}')
-            )
-            for number in range(UPSTREAMS)
-        ]
-        self._routers: list[SoakRouter] = []
+        super().__init__(seed, folder)
         self._outcome = CrashOutcome(seed)
-        self._done = asyncio.Event()
-
-    def _get_source(self, name: str) -> random.Random:
-        return random.Random(f'{self._seed}/{name}')
-
-    async def run(self) -> CrashOutcome:
-        """Play, and judge what was seen."""
-        try:
-            await self._set_up()
-            async with asyncio.TaskGroup() as tasks:
-                for body in FATAL_BODIES:
-                    tasks.create_task(self._send_fatal(body))
-                for number in range(CALLERS):
-                    tasks.create_task(self._send_sound(number))
-                tasks.create_task(self._kill_routers())
-                tasks.create_task(self._disturb_store())
-                tasks.create_task(self._lose_herds())
-                await asyncio.sleep(PLAY_SECONDS)
-                self._done.set()
-        finally:
-            for router in self._routers:
-                router.kill()
-            for upstream in self._upstreams:
-                await upstream.stop()
-            await self._store.server.stop()
-        self._judge()
-        return self._outcome
-
-    async def _set_up(self) -> None:
-        address = await self._store.start()
-        self._store.put('op', 'config', CONFIGURATION)
-        for upstream in self._upstreams:
-            await upstream.start()
-        self._routers = [
-            SoakRouter(
-                f'r{number}',
-                self._folder,
-                address,
-                self._record,
-                self._get_source(f'r{number}'),
-            )
-            for number in range(ROUTERS)
+
+    def make_upstream(self, name: str) -> RecordingUpstream:
+        """Return an upstream that notes what crashes it."""
+        return RecordingUpstream(name, self._store, self._get_source(name))
+
+    def list_work(self) -> list[Coroutine[None, None, None]]:
+        """Return what callers do, and what is disturbed."""
+        return [
+            *(self._send_fatal(body) for body in FATAL_BODIES),
+            *(self._send_sound(number) for number in range(CALLERS)),
+            self._kill_routers(),
+            self._lose_herds(),
         ]
-        await asyncio.gather(*(router.start() for router in self._routers))
 
     async def _call(
         self, source: random.Random, body: bytes
@@ -204,14 +165,6 @@
             await rest(self._done, source.uniform(0.0, 0.5))
             await asyncio.gather(*(router.start() for router in killed))
 
-    async def _disturb_store(self) -> None:
-        source = self._get_source('store')
-        while not self._done.is_set():
-            await rest(self._done, source.uniform(1.0, 4.0))
-            self._store.writable.clear()
-            await rest(self._done, source.uniform(0.3, 1.0))
-            self._store.writable.set()
-
     async def _lose_herds(self) -> None:
         source = self._get_source('herds')
         while not self._done.is_set():
@@ -219,7 +172,8 @@
             for upstream in source.sample(self._upstreams, UPSTREAMS // 2):
                 upstream.begin_crash()
 
-    def _judge(self) -> None:
+    def judge(self) -> CrashOutcome:
+        """Count what was sent too late."""
         outcome = self._outcome
         outcome.crashes = sum(item.crashes for item in self._upstreams)
         for body in FATAL_BODIES:
@@ -233,9 +187,9 @@
             outcome.late[body] = sum(
                 at > third + CONTACT_SECONDS for at in runs
             )
+        return outcome
 
 
 async def play(seed: int) -> CrashOutcome:
     """Play one seed."""
-    with tempfile.TemporaryDirectory() as folder:
-        return await CrashPlay(seed, pathlib.Path(folder)).run()
+    return await play_seed(CrashPlay, seed)
--- a/tests/support/limit_play.py
+++ b/tests/support/limit_play.py
@@ -12,23 +12,21 @@
 
 """Plays limits that come, change and end, before routers that die."""
 
-import asyncio
+from collections.abc import Coroutine
 import dataclasses
 import pathlib
 import random
 import signal
-import tempfile
 import time
 
 from tests.support.crashing_upstream import CrashingUpstream
-from tests.support.fleet import CONFIGURATION
-from tests.support.fleet_store import FleetStoreStandin
 from tests.support.limited_fleet import find_allowed
 from tests.support.limited_fleet import TOLD_SECONDS
 from tests.support.limited_fleet import WINDOW_SECONDS
+from tests.support.router_play import play_seed
+from tests.support.router_play import RouterPlay
 from tests.support.soak_call import call_router
 from tests.support.soak_call import SoakCall
-from tests.support.soak_records import Record
 from tests.support.soak_records import rest
 from tests.support.soak_router import SoakRouter
 
@@ -84,71 +82,33 @@
         self.namings.append(Naming(time.monotonic(), rate))
 
 
-class LimitPlay:
+class LimitPlay(RouterPlay[LimitOutcome, LimitedUpstream]):
     """Plays one seed."""
 
+    seconds = PLAY_SECONDS
+    router_count = ROUTERS
+    upstream_count = UPSTREAMS
+
     def __init__(self, seed: int, folder: pathlib.Path) -> None:
-        self._seed = seed
-        self._folder = folder
-        self._store = FleetStoreStandin()
-        self._record = Record(8.0)
-        self._upstreams = [
-            LimitedUpstream(
-                f'p{number}', self._store, self._get_source(f'p{number}')
-            )
-            for number in range(UPSTREAMS)
-        ]
-        self._routers: list[SoakRouter] = []
+        super().__init__(seed, folder)
         # Which life of a router each request was sent to.
         self._lives: dict[str, str] = {}
         # When each life was last paused or went on.
         self._disturbed: dict[str, float] = {}
         self._outcome = LimitOutcome(seed)
-        self._done = asyncio.Event()
-
-    def _get_source(self, name: str) -> random.Random:
-        return random.Random(f'{self._seed}/{name}')
-
-    async def run(self) -> LimitOutcome:
-        """Play, and judge what was seen."""
-        try:
-            await self._set_up()
-            async with asyncio.TaskGroup() as tasks:
-                for number in range(CALLERS):
-                    tasks.create_task(self._call(number))
-                for upstream in self._upstreams:
-                    tasks.create_task(self._name_limits(upstream))
-                tasks.create_task(self._disturb_routers())
-                tasks.create_task(self._disturb_store())
-                tasks.create_task(self._restart_upstreams())
-                await asyncio.sleep(PLAY_SECONDS)
-                self._done.set()
-        finally:
-            for router in self._routers:
-                router.kill()
-            for upstream in self._upstreams:
-                await upstream.stop()
-            await self._store.server.stop()
-        for upstream in self._upstreams:
-            self._judge(upstream)
-        return self._outcome
 
-    async def _set_up(self) -> None:
-        address = await self._store.start()
-        self._store.put('op', 'config', CONFIGURATION)
-        for upstream in self._upstreams:
-            await upstream.start()
-        self._routers = [
-            SoakRouter(
-                f'r{number}',
-                self._folder,
-                address,
-                self._record,
-                self._get_source(f'r{number}'),
-            )
-            for number in range(ROUTERS)
+    def make_upstream(self, name: str) -> LimitedUpstream:
+        """Return an upstream that names limits."""
+        return LimitedUpstream(name, self._store, self._get_source(name))
+
+    def list_work(self) -> list[Coroutine[None, None, None]]:
+        """Return what callers do, and what is disturbed."""
+        return [
+            *(self._call(number) for number in range(CALLERS)),
+            *(self._name_limits(upstream) for upstream in self._upstreams),
+            self._disturb_routers(),
+            self._restart_upstreams(),
         ]
-        await asyncio.gather(*(router.start() for router in self._routers))
 
     async def _call(self, number: int) -> None:
         source = self._get_source(f'caller {number}')
@@ -194,14 +154,6 @@
     def _note_disturbed(self, router: SoakRouter) -> None:
         self._disturbed[router.life.name] = time.monotonic()
 
-    async def _disturb_store(self) -> None:
-        source = self._get_source('store')
-        while not self._done.is_set():
-            await rest(self._done, source.uniform(1.0, 4.0))
-            self._store.writable.clear()
-            await rest(self._done, source.uniform(0.3, 1.0))
-            self._store.writable.set()
-
     async def _restart_upstreams(self) -> None:
         source = self._get_source('upstreams')
         while not self._done.is_set():
@@ -211,6 +163,12 @@
             upstream.name(None)
             upstream.begin_crash()
 
+    def judge(self) -> LimitOutcome:
+        """Compare what each upstream got with what it named."""
+        for upstream in self._upstreams:
+            self._judge(upstream)
+        return self._outcome
+
     def _judge(self, upstream: LimitedUpstream) -> None:
         """Compare each window with the highest limit that it touches."""
         times = zip(upstream.arrivals, upstream.arrived_at, strict=True)
@@ -261,5 +219,4 @@
 
 async def play(seed: int) -> LimitOutcome:
     """Play one seed."""
-    with tempfile.TemporaryDirectory() as folder:
-        return await LimitPlay(seed, pathlib.Path(folder)).run()
+    return await play_seed(LimitPlay, seed)
--- /dev/null
+++ b/tests/support/router_play.py
@@ -0,0 +1,157 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""What soaks of router processes before plain upstreams share."""
+
+import abc
+import argparse
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Coroutine
+from collections.abc import Sequence
+import pathlib
+import random
+import tempfile
+from typing import Generic
+from typing import Protocol
+from typing import TypeVar
+
+from tests.support.crashing_upstream import CrashingUpstream
+from tests.support.fleet import CONFIGURATION
+from tests.support.fleet_store import FleetStoreStandin
+from tests.support.soak_records import Record
+from tests.support.soak_records import rest
+from tests.support.soak_router import SoakRouter
+
+GRACE_SECONDS = 8.0
+
+
+class PlayOutcome(Protocol):
+    """What came of one play."""
+
+    @property
+    def faults(self) -> list[str]:
+        """Return the broken rules in words."""
+
+
+T = TypeVar('T', bound=PlayOutcome)
+U = TypeVar('U', bound=CrashingUpstream)
+
+
+class RouterPlay(abc.ABC, Generic[T, U]):
+    """Plays one seed before router processes, and judges what was seen."""
+
+    seconds: float
+    router_count: int
+    upstream_count: int
+
+    def __init__(self, seed: int, folder: pathlib.Path) -> None:
+        self._seed = seed
+        self._folder = folder
+        self._store = FleetStoreStandin()
+        self._record = Record(GRACE_SECONDS)
+        self._upstreams = [
+            self.make_upstream(f'p{number}')
+            for number in range(self.upstream_count)
+        ]
+        self._routers: list[SoakRouter] = []
+        self._done = asyncio.Event()
+
+    def _get_source(self, name: str) -> random.Random:
+        return random.Random(f'{self._seed}/{name}')
+
+    @abc.abstractmethod
+    def make_upstream(self, name: str) -> U:
+        """Return an upstream that has not begun yet."""
+
+    @abc.abstractmethod
+    def list_work(self) -> Sequence[Coroutine[None, None, None]]:
+        """Return what goes on until the play is over."""
+
+    @abc.abstractmethod
+    def judge(self) -> T:
+        """Return what came of it."""
+
+    async def run(self) -> T:
+        """Play, and judge what was seen."""
+        try:
+            await self._set_up()
+            async with asyncio.TaskGroup() as tasks:
+                for work in (*self.list_work(), self._disturb_store()):
+                    tasks.create_task(work)
+                await asyncio.sleep(self.seconds)
+                self._done.set()
+        finally:
+            for router in self._routers:
+                router.kill()
+            for upstream in self._upstreams:
+                await upstream.stop()
+            await self._store.server.stop()
+        return self.judge()
+
+    async def _set_up(self) -> None:
+        address = await self._store.start()
+        self._store.put('op', 'config', CONFIGURATION)
+        for upstream in self._upstreams:
+            await upstream.start()
+        self._routers = [
+            SoakRouter(
+                f'r{number}',
+                self._folder,
+                address,
+                self._record,
+                self._get_source(f'r{number}'),
+            )
+            for number in range(self.router_count)
+        ]
+        await asyncio.gather(*(router.start() for router in self._routers))
+
+    async def _disturb_store(self) -> None:
+        source = self._get_source('store')
+        while not self._done.is_set():
+            await rest(self._done, source.uniform(1.0, 4.0))
+            self._store.writable.clear()
+            await rest(self._done, source.uniform(0.3, 1.0))
+            self._store.writable.set()
+
+
+async def play_seed(make: type[RouterPlay[T, U]], seed: int) -> T:
+    """Play one seed."""
+    with tempfile.TemporaryDirectory() as folder:
+        return await make(seed, pathlib.Path(folder)).run()
+
+
+def play_by_hand(
+    play: Callable[[int], Awaitable[T]], tell: Callable[[T], str]
+) -> int:
+    """Play the seeds that the command line asks for, and print each.
+
+    :return: the exit code, 1 if a rule was broken.
+    """
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--seeds', type=int, default=20)
+    parser.add_argument('--first', type=int, default=1)
+    options = parser.parse_args()
+    seeds = range(options.first, options.first + options.seeds)
+
+    async def play_all() -> int:
+        broken = 0
+        for seed in seeds:
+            outcome = await play(seed)
+            print(tell(outcome), flush=True)
+            broken += bool(outcome.faults)
+        return broken
+
+    broken = asyncio.run(play_all())
+    print(f'{broken} of {len(seeds)} seeds broke a rule')
+    return int(broken > 0)
