A router that begins to give permits gives back in steps what has ended

Cause: read: the router that gives permits for an upstream is replaced while a limit that has ended is being given back; the next one knows of no limit, and answers that no permits are needed. Ruled out: that the others would go on in steps by themselves: they go by its answer. Before: the test: 20 of 20 questions in the first second granted. After: it takes the recovery over from the first that tells of it, and begins anew with one a second; at most 8 of 40 in 2 s, and all is given back 11 s later.

--- a/src/lifttrestle/internal/fleet/limits/book.py
+++ b/src/lifttrestle/internal/fleet/limits/book.py
@@ -103,6 +103,10 @@
         :param key: of that router.
         """
         sign = read_sign(item, self._clock.monotonic())
+        if item.recovering and held.is_unknown:
+            # Whoever gave it back in steps before is there no more.
+            held.recovering = True
+            held.belief.ended_at = sign.end
         changed = self.note(held, sign, vm)
         first = self._keepers.get_first(held.data_centre)
         if key == first and item.rate == held.belief.rate:
@@ -122,7 +126,7 @@
             held.bucket.set_share(share, now)
             if held.bucket.rate != rate:
                 held.bucket.set_rate(rate, now)
-        elif rate is not None:
+        elif held.needs_permits:
             held.bucket = PermitBucket(rate, share, now)
 
     def free(self, held: HeldLimit, source: str) -> None:
--- a/src/lifttrestle/internal/fleet/limits/held_limit.py
+++ b/src/lifttrestle/internal/fleet/limits/held_limit.py
@@ -59,6 +59,12 @@
         """Return whether nothing may be sent without a permit."""
         return self.belief.rate is not None or self.recovering
 
+    @property
+    def is_unknown(self) -> bool:
+        """Return whether nothing was heard of its limit yet."""
+        never = math.isinf(self.belief.ended_at)
+        return self.belief.rate is None and never
+
     def is_closed(self, rank: int, now: float) -> bool:
         """Return whether a request is known to get no permit now."""
         return rank >= self.closed_rank and now < self.closed_until
--- a/src/lifttrestle/internal/fleet/limits/telling.py
+++ b/src/lifttrestle/internal/fleet/limits/telling.py
@@ -106,7 +106,8 @@
         for item in news.items:
             upstream = self._directory.get_by_digest(item.start)
             known = self._book.get(item.start)
-            if upstream is None or (item.rate is None and known is None):
+            told = item.rate is not None or item.recovering
+            if upstream is None or (known is None and not told):
                 continue
             held = known or self._book.hold(upstream)
             key = f'{ROUTER_PREFIX}{news.vm}'
--- a/src/lifttrestle/internal/fleet/policy/limit_permits.py
+++ b/src/lifttrestle/internal/fleet/policy/limit_permits.py
@@ -72,14 +72,15 @@
     :ivar use: permits that it gave lately.
     """
 
-    def __init__(self, rate: float, share: float, now: float) -> None:
-        self.rate: float | None = rate
+    def __init__(self, rate: float | None, share: float, now: float) -> None:
+        self.rate = rate
         self.share = share
         self.use = RecentUse()
         # What was sent before anybody knew was the upstream's for now.
         self._level = 0.0
         self._at = now
-        self._grown_from = math.inf
+        # Of a limit that has ended nobody can tell how far it was given back.
+        self._grown_from = MIN_GROWTH_RATE if rate is None else math.inf
         self._grown_at = now
         self._refused_at = -math.inf
         self._kept: dict[int, float] = {}
--- a/tests/cover/test_limit_memory.py
+++ b/tests/cover/test_limit_memory.py
@@ -84,6 +84,21 @@
         await self.play.pass_time(4.0)
         self.assertEqual(self.count_knowing(), 0)
 
+    async def test_regression_new_giver_of_permits_gave_all_back_at_once(self):
+        self.answer(3, 1.0)
+        await self.play.pass_time(1.0)
+        self.answer(5, None)
+        await self.play.pass_time(KNOWN_SECONDS)
+        self.design.restart(self.get_keeper())
+        await self.play.pass_time(KNOWN_SECONDS)
+        asking = self.list_others()[0]
+        granted = sum([await self._ask(asking) for _ in range(40)])
+        self.assertLessEqual(granted, 8)
+        self.assertGreaterEqual(granted, 1)
+        self.assertTrue(self.design.is_limited(asking, 0))
+        await self.play.pass_time(11.0)
+        self.assertEqual(self.count_knowing(), 0)
+
     async def test_answer_from_before_at_another_router_does_not_end_it(self):
         self.answer(3, 1.0)
         await self.play.pass_time(1.0)
