A router that stands in does not end what it sees nothing of

Cause: routers that stand in for the one that gives permits keep a bucket too; nobody asks them, so that two seconds without a refusal made each of them take the recovery for over, for itself. And a refused router was told to wait for up to three seconds, longer than the two that counted as calm. After: only the router that gives all permits judges; calm is four seconds.

--- a/src/lifttrestle/internal/fleet/limits/book.py
+++ b/src/lifttrestle/internal/fleet/limits/book.py
@@ -138,14 +138,22 @@
         held.freed_at = self._clock.monotonic()
         LOG.info('limit.given_back', start=held.start, source=source)
 
+    def _is_over(self, held: HeldLimit, now: float) -> bool:
+        """Return whether all was given back.
+
+        A router that stands in for another is asked by few, or nobody.
+        """
+        if held.bucket is None or not held.gives_all:
+            return False
+        return held.bucket.is_over(now)
+
     def look(self) -> list[HeldLimit]:
         """End recoveries that are over and return them; drop what is old."""
         now = self._clock.monotonic()
         freed = []
         for held in self:
             self.follow(held)
-            over = held.bucket is not None and held.bucket.is_over(now)
-            if over or held.is_stuck(now):
+            if self._is_over(held, now) or held.is_stuck(now):
                 self.free(held, 'its recovery is over')
                 freed.append(held)
             if held.is_forgotten(now):
--- a/src/lifttrestle/internal/fleet/limits/held_limit.py
+++ b/src/lifttrestle/internal/fleet/limits/held_limit.py
@@ -101,9 +101,14 @@
     def is_stuck(self, now: float) -> bool:
         """Return whether its recovery was confirmed by nobody."""
         since = now - self.belief.ended_at
-        waits = self.recovering and self.bucket is None
+        waits = self.recovering and not self.gives_all
         return waits and since > RECOVERY_LIMIT_SECONDS
 
+    @property
+    def gives_all(self) -> bool:
+        """Return whether this router gives all permits, and sees all use."""
+        return self.bucket is not None and self.bucket.share >= 1.0
+
 
 def read_sign(item: LimitItem, now: float) -> LimitSign:
     """Return the sign that an item tells of."""
--- a/src/lifttrestle/internal/fleet/policy/limit_permits.py
+++ b/src/lifttrestle/internal/fleet/policy/limit_permits.py
@@ -36,9 +36,10 @@
 # It is given back from this many requests a second on.
 MIN_GROWTH_RATE = 1.0
 # A limit that has ended is forgotten after this, or sooner if nobody was
-# refused lately: what comes by itself is then what the routers have for it.
+# refused for longer than the refused are told to wait: what comes by itself is
+# then what the routers have for it.
 RECOVERY_SECONDS = 8.0
-CALM_SECONDS = 2.0
+CALM_SECONDS = 4.0
 # What is refused to those that have no other upstream is kept for them for
 # this long at the most, before others get it.
 KEPT_SECONDS = 2.0
