The test of the command lists ends its server before its loop

Cause: it printed errors of connections whose loop was closed. Ruled out: nothing. Before: RuntimeError, event loop is closed, after the tests had passed. Conclusion: no change of logic.

--- a/tests/nocover/test_limits_command.py
+++ b/tests/nocover/test_limits_command.py
@@ -57,6 +57,13 @@
         self.addCleanup(self.loop.close)
         self.addCleanup(thread.join)
         self.addCleanup(self.loop.call_soon_threadsafe, self.loop.stop)
+        self.addCleanup(self.stop_server)
+
+    def stop_server(self):
+        stopped = asyncio.run_coroutine_threadsafe(
+            self.server.stop(0), self.loop
+        )
+        stopped.result()
 
     def run_command(self, *arguments):
         out = io.StringIO()
