Names of the parts that keep limits: registry, allocators, exchange

Cause: book, desk and keeper are no terms of the field, and a keeper is something else in the configuration's part. Ruled out: nothing. Before: LimitBook, PermitDesk, LimitKeepers. Conclusion: no change of logic.

--- a/src/lifttrestle/internal/fleet/limits/keepers.py
+++ b/src/lifttrestle/internal/fleet/limits/allocators.py
@@ -13,8 +13,8 @@
 """Which routers give out the permits for the upstreams of a data centre."""
 
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.fleet.policy.limit_keepers import rank_keepers
-from lifttrestle.internal.fleet.policy.limit_keepers import SHARES
+from lifttrestle.internal.fleet.policy.permit_allocators import rank_allocators
+from lifttrestle.internal.fleet.policy.permit_allocators import SHARES
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
@@ -24,7 +24,7 @@
 AVOID_SECONDS = 1.0
 
 
-class LimitKeepers:
+class PermitAllocators:
     """The routers that may be asked, by data centre."""
 
     def __init__(self, roster: Roster, clock: Clock) -> None:
@@ -42,7 +42,7 @@
             self._ranked = {}
         ranked = self._ranked.get(data_centre)
         if ranked is None:
-            ranked = rank_keepers(self._list_routers(data_centre))
+            ranked = rank_allocators(self._list_routers(data_centre))
             self._ranked[data_centre] = ranked
         return ranked
 
@@ -94,4 +94,4 @@
     def avoid(self, key: str) -> None:
         """Ask others for a while; this one did not answer."""
         self._avoided[key] = self._clock.monotonic() + AVOID_SECONDS
-        LOG.info('limits.keeper_silent', router=key)
+        LOG.info('limits.allocator_silent', router=key)
--- a/src/lifttrestle/internal/fleet/limits/memory.py
+++ b/src/lifttrestle/internal/fleet/limits/memory.py
@@ -22,15 +22,15 @@
 
 from lifttrestle.internal.clock.beat import Beat
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.fleet.limits.book import LimitBook
+from lifttrestle.internal.fleet.limits.allocators import PermitAllocators
 from lifttrestle.internal.fleet.limits.held_limit import HeldLimit
-from lifttrestle.internal.fleet.limits.keepers import LimitKeepers
 from lifttrestle.internal.fleet.limits.messages import LimitCall
 from lifttrestle.internal.fleet.limits.messages import LimitNews
 from lifttrestle.internal.fleet.limits.messages import PermitAnswer
 from lifttrestle.internal.fleet.limits.messages import PermitQuery
 from lifttrestle.internal.fleet.limits.permits import Permit
-from lifttrestle.internal.fleet.limits.permits import PermitDesk
+from lifttrestle.internal.fleet.limits.permits import PermitExchange
+from lifttrestle.internal.fleet.limits.registry import LimitRegistry
 from lifttrestle.internal.fleet.limits.telling import LimitTelling
 from lifttrestle.internal.fleet.limits.telling import Send
 from lifttrestle.internal.fleet.policy.limit_belief import LimitSign
@@ -66,19 +66,25 @@
         self._clock = clock
         self._refusals = refusals
         self._told_faults: set[str] = set()
-        keepers = LimitKeepers(roster, clock)
-        self._book = LimitBook(keepers, clock)
+        allocators = PermitAllocators(roster, clock)
+        self._registry = LimitRegistry(allocators, clock)
         self._telling = LimitTelling(
             vm,
-            self._book,
-            keepers,
+            self._registry,
+            allocators,
             directory,
             roster,
             clock,
             knows_upstreams,
         )
-        self._desk = PermitDesk(
-            vm, self._book, keepers, self._telling, directory, roster, clock
+        self._exchange = PermitExchange(
+            vm,
+            self._registry,
+            allocators,
+            self._telling,
+            directory,
+            roster,
+            clock,
         )
 
     def connect(
@@ -92,14 +98,14 @@
         """
         hear(LimitNews, self._telling.take_news)
         hear(LimitCall, self._telling.take_call)
-        hear(PermitQuery, self._desk.take_query)
-        hear(PermitAnswer, self._desk.take_answer)
+        hear(PermitQuery, self._exchange.take_query)
+        hear(PermitAnswer, self._exchange.take_answer)
         self._telling.send = send
-        self._desk.count = count
+        self._exchange.count = count
 
     def __iter__(self) -> Iterator[HeldLimit]:
         """Iterate over the limits for which permits are needed."""
-        return (held for held in self._book if held.needs_permits)
+        return (held for held in self._registry if held.needs_permits)
 
     def __len__(self) -> int:
         """Return for how many upstreams permits are needed."""
@@ -117,37 +123,37 @@
                 self._told_faults.add(upstream.start)
                 self._refusals.note('limits', upstream.start, named.fault)
             return
-        if named.rate is None and self._book.get(upstream.digest) is None:
+        if named.rate is None and self._registry.get(upstream.digest) is None:
             return
-        held = self._book.hold(upstream)
+        held = self._registry.hold(upstream)
         sign = LimitSign(named.rate, sent_at, self._clock.monotonic())
-        if self._book.note(held, sign, 'an answer'):
+        if self._registry.note(held, sign, 'an answer'):
             self._telling.tell_soon(held)
 
     def forget(self, upstream: FleetUpstream) -> None:
         """Believe nothing more of a start that is there no more."""
         self._told_faults.discard(upstream.start)
-        self._book.forget(upstream)
+        self._registry.forget(upstream)
 
     @property
     def in_use(self) -> bool:
         """Return whether any upstream has named a limit lately."""
-        return len(self._book) > 0
+        return len(self._registry) > 0
 
     def is_limited(self, upstream: FleetUpstream) -> bool:
         """Return whether a request needs a permit to be sent there."""
-        return self._book.find_limited(upstream) is not None
+        return self._registry.find_limited(upstream) is not None
 
     def is_closed(self, upstream: FleetUpstream, rank: int) -> bool:
         """Return whether a request is known to get no permit now."""
-        held = self._book.find_limited(upstream)
+        held = self._registry.find_limited(upstream)
         if held is None:
             return False
         return held.is_closed(rank, self._clock.monotonic())
 
     def get_wait(self, upstream: FleetUpstream) -> float:
         """Return the seconds until a permit may be asked for again."""
-        held = self._book.find_limited(upstream)
+        held = self._registry.find_limited(upstream)
         if held is None:
             return 0.0
         return max(held.closed_until - self._clock.monotonic(), 0.0)
@@ -157,10 +163,10 @@
 
         :param rank: of the request, as ``rank_request`` tells it.
         """
-        held = self._book.find_limited(upstream)
+        held = self._registry.find_limited(upstream)
         if held is None:
             return FREE
-        return await self._desk.ask(held, rank)
+        return await self._exchange.ask(held, rank)
 
     def is_settled(self) -> bool:
         """Return whether others had the time to tell of their limits."""
@@ -183,6 +189,6 @@
 
     def look(self) -> None:
         """End recoveries that are over, and tell what is in force."""
-        for held in self._book.look():
+        for held in self._registry.look():
             self._telling.tell_soon(held)
         self._telling.tell_regularly()
--- a/src/lifttrestle/internal/fleet/limits/permits.py
+++ b/src/lifttrestle/internal/fleet/limits/permits.py
@@ -16,12 +16,12 @@
 import dataclasses
 
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.fleet.limits.book import LimitBook
+from lifttrestle.internal.fleet.limits.allocators import PermitAllocators
 from lifttrestle.internal.fleet.limits.held_limit import HeldLimit
-from lifttrestle.internal.fleet.limits.keepers import LimitKeepers
 from lifttrestle.internal.fleet.limits.messages import PermitAnswer
 from lifttrestle.internal.fleet.limits.messages import PermitQuery
 from lifttrestle.internal.fleet.limits.questions import PermitQuestions
+from lifttrestle.internal.fleet.limits.registry import LimitRegistry
 from lifttrestle.internal.fleet.limits.telling import LimitTelling
 from lifttrestle.internal.fleet.policy.limit_permits import FIRST_CHOICE_RANK
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
@@ -38,18 +38,18 @@
     """What became of a question, and what it rested on, for the log.
 
     :ivar wait: seconds after which to ask again, zero if it may be sent.
-    :ivar keeper: the router that said so, an empty string if none did.
+    :ivar allocator: the router that said so, an empty string if none did.
     :ivar rate: that the upstream names, None while its limit has just ended.
     :ivar age: seconds since an answer named it, None without a limit.
     """
 
     wait: float
-    keeper: str = ''
+    allocator: str = ''
     rate: float | None = None
     age: float | None = None
 
 
-class PermitDesk:
+class PermitExchange:
     """Gets permits from the routers that give them, and gives its own.
 
     :ivar count: is told of each question how it ended.
@@ -58,16 +58,16 @@
     def __init__(
         self,
         vm: str,
-        book: LimitBook,
-        keepers: LimitKeepers,
+        registry: LimitRegistry,
+        allocators: PermitAllocators,
         telling: LimitTelling,
         directory: UpstreamDirectory,
         roster: Roster,
         clock: Clock,
     ) -> None:
         self._vm = vm
-        self._book = book
-        self._keepers = keepers
+        self._registry = registry
+        self._allocators = allocators
         self._telling = telling
         self._directory = directory
         self._roster = roster
@@ -80,7 +80,7 @@
 
         :param rank: of the request, as ``rank_request`` tells it.
         """
-        permit = await self._ask_keepers(held, rank)
+        permit = await self._ask_allocators(held, rank)
         now = self._clock.monotonic()
         if permit.wait:
             held.close(rank, now + permit.wait)
@@ -90,18 +90,18 @@
         age = now - belief.named.end
         return dataclasses.replace(permit, rate=belief.rate, age=age)
 
-    async def _ask_keepers(self, held: HeldLimit, rank: int) -> Permit:
-        for key in self._keepers.list_sound(held.data_centre):
+    async def _ask_allocators(self, held: HeldLimit, rank: int) -> Permit:
+        for key in self._allocators.list_sound(held.data_centre):
             answer = await self._ask_one(held, rank, key)
             if answer is None:
                 self.count('unanswered')
-                self._keepers.avoid(key)
+                self._allocators.avoid(key)
                 if rank >= FIRST_CHOICE_RANK:
                     # It does not wait for a second answer.
                     break
                 continue
             if answer.free:
-                self._book.free(held, key)
+                self._registry.free(held, key)
             self.count('refused' if answer.wait else 'granted')
             return Permit(answer.wait, key)
         return Permit(UNKNOWN_SECONDS)
@@ -129,14 +129,14 @@
             unknown = PermitAnswer(self._vm, query.number, UNKNOWN_SECONDS)
             self._telling.send(unknown, key)
             return
-        held = self._book.hold(upstream)
-        if self._book.take_item(held, query.known, query.vm, key):
+        held = self._registry.hold(upstream)
+        if self._registry.take_item(held, query.known, query.vm, key):
             self._telling.tell_soon(held)
         self._telling.stand_in(held)
         self._telling.send(self._give(held, query.rank, query.number), key)
 
     def _give(self, held: HeldLimit, rank: int, number: int) -> PermitAnswer:
-        self._book.follow(held)
+        self._registry.follow(held)
         if held.bucket is not None:
             wait = held.bucket.take(rank, self._clock.monotonic())
             return PermitAnswer(self._vm, number, wait)
--- a/src/lifttrestle/internal/fleet/limits/book.py
+++ b/src/lifttrestle/internal/fleet/limits/registry.py
@@ -15,9 +15,9 @@
 from collections.abc import Iterator
 
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.limits.allocators import PermitAllocators
 from lifttrestle.internal.fleet.limits.held_limit import HeldLimit
 from lifttrestle.internal.fleet.limits.held_limit import read_sign
-from lifttrestle.internal.fleet.limits.keepers import LimitKeepers
 from lifttrestle.internal.fleet.limits.messages import LimitItem
 from lifttrestle.internal.fleet.policy.limit_belief import LimitChange
 from lifttrestle.internal.fleet.policy.limit_belief import LimitSign
@@ -29,11 +29,11 @@
 MILLISECONDS = 1000
 
 
-class LimitBook:
+class LimitRegistry:
     """Limits by the digests of their starts."""
 
-    def __init__(self, keepers: LimitKeepers, clock: Clock) -> None:
-        self._keepers = keepers
+    def __init__(self, allocators: PermitAllocators, clock: Clock) -> None:
+        self._allocators = allocators
         self._clock = clock
         self._held: dict[int, HeldLimit] = {}
 
@@ -91,7 +91,7 @@
             before=before,
             source=source,
             age_ms=round((now - sign.end) * MILLISECONDS),
-            own_share=self._keepers.get_share(held.data_centre),
+            own_share=self._allocators.get_share(held.data_centre),
         )
         return True
 
@@ -108,7 +108,7 @@
             held.recovering = True
             held.belief.ended_at = sign.end
         changed = self.note(held, sign, vm)
-        first = self._keepers.get_first(held.data_centre)
+        first = self._allocators.get_first(held.data_centre)
         if key == first and item.rate == held.belief.rate:
             held.confirmed = True
             if item.rate is None and not item.recovering:
@@ -118,7 +118,7 @@
     def follow(self, held: HeldLimit) -> None:
         """Give permits by what is believed now, if that is this router's."""
         now = self._clock.monotonic()
-        share = self._keepers.get_share(held.data_centre)
+        share = self._allocators.get_share(held.data_centre)
         rate = held.belief.rate
         if not share:
             held.bucket = None
--- a/src/lifttrestle/internal/fleet/limits/telling.py
+++ b/src/lifttrestle/internal/fleet/limits/telling.py
@@ -22,14 +22,14 @@
 from collections.abc import Collection
 
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.fleet.limits.book import LimitBook
+from lifttrestle.internal.fleet.limits.allocators import PermitAllocators
 from lifttrestle.internal.fleet.limits.held_limit import HeldLimit
-from lifttrestle.internal.fleet.limits.keepers import LimitKeepers
 from lifttrestle.internal.fleet.limits.messages import LimitCall
 from lifttrestle.internal.fleet.limits.messages import LimitItem
 from lifttrestle.internal.fleet.limits.messages import LimitNews
 from lifttrestle.internal.fleet.limits.messages import PermitAnswer
 from lifttrestle.internal.fleet.limits.messages import PermitQuery
+from lifttrestle.internal.fleet.limits.registry import LimitRegistry
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.roster import ROUTER_PREFIX
@@ -58,16 +58,16 @@
     def __init__(
         self,
         vm: str,
-        book: LimitBook,
-        keepers: LimitKeepers,
+        registry: LimitRegistry,
+        allocators: PermitAllocators,
         directory: UpstreamDirectory,
         roster: Roster,
         clock: Clock,
         knows_upstreams: Callable[[], bool],
     ) -> None:
         self._vm = vm
-        self._book = book
-        self._keepers = keepers
+        self._registry = registry
+        self._allocators = allocators
         self._directory = directory
         self._roster = roster
         self._clock = clock
@@ -90,13 +90,13 @@
 
         Nothing changes if this router is the first.
         """
-        if not self._keepers.is_first(held.data_centre):
+        if not self._allocators.is_first(held.data_centre):
             until = self._clock.monotonic() + STAND_IN_SECONDS
             self._standing_in_until[held.data_centre] = until
 
     def take_call(self, call: LimitCall) -> None:
         """Tell a router that has just started all limits."""
-        limited = [held for held in self._book if held.needs_permits]
+        limited = [held for held in self._registry if held.needs_permits]
         key = f'{ROUTER_PREFIX}{call.vm}'
         self._send_items(self._build(limited), [key], whole=True)
 
@@ -105,14 +105,14 @@
         self._settled = self._settled or news.whole
         for item in news.items:
             upstream = self._directory.get_by_digest(item.start)
-            known = self._book.get(item.start)
+            known = self._registry.get(item.start)
             told = item.rate is not None or item.recovering
             if upstream is None or (known is None and not told):
                 continue
-            held = known or self._book.hold(upstream)
+            held = known or self._registry.hold(upstream)
             key = f'{ROUTER_PREFIX}{news.vm}'
-            changed = self._book.take_item(held, item, news.vm, key)
-            if changed and self._keepers.is_first(held.data_centre):
+            changed = self._registry.take_item(held, item, news.vm, key)
+            if changed and self._allocators.is_first(held.data_centre):
                 self.tell_soon(held)
 
     def is_settled(self) -> bool:
@@ -129,7 +129,7 @@
         now = self._clock.monotonic()
         if self._asked_at is not None:
             return now - self._asked_at > SETTLE_SECONDS
-        others = self._keepers.list_everywhere() - {self._roster.key}
+        others = self._allocators.list_everywhere() - {self._roster.key}
         self._asked_at = now
         for key in others:
             self.send(LimitCall(self._vm), key)
@@ -145,7 +145,7 @@
 
     def tell_changes(self) -> None:
         """Tell what has changed."""
-        held = [self._book.get(digest) for digest in self._changed]
+        held = [self._registry.get(digest) for digest in self._changed]
         self._changed.clear()
         self._tell([item for item in held if item is not None])
 
@@ -155,7 +155,9 @@
         if now - self._told_at < TELL_SECONDS:
             return
         self._told_at = now
-        self._tell([held for held in self._book if self._is_due(held, now)])
+        self._tell(
+            [held for held in self._registry if self._is_due(held, now)]
+        )
 
     def _is_due(self, held: HeldLimit, now: float) -> bool:
         if self._speaks_for(held.data_centre, now):
@@ -164,7 +166,7 @@
 
     def _speaks_for(self, data_centre: str, now: float) -> bool:
         """Return whether this router tells all of a data centre's limits."""
-        if self._keepers.is_first(data_centre):
+        if self._allocators.is_first(data_centre):
             return True
         return self._standing_in_until.get(data_centre, now) > now
 
@@ -173,7 +175,7 @@
         now = self._clock.monotonic()
         by_hearer: dict[str, list[HeldLimit]] = {}
         for held in told:
-            hearer = self._keepers.get_first(held.data_centre)
+            hearer = self._allocators.get_first(held.data_centre)
             if self._speaks_for(held.data_centre, now):
                 hearer = self._roster.key
             by_hearer.setdefault(hearer, []).append(held)
--- a/src/lifttrestle/internal/fleet/path/story.py
+++ b/src/lifttrestle/internal/fleet/path/story.py
@@ -130,7 +130,7 @@
         'age_ms': _to_milliseconds(permit.age),
         'retry_ms': _to_milliseconds(permit.wait or None),
         'rank': rank,
-        'keeper': permit.keeper,
+        'allocator': permit.allocator,
     }
 
 
--- a/src/lifttrestle/internal/fleet/policy/limit_keepers.py
+++ b/src/lifttrestle/internal/fleet/policy/permit_allocators.py
@@ -24,12 +24,12 @@
 from lifttrestle.internal.routing.rendezvous import rank_names
 
 RANKING = b'limits'
-MAX_KEEPERS = 3
+MAX_ALLOCATORS = 3
 # Of the limit, what the first, second and third router give out.
 SHARES = (1.0, 0.25, 0.125)
 
 
-def rank_keepers(routers: Collection[str]) -> list[str]:
+def rank_allocators(routers: Collection[str]) -> list[str]:
     """Return the routers that may give out permits, the first one first.
 
     All choose the same ones while they know the same routers.
@@ -37,4 +37,4 @@
     :param routers: of the upstream's data centre, or all of the fleet where
         there are none.
     """
-    return rank_names(RANKING, sorted(routers))[:MAX_KEEPERS]
+    return rank_names(RANKING, sorted(routers))[:MAX_ALLOCATORS]
--- a/tests/cover/test_limit_memory.py
+++ b/tests/cover/test_limit_memory.py
@@ -17,7 +17,7 @@
 
 import msgspec
 
-from lifttrestle.internal.fleet.limits.keepers import LimitKeepers
+from lifttrestle.internal.fleet.limits.allocators import PermitAllocators
 from lifttrestle.internal.fleet.limits.messages import LimitItem
 from lifttrestle.internal.fleet.limits.messages import LimitNews
 from lifttrestle.internal.fleet.policy.limit_belief import NamedLimit
@@ -53,14 +53,14 @@
             for router in range(ROUTERS)
         )
 
-    def get_keeper(self):
+    def get_allocator(self):
         """Return the number of the router that gives permits."""
         limits = self.design.limits[0]
-        keepers: LimitKeepers = limits._telling._keepers
-        return int(keepers.get_first('a').removeprefix('router/r'))
+        allocators: PermitAllocators = limits._telling._allocators
+        return int(allocators.get_first('a').removeprefix('router/r'))
 
     def list_others(self):
-        return [n for n in range(ROUTERS) if n != self.get_keeper()]
+        return [n for n in range(ROUTERS) if n != self.get_allocator()]
 
     async def test_all_know_soon_of_what_one_has_heard(self):
         self.answer(3, 1.0)
@@ -89,7 +89,7 @@
         await self.play.pass_time(1.0)
         self.answer(5, None)
         await self.play.pass_time(KNOWN_SECONDS)
-        self.design.restart(self.get_keeper())
+        self.design.restart(self.get_allocator())
         await self.play.pass_time(KNOWN_SECONDS)
         asking = self.list_others()[0]
         granted = sum([await self._ask(asking) for _ in range(40)])
@@ -137,7 +137,7 @@
     async def test_second_router_gives_a_quarter_while_the_first_is_away(self):
         self.answer(3, 4.0)
         await self.play.pass_time(1.0)
-        self.play.takers[self.get_keeper()] = lambda data: None
+        self.play.takers[self.get_allocator()] = lambda data: None
         asking = self.list_others()[0]
         granted = 0
         for _ in range(400):
@@ -160,16 +160,16 @@
         return granted
 
     async def test_router_that_has_missed_the_news_learns_from_its_query(self):
-        keeper = self.get_keeper()
+        allocator = self.get_allocator()
         others = self.list_others()
         self.answer(others[0], 1.0)
         await self.play.pass_time(KNOWN_SECONDS)
         # As after a start that heard nothing of it.
-        upstream = self.design.get_upstream(keeper, 0)
-        self.design.limits[keeper].forget(upstream)
-        self.assertFalse(self.design.is_limited(keeper, 0))
+        upstream = self.design.get_upstream(allocator, 0)
+        self.design.limits[allocator].forget(upstream)
+        self.assertFalse(self.design.is_limited(allocator, 0))
         await self._ask(others[0])
-        self.assertTrue(self.design.is_limited(keeper, 0))
+        self.assertTrue(self.design.is_limited(allocator, 0))
 
     async def test_fault_is_told_once_and_changes_nothing(self):
         self.answer(3, 1.0)
--- a/tests/cover/test_limit_permits.py
+++ b/tests/cover/test_limit_permits.py
@@ -14,9 +14,9 @@
 
 import unittest
 
-from lifttrestle.internal.fleet.policy.limit_keepers import SHARES
 from lifttrestle.internal.fleet.policy.limit_permits import PermitBucket
 from lifttrestle.internal.fleet.policy.limit_permits import rank_request
+from lifttrestle.internal.fleet.policy.permit_allocators import SHARES
 
 WINDOW_SECONDS = 4.0
 STEP_SECONDS = 0.01
