A decision on a cap asks once for what is left

Cause: UsageLedger.admit asked for what is left up to three times a request, which adds up all groups each time; SharedLevel.get_use had no caller. Ruled out: nothing. Before: three times for a request that is refused. After: once; what is missing is passed on. The test of times to come back calls it so and asserts what it did.

--- a/src/lifttrestle/internal/admission/workspaces.py
+++ b/src/lifttrestle/internal/admission/workspaces.py
@@ -58,13 +58,14 @@
             )
         now = self._clock.monotonic()
         level = self._get_level(workspace, routers)
-        if level.find_missing(1.0, now) > 0:
+        missing = level.find_missing(1.0, level.get_left(now))
+        if missing > 0:
             raise RequestRefused(
                 ErrorKind.RATE_LIMITED,
                 f'workspace {workspace.name!r} is over its share of'
                 f' {level.cap.rate / routers:g} requests a second',
                 field='requests_per_second',
-                retry_after=level.find_retry_seconds(1.0, now),
+                retry_after=level.find_retry_seconds(1.0, missing, now),
             )
         level.take(1.0, now)
         self._running[workspace.name] += 1
--- a/src/lifttrestle/internal/fleet/policy/shared_level.py
+++ b/src/lifttrestle/internal/fleet/policy/shared_level.py
@@ -91,11 +91,6 @@
         for name in [name for name in self._groups if name not in others]:
             del self._groups[name]
 
-    def get_use(self, name: str, now: float) -> float:
-        """Return the units a second that a group uses."""
-        group = self._groups.get(name)
-        return group.use.get(now) if group is not None else 0.0
-
     def set_use(self, name: str, use: float, now: float) -> None:
         """Take over what another router knows of a group's use."""
         self._groups.setdefault(name, GroupUse()).use.set(use, now)
@@ -210,9 +205,11 @@
                 pending += group.use.get(now) * scale * age
         return self.level - pending
 
-    def find_missing(self, units: float, now: float) -> float:
-        """Return the units by which a request is over the cap, or zero."""
-        left = self.get_left(now)
+    def find_missing(self, units: float, left: float) -> float:
+        """Return the units by which a request is over the cap, or zero.
+
+        :param left: as ``get_left`` has just told it.
+        """
         # Of a small part a small one is enough.
         part = self._find_refill() / self.cap.rate
         needed = min(units, FITTING_SHARE * self.cap.capacity * part)
@@ -251,13 +248,16 @@
         floor = -max(self.cap.capacity, USE_SECONDS * self.cap.rate)
         self.level = min(max(self.level - units, floor), self.cap.capacity)
 
-    def find_retry_seconds(self, units: float, now: float) -> float:
+    def find_retry_seconds(
+        self, units: float, missing: float, now: float
+    ) -> float:
         """Return when a refused caller finds room at routers like this one.
 
         Callers that are refused one after the other are told times one after
         the other, as this router's share lets them in.
+
+        :param missing: units by which the request is over the cap.
         """
-        missing = self.find_missing(units, now)
         room = now + missing / max(self._find_refill(), 1e-9)
         begin = max(self._promised_until, room)
         if begin > room + MAX_SPREAD_SECONDS:
--- a/src/lifttrestle/internal/fleet/usage/ledger.py
+++ b/src/lifttrestle/internal/fleet/usage/ledger.py
@@ -226,6 +226,7 @@
             return None
         now = self._clock.monotonic()
         left = level.get_left(now)
+        missing = level.find_missing(units, left)
         facts = UsageFacts(
             units=units,
             left=left,
@@ -233,8 +234,8 @@
             share=level.find_own_share(now),
             cap=level.cap,
             silent=len(level.others.list_silent(now)),
-            retry_seconds=level.find_retry_seconds(units, now)
-            if level.find_missing(units, now) > 0
+            retry_seconds=level.find_retry_seconds(units, missing, now)
+            if missing > 0
             else None,
         )
         if facts.retry_seconds is None:
--- a/tests/cover/test_usage_caps.py
+++ b/tests/cover/test_usage_caps.py
@@ -216,7 +216,10 @@
     def test_refused_callers_come_back_one_after_the_other(self):
         level = self.make({'b': 1})
         level.take(150.0, 0.0)
-        times = [level.find_retry_seconds(10.0, 0.0) for _ in range(8)]
+        missing = level.find_missing(10.0, level.get_left(0.0))
+        times = [
+            level.find_retry_seconds(10.0, missing, 0.0) for _ in range(8)
+        ]
         self.assertAlmostEqual(times[0], 0.5, delta=0.1)
         self.assertEqual(times, sorted(set(times)))
         self.assertLessEqual(times[-1], times[0] + MAX_SPREAD_SECONDS)
