Log and expose the store epoch reported in answers

The store may be restored from an older copy of itself, after which its answers report a higher epoch. The logs could not distinguish this from dropped history.

Log each epoch change once as store.epoch_changed, with the new epoch, the previous epoch and the call, and expose the current epoch as the gauge lifttrestle_store_epoch. Nothing acts on the epoch yet.

--- a/src/lifttrestle/internal/fleet/gauges.py
+++ b/src/lifttrestle/internal/fleet/gauges.py
@@ -22,6 +22,7 @@
 from lifttrestle.internal.fleet.state.relay_follower import RelayFollower
 from lifttrestle.internal.fleet.state.relay_server import RelayServer
 from lifttrestle.internal.fleet.state.roster import Roster
+from lifttrestle.internal.fleet.state.rows import RowStore
 from lifttrestle.internal.fleet.state.table_watch import TableWatch
 from lifttrestle.internal.http.server import HttpServer
 from lifttrestle.internal.telemetry.fleet_metrics import FleetMetrics
@@ -31,6 +32,7 @@
 class WatchedParts:
     """The parts of a router that gauges are read from."""
 
+    store: RowStore
     operator_watch: TableWatch
     roster: Roster
     directory: UpstreamDirectory
@@ -56,6 +58,11 @@
         'Since what the operator put in force was proved current.',
         lambda parts: parts.operator_watch.get_age(),
     ),
+    Gauge(
+        'store_epoch',
+        'Rises each time the store comes back as an older copy of itself.',
+        lambda parts: float(parts.store.epoch),
+    ),
     Gauge(
         'live_routers',
         'Routers that share budgets, counted high.',
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -242,6 +242,7 @@
         watch_parts(
             self._parts.metrics,
             WatchedParts(
+                self.store,
                 self._operator_watch,
                 self.roster,
                 self._directory,
--- a/src/lifttrestle/internal/fleet/state/rows.py
+++ b/src/lifttrestle/internal/fleet/state/rows.py
@@ -61,8 +61,14 @@
 
     Each method raises ``PlatformUnavailable`` when there is no usable
     answer; a write may then have taken effect, or do so later.
+
+    :ivar epoch: the epoch that the store reported last, or zero if it has
+        reported none. The store increases it when it is restored from an
+        older copy.
     """
 
+    epoch: int = 0
+
     @abc.abstractmethod
     async def read_table(self, table: str) -> RowChanges:
         """Return every row of a table."""
--- a/src/lifttrestle/internal/platform/names.py
+++ b/src/lifttrestle/internal/platform/names.py
@@ -70,6 +70,8 @@
 MODE_RETAIN = 'retain'
 
 # Calls to the store, and its tables.
+# Response header; increases when the store is restored from an older copy.
+STORE_EPOCH = 'store-era'
 READ_ROWS = '/rows-get'
 WATCH_ROWS = '/rows-feed'
 COMMIT = '/rows-tx'
--- a/src/lifttrestle/internal/platform/row_store.py
+++ b/src/lifttrestle/internal/platform/row_store.py
@@ -30,6 +30,7 @@
 from lifttrestle.internal.platform import names
 from lifttrestle.internal.platform.records import RowRecord
 from lifttrestle.internal.platform.records import RowsRecord
+from lifttrestle.internal.platform.store_epoch import read_epoch
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
 LOG = get_event_log('store')
@@ -49,6 +50,7 @@
 
     def __init__(self, client: JsonClient) -> None:
         self._client = client
+        self._reported_epoch: int | None = None
 
     async def read_table(self, table: str) -> RowChanges:
         """Return every row of a table, over as many pages as it takes.
@@ -124,9 +126,25 @@
         headers: tuple[tuple[str, str], ...] = ()
         if content is not None:
             headers = (('content-type', 'application/json'),)
-        return await self._client.call(
+        answer = await self._client.call(
             method, target, content, headers, extra_seconds=wait_seconds
         )
+        self._update_epoch(answer, path)
+        return answer
+
+    def _update_epoch(self, answer: Answer, path: str) -> None:
+        epoch = read_epoch(answer.headers)
+        if epoch is None or epoch == self._reported_epoch:
+            return
+        if self._reported_epoch is not None:
+            LOG.warning(
+                'store.epoch_changed',
+                epoch=epoch,
+                before=self._reported_epoch,
+                call=path,
+            )
+        self._reported_epoch = epoch
+        self.epoch = epoch
 
     def close(self) -> None:
         """Close the connections to the store."""
--- a/tests/support/fleet_store.py
+++ b/tests/support/fleet_store.py
@@ -19,14 +19,21 @@
 import msgspec
 
 from lifttrestle.errors import ConditionFailed
+from lifttrestle.internal.fleet.state.row_version import build_version
+from lifttrestle.internal.fleet.state.row_version import get_commit_number
+from lifttrestle.internal.fleet.state.rows import NO_ROW
 from lifttrestle.internal.fleet.state.rows import RowWrite
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.http.address import Address
+from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.server_connection import ServerConnection
+from lifttrestle.internal.platform import names
+from lifttrestle.internal.standin.server import JSON_HEADERS
 from lifttrestle.internal.standin.server import send_json
 from lifttrestle.internal.standin.server import StandinServer
 from tests.support.memory_rows import MemoryRows
+from tests.support.memory_rows import RowsSnapshot
 
 
 class FleetStoreStandin:
@@ -37,11 +44,13 @@
     :ivar peers: the connections that calls came over.
     :ivar silenced: those of them that are answered no more, nor closed.
     :ivar writable: writes are carried out while it is set.
+    :ivar sends_epoch: whether answers to row calls carry the epoch header.
     """
 
     def __init__(self) -> None:
         self.rows = MemoryRows()
         self.page_size = 500
+        self.sends_epoch = True
         self.peers: set[str] = set()
         self.silenced: set[str] = set()
         self.writable = asyncio.Event()
@@ -66,6 +75,11 @@
         self.rows.put(table, key, None)
         self._wake()
 
+    def restore(self, snapshot: RowsSnapshot) -> None:
+        """Restore a snapshot and wake the watches."""
+        self.rows.restore(snapshot)
+        self._wake()
+
     def _wake(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
@@ -86,6 +100,15 @@
         else:
             await send_json(connection, {}, 404)
 
+    async def _send(
+        self, connection: ServerConnection, content: object, status: int = 200
+    ) -> None:
+        headers = JSON_HEADERS
+        if self.sends_epoch:
+            headers = (*headers, (names.STORE_EPOCH, str(self.rows.epoch)))
+        body = msgspec.json.encode(content)
+        await connection.send_answer(Answer(status, headers, body))
+
     async def _get(
         self, connection: ServerConnection, query: dict[str, str]
     ) -> None:
@@ -97,18 +120,18 @@
         content = {
             'rows': [_encode(table, row) for row in page],
             'more_pages': len(rows) > len(page),
-            'ver': whole.version,
+            'ver': get_commit_number(whole.version),
             'now_ms': 0,
         }
-        await send_json(connection, content)
+        await self._send(connection, content)
 
     async def _feed(
         self, connection: ServerConnection, query: dict[str, str]
     ) -> None:
         table = query['table']
-        after = int(query['after'])
-        if after < self.rows.oldest:
-            await send_json(connection, {}, 410)
+        after = build_version(self.rows.epoch, int(query['after']))
+        if after < self.rows.oldest or after > self.rows.version:
+            await self._send(connection, {}, 410)
             return
         try:
             async with asyncio.timeout(int(query['wait_ms']) / 1000):
@@ -120,10 +143,10 @@
             await asyncio.Event().wait()
         content = {
             'rows': await self._list(table, after),
-            'ver': self.rows.version,
+            'ver': get_commit_number(self.rows.version),
             'now_ms': 0,
         }
-        await send_json(connection, content)
+        await self._send(connection, content)
 
     async def _list(self, table: str, after: int) -> list[object]:
         changes = await self.rows.watch_table(table, after, 0)
@@ -137,16 +160,17 @@
         value = None
         if call['put']:
             value = base64.b64decode(call['put'][0]['value'])
-        write = RowWrite(
-            expected['table'], expected['key'], value, expected['ver']
-        )
+        number = expected['ver']
+        version = build_version(self.rows.epoch, number) if number else NO_ROW
+        write = RowWrite(expected['table'], expected['key'], value, version)
         try:
             version = await self.rows.write_row(write)
         except ConditionFailed:
-            await send_json(connection, {'rows': []}, 412)
+            await self._send(connection, {'rows': []}, 412)
             return
         self._wake()
-        await send_json(connection, {'ver': version, 'now_ms': 0})
+        content = {'ver': get_commit_number(version), 'now_ms': 0}
+        await self._send(connection, content)
 
 
 def _encode(table: str, row: VersionedRow) -> dict[str, object]:
@@ -154,7 +178,7 @@
         'table': table,
         'part': '',
         'key': row.key,
-        'ver': row.version,
+        'ver': get_commit_number(row.version),
     }
     if row.value is None:
         content['tombstone'] = True
--- a/tests/support/memory_rows.py
+++ b/tests/support/memory_rows.py
@@ -13,10 +13,14 @@
 """The shared tables in memory, with faults that a test switches on."""
 
 import asyncio
+import dataclasses
 
 from lifttrestle.errors import ConditionFailed
 from lifttrestle.errors import HistoryGone
 from lifttrestle.errors import PlatformUnavailable
+from lifttrestle.internal.fleet.state.row_version import build_version
+from lifttrestle.internal.fleet.state.row_version import get_commit_number
+from lifttrestle.internal.fleet.state.row_version import get_epoch
 from lifttrestle.internal.fleet.state.rows import NO_ROW
 from lifttrestle.internal.fleet.state.rows import RowChanges
 from lifttrestle.internal.fleet.state.rows import RowStore
@@ -24,12 +28,21 @@
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 
 
+@dataclasses.dataclass(frozen=True)
+class RowsSnapshot:
+    """The rows of every table, and the number of the latest commit."""
+
+    commit_number: int
+    rows: dict[str, dict[str, VersionedRow]]
+
+
 class MemoryRows(RowStore):
     """Answers at once; a watch without news returns empty.
 
     :ivar down: every call fails without effect.
     :ivar lose_answers: writes take effect and their answers are lost.
     :ivar oldest: changes before this commit are dropped from the history.
+    :ivar epoch: increases each time a snapshot is restored.
     """
 
     def __init__(self) -> None:
@@ -46,6 +59,28 @@
         self._rows.setdefault(table, {})[key] = row
         return self.version
 
+    def take_snapshot(self) -> RowsSnapshot:
+        """Return a snapshot of the current rows."""
+        rows = {table: dict(rows) for table, rows in self._rows.items()}
+        return RowsSnapshot(get_commit_number(self.version), rows)
+
+    def restore(self, snapshot: RowsSnapshot) -> None:
+        """Replace the rows with a snapshot and start the next epoch."""
+        self.epoch += 1
+        self.version = build_version(self.epoch, snapshot.commit_number)
+        self._rows = {
+            table: {
+                key: VersionedRow(
+                    key, row.value, self._to_current_epoch(row.version)
+                )
+                for key, row in rows.items()
+            }
+            for table, rows in snapshot.rows.items()
+        }
+
+    def _to_current_epoch(self, version: int) -> int:
+        return build_version(self.epoch, get_commit_number(version))
+
     def get(self, table: str, key: str) -> VersionedRow:
         """Return a row; one that does not exist has no value."""
         missing = VersionedRow(key, None, NO_ROW)
@@ -65,6 +100,8 @@
         """Return the changes since a commit."""
         await asyncio.sleep(0)
         self._check_up()
+        if get_epoch(after) != self.epoch or after > self.version:
+            raise HistoryGone('the commit is not in the history')
         if after < self.oldest:
             raise HistoryGone('dropped')
         rows = self._rows.get(table, {}).values()
