--- /dev/null
+++ b/tests/nocover/test_store_return.py
@@ -0,0 +1,108 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Tests of routers whose store comes back as an older copy of itself."""
+
+import asyncio
+import contextlib
+import unittest
+
+from tests.nocover.test_fleet_relay import run_routers
+from tests.support.fleet import CONFIGURATION
+from tests.support.fleet import make_route
+from tests.support.fleet import ROUTES
+from tests.support.fleet import run_fleet
+
+# A change must be in force within this time of its acknowledgement.
+APPLY_SECONDS = 2.0
+# Routers that the store's return leaves out are back within this time.
+READY_SECONDS = 1.5
+MANY_ROWS = 60
+
+
+def build_configuration(version):
+    """Return a configuration that adds a route and takes the key k2 away."""
+    added = make_route(f'added{version}', 'idempotent')
+    return {
+        **CONFIGURATION,
+        'version': version,
+        'routes': [*ROUTES, added],
+        'tenants': [{'name': 'acme', 'api_keys': ['k1'], 'priority': 2}],
+    }
+
+
+async def reaches(condition, seconds):
+    """Return whether a condition holds within a time."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(seconds):
+            while not condition():
+                await asyncio.sleep(0.01)
+    return condition()
+
+
+def write_rows(store, count):
+    """Commit rows that are nobody's."""
+    for number in range(count):
+        store.put('other', f'row-{number}', number)
+
+
+class TestReturn(unittest.IsolatedAsyncioTestCase):
+    async def test_regression_change_after_a_return_was_never_told(self):
+        async with run_fleet() as fleet:
+            store, router = fleet.store, fleet.router
+            copy = store.rows.take_snapshot()
+            write_rows(store, MANY_ROWS)
+            held = store.rows.version
+            await asyncio.sleep(1.0)
+            store.restore(copy)
+            store.put('op', 'config', build_configuration(9))
+            fleet.list_upstream(
+                'plain', fleet.upstreams['p1'], state='draining'
+            )
+            # The counter passes what routers held before they look again.
+            write_rows(store, 2 * MANY_ROWS)
+            self.assertGreater(store.rows.version, held)
+            applied = await reaches(
+                lambda: router.catalogue.version == 9, APPLY_SECONDS
+            )
+            self.assertTrue(applied, router.catalogue.version)
+            answer = await fleet.call('/added9/x')
+            self.assertEqual(answer.status, 200)
+            answer = await fleet.call('/safe/x', key='k2')
+            self.assertEqual(answer.status, 401)
+            draining = router.directory.get('p1').entry.draining
+            self.assertTrue(draining)
+
+    async def test_regression_routers_were_out_after_a_return(self):
+        async with run_routers() as (store, relays, other):
+            routers = [*relays, other]
+            copy = store.rows.take_snapshot()
+            write_rows(store, MANY_ROWS)
+            await asyncio.sleep(1.0)
+            store.restore(copy)
+            # Longer than the view may go without a proof.
+            await asyncio.sleep(4.0)
+            self.assertTrue(
+                await reaches(
+                    lambda: all(router.is_ready() for router in routers),
+                    READY_SECONDS,
+                )
+            )
+            store.put('op', 'config', build_configuration(9))
+            self.assertTrue(
+                await reaches(
+                    lambda: all(
+                        router.catalogue.version == 9 for router in routers
+                    ),
+                    APPLY_SECONDS,
+                )
+            )
