Include the store epoch in row versions and reread a restored store

Impact on callers: after the store had been restored from an older copy, routers were out for some three seconds and every caller was refused. Changes acknowledged before the store's commit number had passed the one that the routers held never took effect: a draining upstream received requests until its entry was removed, added routes returned 404, and a revoked key still worked.

Cause: commit numbers were assumed only to increase. A full table read with an older number was refused as a failed read. Changes at or below the number held were skipped, both when a table was read again and when a watch continued from a number that another commit had by then.

The adapter now builds versions from the epoch and the commit number. They increase across a restore, so tables, relays, the fences of orders and write conditions need no other rule. Changes after a version of an earlier epoch are refused, and the table is read again. A write conditional on such a version is not sent, or counts as unanswered if its condition matched by accident. An answer of an earlier epoch, or one without an epoch after others reported one, counts as no answer. News relayed from an earlier epoch proves nothing.

The relay model also restores the store and finds a planted read across epochs.

--- a/src/lifttrestle/internal/fleet/state/relay_follower.py
+++ b/src/lifttrestle/internal/fleet/state/relay_follower.py
@@ -219,9 +219,11 @@
                 f'a proof as of {message.proved_after} s after the question'
                 ' is not over yet',
             )
-        if watch is self._leading and proved_at > watch.proved_at:
-            self._told_at = self._clock.monotonic()
+        previous_proved_at = watch.proved_at
         watch.take_relayed(read_news(message), proved_at, message.after_outage)
+        # News that proves nothing must not delay reading the store directly.
+        if watch is self._leading and watch.proved_at > previous_proved_at:
+            self._told_at = self._clock.monotonic()
 
     def _choose_source(self) -> None:
         now = self._clock.monotonic()
--- a/src/lifttrestle/internal/fleet/state/rows.py
+++ b/src/lifttrestle/internal/fleet/state/rows.py
@@ -23,7 +23,8 @@
 class VersionedRow:
     """One row.
 
-    :ivar version: the commit that wrote it, from one counter of the store.
+    :ivar version: the version of the commit that wrote it, which includes
+        the store's epoch (see ``row_version``).
     :ivar value: its bytes, or None if the row was removed.
     """
 
@@ -84,7 +85,7 @@
 
     @abc.abstractmethod
     async def write_row(self, write: RowWrite) -> int:
-        """Write one row and return the commit's number.
+        """Write one row and return the commit's version.
 
         :raises ConditionFailed: if the row has another version.
         """
--- a/src/lifttrestle/internal/fleet/state/table_copy.py
+++ b/src/lifttrestle/internal/fleet/state/table_copy.py
@@ -22,6 +22,7 @@
 
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.state.row_version import format_version
 from lifttrestle.internal.fleet.state.rows import NO_ROW
 from lifttrestle.internal.fleet.state.rows import RowChanges
 from lifttrestle.internal.fleet.state.rows import VersionedRow
@@ -76,8 +77,9 @@
         """
         if snapshot.version < self.version:
             raise PlatformUnavailable(
-                f'the table {self.table!r} went back from {self.version}'
-                f' to {snapshot.version}'
+                f'the table {self.table!r} reverted from'
+                f' {format_version(self.version)} to'
+                f' {format_version(snapshot.version)}'
             )
         present = {row.key for row in snapshot.rows}
         missing = tuple(
--- a/src/lifttrestle/internal/fleet/state/table_watch.py
+++ b/src/lifttrestle/internal/fleet/state/table_watch.py
@@ -23,6 +23,9 @@
 from lifttrestle.errors import HistoryGone
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.state.row_version import format_version
+from lifttrestle.internal.fleet.state.row_version import get_epoch
+from lifttrestle.internal.fleet.state.rows import NO_ROW
 from lifttrestle.internal.fleet.state.rows import RowChanges
 from lifttrestle.internal.fleet.state.rows import RowStore
 from lifttrestle.internal.fleet.state.table_copy import CopyNews
@@ -115,6 +118,16 @@
 
         :param after_outage: the store was away before that router read it.
         """
+        if get_epoch(news.changes.version) < get_epoch(self.copy.version):
+            # The other router has not seen the restore yet or reports no
+            # epoch, so its reads prove nothing about the current epoch.
+            LOG.info(
+                'watch.earlier_epoch',
+                table=self._table,
+                version=format_version(news.changes.version),
+                held=format_version(self.copy.version),
+            )
+            return
         self._lost = self._lost or after_outage
         if news.whole and news.changes.version < self.copy.version:
             # It was overtaken by this router's own read; what it proves
@@ -181,12 +194,37 @@
             self._reading.cancel()
 
     def _take(self, news: CopyNews, proved_at: float) -> None:
+        previous_version = self.copy.version
+        age = self.get_age()
         take = self.copy.take_whole if news.whole else self.copy.take_changes
         take(news.changes, proved_at)
+        if previous_version != NO_ROW:
+            self._note_epoch_change(previous_version, age)
         for follower in self._followers:
             follower(self)
         self._note_regained()
 
+    def _note_epoch_change(self, previous_version: int, age: float) -> None:
+        """If the epoch changed, log it and restart the dependants' reads.
+
+        :param age: the age of the copy before the change.
+        """
+        version = self.copy.version
+        epoch = get_epoch(version)
+        if epoch == get_epoch(previous_version):
+            return
+        LOG.warning(
+            'watch.epoch_changed',
+            table=self._table,
+            version=format_version(version),
+            before=format_version(previous_version),
+            age_s=round(age, 3),
+        )
+        for watch in self._dependants:
+            # A pending read of an earlier epoch may block until it times out.
+            if get_epoch(watch.copy.version) < epoch:
+                watch.restart()
+
     def _note_lost(self, error: PlatformUnavailable) -> None:
         if not self._lost:
             LOG.warning(
@@ -200,7 +238,9 @@
     def _note_regained(self) -> None:
         if self._lost:
             LOG.info(
-                'watch.regained', table=self._table, version=self.copy.version
+                'watch.regained',
+                table=self._table,
+                version=format_version(self.copy.version),
             )
             self._lost = False
             for watch in self._dependants:
--- a/src/lifttrestle/internal/platform/row_store.py
+++ b/src/lifttrestle/internal/platform/row_store.py
@@ -20,6 +20,12 @@
 from lifttrestle.errors import HistoryGone
 from lifttrestle.errors import InputRefused
 from lifttrestle.errors import PlatformUnavailable
+from lifttrestle.internal.fleet.state.row_version import build_version
+from lifttrestle.internal.fleet.state.row_version import format_version
+from lifttrestle.internal.fleet.state.row_version import get_commit_number
+from lifttrestle.internal.fleet.state.row_version import get_epoch
+from lifttrestle.internal.fleet.state.row_version import MAX_COMMIT_NUMBER
+from lifttrestle.internal.fleet.state.rows import NO_ROW
 from lifttrestle.internal.fleet.state.rows import RowChanges
 from lifttrestle.internal.fleet.state.rows import RowStore
 from lifttrestle.internal.fleet.state.rows import RowWrite
@@ -38,6 +44,8 @@
 STATUS_OK = 200
 STATUS_GONE = 410
 STATUS_CONDITION = 412
+# Statuses of the store's own answers; others may come from a proxy.
+STORE_STATUSES = frozenset((STATUS_OK, STATUS_GONE, STATUS_CONDITION))
 # Sorts right after a key: a page goes on from there.
 AFTER_KEY = '\0'
 
@@ -45,12 +53,14 @@
 class PlatformRowStore(RowStore):
     """Calls the store; each call has its time limit.
 
+    The versions that it returns include the epoch that the answer reports.
+
     :param client: for one call after the other on kept connections.
     """
 
     def __init__(self, client: JsonClient) -> None:
         self._client = client
-        self._reported_epoch: int | None = None
+        self._reports_epoch = False
 
     async def read_table(self, table: str) -> RowChanges:
         """Return every row of a table, over as many pages as it takes.
@@ -58,49 +68,84 @@
         The version is that of the first page: what changes between pages is
         told again by the watch that starts there.
         """
-        first_version = 0
+        first_version = NO_ROW
         rows: list[VersionedRow] = []
         start = ''
         while True:
-            page = await self._read_page(table, start)
-            first_version = first_version or page.ver
-            rows.extend(_read_row(item) for item in page.rows)
+            answer = await self._read_page(table, start)
+            epoch = self._update_epoch(answer)
+            page = _decode_rows(answer)
+            version = _build_version(epoch, page.ver)
+            first_version = first_version or version
+            if epoch != get_epoch(first_version):
+                raise PlatformUnavailable(
+                    'the store was restored from an older copy while the'
+                    f' table {table!r} was read; read it again'
+                )
+            rows.extend(_read_row(item, epoch) for item in page.rows)
             if not page.more_pages or not page.rows:
                 return RowChanges(tuple(rows), first_version)
             start = page.rows[-1].key + AFTER_KEY
 
-    async def _read_page(self, table: str, start: str) -> RowsRecord:
+    async def _read_page(self, table: str, start: str) -> Answer:
         query = {'table': table, 'part': ''}
         if start:
             query['from'] = start
-        answer = await self._call('GET', names.READ_ROWS, query)
-        return _decode_rows(answer)
+        return await self._call('GET', names.READ_ROWS, query)
 
     async def watch_table(
         self, table: str, after: int, wait_seconds: float
     ) -> RowChanges:
         """Return the changes since commit ``after``."""
+        self._check_not_restored(table, after)
         query = {
             'table': table,
-            'after': str(after),
+            'after': str(get_commit_number(after)),
             'wait_ms': str(int(wait_seconds * MILLISECONDS)),
         }
         answer = await self._call('GET', names.WATCH_ROWS, query, wait_seconds)
+        epoch = self._update_epoch(answer)
+        self._check_not_restored(table, after)
         if answer.status == STATUS_GONE:
             raise HistoryGone(
-                f'the changes of table {table!r} since {after} are dropped;'
-                ' read the table again'
+                f'the changes of table {table!r} since'
+                f' {format_version(after)} are dropped; read the table again'
+            )
+        if epoch < get_epoch(after):
+            raise PlatformUnavailable(
+                f'the store reported epoch {epoch}, which is older than'
+                f' version {format_version(after)}'
             )
         page = _decode_rows(answer)
         return RowChanges(
-            tuple(_read_row(item) for item in page.rows), page.ver
+            tuple(_read_row(item, epoch) for item in page.rows),
+            _build_version(epoch, page.ver),
         )
 
+    def _check_not_restored(self, table: str, after: int) -> None:
+        """Check that the store has not been restored since a commit.
+
+        After a restore, the store reuses commit numbers, so the changes since
+        ``after`` may omit commits of the current epoch.
+
+        :raises HistoryGone: if the store has been restored.
+        """
+        if get_epoch(after) < self.epoch:
+            raise HistoryGone(
+                'the store was restored from an older copy, epoch'
+                f' {self.epoch}, after {format_version(after)}; read the table'
+                f' {table!r} again'
+            )
+
     async def write_row(self, write: RowWrite) -> int:
-        """Write one row and return the commit's number."""
+        """Write one row and return the commit's version."""
+        expected = write.expected_version
+        if expected != NO_ROW and get_epoch(expected) < self.epoch:
+            # A different commit may have the same number after a restore.
+            raise ConditionFailed((write.key,))
         row = {'table': write.table, 'part': '', 'key': write.key}
         content: dict[str, object] = {
-            'expected': [{**row, 'ver': write.expected_version}],
+            'expected': [{**row, 'ver': get_commit_number(expected)}],
             'put': [],
             'remove': [],
         }
@@ -110,9 +155,17 @@
             text = base64.b64encode(write.value).decode('ascii')
             content['put'] = [{**row, 'value': text}]
         answer = await self._call('POST', names.COMMIT, {}, 0.0, content)
+        epoch = self._update_epoch(answer)
         if answer.status == STATUS_CONDITION:
             raise ConditionFailed((write.key,))
-        return _decode_rows(answer).ver
+        version = _build_version(epoch, _decode_rows(answer).ver)
+        if expected != NO_ROW and epoch != get_epoch(expected):
+            raise PlatformUnavailable(
+                f'the write replaced an unknown version of the row'
+                f' {write.key!r}: the store was restored from an older copy'
+                f' after {format_version(expected)}'
+            )
+        return version
 
     async def _call(
         self,
@@ -126,25 +179,32 @@
         headers: tuple[tuple[str, str], ...] = ()
         if content is not None:
             headers = (('content-type', 'application/json'),)
-        answer = await self._client.call(
+        return await self._client.call(
             method, target, content, headers, extra_seconds=wait_seconds
         )
-        self._update_epoch(answer, path)
-        return answer
 
-    def _update_epoch(self, answer: Answer, path: str) -> None:
+    def _update_epoch(self, answer: Answer) -> int:
+        """Update the epoch from an answer and return it.
+
+        :raises PlatformUnavailable: if the answer reports an earlier epoch
+            than a previous answer, or none although a previous answer did.
+        """
         epoch = read_epoch(answer.headers)
-        if epoch is None or epoch == self._reported_epoch:
-            return
-        if self._reported_epoch is not None:
-            LOG.warning(
-                'store.epoch_changed',
-                epoch=epoch,
-                before=self._reported_epoch,
-                call=path,
+        if epoch is None:
+            if not self._reports_epoch or answer.status not in STORE_STATUSES:
+                return self.epoch
+            raise PlatformUnavailable(
+                f'the store reported no epoch after epoch {self.epoch}'
+            )
+        if epoch < self.epoch:
+            raise PlatformUnavailable(
+                f'the store reported epoch {epoch} after epoch {self.epoch}'
             )
-        self._reported_epoch = epoch
+        if epoch > self.epoch and self._reports_epoch:
+            LOG.warning('store.epoch_changed', epoch=epoch, before=self.epoch)
+        self._reports_epoch = True
         self.epoch = epoch
+        return epoch
 
     def close(self) -> None:
         """Close the connections to the store."""
@@ -162,13 +222,23 @@
         ) from error
 
 
-def _read_row(record: RowRecord) -> VersionedRow:
+def _build_version(epoch: int, commit_number: int) -> int:
+    if not 0 <= commit_number <= MAX_COMMIT_NUMBER:
+        raise PlatformUnavailable(
+            f'the store sent an invalid commit number {commit_number};'
+            f' expected 0 to {MAX_COMMIT_NUMBER}'
+        )
+    return build_version(epoch, commit_number)
+
+
+def _read_row(record: RowRecord, epoch: int) -> VersionedRow:
+    version = _build_version(epoch, record.ver)
     if record.tombstone or record.value is None:
-        return VersionedRow(record.key, None, record.ver)
+        return VersionedRow(record.key, None, version)
     try:
         value = base64.b64decode(record.value)
     except binascii.Error as error:
         # Its reader refuses a value without bytes; the other rows hold.
         LOG.error('store.row_not_base64', key=record.key, reason=str(error))
         value = b''
-    return VersionedRow(record.key, value, record.ver)
+    return VersionedRow(record.key, value, version)
--- a/tests/cover/test_fleet_watch.py
+++ b/tests/cover/test_fleet_watch.py
@@ -20,6 +20,7 @@
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.manual import ManualClock
 from lifttrestle.internal.fleet.state.rows import RowChanges
+from lifttrestle.internal.fleet.state.table_copy import CopyNews
 from lifttrestle.internal.fleet.state.table_watch import TableWatch
 from tests.support.memory_rows import MemoryRows
 
@@ -229,3 +230,29 @@
         with self.assertRaises(PlatformUnavailable):
             self.step()
         self.assertEqual(self.get_heard(), [('a', b'1')])
+
+    def test_restored_store_is_read_anew(self):
+        self.rows.put('t', 'a', b'1')
+        snapshot = self.rows.take_snapshot()
+        self.rows.put('t', 'a', b'2')
+        self.rows.put('t', 'b', b'3')
+        self.step()
+        self.rows.restore(snapshot)
+        self.rows.put('t', 'c', b'4')
+        self.step()
+        self.step()
+        self.assertEqual(
+            self.get_heard()[2:], [('a', b'1'), ('c', b'4'), ('b', None)]
+        )
+        self.rows.put('t', 'c', b'5')
+        self.step()
+        self.assertEqual(self.get_heard()[5:], [('c', b'5')])
+
+    def test_relayed_news_without_epoch_proves_nothing(self):
+        self.rows.restore(self.rows.take_snapshot())
+        self.step()
+        proved_at = self.watch.proved_at
+        self.clock.advance(1.0)
+        news = CopyNews(RowChanges((), 57), False)
+        self.watch.take_relayed(news, self.clock.monotonic(), False)
+        self.assertEqual(self.watch.proved_at, proved_at)
--- a/tests/cover/test_relay_model.py
+++ b/tests/cover/test_relay_model.py
@@ -20,6 +20,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import datetime
 import random
 import unittest
@@ -36,10 +37,14 @@
 from lifttrestle.internal.fleet.state.relay_server import Follower
 from lifttrestle.internal.fleet.state.relay_server import RelayServer
 from lifttrestle.internal.fleet.state.roster import Roster
+from lifttrestle.internal.fleet.state.row_version import build_version
+from lifttrestle.internal.fleet.state.row_version import get_commit_number
+from lifttrestle.internal.fleet.state.row_version import get_epoch
 from lifttrestle.internal.fleet.state.rows import RowStore
 from lifttrestle.internal.fleet.state.table_copy import CopyNews
 from lifttrestle.internal.fleet.state.table_watch import TableWatch
 from tests.support.memory_rows import MemoryRows
+from tests.support.memory_rows import RowsSnapshot
 from tests.support.models import run_model
 
 START = datetime.datetime(2026, 12, 2, tzinfo=datetime.timezone.utc)
@@ -143,6 +148,23 @@
         self.reading = None
 
 
+@dataclasses.dataclass
+class Commit:
+    """A commit and its version in each epoch that includes it."""
+
+    committed_at: float
+    versions_by_epoch: dict
+
+
+@dataclasses.dataclass
+class StoreSnapshot:
+    """The store's rows with the state and commits that the model expects."""
+
+    rows: RowsSnapshot
+    state: dict
+    commits: list
+
+
 class ViewMachine(stateful.RuleBasedStateMachine):
     faults: dict = {}
 
@@ -151,7 +173,7 @@
         self.loop = asyncio.new_event_loop()
         self.clock = ManualClock(START)
         self.clock.advance(100.0)
-        self.rows = MemoryRows()
+        self.rows = self.faults.get('rows', MemoryRows)()
         self.states = {0: {}}
         self.commits = []
         self.routers = [
@@ -183,13 +205,15 @@
     @stateful.rule(key=st.sampled_from(KEYS), removed=st.booleans())
     def commit(self, key, removed):
         value = None if removed else b'%d' % self.rows.version
+        state = dict(self.states[self.rows.version])
         version = self.rows.put(TABLE, key, value)
-        state = dict(self.states[version - 1])
         state.pop(key, None)
         if value is not None:
             state[key] = value
         self.states[version] = state
-        self.commits.append((self.clock.monotonic(), version))
+        self.commits.append(
+            Commit(self.clock.monotonic(), {self.rows.epoch: version})
+        )
         self.clock.advance(0.1)
 
     @stateful.rule(seconds=st.sampled_from((0.1, 0.7, 3.0)))
@@ -267,10 +291,52 @@
     def nothing_is_missing_that_is_said_to_be_proved(self):
         for router in self.routers:
             copy = router.watch.copy
-            for committed_at, version in self.commits:
+            epoch = get_epoch(copy.version)
+            for commit in self.commits:
                 # At the very moment of the read, either is right.
-                if committed_at < copy.proved_at:
-                    assert copy.version >= version, (committed_at, version)
+                if commit.committed_at >= copy.proved_at:
+                    continue
+                if epoch > max(commit.versions_by_epoch):
+                    # The restore discarded this commit.
+                    continue
+                version = commit.versions_by_epoch.get(epoch)
+                assert version is not None, (commit, copy.version)
+                assert copy.version >= version, (commit, copy.version)
+
+
+class RestoredStoreMachine(ViewMachine):
+    """Also restores the store from an older copy."""
+
+    def __init__(self):
+        super().__init__()
+        self.snapshots = []
+
+    @stateful.rule(key=st.sampled_from(KEYS), removed=st.booleans())
+    def commit(self, key, removed):
+        state = self.states[self.rows.version]
+        epoch = self.rows.epoch
+        included = [
+            item for item in self.commits if epoch in item.versions_by_epoch
+        ]
+        snapshot = StoreSnapshot(self.rows.take_snapshot(), state, included)
+        self.snapshots.append(snapshot)
+        super().commit(key, removed)
+
+    @stateful.rule(lost_commits=st.integers(1, 3))
+    def restore_store(self, lost_commits):
+        if not self.snapshots:
+            return
+        snapshot = self.snapshots[-min(lost_commits, len(self.snapshots))]
+        del self.snapshots[-lost_commits:]
+        self.rows.restore(snapshot.rows)
+        self.states[self.rows.version] = snapshot.state
+        epoch = self.rows.epoch
+        for commit in snapshot.commits:
+            version = next(iter(commit.versions_by_epoch.values()))
+            commit.versions_by_epoch[epoch] = build_version(
+                epoch, get_commit_number(version)
+            )
+        self.clock.advance(0.1)
 
 
 class LateProofWatch(TableWatch):
@@ -291,6 +357,17 @@
         super()._take(message, now)
 
 
+class EpochIgnoringRows(MemoryRows):
+    """Planted fault: a watch ignores the epoch of its version."""
+
+    async def watch_table(self, table, after, wait_seconds):
+        commit_number = min(
+            get_commit_number(after), get_commit_number(self.version)
+        )
+        after = build_version(self.epoch, commit_number)
+        return await super().watch_table(table, after, wait_seconds)
+
+
 class ForgetfulServer(RelayServer):
     """Planted fault: removed rows are not told."""
 
@@ -310,8 +387,8 @@
             copy.list_since = full
 
 
-def run_machine(**faults):
-    run_model(type('Machine', (ViewMachine,), {'faults': faults}), 300)
+def run_machine(machine=ViewMachine, **faults):
+    run_model(type('Machine', (machine,), {'faults': faults}), 300)
 
 
 class TestView(unittest.TestCase):
@@ -329,3 +406,10 @@
     def test_planted_forgotten_removal_is_found(self):
         with self.assertRaises(AssertionError):
             run_machine(server=ForgetfulServer)
+
+    def test_copies_match_a_restored_store(self):
+        run_machine(RestoredStoreMachine)
+
+    def test_planted_watch_across_epochs_is_found(self):
+        with self.assertRaises(AssertionError):
+            run_machine(RestoredStoreMachine, rows=EpochIgnoringRows)
--- a/tests/nocover/test_store_return.py
+++ b/tests/nocover/test_store_return.py
@@ -10,12 +10,13 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-"""Tests of routers whose store comes back as an older copy of itself."""
+"""Tests of routers whose store is restored from an older copy."""
 
 import asyncio
 import contextlib
 import unittest
 
+from lifttrestle.internal.fleet.state.row_version import get_commit_number
 from tests.nocover.test_fleet_relay import run_routers
 from tests.support.fleet import CONFIGURATION
 from tests.support.fleet import make_route
@@ -24,13 +25,13 @@
 
 # A change must be in force within this time of its acknowledgement.
 APPLY_SECONDS = 2.0
-# Routers that the store's return leaves out are back within this time.
+# Routers must be ready again within this time.
 READY_SECONDS = 1.5
-MANY_ROWS = 60
+LOST_COMMITS = 60
 
 
 def build_configuration(version):
-    """Return a configuration that adds a route and takes the key k2 away."""
+    """Return a configuration that adds a route and revokes the key k2."""
     added = make_route(f'added{version}', 'idempotent')
     return {
         **CONFIGURATION,
@@ -40,8 +41,8 @@
     }
 
 
-async def reaches(condition, seconds):
-    """Return whether a condition holds within a time."""
+async def wait_until(condition, seconds):
+    """Wait for a condition and return whether it held in time."""
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(seconds):
             while not condition():
@@ -50,7 +51,7 @@
 
 
 def write_rows(store, count):
-    """Commit rows that are nobody's."""
+    """Commit rows of a table that no router reads."""
     for number in range(count):
         store.put('other', f'row-{number}', number)
 
@@ -59,19 +60,23 @@
     async def test_regression_change_after_a_return_was_never_told(self):
         async with run_fleet() as fleet:
             store, router = fleet.store, fleet.router
-            copy = store.rows.take_snapshot()
-            write_rows(store, MANY_ROWS)
-            held = store.rows.version
+            snapshot = store.rows.take_snapshot()
+            write_rows(store, LOST_COMMITS)
+            held_version = store.rows.version
             await asyncio.sleep(1.0)
-            store.restore(copy)
+            store.restore(snapshot)
             store.put('op', 'config', build_configuration(9))
             fleet.list_upstream(
                 'plain', fleet.upstreams['p1'], state='draining'
             )
-            # The counter passes what routers held before they look again.
-            write_rows(store, 2 * MANY_ROWS)
-            self.assertGreater(store.rows.version, held)
-            applied = await reaches(
+            # The commit number exceeds the one that routers hold before they
+            # read again, so comparing it alone would miss the changes.
+            write_rows(store, 2 * LOST_COMMITS)
+            self.assertGreater(
+                get_commit_number(store.rows.version),
+                get_commit_number(held_version),
+            )
+            applied = await wait_until(
                 lambda: router.catalogue.version == 9, APPLY_SECONDS
             )
             self.assertTrue(applied, router.catalogue.version)
@@ -85,21 +90,21 @@
     async def test_regression_routers_were_out_after_a_return(self):
         async with run_routers() as (store, relays, other):
             routers = [*relays, other]
-            copy = store.rows.take_snapshot()
-            write_rows(store, MANY_ROWS)
+            snapshot = store.rows.take_snapshot()
+            write_rows(store, LOST_COMMITS)
             await asyncio.sleep(1.0)
-            store.restore(copy)
-            # Longer than the view may go without a proof.
+            store.restore(snapshot)
+            # Longer than the view stays valid without a proof.
             await asyncio.sleep(4.0)
             self.assertTrue(
-                await reaches(
+                await wait_until(
                     lambda: all(router.is_ready() for router in routers),
                     READY_SECONDS,
                 )
             )
             store.put('op', 'config', build_configuration(9))
             self.assertTrue(
-                await reaches(
+                await wait_until(
                     lambda: all(
                         router.catalogue.version == 9 for router in routers
                     ),
