Keep newer state in force when the store is restored from an older copy

When the store was restored from a copy some seconds old, routers reverted changes that they had already applied. A draining upstream received requests again, an upstream whose entry had been removed was used again, and a router that started at that moment served the previous configuration.

Cause: the rows of a restored store were applied as if they were new changes.

A table's copy now distinguishes the rows of a restored store. Each row has an origin (written, restored, lost or undeleted), and a policy per table decides which held rows are kept:

- The operator's rows keep the highest known version.
- An upstream stays draining, for the same start, until its entry is written again.
- A removed upstream entry is not used until it is written again, or has not lapsed after four heartbeats.

Kept rows are also sent to routers that start. Older weights in a restored entry are ignored.

Alternative rejected: keeping this state only in the views, because a router that starts would receive the older rows from its relays.

--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -51,8 +51,12 @@
 from lifttrestle.internal.fleet.state.reach_probing import ReachProber
 from lifttrestle.internal.fleet.state.relay_follower import RelayFollower
 from lifttrestle.internal.fleet.state.relay_server import RelayServer
+from lifttrestle.internal.fleet.state.restore_policy import OperatorPolicy
+from lifttrestle.internal.fleet.state.restore_policy import RestorePolicy
+from lifttrestle.internal.fleet.state.restore_policy import UpstreamPolicy
 from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
 from lifttrestle.internal.fleet.state.roster import Roster
+from lifttrestle.internal.fleet.state.rows import RowOrigin
 from lifttrestle.internal.fleet.state.rows import RowStore
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.fleet.state.shutdown import Shutdown
@@ -80,6 +84,8 @@
 # Entries change in bursts while weights are loaded. A leaving upstream may
 # get work for two seconds more, so a tenth of that is no loss.
 UPSTREAMS_REST_SECONDS = 0.2
+# An entry lapses after three missed heartbeats; the fourth allows for delay.
+LAPSE_HEARTBEATS = 4
 # Callers reuse connections up to four fifths of the idle limit.
 IDLE_EXTRA_SECONDS = 2.0
 MAX_CONNECTIONS = 1500
@@ -135,12 +141,16 @@
             stored_format.operator_table,
             OPERATOR_WAIT_SECONDS,
             self._take_operator_row,
+            policy=OperatorPolicy(stored_format),
         )
         self._upstreams_watch = self._make_watch(
             stored_format.upstreams_table,
             UPSTREAMS_WAIT_SECONDS,
             self._take_upstream_row,
             UPSTREAMS_REST_SECONDS,
+            policy=UpstreamPolicy(
+                stored_format, LAPSE_HEARTBEATS * settings.heartbeat_seconds
+            ),
         )
         self._routers_watch = self._make_watch(
             FLEET_TABLE,
@@ -267,6 +277,7 @@
         rest_seconds: float = 0.0,
         *,
         eager: bool = False,
+        policy: RestorePolicy | None = None,
     ) -> TableWatch:
         return TableWatch(
             self.store,
@@ -277,6 +288,7 @@
             listener,  # type: ignore[arg-type]
             rest_seconds,
             eager=eager,
+            policy=policy,
         )
 
     def _take_operator_row(self, row: VersionedRow) -> None:
@@ -288,8 +300,9 @@
 
     def _take_upstream_row(self, row: VersionedRow) -> None:
         watch = self._upstreams_watch
-        if watch.lost:
-            # The first rows after an outage: what lapsed may yet return.
+        if watch.lost or row.origin is not RowOrigin.WRITTEN:
+            # The first rows after an outage or a restore: what lapsed or is
+            # lost may yet return.
             self._directory.outage_until = self._clock.monotonic()
         self._directory.take(row)
 
--- a/src/lifttrestle/internal/fleet/state/directory.py
+++ b/src/lifttrestle/internal/fleet/state/directory.py
@@ -20,6 +20,7 @@
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.state.catalogue import Catalogue
 from lifttrestle.internal.fleet.state.decoding import StoredFormat
+from lifttrestle.internal.fleet.state.rows import RowOrigin
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.fleet.state.upstream_entry import compare_starts
@@ -113,7 +114,7 @@
         if known is None:
             self._add(entry)
             return
-        self._update(known, entry)
+        self._update(known, entry, row.origin)
 
     def note_start(
         self,
@@ -137,7 +138,9 @@
             self._replace(upstream, entry)
         return order is StartOrder.SAME
 
-    def _update(self, known: FleetUpstream, entry: UpstreamEntry) -> None:
+    def _update(
+        self, known: FleetUpstream, entry: UpstreamEntry, origin: RowOrigin
+    ) -> None:
         order = compare_starts(known.entry.born, entry.born)
         if order is StartOrder.OLDER:
             LOG.info(
@@ -155,7 +158,11 @@
         known.vanished_at = None
         now = self._clock.monotonic()
         for model, version in entry.weights.items():
-            known.note_listed_weights(model, version, now)
+            if origin is RowOrigin.WRITTEN:
+                known.note_listed_weights(model, version, now)
+            else:
+                # The entry may predate weights that were already seen.
+                known.note_weights(model, version, now)
 
     def _replace(self, known: FleetUpstream, entry: UpstreamEntry) -> None:
         """Forget what was learned of a start; another one has its name."""
--- a/src/lifttrestle/internal/fleet/state/rows.py
+++ b/src/lifttrestle/internal/fleet/state/rows.py
@@ -14,23 +14,39 @@
 
 import abc
 import dataclasses
+import enum
 
 # A row that does not exist has this version.
 NO_ROW = 0
 
 
+class RowOrigin(enum.Enum):
+    """Why a table's listener is called with a row."""
+
+    # The row was written or removed.
+    WRITTEN = enum.auto()
+    # The row is in force after the store was restored: in the older copy,
+    # written before the table was read again, or kept by the restore policy.
+    RESTORED = enum.auto()
+    # The restored store lacks the row, and no removal of it is known.
+    LOST = enum.auto()
+    # The row had been removed, and the restored store has it again.
+    UNDELETED = enum.auto()
+
+
 @dataclasses.dataclass(frozen=True)
 class VersionedRow:
     """One row.
 
     :ivar version: the version of the commit that wrote it, which includes
         the store's epoch (see ``row_version``).
-    :ivar value: its bytes, or None if the row was removed.
+    :ivar value: its bytes, or None if the row does not exist.
     """
 
     key: str
     value: bytes | None
     version: int
+    origin: RowOrigin = RowOrigin.WRITTEN
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/lifttrestle/internal/fleet/state/table_copy.py
+++ b/src/lifttrestle/internal/fleet/state/table_copy.py
@@ -22,13 +22,21 @@
 
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.state.restore_policy import AcceptAllPolicy
+from lifttrestle.internal.fleet.state.restore_policy import RestorePolicy
 from lifttrestle.internal.fleet.state.row_version import format_version
+from lifttrestle.internal.fleet.state.row_version import get_commit_number
+from lifttrestle.internal.fleet.state.row_version import get_epoch
 from lifttrestle.internal.fleet.state.rows import NO_ROW
 from lifttrestle.internal.fleet.state.rows import RowChanges
+from lifttrestle.internal.fleet.state.rows import RowOrigin
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 
 # Changes that are kept for others who have seen all but the newest.
 MAX_CHANGES = 500
+# How long removals are remembered: several times the maximum age of the copy
+# that a store is restored from.
+KEEP_REMOVED_SECONDS = 60.0
 # Proved at no time yet.
 NEVER = float('-inf')
 
@@ -46,14 +54,42 @@
     whole: bool
 
 
+@dataclasses.dataclass(frozen=True)
+class RemovedRow:
+    """A removal that is remembered in case the store is restored.
+
+    :ivar commit_number: the commit number of the row's last version.
+    """
+
+    commit_number: int
+    removed_at: float
+
+
+@dataclasses.dataclass(frozen=True)
+class WithheldRow:
+    """A removed row that a restored store has again; not yet accepted.
+
+    :ivar until: the monotonic time from which the row is accepted.
+    """
+
+    row: VersionedRow
+    until: float
+
+
 class TableCopy:
     """Holds the rows of a table and tells each change to a listener.
 
     :param listener: is called with each row that is new, changed or removed.
+    :param policy: decides which held rows are kept when the store is
+        restored from an older copy; by default none.
     """
 
     def __init__(
-        self, table: str, clock: Clock, listener: RowListener
+        self,
+        table: str,
+        clock: Clock,
+        listener: RowListener,
+        policy: RestorePolicy | None = None,
     ) -> None:
         self.table = table
         self.loaded = False
@@ -61,10 +97,13 @@
         self.proved_at = NEVER
         self._clock = clock
         self._listener = listener
+        self._policy = policy or AcceptAllPolicy()
         self._rows: dict[str, VersionedRow] = {}
         self._changes: collections.deque[VersionedRow] = collections.deque()
         # All changes after this version are among those kept.
         self._changes_from = NO_ROW
+        self._removed: dict[str, RemovedRow] = {}
+        self._withheld: dict[str, WithheldRow] = {}
 
     def get_age(self) -> float:
         """Return for how many seconds nothing has proved what is held."""
@@ -81,20 +120,72 @@
                 f' {format_version(self.version)} to'
                 f' {format_version(snapshot.version)}'
             )
-        present = {row.key for row in snapshot.rows}
-        missing = tuple(
-            VersionedRow(key, None, snapshot.version)
-            for key in self._rows
-            if key not in present
-        )
+        restored = get_epoch(snapshot.version) > get_epoch(self.version)
+        if self.loaded and restored:
+            rows = self._merge_restored(snapshot)
+        else:
+            rows = snapshot.rows + self._list_missing(
+                snapshot, RowOrigin.WRITTEN
+            )
         self.loaded = True
-        self.take_changes(
-            RowChanges(snapshot.rows + missing, snapshot.version), proved_at
-        )
+        self.take_changes(RowChanges(rows, snapshot.version), proved_at)
         # What was removed in between and was never here is not known.
         self._changes.clear()
         self._changes_from = self.version
 
+    def _list_missing(
+        self, snapshot: RowChanges, origin: RowOrigin
+    ) -> tuple[VersionedRow, ...]:
+        present = {row.key for row in snapshot.rows}
+        return tuple(
+            VersionedRow(key, None, snapshot.version, origin)
+            for key in self._rows
+            if key not in present
+        )
+
+    def _merge_restored(
+        self, snapshot: RowChanges
+    ) -> tuple[VersionedRow, ...]:
+        """Return the rows in force after a restore, including kept ones.
+
+        Removed rows that the restored store has again may be withheld.
+        """
+        self._withheld.clear()
+        rows = []
+        for row in snapshot.rows:
+            resolved = self._resolve_restored(row, snapshot.version)
+            if resolved is not None:
+                rows.append(resolved)
+        for row in self._list_missing(snapshot, RowOrigin.LOST):
+            held = self._rows[row.key]
+            if self._policy.keeps(held, None):
+                row = _keep_row(held, snapshot.version)
+            rows.append(row)
+        return tuple(rows)
+
+    def _resolve_restored(
+        self, row: VersionedRow, version: int
+    ) -> VersionedRow | None:
+        """Return the row in force for a restored row, None if withheld."""
+        held = self._rows.get(row.key)
+        if held is not None:
+            if self._policy.keeps(held, row):
+                return _keep_row(held, version)
+            return dataclasses.replace(row, origin=RowOrigin.RESTORED)
+        removed = self._removed.get(row.key)
+        if (
+            removed is None
+            # A higher commit number: written after the store was restored.
+            or get_commit_number(row.version) > removed.commit_number
+        ):
+            return dataclasses.replace(row, origin=RowOrigin.RESTORED)
+        row = dataclasses.replace(row, origin=RowOrigin.UNDELETED)
+        if not self._policy.withhold_seconds:
+            return row
+        until = self._clock.monotonic() + self._policy.withhold_seconds
+        self._withheld[row.key] = WithheldRow(row, until)
+        return None
+
     def take_changes(self, changes: RowChanges, proved_at: float) -> None:
         """Take in what changed, from the version that is held or before.
 
@@ -102,7 +193,10 @@
         that is no newer than the copy is in it, or was removed since.
         """
         held = self.version
-        for row in changes.rows:
+        for row in (
+            *self._list_expired_withheld(changes.version),
+            *changes.rows,
+        ):
             if row.version <= held:
                 continue
             # Kept even if it is no news here: others may hold the row.
@@ -110,15 +204,50 @@
             known = self._rows.get(row.key)
             if known is not None and known.version >= row.version:
                 continue
-            if row.value is None:
-                self._rows.pop(row.key, None)
-            else:
-                self._rows[row.key] = row
+            self._store_row(row, known)
             if row.value is not None or known is not None:
                 self._listener(row)
         self.version = max(self.version, changes.version)
         self.proved_at = max(self.proved_at, proved_at)
 
+    def _store_row(
+        self, row: VersionedRow, known: VersionedRow | None
+    ) -> None:
+        self._withheld.pop(row.key, None)
+        if row.value is not None:
+            self._rows[row.key] = row
+            self._removed.pop(row.key, None)
+            return
+        self._rows.pop(row.key, None)
+        if known is not None and row.origin is RowOrigin.WRITTEN:
+            self._remember_removed(known)
+
+    def _remember_removed(self, row: VersionedRow) -> None:
+        now = self._clock.monotonic()
+        self._removed.pop(row.key, None)
+        self._removed[row.key] = RemovedRow(
+            get_commit_number(row.version), now
+        )
+        while True:
+            oldest = next(iter(self._removed))
+            if now - self._removed[oldest].removed_at < KEEP_REMOVED_SECONDS:
+                return
+            del self._removed[oldest]
+
+    def _list_expired_withheld(self, version: int) -> list[VersionedRow]:
+        """Return the withheld rows to accept now, as of a version.
+
+        These have been neither written nor removed since the restore.
+        """
+        if not self._withheld or version <= self.version:
+            return []
+        now = self._clock.monotonic()
+        return [
+            dataclasses.replace(item.row, version=version)
+            for item in self._withheld.values()
+            if now >= item.until
+        ]
+
     def list_since(self, version: int) -> CopyNews:
         """Return what changed after a version, or all rows if unknown."""
         if version < self._changes_from:
@@ -134,3 +263,10 @@
         self._changes.append(row)
         if len(self._changes) > MAX_CHANGES:
             self._changes_from = self._changes.popleft().version
+
+
+def _keep_row(held: VersionedRow, version: int) -> VersionedRow:
+    """Return a kept row under the version of the restored table."""
+    return dataclasses.replace(
+        held, version=version, origin=RowOrigin.RESTORED
+    )
--- a/src/lifttrestle/internal/fleet/state/table_watch.py
+++ b/src/lifttrestle/internal/fleet/state/table_watch.py
@@ -23,6 +23,7 @@
 from lifttrestle.errors import HistoryGone
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.state.restore_policy import RestorePolicy
 from lifttrestle.internal.fleet.state.row_version import format_version
 from lifttrestle.internal.fleet.state.row_version import get_epoch
 from lifttrestle.internal.fleet.state.rows import NO_ROW
@@ -50,6 +51,8 @@
         come together cost one read.
     :param eager: read the table once without being told to; else another
         router may tell all of it first.
+    :param policy: decides which held rows are kept when the store is
+        restored from an older copy; by default none.
     """
 
     def __init__(
@@ -63,6 +66,7 @@
         rest_seconds: float = 0.0,
         *,
         eager: bool = True,
+        policy: RestorePolicy | None = None,
     ) -> None:
         self._store = store
         self._eager = eager
@@ -79,7 +83,7 @@
         self._reading: asyncio.Task[bool] | None = None
         self._dependants: list[TableWatch] = []
         self._followers: list[Callable[[TableWatch], None]] = []
-        self.copy = TableCopy(table, clock, listener)
+        self.copy = TableCopy(table, clock, listener, policy)
 
     @property
     def lost(self) -> bool:
--- a/tests/nocover/test_store_return.py
+++ b/tests/nocover/test_store_return.py
@@ -17,11 +17,15 @@
 import unittest
 
 from lifttrestle.internal.fleet.state.row_version import get_commit_number
+from tests.nocover.test_fleet_relay import NEWCOMER
 from tests.nocover.test_fleet_relay import run_routers
 from tests.support.fleet import CONFIGURATION
 from tests.support.fleet import make_route
+from tests.support.fleet import make_router
+from tests.support.fleet import PROMISES
 from tests.support.fleet import ROUTES
 from tests.support.fleet import run_fleet
+from tests.support.fleet import wait_until
 
 # A change must be in force within this time of its acknowledgement.
 APPLY_SECONDS = 2.0
@@ -41,7 +45,7 @@
     }
 
 
-async def wait_until(condition, seconds):
+async def holds_within(condition, seconds):
     """Wait for a condition and return whether it held in time."""
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(seconds):
@@ -56,6 +60,16 @@
         store.put('other', f'row-{number}', number)
 
 
+async def restore_snapshot(store, snapshot):
+    """Restore a snapshot once routers have read the changes since.
+
+    Returns after routers have had time to read the restored store.
+    """
+    await asyncio.sleep(0.3)
+    store.restore(snapshot)
+    await asyncio.sleep(1.0)
+
+
 class TestReturn(unittest.IsolatedAsyncioTestCase):
     async def test_regression_change_after_a_return_was_never_told(self):
         async with run_fleet() as fleet:
@@ -76,7 +90,7 @@
                 get_commit_number(store.rows.version),
                 get_commit_number(held_version),
             )
-            applied = await wait_until(
+            applied = await holds_within(
                 lambda: router.catalogue.version == 9, APPLY_SECONDS
             )
             self.assertTrue(applied, router.catalogue.version)
@@ -97,17 +111,81 @@
             # Longer than the view stays valid without a proof.
             await asyncio.sleep(4.0)
             self.assertTrue(
-                await wait_until(
+                await holds_within(
                     lambda: all(router.is_ready() for router in routers),
                     READY_SECONDS,
                 )
             )
             store.put('op', 'config', build_configuration(9))
             self.assertTrue(
-                await wait_until(
+                await holds_within(
                     lambda: all(
                         router.catalogue.version == 9 for router in routers
                     ),
                     APPLY_SECONDS,
                 )
             )
+
+    async def test_regression_restored_entry_undid_draining(self):
+        async with run_fleet() as fleet:
+            snapshot = fleet.store.rows.take_snapshot()
+            upstream = fleet.upstreams['p1']
+            fleet.list_upstream('plain', upstream, state='draining')
+            await restore_snapshot(fleet.store, snapshot)
+            for number in range(20):
+                answer = await fleet.call('/safe/x', request_id=f'r{number}')
+                self.assertEqual(answer.status, 200)
+            self.assertEqual(len(upstream.arrivals), 0)
+            # An entry that is written after the restore is accepted.
+            fleet.list_upstream('plain', upstream)
+            self.assertTrue(
+                await holds_within(
+                    lambda: (
+                        not fleet.router.directory.get('p1').entry.draining
+                    ),
+                    APPLY_SECONDS,
+                )
+            )
+
+    async def test_regression_removed_upstream_was_used_again(self):
+        async with run_fleet() as fleet:
+            snapshot = fleet.store.rows.take_snapshot()
+            upstream = fleet.upstreams['p1']
+            fleet.store.remove('servers', upstream.instance)
+            await restore_snapshot(fleet.store, snapshot)
+            self.assertIsNone(fleet.router.directory.get('p1'))
+            fleet.list_upstream('plain', upstream)
+            self.assertTrue(
+                await holds_within(
+                    lambda: fleet.router.directory.get('p1') is not None,
+                    APPLY_SECONDS,
+                )
+            )
+
+    async def test_entry_missing_after_restore_is_kept_temporarily(self):
+        async with run_fleet() as fleet:
+            fleet.store.remove('servers', 'p1')
+            await asyncio.sleep(0.5)
+            snapshot = fleet.store.rows.take_snapshot()
+            fleet.list_upstream('plain', fleet.upstreams['p1'])
+            await asyncio.sleep(0.5)
+            fleet.store.restore(snapshot)
+            await asyncio.sleep(0.8)
+            self.assertIsNotNone(fleet.router.directory.get('p1'))
+
+    async def test_regression_router_that_starts_got_the_older_version(self):
+        async with run_routers() as (store, relays, other):
+            snapshot = store.rows.take_snapshot()
+            store.put('op', 'config', build_configuration(9))
+            await holds_within(
+                lambda: all(item.catalogue.version == 9 for item in relays),
+                APPLY_SECONDS,
+            )
+            await restore_snapshot(store, snapshot)
+            newcomer = make_router(store.address, PROMISES, NEWCOMER)
+            await newcomer.start()
+            try:
+                await wait_until(newcomer.is_ready)
+                self.assertEqual(newcomer.catalogue.version, 9)
+            finally:
+                await newcomer.stop()
--- a/tests/support/fleet_store.py
+++ b/tests/support/fleet_store.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from lifttrestle.errors import ConditionFailed
+from lifttrestle.errors import HistoryGone
 from lifttrestle.internal.fleet.state.row_version import build_version
 from lifttrestle.internal.fleet.state.row_version import get_commit_number
 from lifttrestle.internal.fleet.state.rows import NO_ROW
@@ -139,6 +140,10 @@
                     await self._changed.wait()
         except TimeoutError:
             pass
+        except HistoryGone:
+            # The store was restored during a waiting read.
+            connection.abort()
+            return
         if connection.peer in self.silenced:
             await asyncio.Event().wait()
         content = {
