Rewrite routers' own rows that a restored store lacks

When the store was restored from an older copy, no router rewrote the rows written in the seconds that the copy lacks. A router that had joined in that time was not counted until it refreshed its row, up to 300 s later, so shares of budgets and caps were too large. A request that crashes upstreams was treated as lifted by an operator and ran again. Rows that had been removed in that time came back: a router that had stopped was counted for 900 s, and a lifted request was held again.

Cause: a row that a restored store lacks was treated as removed, and a row that it has again as newly written.

A router whose own row is lost or has another address now writes it at once; the other routers keep counting it for five seconds. The first of the live routers removes the undeleted rows of routers that had left. A held request stays held: the router that wrote its row rewrites it at once, or the few routers that count the request do so after one second. An undeleted row of a lifted request is removed again, unless it is written in the meantime.

Rejected: rewriting by all routers (195 routers times up to 500 rows).

After the change the tests pass.

--- a/src/lifttrestle/internal/fleet/crashes/holds.py
+++ b/src/lifttrestle/internal/fleet/crashes/holds.py
@@ -37,6 +37,7 @@
 from lifttrestle.internal.fleet.crashes.judgement import HOLD_SECONDS
 from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
 from lifttrestle.internal.fleet.state.rows import NO_ROW
+from lifttrestle.internal.fleet.state.rows import RowOrigin
 from lifttrestle.internal.fleet.state.rows import RowStore
 from lifttrestle.internal.fleet.state.rows import RowWrite
 from lifttrestle.internal.fleet.state.rows import VersionedRow
@@ -69,10 +70,13 @@
 
     :ivar at: when to write, monotonic seconds.
     :ivar row: None to remove it.
+    :ivar is_repair: whether the write corrects a restored store; the
+        written row then stays without a check of ``is_wanted``.
     """
 
     at: float
     row: HeldRow | None
+    is_repair: bool = False
     pause: float = FIRST_PAUSE_SECONDS
 
 
@@ -80,6 +84,9 @@
     """Follows the rows of held requests, writes and removes them.
 
     :ivar tell_lifted: is called with a request whose row was removed.
+    :ivar tell_lost: is called with a request whose row is lost, and that
+        row.
+    :ivar tell_undeleted: is called with a request whose row is undeleted.
     :ivar is_wanted: returns whether a request is still to be held.
     """
 
@@ -91,7 +98,11 @@
         self._refusals = refusals
         self._held: dict[int, Hold] = {}
         self._due: dict[int, DueWrite] = {}
+        # Versions of undeleted rows, by request.
+        self._undeleted: dict[int, int] = {}
         self.tell_lifted: Callable[[int], None] = lambda digest: None
+        self.tell_lost: Callable[[int, HeldRow], None] = _tell_nobody
+        self.tell_undeleted: Callable[[int], None] = lambda digest: None
         self.is_wanted: Callable[[int], bool] = lambda digest: True
 
     def __len__(self) -> int:
@@ -121,10 +132,19 @@
         except ValueError as error:
             self._refusals.note('holds', row.key, error)
             return
+        if row.origin is RowOrigin.LOST:
+            self._keep_lost_hold(digest)
+            return
+        if row.origin is RowOrigin.UNDELETED:
+            # The request was lifted, so it is not held again.
+            self._undeleted[digest] = row.version
+            self.tell_undeleted(digest)
+            return
+        self._undeleted.pop(digest, None)
         due = self._due.get(digest)
         if held is not None:
             self._held[digest] = Hold(held, row.version)
-            if due is not None and due.row is not None:
+            if due is not None and (due.row is not None or due.is_repair):
                 # Another router was sooner.
                 del self._due[digest]
             return
@@ -134,6 +154,21 @@
         LOG.warning('hold.lifted', digest=name_request(digest))
         self.tell_lifted(digest)
 
+    def _keep_lost_hold(self, digest: int) -> None:
+        """Keep holding a request whose row is lost."""
+        held = self._held.get(digest)
+        if held is None:
+            return
+        self._held[digest] = Hold(held.row, NO_ROW)
+        self.tell_lost(digest, held.row)
+
+    def repair_later(
+        self, digest: int, seconds: float, row: HeldRow | None
+    ) -> None:
+        """Schedule a write or removal that corrects a restored store."""
+        at = self._clock.monotonic() + seconds
+        self._due[digest] = DueWrite(at, row, is_repair=True)
+
     def write_later(
         self, digest: int, seconds: float, row: HeldRow | None
     ) -> None:
@@ -159,7 +194,10 @@
 
     async def _write(self, digest: int, due: DueWrite) -> None:
         hold = self._held.get(digest)
-        version = NO_ROW if hold is None else hold.version
+        if hold is not None:
+            version = hold.version
+        else:
+            version = self._undeleted.get(digest, NO_ROW)
         try:
             await self._put(digest, due.row, version)
             self._settle(digest, due)
@@ -177,13 +215,15 @@
             return
         if due.row is None:
             return
-        if not self.is_wanted(digest):
+        if not due.is_repair and not self.is_wanted(digest):
             # It was cleared while its row was being written.
             self.write_later(digest, 0.0, None)
         elif len(self._held) > MAX_HELD:
             await self._evict()
 
     def _settle(self, digest: int, due: DueWrite) -> None:
+        if due.row is None:
+            self._undeleted.pop(digest, None)
         if self._due.get(digest) is due:
             del self._due[digest]
 
@@ -236,6 +276,10 @@
         )
 
 
+def _tell_nobody(digest: int, row: HeldRow) -> None:
+    """Tell nobody."""
+
+
 def build_held(
     clock: Clock, workspace: str, route: str, crashed: int, by: str
 ) -> HeldRow:
--- a/src/lifttrestle/internal/fleet/crashes/memory.py
+++ b/src/lifttrestle/internal/fleet/crashes/memory.py
@@ -17,6 +17,7 @@
 
 from lifttrestle.internal.clock.beat import Beat
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.crashes.held_row import HeldRow
 from lifttrestle.internal.fleet.crashes.held_row import name_request
 from lifttrestle.internal.fleet.crashes.holds import build_held
 from lifttrestle.internal.fleet.crashes.holds import HoldRows
@@ -84,6 +85,8 @@
         self.holds = HoldRows(store, clock, refusals or InputRefusals())
         self.holds.tell_lifted = self._forget
         self.holds.is_wanted = self._ledger.is_dangerous
+        self.holds.tell_lost = self._rewrite_lost
+        self.holds.tell_undeleted = self._remove_undeleted
         self.telling = CrashTelling(vm, self._ledger, roster, clock)
         self.losses = LossWatch(clock, heartbeat_seconds)
         self.losses.tell_crashed = self._note_crashed
@@ -234,6 +237,22 @@
         )
         self.holds.write_later(digest, seconds, row)
 
+    def _rewrite_lost(self, digest: int, row: HeldRow) -> None:
+        """Schedule a new write of a lost row.
+
+        The router that wrote the row writes it at once; those that count the
+        request write it later, in case that router is gone.
+        """
+        if row.by == self._vm:
+            self.holds.repair_later(digest, 0.0, row)
+        elif self.telling.is_counter(digest):
+            self.holds.repair_later(digest, HEARER_SECONDS, row)
+
+    def _remove_undeleted(self, digest: int) -> None:
+        """Schedule the removal of an undeleted row."""
+        if self.telling.is_counter(digest):
+            self.holds.repair_later(digest, 0.0, None)
+
     def _forget(self, digest: int) -> None:
         """Believe that a request is sound, as its row was removed."""
         self._refusals.pop(digest, None)
--- a/src/lifttrestle/internal/fleet/state/roster.py
+++ b/src/lifttrestle/internal/fleet/state/roster.py
@@ -29,6 +29,7 @@
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.state.rows import NO_ROW
+from lifttrestle.internal.fleet.state.rows import RowOrigin
 from lifttrestle.internal.fleet.state.rows import RowStore
 from lifttrestle.internal.fleet.state.rows import RowWrite
 from lifttrestle.internal.fleet.state.rows import VersionedRow
@@ -46,6 +47,9 @@
 # A router whose row has not changed for three such times is not counted, and
 # its row is removed.
 STALE_SECONDS = 3 * REFRESH_SECONDS
+# A router whose row is lost is still counted for this long. If it is live, it
+# rewrites its row within half a second of learning of the loss.
+LOST_GRACE_SECONDS = 5.0
 # Counted until the table was read once: more than the deployments that are
 # known have of VMs in a region would make every budget zero; fewer than they
 # have would overspend. Each known deployment has eight or fewer.
@@ -103,6 +107,10 @@
         self._none_seen_before = math.inf
         # Of this router's row, as it was last written or seen.
         self._own_version = NO_ROW
+        # Versions of other routers' undeleted rows, by key.
+        self._undeleted: dict[str, int] = {}
+        # Set when this router's row must be written or undeleted rows removed.
+        self._repair_needed = asyncio.Event()
         self._writing = asyncio.Lock()
         self._left = False
         self.address = ''
@@ -160,7 +168,12 @@
         if row.key == self._key and row.version > self._own_version:
             self._own_version = NO_ROW if row.value is None else row.version
         self.changes += 1
-        if row.value is None:
+        self._undeleted.pop(row.key, None)
+        if row.origin is RowOrigin.LOST:
+            self._keep_lost_entry(row.key)
+        elif row.origin is RowOrigin.UNDELETED and row.key != self._key:
+            self._undeleted[row.key] = row.version
+        elif row.value is None:
             self._entries.pop(row.key, None)
         else:
             held = self._read_row(row.key, row.value)
@@ -174,14 +187,55 @@
             )
         if self.live != before:
             LOG.info('roster.changed', live=self.live, before=before)
+        own_unlisted = row.key == self._key and not self._is_listed()
+        if self._undeleted or own_unlisted:
+            self._repair_needed.set()
+
+    def _keep_lost_entry(self, key: str) -> None:
+        """Keep counting a router whose row is lost, for the grace period.
+
+        A live router rewrites its row within that period.
+        """
+        entry = self._entries.get(key)
+        if entry is None:
+            return
+        seen_at = self.get_proved_at() - STALE_SECONDS + LOST_GRACE_SECONDS
+        self._none_seen_before = min(self._none_seen_before, seen_at)
+        self._entries[key] = dataclasses.replace(
+            entry, version=NO_ROW, seen_at=seen_at
+        )
 
     async def run(self) -> None:
         """Keep this router's row and remove those of the vanished."""
         await self.join()
+        await asyncio.gather(self._run_repairing(), self._run_refreshing())
+
+    async def _run_repairing(self) -> None:
+        while True:
+            await self._repair_needed.wait()
+            self._repair_needed.clear()
+            await self.join()
+            await self.remove_undeleted()
+
+    async def _run_refreshing(self) -> None:
         while True:
             await self._clock.sleep(REFRESH_SECONDS)
             await self.refresh()
             await self.remove_stale()
+            await self.remove_undeleted()
+
+    async def remove_undeleted(self) -> None:
+        """Remove the undeleted rows of routers that had left.
+
+        Only the first live router does so, to avoid conflicting writes. Rows
+        that could not be removed are tried again with the next refresh.
+        """
+        if self.routers[0] != self._key:
+            return
+        for key, version in list(self._undeleted.items()):
+            LOG.info('roster.undeleted', router=key)
+            if await self._remove(key, version):
+                self._undeleted.pop(key, None)
 
     async def join(self) -> None:
         """Write this router's row, trying until it is there."""
@@ -205,7 +259,11 @@
 
     def _is_listed(self) -> bool:
         known = self._entries.get(self._key)
-        return known is not None and known.address == self.address
+        return (
+            known is not None
+            and known.version != NO_ROW
+            and known.address == self.address
+        )
 
     async def _write_own(self) -> None:
         row = msgspec.json.encode(RouterRow(self._data_centre, self.address))
--- /dev/null
+++ b/tests/cover/test_restored_holds.py
@@ -0,0 +1,125 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Rows of held requests when the store is restored from an older copy."""
+
+import asyncio
+import datetime
+import unittest
+
+from lifttrestle.internal.clock.manual import ManualClock
+from lifttrestle.internal.fleet.crashes.held_row import build_key
+from lifttrestle.internal.fleet.crashes.held_row import write_held
+from lifttrestle.internal.fleet.crashes.holds import build_held
+from lifttrestle.internal.fleet.crashes.memory import CrashMemory
+from lifttrestle.internal.fleet.crashes.memory import HEARER_SECONDS
+from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
+from lifttrestle.internal.fleet.state.roster import Roster
+from lifttrestle.internal.fleet.state.row_version import build_version
+from lifttrestle.internal.fleet.state.rows import RowOrigin
+from lifttrestle.internal.fleet.state.rows import VersionedRow
+from lifttrestle.internal.platform.stored_format import PlatformFormat
+from tests.support.memory_rows import MemoryRows
+
+START = datetime.datetime(2026, 12, 2, tzinfo=datetime.timezone.utc)
+HEARTBEAT_SECONDS = 1.2
+DIGEST = 0xCAE714BDFB5AE264
+KEY = build_key(DIGEST)
+
+
+class TestRestoredStore(unittest.TestCase):
+    def setUp(self):
+        self.rows = MemoryRows()
+        self.clock = ManualClock(START)
+        self.memory = self.make_memory('one')
+
+    def make_memory(self, vm):
+        return CrashMemory(
+            vm,
+            self.rows,
+            UpstreamDirectory(PlatformFormat(), self.clock),
+            Roster(self.rows, self.clock, vm, 'a'),
+            self.clock,
+            HEARTBEAT_SECONDS,
+        )
+
+    def take_held_row(self, by):
+        """Take in a row of the held request, written by the given router."""
+        row = build_held(self.clock, 'acme', 'safe', 3, by)
+        value = write_held(row)
+        self.memory.take_row(VersionedRow(KEY, value, 7))
+        return value
+
+    def write_due(self):
+        asyncio.run(self.memory.holds.write_due())
+
+    def get_row(self):
+        return self.rows.get(FLEET_TABLE, KEY)
+
+    def test_regression_lost_row_ended_a_hold(self):
+        # A lost row was taken for a lifted request, which ran again.
+        value = self.take_held_row('one')
+        version = build_version(1, 5)
+        lost = VersionedRow(KEY, None, version, RowOrigin.LOST)
+        self.memory.take_row(lost)
+        self.assertTrue(self.memory.is_held(DIGEST))
+        self.write_due()
+        self.assertEqual(self.get_row().value, value)
+        self.assertTrue(self.memory.is_held(DIGEST))
+
+    def test_lost_row_of_another_router_is_rewritten_after_a_delay(self):
+        # Otherwise the row stays lost if the router that wrote it is gone.
+        value = self.take_held_row('other')
+        version = build_version(1, 5)
+        self.memory.take_row(VersionedRow(KEY, None, version, RowOrigin.LOST))
+        self.write_due()
+        self.assertIsNone(self.get_row().value)
+        self.clock.advance(HEARER_SECONDS)
+        self.write_due()
+        self.assertEqual(self.get_row().value, value)
+
+    def test_lost_row_that_another_router_rewrote_is_not_rewritten(self):
+        # Otherwise each router that counts the request would write it.
+        value = self.take_held_row('other')
+        version = build_version(1, 5)
+        self.memory.take_row(VersionedRow(KEY, None, version, RowOrigin.LOST))
+        self.memory.take_row(VersionedRow(KEY, value, version + 1))
+        self.clock.advance(HEARER_SECONDS)
+        self.write_due()
+        self.assertIsNone(self.get_row().value)
+
+    def test_regression_request_that_was_lifted_was_held_again(self):
+        # An undeleted row was taken for a newly written one.
+        value = self.take_held_row('one')
+        self.memory.take_row(VersionedRow(KEY, None, 8))
+        version = self.rows.put(FLEET_TABLE, KEY, value)
+        self.memory.take_row(
+            VersionedRow(KEY, value, version, RowOrigin.UNDELETED)
+        )
+        self.assertFalse(self.memory.is_held(DIGEST))
+        self.write_due()
+        self.assertIsNone(self.get_row().value)
+
+    def test_new_row_of_a_lifted_request_is_not_removed(self):
+        # The removal of the undeleted row must not end a later hold.
+        value = self.take_held_row('one')
+        self.memory.take_row(VersionedRow(KEY, None, 8))
+        version = self.rows.put(FLEET_TABLE, KEY, value)
+        self.memory.take_row(
+            VersionedRow(KEY, value, version, RowOrigin.UNDELETED)
+        )
+        version = self.rows.put(FLEET_TABLE, KEY, value)
+        self.memory.take_row(VersionedRow(KEY, value, version))
+        self.write_due()
+        self.assertEqual(self.get_row().value, value)
+        self.assertTrue(self.memory.is_held(DIGEST))
--- a/tests/cover/test_roster.py
+++ b/tests/cover/test_roster.py
@@ -20,10 +20,14 @@
 
 from lifttrestle.internal.clock.manual import ManualClock
 from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
+from lifttrestle.internal.fleet.state.roster import LOST_GRACE_SECONDS
 from lifttrestle.internal.fleet.state.roster import REFRESH_SECONDS
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.roster import RouterRow
 from lifttrestle.internal.fleet.state.roster import STALE_SECONDS
+from lifttrestle.internal.fleet.state.row_version import build_version
+from lifttrestle.internal.fleet.state.rows import RowOrigin
+from lifttrestle.internal.fleet.state.rows import VersionedRow
 from tests.support.memory_rows import MemoryRows
 
 WAIT_SECONDS = 10.0
@@ -173,3 +177,78 @@
         await self.hear(roster)
         await roster.leave()
         self.assertIsNone(self.rows.get(FLEET_TABLE, 'router/one').value)
+
+
+class TestRestoredStore(RosterCase):
+    def take_restored(self, roster, *rows):
+        """Take in rows as after a restore of the store."""
+        for key, value, origin in rows:
+            version = build_version(1, 5)
+            roster.take(VersionedRow(key, value, version, origin))
+
+    async def test_regression_lost_row_was_written_again_minutes_later(self):
+        # The router was not counted until it next refreshed its row.
+        one = self.make_roster('one')
+        running = asyncio.create_task(one.run())
+        await self.run_pending_tasks()
+        await self.hear(one)
+        self.rows.put(FLEET_TABLE, one.key, None)
+        self.take_restored(one, (one.key, None, RowOrigin.LOST))
+        await self.run_pending_tasks()
+        row = self.rows.get(FLEET_TABLE, one.key)
+        self.assertIsNotNone(row.value)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+    async def run_pending_tasks(self):
+        for _ in range(10):
+            await asyncio.sleep(0)
+
+    async def test_router_with_lost_row_is_counted_for_grace_period(self):
+        # Counting too few routers makes shares of budgets and caps too large.
+        one, other = self.make_roster('one'), self.make_roster('other')
+        for roster in (one, other):
+            await roster.join()
+        await self.hear(one)
+        self.take_restored(one, (other.key, None, RowOrigin.LOST))
+        self.pass_time(LOST_GRACE_SECONDS - 0.1)
+        self.assertEqual(one.live, 2)
+        self.pass_time(0.2)
+        self.assertEqual(one.live, 1)
+        self.assertEqual(one.routers, [one.key])
+
+    async def test_router_that_rewrites_its_lost_row_is_still_counted(self):
+        # The grace period must not end the count of a live router.
+        one, other = self.make_roster('one'), self.make_roster('other')
+        for roster in (one, other):
+            await roster.join()
+        await self.hear(one)
+        value = self.rows.get(FLEET_TABLE, other.key).value
+        self.take_restored(
+            one,
+            (other.key, None, RowOrigin.LOST),
+            (other.key, value, RowOrigin.WRITTEN),
+        )
+        self.pass_time(2 * LOST_GRACE_SECONDS)
+        self.assertEqual(one.live, 2)
+
+    async def test_regression_router_that_had_left_was_counted_again(self):
+        # An undeleted row was taken for that of a live router.
+        one, two = self.make_roster('one'), self.make_roster('two')
+        gone = self.make_roster('gone')
+        for roster in (one, two, gone):
+            await roster.join()
+        for roster in (one, two):
+            await self.hear(roster)
+        row = self.rows.get(FLEET_TABLE, gone.key)
+        for roster in (one, two):
+            roster.take(VersionedRow(gone.key, None, row.version + 1))
+            undeleted = VersionedRow(
+                gone.key, row.value, row.version, RowOrigin.UNDELETED
+            )
+            roster.take(undeleted)
+            self.assertEqual(roster.live, 2)
+        await two.remove_undeleted()
+        self.assertIsNotNone(self.rows.get(FLEET_TABLE, gone.key).value)
+        await one.remove_undeleted()
+        self.assertIsNone(self.rows.get(FLEET_TABLE, gone.key).value)
