Wait out the lease on weight loads after the store is restored

After the store was restored from an older copy, two routers gave orders to engines within one lease, in two ways:

- The holder named in the copy treated the lease as its own and continued at once, although another router had taken it over in the seconds that the copy lacks.
- Where the copy has no plan, a router that had not yet learned of the restore wrote the first one, on the condition that none exists, while orders of the lost plan's holder were still under way.

Cause: the lease was judged by a row that an epoch change had brought back, and the condition "no row" holds in every epoch.

The holder named in a restored row now waits out the lease like every other router. Where the plan is missing, every router waits, counting from the first row that it sees of the new epoch. A write can name the epoch in which it is valid, and the loader's writes do.

Rejected: letting the holder continue if it was also the last holder that it knew of, because a router that was cut off does not know of a takeover.

The loader model also restores the store, and finds a planted write that is valid in any epoch.

--- a/src/lifttrestle/internal/fleet/loads/weights_loader.py
+++ b/src/lifttrestle/internal/fleet/loads/weights_loader.py
@@ -145,13 +145,25 @@
         return list_engines(self._directory, model)
 
     def _may_act(self, model: str, held: HeldPlan, now: float) -> bool:
-        if held.plan is not None and held.plan.holder == self._holder:
+        if self._holds_lease(held):
             return True
         return now >= self._find_turn(model, held)
 
+    def _holds_lease(self, held: HeldPlan) -> bool:
+        """Return whether this router certainly holds the lease.
+
+        The holder in a restored row may be out of date: the older copy lacks
+        later takeovers.
+        """
+        return (
+            held.plan is not None
+            and held.plan.holder == self._holder
+            and not held.restored
+        )
+
     def _find_turn(self, model: str, held: HeldPlan) -> float:
         holder = None
-        if held.plan is not None:
+        if held.plan is not None and held.plan.holder != self._holder:
             holder = f'{ROUTER_PREFIX}{held.plan.holder}'
         turn = Turn(
             needed_since=self._needed_since[model],
@@ -229,6 +241,7 @@
             f'{PLAN_PREFIX}{model}',
             msgspec.json.encode(plan),
             held.row_version,
+            held.epoch,
         )
         fence = await self._store.write_row(write)
         self._plans.note(plan, fence)
@@ -275,7 +288,7 @@
         """Tell the others that the last engines have loaded."""
         held = self._plans.get(model)
         plan = held.plan
-        if plan is None or plan.holder != self._holder or not plan.loading:
+        if plan is None or not self._holds_lease(held) or not plan.loading:
             return
         version = self._view.wanted[model].version
         await self._write_plan(model, version, held, [])
--- a/src/lifttrestle/internal/fleet/state/rows.py
+++ b/src/lifttrestle/internal/fleet/state/rows.py
@@ -16,6 +16,8 @@
 import dataclasses
 import enum
 
+from lifttrestle.internal.fleet.state.row_version import get_epoch
+
 # A row that does not exist has this version.
 NO_ROW = 0
 
@@ -65,12 +67,23 @@
     """Sets one row if it still has the expected version.
 
     :ivar value: the new bytes, or None to remove the row.
+    :ivar epoch: the only epoch in which the write is valid. If None, it is
+        the epoch of the expected version, or any epoch for ``NO_ROW``, which
+        is the same version in every epoch.
     """
 
     table: str
     key: str
     value: bytes | None
     expected_version: int
+    epoch: int | None = None
+
+    @property
+    def expected_epoch(self) -> int | None:
+        """Return the epoch in which the write is valid, None for any."""
+        if self.epoch is None and self.expected_version != NO_ROW:
+            return get_epoch(self.expected_version)
+        return self.epoch
 
 
 class RowStore(abc.ABC):
--- a/src/lifttrestle/internal/fleet/state/weights_view.py
+++ b/src/lifttrestle/internal/fleet/state/weights_view.py
@@ -24,7 +24,9 @@
 
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.state.row_version import get_epoch
 from lifttrestle.internal.fleet.state.rows import NO_ROW
+from lifttrestle.internal.fleet.state.rows import RowOrigin
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.intake.decoding import decode_json
 from lifttrestle.internal.intake.refusals import InputRefusals
@@ -53,11 +55,19 @@
 
 @dataclasses.dataclass(frozen=True)
 class HeldPlan:
-    """A plan with the version of its row and when it was first seen."""
+    """A plan with the version of its row and when it was first seen.
+
+    :ivar epoch: the store's epoch in which the row was seen, or found to be
+        missing.
+    :ivar restored: the row comes from a restored store. A later plan may
+        have been lost while its orders are still under way.
+    """
 
     plan: WeightsPlan | None
     row_version: int
     seen_at: float
+    epoch: int = 0
+    restored: bool = False
 
 
 class WeightsView:
@@ -73,10 +83,19 @@
         self._refusals = refusals or InputRefusals()
         self._clock = clock
         self._held: dict[str, HeldPlan] = {}
+        self._epoch = 0
+        # When a row of this epoch was first seen. The lease of a missing plan
+        # counts from then, as the restored store may have lost the plan.
+        self._epoch_seen_at = float('-inf')
 
     def get(self, model: str) -> HeldPlan:
         """Return the newest plan seen for a model."""
-        return self._held.get(model, HeldPlan(None, NO_ROW, float('-inf')))
+        held = self._held.get(model)
+        # The rows of an epoch are reported together: a plan that is known
+        # from an earlier one only is not in the restored store.
+        if held is None or held.epoch < self._epoch:
+            return HeldPlan(None, NO_ROW, self._epoch_seen_at, self._epoch)
+        return held
 
     def take(self, row: VersionedRow) -> None:
         """Take in a changed row of the routers' table.
@@ -84,6 +103,9 @@
         A row that holds no plan has no holder; it still is the row that the
         next holder's write has to be conditional on.
         """
+        if get_epoch(row.version) > self._epoch:
+            self._epoch = get_epoch(row.version)
+            self._epoch_seen_at = self._clock.monotonic()
         if not row.key.startswith(PLAN_PREFIX):
             return
         model = row.key.removeprefix(PLAN_PREFIX)
@@ -96,7 +118,8 @@
             self._refusals.note('plans', row.key, error)
             self._note_no_plan(model, row.version, row.version)
             return
-        self.note(plan, row.version)
+        restored = row.origin is not RowOrigin.WRITTEN
+        self.note(plan, row.version, restored=restored)
 
     def _note_no_plan(
         self, model: str, seen_version: int, row_version: int
@@ -104,21 +127,27 @@
         if seen_version <= self.get(model).row_version:
             return
         now = self._clock.monotonic()
-        self._held[model] = HeldPlan(None, row_version, now)
+        epoch = get_epoch(seen_version)
+        self._held[model] = HeldPlan(None, row_version, now, epoch)
         LOG.warning('weights.no_plan', model=model, fence=row_version)
 
-    def note(self, plan: WeightsPlan, row_version: int) -> None:
+    def note(
+        self, plan: WeightsPlan, row_version: int, *, restored: bool = False
+    ) -> None:
         """Believe a plan, unless a newer one is known."""
         if row_version <= self.get(plan.model).row_version:
             return
         now = self._clock.monotonic()
-        self._held[plan.model] = HeldPlan(plan, row_version, now)
+        self._held[plan.model] = HeldPlan(
+            plan, row_version, now, get_epoch(row_version), restored
+        )
         LOG.info(
             'weights.plan',
             model=plan.model,
             version=plan.version,
             holder=plan.holder,
             fence=row_version,
+            restored=restored,
             loading=plan.loading,
             loaded=plan.loaded,
         )
--- a/src/lifttrestle/internal/platform/row_store.py
+++ b/src/lifttrestle/internal/platform/row_store.py
@@ -140,7 +140,8 @@
     async def write_row(self, write: RowWrite) -> int:
         """Write one row and return the commit's version."""
         expected = write.expected_version
-        if expected != NO_ROW and get_epoch(expected) < self.epoch:
+        expected_epoch = write.expected_epoch
+        if expected_epoch is not None and expected_epoch < self.epoch:
             # A different commit may have the same number after a restore.
             raise ConditionFailed((write.key,))
         row = {'table': write.table, 'part': '', 'key': write.key}
@@ -159,11 +160,11 @@
         if answer.status == STATUS_CONDITION:
             raise ConditionFailed((write.key,))
         version = _build_version(epoch, _decode_rows(answer).ver)
-        if expected != NO_ROW and epoch != get_epoch(expected):
+        if expected_epoch not in (None, epoch):
             raise PlatformUnavailable(
                 f'the write replaced an unknown version of the row'
                 f' {write.key!r}: the store was restored from an older copy'
-                f' after {format_version(expected)}'
+                f' after epoch {expected_epoch}'
             )
         return version
 
--- a/tests/cover/test_fleet_weights.py
+++ b/tests/cover/test_fleet_weights.py
@@ -13,6 +13,7 @@
 """Loads of new weights: one holder at a time, and late orders do no harm."""
 
 import asyncio
+import dataclasses
 import datetime
 import random
 import unittest
@@ -38,7 +39,9 @@
 from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.roster import RouterRow
+from lifttrestle.internal.fleet.state.row_version import get_epoch
 from lifttrestle.internal.fleet.state.rows import VersionedRow
+from lifttrestle.internal.fleet.state.table_copy import TableCopy
 from lifttrestle.internal.fleet.state.weights_view import WeightsView
 from lifttrestle.internal.platform.stored_format import PlatformFormat
 from tests.support.entries import make_entry
@@ -170,6 +173,7 @@
     """Routers that hear late, lose the store and whose orders are late."""
 
     loader_class = WeightsLoader
+    router_class = Router
 
     def __init__(self):
         super().__init__()
@@ -177,7 +181,9 @@
         self.rows = MemoryRows()
         self.engines = Engines(self.time)
         self.routers = [
-            Router(name, self.time, self.rows, self.engines, self.loader_class)
+            self.router_class(
+                name, self.time, self.rows, self.engines, self.loader_class
+            )
             for name in ('a', 'b', 'c')
         ]
         self.version = 1
@@ -239,6 +245,64 @@
             assert holders[order.fence] == order.holder
 
 
+class TableCopyRouter(Router):
+    """Follows the table through a copy, which marks restored rows."""
+
+    def __init__(self, name, time, rows, engines, loader_class):
+        super().__init__(name, time, rows, engines, loader_class)
+        self.table_copy = TableCopy(FLEET_TABLE, time, self.plans.take)
+
+    def hear(self):
+        if self.rows.down:
+            return
+        after = self.table_copy.version
+        if self.table_copy.loaded and get_epoch(after) == self.rows.epoch:
+            read = self.rows.watch_table(FLEET_TABLE, after, 0)
+            self.table_copy.take_changes(asyncio.run(read), 0.0)
+            return
+        read = self.rows.read_table(FLEET_TABLE)
+        self.table_copy.take_whole(asyncio.run(read), 0.0)
+
+
+class RestoredStoreMachine(LoaderMachine):
+    """Also restores the store from an older copy."""
+
+    router_class = TableCopyRouter
+
+    def __init__(self):
+        super().__init__()
+        for router in self.routers:
+            self.rows.put(FLEET_TABLE, router.roster.key, ROUTER_ROW)
+            router.hear()
+        self.snapshots = [self.rows.take_snapshot()]
+        self.name_weights()
+
+    @stateful.rule(index=st.integers(0, 2))
+    def act(self, index):
+        self.snapshots.append(self.rows.take_snapshot())
+        super().act(index)
+
+    @stateful.rule(index=st.integers(0, 2))
+    def take_lease_over(self, index):
+        self.name_weights()
+        for seconds in (9.0, 0.0):
+            self.wait(seconds)
+            self.hear(index)
+            self.act(index)
+
+    @stateful.rule(index=st.integers(0, 2))
+    def name_hear_and_act(self, index):
+        self.name_weights()
+        self.hear(index)
+        self.act(index)
+
+    @stateful.rule(age=st.integers(1, 6))
+    def restore_store(self, age):
+        snapshot = self.snapshots[-min(age, len(self.snapshots))]
+        self.snapshots = [snapshot]
+        self.rows.restore(snapshot)
+
+
 class HastyLoader(WeightsLoader):
     """Planted fault: takes the lease over without waiting it out."""
 
@@ -246,6 +310,14 @@
         return True
 
 
+class AnyEpochLoader(WeightsLoader):
+    """Planted fault: creates a missing row in any epoch."""
+
+    async def _write_plan(self, model, version, held, loading):
+        held = dataclasses.replace(held, epoch=None)
+        return await super()._write_plan(model, version, held, loading)
+
+
 class BlindLoader(WeightsLoader):
     """Planted fault: judges the lease by one row and writes by another."""
 
@@ -255,15 +327,22 @@
         await super()._load_next(model, held, loads, outdated)
 
 
-def run_machine(loader_class):
+def run_machine(loader_class, machine=LoaderMachine):
     fields = {'loader_class': loader_class}
-    run_model(type('Machine', (LoaderMachine,), fields), 300, 30)
+    run_model(type('Machine', (machine,), fields), 300, 30)
 
 
 class TestLoader(unittest.TestCase):
     def test_holders_never_take_turns_within_the_lease(self):
         run_machine(WeightsLoader)
 
+    def test_holders_never_take_turns_after_a_restore(self):
+        run_machine(WeightsLoader, RestoredStoreMachine)
+
+    def test_planted_write_in_any_epoch_is_found(self):
+        with self.assertRaises(AssertionError):
+            run_machine(AnyEpochLoader, RestoredStoreMachine)
+
     def test_planted_hasty_takeover_is_found(self):
         with self.assertRaises(AssertionError):
             run_machine(HastyLoader)
@@ -380,6 +459,96 @@
         self.assertEqual(len(self.engines.log), 1)
 
 
+class TestRestoredStore(unittest.TestCase):
+    """After a restore, two routers must not give orders within one lease."""
+
+    def setUp(self):
+        self.time = ManualClock(START)
+        self.rows = MemoryRows()
+        self.engines = Engines(self.time)
+        self.routers = [self.make_router(name) for name in ('a', 'b')]
+        for router in self.routers:
+            self.rows.put(FLEET_TABLE, router.roster.key, ROUTER_ROW)
+        for router in self.routers:
+            router.hear()
+        self.snapshot = self.rows.take_snapshot()
+
+    def make_router(self, name):
+        return TableCopyRouter(
+            name, self.time, self.rows, self.engines, WeightsLoader
+        )
+
+    def list_holders(self):
+        return [order.holder for _, _, order in self.engines.log]
+
+    def act_until_lease_expires(self, router, version):
+        """Name a version; act at once and again after the lease expires."""
+        router.name(version)
+        for seconds in (0.0, 9.0):
+            self.time.advance(seconds)
+            router.hear()
+            router.act()
+
+    def test_regression_restored_row_gave_the_lease_back(self):
+        first, second = self.routers
+        self.act_until_lease_expires(first, 2)
+        snapshot = self.rows.take_snapshot()
+        self.act_until_lease_expires(second, 3)
+        self.assertEqual(self.list_holders()[-1], 'b')
+        order_count = len(self.engines.log)
+        self.rows.restore(snapshot)
+        first.name(3)
+        first.hear()
+        first.act()
+        self.assertEqual(len(self.engines.log), order_count)
+        self.act_until_lease_expires(first, 4)
+        before, after = self.engines.log[order_count - 1 : order_count + 1]
+        self.assertEqual(after[2].holder, 'a')
+        self.assertGreaterEqual(after[0] - before[0], LEASE_SECONDS)
+        self.assertGreater(after[2].fence, before[2].fence)
+
+    def test_regression_plan_that_is_lost_was_written_by_another(self):
+        first, second = self.routers
+        first.name(2)
+        first.act()
+        order_count = len(self.engines.log)
+        self.rows.restore(self.snapshot)
+        second.name(2)
+        # The second router has not read the restored store yet.
+        second.act()
+        self.assertEqual(len(self.engines.log), order_count)
+        second.hear()
+        second.act()
+        self.assertEqual(set(self.list_holders()), {'a'})
+
+    def load_after_restores(self, count):
+        for _ in range(count):
+            self.rows.restore(self.snapshot)
+            for router in self.routers:
+                router.hear()
+        for _ in range(20):
+            for router in self.routers:
+                router.name(3)
+                router.hear()
+                router.act()
+            self.time.advance(1.0)
+        return set(self.engines.weights.values())
+
+    def test_regression_second_restore_without_a_plan_stopped_all_loads(self):
+        for router in self.routers:
+            router.name(2)
+            router.act()
+            router.hear()
+        self.routers[0].hear()
+        self.assertEqual(self.load_after_restores(2), {3})
+
+    def test_plan_that_its_holder_never_heard_does_not_stop_it(self):
+        self.routers = self.routers[:1]
+        self.routers[0].name(2)
+        self.routers[0].act()
+        self.assertEqual(self.load_after_restores(1), {3})
+
+
 class TestComplete(unittest.TestCase):
     """Routers look at the engines again only when something has changed."""
 
--- a/tests/support/memory_rows.py
+++ b/tests/support/memory_rows.py
@@ -113,7 +113,8 @@
         """Write one row if its condition holds."""
         self._check_up()
         held = self.get(write.table, write.key)
-        if held.version != write.expected_version:
+        wrong_epoch = write.expected_epoch not in (None, self.epoch)
+        if wrong_epoch or held.version != write.expected_version:
             raise ConditionFailed((write.key,))
         version = self.put(write.table, write.key, write.value)
         if self.lose_answers:
