Rewrite rows written just before a restore and never read back

If the store had acknowledged a router's own row, or the row of a held request, but the router's own watch had not yet received it when the store was restored from an older copy, the row was not reported as lost. The router was then not listed until it started again, because each refresh failed its condition, and the hold was known to running routers only.

Cause: only rows that the router's copy of the table holds are found to be missing.

A router now checks its own row with the first row of a new epoch, and the holds of earlier epochs at the next periodic check after it.

Evidence: two tests, neither of which passes without the check.

--- a/src/lifttrestle/internal/fleet/crashes/holds.py
+++ b/src/lifttrestle/internal/fleet/crashes/holds.py
@@ -36,6 +36,7 @@
 from lifttrestle.internal.fleet.crashes.judgement import choose_evicted
 from lifttrestle.internal.fleet.crashes.judgement import HOLD_SECONDS
 from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
+from lifttrestle.internal.fleet.state.row_version import get_epoch
 from lifttrestle.internal.fleet.state.rows import NO_ROW
 from lifttrestle.internal.fleet.state.rows import RowOrigin
 from lifttrestle.internal.fleet.state.rows import RowStore
@@ -98,6 +99,10 @@
         self._refusals = refusals
         self._held: dict[int, Hold] = {}
         self._due: dict[int, DueWrite] = {}
+        # The highest epoch of a received row, and the epoch for which holds
+        # were last checked.
+        self._epoch = 0
+        self._checked_epoch = 0
         # Versions of undeleted rows, by request.
         self._undeleted: dict[int, int] = {}
         self.tell_lifted: Callable[[int], None] = lambda digest: None
@@ -124,6 +129,7 @@
 
     def take(self, row: VersionedRow) -> None:
         """Take in a changed row of the routers' table."""
+        self._epoch = max(self._epoch, get_epoch(row.version))
         if not row.key.startswith(HELD_PREFIX):
             return
         try:
@@ -154,6 +160,22 @@
         LOG.warning('hold.lifted', digest=name_request(digest))
         self.tell_lifted(digest)
 
+    def check_epoch(self) -> None:
+        """Treat holds from earlier epochs as lost once a new epoch begins.
+
+        A row that was written just before a restore and never read back by
+        the watch is not reported as lost.
+        """
+        if self._checked_epoch == self._epoch:
+            return
+        self._checked_epoch = self._epoch
+        for digest, hold in list(self._held.items()):
+            if (
+                hold.version != NO_ROW
+                and get_epoch(hold.version) < self._epoch
+            ):
+                self._keep_lost_hold(digest)
+
     def _keep_lost_hold(self, digest: int) -> None:
         """Keep holding a request whose row is lost."""
         held = self._held.get(digest)
@@ -183,6 +205,7 @@
         """Write what is due, for ever."""
         while True:
             await beat.wait(LOOK_SECONDS)
+            self.check_epoch()
             if self._due:
                 await self.write_due()
 
--- a/src/lifttrestle/internal/fleet/state/roster.py
+++ b/src/lifttrestle/internal/fleet/state/roster.py
@@ -28,6 +28,7 @@
 from lifttrestle.errors import ConditionFailed
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.state.row_version import get_epoch
 from lifttrestle.internal.fleet.state.rows import NO_ROW
 from lifttrestle.internal.fleet.state.rows import RowOrigin
 from lifttrestle.internal.fleet.state.rows import RowStore
@@ -107,6 +108,8 @@
         self._none_seen_before = math.inf
         # Of this router's row, as it was last written or seen.
         self._own_version = NO_ROW
+        # The highest epoch of a received row.
+        self._epoch = 0
         # Versions of other routers' undeleted rows, by key.
         self._undeleted: dict[str, int] = {}
         # Set when this router's row must be written or undeleted rows removed.
@@ -165,6 +168,8 @@
         if not row.key.startswith(ROUTER_PREFIX):
             return
         before = self.live
+        if get_epoch(row.version) > self._epoch:
+            self._begin_epoch(get_epoch(row.version))
         if row.key == self._key and row.version > self._own_version:
             self._own_version = NO_ROW if row.value is None else row.version
         self.changes += 1
@@ -191,6 +196,17 @@
         if self._undeleted or own_unlisted:
             self._repair_needed.set()
 
+    def _begin_epoch(self, epoch: int) -> None:
+        """Drop an own version of an earlier epoch and schedule a repair.
+
+        A row that was written just before a restore and never read back by
+        the watch is not reported as lost.
+        """
+        self._epoch = epoch
+        if get_epoch(self._own_version) < epoch:
+            self._own_version = NO_ROW
+        self._repair_needed.set()
+
     def _keep_lost_entry(self, key: str) -> None:
         """Keep counting a router whose row is lost, for the grace period.
 
--- a/tests/cover/test_restored_holds.py
+++ b/tests/cover/test_restored_holds.py
@@ -123,3 +123,12 @@
         self.write_due()
         self.assertEqual(self.get_row().value, value)
         self.assertTrue(self.memory.is_held(DIGEST))
+
+    def test_row_written_just_before_a_restore_is_rewritten(self):
+        # The watch reports a row as lost only if it has read that row.
+        value = self.take_held_row('one')
+        other = VersionedRow('router/x', b'{}', build_version(1, 5))
+        self.memory.take_row(other)
+        self.memory.holds.check_epoch()
+        self.write_due()
+        self.assertEqual(self.get_row().value, value)
--- a/tests/cover/test_roster.py
+++ b/tests/cover/test_roster.py
@@ -252,3 +252,18 @@
         self.assertIsNotNone(self.rows.get(FLEET_TABLE, gone.key).value)
         await one.remove_undeleted()
         self.assertIsNone(self.rows.get(FLEET_TABLE, gone.key).value)
+
+    async def test_row_written_just_before_a_restore_is_rewritten(self):
+        # The watch reports a row as lost only if it has read that row.
+        one, other = self.make_roster('one'), self.make_roster('other')
+        await other.join()
+        running = asyncio.create_task(one.run())
+        await self.run_pending_tasks()
+        self.rows.put(FLEET_TABLE, one.key, None)
+        value = self.rows.get(FLEET_TABLE, other.key).value
+        self.take_restored(one, (other.key, value, RowOrigin.RESTORED))
+        await self.run_pending_tasks()
+        row = self.rows.get(FLEET_TABLE, one.key)
+        self.assertIsNotNone(row.value)
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
--- a/tests/support/fleet_store.py
+++ b/tests/support/fleet_store.py
@@ -22,6 +22,7 @@
 from lifttrestle.errors import HistoryGone
 from lifttrestle.internal.fleet.state.row_version import build_version
 from lifttrestle.internal.fleet.state.row_version import get_commit_number
+from lifttrestle.internal.fleet.state.row_version import get_epoch
 from lifttrestle.internal.fleet.state.rows import NO_ROW
 from lifttrestle.internal.fleet.state.rows import RowWrite
 from lifttrestle.internal.fleet.state.rows import VersionedRow
@@ -146,6 +147,9 @@
             return
         if connection.peer in self.silenced:
             await asyncio.Event().wait()
+        if after > self.rows.version or get_epoch(after) < self.rows.epoch:
+            connection.abort()
+            return
         content = {
             'rows': await self._list(table, after),
             'ver': get_commit_number(self.rows.version),
