--- a/tests/nocover/test_restore_soak.py
+++ b/tests/nocover/test_restore_soak.py
@@ -10,17 +10,22 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-"""Soak: a store that is restored from older copies, over routers that die.
-
-Four router processes that are killed, started and paused read a store that
-comes back as a copy of up to five seconds ago, again and again, while the
-operator adds routes and revokes keys and upstreams drain and leave. Judged by
-what callers and upstreams saw: a route is not refused two seconds after its
-version was acknowledged, and never again by a router that has served it; a
-revoked key does not work after five seconds; an upstream that has said that
-it leaves, or is gone, gets nothing after two seconds. For the two bounds of
-two seconds, disturbances of the store and of the router count three seconds
-longer.
+"""Soak: a store restored from older copies while routers are killed.
+
+Four router processes are killed, started and paused. Their store is
+repeatedly restored from a copy that is up to five seconds old, while the
+operator adds routes and revokes keys and upstreams drain and leave. The rules
+apply to what callers and upstreams observe:
+
+- a route is not refused from two seconds after its version was acknowledged,
+  and never again by a router that has served it;
+- a revoked key is not served after five seconds;
+- no request is refused with 503 from one second after a disturbance;
+- an upstream receives no request from two seconds after it began to drain or
+  was removed.
+
+After a disturbance of the store or the router, the bounds of one and two
+seconds start again three seconds later.
 
 More seeds by hand; the exit code is 1 if a rule was broken::
 
@@ -43,7 +48,7 @@
         f'seed {outcome.seed}: {outcome.calls} calls, {outcome.served} served,'
         f' {outcome.refused} refused, {outcome.unanswered} without an answer,'
         f' {outcome.restores} restores, {outcome.changes} changes,'
-        f' {outcome.leaves} leaves {outcome.faults or ""}'
+        f' {outcome.departures} departures {outcome.faults or ""}'
     )
 
 
@@ -54,7 +59,7 @@
                 outcome = await play(seed)
                 self.assertEqual(outcome.faults, [], tell_figures(outcome))
                 self.assertGreater(outcome.restores, 0)
-                self.assertGreater(outcome.leaves, 0)
+                self.assertGreater(outcome.departures, 0)
                 self.assertGreater(outcome.served, 0)
 
 
--- a/tests/support/fleet_store.py
+++ b/tests/support/fleet_store.py
@@ -148,6 +148,7 @@
         if connection.peer in self.silenced:
             await asyncio.Event().wait()
         if after > self.rows.version or get_epoch(after) < self.rows.epoch:
+            # The store was restored before the answer was sent.
             connection.abort()
             return
         content = {
--- a/tests/support/restore_play.py
+++ b/tests/support/restore_play.py
@@ -10,10 +10,10 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-"""Plays a store that is restored from older copies, before routers that die.
+"""Plays restores of the store from older copies while routers are killed.
 
-The operator adds routes and revokes keys, upstreams drain and leave, and all
-of them write again what a restored store lacks.
+The operator adds routes and revokes keys, and upstreams drain and leave. After
+each restore they rewrite the rows that the store has lost.
 """
 
 import asyncio
@@ -43,52 +43,52 @@
 CALLERS = 8
 CALL_PAUSE_SECONDS = 0.1
 PLAY_SECONDS = 28.0
-# Bounds of the service, in seconds.
+# Time limits that the routers must meet, in seconds.
 APPLY_SECONDS = 2.0
 DRAIN_SECONDS = 2.0
 REVOKE_SECONDS = 5.0
 READY_SECONDS = 1.0
-# A disturbance of the store or a router counts this much longer.
-CONTACT_SECONDS = 3.0
-# The entry of an upstream that is gone lapses after this.
-LAPSE_SECONDS = 3.6
+# A limit restarts this long after a disturbance of the store or a router.
+RECOVERY_SECONDS = 3.0
+# After this a restored entry of a stopped upstream is removed.
+ENTRY_EXPIRY_SECONDS = 3.6
 REFUSE_ALL = 1_000_000
 
 
 @dataclasses.dataclass
 class Version:
-    """One version of the configuration, with its route and its key.
+    """One version of the configuration, with the route and key it adds.
 
-    :ivar acked_at: when the store acknowledged it, monotonic seconds.
+    :ivar acknowledged_at: when the store acknowledged it, monotonic seconds.
     :ivar revoked_at: when its key was revoked, None if it is valid.
     """
 
     number: int
-    acked_at: float
+    acknowledged_at: float
     revoked_at: float | None = None
 
     @property
     def path(self) -> str:
-        """Return a path of the route that it added."""
+        """Return a path of the added route."""
         return f'/added{self.number}/x'
 
     @property
     def key(self) -> str:
-        """Return the key that it added."""
+        """Return the added key."""
         return f'x{self.number}'
 
 
 @dataclasses.dataclass(frozen=True)
 class Outage:
-    """From when the store was away until it was restored."""
+    """A restore of the store, with the outage that may precede it."""
 
     begin: float
     end: float
 
 
 @dataclasses.dataclass(frozen=True)
-class Leave:
-    """A start that drains at ``begin`` and is followed by another."""
+class Departure:
+    """The time from when an upstream begins to leave to its next start."""
 
     begin: float
     end: float
@@ -96,7 +96,7 @@
 
 @dataclasses.dataclass
 class RestoreOutcome:
-    """What callers and upstreams saw."""
+    """What callers and upstreams observed."""
 
     seed: int
     calls: int = 0
@@ -105,51 +105,51 @@
     unanswered: int = 0
     restores: int = 0
     changes: int = 0
-    leaves: int = 0
+    departures: int = 0
     faults: list[str] = dataclasses.field(default_factory=list)
 
 
-class LeavingUpstream(CrashingUpstream):
-    """Drains, leaves, and is followed by another start at its address.
+class RestartingUpstream(CrashingUpstream):
+    """Drains, removes its entry, and starts again at the same address.
 
-    :ivar leaves: when its starts said that they leave.
+    :ivar departures: the completed departures, in order.
     """
 
     def __init__(self, instance, store, source: random.Random) -> None:
         super().__init__(instance, store)
-        self.leaves: list[Leave] = []
+        self.departures: list[Departure] = []
         self._source = source
         self._state = 'ready'
 
-    async def live(self, play: 'RestorePlay') -> None:
-        """Drain and start again until the play is done."""
+    async def run_starts(self, play: 'RestorePlay') -> None:
+        """Drain, leave and start again until the play is over."""
         while not play.done:
             await play.rest(self._source.uniform(3.0, 9.0))
             begin = time.monotonic()
             if self._source.random() < 0.7:
                 self._state = 'draining'
-                self.write_again()
+                self.write_entry()
                 await play.rest(self._source.choice((1.0, 3.0, 8.0)))
             self._state = 'gone'
             self._store.remove('servers', self.instance)
             await play.rest(self._source.uniform(2.5, 5.0))
-            self.leaves.append(Leave(begin, time.monotonic()))
+            self.departures.append(Departure(begin, time.monotonic()))
             self._state = 'ready'
             self._starts += 1
             self.list_start()
 
-    def write_again(self) -> None:
-        """Write the entry as the start that runs has it."""
+    def write_entry(self) -> None:
+        """Write the entry of the current start, if there is one."""
         if self._state != 'gone':
             self.list_start(state=self._state)
 
-    def lapse(self) -> None:
-        """Remove the entry if the start is gone."""
+    def remove_stale_entry(self) -> None:
+        """Remove a restored entry while no start is running."""
         if self._state == 'gone':
             self._store.remove('servers', self.instance)
 
 
-class RestorePlay(RouterPlay[RestoreOutcome, LeavingUpstream]):
+class RestorePlay(RouterPlay[RestoreOutcome, RestartingUpstream]):
     """Plays one seed."""
 
     seconds = PLAY_SECONDS
@@ -158,13 +158,13 @@
 
     def __init__(self, seed: int, folder: pathlib.Path) -> None:
         super().__init__(seed, folder)
-        self._lives: dict[str, str] = {}
-        self._disturbed: dict[str, float] = {}
+        self._lives_by_request: dict[str, str] = {}
+        self._disturbed_at: dict[str, float] = {}
         self._versions: list[Version] = []
         self._outages: list[Outage] = []
         self._snapshots: list[tuple[float, RowsSnapshot]] = []
-        # The highest version whose route each life has served.
-        self._served: dict[str, int] = {}
+        # The highest version whose route was served, by life.
+        self._highest_served: dict[str, int] = {}
         self._began_at = time.monotonic()
         self._outcome = RestoreOutcome(seed)
 
@@ -177,16 +177,16 @@
         """Return after some seconds, or when the play is over."""
         await rest(self._done, seconds)
 
-    def make_upstream(self, name: str) -> LeavingUpstream:
-        """Return an upstream that leaves."""
-        return LeavingUpstream(name, self._store, self._get_source(name))
+    def make_upstream(self, name: str) -> RestartingUpstream:
+        """Return an upstream that leaves and starts again."""
+        return RestartingUpstream(name, self._store, self._get_source(name))
 
     def list_work(self) -> list[Coroutine[None, None, None]]:
-        """Return what callers do, and what is disturbed."""
+        """Return the work of callers, upstreams, operator and faults."""
         return [
             *(self._call(number) for number in range(CALLERS)),
-            # One stays, so that there is always one to serve.
-            *(upstream.live(self) for upstream in self._upstreams[1:]),
+            # One upstream never leaves, so that calls can always be served.
+            *(upstream.run_starts(self) for upstream in self._upstreams[1:]),
             self._change_configuration(),
             self._take_snapshots(),
             self._restore_store(),
@@ -210,7 +210,7 @@
         self._outcome.changes += 1
 
     def _put_configuration(self) -> None:
-        """Write the newest version, with the routes of all and its key."""
+        """Write the newest version, with all routes and only its own key."""
         routes = [
             make_route(f'added{version.number}', 'idempotent')
             for version in self._versions
@@ -233,7 +233,7 @@
     async def _restore_store(self) -> None:
         source = self._get_source('restores')
         while not self.done:
-            # Longer than a disturbance excuses what is late, mostly.
+            # Mostly longer than the recovery time, so that rules apply.
             await self.rest(source.uniform(4.0, 9.0))
             for _ in range(source.choice((1, 1, 2))):
                 await self._restore_once(source)
@@ -253,7 +253,7 @@
         self._store.server.faults.refuse = 0
         self._outages.append(Outage(begin, time.monotonic()))
         self._outcome.restores += 1
-        # Rows of others may take the numbers that were lost first.
+        # Other rows may reuse the lost commit numbers first.
         for number in range(source.choice((0, 0, 40, 200))):
             self._store.put('other', f'row-{number}', number)
         await self.rest(source.uniform(0.05, 0.5))
@@ -262,10 +262,10 @@
             self._add_version(source)
         for upstream in self._upstreams:
             await self.rest(source.uniform(0.0, 0.2))
-            upstream.write_again()
-            # Nobody writes the entry of one that is gone again.
+            upstream.write_entry()
+            # A stopped upstream does not rewrite its entry, so it expires.
             loop = asyncio.get_running_loop()
-            loop.call_later(LAPSE_SECONDS, upstream.lapse)
+            loop.call_later(ENTRY_EXPIRY_SECONDS, upstream.remove_stale_entry)
 
     async def _call(self, number: int) -> None:
         source = self._get_source(f'caller {number}')
@@ -275,16 +275,16 @@
             if router.life.ready is None:
                 continue
             version = source.choice(self._versions[-4:])
-            await self._ask(router, version, source)
+            await self._send_call(router, version, source)
 
-    async def _ask(
+    async def _send_call(
         self, router: SoakRouter, version: Version, source: random.Random
     ) -> None:
-        name = f'{source.getrandbits(64):x}'
+        request_id = f'{source.getrandbits(64):x}'
         life = router.life.name
-        self._lives[name] = life
+        self._lives_by_request[request_id] = life
         key = source.choice(('k1', version.key))
-        call = SoakCall(router.address, name, version.path, key=key)
+        call = SoakCall(router.address, request_id, version.path, api_key=key)
         sent_at = time.monotonic()
         revoked = key != 'k1' and version.revoked_at is not None
         answer = await call_router(call)
@@ -298,13 +298,13 @@
             outcome.refused += 1
             if self._is_late(life, self._began_at, sent_at, READY_SECONDS):
                 outcome.faults.append(
-                    f'{life} refused {version.path}, long after any'
-                    f' disturbance: {answer.body!r}'
+                    f'{life} refused {version.path} after its recovery'
+                    f' time: {answer.body!r}'
                 )
         self._judge_answer(life, version, sent_at, answer, key)
         if answer.status == 200:
-            served = max(self._served.get(life, 0), version.number)
-            self._served[life] = served
+            served = max(self._highest_served.get(life, 0), version.number)
+            self._highest_served[life] = served
         if revoked and answer.status == 200:
             assert version.revoked_at is not None
             late = sent_at - version.revoked_at
@@ -323,31 +323,36 @@
     ) -> None:
         if answer.status not in (401, 404):
             return
-        if answer.status == 401 and key != 'k1':
-            # Valid from its version to the next one; either is right near.
+        revoked = key != 'k1' and version.revoked_at is not None
+        if answer.status == 401 and revoked:
             return
-        if self._served.get(life, 0) >= version.number:
+        if self._highest_served.get(life, 0) >= version.number:
             self._outcome.faults.append(
                 f'{life} answered {answer.status} for version'
-                f' {version.number}, and had served'
-                f' {self._served[life]} before'
+                f' {version.number} after serving version'
+                f' {self._highest_served[life]}'
             )
-        elif self._is_late(life, version.acked_at, sent_at, APPLY_SECONDS):
-            late = sent_at - version.acked_at
+        elif self._is_late(
+            life, version.acknowledged_at, sent_at, APPLY_SECONDS
+        ):
+            late = sent_at - version.acknowledged_at
             self._outcome.faults.append(
                 f'{life} answered {answer.status} {late:.2f} s after'
                 f' version {version.number} was acknowledged'
             )
 
     def _is_late(
-        self, life: str, acked_at: float, at: float, bound: float
+        self, life: str, acknowledged_at: float, at: float, bound: float
     ) -> bool:
-        """Return whether a router was in touch long enough after a write."""
-        disturbed = self._disturbed.get(life, float('-inf'))
-        end = max(acked_at, disturbed + CONTACT_SECONDS) + bound
+        """Return whether a time limit after a write has passed.
+
+        Outages of the store and disturbances of the router extend it.
+        """
+        disturbed = self._disturbed_at.get(life, float('-inf'))
+        end = max(acknowledged_at, disturbed + RECOVERY_SECONDS) + bound
         for outage in self._outages:
             if outage.begin < end:
-                end = max(end, outage.end + CONTACT_SECONDS + bound)
+                end = max(end, outage.end + RECOVERY_SECONDS + bound)
         return at > end
 
     async def _disturb_routers(self) -> None:
@@ -356,41 +361,44 @@
             await self.rest(source.uniform(1.5, 5.0))
             router = source.choice(self._routers)
             if source.random() < 0.5:
-                self._note_disturbed(router)
+                self._record_disturbance(router)
                 router.signal(signal.SIGSTOP)
                 await self.rest(source.uniform(0.2, 1.5))
                 router.signal(signal.SIGCONT)
-                self._note_disturbed(router)
+                self._record_disturbance(router)
                 continue
             router.kill()
             await self.rest(source.uniform(0.0, 0.5))
             await router.start()
-            self._note_disturbed(router)
+            self._record_disturbance(router)
 
-    def _note_disturbed(self, router: SoakRouter) -> None:
-        self._disturbed[router.life.name] = time.monotonic()
+    def _record_disturbance(self, router: SoakRouter) -> None:
+        self._disturbed_at[router.life.name] = time.monotonic()
 
     def judge(self) -> RestoreOutcome:
-        """Look for requests that reached upstreams that were leaving."""
+        """Add a fault for each late request to a leaving upstream."""
         for upstream in self._upstreams:
-            self._outcome.leaves += len(upstream.leaves)
-            for life, at, leave in self._list_arrivals(upstream):
-                if self._is_late(life, leave.begin, at, DRAIN_SECONDS):
+            self._outcome.departures += len(upstream.departures)
+            for life, at, departure in self._list_arrivals(upstream):
+                if self._is_late(life, departure.begin, at, DRAIN_SECONDS):
                     self._outcome.faults.append(
-                        f'{upstream.instance} got a request of {life}'
-                        f' {at - leave.begin:.2f} s after it began to leave'
+                        f'{upstream.instance} received a request from {life}'
+                        f' {at - departure.begin:.2f} s after it began to'
+                        ' leave'
                     )
         return self._outcome
 
     def _list_arrivals(
-        self, upstream: LeavingUpstream
-    ) -> Iterator[tuple[str, float, Leave]]:
+        self, upstream: RestartingUpstream
+    ) -> Iterator[tuple[str, float, Departure]]:
         times = zip(upstream.arrivals, upstream.arrived_at, strict=True)
         for head, at in times:
-            life = self._lives.get(head.get_header('request-id') or '', '')
-            for leave in upstream.leaves:
-                if leave.begin <= at < leave.end:
-                    yield life, at, leave
+            life = self._lives_by_request.get(
+                head.get_header('request-id') or '', ''
+            )
+            for departure in upstream.departures:
+                if departure.begin <= at < departure.end:
+                    yield life, at, departure
 
 
 async def play(seed: int) -> RestoreOutcome:
--- a/tests/support/soak_call.py
+++ b/tests/support/soak_call.py
@@ -34,7 +34,7 @@
     request_id: str
     path: str = '/safe/a'
     body: bytes = b''
-    key: str = 'k1'
+    api_key: str = 'k1'
 
 
 async def call_router(call: SoakCall) -> Answer | None:
@@ -42,7 +42,7 @@
     headers = (
         ('host', 'shop.example'),
         ('request-id', call.request_id),
-        ('authorization', f'Token {call.key}'),
+        ('authorization', f'Token {call.api_key}'),
     )
     connection = None
     try:
