Mark rows from the first read of a restored store as restored

After a restore, a router that restarted under its own name and found itself the holder in the restored plan gave orders at once. This was within the lease of another router, whose takeover the restore had lost.

Cause: the first read of a table marked its rows as written. Evidence: a loader test fails without this change.

The first read now marks rows as restored if the epoch is above zero.

--- a/src/lifttrestle/internal/fleet/state/table_copy.py
+++ b/src/lifttrestle/internal/fleet/state/table_copy.py
@@ -120,8 +120,7 @@
                 f' {format_version(self.version)} to'
                 f' {format_version(snapshot.version)}'
             )
-        restored = get_epoch(snapshot.version) > get_epoch(self.version)
-        if self.loaded and restored:
+        if get_epoch(snapshot.version) > get_epoch(self.version):
             rows = self._merge_restored(snapshot)
         else:
             rows = snapshot.rows + self._list_missing(
--- a/tests/cover/test_fleet_weights.py
+++ b/tests/cover/test_fleet_weights.py
@@ -521,6 +521,21 @@
         second.act()
         self.assertEqual(set(self.list_holders()), {'a'})
 
+    def test_regression_restarted_router_trusted_a_restored_plan(self):
+        first, second = self.routers
+        self.act_until_lease_expires(first, 2)
+        snapshot = self.rows.take_snapshot()
+        self.act_until_lease_expires(second, 3)
+        order_count = len(self.engines.log)
+        self.rows.restore(snapshot)
+        restarted = self.make_router('a')
+        restarted.name(3)
+        restarted.hear()
+        restarted.act()
+        self.assertEqual(len(self.engines.log), order_count)
+        self.act_until_lease_expires(restarted, 4)
+        self.assertEqual(self.list_holders()[-1], 'a')
+
     def load_after_restores(self, count):
         for _ in range(count):
             self.rows.restore(self.snapshot)
--- a/tests/cover/test_restored_rows.py
+++ b/tests/cover/test_restored_rows.py
@@ -83,6 +83,11 @@
             },
         )
 
+    def test_first_read_after_a_restore_marks_rows_as_restored(self):
+        # A starting router holds no copy from the previous epoch.
+        self.take_whole(1, 9, a=(3, b'1'))
+        self.assertEqual(self.get_heard(), {'a': (b'1', RowOrigin.RESTORED)})
+
     def test_reread_in_the_same_epoch_is_not_a_restore(self):
         self.take_whole(1, 9, a=(3, b'1'), b=(9, b'2'))
         self.take_whole(1, 12, a=(3, b'1'))
