--- a/tests/support/fleet_store.py
+++ b/tests/support/fleet_store.py
@@ -22,7 +22,6 @@
 from lifttrestle.errors import HistoryGone
 from lifttrestle.internal.fleet.state.row_version import build_version
 from lifttrestle.internal.fleet.state.row_version import get_commit_number
-from lifttrestle.internal.fleet.state.row_version import get_epoch
 from lifttrestle.internal.fleet.state.rows import NO_ROW
 from lifttrestle.internal.fleet.state.rows import RowWrite
 from lifttrestle.internal.fleet.state.rows import VersionedRow
@@ -96,7 +95,11 @@
         elif head.path == '/rows-get':
             await self._get(connection, query)
         elif head.path == '/rows-feed':
-            await self._feed(connection, query)
+            try:
+                await self._feed(connection, query)
+            except HistoryGone:
+                # The store was restored during a waiting read.
+                connection.abort()
         elif head.path == '/rows-tx':
             await self._commit(connection, msgspec.json.decode(body))
         else:
@@ -141,16 +144,8 @@
                     await self._changed.wait()
         except TimeoutError:
             pass
-        except HistoryGone:
-            # The store was restored during a waiting read.
-            connection.abort()
-            return
         if connection.peer in self.silenced:
             await asyncio.Event().wait()
-        if after > self.rows.version or get_epoch(after) < self.rows.epoch:
-            # The store was restored before the answer was sent.
-            connection.abort()
-            return
         content = {
             'rows': await self._list(table, after),
             'ver': get_commit_number(self.rows.version),
