--- a/tests/cover/test_refused_input.py
+++ b/tests/cover/test_refused_input.py
@@ -230,7 +230,8 @@
 
     def test_value_that_is_not_base64_is_a_row_without_bytes(self):
         with self.assertLogs('lifttrestle.store', 'ERROR'):
-            row = _read_row(RowRecord('servers', 'a', value='abc', ver=4))
+            record = RowRecord('servers', 'a', value='abc', ver=4)
+            row = _read_row(record, epoch=0)
         self.assertEqual(row, VersionedRow('a', b'', 4))
 
 
