Keep removed rows removed when an entry lapses and after a second restore

A withheld entry that lapsed in the same read in which its withholding period ended was accepted, so an upstream that is gone stayed listed. A second restore marked a row that had been removed before the first as restored, so a router that had left was counted again.

Cause: an accepted row was given the version of the read, which is higher than that of its removal; storing an undeleted row dropped the record of its removal. Evidence: two regression tests, both of which fail on the previous code.

A withheld row that the read itself changes is no longer accepted; undeleted rows stay remembered as removed, and a held row that the policy keeps goes first.

--- a/src/lifttrestle/internal/fleet/state/table_copy.py
+++ b/src/lifttrestle/internal/fleet/state/table_copy.py
@@ -167,10 +167,8 @@
     ) -> VersionedRow | None:
         """Return the row in force for a restored row, None if withheld."""
         held = self._rows.get(row.key)
-        if held is not None:
-            if self._policy.keeps(held, row):
-                return _keep_row(held, version)
-            return dataclasses.replace(row, origin=RowOrigin.RESTORED)
+        if held is not None and self._policy.keeps(held, row):
+            return _keep_row(held, version)
         removed = self._removed.get(row.key)
         if (
             removed is None
@@ -192,10 +190,7 @@
         that is no newer than the copy is in it, or was removed since.
         """
         held = self.version
-        for row in (
-            *self._list_expired_withheld(changes.version),
-            *changes.rows,
-        ):
+        for row in (*changes.rows, *self._list_expired_withheld(changes)):
             if row.version <= held:
                 continue
             # Kept even if it is no news here: others may hold the row.
@@ -215,7 +210,9 @@
         self._withheld.pop(row.key, None)
         if row.value is not None:
             self._rows[row.key] = row
-            self._removed.pop(row.key, None)
+            # Another restore must still recognize an undeleted row.
+            if row.origin is not RowOrigin.UNDELETED:
+                self._removed.pop(row.key, None)
             return
         self._rows.pop(row.key, None)
         if known is not None and row.origin is RowOrigin.WRITTEN:
@@ -233,18 +230,23 @@
                 return
             del self._removed[oldest]
 
-    def _list_expired_withheld(self, version: int) -> list[VersionedRow]:
-        """Return the withheld rows to accept now, as of a version.
+    def _list_expired_withheld(
+        self, changes: RowChanges
+    ) -> list[VersionedRow]:
+        """Return the withheld rows to accept, except those being changed.
 
         These have been neither written nor removed since the restore.
         """
-        if not self._withheld or version <= self.version:
+        if not self._withheld or changes.version <= self.version:
             return []
         now = self._clock.monotonic()
+        changed_keys = {row.key for row in changes.rows}
         return [
-            dataclasses.replace(item.row, version=version)
-            for item in self._withheld.values()
-            if now >= item.until
+            dataclasses.replace(
+                item.row, version=changes.version, origin=RowOrigin.RESTORED
+            )
+            for key, item in self._withheld.items()
+            if now >= item.until and key not in changed_keys
         ]
 
     def list_since(self, version: int) -> CopyNews:
--- a/tests/cover/test_restored_rows.py
+++ b/tests/cover/test_restored_rows.py
@@ -99,6 +99,15 @@
         self.take_whole(2, 5, a=(3, b'1'))
         self.assertEqual(self.get_heard(), {'a': (b'1', RowOrigin.UNDELETED)})
 
+    def test_regression_second_restore_hid_that_a_row_was_removed(self):
+        self.take_whole(1, 9, a=(3, b'1'))
+        self.take_changes(1, 10, a=(10, None))
+        for epoch in (2, 3):
+            self.take_whole(epoch, 5, a=(3, b'1'))
+            self.assertEqual(
+                self.get_heard(), {'a': (b'1', RowOrigin.UNDELETED)}
+            )
+
     def test_removed_row_that_is_written_after_restore_is_accepted(self):
         self.take_whole(1, 9, a=(3, b'1'))
         self.take_changes(1, 10, a=(10, None))
@@ -203,6 +212,14 @@
         news = self.copy.list_since(build_version(2, 5)).changes
         self.assertEqual([row.key for row in news.rows], ['p'])
 
+    def test_regression_entry_that_lapsed_when_it_was_accepted_stayed(self):
+        self.take_whole(1, 9, p=(3, self.ready))
+        self.take_changes(1, 10, p=(10, None))
+        self.take_whole(2, 5, p=(3, self.ready))
+        self.clock.advance(LAPSE_SECONDS)
+        self.take_changes(2, 8, p=(7, None))
+        self.assertEqual(self.get_relayed_rows(), {})
+
     def test_removed_entry_that_lapses_stays_removed(self):
         self.take_whole(1, 9, p=(3, self.ready))
         self.take_changes(1, 10, p=(10, None))
