HTTP server: a request that arrives at the idle limit is answered

Callers saw: a connection closed without an answer to a complete request that had arrived before the idle limit; nothing in the log. Cause: after a pause of the event loop the bytes are read in the iteration in which the timer runs, and the timer cancels the read before its task runs; the connection took that for an idle one. Evidence: loop blocked on purpose until after the limit: each request lost, the first of a connection and later ones; without a pause none.

--- a/src/lifttrestle/internal/http/server_connection.py
+++ b/src/lifttrestle/internal/http/server_connection.py
@@ -21,6 +21,7 @@
 
 from lifttrestle.errors import CallerGone
 from lifttrestle.errors import RequestRefused
+from lifttrestle.internal.clock.read_timeout import ReadTimeout
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.answer import Header
 from lifttrestle.internal.http.byte_stream import set_tcp_timeouts
@@ -28,7 +29,9 @@
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.limits import HttpLimits
 from lifttrestle.internal.refusal.kind import ErrorKind
+from lifttrestle.internal.telemetry.event_log import get_event_log
 
+LOG = get_event_log('http')
 READ_BYTES = 64 * 1024
 # Most bytes of pipelined requests that are read during a request.
 MAX_PIPELINED_BYTES = 64 * 1024
@@ -258,9 +261,8 @@
             return True
         self._awaiting_request = True
         try:
-            async with asyncio.timeout(self._limits.idle_seconds):
-                data = await self._reader.read(READ_BYTES)
-        except (TimeoutError, OSError):
+            data = await self._read_before_idle_limit()
+        except OSError:
             return False
         finally:
             self._awaiting_request = False
@@ -269,6 +271,41 @@
         self._h11.receive_data(data)
         return True
 
+    async def _read_before_idle_limit(self) -> bytes:
+        """Return received bytes; empty if the connection has to be closed."""
+        loop = asyncio.get_running_loop()
+        limit = self._limits.idle_seconds
+        began_at = loop.time()
+        data = b''
+        try:
+            async with ReadTimeout(limit):
+                data = await self._reader.read(READ_BYTES)
+        except TimeoutError:
+            data = await self._take_received()
+            if not data:
+                LOG.debug('connection.idle_closed', limit=limit)
+        idle = loop.time() - began_at
+        if data and idle > limit:
+            LOG.info(
+                'connection.used_at_limit', limit=limit, idle=round(idle, 3)
+            )
+        return data
+
+    async def _take_received(self) -> bytes:
+        """Return what was received and not read yet, without waiting.
+
+        As reading from the socket is paused meanwhile, nothing is received
+        between an empty result and the next step of the caller.
+        """
+        self.pause_reading()
+        try:
+            async with asyncio.timeout(0):
+                return await self._reader.read(READ_BYTES)
+        except TimeoutError:
+            return b''
+        finally:
+            self.resume_reading()
+
     async def _next_event(self) -> object:
         while True:
             event = self._parse()
