--- a/tests/support/stalls.py
+++ b/tests/support/stalls.py
@@ -10,7 +10,6 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-"""Limits on the memory and the time of HTTP connections."""
 
 """Deliberate pauses of the event loop.
 
