Reads that are complete when their time runs out are no longer given up

Callers saw: 408 for a complete request; an attempt that failed, or a new connection counted as failed, though the bytes had arrived. Cause: as at the idle limit, asyncio.timeout cancels a task whose result came in the same iteration of the event loop. Evidence: six reads with the loop blocked on purpose; each failed before. Change: ReadTimeout at these six, and at five of the same form (deadline of a request, first byte, resumed stream, held definition, connection to a relay).

--- a/src/lifttrestle/internal/fleet/path/attempt.py
+++ b/src/lifttrestle/internal/fleet/path/attempt.py
@@ -23,6 +23,7 @@
 from lifttrestle.errors import UpstreamLost
 from lifttrestle.errors import WrongAnswer
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.clock.read_timeout import ReadTimeout
 from lifttrestle.internal.fleet.path.dialect import AnswerFacts
 from lifttrestle.internal.fleet.path.dialect import RequestDialect
 from lifttrestle.internal.fleet.path.request_context import NOT_RUN_STATUSES
@@ -143,7 +144,7 @@
                 min(inactivity_seconds - silent_seconds, SILENT_SECONDS),
                 MIN_POLL_SECONDS,
             )
-            async with asyncio.timeout(timeout):
+            async with ReadTimeout(timeout):
                 return await read()
         except TimeoutError:
             continue
--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -22,6 +22,7 @@
 from lifttrestle.errors import UpstreamConnectFailed
 from lifttrestle.errors import UpstreamDeclined
 from lifttrestle.errors import UpstreamFailed
+from lifttrestle.internal.clock.read_timeout import ReadTimeout
 from lifttrestle.internal.exchange.attempts import AttemptPlan
 from lifttrestle.internal.exchange.attempts import FailureAction
 from lifttrestle.internal.exchange.attempts import run_attempts
@@ -172,7 +173,7 @@
         )
         self._parts.get_budget(request.service).note_request()
         try:
-            async with asyncio.timeout(request.get_remaining_seconds()):
+            async with ReadTimeout(request.get_remaining_seconds()):
                 await run_attempts(self)
         except TimeoutError:
             self._event_buffer.add('out_of_time')
--- a/src/lifttrestle/internal/fleet/state/relay_follower.py
+++ b/src/lifttrestle/internal/fleet/state/relay_follower.py
@@ -24,6 +24,7 @@
 from lifttrestle.errors import InputRefused
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.clock.read_timeout import ReadTimeout
 from lifttrestle.internal.clock.ticker import Ticker
 from lifttrestle.internal.fleet.state.relay_messages import encode_frame
 from lifttrestle.internal.fleet.state.relay_messages import extract_update
@@ -183,7 +184,7 @@
 
     async def _follow(self, key: str) -> None:
         address = parse_address(self._roster.get_address(key))
-        async with asyncio.timeout(CONNECT_SECONDS):
+        async with ReadTimeout(CONNECT_SECONDS):
             reader, writer = await asyncio.open_connection(
                 address.host, address.port
             )
--- a/src/lifttrestle/internal/http/client_connection.py
+++ b/src/lifttrestle/internal/http/client_connection.py
@@ -12,7 +12,6 @@
 
 """HTTP/1.1 client connections to upstreams and platform services."""
 
-import asyncio
 from collections.abc import AsyncIterator
 import ssl
 
@@ -21,6 +20,7 @@
 from lifttrestle.errors import UpstreamBrokeOff
 from lifttrestle.errors import UpstreamConnectFailed
 from lifttrestle.errors import UpstreamLost
+from lifttrestle.internal.clock.read_timeout import ReadTimeout
 from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.http.byte_stream import ByteStream
 from lifttrestle.internal.http.head import decode_headers
@@ -63,7 +63,7 @@
             ``connect_seconds``; no request has been sent then.
         """
         try:
-            async with asyncio.timeout(connect_seconds):
+            async with ReadTimeout(connect_seconds):
                 stream = await ByteStream.open(address, tls)
         except (OSError, TimeoutError) as error:
             raise UpstreamConnectFailed(
--- a/src/lifttrestle/internal/http/json_client.py
+++ b/src/lifttrestle/internal/http/json_client.py
@@ -21,6 +21,7 @@
 from lifttrestle.errors import UpstreamConnectFailed
 from lifttrestle.errors import UpstreamLost
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.clock.read_timeout import ReadTimeout
 from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.answer import Header
@@ -73,7 +74,7 @@
         head = RequestHead(method, target, (*self._headers, *headers))
         connection: ClientConnection | None = None
         try:
-            async with asyncio.timeout(self._timeout_seconds + extra_seconds):
+            async with ReadTimeout(self._timeout_seconds + extra_seconds):
                 connection = await self._pool.take()
                 await connection.send_request(head, body)
                 answer_head = await connection.read_head()
--- a/src/lifttrestle/internal/http/server_connection.py
+++ b/src/lifttrestle/internal/http/server_connection.py
@@ -125,7 +125,7 @@
 
     async def _wait_for_head(self) -> object:
         try:
-            async with asyncio.timeout(self._limits.head_seconds):
+            async with ReadTimeout(self._limits.head_seconds):
                 return await self._next_event()
         except TimeoutError:
             raise RequestRefused(
@@ -143,7 +143,7 @@
         parts: list[bytes] = []
         size = 0
         try:
-            async with asyncio.timeout(self._limits.body_seconds):
+            async with ReadTimeout(self._limits.body_seconds):
                 async for part in self._iterate_body():
                     size += len(part)
                     if size > limit:
--- a/src/lifttrestle/internal/router/call.py
+++ b/src/lifttrestle/internal/router/call.py
@@ -12,7 +12,6 @@
 
 """Sends requests to upstreams and reads their answers."""
 
-import asyncio
 from collections.abc import AsyncIterator
 import dataclasses
 
@@ -20,6 +19,7 @@
 from lifttrestle.errors import UpstreamFailed
 from lifttrestle.errors import UpstreamLost
 from lifttrestle.errors import WrongAnswer
+from lifttrestle.internal.clock.read_timeout import ReadTimeout
 from lifttrestle.internal.exchange.progress import RequestEvent
 from lifttrestle.internal.http.client_connection import ClientConnection
 from lifttrestle.internal.http.head import RequestHead
@@ -51,7 +51,7 @@
         parts = aiter(self.connection.iterate_body())
         while True:
             try:
-                async with asyncio.timeout(self.stall_seconds):
+                async with ReadTimeout(self.stall_seconds):
                     part = await anext(parts)
             except StopAsyncIteration:
                 return
@@ -164,7 +164,7 @@
         remaining = scope.deadline - parts.clock.monotonic()
         seconds = max(min(seconds, remaining), 0)
     try:
-        async with asyncio.timeout(seconds):
+        async with ReadTimeout(seconds):
             await connection.send_request(head, body)
             return await connection.read_head()
     except TimeoutError:
--- a/src/lifttrestle/internal/router/caller_handler.py
+++ b/src/lifttrestle/internal/router/caller_handler.py
@@ -22,6 +22,7 @@
 from lifttrestle.errors import CallerGone
 from lifttrestle.errors import CutByStop
 from lifttrestle.errors import RequestRefused
+from lifttrestle.internal.clock.read_timeout import ReadTimeout
 from lifttrestle.internal.configuration.model import ItemKind
 from lifttrestle.internal.configuration.model import Workspace
 from lifttrestle.internal.configuration.view import View
@@ -206,7 +207,7 @@
             return keeper.view
         seconds = self._parts.settings.control.hold_seconds
         try:
-            async with asyncio.timeout(seconds):
+            async with ReadTimeout(seconds):
                 while keeper.view.is_held(kind, name):
                     keeper.request_poll()
                     await keeper.wait_for_change()
--- a/src/lifttrestle/internal/router/generation_control.py
+++ b/src/lifttrestle/internal/router/generation_control.py
@@ -12,10 +12,9 @@
 
 """Resumes or cancels the generation of an interrupted stream."""
 
-import asyncio
-
 from lifttrestle.errors import UpstreamConnectFailed
 from lifttrestle.errors import UpstreamLost
+from lifttrestle.internal.clock.read_timeout import ReadTimeout
 from lifttrestle.internal.http.client_connection import ClientConnection
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.router.attempt import Attempt
@@ -43,7 +42,7 @@
         return None
     connection: ClientConnection | None = None
     try:
-        async with asyncio.timeout(parts.settings.deadlines.stall):
+        async with ReadTimeout(parts.settings.deadlines.stall):
             connection = await attempt.upstream.pool.take(fresh=True)
             await connection.send_request(head, b'')
             answer = await connection.read_head()
