Planned stop: the end of a body's read leaves no traceback

Seen: RuntimeError: Cannot change state of finished Timeout in the log of a stopping router, three times in soaks; callers were answered. Cause: the callback that ends the read had been scheduled when the read ended. Evidence: last bytes read in the iteration in which the stop ends the read: the traceback comes each time. Change: the read uses ReadTimeout; expire has no effect after the end, and a body that is complete is taken. Test: failed before, passes three times of three.

--- a/src/lifttrestle/internal/fleet/path/watched_work.py
+++ b/src/lifttrestle/internal/fleet/path/watched_work.py
@@ -17,6 +17,7 @@
 
 from lifttrestle.errors import CallerGone
 from lifttrestle.errors import RequestRefused
+from lifttrestle.internal.clock.read_timeout import ReadTimeout
 from lifttrestle.internal.fleet.policy.stopping import STOPPING_RETRY_SECONDS
 from lifttrestle.internal.fleet.state.shutdown import Shutdown
 from lifttrestle.internal.http.server_connection import ServerConnection
@@ -29,12 +30,11 @@
     :raises RequestRefused: for an invalid body, and for one that is
         incomplete when the process stops.
     """
-    loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(None) as reading:
+        async with ReadTimeout(None) as reading:
 
             def expire(_: object) -> None:
-                reading.reschedule(loop.time())
+                reading.expire()
 
             shutdown.ending.add_done_callback(expire)
             try:
