Planned stop: a stall near the end no longer aborts what is to be refused

Callers saw: a connection aborted without an answer, in place of 503 and the truth that the request had not run. Cause: refusal and abort are two timers, 0.2 s apart with the default grace; after a pause of the event loop both run in one iteration, and the refusal needs more of them. Evidence: loop blocked from 0.1 s before the end of a grace of 1 s until after it: no answer, for an incomplete body and for a request being served. Change: before the abort the loop runs up to 32 more times while requests are in progress.

--- a/src/lifttrestle/internal/http/server.py
+++ b/src/lifttrestle/internal/http/server.py
@@ -38,6 +38,10 @@
 # More iterations of the event loop than lie between the acceptance of a
 # connection and its first read.
 ACCEPT_ITERATIONS = 8
+# More iterations of the event loop than a request needs that is refused as the
+# stop nears its end. After a pause of the event loop, the refusal and the abort
+# become due in the same iteration.
+REFUSAL_ITERATIONS = 32
 
 
 class HttpServer:
@@ -119,6 +123,7 @@
         deadline = loop.time() + grace_seconds
         await self._stop_accepting()
         await self._wait_idle(deadline)
+        await self._let_requests_be_refused()
         self._aborted = len(self._busy)
         complete = not self._aborted
         await self._wait_callers_closed(deadline)
@@ -159,6 +164,12 @@
                 return
             await self._close_idle()
 
+    async def _let_requests_be_refused(self) -> None:
+        for _ in range(REFUSAL_ITERATIONS):
+            if not self._busy:
+                return
+            await asyncio.sleep(0)
+
     async def _close_idle(self) -> None:
         """Close the connections that have received no byte of a request.
 
--- a/tests/cover/test_stop_end.py
+++ b/tests/cover/test_stop_end.py
@@ -15,16 +15,23 @@
 import asyncio
 import unittest
 
+from lifttrestle.errors import RequestRefused
 from lifttrestle.internal.clock.system import SystemClock
 from lifttrestle.internal.fleet.path.watched_work import read_body
+from lifttrestle.internal.fleet.path.watched_work import run_while_connected
 from lifttrestle.internal.fleet.state.shutdown import Shutdown
 from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.limits import HttpLimits
 from lifttrestle.internal.http.server import HttpServer
 from lifttrestle.internal.http.server_connection import ServerConnection
+from lifttrestle.internal.refusal.body import build_refusal
 from tests.support.stalls import stall
 
+GRACE_SECONDS = 1.0
+# Begins before requests are refused, and ends after answers are aborted.
+STALL_AT = 0.9
+STALL_SECONDS = 0.15
 TEST_SECONDS = 10.0
 HEAD = b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n'
 
@@ -46,6 +53,50 @@
         self.addCleanup(streams[1].close)
         return streams
 
+    async def serve(
+        self, connection: ServerConnection, _head: RequestHead
+    ) -> None:
+        try:
+            await read_body(connection, self.shutdown)
+            await run_while_connected(
+                asyncio.sleep(TEST_SECONDS), connection, self.shutdown
+            )
+        except RequestRefused as refused:
+            await connection.send_answer(build_refusal(refused, 'a'))
+
+    async def test_regression_stall_aborted_what_should_be_refused(
+        self,
+    ) -> None:
+        # Both moments passed while the event loop was blocked, and the abort
+        # took fewer of its iterations than the refusal.
+        for body in (b'body', b'bo'):
+            with self.subTest(body=body):
+                self.shutdown = Shutdown(SystemClock())
+                received = await self.stop_during(body)
+                self.assertIn(b'503', received)
+
+    async def stop_during(self, body: bytes) -> bytes:
+        """Return the answer to a request that is in progress at the end."""
+        server = HttpServer(self.serve, HttpLimits())
+        reader, writer = await self.connect(server)
+        writer.write(HEAD + body)
+        while not server.busy:
+            await asyncio.sleep(0)
+        loop = asyncio.get_running_loop()
+        self.shutdown.begin(GRACE_SECONDS)
+        ending = asyncio.create_task(self.shutdown.signal_ending())
+        loop.call_later(STALL_AT, stall, STALL_SECONDS)
+        async with asyncio.timeout(TEST_SECONDS):
+            await server.stop(
+                self.shutdown.get_abort_seconds(),
+                self.shutdown.get_flush_seconds(),
+            )
+            await ending
+            try:
+                return await reader.read()
+            except ConnectionResetError:
+                return b''
+
     async def test_regression_end_of_a_complete_body_left_a_traceback(
         self,
     ) -> None:
