--- a/src/lifttrestle/internal/http/server.py
+++ b/src/lifttrestle/internal/http/server.py
@@ -38,9 +38,9 @@
 # More iterations of the event loop than lie between the acceptance of a
 # connection and its first read.
 ACCEPT_ITERATIONS = 8
-# More iterations of the event loop than it takes to refuse a request when the
-# stop nears its end. After a pause of the event loop, the refusal and the abort
-# become due in the same iteration.
+# More iterations of the event loop than a refusal near the end of the stop
+# takes. After a pause of the event loop, the refusal and the abort become due
+# in the same iteration.
 REFUSAL_ITERATIONS = 32
 
 
