Errors of a timeout name it as their reason

Callers saw: a refusal that ended in "was not sent: "; the log had empty reasons for connections and calls of the platform as well. Cause: "error or text" never takes the text, as an exception is always true. Evidence: each of the three places, with a timeout: the text was empty. Change: str(error) or the text, at all three.

--- a/src/lifttrestle/internal/http/client_connection.py
+++ b/src/lifttrestle/internal/http/client_connection.py
@@ -67,7 +67,7 @@
                 stream = await ByteStream.open(address, tls)
         except (OSError, TimeoutError) as error:
             raise UpstreamConnectFailed(
-                f'cannot connect to {address}: {error or "timed out"}',
+                f'cannot connect to {address}: {str(error) or "timed out"}',
                 refused=isinstance(error, ConnectionRefusedError),
             ) from error
         return cls(address, stream)
--- a/src/lifttrestle/internal/http/json_client.py
+++ b/src/lifttrestle/internal/http/json_client.py
@@ -82,8 +82,9 @@
         except (UpstreamConnectFailed, UpstreamLost, TimeoutError) as error:
             if connection is not None:
                 connection.close()
+            reason = str(error) or 'timed out'
             raise PlatformUnavailable(
-                f'{method} {target} at {self.address}: {error or "timed out"}'
+                f'{method} {target} at {self.address}: {reason}'
             ) from error
         except asyncio.CancelledError:
             if connection is not None:
--- a/src/lifttrestle/internal/router/once_exchange.py
+++ b/src/lifttrestle/internal/router/once_exchange.py
@@ -126,7 +126,7 @@
             raise RequestRefused(
                 ErrorKind.TABLE_UNAVAILABLE,
                 'the run could not be recorded, so the request was not sent:'
-                f' {error or "the deadline has passed"}',
+                f' {str(error) or "the deadline has passed"}',
                 retry_after=RETRY_SECONDS,
             ) from None
         if not isinstance(outcome, Claim):
