A read that times out while an answer is skipped finishes the skip

Callers saw: an attempt that failed with "closed without an answer" though the answer came. Cause: a read that is called again after a timeout took the rest of the skipped body for the head of the answer. Evidence: a repeated answer in two pieces, the read cancelled in between: error. Change: the connection remembers the skip, and the next read finishes it first.

--- a/src/lifttrestle/internal/http/client_connection.py
+++ b/src/lifttrestle/internal/http/client_connection.py
@@ -48,6 +48,8 @@
         self._h11 = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
         self._skipped = 0
+        # Limit on the rest of an answer that is being skipped, or None.
+        self._skip_limit: int | None = None
         self.exchanges = 0
 
     @classmethod
@@ -116,8 +118,13 @@
     async def read_head(self) -> ResponseHead:
         """Return the head of the final answer, skipping interim ones.
 
+        It may be cancelled and called again without losing bytes, also while
+        ``skip_answer`` has not ended.
+
         :raises UpstreamLost: if the connection was closed or lost before.
         """
+        if self._skip_limit is not None:
+            await self._finish_skip(self._skip_limit)
         while True:
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
@@ -185,8 +192,14 @@
             raise UpstreamLost(
                 f'{self.address} sent answers to other requests'
             )
+        self._skip_limit = limit
+        await self._finish_skip(limit)
+
+    async def _finish_skip(self, limit: int) -> None:
         request = self._request
+        assert request is not None, 'only answers to requests are skipped'
         await self.read_body(limit)
+        self._skip_limit = None
         rest, closed = self._h11.trailing_data
         self._h11 = h11.Connection(h11.CLIENT)
         # h11 parses an answer only after it has sent a request, so the request
