Admission: a wait that expired is not told that the queue was full

Callers saw: "found the queue full" for a request that waited until its deadline. Cause: expired and displaced requests come back in one list. Change: the gate tells them apart by the deadline.

--- a/src/lifttrestle/internal/admission/gate.py
+++ b/src/lifttrestle/internal/admission/gate.py
@@ -79,7 +79,12 @@
         for ticket in result.refused:
             future = self._futures.get(ticket)
             if future is not None and not future.done():
-                future.set_exception(_refuse('found the queue full'))
+                future.set_exception(self._explain_refusal(ticket))
+
+    def _explain_refusal(self, ticket: Ticket) -> RequestRefused:
+        if ticket.deadline <= self._clock.monotonic():
+            return _refuse('waited for a slot until its deadline')
+        return _refuse('found the queue full')
 
 
 def _refuse(reason: str) -> RequestRefused:
--- a/tests/cover/test_admission.py
+++ b/tests/cover/test_admission.py
@@ -93,6 +93,28 @@
         with self.assertRaises(RequestRefused):
             await gate.enter(5, now + 0.02)
 
+    async def test_regression_expired_wait_was_told_that_the_queue_was_full(
+        self,
+    ) -> None:
+        clock = ManualClock(START)
+        gate = AdmissionGate(1, 5, clock)
+        now = clock.monotonic()
+        await gate.enter(5, now + 100)
+        waiting = asyncio.create_task(gate.enter(5, now + 50))
+        await asyncio.sleep(0)
+        clock.advance(60.0)
+        gate.leave()
+        with self.assertRaisesRegex(RequestRefused, 'until its deadline'):
+            await waiting
+
+    async def test_full_queue_is_told(self) -> None:
+        clock = ManualClock(START)
+        gate = AdmissionGate(1, 0, clock)
+        now = clock.monotonic()
+        await gate.enter(5, now + 100)
+        with self.assertRaisesRegex(RequestRefused, 'queue full'):
+            await gate.enter(5, now + 100)
+
 
 class TestRates(unittest.TestCase):
     def test_bucket_keeps_its_rate(self) -> None:
