Event relay: the bound of an event applies to events

Callers saw: a stream broken for an event that is too long, where many small ones were buffered at once; whole events before a long one were dropped. Cause: the bound was compared with all bytes before events were taken out. Change: complete events are sent first; the bound applies to each event and to the rest. An event's end is searched without copying the buffer.

--- a/src/lifttrestle/internal/fleet/path/event_relay.py
+++ b/src/lifttrestle/internal/fleet/path/event_relay.py
@@ -58,23 +58,25 @@
     async def feed(self, data: bytes) -> None:
         """Send the events that ``data`` completes.
 
-        :raises UpstreamLost: if more than ``MAX_EVENT_BYTES`` are buffered.
+        :raises UpstreamLost: if an event exceeds ``MAX_EVENT_BYTES``; the
+            events before it have been sent.
         """
-        self._buffer += data
-        if len(self._buffer) > MAX_EVENT_BYTES:
-            raise UpstreamLost('an event of the stream is too long')
+        buffer = self._buffer + data
         ready: list[bytes] = []
-        while True:
-            size = _measure_first_event(self._buffer)
-            if not size:
+        start = 0
+        while end := _find_event_end(buffer, start):
+            if end - start > MAX_EVENT_BYTES:
                 break
-            event = self._buffer[:size]
-            self._buffer = self._buffer[size:]
+            event = buffer[start:end]
+            start = end
             if self._accept_event(event):
                 ready.append(event)
+        self._buffer = buffer[start:]
         if ready:
             self.sent += len(ready)
             await self._send(b''.join(ready))
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise UpstreamLost('an event of the stream is too long')
 
     async def finish(self) -> None:
         """Send the end of the stream.
@@ -106,14 +108,14 @@
         await self._connection.start_answer(self._status, self._headers)
 
 
-def _measure_first_event(data: bytes) -> int:
-    """Return the length of the first complete event, or zero."""
-    sizes = [
-        data.find(end) + len(end)
-        for end in EVENT_TERMINATORS
-        if data.find(end) >= 0
-    ]
-    return min(sizes, default=0)
+def _find_event_end(data: bytes, start: int) -> int:
+    """Return the end of the first complete event from ``start``, or zero."""
+    first = 0
+    for terminator in EVENT_TERMINATORS:
+        found = data.find(terminator, start, first or len(data))
+        if found >= 0:
+            first = found + len(terminator)
+    return first
 
 
 def _read_id(event: bytes) -> int | None:
--- a/tests/cover/test_fleet_parts.py
+++ b/tests/cover/test_fleet_parts.py
@@ -20,6 +20,7 @@
 from lifttrestle.errors import UpstreamLost
 from lifttrestle.internal.clock.manual import ManualClock
 from lifttrestle.internal.fleet.path.event_relay import EventRelay
+from lifttrestle.internal.fleet.path.event_relay import MAX_EVENT_BYTES
 from lifttrestle.internal.fleet.policy.retry_budget import SharedRetryBudget
 from lifttrestle.internal.fleet.settings import Promises
 from lifttrestle.internal.fleet.state.directory import OUTAGE_GRACE_SECONDS
@@ -120,6 +121,24 @@
             await self.relay.finish()
         self.assertFalse(self.connection.ended)
 
+    async def test_regression_many_events_counted_as_one_that_is_too_long(
+        self,
+    ):
+        event = b'data: ' + b'x' * 1000 + b'\r\n\r\n'
+        data = event * (2 * MAX_EVENT_BYTES // len(event))
+        await self.relay.feed(data)
+        self.assertEqual(self.connection.sent, data)
+
+    async def test_event_that_is_too_long_ends_the_stream(self):
+        short = b'data: a\n\n'
+        for end in (b'', b'\n\n'):
+            with self.subTest(end=end):
+                self.setUp()
+                long = b'data: ' + b'x' * MAX_EVENT_BYTES + end
+                with self.assertRaises(UpstreamLost):
+                    await self.relay.feed(short + long)
+                self.assertEqual(self.connection.sent, short)
+
     async def test_lines_before_the_id_are_kept(self):
         event = b'weight-versions: 4\nid: 1\ndata: a\n\n'
         await self.relay.feed(event)
