An engine that stalls in the body of an error no longer holds the request

Callers saw: no answer until their own time limit. Cause: the body of an error was read without the bound on pauses that the body of every other answer has. Change: it is read through UpstreamCall, like the others. Test: did not end before, passes three times of three.

--- a/src/lifttrestle/internal/router/model_exchange.py
+++ b/src/lifttrestle/internal/router/model_exchange.py
@@ -246,7 +246,7 @@
     async def _forward_error(
         self, attempt: Attempt, call: UpstreamCall
     ) -> None:
-        body = await call.connection.read_body(MAX_ERROR_BYTES)
+        body = await call.read_body(MAX_ERROR_BYTES)
         attempt.decision.outcome = f'status {call.head.status}'
         if self._relay.started:
             raise UpstreamFailed(
