Connections for cancelling and resuming generations are closed in any case

Seen: a connection that stayed open each time that one of the two was itself cancelled; an engine that did not answer a cancellation held it without limit. Cause: only failures of the exchange closed the connection, and the cancellation of a generation had no timeout. Change: whatever ends the exchange early closes the connection; cancelling a generation takes deadlines.stall at most.

--- a/src/lifttrestle/internal/router/generation_control.py
+++ b/src/lifttrestle/internal/router/generation_control.py
@@ -17,12 +17,14 @@
 from lifttrestle.internal.clock.read_timeout import ReadTimeout
 from lifttrestle.internal.http.client_connection import ClientConnection
 from lifttrestle.internal.http.head import RequestHead
+from lifttrestle.internal.http.head import ResponseHead
 from lifttrestle.internal.router.attempt import Attempt
 from lifttrestle.internal.router.parts import RouterParts
 from lifttrestle.internal.upstream.identity import EngineIdentity
 
 STATUS_OK = 200
 MAX_ANSWER_BYTES = 64 * 1024
+EXCHANGE_FAILURES = (UpstreamConnectFailed, UpstreamLost, TimeoutError)
 
 
 async def resume_stream(
@@ -41,15 +43,17 @@
     if not can or not identity.stream_id:
         return None
     connection: ClientConnection | None = None
+    answer: ResponseHead | None = None
     try:
         async with ReadTimeout(parts.settings.deadlines.stall):
             connection = await attempt.upstream.pool.take(fresh=True)
             await connection.send_request(head, b'')
             answer = await connection.read_head()
-    except (UpstreamConnectFailed, UpstreamLost, TimeoutError):
-        if connection is not None:
-            connection.close()
+    except EXCHANGE_FAILURES:
         return None
+    finally:
+        if connection is not None and answer is None:
+            connection.close()
     is_same = parts.driver.decode_identity(answer) == identity
     if answer.status != STATUS_OK or not is_same:
         connection.close()
@@ -57,16 +61,26 @@
     return connection
 
 
-async def cancel_generation(attempt: Attempt, head: RequestHead) -> None:
+async def cancel_generation(
+    attempt: Attempt, head: RequestHead, seconds: float
+) -> None:
     """Cancel a generation whose caller has gone.
 
     :param head: the request to cancel it, built by the driver.
+    :param seconds: how long the engine may take.
     """
+    connection: ClientConnection | None = None
+    is_complete = False
     try:
-        connection = await attempt.upstream.pool.take()
-        await connection.send_request(head, b'')
-        await connection.read_head()
-        await connection.read_body(MAX_ANSWER_BYTES)
-    except (UpstreamConnectFailed, UpstreamLost):
+        async with ReadTimeout(seconds):
+            connection = await attempt.upstream.pool.take()
+            await connection.send_request(head, b'')
+            await connection.read_head()
+            await connection.read_body(MAX_ANSWER_BYTES)
+            is_complete = True
+    except EXCHANGE_FAILURES:
         return
+    finally:
+        if connection is not None and not is_complete:
+            connection.close()
     attempt.upstream.pool.give_back(connection)
--- a/src/lifttrestle/internal/router/model_exchange.py
+++ b/src/lifttrestle/internal/router/model_exchange.py
@@ -360,4 +360,5 @@
         if not identity.stream_id or not self._request.streams:
             return
         head = self._parts.driver.build_cancel(identity)
-        self._parts.background.start(cancel_generation(attempt, head))
+        seconds = self._parts.settings.deadlines.stall
+        self._parts.background.start(cancel_generation(attempt, head, seconds))
--- a/tests/cover/test_engine_exchanges.py
+++ b/tests/cover/test_engine_exchanges.py
@@ -21,8 +21,12 @@
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.head import ResponseHead
 from lifttrestle.internal.router.call import UpstreamCall
+from lifttrestle.internal.router.generation_control import cancel_generation
+from lifttrestle.internal.router.generation_control import resume_stream
 from lifttrestle.internal.router.model_exchange import ModelExchange
+from lifttrestle.internal.upstream.identity import EngineIdentity
 
+HEAD = RequestHead('GET', '/', ())
 STALL_SECONDS = 0.05
 TEST_SECONDS = 10.0
 
@@ -77,6 +81,13 @@
     )
 
 
+def make_parts() -> Any:
+    deadlines = types.SimpleNamespace(stall=TEST_SECONDS)
+    return types.SimpleNamespace(
+        settings=types.SimpleNamespace(deadlines=deadlines)
+    )
+
+
 class TestSilentEngine(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.pool = SilentPool()
@@ -92,6 +103,29 @@
             async with asyncio.timeout(TEST_SECONDS / 2):
                 await exchange._forward_error(self.attempt, call)
 
+    async def test_regression_cancellation_of_a_generation_had_no_bound(
+        self,
+    ) -> None:
+        async with asyncio.timeout(TEST_SECONDS / 2):
+            await cancel_generation(self.attempt, HEAD, STALL_SECONDS)
+        self.assertTrue(self.pool.connection.closed)
+
+    async def test_regression_connection_was_left_open_by_a_cancellation(
+        self,
+    ) -> None:
+        identity = EngineIdentity('b', '4', stream_id='a')
+        for work in (
+            cancel_generation(self.attempt, HEAD, TEST_SECONDS),
+            resume_stream(make_parts(), self.attempt, identity, HEAD),
+        ):
+            with self.subTest(work=work.__name__):
+                self.pool.connection = SilentConnection()
+                task = asyncio.ensure_future(work)
+                await self.pool.connection.reading.wait()
+                task.cancel()
+                await asyncio.gather(task, return_exceptions=True)
+                self.assertTrue(self.pool.connection.closed)
+
 
 if __name__ == '__main__':
     unittest.main()
