Caps: the use of a router whose VM was restarted counts

Seen by reading: for up to 30 s the other routers took it for nothing, so that a workspace could exceed its cap. Cause: serials of counts come from the monotonic clock, which begins anew; a lower one counted as a delayed message. Change: it is a delayed message only within the lifetime of a count.

--- a/src/lifttrestle/internal/fleet/usage/counts.py
+++ b/src/lifttrestle/internal/fleet/usage/counts.py
@@ -120,8 +120,10 @@
         """
         previous = self._counts.get(workspace)
         if previous is not None and serial < previous.serial:
-            # A delayed message with an older count.
-            return 0.0
+            if now - previous.at <= COUNT_LIFETIME_SECONDS:
+                # A delayed message with an older count.
+                return 0.0
+            # The sender's VM was restarted, and its monotonic clock with it.
         self._counts[workspace] = ReceivedCount(serial, used, now)
         if previous is not None and previous.serial == serial:
             # Messages may arrive out of order.
--- a/tests/cover/test_usage_caps.py
+++ b/tests/cover/test_usage_caps.py
@@ -366,6 +366,22 @@
         )
         self.assertEqual(sender.update(7, first, 5.0, later), 0.0)
 
+    def test_regression_count_of_a_restarted_vm_counted_as_nothing(self):
+        # Its monotonic clock, and so the serials, begin anew.
+        sender = ReceivedCounts()
+        sender.has_baseline = True
+        self.assertEqual(sender.update(7, 9_000_000, 5.0, 100.0), 5.0)
+        later = 100.0 + 3 * COUNT_LIFETIME_SECONDS
+        self.assertEqual(sender.update(7, 4_000, 3.0, later), 3.0)
+        self.assertEqual(sender.update(7, 4_000, 8.0, later + 0.1), 5.0)
+
+    def test_delayed_message_of_an_older_count_counts_as_nothing(self):
+        sender = ReceivedCounts()
+        sender.has_baseline = True
+        sender.update(7, 2_000, 5.0, 10.0)
+        soon = 10.0 + COUNT_LIFETIME_SECONDS
+        self.assertEqual(sender.update(7, 1_000, 4.0, soon), 0.0)
+
     def test_first_message_of_a_sender_is_a_baseline(self):
         self.assertIsNone(ReceivedCounts().update(7, 1, 1e6, 0.0))
 
