Prober: missed probes no longer reset the breaker

Callers saw: requests sent again to an engine that had failed them. Cause: the incarnation was forgotten with the report after three missed probes, and the next report counted as that of a new process. Change: the prober remembers it. Test: failed before, passes three times of three.

--- a/src/lifttrestle/internal/upstream/prober.py
+++ b/src/lifttrestle/internal/upstream/prober.py
@@ -45,6 +45,8 @@
         self._clock = clock
         self._period = settings.control.probe_seconds
         self._missed = 0
+        # Also remembered while the upstream has no current report.
+        self._last_incarnation = ''
         self._client = JsonClient(
             upstream.pool.address, clock, settings.deadlines.connect
         )
@@ -73,7 +75,7 @@
     def _note_report(self, report: EngineReport) -> None:
         upstream = self._upstream
         self._missed = 0
-        if report.incarnation != upstream.incarnation:
+        if report.incarnation != self._last_incarnation:
             LOG.info(
                 'upstream: %s reports incarnation %s versions %s',
                 upstream.name,
@@ -82,6 +84,7 @@
             )
             # A new incarnation is a new process without these failures.
             upstream.breaker.note_success()
+            self._last_incarnation = report.incarnation
         upstream.report = report
         upstream.reported_at = self._clock.monotonic()
         upstream.draining = report.draining
