Explain: events about all holds have no digest

Operators saw: KeyError in place of the explanation of a request. Cause: two events of holds are logged without a digest. Change: they are shown if they fall into the time of the request.

--- a/src/lifttrestle/internal/telemetry/explanation.py
+++ b/src/lifttrestle/internal/telemetry/explanation.py
@@ -113,9 +113,10 @@
     own_steps = [step for step in steps if step.vm == line.vm]
     if not own_steps or line.event.startswith(REQUEST_PREFIX):
         return False
-    if line.event.startswith(DIGEST_EVENTS):
+    digest = line.fields.get('digest')
+    if line.event.startswith(DIGEST_EVENTS) and digest is not None:
         digests = {step.fields.get('digest') for step in own_steps}
-        return line.fields['digest'] in digests and line.at <= own_steps[-1].at
+        return digest in digests and line.at <= own_steps[-1].at
     chosen = {step.fields.get('instance') for step in own_steps}
     if line.event.startswith(LIMIT_EVENTS):
         start = line.fields.get('start', '')
@@ -131,7 +132,8 @@
         return False
     if line.event.startswith(UPSTREAM_EVENTS):
         return line.fields.get('instance') in chosen
-    return line.event.startswith(STATE_EVENTS)
+    # Events about all holds have no digest.
+    return line.event.startswith(STATE_EVENTS + DIGEST_EVENTS)
 
 
 def _render_row(after: datetime.timedelta, line: Line) -> str:
--- a/tests/cover/test_explain.py
+++ b/tests/cover/test_explain.py
@@ -128,6 +128,19 @@
         self.assertEqual(events[:2], ['crash.noted', 'hold.begun'])
         self.assertEqual(out.count('hold.'), 1)
 
+    def test_regression_event_about_all_holds_ended_the_command(self):
+        # KeyError: such an event has no digest.
+        lines = [
+            make_line(1.0, 'hold.not_evicted', reason='long before'),
+            make_line(58.9, 'hold.trial_not_claimed', reason='r'),
+            *HELD_LINES,
+        ]
+        self.log.write_text('\n'.join(lines))
+        code, out, _ = self.run_command('r1', str(self.log))
+        self.assertEqual(code, 0)
+        self.assertIn('hold.trial_not_claimed', out)
+        self.assertNotIn('hold.not_evicted', out)
+
     def test_request_sent_to_another_upstream_is_explained_by_a_limit(self):
         self.log.write_text('\n'.join(LIMIT_LINES))
         code, out, _ = self.run_command('r1', str(self.log))
