An answer that comes before the whole request was sent is read

Callers saw: an attempt that failed after 3 s though the upstream had answered at once and closed its side. Cause: the end of the peer's stream woke the reader and not the writer, which waited until TCP gave the connection up; the error hid the answer. Evidence: the test for a row that was only read (write returns as if all was written) showed that the writer is not woken at all: ETIMEDOUT in both cases. Change: the end of the stream wakes both; the next read returns the answer, or fails where there is none.

--- a/src/lifttrestle/internal/http/byte_stream.py
+++ b/src/lifttrestle/internal/http/byte_stream.py
@@ -91,9 +91,14 @@
         _wake(self._data_waiter)
 
     def eof_received(self) -> bool:
-        """Record the end of the stream, and let the transport close."""
+        """Record the end of the stream, and let the transport close.
+
+        A writer is woken as well: the peer may have answered without reading
+        all that was sent.
+        """
         self._at_eof = True
         _wake(self._data_waiter)
+        _wake(self._drain_waiter)
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -134,6 +139,9 @@
     async def write(self, data: bytes) -> None:
         """Write ``data``, and wait while the write buffer is too full.
 
+        At the end of the peer's stream it does not wait; a read then returns
+        what the peer has sent, or its end.
+
         :raises OSError: if the connection was lost.
         """
         self._get_transport().write(data)
