Peers: an item from a newer router no longer ends the exchange

Seen by reading: the exchange ended, and with it news of changes and shares. Cause: the reply was applied outside the block that catches errors. Change: the reply is logged with its cause and left out. Test: ValidationError before, passes three times of three.

--- a/src/lifttrestle/internal/membership/exchange.py
+++ b/src/lifttrestle/internal/membership/exchange.py
@@ -101,7 +101,18 @@
         for address in self._source.sample(addresses, count):
             reply = await self._greet(address)
             if reply is not None:
-                self._apply_reply(reply, now)
+                self._try_to_apply(reply, address, now)
+
+    def _try_to_apply(self, reply: Reply, address: str, now: float) -> None:
+        try:
+            self._apply_reply(reply, now)
+        except msgspec.MsgspecError as error:
+            LOG.warning(
+                'peers: the reply of %s is not applied, as this release does'
+                ' not know all of its items: %s',
+                address,
+                error,
+            )
 
     def _list_addresses(self) -> list[str]:
         registered = [
