--- a/src/lifttrestle/internal/fleet/policy/shared_level.py
+++ b/src/lifttrestle/internal/fleet/policy/shared_level.py
@@ -24,9 +24,9 @@
 routers.
 """
 
-import dataclasses
 import math
 
+from lifttrestle.internal.fleet.policy.group_use import GroupUse
 from lifttrestle.internal.fleet.policy.other_routers import OtherRouters
 from lifttrestle.internal.fleet.policy.recent_use import AVERAGING_SECONDS
 from lifttrestle.internal.fleet.policy.recent_use import RecentUse
@@ -43,28 +43,6 @@
 MIN_RETRY_SECONDS = 0.05
 
 
-@dataclasses.dataclass(slots=True)
-class GroupUse:
-    """Known or assumed usage of a group of routers.
-
-    :ivar use: usage reported by the group.
-    :ivar silent: the group has not reported for ``SILENT_SECONDS``.
-    :ivar never_reported: the group had never reported when it became silent.
-    :ivar silent_since: when it became silent, monotonic seconds.
-    :ivar assumed_share: fraction of the rate that it is assumed to use while
-        it is silent.
-    :ivar assumed_units: units charged for it while it was silent that it has
-        not reported yet.
-    """
-
-    use: RecentUse = dataclasses.field(default_factory=RecentUse)
-    silent: bool = False
-    never_reported: bool = False
-    silent_since: float = 0.0
-    assumed_share: float = 0.0
-    assumed_units: float = 0.0
-
-
 class SharedLevel:
     """Token bucket for the cap of one workspace, as one router knows it.
 
--- a/src/lifttrestle/internal/http/server_connection.py
+++ b/src/lifttrestle/internal/http/server_connection.py
@@ -27,6 +27,8 @@
 from lifttrestle.internal.http.byte_stream import set_tcp_timeouts
 from lifttrestle.internal.http.head import decode_headers
 from lifttrestle.internal.http.head import RequestHead
+from lifttrestle.internal.http.head_checks import check_head
+from lifttrestle.internal.http.head_checks import make_body_refusal
 from lifttrestle.internal.http.limits import HttpLimits
 from lifttrestle.internal.refusal.kind import ErrorKind
 from lifttrestle.internal.telemetry.event_log import get_event_log
@@ -118,9 +120,11 @@
             event.target.decode('latin-1'),
             decode_headers(event.headers),
         )
-        self._check_head_size(head)
-        self._check_target(head)
-        self._check_lengths(head)
+        try:
+            check_head(head, self._limits)
+        except RequestRefused:
+            self._closing = True
+            raise
         return head
 
     async def _wait_for_head(self) -> object:
@@ -147,7 +151,8 @@
                 async for part in self._iterate_body():
                     size += len(part)
                     if size > limit:
-                        raise self._make_body_refusal(size)
+                        self._closing = True
+                        raise make_body_refusal(size, limit)
                     parts.append(part)
         except TimeoutError:
             raise RequestRefused(
@@ -344,51 +349,6 @@
                 'the caller disconnected before its body was complete'
             )
 
-    def _check_head_size(self, head: RequestHead) -> None:
-        # h11 limits only the bytes that it buffers of an incomplete head; a
-        # head that arrives in a single read is not checked.
-        size = len(head.target) + sum(
-            len(name) + len(value) for name, value in head.headers
-        )
-        if size > self._limits.head_bytes:
-            raise RequestRefused(
-                ErrorKind.HEAD_TOO_LARGE,
-                f'the head of {size} bytes is over the limit of'
-                f' {self._limits.head_bytes} bytes',
-            )
-
-    def _check_target(self, head: RequestHead) -> None:
-        try:
-            head.path
-        except ValueError as error:
-            raise RequestRefused(
-                ErrorKind.MALFORMED_REQUEST,
-                f'the target {head.target!r} is not a path: {error}',
-                field='target',
-            ) from None
-
-    def _check_lengths(self, head: RequestHead) -> None:
-        length = head.get_header('content-length')
-        if length and head.get_header('transfer-encoding'):
-            self._closing = True
-            raise RequestRefused(
-                ErrorKind.MALFORMED_REQUEST,
-                f'the request has both Content-Length {length!r} and'
-                ' Transfer-Encoding; send one of them',
-                field='content-length',
-            )
-        if length and int(length) > self._limits.body_bytes:
-            raise self._make_body_refusal(int(length))
-
-    def _make_body_refusal(self, size: int) -> RequestRefused:
-        self._closing = True
-        return RequestRefused(
-            ErrorKind.BODY_TOO_LARGE,
-            f'the body of {size} bytes or more is over the limit of'
-            f' {self._limits.body_bytes} bytes',
-            field='body',
-        )
-
     async def _send(self, *events: h11.Event) -> None:
         try:
             data = b''.join(self._h11.send(event) or b'' for event in events)
