--- a/src/lifttrestle/internal/clock/read_timeout.py
+++ b/src/lifttrestle/internal/clock/read_timeout.py
@@ -10,7 +10,6 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-
 """Timeouts that do not win over a result that is already available.
 
 The event loop reads its sockets, runs the timers that are due, and only then
--- a/tests/cover/test_idle_connections.py
+++ b/tests/cover/test_idle_connections.py
@@ -10,7 +10,6 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-
 """Tests of connections on which a request arrives as they become idle."""
 
 import asyncio
--- a/tests/support/stalls.py
+++ b/tests/support/stalls.py
@@ -10,7 +10,6 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-
 """Deliberate pauses of the event loop.
 
 They make bytes and timers become due in the same iteration of the loop, as on
