Caps: whether a level is fresh is judged without changing it

Cause: the first version asked for the remaining units, which assumes the use of routers not heard of; a router that had not read the roster yet took a twelfth of the burst for good. The decision showed 83.3 of 1000 units left. Change: the check compares the level with what any request needs and what the others may use until it is too old.

--- a/src/lifttrestle/internal/fleet/policy/shared_level.py
+++ b/src/lifttrestle/internal/fleet/policy/shared_level.py
@@ -203,10 +203,14 @@
                 pending += group.use.get(now) * scale * age
         return self.level - pending
 
-    def suffices(self, now: float) -> bool:
-        """Return whether a request of any size is within the cap."""
-        remaining = self.get_remaining(now)
-        return not self.find_shortfall(self.cap.capacity, remaining)
+    def is_ample(self, seconds: float) -> bool:
+        """Return whether a request of any size fits for some time.
+
+        :param seconds: how long, if the others use the whole rate meanwhile.
+        """
+        capacity = self.cap.capacity
+        needed = SUFFICIENT_SHARE * capacity + seconds * self.cap.rate
+        return self.level >= min(needed, capacity)
 
     def find_shortfall(self, units: float, remaining: float) -> float:
         """Return the units by which a request exceeds the cap, or zero.
--- a/src/lifttrestle/internal/fleet/usage/ledger.py
+++ b/src/lifttrestle/internal/fleet/usage/ledger.py
@@ -38,8 +38,8 @@
 MAX_LEVELS = 10_000
 # For this long a level from the aggregator is used without a new query.
 FRESH_LEVEL_SECONDS = 0.25
-# The same for a level that does not suffice for any request. What the others
-# may have used since the answer is an estimate; a query tells what they did.
+# The same for a level that may not suffice for any request until then. What
+# the others have used since the answer is an estimate; a query tells.
 FRESH_LOW_LEVEL_SECONDS = 0.03
 
 
@@ -189,10 +189,10 @@
         """Return whether a workspace's level is usable without a query."""
         if not self.uses_aggregator or workspace.cap is None:
             return True
-        level = self._get_or_create_level(workspace.digest, workspace.cap)
-        now = self._clock.monotonic()
-        age = now - self._received_at.get(workspace.digest, -math.inf)
-        if level.suffices(now):
+        received_at = self._received_at.get(workspace.digest, -math.inf)
+        age = self._clock.monotonic() - received_at
+        level = self._levels.get(workspace.digest)
+        if level is not None and level.is_ample(FRESH_LEVEL_SECONDS):
             return age < FRESH_LEVEL_SECONDS
         return age < FRESH_LOW_LEVEL_SECONDS
 
