HTTP server: the last look at an idle connection keeps a pause of the stop

Cause: the look at what was received resumed reading in any case, also where the stop had paused the connection, or cancelled the task; a request could then be received on a connection that is being closed. Evidence: read in the diff, then a test: reading was resumed. Change: it resumes only what it paused itself, as the stop does, and nothing when it is cancelled. Test: failed before, passes three times of three with those of the server.

--- a/src/lifttrestle/internal/http/server_connection.py
+++ b/src/lifttrestle/internal/http/server_connection.py
@@ -300,16 +300,19 @@
         """Return what was received and not read yet, without waiting.
 
         As reading from the socket is paused meanwhile, nothing is received
-        between an empty result and the next step of the caller.
+        between an empty result and the next step of the caller. It stays
+        paused if it was before, and if the stop cancels this task.
         """
-        self.pause_reading()
+        was_reading = self.pause_reading()
+        data = b''
         try:
             async with asyncio.timeout(0):
-                return await self._reader.read(READ_BYTES)
+                data = await self._reader.read(READ_BYTES)
         except TimeoutError:
-            return b''
-        finally:
+            pass
+        if was_reading:
             self.resume_reading()
+        return data
 
     async def _next_event(self) -> object:
         while True:
--- a/tests/cover/test_idle_connections.py
+++ b/tests/cover/test_idle_connections.py
@@ -119,6 +119,34 @@
             ['connection.idle_closed'],
         )
 
+    async def test_regression_look_resumed_what_the_stop_had_paused(
+        self,
+    ) -> None:
+        # The stop pauses connections so that none of them receives a request
+        # that it would not answer.
+        accepted = asyncio.Queue[ServerConnection]()
+
+        def accept(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            connection = ServerConnection(reader, writer, HttpLimits())
+            accepted.put_nowait(connection)
+
+        server = await asyncio.start_server(accept, '127.0.0.1', 0)
+        self.addCleanup(server.close)
+        _, writer = await asyncio.open_connection(
+            *server.sockets[0].getsockname()[:2]
+        )
+        connection = await accepted.get()
+        self.addCleanup(connection.abort)
+        connection.pause_reading()
+        self.assertEqual(await connection._take_received(), b'')
+        self.assertFalse(connection.pause_reading())
+        connection.resume_reading()
+        self.assertEqual(await connection._take_received(), b'')
+        self.assertTrue(connection.pause_reading())
+        writer.close()
+
     async def test_no_request_before_the_limit_is_lost_under_stalls(
         self,
     ) -> None:
