A refusal without upstream tells what the router knew of each

What was missing: the logs of the incident told that no upstream could serve a request, not whether connections were left, nor since when each upstream could not be reached; nor could one see what the other routers reached. Change: the event request.unavailable, the time since which an address cannot be reached, and the gauge lifttrestle_unreachable_upstreams.

--- a/src/lifttrestle/internal/fleet/gauges.py
+++ b/src/lifttrestle/internal/fleet/gauges.py
@@ -77,6 +77,13 @@
         'Upstreams that are known.',
         lambda sources: len(list(sources.directory)),
     ),
+    Gauge(
+        'unreachable_upstreams',
+        'Upstreams to which the last connection failed.',
+        lambda sources: sum(
+            upstream.reach.unreachable for upstream in sources.directory
+        ),
+    ),
     Gauge(
         'reads_store',
         'One if this router reads the store itself, zero if others do.',
--- a/src/lifttrestle/internal/fleet/loads/weights_loader.py
+++ b/src/lifttrestle/internal/fleet/loads/weights_loader.py
@@ -199,7 +199,7 @@
                 continue
             state = await loads.read_state(upstream)
             if state is None:
-                upstream.reach.note_unreachable()
+                upstream.reach.note_unreachable(self._clock.monotonic())
                 continue
             loaded_version = upstream.weights.get(model, 0)
             if loaded_version < version and not state.loading:
--- a/src/lifttrestle/internal/fleet/path/candidates.py
+++ b/src/lifttrestle/internal/fleet/path/candidates.py
@@ -12,6 +12,8 @@
 
 """Selects the upstream for a request among those that may serve it now."""
 
+import dataclasses
+
 from lifttrestle.internal.fleet.parts import FleetParts
 from lifttrestle.internal.fleet.path.dialect import RequestFacts
 from lifttrestle.internal.fleet.policy.admission import AdmittedRequest
@@ -28,6 +30,21 @@
 FOREVER = float('inf')
 
 
+@dataclasses.dataclass(frozen=True)
+class UpstreamStatus:
+    """What a router knows of an upstream when it refuses a request.
+
+    :ivar unreachable_since: monotonic time of the first failed connection, or
+        None if the last one succeeded.
+    :ivar has_idle_connection: whether an open connection is unused.
+    """
+
+    instance: str
+    unreachable_since: float | None
+    has_idle_connection: bool
+    in_flight: int
+
+
 def _get_slots(admitted: AdmittedRequest, service: str) -> int:
     facts = admitted.catalogue.services.get(service)
     if facts is None or facts.engine is None:
@@ -167,6 +184,18 @@
         """
         return bool(self._list_remaining(service))
 
+    def list_unavailable(self, service: str) -> list[UpstreamStatus]:
+        """Return what is known of each upstream of a service."""
+        return [
+            UpstreamStatus(
+                upstream.instance,
+                unreachable_since=upstream.reach.unreachable_since,
+                has_idle_connection=upstream.pool.has_idle,
+                in_flight=upstream.in_flight,
+            )
+            for upstream in self._parts.directory.list_available(service)
+        ]
+
     def _list_remaining(self, service: str) -> list[FleetUpstream]:
         return [
             upstream
--- a/src/lifttrestle/internal/fleet/path/event_buffer.py
+++ b/src/lifttrestle/internal/fleet/path/event_buffer.py
@@ -17,11 +17,13 @@
 only within the rate limit of the log.
 """
 
+from collections.abc import Sequence
 import dataclasses
 import math
 
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.limits.permits import PermitDecision
+from lifttrestle.internal.fleet.path.candidates import UpstreamStatus
 from lifttrestle.internal.fleet.path.dialect import AttemptOptions
 from lifttrestle.internal.fleet.path.dialect import RequestFacts
 from lifttrestle.internal.fleet.policy.admission import AdmittedRequest
@@ -140,6 +142,28 @@
     }
 
 
+def build_reach_fields(
+    upstreams: Sequence[UpstreamStatus], now: float
+) -> dict[str, object]:
+    """Return the log fields of a request that no upstream may serve."""
+    return {
+        'listed': len(upstreams),
+        'unreachable_ms': {
+            upstream.instance: round(
+                (now - upstream.unreachable_since) * MILLISECONDS
+            )
+            for upstream in upstreams
+            if upstream.unreachable_since is not None
+        },
+        'idle_connections': [
+            upstream.instance
+            for upstream in upstreams
+            if upstream.has_idle_connection
+        ],
+        'in_flight': sum(upstream.in_flight for upstream in upstreams),
+    }
+
+
 def build_chosen_fields(placement: Placement) -> dict[str, object]:
     """Return the log fields of the choice of an upstream."""
     return {
--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -259,7 +259,7 @@
             if upstream.misdirected:
                 losses.note_evidence(upstream.start, StartEvidence.REPLACED)
         elif isinstance(error, UpstreamConnectFailed):
-            upstream.reach.note_unreachable()
+            upstream.reach.note_unreachable(now)
             losses.note_probed(upstream.start, False, error.refused)
         else:
             upstream.breaker.note_failure(now)
--- a/src/lifttrestle/internal/fleet/path/upstream_search.py
+++ b/src/lifttrestle/internal/fleet/path/upstream_search.py
@@ -17,6 +17,7 @@
 from lifttrestle.errors import RequestRefused
 from lifttrestle.internal.fleet.path.candidates import Candidates
 from lifttrestle.internal.fleet.path.event_buffer import build_permit_fields
+from lifttrestle.internal.fleet.path.event_buffer import build_reach_fields
 from lifttrestle.internal.fleet.path.request_context import RequestContext
 from lifttrestle.internal.fleet.policy.placement import Placement
 from lifttrestle.internal.fleet.policy.shedding import decide_shedding
@@ -65,6 +66,12 @@
             request.event_buffer.add('held', reason='no upstream is available')
         await asyncio.sleep(WAIT_POLL_SECONDS)
         request.readmit()
+    request.event_buffer.add(
+        'unavailable',
+        **build_reach_fields(
+            candidates.list_unavailable(request.service), clock.monotonic()
+        ),
+    )
     raise request.make_refusal(
         ErrorKind.NO_UPSTREAM, 'no upstream may serve this request now'
     )
--- a/src/lifttrestle/internal/fleet/state/reach.py
+++ b/src/lifttrestle/internal/fleet/state/reach.py
@@ -37,11 +37,14 @@
     :ivar suspected: whether it may be unreachable and has to be probed.
     :ivar connection_lost: whether it broke off an answer and has not been
         probed since.
+    :ivar unreachable_since: monotonic time of the first failure since the last
+        success, or None.
     :ivar probed_at: monotonic time of the last probe.
     :ivar reached_at: monotonic time of its last connection or answer.
     """
 
     unreachable: bool = False
+    unreachable_since: float | None = None
     suspected: bool = False
     connection_lost: bool = False
     probed_at: float = NEVER
@@ -50,12 +53,15 @@
     def note_reachable(self, now: float) -> None:
         """Record that it accepted a connection or answered."""
         self.unreachable = False
+        self.unreachable_since = None
         self.suspected = False
         self.connection_lost = False
         self.reached_at = now
 
-    def note_unreachable(self) -> None:
+    def note_unreachable(self, now: float) -> None:
         """Record that it accepted no connection."""
+        if not self.unreachable:
+            self.unreachable_since = now
         self.unreachable = True
         self.connection_lost = False
 
--- a/src/lifttrestle/internal/fleet/state/reach_probing.py
+++ b/src/lifttrestle/internal/fleet/state/reach_probing.py
@@ -108,7 +108,7 @@
         try:
             connection = await pool.take(fresh=True)
         except UpstreamConnectFailed as error:
-            reach.note_unreachable()
+            reach.note_unreachable(self._clock.monotonic())
             self.on_probed(name, False, error.refused)
             if not before:
                 LOG.info('reach.lost', target=name, reason=str(error))
--- a/tests/cover/test_decisions.py
+++ b/tests/cover/test_decisions.py
@@ -71,9 +71,9 @@
 
     def test_two_of_five_may_load_less_those_that_are_lost(self):
         self.assertEqual(count_loadable(self.engines, 5.0), 2)
-        self.engines[0].reach.note_unreachable()
+        self.engines[0].reach.note_unreachable(0.0)
         self.assertEqual(count_loadable(self.engines, 5.0), 1)
-        self.engines[1].reach.note_unreachable()
+        self.engines[1].reach.note_unreachable(0.0)
         # One engine may always load, or new weights would never be loaded.
         self.assertEqual(count_loadable(self.engines, 5.0), 1)
 
--- a/tests/cover/test_fleet_weights.py
+++ b/tests/cover/test_fleet_weights.py
@@ -649,6 +649,6 @@
         # An engine that crashed while loading counted as loading for four
         # seconds, and delayed the loads of the others.
         self.loads.add(self.engine, self.order, answered=True)
-        self.engine.reach.note_unreachable()
+        self.engine.reach.note_unreachable(0.0)
         self._poll(0.1)
         self.assertNotIn('e1', self.loads)
--- a/tests/cover/test_reach.py
+++ b/tests/cover/test_reach.py
@@ -95,7 +95,7 @@
         # partition.
         upstream = make_upstream('a', 'x', reachable=False)
         self.upstreams.append(upstream)
-        upstream.reach.note_unreachable()
+        upstream.reach.note_unreachable(100.0)
         for _ in range(10):
             await self._poll()
             now = self.clock.monotonic()
@@ -113,7 +113,7 @@
         active = make_upstream('d', 'x')
         active.note_alive(100.0)
         self.upstreams.extend((unreachable, near, far, active))
-        unreachable.reach.note_unreachable()
+        unreachable.reach.note_unreachable(100.0)
         await self._poll(0.1)
         self.assertTrue(near.reach.unreachable)
         self.assertEqual((far.pool.attempts, active.pool.attempts), (0, 0))
@@ -122,7 +122,7 @@
         unreachable = make_upstream('a', 'x', reachable=False)
         others = [make_upstream(f'b{number}', 'x') for number in range(9)]
         self.upstreams.extend((unreachable, *others))
-        unreachable.reach.note_unreachable()
+        unreachable.reach.note_unreachable(100.0)
         await self._poll(0.1)
         self.assertEqual(sum(item.pool.attempts for item in others), 0)
 
@@ -133,7 +133,7 @@
         self.upstreams.append(make_upstream('a', 'x', reachable=False))
         await self._poll()
         self.assertFalse(store.reach.unreachable)
-        self.upstreams[0].reach.note_unreachable()
+        self.upstreams[0].reach.note_unreachable(100.0)
         await self._poll()
         self.assertTrue(store.reach.unreachable)
         store.pool.reachable = True
--- a/tests/cover/test_upstream_starts.py
+++ b/tests/cover/test_upstream_starts.py
@@ -69,7 +69,7 @@
         old.note_weights('m', 7, now)
         old.note_sent(1, now, unread=4000)
         old.breaker.note_failure(now)
-        old.reach.note_unreachable()
+        old.reach.note_unreachable(0.0)
         old.in_flight = old.peers_in_flight = old.peers_unread = 3
         old.misdirected = True
         old.busy_until = now + 9
--- a/tests/nocover/test_fleet_exchange.py
+++ b/tests/nocover/test_fleet_exchange.py
@@ -269,7 +269,7 @@
         # for 0.3 s each.
         async with run_fleet() as fleet:
             for upstream in fleet.router.directory:
-                upstream.reach.note_unreachable()
+                upstream.reach.note_unreachable(0.0)
                 # Keep probes from resetting this during the test.
                 upstream.reach.probed_at = float('inf')
             answer = await fleet.call('/once/a', method='POST')
@@ -278,6 +278,30 @@
         self.assertGreater(float(dict(answer.headers)['retry-after']), 0)
         self.assertEqual(arrivals, [[], []])
 
+    async def test_refusal_tells_what_the_router_knew_of_each_upstream(self):
+        async with run_fleet() as fleet:
+            await fleet.call('/safe/a')
+            for upstream in fleet.router.directory:
+                upstream.reach.note_unreachable(fleet.clock.monotonic() - 2.0)
+                upstream.reach.probed_at = float('inf')
+            with self.assertLogs('lifttrestle.request', 'INFO') as logs:
+                await fleet.call('/once/a', method='POST')
+            gauge = fleet.router.registry.get_sample_value(
+                'lifttrestle_unreachable_upstreams'
+            )
+        (record,) = [
+            record
+            for record in logs.records
+            if record.getMessage() == 'request.unavailable'
+        ]
+        fields = record.fields
+        self.assertEqual(fields['listed'], 2)
+        self.assertEqual(set(fields['unreachable_ms']), set(PLAIN))
+        for age in fields['unreachable_ms'].values():
+            self.assertGreaterEqual(age, 2000)
+        self.assertEqual(len(fields['idle_connections']), 1)
+        self.assertEqual(gauge, 4.0)
+
 
 class TestRefusals(unittest.IsolatedAsyncioTestCase):
     async def test_regression_refusal_after_a_lost_attempt_is_not_503(
