Test, failing: callers of routers cut off from all upstreams are refused

Four routers of two data centres reach the same upstreams; one of them, three of them or a data centre lose their links to all upstreams, in three ways: nothing arrives, everything is reset, new connections are refused while open ones live on. From 3 s after that, callers of the struck routers must not be served less than two thirds as often as those of the others while more than 10 + 1 in 50 of all first tries fail there.

--- /dev/null
+++ b/tests/nocover/test_cut_off_routers.py
@@ -0,0 +1,89 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+"""Tests of routers that lose their links to the upstreams and no others."""
+
+import asyncio
+import unittest
+
+from tests.support.cut_fleet import AT_ONCE
+from tests.support.cut_fleet import KINDS
+from tests.support.cut_fleet import ROUTERS
+from tests.support.cut_fleet import run_cut_fleet
+from tests.support.cut_links import Cut
+
+CONTACT_SECONDS = 3.0
+ROUNDS = 4
+# Callers of a router that is cut off are served at least this often, compared
+# with those of other routers, unless few of its first tries fail.
+LEAST_RATIO = 2 / 3
+FAILURES_ALLOWED = 10
+FAILURES_ALLOWED_SHARE = 1 / 50
+STRUCK = {
+    'one router': ('front-a-1',),
+    'most routers': ('front-a-1', 'front-a-2', 'front-b-1'),
+    'a data centre': ('front-a-1', 'front-a-2'),
+}
+
+
+def is_worse(struck, struck_tries, others, others_tries):
+    """Return whether the callers of struck routers are served far worse."""
+    failures = struck_tries - struck
+    allowed = FAILURES_ALLOWED + FAILURES_ALLOWED_SHARE * (
+        struck_tries + others_tries
+    )
+    share = struck / struck_tries
+    return failures > allowed and share < LEAST_RATIO * others / others_tries
+
+
+class TestCutOffRouters(unittest.IsolatedAsyncioTestCase):
+    async def _check(self, how):
+        for name, struck in STRUCK.items():
+            with self.subTest(struck=name):
+                await self._check_struck(how, struck)
+
+    async def _check_struck(self, how, struck):
+        async with run_cut_fleet() as fleet:
+            await asyncio.gather(
+                *(fleet.count_served(router, 1) for router in ROUTERS)
+            )
+            for router in struck:
+                fleet.links.cut(router, how)
+            # Callers go on while the routers find out.
+            early = asyncio.gather(
+                *(fleet.count_served(router, 1) for router in ROUTERS)
+            )
+            await asyncio.sleep(CONTACT_SECONDS)
+            counts = {
+                router: await fleet.count_served(router, ROUNDS)
+                for router in ROUTERS
+            }
+            await early
+        tries = ROUNDS * AT_ONCE * len(KINDS)
+        others = set(ROUTERS) - set(struck)
+        self.assertFalse(
+            is_worse(
+                sum(counts[router] for router in struck),
+                tries * len(struck),
+                sum(counts[router] for router in others),
+                tries * len(others),
+            ),
+            counts,
+        )
+
+    async def test_regression_callers_refused_while_connections_hang(self):
+        await self._check(Cut.HANG)
+
+    async def test_regression_callers_refused_while_connections_reset(self):
+        await self._check(Cut.RESET)
+
+    async def test_regression_callers_refused_while_only_new_ones_fail(self):
+        await self._check(Cut.REFUSE_NEW)
