Routers that reach no upstream of a service connect through others

What callers saw: a router cut off from all upstreams of a service refused each request within a millisecond with 503 and 'come back in 0.15 s', for as long as the cut lasted, while the other routers served theirs (0 of 51 and 0 of 15 first tries against 196 of 199 and 191 of 193). Cause: a failed connection of one router was taken for the upstream's fault, and a router had no path to an upstream but its own. Change: where all upstreams of a service accept no connection of a router, it asks other routers for a tunnel, in its data centre first. If one connects, requests use tunnels until a direct connection succeeds again; if none does, the upstreams are gone and requests are refused as before. The router that serves the caller decides and counts everything as before; the other one passes bytes. An answer no longer makes an address count as reachable: open connections may live on while new ones are refused. Ruled out: only going unready (half of a data centre's routers may be struck, and then all stay in use); serving the request at the other router (caps, retry budget, holds and permits would have to be counted in two places). Before: tests.nocover.test_cut_off_routers 0 passed, 3 failed (0 of 48 served at struck routers). After: 3 passed; 149 tests of the parts around it passed.

--- a/src/lifttrestle/errors.py
+++ b/src/lifttrestle/errors.py
@@ -117,6 +117,14 @@
     """The connection closed before the upstream's answer was complete."""
 
 
+class UpstreamPathLost(UpstreamLost):
+    """The path to the upstream was lost; nothing is known of the upstream."""
+
+
+class PathLost(OSError):
+    """A router that forwards a connection closed it or can't be reached."""
+
+
 class UpstreamDeclined(LifttrestleError):
     """The upstream refused the request without running it."""
 
--- a/src/lifttrestle/internal/fleet/loads/weights_loader.py
+++ b/src/lifttrestle/internal/fleet/loads/weights_loader.py
@@ -195,7 +195,9 @@
                 break
             if upstream.start in loads:
                 continue
-            if upstream.seems_down(self._clock.monotonic()):
+            now = self._clock.monotonic()
+            if upstream.reach.unreachable or upstream.seems_down(now):
+                # Orders are never sent through another router.
                 continue
             state = await loads.read_state(upstream)
             if state is None:
--- a/src/lifttrestle/internal/fleet/path/candidates.py
+++ b/src/lifttrestle/internal/fleet/path/candidates.py
@@ -79,7 +79,7 @@
         available = [
             upstream
             for upstream in self.list_available(admitted, service)
-            if not upstream.reach.unreachable
+            if upstream.is_available
         ]
         available = self._select_permitted(
             available, get_urgency(admitted), repeated
@@ -201,5 +201,5 @@
             upstream
             for upstream in self._parts.directory.list_available(service)
             if self._excluded_until.get(upstream.start) != FOREVER
-            and not upstream.reach.unreachable
+            and upstream.is_available
         ]
--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -22,6 +22,7 @@
 from lifttrestle.errors import UpstreamConnectFailed
 from lifttrestle.errors import UpstreamDeclined
 from lifttrestle.errors import UpstreamFailed
+from lifttrestle.errors import UpstreamPathLost
 from lifttrestle.internal.clock.read_timeout import ReadTimeout
 from lifttrestle.internal.exchange.attempts import AttemptPlan
 from lifttrestle.internal.exchange.attempts import FailureAction
@@ -261,7 +262,7 @@
         elif isinstance(error, UpstreamConnectFailed):
             upstream.reach.note_unreachable(now)
             losses.note_probed(upstream.start, False, error.refused)
-        else:
+        elif not isinstance(error, UpstreamPathLost):
             upstream.breaker.note_failure(now)
         if isinstance(error, UpstreamBrokeOff):
             self._parts.crashes.note_lost(
--- a/src/lifttrestle/internal/fleet/path/sending.py
+++ b/src/lifttrestle/internal/fleet/path/sending.py
@@ -101,7 +101,7 @@
         self._report_load(chosen)
         reused = connection.exchanges > 0
         parts.metrics.count_connection(request.service, reused)
-        self._log_sent(upstream, options, reused)
+        self._log_sent(upstream, options, connection)
         inactivity_timeout = self._build_inactivity_timeout()
         answer = await begin_attempt(
             parts.clock,
@@ -206,7 +206,10 @@
         return InactivityTimeout(seconds, self._can_fail_over)
 
     def _log_sent(
-        self, upstream: FleetUpstream, options: AttemptOptions, reused: bool
+        self,
+        upstream: FleetUpstream,
+        options: AttemptOptions,
+        connection: ClientConnection,
     ) -> None:
         name = 'resumed' if self._forwarder.relay.started else 'sent'
         self._request.event_buffer.add(
@@ -216,7 +219,8 @@
             weights=options.weights,
             last_event=options.last_event_id,
             in_flight=upstream.in_flight,
-            kept_connection=reused,
+            kept_connection=connection.exchanges > 0,
+            via=connection.via or None,
             attempt=self._request.sends,
             live_routers=self._parts.roster.live,
         )
--- a/src/lifttrestle/internal/fleet/policy/weight_loading.py
+++ b/src/lifttrestle/internal/fleet/policy/weight_loading.py
@@ -84,7 +84,11 @@
     Engines that may be unreachable already reduce the capacity and count
     as loading.
     """
-    unreachable = [engine for engine in engines if engine.seems_down(now)]
+    unreachable = [
+        engine
+        for engine in engines
+        if engine.reach.unreachable or engine.seems_down(now)
+    ]
     allowed = math.floor(LOADING_SHARE * len(engines)) - len(unreachable)
     return max(allowed, 1)
 
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -65,9 +65,14 @@
 from lifttrestle.internal.fleet.state.upstream_entry import StartEnd
 from lifttrestle.internal.fleet.state.weights_view import WeightsView
 from lifttrestle.internal.fleet.stop_sequence import stop_gracefully
+from lifttrestle.internal.fleet.tunnels.dialler import TunnelDialler
+from lifttrestle.internal.fleet.tunnels.opener import UpstreamOpener
+from lifttrestle.internal.fleet.tunnels.probing import TunnelProber
+from lifttrestle.internal.fleet.tunnels.server import TunnelServer
 from lifttrestle.internal.fleet.usage.ledger import UsageLedger
 from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.http.address import parse_address
+from lifttrestle.internal.http.connection_opener import ConnectionOpener
 from lifttrestle.internal.http.limits import HttpLimits
 from lifttrestle.internal.http.server import HttpServer
 from lifttrestle.internal.intake.refusals import InputRefusals
@@ -245,6 +250,9 @@
         ]
         self.relay_server = RelayServer(watches, clock)
         self.relays = RelayFollower(watches, self.roster, clock)
+        self._dialler = TunnelDialler(self.roster, clock)
+        self._directory.make_opener = self._make_opener
+        self.tunnel_server = TunnelServer(self._directory, self.roster, clock)
         # A router that does not know the held requests yet would run them, and
         # one that does not know the limits yet would exceed them.
         self._readiness = ReadinessHandler(
@@ -300,6 +308,11 @@
             policy=policy,
         )
 
+    def _make_opener(
+        self, upstream: FleetUpstream, direct: ConnectionOpener
+    ) -> ConnectionOpener:
+        return UpstreamOpener(upstream, direct, self._dialler, self._clock)
+
     def _apply_operator_row(self, row: VersionedRow) -> None:
         before = self._view.catalogue
         self._view.apply_row(row)
@@ -425,6 +438,11 @@
             # Load reports are received as datagrams on the same address.
             await self._peer_loads.start(peers)
             self.roster.address = str(peers)
+        if settings.tunnels_address:
+            tunnels = await self.tunnel_server.start(
+                parse_address(settings.tunnels_address)
+            )
+            self.roster.tunnel_address = str(tunnels)
         if settings.metrics_address:
             await self._metrics_server.start(
                 parse_address(settings.metrics_address)
@@ -436,6 +454,9 @@
             data_centre=settings.data_centre,
         )
         prober = ReachProber(self._directory, self.stores, self._clock)
+        tunnel_prober = TunnelProber(
+            self._directory, self._dialler, self._clock
+        )
         prober.on_probed = self.crashes.losses.note_probed
         self._control_tasks.start(
             self.relays.run(self.ticker),
@@ -446,6 +467,7 @@
             self._weights_loader.run(self.ticker),
             watch_stalls(self.ticker),
             prober.run(self.ticker),
+            tunnel_prober.run(self.ticker),
             self._peer_loads.run(),
             self.crashes.run(self.ticker),
             self.limits.run(self.ticker),
@@ -453,7 +475,9 @@
 
     async def stop(self) -> bool:
         """Stop gracefully; return whether every request was ended."""
+        self.tunnel_server.announce_stop()
         all_ended = await stop_gracefully(self._parts, self._callers_server)
+        await self.tunnel_server.stop(self._parts.shutdown.get_abort_seconds())
         await self._readiness_server.stop(0)
         await self._metrics_server.stop(0)
         await self._control_tasks.cancel()
--- a/src/lifttrestle/internal/fleet/settings.py
+++ b/src/lifttrestle/internal/fleet/settings.py
@@ -66,6 +66,8 @@
 
     :ivar peers_address: address for connections and datagrams of the other
         routers.
+    :ivar tunnels_address: address for the tunnels of the other routers, or an
+        empty string.
     :ivar heartbeat_seconds: heartbeat interval of an upstream.
     """
 
@@ -75,6 +77,7 @@
     ready_address: str
     metrics_address: str
     peers_address: str
+    tunnels_address: str
     heartbeat_seconds: float
     store: StoreSettings
     promises: Promises
--- a/src/lifttrestle/internal/fleet/state/directory.py
+++ b/src/lifttrestle/internal/fleet/state/directory.py
@@ -29,6 +29,7 @@
 from lifttrestle.internal.fleet.state.upstream_entry import UpstreamEntry
 from lifttrestle.internal.http.address import parse_address
 from lifttrestle.internal.http.client_pool import ClientPool
+from lifttrestle.internal.http.connection_opener import ConnectionOpener
 from lifttrestle.internal.intake.refusals import InputRefusals
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
@@ -51,6 +52,8 @@
     """Holds the newest start of each upstream; older ones are dropped.
 
     :ivar changes: counts the applied rows and the added or removed starts.
+    :ivar make_opener: returns how connections to an upstream are opened, from
+        how direct ones are; set by the owner.
     :ivar get_catalogue: returns the current configuration; upstreams of
         services that it does not contain are not used.
     :ivar outage_until: monotonic time of the first read after an outage of
@@ -72,6 +75,9 @@
         self._starts: dict[str, FleetUpstream] = {}
         self._digests: dict[int, FleetUpstream] = {}
         self.changes = 0
+        self.make_opener: Callable[
+            [FleetUpstream, ConnectionOpener], ConnectionOpener
+        ] = _use_direct
         self.get_catalogue: Callable[[], Catalogue | None] = lambda: None
         self.outage_until = float('-inf')
         self.on_ended: Callable[[FleetUpstream, StartEnd], None] = _ignore_end
@@ -187,6 +193,7 @@
             weights=dict(entry.weights),
             weights_noted_at=self._clock.monotonic(),
         )
+        pool.opener = self.make_opener(upstream, pool.opener)
         self._known[entry.instance] = upstream
         self._starts[entry.start] = upstream
         self._digests[upstream.digest] = upstream
@@ -266,6 +273,13 @@
     return StartEnd.VANISHED
 
 
+def _use_direct(
+    upstream: FleetUpstream, direct: ConnectionOpener
+) -> ConnectionOpener:
+    """Return the opener of direct connections."""
+    return direct
+
+
 def _ignore_end(upstream: FleetUpstream, end: StartEnd) -> None:
     """Do nothing."""
 
--- a/src/lifttrestle/internal/fleet/state/reach.py
+++ b/src/lifttrestle/internal/fleet/state/reach.py
@@ -58,6 +58,15 @@
         self.connection_lost = False
         self.reached_at = now
 
+    def note_received(self, now: float) -> None:
+        """Record an answer, which does not prove that it accepts connections.
+
+        Connections may live on while new ones fail.
+        """
+        self.suspected = False
+        self.connection_lost = False
+        self.reached_at = now
+
     def note_unreachable(self, now: float) -> None:
         """Record that it accepted no connection."""
         if not self.unreachable:
--- a/src/lifttrestle/internal/fleet/state/reach_probing.py
+++ b/src/lifttrestle/internal/fleet/state/reach_probing.py
@@ -106,7 +106,7 @@
     ) -> None:
         before = reach.unreachable
         try:
-            connection = await pool.take(fresh=True)
+            connection = await pool.open_direct()
         except UpstreamConnectFailed as error:
             reach.note_unreachable(self._clock.monotonic())
             self.on_probed(name, False, error.refused)
--- a/src/lifttrestle/internal/fleet/state/roster.py
+++ b/src/lifttrestle/internal/fleet/state/roster.py
@@ -62,10 +62,12 @@
     """One router's row.
 
     :ivar address: where it receives load reports; may be empty.
+    :ivar tunnel_address: where it accepts tunnels; may be empty.
     """
 
     data_centre: str
     address: str = ''
+    tunnel_address: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
@@ -79,12 +81,14 @@
     address: str
     data_centre: str
     seen_at: float
+    tunnel_address: str = ''
 
 
 class Roster:
     """Counts the live routers and maintains the row of this one.
 
     :ivar address: where this router receives load reports.
+    :ivar tunnel_address: where this router accepts tunnels.
     :ivar loaded: whether the table has been read.
     :ivar changes: counts the changes of the entries.
     :ivar get_current_as_of: returns the monotonic time at which the entries
@@ -119,6 +123,7 @@
         self._write_lock = asyncio.Lock()
         self._has_left = False
         self.address = ''
+        self.tunnel_address = ''
         self.loaded = False
         self.changes = 0
         self.get_current_as_of: Callable[[], float] = clock.monotonic
@@ -160,6 +165,24 @@
         entry = self._entries.get(key)
         return entry.address if entry is not None else ''
 
+    def list_tunnel_peers(self) -> dict[str, str]:
+        """Return the data centres of the routers that accept tunnels."""
+        return {
+            key: entry.data_centre
+            for key, entry in self._entries.items()
+            if entry.tunnel_address and key != self._key
+        }
+
+    def get_tunnel_address(self, key: str) -> str:
+        """Return where a router accepts tunnels, or an empty string."""
+        entry = self._entries.get(key)
+        return entry.tunnel_address if entry is not None else ''
+
+    def is_known_host(self, key: str, host: str) -> bool:
+        """Return whether a router announces addresses of a host."""
+        text = self.get_tunnel_address(key)
+        return bool(text) and parse_address(text).host == host
+
     def get_data_centre(self, key: str) -> str:
         """Return the data centre of a router, or an empty string."""
         entry = self._entries.get(key)
@@ -191,6 +214,7 @@
                 decoded.address,
                 decoded.data_centre,
                 now,
+                decoded.tunnel_address,
             )
         if self.live != before:
             LOG.info('roster.changed', live=self.live, before=before)
@@ -281,10 +305,12 @@
             known is not None
             and known.version != NO_ROW
             and known.address == self.address
+            and known.tunnel_address == self.tunnel_address
         )
 
     async def _write_own(self) -> None:
-        row = msgspec.json.encode(RouterRow(self._data_centre, self.address))
+        own = RouterRow(self._data_centre, self.address, self.tunnel_address)
+        row = msgspec.json.encode(own)
         async with self._write_lock:
             if not self._has_left:
                 self._own_version = await self._write(
@@ -346,8 +372,9 @@
         """
         try:
             row = decode_json(value, RouterRow)
-            if row.address:
-                parse_address(row.address)
+            for address in (row.address, row.tunnel_address):
+                if address:
+                    parse_address(address)
         except ValueError as error:
             self._refusals.report('routers', key, error)
             return RouterRow('')
--- a/src/lifttrestle/internal/fleet/state/upstream.py
+++ b/src/lifttrestle/internal/fleet/state/upstream.py
@@ -14,6 +14,7 @@
 
 import dataclasses
 
+from lifttrestle.internal.fleet.state.reach import NEVER
 from lifttrestle.internal.fleet.state.reach import Reachability
 from lifttrestle.internal.fleet.state.upstream_entry import build_digest
 from lifttrestle.internal.fleet.state.upstream_entry import UpstreamEntry
@@ -67,6 +68,9 @@
     :ivar first_byte_seconds: moving average of the time to first byte.
     :ivar last_received_at: when it last sent anything.
     :ivar reach: whether it accepts connections.
+    :ivar tunnel_found_at: when another router was found that reaches it,
+        monotonic seconds.
+    :ivar tunnel_failed_at: when no router asked could reach it.
     :ivar digest: identifies this start in messages between routers.
     :ivar pending: unanswered requests, by attempt id.
     """
@@ -86,6 +90,8 @@
     last_received_at: float = 0.0
     reach: Reachability = dataclasses.field(default_factory=Reachability)
     pending: dict[int, PendingAnswer] = dataclasses.field(default_factory=dict)
+    tunnel_found_at: float = NEVER
+    tunnel_failed_at: float = NEVER
     digest: int = 0
 
     def __post_init__(self) -> None:
@@ -146,7 +152,28 @@
     def note_alive(self, now: float) -> None:
         """Record that it has sent something."""
         self.last_received_at = now
-        self.reach.note_reachable(now)
+        self.reach.note_received(now)
+
+    @property
+    def uses_tunnels(self) -> bool:
+        """Return whether it is reached through other routers only."""
+        since = self.reach.unreachable_since
+        return since is not None and self.tunnel_found_at >= since
+
+    @property
+    def is_available(self) -> bool:
+        """Return whether this router or another one reaches it."""
+        return not self.reach.unreachable or self.uses_tunnels
+
+    def note_tunnel_found(self, now: float) -> None:
+        """Record that another router reaches it."""
+        if not self.uses_tunnels:
+            self.tunnel_found_at = now
+
+    def note_tunnel_failed(self, now: float) -> None:
+        """Record that no other router reaches it."""
+        self.tunnel_found_at = NEVER
+        self.tunnel_failed_at = now
 
     def note_ended(self, attempt_id: int) -> None:
         """Remove a request that has ended."""
@@ -167,12 +194,13 @@
         return max(waits, default=0.0)
 
     def seems_down(self, now: float) -> bool:
-        """Return whether it is unreachable or silent."""
-        return self.reach.unreachable or self.is_silent(now)
+        """Return whether it is unreachable, by any path, or silent."""
+        return not self.is_available or self.is_silent(now)
 
     def is_silent(self, now: float) -> bool:
         """Return whether it has pending answers and sends nothing."""
         if not self.pending:
             return False
         oldest = min(pending.sent_at for pending in self.pending.values())
-        return now - max(oldest, self.last_received_at) > SILENT_SECONDS
+        since = max(oldest, self.last_received_at, self.tunnel_found_at)
+        return now - since > SILENT_SECONDS
--- a/src/lifttrestle/internal/http/byte_stream.py
+++ b/src/lifttrestle/internal/http/byte_stream.py
@@ -17,6 +17,7 @@
 import ssl
 
 from lifttrestle.internal.http.address import Address
+from lifttrestle.internal.http.stream import Stream
 
 # Reading from the socket pauses while more unread bytes are buffered, so that
 # TCP flow control slows the peer down.
@@ -34,7 +35,7 @@
 KEEPALIVE_PROBES = 2
 
 
-class ByteStream(asyncio.Protocol):
+class ByteStream(asyncio.Protocol, Stream):
     """Reads and writes one TCP connection.
 
     Only one task may read, and one may write, at a time.
--- a/src/lifttrestle/internal/http/client_connection.py
+++ b/src/lifttrestle/internal/http/client_connection.py
@@ -17,15 +17,18 @@
 
 import h11
 
+from lifttrestle.errors import PathLost
 from lifttrestle.errors import UpstreamBrokeOff
 from lifttrestle.errors import UpstreamConnectFailed
 from lifttrestle.errors import UpstreamLost
+from lifttrestle.errors import UpstreamPathLost
 from lifttrestle.internal.clock.read_timeout import ReadTimeout
 from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.http.byte_stream import ByteStream
 from lifttrestle.internal.http.head import decode_headers
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.head import ResponseHead
+from lifttrestle.internal.http.stream import Stream
 
 # Most answers to earlier requests that are skipped on one connection before it
 # counts as broken.
@@ -36,12 +39,15 @@
     """HTTP/1.1 connection that carries one exchange at a time.
 
     :ivar exchanges: number of requests sent, including the current one.
+    :ivar via: key of the router that forwards it, or an empty string.
     """
 
     def __init__(
         self,
         address: Address,
-        stream: ByteStream,
+        stream: Stream,
+        *,
+        via: str = '',
     ) -> None:
         self.address = address
         self._stream = stream
@@ -51,6 +57,7 @@
         # Limit on the rest of an answer that is being skipped, or None.
         self._skip_limit: int | None = None
         self.exchanges = 0
+        self.via = via
 
     @classmethod
     async def open(
@@ -110,6 +117,8 @@
             data += self._h11.send(h11.EndOfMessage()) or b''
             self._request = request
             await self._stream.write(data)
+        except PathLost as error:
+            raise self._make_path_error(error) from error
         except (OSError, h11.ProtocolError) as error:
             raise UpstreamBrokeOff(
                 f'{self.address} broke off while a request was sent: {error}'
@@ -223,6 +232,11 @@
         if states == (h11.DONE, h11.DONE):
             self._h11.start_next_cycle()
 
+    def _make_path_error(self, error: PathLost) -> UpstreamPathLost:
+        return UpstreamPathLost(
+            f'the path to {self.address} through {self.via} was lost: {error}'
+        )
+
     async def _next_event(self) -> object:
         while True:
             try:
@@ -230,6 +244,8 @@
                 if event is not h11.NEED_DATA:
                     return event
                 self._h11.receive_data(await self._stream.read())
+            except PathLost as error:
+                raise self._make_path_error(error) from error
             except (OSError, h11.ProtocolError) as error:
                 raise UpstreamBrokeOff(
                     f'{self.address} broke off its answer: {error}'
--- a/src/lifttrestle/internal/http/client_pool.py
+++ b/src/lifttrestle/internal/http/client_pool.py
@@ -17,6 +17,8 @@
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.http.client_connection import ClientConnection
+from lifttrestle.internal.http.connection_opener import ConnectionOpener
+from lifttrestle.internal.http.connection_opener import DirectOpener
 
 MAX_IDLE = 64
 # Below the idle timeouts of common servers, which are five seconds or more.
@@ -26,6 +28,7 @@
 class ClientPool:
     """Opens connections to one address and reuses idle ones.
 
+    :ivar opener: opens its connections; the owner may replace it.
     :ivar idle_seconds: how long an idle connection may be reused.
     """
 
@@ -38,8 +41,8 @@
     ) -> None:
         self.address = address
         self._clock = clock
-        self._connect_seconds = connect_seconds
-        self._tls = tls
+        self._direct = DirectOpener(address, connect_seconds, tls)
+        self.opener: ConnectionOpener = self._direct
         self._idle: list[tuple[float, ClientConnection]] = []
         self.idle_seconds = IDLE_SECONDS
 
@@ -62,12 +65,30 @@
         oldest = self._clock.monotonic() - self.idle_seconds
         while self._idle and not fresh:
             idle_since, connection = self._idle.pop()
-            if idle_since >= oldest and connection.reusable:
+            if idle_since >= oldest and self._may_reuse(connection):
                 return connection
             connection.close()
-        return await ClientConnection.open(
-            self.address, self._connect_seconds, self._tls
-        )
+        return await self.opener.open()
+
+    async def open_direct(self) -> ClientConnection:
+        """Return a new connection that no other router forwards.
+
+        :raises UpstreamConnectFailed: if it could not be opened.
+        """
+        return await self._direct.open()
+
+    def _may_reuse(self, connection: ClientConnection) -> bool:
+        return connection.reusable and self.opener.may_reuse(connection)
+
+    def prune(self) -> None:
+        """Close the idle connections that may not be reused."""
+        kept = []
+        for item in self._idle:
+            if self._may_reuse(item[1]):
+                kept.append(item)
+            else:
+                item[1].close()
+        self._idle = kept
 
     def give_back(self, connection: ClientConnection) -> None:
         """Return a connection to the pool, or close it if not reusable.
--- a/src/lifttrestle/internal/platform/node_settings.py
+++ b/src/lifttrestle/internal/platform/node_settings.py
@@ -26,6 +26,9 @@
 from lifttrestle.internal.settings.schema import find_schema_faults
 
 MILLISECONDS = 1000
+# Numbers of the internal ports in use.
+PEERS_PORT = 0
+TUNNELS_PORT = 1
 
 
 class ListenRecord(msgspec.Struct):
@@ -123,6 +126,19 @@
     return msgspec.yaml.decode(content)
 
 
+def _get_internal_address(record: NodeRecord, number: int) -> str:
+    """Return the address of an internal port, or an empty string.
+
+    :param number: its number among those reserved, from zero.
+    """
+    if not record.internal_ports:
+        return ''
+    port = record.internal_ports[0] + number
+    if number and port > record.internal_ports[-1]:
+        return ''
+    return f'{record.ip}:{port}'
+
+
 def _translate(record: NodeRecord, metrics_port: int) -> FleetSettings:
     rules = record.contract_params
     return FleetSettings(
@@ -131,9 +147,8 @@
         callers_address=record.listen.front,
         ready_address=record.listen.ready,
         metrics_address=f'{record.ip}:{metrics_port}' if metrics_port else '',
-        peers_address=f'{record.ip}:{record.internal_ports[0]}'
-        if record.internal_ports
-        else '',
+        peers_address=_get_internal_address(record, PEERS_PORT),
+        tunnels_address=_get_internal_address(record, TUNNELS_PORT),
         heartbeat_seconds=record.heartbeat_ms / MILLISECONDS,
         store=StoreSettings(record.platform.address),
         promises=Promises(
--- a/tests/cover/test_reach.py
+++ b/tests/cover/test_reach.py
@@ -38,7 +38,7 @@
         self.attempts = 0
         self.returned = 0
 
-    async def take(self, *, fresh=False):
+    async def open_direct(self):
         self.attempts += 1
         if not self.reachable:
             raise UpstreamConnectFailed('no answer')
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -215,6 +215,7 @@
         ready_address='127.0.0.1:0',
         metrics_address='',
         peers_address='127.0.0.1:0',
+        tunnels_address='127.0.0.1:0',
         heartbeat_seconds=1.2,
         store=StoreSettings(str(store)),
         promises=promises,
