--- a/src/lifttrestle/internal/fleet/tunnels/dialler.py
+++ b/src/lifttrestle/internal/fleet/tunnels/dialler.py
@@ -95,8 +95,10 @@
 
         :raises OSError: if the router does not forward it.
         """
-        address = parse_address(self._roster.get_tunnel_address(key))
-        stream = await ByteStream.open(address)
+        text = self._roster.get_tunnel_address(key)
+        if not text:
+            raise OSError('it has left')
+        stream = await ByteStream.open(parse_address(text))
         try:
             request = TunnelRequest(self._roster.key, upstream.start)
             await stream.write(encode_frame(request))
