Reports of and orders to engines never pass through another router

What would have been seen: an engine tells the holders of its orders apart by the VM they come from, so an order through a tunnel would be one of a second holder. Cause: calls to engines share the pool of requests, which opens tunnels while the engine accepts no connection of this router. Change: calls take direct connections only, and fail where there are none. Measured: tests.nocover.test_tunnels.TestOrders fails without the change ('PlatformUnavailable not raised') and passes with it.

--- a/src/lifttrestle/internal/http/client_pool.py
+++ b/src/lifttrestle/internal/http/client_pool.py
@@ -62,13 +62,25 @@
             connection, it is unknown whether it read the request.
         :raises UpstreamConnectFailed: if no connection could be opened.
         """
+        kept = None if fresh else self._pop_idle(self.opener)
+        return kept or await self.opener.open()
+
+    async def take_direct(self) -> ClientConnection:
+        """Return a connection that no other router forwards.
+
+        :raises UpstreamConnectFailed: if none could be opened.
+        """
+        return self._pop_idle(self._direct) or await self._direct.open()
+
+    def _pop_idle(self, opener: ConnectionOpener) -> ClientConnection | None:
+        """Return the newest usable idle connection, closing unusable ones."""
         oldest = self._clock.monotonic() - self.idle_seconds
-        while self._idle and not fresh:
+        while self._idle:
             idle_since, connection = self._idle.pop()
-            if idle_since >= oldest and self._may_reuse(connection):
+            if idle_since >= oldest and _may_reuse(opener, connection):
                 return connection
             connection.close()
-        return await self.opener.open()
+        return None
 
     async def open_direct(self) -> ClientConnection:
         """Return a new connection that no other router forwards.
@@ -77,14 +89,11 @@
         """
         return await self._direct.open()
 
-    def _may_reuse(self, connection: ClientConnection) -> bool:
-        return connection.reusable and self.opener.may_reuse(connection)
-
     def prune(self) -> None:
         """Close the idle connections that may not be reused."""
         kept = []
         for item in self._idle:
-            if self._may_reuse(item[1]):
+            if _may_reuse(self.opener, item[1]):
                 kept.append(item)
             else:
                 item[1].close()
@@ -105,3 +114,7 @@
         for _, connection in self._idle:
             connection.close()
         self._idle.clear()
+
+
+def _may_reuse(opener: ConnectionOpener, connection: ClientConnection) -> bool:
+    return connection.reusable and opener.may_reuse(connection)
--- a/src/lifttrestle/internal/http/connection_opener.py
+++ b/src/lifttrestle/internal/http/connection_opener.py
@@ -54,5 +54,5 @@
         )
 
     def may_reuse(self, connection: ClientConnection) -> bool:
-        """Return true."""
-        return True
+        """Return whether no other router forwards a connection."""
+        return not connection.via
--- a/src/lifttrestle/internal/http/json_client.py
+++ b/src/lifttrestle/internal/http/json_client.py
@@ -75,7 +75,7 @@
         connection: ClientConnection | None = None
         try:
             async with ReadTimeout(self._timeout_seconds + extra_seconds):
-                connection = await self._pool.take()
+                connection = await self._pool.take_direct()
                 await connection.send_request(head, body)
                 answer_head = await connection.read_head()
                 data = await connection.read_body(MAX_ANSWER_BYTES)
--- a/tests/nocover/test_tunnels.py
+++ b/tests/nocover/test_tunnels.py
@@ -16,6 +16,7 @@
 import unittest
 from unittest import mock
 
+from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.errors import UpstreamLost
 from lifttrestle.internal.fleet.state.relay_messages import encode_frame
 from lifttrestle.internal.fleet.tunnels.messages import TunnelRequest
@@ -160,6 +161,27 @@
         self.assertEqual(vias, [f'router/{NEAR}'])
 
 
+class TestOrders(unittest.IsolatedAsyncioTestCase):
+    async def test_calls_to_engines_never_pass_another_router(self):
+        # Engines tell the holders of orders apart by the VM they come from.
+        async with run_cut_fleet() as fleet:
+            await cut_off(fleet)
+            await fleet.count_served(STRUCK, 1)
+            (engine, *_) = [
+                upstream
+                for upstream in list_upstreams(fleet)
+                if upstream.entry.service == 'engines'
+            ]
+            control = fleet.routers[STRUCK]._weights_loader._control
+            before = count_tunnels(fleet)
+            with (
+                fleet.links.owned_by(STRUCK),
+                self.assertRaises(PlatformUnavailable),
+            ):
+                await control.read_state(engine)
+            self.assertLessEqual(count_tunnels(fleet), before)
+
+
 class TestEndOfTheOtherRouter(unittest.IsolatedAsyncioTestCase):
     async def _begin_stream(self, fleet, kind):
         """Begin a stream through a tunnel and hold it after two events."""
