Streams broken by a cut link no longer open the breakers of sound upstreams

What was seen: in the incident eight streams of one router broke off at once, 3 s after its links were cut, and each counted as a failure of its upstream. Cause: a broken connection counts as the upstream's fault, also while the router can't connect to it at all. Change: while an upstream accepts no connection of this router, a lost answer is not counted. Links that reset everything at once are not covered: their answers break off before a new connection has failed.

--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -22,6 +22,7 @@
 from lifttrestle.errors import UpstreamConnectFailed
 from lifttrestle.errors import UpstreamDeclined
 from lifttrestle.errors import UpstreamFailed
+from lifttrestle.errors import UpstreamLost
 from lifttrestle.errors import UpstreamPathLost
 from lifttrestle.internal.clock.read_timeout import ReadTimeout
 from lifttrestle.internal.exchange.attempts import AttemptPlan
@@ -262,7 +263,7 @@
         elif isinstance(error, UpstreamConnectFailed):
             upstream.reach.note_unreachable(now)
             losses.note_probed(upstream.start, False, error.refused)
-        elif not isinstance(error, UpstreamPathLost):
+        elif not _is_path_failure(upstream, error):
             upstream.breaker.note_failure(now)
         if isinstance(error, UpstreamBrokeOff):
             self._parts.crashes.note_lost(
@@ -336,3 +337,13 @@
         await self._connection.send_answer(
             dialect.build_refusal(refused, self._facts.request_id)
         )
+
+
+def _is_path_failure(upstream: FleetUpstream, error: LifttrestleError) -> bool:
+    """Return whether a failure shows nothing about the upstream itself.
+
+    While it accepts no connection of this router, open ones fail with it.
+    """
+    return isinstance(error, UpstreamPathLost) or (
+        isinstance(error, UpstreamLost) and upstream.reach.unreachable
+    )
--- a/tests/nocover/test_cut_off_routers.py
+++ b/tests/nocover/test_cut_off_routers.py
@@ -14,11 +14,13 @@
 import asyncio
 import unittest
 
+from lifttrestle.internal.upstream.breaker import BreakerState
 from tests.support.cut_fleet import AT_ONCE
 from tests.support.cut_fleet import KINDS
 from tests.support.cut_fleet import ROUTERS
 from tests.support.cut_fleet import run_cut_fleet
 from tests.support.cut_links import Cut
+from tests.support.fleet import wait_until
 
 CONTACT_SECONDS = 3.0
 ROUNDS = 4
@@ -87,3 +89,33 @@
 
     async def test_regression_callers_refused_while_only_new_ones_fail(self):
         await self._check(Cut.REFUSE_NEW)
+
+
+class TestBlame(unittest.IsolatedAsyncioTestCase):
+    async def test_regression_cut_links_opened_breakers_of_sound_upstreams(
+        self,
+    ):
+        async with run_cut_fleet() as fleet:
+            router = fleet.routers['front-a-1']
+            engines = [
+                upstream
+                for upstream in router.directory
+                if upstream.entry.service == 'engines'
+            ]
+            for upstream in fleet.upstreams.values():
+                upstream.released.clear()
+            streams = asyncio.gather(
+                *(fleet.try_once('front-a-1', KINDS[-1]) for _ in range(12))
+            )
+            await wait_until(
+                lambda: (
+                    sum(len(item.runs) for item in fleet.upstreams.values())
+                    == 12
+                )
+            )
+            for engine in engines:
+                engine.reach.note_unreachable(router._clock.monotonic())
+            fleet.links.cut('front-a-1', Cut.RESET)
+            self.assertEqual(sum(await streams), 0)
+            states = {engine.breaker.state for engine in engines}
+        self.assertEqual(states, {BreakerState.CLOSED})
