--- a/tests/nocover/test_cut_off_routers.py
+++ b/tests/nocover/test_cut_off_routers.py
@@ -16,6 +16,7 @@
 
 from lifttrestle.internal.upstream.breaker import BreakerState
 from tests.support.cut_fleet import AT_ONCE
+from tests.support.cut_fleet import is_served_worse
 from tests.support.cut_fleet import KINDS
 from tests.support.cut_fleet import ROUTERS
 from tests.support.cut_fleet import run_cut_fleet
@@ -24,11 +25,6 @@
 
 CONTACT_SECONDS = 3.0
 ROUNDS = 4
-# Callers of a router that is cut off are served at least this often, compared
-# with those of other routers, unless few of its first tries fail.
-LEAST_RATIO = 2 / 3
-FAILURES_ALLOWED = 10
-FAILURES_ALLOWED_SHARE = 1 / 50
 STRUCK = {
     'one router': ('front-a-1',),
     'most routers': ('front-a-1', 'front-a-2', 'front-b-1'),
@@ -36,16 +32,6 @@
 }
 
 
-def is_worse(struck, struck_tries, others, others_tries):
-    """Return whether the callers of struck routers are served far worse."""
-    failures = struck_tries - struck
-    allowed = FAILURES_ALLOWED + FAILURES_ALLOWED_SHARE * (
-        struck_tries + others_tries
-    )
-    share = struck / struck_tries
-    return failures > allowed and share < LEAST_RATIO * others / others_tries
-
-
 class TestCutOffRouters(unittest.IsolatedAsyncioTestCase):
     async def _check(self, how):
         for name, struck in STRUCK.items():
@@ -72,7 +58,7 @@
         tries = ROUNDS * AT_ONCE * len(KINDS)
         others = set(ROUTERS) - set(struck)
         self.assertFalse(
-            is_worse(
+            is_served_worse(
                 sum(counts[router] for router in struck),
                 tries * len(struck),
                 sum(counts[router] for router in others),
--- a/tests/support/cut_fleet.py
+++ b/tests/support/cut_fleet.py
@@ -19,6 +19,8 @@
 
 from lifttrestle.errors import UpstreamLost
 from lifttrestle.internal.fleet.process import FleetRouterProcess
+from lifttrestle.internal.http.address import Address
+from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.answer import Header
 from lifttrestle.internal.http.client_connection import ClientConnection
 from lifttrestle.internal.http.head import RequestHead
@@ -67,23 +69,79 @@
 AT_ONCE = 3
 
 
+# Callers of a router that is cut off are served at least this often, compared
+# with those of other routers, unless few of its first tries fail.
+LEAST_RATIO = 2 / 3
+FAILURES_ALLOWED = 10
+FAILURES_ALLOWED_SHARE = 1 / 50
+
+
+def is_served_worse(
+    struck: int, struck_tries: int, others: int, others_tries: int
+) -> bool:
+    """Return whether the callers of struck routers are served far worse.
+
+    :param struck: how many of the tries at struck routers were served.
+    :param others: how many of those at other routers were.
+    """
+    allowed = FAILURES_ALLOWED + FAILURES_ALLOWED_SHARE * (
+        struck_tries + others_tries
+    )
+    if struck_tries - struck <= allowed:
+        return False
+    return struck * others_tries < LEAST_RATIO * others * struck_tries
+
+
 @dataclasses.dataclass
 class CutFleet:
-    """Routers with one store and the same upstreams, and their links."""
+    """Routers with one store and the same upstreams, and their links.
+
+    :ivar stopped: routers that are being stopped and started again.
+    """
 
     links: CutLinks
     store: FleetStoreStandin
     routers: dict[str, FleetRouterProcess]
     upstreams: dict[str, FleetUpstreamStandin]
+    store_address: Address
+    stopped: set[str] = dataclasses.field(default_factory=set)
     ids: 'itertools.count[int]' = dataclasses.field(
         default_factory=itertools.count
     )
 
-    async def try_once(self, router: str, kind: Kind) -> bool:
-        """Send a new request to a router; return whether it was served."""
+    async def restart(self, router: str) -> None:
+        """Stop a router as planned, and start another one in its place."""
+        self.stopped.add(router)
+        await self.routers[router].stop()
+        await self.start(router)
+        await wait_until(self.routers[router].is_ready)
+        self.stopped.discard(router)
+
+    async def start(self, router: str) -> None:
+        """Start a new router process of a VM."""
+        process = make_router(
+            self.store_address, PROMISES, router, data_centre=ROUTERS[router]
+        )
+        self.routers[router] = process
+        with self.links.owned_by(router):
+            await process.start()
+
+    async def try_once(
+        self, router: str, kind: Kind, request_id: str = ''
+    ) -> bool:
+        """Send a request to a router; return whether it was served whole."""
+        answer = await self.call(router, kind, request_id)
+        if answer is None or answer.status != 200:
+            return False
+        return not kind.headers or answer.body.count(b'data: ') == EVENTS
+
+    async def call(
+        self, router: str, kind: Kind, request_id: str = ''
+    ) -> Answer | None:
+        """Return the answer to a request, or None if it was broken off."""
         headers: tuple[Header, ...] = (
             ('host', 'shop.example'),
-            ('request-id', f'{router}-{next(self.ids)}'),
+            ('request-id', request_id or f'{router}-{next(self.ids)}'),
             ('authorization', 'Token k1'),
             *kind.headers,
         )
@@ -96,12 +154,10 @@
                 answer = await connection.read_head()
                 body = await connection.read_body(1_000_000)
         except UpstreamLost:
-            return False
+            return None
         finally:
             connection.close()
-        if kind.headers and body.count(b'data: ') != EVENTS:
-            return False
-        return answer.status == 200
+        return Answer(answer.status, answer.headers, body)
 
     async def count_served(self, router: str, rounds: int) -> int:
         """Send some requests of each kind at once, in each round.
@@ -134,14 +190,11 @@
             entry['models'] = [{'name': 'm', 'version': 1}]
         store.put('servers', name, entry)
     store.put('op', 'config', CONFIGURATION)
-    routers = {
-        vm: make_router(address, PROMISES, vm, data_centre=data_centre)
-        for vm, data_centre in ROUTERS.items()
-    }
+    fleet = CutFleet(links, store, {}, upstreams, address)
     with links.in_use():
-        for vm, router in routers.items():
-            with links.owned_by(vm):
-                await router.start()
+        for vm in ROUTERS:
+            await fleet.start(vm)
+        routers = fleet.routers
         try:
             await wait_until(
                 lambda: all(
@@ -151,7 +204,7 @@
                     for router in routers.values()
                 )
             )
-            yield CutFleet(links, store, routers, upstreams)
+            yield fleet
         finally:
             for router in routers.values():
                 await router.stop()
