--- a/src/lifttrestle/internal/fleet/gauges.py
+++ b/src/lifttrestle/internal/fleet/gauges.py
@@ -24,6 +24,7 @@
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.rows import RowStore
 from lifttrestle.internal.fleet.state.table_watch import TableWatch
+from lifttrestle.internal.fleet.tunnels.server import TunnelServer
 from lifttrestle.internal.http.server import HttpServer
 from lifttrestle.internal.telemetry.fleet_metrics import FleetMetrics
 
@@ -38,6 +39,7 @@
     directory: UpstreamDirectory
     relays: RelayFollower
     relay_server: RelayServer
+    tunnel_server: TunnelServer
     callers: HttpServer
     crashes: CrashTracker
     limits: UpstreamLimits
@@ -84,6 +86,18 @@
             upstream.reach.unreachable for upstream in sources.directory
         ),
     ),
+    Gauge(
+        'tunnelled_upstreams',
+        'Upstreams that are reached through other routers.',
+        lambda sources: sum(
+            upstream.uses_tunnels for upstream in sources.directory
+        ),
+    ),
+    Gauge(
+        'tunnels',
+        'Connections to upstreams that this router forwards for others.',
+        lambda sources: sources.tunnel_server.tunnels,
+    ),
     Gauge(
         'reads_store',
         'One if this router reads the store itself, zero if others do.',
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -273,6 +273,7 @@
                 self._directory,
                 self.relays,
                 self.relay_server,
+                self.tunnel_server,
                 self._callers_server,
                 self.crashes,
                 self.limits,
--- a/tests/nocover/test_tunnels.py
+++ b/tests/nocover/test_tunnels.py
@@ -104,6 +104,12 @@
             await cut_off(fleet)
             self.assertEqual(await fleet.count_served(STRUCK, 2), 24)
             self.assertGreater(count_tunnels(fleet), 0)
+            for router, name in (
+                (NEAR, 'lifttrestle_tunnels'),
+                (STRUCK, 'lifttrestle_tunnelled_upstreams'),
+            ):
+                read = fleet.routers[router].registry.get_sample_value
+                self.assertGreater(read(name), 0.0)
             for router in ('front-b-1', 'front-b-2'):
                 self.assertEqual(count_tunnels(fleet, router), 0)
             fleet.links.heal(STRUCK)
