--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -18,12 +18,8 @@
 from lifttrestle.errors import CallerGone
 from lifttrestle.errors import LifttrestleError
 from lifttrestle.errors import RequestRefused
-from lifttrestle.errors import UpstreamBrokeOff
-from lifttrestle.errors import UpstreamConnectFailed
 from lifttrestle.errors import UpstreamDeclined
 from lifttrestle.errors import UpstreamFailed
-from lifttrestle.errors import UpstreamLost
-from lifttrestle.errors import UpstreamPathLost
 from lifttrestle.internal.clock.read_timeout import ReadTimeout
 from lifttrestle.internal.exchange.attempts import AttemptPlan
 from lifttrestle.internal.exchange.attempts import FailureAction
@@ -31,8 +27,6 @@
 from lifttrestle.internal.exchange.progress import RequestEvent
 from lifttrestle.internal.exchange.progress import RequestProgress
 from lifttrestle.internal.fleet.crashes.held_row import format_digest
-from lifttrestle.internal.fleet.crashes.loss_watch import StartEvidence
-from lifttrestle.internal.fleet.crashes.tracker import RequestOrigin
 from lifttrestle.internal.fleet.parts import FleetParts
 from lifttrestle.internal.fleet.path.answer_forwarding import AnswerForwarder
 from lifttrestle.internal.fleet.path.candidates import Candidates
@@ -41,6 +35,7 @@
 from lifttrestle.internal.fleet.path.event_buffer import build_chosen_fields
 from lifttrestle.internal.fleet.path.event_buffer import EventBuffer
 from lifttrestle.internal.fleet.path.event_buffer import MILLISECONDS
+from lifttrestle.internal.fleet.path.failure_recording import FailureRecorder
 from lifttrestle.internal.fleet.path.request_context import begin_request
 from lifttrestle.internal.fleet.path.request_context import RequestContext
 from lifttrestle.internal.fleet.path.request_digest import build_request_digest
@@ -49,7 +44,6 @@
 from lifttrestle.internal.fleet.path.watched_work import read_body
 from lifttrestle.internal.fleet.path.watched_work import run_while_connected
 from lifttrestle.internal.fleet.policy.placement import Placement
-from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.server_connection import ServerConnection
 from lifttrestle.internal.refusal.kind import ErrorKind
@@ -59,7 +53,6 @@
 MAX_SENDS = 4
 # An engine that declined a request is avoided for this long: by then, its
 # entry or the plan of the weights has been updated.
-DECLINED_BACKOFF_SECONDS = 0.15
 FIRST_CLIENT_ERROR = 400
 _ATTEMPT_IDS = itertools.count()
 
@@ -86,8 +79,9 @@
             parts, connection, self._progress, facts.last_event_id
         )
         self._candidates = Candidates(parts, facts)
-        # Both are set on admission, before the first attempt.
+        # All are set on admission, before the first attempt.
         self._request: RequestContext | None = None
+        self._failures: FailureRecorder | None = None
         self._sender: RequestSender | None = None
 
     async def run(self) -> None:
@@ -158,6 +152,7 @@
         request.digest = build_request_digest(
             request.admitted, self._facts.host, self._head, self._body
         )
+        self._failures = FailureRecorder(request, self._candidates)
         self._sender = RequestSender(
             request, self._head, self._body, self._forwarder, self._candidates
         )
@@ -220,7 +215,8 @@
     ) -> FailureAction:
         """Record the failure of an attempt and decide whether to retry."""
         request = self._context
-        self._note_failure(chosen.upstream, error)
+        assert self._failures is not None, 'attempts follow admission'
+        self._failures.note_failure(chosen.upstream, error)
         if request.sends >= MAX_SENDS:
             raise request.make_refusal(
                 ErrorKind.UPSTREAM_FAILED, f'too many attempts: {error}'
@@ -243,50 +239,6 @@
             )
         return FailureAction.RETRY
 
-    def _note_failure(
-        self, upstream: FleetUpstream, error: LifttrestleError
-    ) -> None:
-        kind = type(error).__name__
-        self._parts.metrics.count_attempt(self._context.service, kind)
-        self._event_buffer.add(
-            'attempt_failed',
-            instance=upstream.instance,
-            kind=kind,
-            reason=str(error),
-        )
-        now = self._parts.clock.monotonic()
-        losses = self._parts.crashes.losses
-        if isinstance(error, UpstreamDeclined):
-            self._note_declined(upstream, now)
-            if upstream.misdirected:
-                losses.note_evidence(upstream.start, StartEvidence.REPLACED)
-        elif isinstance(error, UpstreamConnectFailed):
-            upstream.reach.note_unreachable(now)
-            losses.note_probed(upstream.start, False, error.refused)
-        elif not _is_path_failure(upstream, error):
-            upstream.breaker.note_failure(now)
-        if isinstance(error, UpstreamBrokeOff):
-            self._parts.crashes.note_lost(
-                self._context.digest, self._build_origin(), upstream
-            )
-
-    def _build_origin(self) -> RequestOrigin:
-        admitted = self._context.admitted
-        workspace = admitted.workspace
-        name = workspace.name if workspace is not None else ''
-        return RequestOrigin(name, admitted.route.name)
-
-    def _note_declined(self, upstream: FleetUpstream, now: float) -> None:
-        """Remove a declined attempt from the counts and avoid its upstream."""
-        self._progress.apply(RequestEvent.DECLINED)
-        self._context.runs -= 1
-        if self._context.charge is not None:
-            self._context.charge.note_not_run()
-        until = now + DECLINED_BACKOFF_SECONDS
-        self._candidates.exclude(upstream, until)
-        if self._facts.generation is not None:
-            upstream.busy_until = max(upstream.busy_until, until)
-
     async def _send_and_forward(
         self, chosen: Placement, attempt_id: int
     ) -> None:
@@ -337,13 +289,3 @@
         await self._connection.send_answer(
             dialect.build_refusal(refused, self._facts.request_id)
         )
-
-
-def _is_path_failure(upstream: FleetUpstream, error: LifttrestleError) -> bool:
-    """Return whether a failure shows nothing about the upstream itself.
-
-    While it accepts no connection of this router, open ones fail with it.
-    """
-    return isinstance(error, UpstreamPathLost) or (
-        isinstance(error, UpstreamLost) and upstream.reach.unreachable
-    )
