--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -51,20 +51,16 @@
 from lifttrestle.internal.fleet.state.reach_probing import ReachProber
 from lifttrestle.internal.fleet.state.relay_follower import RelayFollower
 from lifttrestle.internal.fleet.state.relay_server import RelayServer
-from lifttrestle.internal.fleet.state.restore_policy import OperatorPolicy
-from lifttrestle.internal.fleet.state.restore_policy import RestorePolicy
-from lifttrestle.internal.fleet.state.restore_policy import UpstreamPolicy
-from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.rows import RowOrigin
 from lifttrestle.internal.fleet.state.rows import RowStore
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.fleet.state.shutdown import Shutdown
-from lifttrestle.internal.fleet.state.table_watch import TableWatch
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.fleet.state.upstream_entry import StartEnd
 from lifttrestle.internal.fleet.state.weights_view import WeightsView
 from lifttrestle.internal.fleet.stop_sequence import stop_gracefully
+from lifttrestle.internal.fleet.table_watches import TableWatches
 from lifttrestle.internal.fleet.tunnels.dialler import TunnelDialler
 from lifttrestle.internal.fleet.tunnels.opener import UpstreamOpener
 from lifttrestle.internal.fleet.tunnels.probing import TunnelProber
@@ -80,30 +76,12 @@
 from lifttrestle.internal.telemetry.fleet_metrics import FleetMetrics
 
 LOG = get_event_log('router')
-# How long the store delays the answer to a long poll of each table if nothing
-# changes. Polls of the operator table also confirm that API keys are current,
-# so they are short; a few routers send them on behalf of all.
-OPERATOR_WAIT_SECONDS = 0.7
-UPSTREAMS_WAIT_SECONDS = 1.5
-ROUTERS_WAIT_SECONDS = 3.0
-# Pause between a change and the next read: entries change in bursts while
-# weights are loaded. A leaving upstream may get requests for two more seconds,
-# so a delay of a tenth of that does no harm.
-UPSTREAMS_PAUSE_SECONDS = 0.2
-# An entry lapses after three missed heartbeats; a fourth allows for delays.
-LAPSE_HEARTBEATS = 4
 # Margin over the idle timeout, as callers reuse connections up to four fifths
 # of it.
 IDLE_MARGIN_SECONDS = 2.0
 MAX_CONNECTIONS = 1500
 # Poll interval of the settings file, which may change without a signal.
 SETTINGS_POLL_SECONDS = 5.0
-# Pause between a change and the next read: while a fleet starts, the rows of
-# its routers are written one after the other, and without a pause each read
-# returned a single one. These reads are a small part of the 3,400 to 3,800
-# calls that 195 routers made at a start. Plans of weight loads, in the same
-# table, are delayed by this at most.
-ROUTERS_PAUSE_SECONDS = 0.1
 SettingsReader = Callable[[], FleetSettings | None]
 
 
@@ -145,34 +123,19 @@
         self.roster = Roster(
             store, clock, settings.vm, settings.data_centre, refusals
         )
-        self._operator_watch = self._make_watch(
-            stored_format.operator_table,
-            OPERATOR_WAIT_SECONDS,
+        self._watches = TableWatches(
+            settings,
+            store,
+            stored_format,
+            clock,
+            source,
             self._apply_operator_row,
-            policy=OperatorPolicy(stored_format),
-        )
-        self._upstreams_watch = self._make_watch(
-            stored_format.upstreams_table,
-            UPSTREAMS_WAIT_SECONDS,
             self._apply_upstream_row,
-            UPSTREAMS_PAUSE_SECONDS,
-            policy=UpstreamPolicy(
-                stored_format, LAPSE_HEARTBEATS * settings.heartbeat_seconds
-            ),
-        )
-        self._routers_watch = self._make_watch(
-            FLEET_TABLE,
-            ROUTERS_WAIT_SECONDS,
             self._apply_routers_row,
-            ROUTERS_PAUSE_SECONDS,
-            # It lists the routers that can serve reads of the other tables.
-            eager=True,
         )
         self.roster.get_current_as_of = lambda: (
-            self._routers_watch.current_as_of
+            self._watches.routers.current_as_of
         )
-        self._upstreams_watch.restart_with(self._operator_watch)
-        self._routers_watch.restart_with(self._operator_watch)
         self.stores = CacheStores(clock)
         self.crashes = CrashTracker(
             settings.vm,
@@ -189,11 +152,11 @@
             self.roster,
             clock,
             refusals,
-            lambda: self._upstreams_watch.copy.loaded,
+            lambda: self._watches.upstreams.copy.loaded,
         )
         control.note_limit = self.limits.note_answer
         losses = self.crashes.losses
-        losses.is_list_current = self._is_list_current
+        losses.is_list_current = self._watches.is_upstream_list_current
         self._directory.on_ended = self._note_ended
         self._usage = UsageLedger(clock, settings.promises, self._get_caps)
         self._parts = FleetParts(
@@ -202,7 +165,7 @@
             source=source,
             dialect=dialect,
             view=self._view,
-            operator_watch=self._operator_watch,
+            operator_watch=self._watches.operator,
             directory=self._directory,
             sources=CacheSources(clock),
             stores=self.stores,
@@ -243,11 +206,7 @@
         )
         self._parts.note_load_change = self._peer_loads.note_change
         self._parts.refresh_loads = self._peer_loads.refresh
-        watches = [
-            self._operator_watch,
-            self._upstreams_watch,
-            self._routers_watch,
-        ]
+        watches = self._watches.list_all()
         self.relay_server = RelayServer(watches, clock)
         self.relays = RelayFollower(watches, self.roster, clock)
         self._dialler = TunnelDialler(self.roster, clock)
@@ -258,7 +217,7 @@
         self._readiness = ReadinessHandler(
             self._parts,
             lambda: (
-                self._routers_watch.copy.loaded and self.limits.is_synced()
+                self._watches.routers.copy.loaded and self.limits.is_synced()
             ),
         )
         self._callers_server = HttpServer(
@@ -268,7 +227,7 @@
             self._parts.metrics,
             GaugeSources(
                 self.store,
-                self._operator_watch,
+                self._watches.operator,
                 self.roster,
                 self._directory,
                 self.relays,
@@ -287,28 +246,6 @@
             _make_limits(None),
         )
 
-    def _make_watch(
-        self,
-        table: str,
-        wait_seconds: float,
-        listener: object,
-        batch_seconds: float = 0.0,
-        *,
-        eager: bool = False,
-        policy: RestorePolicy | None = None,
-    ) -> TableWatch:
-        return TableWatch(
-            self.store,
-            table,
-            self._clock,
-            self._source,
-            wait_seconds,
-            listener,  # type: ignore[arg-type]
-            batch_seconds,
-            eager=eager,
-            policy=policy,
-        )
-
     def _make_opener(
         self, upstream: FleetUpstream, direct: ConnectionOpener
     ) -> ConnectionOpener:
@@ -322,7 +259,7 @@
             self._callers_server.set_limits(_make_limits(after))
 
     def _apply_upstream_row(self, row: VersionedRow) -> None:
-        watch = self._upstreams_watch
+        watch = self._watches.upstreams
         if watch.lost or row.origin is not RowOrigin.WRITTEN:
             # The first rows after an outage or a restore: entries that have
             # lapsed or are lost may still return.
@@ -344,11 +281,6 @@
         catalogue = self._view.catalogue
         return catalogue.caps if catalogue is not None else {}
 
-    def _is_list_current(self) -> bool:
-        """Return whether the end of an entry would already be known."""
-        watch = self._upstreams_watch
-        return watch.get_age() < 2 * UPSTREAMS_WAIT_SECONDS
-
     @property
     def directory(self) -> UpstreamDirectory:
         """Return the directory of known upstreams."""
@@ -461,9 +393,7 @@
         prober.on_probed = self.crashes.losses.note_probed
         self._control_tasks.start(
             self.relays.run(self.ticker),
-            self._operator_watch.run(),
-            self._upstreams_watch.run(),
-            self._routers_watch.run(),
+            *(watch.run() for watch in self._watches.list_all()),
             self.roster.run(),
             self._weights_loader.run(self.ticker),
             watch_stalls(self.ticker),
--- a/tests/nocover/test_crashing_requests.py
+++ b/tests/nocover/test_crashing_requests.py
@@ -282,7 +282,7 @@
                 return await read_table(table)
 
             newcomer.store.read_table = read_late
-            newcomer._operator_watch.set_direct_reads(True)
+            newcomer._watches.operator.set_direct_reads(True)
             await newcomer.start()
             try:
                 await wait_until(lambda: newcomer.catalogue is not None)
--- a/tests/nocover/test_fleet_exchange.py
+++ b/tests/nocover/test_fleet_exchange.py
@@ -311,7 +311,7 @@
         # request was refused with 503, which promises that it did not run.
         async with run_fleet() as fleet:
             script_all(fleet, PLAIN, Behaviour.LOSE)
-            watch = fleet.router._operator_watch
+            watch = fleet.router._watches.operator
             get_age = watch.get_age
 
             def age():
