Routers together keep below the rejections that an upstream bears

What would have been seen: upstreams that announce how many rejections a second they bear from all routers fail, one after the other. Cause: that an upstream is full is known to the router that it turned away only, and for 0.15 s; the announced number was not read. Change: to such an upstream a router sends within its share of the slots, or while a slot for each router is free, and pauses after a rejection for as long as all routers together may be rejected once each.

--- a/src/lifttrestle/errors.py
+++ b/src/lifttrestle/errors.py
@@ -126,7 +126,14 @@
 
 
 class UpstreamDeclined(LifttrestleError):
-    """The upstream refused the request without running it."""
+    """The upstream refused the request without running it.
+
+    :param is_full: whether it did so for want of room, as far as is known.
+    """
+
+    def __init__(self, message: str, *, is_full: bool = False) -> None:
+        super().__init__(message)
+        self.is_full = is_full
 
 
 class UpstreamFailed(LifttrestleError):
--- a/src/lifttrestle/internal/fleet/path/attempt.py
+++ b/src/lifttrestle/internal/fleet/path/attempt.py
@@ -94,12 +94,14 @@
     _update_idle_timeout(upstream, answer.facts)
     if _is_from_upstream(upstream, answer.facts, request_id):
         on_limit(answer.facts.limit)
+        upstream.max_rejections = answer.facts.max_rejections
     if answer.facts.not_run or answer.facts.other_instance:
         await _drain_declined_answer(connection)
         _mark_misdirected(upstream, answer.facts)
         raise UpstreamDeclined(
             f'{upstream.instance} answered {answer.facts.status} and did not'
-            ' run the request'
+            ' run the request',
+            is_full=not answer.facts.other_instance,
         )
     _verify_answer(upstream, answer.facts, request_id)
     return answer
--- a/src/lifttrestle/internal/fleet/path/candidates.py
+++ b/src/lifttrestle/internal/fleet/path/candidates.py
@@ -151,11 +151,21 @@
         facts = admitted.catalogue.services.get(service)
         cap = facts.max_connections if facts is not None else 1
         cap = max(cap // parts.roster.live, 1)
+        listed = parts.directory.list_available(service)
+        assumed = min(
+            (
+                upstream.max_rejections
+                for upstream in listed
+                if upstream.max_rejections is not None
+            ),
+            default=None,
+        )
         found = [
             upstream
-            for upstream in parts.directory.list_available(service)
+            for upstream in listed
             if self._excluded_until.get(upstream.start, now) <= now
             and upstream.in_flight < cap
+            and not upstream.may_be_full(parts.roster.live, now, assumed)
         ]
         generation = self._facts.generation
         if generation is None:
--- a/src/lifttrestle/internal/fleet/path/failure_recording.py
+++ b/src/lifttrestle/internal/fleet/path/failure_recording.py
@@ -54,6 +54,8 @@
         losses = self._parts.crashes.losses
         if isinstance(error, UpstreamDeclined):
             self._note_declined(upstream, now)
+            if error.is_full:
+                upstream.note_rejected(self._parts.roster.live, now)
             if upstream.misdirected:
                 losses.note_evidence(upstream.start, StartEvidence.REPLACED)
         elif isinstance(error, UpstreamConnectFailed):
--- a/src/lifttrestle/internal/fleet/state/upstream.py
+++ b/src/lifttrestle/internal/fleet/state/upstream.py
@@ -14,6 +14,8 @@
 
 import dataclasses
 
+from lifttrestle.internal.fleet.policy.brittleness import get_pause_seconds
+from lifttrestle.internal.fleet.policy.brittleness import may_send
 from lifttrestle.internal.fleet.state.reach import NEVER
 from lifttrestle.internal.fleet.state.reach import Reachability
 from lifttrestle.internal.fleet.state.upstream_entry import build_digest
@@ -68,6 +70,10 @@
     :ivar first_byte_seconds: moving average of the time to first byte.
     :ivar last_received_at: when it last sent anything.
     :ivar reach: whether it accepts connections.
+    :ivar max_rejections: how many rejections a second it bears from all
+        routers together, as its last answer announced, or None.
+    :ivar rejected_until: until when nothing is sent to it after a rejection,
+        monotonic seconds.
     :ivar tunnel_found_at: when another router was found that reaches it,
         monotonic seconds.
     :ivar tunnel_failed_at: when no router asked could reach it.
@@ -90,6 +96,8 @@
     last_received_at: float = 0.0
     reach: Reachability = dataclasses.field(default_factory=Reachability)
     pending: dict[int, PendingAnswer] = dataclasses.field(default_factory=dict)
+    max_rejections: float | None = None
+    rejected_until: float = NEVER
     tunnel_found_at: float = NEVER
     tunnel_failed_at: float = NEVER
     digest: int = 0
@@ -154,6 +162,33 @@
         self.last_received_at = now
         self.reach.note_received(now)
 
+    def may_be_full(
+        self, routers: int, now: float, assumed: float | None = None
+    ) -> bool:
+        """Return whether a request risks a rejection that it can't bear.
+
+        :param routers: number of live routers.
+        :param assumed: what others of its service announce; it counts until
+            this one has answered.
+        """
+        has_answered = self.last_received_at > 0
+        max_rejections = self.max_rejections if has_answered else assumed
+        if max_rejections is None:
+            return False
+        return now < self.rejected_until or not may_send(
+            self.in_flight,
+            self.peers_in_flight,
+            self.entry.slots,
+            routers,
+            max_rejections,
+        )
+
+    def note_rejected(self, routers: int, now: float) -> None:
+        """Record a rejection for want of room."""
+        if self.max_rejections is not None:
+            pause = get_pause_seconds(routers, self.max_rejections)
+            self.rejected_until = now + pause
+
     @property
     def uses_tunnels(self) -> bool:
         """Return whether it is reached through other routers only."""
--- a/tests/support/fleet_upstream.py
+++ b/tests/support/fleet_upstream.py
@@ -74,6 +74,11 @@
     :ivar left: ids of requests whose caller closed the connection.
     :ivar released: streams go on after their second event once it is set.
     :ivar limit: what its answers name as the rate that it takes, or None.
+    :ivar max_rejections: what its answers name as the rejections a second that
+        it bears, or None.
+    :ivar room: how many requests it takes at once, or None for any number.
+    :ivar work_seconds: how long each of them takes.
+    :ivar rejected_at: when it had no room for a request, monotonic seconds.
     :ivar arrived_at: when each of the arrivals came, monotonic seconds.
     """
 
@@ -90,6 +95,11 @@
         self.released = asyncio.Event()
         self.released.set()
         self.limit: str | None = None
+        self.max_rejections: str | None = None
+        self.room: int | None = None
+        self.work_seconds = 0.0
+        self.rejected_at: list[float] = []
+        self._working = 0
         self.arrived_at: list[float] = []
         limits = HttpLimits(idle_seconds=3600)
         self._server = HttpServer(self._handle, limits)
@@ -122,12 +132,20 @@
         if behaviour is Behaviour.DECLINE or not self._is_meant(head):
             await self._decline(connection, head)
             return
+        if self.room is not None and self._working >= self.room:
+            self.rejected_at.append(time.monotonic())
+            await self._decline(connection, head)
+            return
         self.runs.append(Run(head, body))
         watch = asyncio.create_task(connection.wait_disconnected())
         watch.add_done_callback(lambda task: self._note_left(task, head))
+        self._working += 1
         try:
+            if self.work_seconds:
+                await asyncio.sleep(self.work_seconds)
             await self._run(connection, head, behaviour)
         finally:
+            self._working -= 1
             watch.cancel()
             await asyncio.gather(watch, return_exceptions=True)
 
@@ -221,10 +239,16 @@
 
     def _echo(self, head: RequestHead) -> tuple[tuple[str, str], ...]:
         echoed = ('request-id', head.get_header('request-id'))
-        return (echoed, *self._name_limit())
+        return (echoed, *self._name_limits())
 
-    def _name_limit(self) -> tuple[Header, ...]:
-        return () if self.limit is None else (('server-limit', self.limit),)
+    def _name_limits(self) -> tuple[Header, ...]:
+        named = (
+            ('server-limit', self.limit),
+            ('server-brittle', self.max_rejections),
+        )
+        return tuple(
+            (name, value) for name, value in named if value is not None
+        )
 
     async def _report(self, connection: ServerConnection) -> None:
         content = {
@@ -240,7 +264,7 @@
         content: dict[str, object],
         status: int = 200,
     ) -> None:
-        headers = (('content-type', 'application/json'), *self._name_limit())
+        headers = (('content-type', 'application/json'), *self._name_limits())
         body = msgspec.json.encode(content)
         await connection.send_answer(Answer(status, headers, body))
 
