Tunnels that are used no more are closed at once

What would have been seen: a planned stop of a router that had forwarded connections lasts its whole grace, as routers whose links are back keep their unused tunnels to it. Cause: idle connections were looked at when one was taken, the newest first. Measured: the test of the end of tunnels fails without the change (TimeoutError) and passes with it.

--- a/src/lifttrestle/internal/fleet/tunnels/probing.py
+++ b/src/lifttrestle/internal/fleet/tunnels/probing.py
@@ -25,6 +25,7 @@
 from lifttrestle.errors import UpstreamConnectFailed
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.clock.ticker import Ticker
+from lifttrestle.internal.fleet.state.reach import NEVER
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.fleet.tunnels.dialler import TunnelDialler
 from lifttrestle.internal.telemetry.event_log import get_event_log
@@ -35,7 +36,6 @@
 # Interval between probes of an upstream that no router asked could reach,
 # while others of its service are reached.
 RETRY_SECONDS = 2.0
-NEVER = float('-inf')
 
 
 class TunnelProber:
@@ -74,7 +74,9 @@
         """Start a probe for each service that is due."""
         groups: dict[str, list[FleetUpstream]] = collections.defaultdict(list)
         for upstream in self._upstreams:
-            if upstream.uses_tunnels:
+            if upstream.tunnel_found_at != NEVER:
+                # Tunnels that end, or are used no more, are closed at once, so
+                # that they don't hold up a stop of the other router.
                 upstream.pool.prune()
             if not upstream.misdirected and not upstream.entry.draining:
                 groups[upstream.entry.service].append(upstream)
--- a/src/lifttrestle/internal/http/client_pool.py
+++ b/src/lifttrestle/internal/http/client_pool.py
@@ -104,7 +104,8 @@
 
         It is also closed if ``MAX_IDLE`` connections are idle already.
         """
-        if connection.reusable and len(self._idle) < MAX_IDLE:
+        reusable = _may_reuse(self.opener, connection)
+        if reusable and len(self._idle) < MAX_IDLE:
             self._idle.append((self._clock.monotonic(), connection))
             return
         connection.close()
--- a/tests/nocover/test_tunnels.py
+++ b/tests/nocover/test_tunnels.py
@@ -117,6 +117,8 @@
             await wait_until(
                 lambda: not any(item.uses_tunnels for item in upstreams)
             )
+            # Unused tunnels would hold up a planned stop of the other router.
+            await wait_until(lambda: count_tunnels(fleet) == 0)
             self.assertEqual(await fleet.count_served(STRUCK, 2), 24)
 
     async def test_routers_cut_off_from_all_send_nobody_in_a_circle(self):
