--- a/src/lifttrestle/internal/fleet/path/dialect.py
+++ b/src/lifttrestle/internal/fleet/path/dialect.py
@@ -134,8 +134,8 @@
     :ivar weights: version of the weights in use, or None.
     :ivar idle_seconds: how long the connection may be idle, or None.
     :ivar limit: the rate limit that the upstream announces.
-    :ivar max_rejections: how many rejections a second it announces to bear
-        from all routers together, or None.
+    :ivar max_rejections: how many rejections a second it announces to
+        tolerate from all routers together, or None.
     """
 
     status: int
--- a/src/lifttrestle/internal/fleet/policy/brittleness.py
+++ b/src/lifttrestle/internal/fleet/policy/rejection_limit.py
@@ -10,7 +10,7 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-"""Keeps the rejections of an upstream below what it announces to bear.
+"""Keeps the rejections of an upstream below what it announces to tolerate.
 
 The number that it announces is for the rejections of all routers together. A
 router knows the loads of the others as of some moments ago, so it leaves room
@@ -33,7 +33,7 @@
     :param others: those of the other routers.
     :param slots: how many it runs at once.
     :param routers: how many routers may send at the same time.
-    :param max_rejections: rejections that it bears, per second.
+    :param max_rejections: rejections that it tolerates, per second.
     """
     free = slots - own - others
     if free <= 0:
--- a/src/lifttrestle/internal/fleet/state/reach_probing.py
+++ b/src/lifttrestle/internal/fleet/state/reach_probing.py
@@ -17,7 +17,6 @@
 fails at each of them.
 """
 
-import asyncio
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -28,6 +27,7 @@
 from lifttrestle.internal.fleet.state.cache_stores import CacheStore
 from lifttrestle.internal.fleet.state.cache_stores import CacheStores
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.state.probe_tasks import ProbeTasks
 from lifttrestle.internal.fleet.state.reach import Reachability
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.fleet.state.upstream import SILENT_SECONDS
@@ -64,7 +64,7 @@
         self._directory = directory
         self._stores = stores
         self._clock = clock
-        self._probes: dict[str, asyncio.Task[None]] = {}
+        self._probes = ProbeTasks(MAX_PROBES)
         self.on_probed: Callable[[str, bool, bool], None] = _ignore_probe
 
     async def run(self, ticker: Ticker) -> None:
@@ -74,11 +74,7 @@
                 await ticker.wait(POLL_SECONDS)
                 self.start_probes()
         finally:
-            for probe in self._probes.values():
-                probe.cancel()
-            await asyncio.gather(
-                *self._probes.values(), return_exceptions=True
-            )
+            await self._probes.cancel()
 
     def start_probes(self) -> None:
         """Start a probe of each address that is due."""
@@ -94,12 +90,10 @@
                 self._start(store.address, store.reach, store.pool)
 
     def _start(self, name: str, reach: Reachability, pool: ClientPool) -> None:
-        if name in self._probes or len(self._probes) >= MAX_PROBES:
+        if not self._probes.may_start(name):
             return
         reach.probed_at = self._clock.monotonic()
-        probe = asyncio.create_task(self._probe(name, reach, pool))
-        self._probes[name] = probe
-        probe.add_done_callback(lambda _: self._probes.pop(name, None))
+        self._probes.start(name, self._probe(name, reach, pool))
 
     async def _probe(
         self, name: str, reach: Reachability, pool: ClientPool
--- a/src/lifttrestle/internal/fleet/state/upstream.py
+++ b/src/lifttrestle/internal/fleet/state/upstream.py
@@ -14,8 +14,8 @@
 
 import dataclasses
 
-from lifttrestle.internal.fleet.policy.brittleness import get_pause_seconds
-from lifttrestle.internal.fleet.policy.brittleness import may_send
+from lifttrestle.internal.fleet.policy.rejection_limit import get_pause_seconds
+from lifttrestle.internal.fleet.policy.rejection_limit import may_send
 from lifttrestle.internal.fleet.state.reach import NEVER
 from lifttrestle.internal.fleet.state.reach import Reachability
 from lifttrestle.internal.fleet.state.upstream_entry import build_digest
@@ -70,8 +70,8 @@
     :ivar first_byte_seconds: moving average of the time to first byte.
     :ivar last_received_at: when it last sent anything.
     :ivar reach: whether it accepts connections.
-    :ivar max_rejections: how many rejections a second it bears from all
-        routers together, as its last answer announced, or None.
+    :ivar max_rejections: how many rejections a second it tolerates from
+        all routers together, as its last answer announced, or None.
     :ivar rejected_until: until when nothing is sent to it after a rejection,
         monotonic seconds.
     :ivar tunnel_found_at: when another router was found that reaches it,
@@ -165,7 +165,7 @@
     def may_be_full(
         self, routers: int, now: float, assumed: float | None = None
     ) -> bool:
-        """Return whether a request risks a rejection that it can't bear.
+        """Return whether a request risks a rejection that it can't tolerate.
 
         :param routers: number of live routers.
         :param assumed: what others of its service announce; it counts until
--- a/src/lifttrestle/internal/fleet/tunnels/probing.py
+++ b/src/lifttrestle/internal/fleet/tunnels/probing.py
@@ -17,14 +17,13 @@
 tunnels; if none does, they are refused as before.
 """
 
-import asyncio
 import collections
 from collections.abc import Iterable
-import functools
 
 from lifttrestle.errors import UpstreamConnectFailed
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.clock.ticker import Ticker
+from lifttrestle.internal.fleet.state.probe_tasks import ProbeTasks
 from lifttrestle.internal.fleet.state.reach import NEVER
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.fleet.tunnels.dialler import TunnelDialler
@@ -33,6 +32,7 @@
 LOG = get_event_log('tunnels')
 POLL_SECONDS = 0.1
 PROBE_SECONDS = 0.4
+MAX_PROBES = 8
 # Interval between probes of an upstream that no router asked could reach,
 # while others of its service are reached.
 RETRY_SECONDS = 2.0
@@ -55,7 +55,7 @@
         self._clock = clock
         # Service -> when it was probed last, monotonic seconds.
         self._probed_at: dict[str, float] = {}
-        self._probes: dict[str, asyncio.Task[None]] = {}
+        self._probes = ProbeTasks(MAX_PROBES)
 
     async def run(self, ticker: Ticker) -> None:
         """Start due probes periodically until cancelled."""
@@ -64,11 +64,7 @@
                 await ticker.wait(POLL_SECONDS)
                 self.start_probes()
         finally:
-            for probe in self._probes.values():
-                probe.cancel()
-            await asyncio.gather(
-                *self._probes.values(), return_exceptions=True
-            )
+            await self._probes.cancel()
 
     def start_probes(self) -> None:
         """Start a probe for each service that is due."""
@@ -82,16 +78,9 @@
                 groups[upstream.entry.service].append(upstream)
         for service, group in groups.items():
             due = self._find_due(service, group)
-            if due is not None and service not in self._probes:
+            if due is not None and self._probes.may_start(service):
                 self._probed_at[service] = self._clock.monotonic()
-                probe = asyncio.create_task(self._probe(due, group))
-                self._probes[service] = probe
-                probe.add_done_callback(
-                    functools.partial(self._remove_probe, service)
-                )
-
-    def _remove_probe(self, service: str, probe: 'asyncio.Task[None]') -> None:
-        del self._probes[service]
+                self._probes.start(service, self._probe(due, group))
 
     def _find_due(
         self, service: str, group: list[FleetUpstream]
--- a/src/lifttrestle/internal/platform/names.py
+++ b/src/lifttrestle/internal/platform/names.py
@@ -61,7 +61,7 @@
 WEIGHTS = 'weight-versions'
 # Requests per second that an upstream accepts from all routers together.
 LIMIT = 'server-limit'
-# Rejections per second that an upstream bears from all routers together.
+# Rejections per second that an upstream tolerates from all routers together.
 BRITTLE = 'server-brittle'
 
 # Calls to an engine.
--- a/src/lifttrestle/internal/platform/request_dialect.py
+++ b/src/lifttrestle/internal/platform/request_dialect.py
@@ -32,8 +32,8 @@
 from lifttrestle.internal.http.hop_headers import drop_hop_headers
 from lifttrestle.internal.http.hop_headers import parse_keep_alive
 from lifttrestle.internal.platform import names
-from lifttrestle.internal.platform.upstream_brittle import read_brittle
 from lifttrestle.internal.platform.upstream_limit import read_limit
+from lifttrestle.internal.platform.upstream_rejections import read_rejections
 from lifttrestle.internal.refusal.answers import ANSWER_RULES
 from lifttrestle.internal.refusal.kind import ErrorKind
 
@@ -109,7 +109,7 @@
             weights=int(weights) if weights.isdecimal() else None,
             idle_seconds=parse_keep_alive(head.get_header('keep-alive')),
             limit=read_limit(head.headers),
-            max_rejections=read_brittle(head),
+            max_rejections=read_rejections(head),
         )
 
     def select_answer_headers(self, head: ResponseHead) -> tuple[Header, ...]:
--- a/src/lifttrestle/internal/platform/upstream_brittle.py
+++ b/src/lifttrestle/internal/platform/upstream_rejections.py
@@ -10,7 +10,7 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-"""Reads how many rejections a second an upstream bears."""
+"""Reads how many rejections a second an upstream tolerates."""
 
 import math
 
@@ -20,7 +20,7 @@
 from lifttrestle.internal.platform.upstream_limit import MAX_CHARACTERS
 
 
-def read_brittle(head: ResponseHead) -> float | None:
+def read_rejections(head: ResponseHead) -> float | None:
     """Return the number in an answer's head, None if absent or invalid."""
     text = head.get_header(names.BRITTLE)
     if len(text) > MAX_CHARACTERS or DECIMAL.fullmatch(text) is None:
--- a/tests/cover/test_brittleness.py
+++ b/tests/cover/test_rejection_limit.py
@@ -9,17 +9,17 @@
 #    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
 #    License for the specific language governing permissions and limitations
 #    under the License.
-"""Tests of the requests to upstreams that bear few rejections."""
+"""Tests of the requests to upstreams that tolerate few rejections."""
 
 import unittest
 
 from hypothesis import given
 from hypothesis import strategies
 
-from lifttrestle.internal.fleet.policy.brittleness import get_pause_seconds
-from lifttrestle.internal.fleet.policy.brittleness import may_send
+from lifttrestle.internal.fleet.policy.rejection_limit import get_pause_seconds
+from lifttrestle.internal.fleet.policy.rejection_limit import may_send
 from lifttrestle.internal.http.head import ResponseHead
-from lifttrestle.internal.platform.upstream_brittle import read_brittle
+from lifttrestle.internal.platform.upstream_rejections import read_rejections
 from tests.cover.test_reach import make_upstream
 
 COUNTS = strategies.integers(1, 200)
@@ -44,7 +44,7 @@
         self.assertTrue(may_send(0, 8, 8, 4, 5.0))
         self.assertFalse(may_send(1, 7, 8, 4, 5.0))
 
-    def test_full_upstream_that_bears_no_rejection_gets_none(self):
+    def test_full_upstream_that_tolerates_no_rejection_gets_none(self):
         self.assertFalse(may_send(0, 8, 8, 4, 0.0))
         self.assertTrue(may_send(0, 7, 8, 4, 0.0))
 
@@ -61,7 +61,7 @@
 
 
 class TestUpstream(unittest.TestCase):
-    def test_new_upstream_is_taken_to_bear_what_others_announce(self):
+    def test_new_upstream_is_treated_as_others_of_its_service(self):
         upstream = make_upstream('a', 'x')
         upstream.in_flight = 8
         self.assertFalse(upstream.may_be_full(4, 10.0, None))
@@ -92,5 +92,5 @@
         ):
             with self.subTest(text=text):
                 head = ResponseHead(200, (('server-brittle', text),))
-                self.assertEqual(read_brittle(head), expected)
-        self.assertIsNone(read_brittle(ResponseHead(200, ())))
+                self.assertEqual(read_rejections(head), expected)
+        self.assertIsNone(read_rejections(ResponseHead(200, ())))
--- a/tests/nocover/test_brittle_upstreams.py
+++ b/tests/nocover/test_rejections.py
@@ -9,7 +9,7 @@
 #    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
 #    License for the specific language governing permissions and limitations
 #    under the License.
-"""Tests of upstreams that bear few rejections a second from all routers."""
+"""Tests of upstreams that tolerate few rejections a second in all."""
 
 import asyncio
 import bisect
@@ -43,8 +43,10 @@
     )
 
 
-class TestBrittleUpstreams(unittest.IsolatedAsyncioTestCase):
-    async def test_regression_routers_together_exceeded_what_it_bears(self):
+class TestRejections(unittest.IsolatedAsyncioTestCase):
+    async def test_regression_routers_together_exceeded_what_it_tolerates(
+        self,
+    ):
         async with run_cut_fleet() as fleet:
             for name in PLAIN:
                 upstream = fleet.upstreams[name]
--- a/tests/support/fleet_upstream.py
+++ b/tests/support/fleet_upstream.py
@@ -75,7 +75,7 @@
     :ivar released: streams go on after their second event once it is set.
     :ivar limit: what its answers name as the rate that it takes, or None.
     :ivar max_rejections: what its answers name as the rejections a second that
-        it bears, or None.
+        it tolerates, or None.
     :ivar room: how many requests it takes at once, or None for any number.
     :ivar work_seconds: how long each of them takes.
     :ivar rejected_at: when it had no room for a request, monotonic seconds.
