--- a/tests/cover/test_fleet_placement.py
+++ b/tests/cover/test_fleet_placement.py
@@ -124,7 +124,7 @@
         for name in ('a', 'b', 'c'):
             self.put(name, models=[1])
         self.kept = self.directory.get('b')
-        connection = mock.Mock(reusable=True)
+        connection = mock.Mock(reusable=True, via='')
         self.kept.pool.give_back(connection)
 
     def choose(self, *parts):
