Requests that hang on a cut link make no engine look busy

Callers of a router that had been cut off were refused as overloaded for engines that were idle: 24 of 48 requests in one case, while the other routers served 48 of 48.

Cause: the oldest unanswered request tells how long an engine makes requests wait. Those that were sent before the cut never get an answer, so the wait grew by the second, though requests sent through other routers were answered at once.

Now only requests sent since the upstream is reached through other routers count, for the wait and for the tokens that an engine has yet to compute.

--- a/src/lifttrestle/internal/fleet/state/upstream.py
+++ b/src/lifttrestle/internal/fleet/state/upstream.py
@@ -141,7 +141,7 @@
     @property
     def unread_tokens(self) -> int:
         """Return the uncomputed prompt tokens of this router's requests."""
-        return sum(pending.unread_tokens for pending in self.pending.values())
+        return sum(pending.unread_tokens for pending in self._list_awaited())
 
     def note_sent(
         self, attempt_id: int, now: float, urgency: int = 0, unread: int = 0
@@ -223,11 +223,22 @@
         """
         waits = [
             now - pending.sent_at
-            for pending in self.pending.values()
+            for pending in self._list_awaited()
             if pending.urgency <= urgency
         ]
         return max(waits, default=0.0)
 
+    def _list_awaited(self) -> list[PendingAnswer]:
+        """Return the pending answers that its work may still delay.
+
+        Those sent before it was reached through tunnels only may have been
+        lost with their connections.
+        """
+        since = self.tunnel_found_at if self.uses_tunnels else NEVER
+        return [
+            item for item in self.pending.values() if item.sent_at >= since
+        ]
+
     def seems_down(self, now: float) -> bool:
         """Return whether it is unreachable, by any path, or silent."""
         return not self.is_available or self.is_silent(now)
--- a/tests/nocover/test_cut_off_routers.py
+++ b/tests/nocover/test_cut_off_routers.py
@@ -24,6 +24,7 @@
 from tests.support.fleet import wait_until
 
 CONTACT_SECONDS = 3.0
+LONG_WAIT_SECONDS = 1.5
 ROUNDS = 4
 STRUCK = {
     'one router': ('front-a-1',),
@@ -105,3 +106,25 @@
             self.assertEqual(sum(await streams), 0)
             states = {engine.breaker.state for engine in engines}
         self.assertEqual(states, {BreakerState.CLOSED})
+
+    async def test_regression_hanging_requests_made_engines_seem_busy(self):
+        async with run_cut_fleet() as fleet:
+            router = fleet.routers['front-a-1']
+            engines = [
+                upstream
+                for upstream in router.directory
+                if upstream.entry.service == 'engines'
+            ]
+            await fleet.count_served('front-a-1', 1)
+            fleet.links.cut('front-a-1', Cut.HANG)
+            hanging = asyncio.gather(
+                *(fleet.try_once('front-a-1', KINDS[-1]) for _ in range(4))
+            )
+            await wait_until(
+                lambda: all(engine.uses_tunnels for engine in engines)
+            )
+            await asyncio.sleep(LONG_WAIT_SECONDS)
+            self.assertTrue(all(engine.pending for engine in engines))
+            served = await fleet.try_once('front-a-1', KINDS[-1])
+            await hanging
+        self.assertTrue(served)
