Requests wait until other routers were asked for a path

Callers of a router that had just lost its links were refused at once: with connections reset, 0 of the first 12 requests were served.

Cause: a request was refused as soon as all upstreams of its service were known to be unreachable, up to 0.3 s before another router could have been asked. And an upstream to which no connection was made was not chosen again by the same request, so a request that had tried all of them directly could not use the path found meanwhile.

Now such a request waits, 0.5 s at most, until the first answer of another router; and it may choose an upstream again, once, after a connection to it failed. Where no other router takes tunnels, or the first one asked reaches the service no more than this one, it is refused at once as before.

test_regression_first_requests_after_a_cut_were_refused: 0 of 12 before, 12 of 12 now.

--- a/src/lifttrestle/internal/fleet/path/candidates.py
+++ b/src/lifttrestle/internal/fleet/path/candidates.py
@@ -24,6 +24,7 @@
 from lifttrestle.internal.fleet.policy.placement import choose_engine
 from lifttrestle.internal.fleet.policy.placement import choose_plain
 from lifttrestle.internal.fleet.policy.placement import Placement
+from lifttrestle.internal.fleet.policy.tunnel_peers import is_path_unknown
 from lifttrestle.internal.fleet.policy.weights_filter import select_engines
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 
@@ -60,6 +61,8 @@
         self._facts = facts
         # Start id -> monotonic time until which it is not tried again.
         self._excluded_until: dict[str, float] = {}
+        # Starts that were chosen again after a connection had failed.
+        self._reconsidered: set[str] = set()
         # Priority of the request among those that want a permit, set by the
         # last choice.
         self.rank = 0
@@ -68,6 +71,15 @@
         """Exclude an upstream until ``until``, in monotonic seconds."""
         self._excluded_until[upstream.start] = until
 
+    def reconsider(self, upstream: FleetUpstream) -> None:
+        """Let an upstream to which no connection was made be chosen again.
+
+        That is done once, as another path may have been found meanwhile.
+        """
+        if upstream.start not in self._reconsidered:
+            self._reconsidered.add(upstream.start)
+            self._excluded_until.pop(upstream.start, None)
+
     def choose(
         self, admitted: AdmittedRequest, service: str, *, repeated: bool
     ) -> Placement | None:
@@ -135,7 +147,9 @@
         None unless rate limits are the only reason why no upstream may serve.
         """
         limits = self._parts.limits
-        remaining = self._list_remaining(service)
+        remaining = [
+            item for item in self._list_left(service) if item.is_available
+        ]
         if not remaining or not all(
             limits.is_limited(item) for item in remaining
         ):
@@ -192,7 +206,13 @@
         An unreachable upstream is not: only a probe can detect that it is
         reachable again, which takes longer than a request may wait.
         """
-        return bool(self._list_remaining(service))
+        return any(item.is_available for item in self._list_left(service))
+
+    def may_find_path(self, service: str) -> bool:
+        """Return whether other routers are yet to be asked for a path."""
+        return bool(self._parts.roster.list_tunnel_peers()) and (
+            is_path_unknown(self._list_left(service))
+        )
 
     def list_unavailable(self, service: str) -> list[UpstreamStatus]:
         """Return what is known of each upstream of a service."""
@@ -206,10 +226,10 @@
             for upstream in self._parts.directory.list_available(service)
         ]
 
-    def _list_remaining(self, service: str) -> list[FleetUpstream]:
+    def _list_left(self, service: str) -> list[FleetUpstream]:
+        """Return the upstreams that were not tried, available or not."""
         return [
             upstream
             for upstream in self._parts.directory.list_available(service)
             if self._excluded_until.get(upstream.start) != FOREVER
-            and upstream.is_available
         ]
--- a/src/lifttrestle/internal/fleet/path/failure_recording.py
+++ b/src/lifttrestle/internal/fleet/path/failure_recording.py
@@ -60,6 +60,7 @@
                 losses.note_evidence(upstream.start, StartEvidence.REPLACED)
         elif isinstance(error, UpstreamConnectFailed):
             upstream.reach.note_unreachable(now)
+            self._candidates.reconsider(upstream)
             losses.note_probed(upstream.start, False, error.refused)
         elif not _is_path_failure(upstream, error):
             upstream.breaker.note_failure(now)
--- a/src/lifttrestle/internal/fleet/path/upstream_search.py
+++ b/src/lifttrestle/internal/fleet/path/upstream_search.py
@@ -29,6 +29,8 @@
 # The retry times of callers that are refused for rate limits are spread over
 # at least this time.
 PERMIT_SPREAD_SECONDS = 0.5
+# Other routers answer sooner whether they reach an upstream.
+PATH_SEARCH_SECONDS = 0.5
 
 
 async def find_upstream(
@@ -40,6 +42,7 @@
         wait too long in the queue of the best one.
     """
     clock = request.parts.clock
+    path_until = clock.monotonic() + PATH_SEARCH_SECONDS
     until = find_wait_end(
         request.received_at,
         clock.monotonic(),
@@ -58,8 +61,7 @@
                 return placement
             continue
         _check_permits(request, candidates, until)
-        may_wait = candidates.may_become_available(request.service)
-        if clock.monotonic() >= until or not may_wait:
+        if not _may_wait(request, candidates, until, path_until):
             break
         if not waiting:
             waiting = True
@@ -77,6 +79,24 @@
     )
 
 
+def _may_wait(
+    request: RequestContext,
+    candidates: Candidates,
+    until: float,
+    path_until: float,
+) -> bool:
+    """Return whether an upstream may become available in time.
+
+    :param until: how long to wait for one that others use, monotonic seconds.
+    :param path_until: how long to wait for a path through another router.
+    """
+    now = request.parts.clock.monotonic()
+    service = request.service
+    if now < until and candidates.may_become_available(service):
+        return True
+    return now < path_until and candidates.may_find_path(service)
+
+
 async def _request_permit(
     request: RequestContext,
     candidates: Candidates,
--- a/src/lifttrestle/internal/fleet/policy/tunnel_peers.py
+++ b/src/lifttrestle/internal/fleet/policy/tunnel_peers.py
@@ -10,11 +10,12 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-"""Ranks the routers that may forward connections of this one."""
+"""Decides which routers to ask for tunnels, and when none was asked yet."""
 
 from collections.abc import Collection
 from collections.abc import Mapping
 
+from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.routing.rendezvous import rank_names
 
 
@@ -37,3 +38,25 @@
     return sorted(
         ranked, key=lambda key: (key in avoided, peers[key] != data_centre)
     )
+
+
+def is_path_unknown(upstreams: Collection[FleetUpstream]) -> bool:
+    """Return whether other routers may reach a service that this one does not.
+
+    True from when the last of the upstreams became unreachable until another
+    router was asked for a tunnel.
+
+    :param upstreams: the upstreams of the service that may be used.
+    """
+    unreachable_since = [
+        upstream.reach.unreachable_since
+        for upstream in upstreams
+        if upstream.reach.unreachable_since is not None
+    ]
+    if not upstreams or len(unreachable_since) < len(upstreams):
+        return False
+    asked_at = max(
+        max(upstream.tunnel_found_at, upstream.tunnel_failed_at)
+        for upstream in upstreams
+    )
+    return asked_at < max(unreachable_since)
--- a/tests/cover/test_tunnel_peers.py
+++ b/tests/cover/test_tunnel_peers.py
@@ -18,6 +18,7 @@
 
 from lifttrestle.errors import UpstreamConnectFailed
 from lifttrestle.internal.clock.manual import ManualClock
+from lifttrestle.internal.fleet.policy.tunnel_peers import is_path_unknown
 from lifttrestle.internal.fleet.policy.tunnel_peers import rank_peers
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.roster import RouterRow
@@ -49,6 +50,36 @@
         self.assertLess(max(firsts.values()), 8)
 
 
+class TestPathUnknown(unittest.TestCase):
+    def setUp(self):
+        self.upstreams = [make_upstream('u', 'a'), make_upstream('v', 'a')]
+
+    def _check(self, expected):
+        self.assertIs(is_path_unknown(self.upstreams), expected)
+
+    def test_service_without_upstreams_has_no_path(self):
+        self.assertFalse(is_path_unknown([]))
+
+    def test_unknown_once_the_last_upstream_is_unreachable(self):
+        self.upstreams[0].reach.note_unreachable(10.0)
+        self._check(False)
+        self.upstreams[1].reach.note_unreachable(11.0)
+        self._check(True)
+
+    def test_known_once_another_router_was_asked(self):
+        for upstream in self.upstreams:
+            upstream.reach.note_unreachable(10.0)
+        self.upstreams[1].note_tunnel_failed(11.0)
+        self._check(False)
+
+    def test_answer_of_an_earlier_cut_does_not_count(self):
+        first, second = self.upstreams
+        first.reach.note_unreachable(10.0)
+        first.note_tunnel_failed(11.0)
+        second.reach.note_unreachable(12.0)
+        self._check(True)
+
+
 class TestDialler(unittest.IsolatedAsyncioTestCase):
     async def test_regression_router_that_left_while_asked_was_a_fault(self):
         clock = ManualClock(START)
--- a/tests/nocover/test_tunnels.py
+++ b/tests/nocover/test_tunnels.py
@@ -23,6 +23,7 @@
 from lifttrestle.internal.http.address import parse_address
 from lifttrestle.internal.http.client_connection import ClientConnection
 from lifttrestle.internal.http.head import RequestHead
+from tests.support.cut_fleet import AT_ONCE
 from tests.support.cut_fleet import KINDS
 from tests.support.cut_fleet import ROUTERS
 from tests.support.cut_fleet import run_cut_fleet
@@ -135,6 +136,21 @@
                 self.assertEqual(count_tunnels(fleet, router), 0)
                 self.assertTrue(fleet.routers[router].is_ready())
 
+    async def test_regression_first_requests_after_a_cut_were_refused(self):
+        async with run_cut_fleet() as fleet:
+            await fleet.count_served(STRUCK, 1)
+            fleet.links.cut(STRUCK, Cut.RESET)
+            await wait_until(
+                lambda: (
+                    not any(
+                        upstream.pool.has_idle
+                        for upstream in list_upstreams(fleet)
+                    )
+                )
+            )
+            served = await fleet.count_served(STRUCK, 1)
+        self.assertEqual(served, AT_ONCE * len(KINDS))
+
     async def test_upstream_learns_that_the_caller_has_left(self):
         async with run_cut_fleet() as fleet:
             await cut_off(fleet)
