Tunnels: a slow answer of another router is no failure

Cause: each router asked for a tunnel had 0.25 s to answer. One that was late counted as failed, the next one was asked, and after the last one all upstreams counted as not reached, for up to two seconds.

--- a/src/lifttrestle/internal/fleet/tunnels/dialler.py
+++ b/src/lifttrestle/internal/fleet/tunnels/dialler.py
@@ -21,15 +21,19 @@
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.fleet.tunnels.messages import TunnelRequest
 from lifttrestle.internal.fleet.tunnels.messages import TunnelStatus
+from lifttrestle.internal.fleet.tunnels.staggered import connect_first
 from lifttrestle.internal.fleet.tunnels.stream import TunnelStream
 from lifttrestle.internal.http.address import parse_address
 from lifttrestle.internal.http.byte_stream import ByteStream
 from lifttrestle.internal.http.client_connection import ClientConnection
+from lifttrestle.internal.http.stream import Stream
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
 LOG = get_event_log('tunnels')
 # Includes the time that the other router takes to connect to the upstream.
-OPEN_SECONDS = 0.25
+OPEN_SECONDS = 0.75
+# If a router has not answered by then, the next one is asked as well.
+STAGGER_SECONDS = 0.25
 MAX_PEERS = 4
 AVOID_SECONDS = 2.0
 DIGEST_BYTES = 64
@@ -49,22 +53,23 @@
 
         :raises UpstreamConnectFailed: if none of the routers asked has one.
         """
-        service = upstream.entry.service
-        reasons = []
-        for key in self._rank(upstream)[:MAX_PEERS]:
-            try:
-                async with ReadTimeout(OPEN_SECONDS):
-                    stream = await self._open_through(key, upstream)
-            except (OSError, TimeoutError) as error:
-                reasons.append(f'{key}: {str(error) or "timed out"}')
-                self._avoid(key, service)
-                continue
-            return ClientConnection(
-                upstream.pool.address, TunnelStream(stream), via=key
+        first = await connect_first(
+            lambda key: self._connect_through(key, upstream),
+            self._rank(upstream)[:MAX_PEERS],
+            STAGGER_SECONDS,
+        )
+        for key in first.failures:
+            self._avoid(key, upstream.entry.service)
+        if first.stream is None:
+            reasons = [
+                f'{key}: {text}' for key, text in first.failures.items()
+            ]
+            raise UpstreamConnectFailed(
+                f'no other router reaches {upstream.instance}:'
+                f' {"; ".join(reasons) or "none is known"}'
             )
-        raise UpstreamConnectFailed(
-            f'no other router reaches {upstream.instance}:'
-            f' {"; ".join(reasons) or "none is known"}'
+        return ClientConnection(
+            upstream.pool.address, first.stream, via=first.peer
         )
 
     def _rank(self, upstream: FleetUpstream) -> list[str]:
@@ -88,6 +93,12 @@
         until = self._clock.monotonic() + AVOID_SECONDS
         self._avoided_until[key, service] = until
 
+    async def _connect_through(
+        self, key: str, upstream: FleetUpstream
+    ) -> Stream:
+        async with ReadTimeout(OPEN_SECONDS):
+            return TunnelStream(await self._open_through(key, upstream))
+
     async def _open_through(
         self, key: str, upstream: FleetUpstream
     ) -> ByteStream:
