--- a/src/lifttrestle/internal/fleet/path/upstream_search.py
+++ b/src/lifttrestle/internal/fleet/path/upstream_search.py
@@ -29,8 +29,9 @@
 # The retry times of callers that are refused for rate limits are spread over
 # at least this time.
 PERMIT_SPREAD_SECONDS = 0.5
-# Other routers answer sooner whether they reach an upstream.
-PATH_SEARCH_SECONDS = 0.5
+# A router that is not overloaded answers sooner.
+PATH_SEARCH_SECONDS = 1.0
+PATH_POLL_SECONDS = 0.05
 
 
 async def find_upstream(
@@ -61,12 +62,17 @@
                 return placement
             continue
         _check_permits(request, candidates, until)
-        if not _may_wait(request, candidates, until, path_until):
+        now = clock.monotonic()
+        if now < until and candidates.may_become_available(request.service):
+            poll_seconds = WAIT_POLL_SECONDS
+        elif now < path_until and candidates.may_find_path(request.service):
+            poll_seconds = PATH_POLL_SECONDS
+        else:
             break
         if not waiting:
             waiting = True
             request.event_buffer.add('held', reason='no upstream is available')
-        await asyncio.sleep(WAIT_POLL_SECONDS)
+        await asyncio.sleep(poll_seconds)
         request.readmit()
     request.event_buffer.add(
         'unavailable',
@@ -79,24 +85,6 @@
     )
 
 
-def _may_wait(
-    request: RequestContext,
-    candidates: Candidates,
-    until: float,
-    path_until: float,
-) -> bool:
-    """Return whether an upstream may become available in time.
-
-    :param until: how long to wait for one that others use, monotonic seconds.
-    :param path_until: how long to wait for a path through another router.
-    """
-    now = request.parts.clock.monotonic()
-    service = request.service
-    if now < until and candidates.may_become_available(service):
-        return True
-    return now < path_until and candidates.may_find_path(service)
-
-
 async def _request_permit(
     request: RequestContext,
     candidates: Candidates,
