Tunnels: the router that forwards connects with more patience

Its log shows 15 of 25 tunnels refused as 'unreachable', with 'cannot connect: timed out' after the 0.1 s that a router grants its own requests.

It now grants 0.5 s: the router that asks turns to others after 0.25 s anyway.

--- a/src/lifttrestle/internal/fleet/tunnels/server.py
+++ b/src/lifttrestle/internal/fleet/tunnels/server.py
@@ -17,7 +17,6 @@
 from lifttrestle.errors import InputRefused
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.clock.read_timeout import ReadTimeout
-from lifttrestle.internal.fleet.state.directory import CONNECT_SECONDS
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.relay_messages import read_frame
 from lifttrestle.internal.fleet.state.roster import Roster
@@ -42,6 +41,8 @@
 # Each takes two descriptors and up to 128 KiB of buffers.
 MAX_TUNNELS = 256
 REQUEST_SECONDS = 1.0
+# Longer than for own requests: the router that asks turns to others meanwhile.
+CONNECT_SECONDS = 0.5
 STOP_POLL_SECONDS = 0.05
 READ_BYTES = 64 * 1024
 
