Listeners of routers share their code; reachability is one field

Relay and tunnel servers each had the same listener with a task for each connection: now ConnectionListener. Whether an address is unreachable was kept beside since when; it follows from it now. Whether an engine may take orders is asked in one place, and the number of live routers is read once for each choice.

--- a/src/lifttrestle/internal/fleet/loads/weights_loader.py
+++ b/src/lifttrestle/internal/fleet/loads/weights_loader.py
@@ -196,8 +196,7 @@
             if upstream.start in loads:
                 continue
             now = self._clock.monotonic()
-            if upstream.reach.unreachable or upstream.seems_down(now):
-                # Orders are never sent through another router.
+            if not upstream.may_take_orders(now):
                 continue
             state = await loads.read_state(upstream)
             if state is None:
--- a/src/lifttrestle/internal/fleet/path/candidates.py
+++ b/src/lifttrestle/internal/fleet/path/candidates.py
@@ -164,7 +164,8 @@
         now = parts.clock.monotonic()
         facts = admitted.catalogue.services.get(service)
         cap = facts.max_connections if facts is not None else 1
-        cap = max(cap // parts.roster.live, 1)
+        routers = parts.roster.live
+        cap = max(cap // routers, 1)
         listed = parts.directory.list_available(service)
         assumed = min(
             (
@@ -179,7 +180,7 @@
             for upstream in listed
             if self._excluded_until.get(upstream.start, now) <= now
             and upstream.in_flight < cap
-            and not upstream.may_be_full(parts.roster.live, now, assumed)
+            and not upstream.may_be_full(routers, now, assumed)
         ]
         generation = self._facts.generation
         if generation is None:
--- a/src/lifttrestle/internal/fleet/policy/weight_loading.py
+++ b/src/lifttrestle/internal/fleet/policy/weight_loading.py
@@ -85,9 +85,7 @@
     as loading.
     """
     unreachable = [
-        engine
-        for engine in engines
-        if engine.reach.unreachable or engine.seems_down(now)
+        engine for engine in engines if not engine.may_take_orders(now)
     ]
     allowed = math.floor(LOADING_SHARE * len(engines)) - len(unreachable)
     return max(allowed, 1)
--- a/src/lifttrestle/internal/fleet/state/reach.py
+++ b/src/lifttrestle/internal/fleet/state/reach.py
@@ -33,7 +33,6 @@
     unreachable until one succeeds, so that no caller's request is used as a
     probe.
 
-    :ivar unreachable: whether the last connection failed.
     :ivar suspected: whether it may be unreachable and has to be probed.
     :ivar connection_lost: whether it broke off an answer and has not been
         probed since.
@@ -43,20 +42,21 @@
     :ivar reached_at: monotonic time of its last connection or answer.
     """
 
-    unreachable: bool = False
     unreachable_since: float | None = None
     suspected: bool = False
     connection_lost: bool = False
     probed_at: float = NEVER
     reached_at: float = NEVER
 
+    @property
+    def unreachable(self) -> bool:
+        """Return whether the last connection failed."""
+        return self.unreachable_since is not None
+
     def note_reachable(self, now: float) -> None:
-        """Record that it accepted a connection or answered."""
-        self.unreachable = False
+        """Record that it accepted a connection."""
         self.unreachable_since = None
-        self.suspected = False
-        self.connection_lost = False
-        self.reached_at = now
+        self.note_received(now)
 
     def note_received(self, now: float) -> None:
         """Record an answer, which does not prove that it accepts connections.
@@ -71,7 +71,6 @@
         """Record that it accepted no connection."""
         if not self.unreachable:
             self.unreachable_since = now
-        self.unreachable = True
         self.connection_lost = False
 
     def note_connection_lost(self) -> None:
--- a/src/lifttrestle/internal/fleet/state/relay_server.py
+++ b/src/lifttrestle/internal/fleet/state/relay_server.py
@@ -24,8 +24,7 @@
 from lifttrestle.internal.fleet.state.relay_messages import SubscribeRequest
 from lifttrestle.internal.fleet.state.table_watch import TableWatch
 from lifttrestle.internal.http.address import Address
-from lifttrestle.internal.http.byte_stream import set_tcp_timeouts
-from lifttrestle.internal.http.connection_tasks import ConnectionTasks
+from lifttrestle.internal.http.connection_listener import ConnectionListener
 from lifttrestle.internal.intake.decoding import decode_msgpack
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
@@ -59,8 +58,7 @@
         self._watches = {watch.table: watch for watch in watches}
         self._clock = clock
         self._followers: set[Follower] = set()
-        self._tasks = ConnectionTasks()
-        self._server: asyncio.Server | None = None
+        self._listener = ConnectionListener(self._serve)
         for watch in watches:
             watch.add_observer(self._send_to_all)
 
@@ -71,27 +69,15 @@
 
     async def start(self, address: Address) -> Address:
         """Listen at an address and return the bound one."""
-        self._server = await asyncio.start_server(
-            self._accept, address.host, address.port
-        )
-        host, port = self._server.sockets[0].getsockname()[:2]
-        return Address(host, port)
+        return await self._listener.start(address)
 
     async def close(self) -> None:
         """Stop listening and disconnect every follower."""
-        if self._server is not None:
-            self._server.close()
-        await self._tasks.cancel()
-
-    def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self._tasks.start(self._serve(reader, writer), writer)
+        await self._listener.close()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        set_tcp_timeouts(writer.transport)
         follower = Follower(writer)
         if len(self._followers) >= MAX_FOLLOWERS:
             writer.transport.abort()
--- a/src/lifttrestle/internal/fleet/state/upstream.py
+++ b/src/lifttrestle/internal/fleet/state/upstream.py
@@ -243,6 +243,10 @@
         """Return whether it is unreachable, by any path, or silent."""
         return not self.is_available or self.is_silent(now)
 
+    def may_take_orders(self, now: float) -> bool:
+        """Return whether orders reach it; they never pass through a tunnel."""
+        return not self.reach.unreachable and not self.seems_down(now)
+
     def is_silent(self, now: float) -> bool:
         """Return whether it has pending answers and sends nothing."""
         if not self.pending:
--- a/src/lifttrestle/internal/fleet/tunnels/server.py
+++ b/src/lifttrestle/internal/fleet/tunnels/server.py
@@ -32,8 +32,7 @@
 from lifttrestle.internal.fleet.tunnels.messages import UPSTREAM_RESET
 from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.http.byte_stream import ByteStream
-from lifttrestle.internal.http.byte_stream import set_tcp_timeouts
-from lifttrestle.internal.http.connection_tasks import ConnectionTasks
+from lifttrestle.internal.http.connection_listener import ConnectionListener
 from lifttrestle.internal.intake.decoding import decode_msgpack
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
@@ -60,8 +59,7 @@
         self._directory = directory
         self._roster = roster
         self._clock = clock
-        self._tasks = ConnectionTasks()
-        self._server: asyncio.Server | None = None
+        self._listener = ConnectionListener(self._serve)
         self._open: set[asyncio.StreamWriter] = set()
         self._stopping = False
 
@@ -72,11 +70,7 @@
 
     async def start(self, address: Address) -> Address:
         """Listen at an address and return the bound one."""
-        self._server = await asyncio.start_server(
-            self._accept, address.host, address.port
-        )
-        host, port = self._server.sockets[0].getsockname()[:2]
-        return Address(host, port)
+        return await self._listener.start(address)
 
     def announce_stop(self) -> None:
         """Refuse new tunnels, and have open ones end with their answers."""
@@ -94,19 +88,11 @@
             await self._clock.sleep(STOP_POLL_SECONDS)
         if self._open:
             LOG.warning('tunnels.cut', tunnels=len(self._open))
-        if self._server is not None:
-            self._server.close()
-        await self._tasks.cancel()
-
-    def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self._tasks.start(self._serve(reader, writer), writer)
+        await self._listener.close()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        set_tcp_timeouts(writer.transport)
         try:
             async with ReadTimeout(REQUEST_SECONDS):
                 data = await read_frame(reader, MAX_REQUEST_BYTES)
@@ -196,23 +182,16 @@
     stream: ByteStream, writer: asyncio.StreamWriter
 ) -> None:
     """Pass bytes of an upstream, and how its connection ended."""
-    mark = UPSTREAM_CLOSED
-    try:
-        while data := await _read_or_mark_reset(stream):
-            writer.write(encode_chunk(data))
-            await writer.drain()
-    except UpstreamResetError:
-        mark = UPSTREAM_RESET
-    writer.write(encode_mark(mark))
+    while True:
+        try:
+            data = await stream.read()
+        except OSError:
+            end = UPSTREAM_RESET
+            break
+        if not data:
+            end = UPSTREAM_CLOSED
+            break
+        writer.write(encode_chunk(data))
+        await writer.drain()
+    writer.write(encode_mark(end))
     await writer.drain()
-
-
-class UpstreamResetError(Exception):
-    """An upstream reset its connection."""
-
-
-async def _read_or_mark_reset(stream: ByteStream) -> bytes:
-    try:
-        return await stream.read()
-    except OSError as error:
-        raise UpstreamResetError from error
--- a/tests/cover/test_reach.py
+++ b/tests/cover/test_reach.py
@@ -58,7 +58,7 @@
         self.assertFalse(Reachability().is_due(100.0))
 
     def test_unreachable_address_is_due_periodically(self):
-        reach = Reachability(unreachable=True, probed_at=10.0)
+        reach = Reachability(unreachable_since=9.0, probed_at=10.0)
         self.assertFalse(reach.is_due(10.0 + 0.9 * PROBE_SECONDS))
         self.assertTrue(reach.is_due(10.0 + PROBE_SECONDS))
 
--- a/tests/nocover/test_tunnels.py
+++ b/tests/nocover/test_tunnels.py
@@ -232,9 +232,7 @@
 
     async def _kill(self, fleet):
         """End the tunnels of a router as its death would."""
-        tunnels = fleet.routers[NEAR].tunnel_server
-        await tunnels._tasks.cancel()
-        tunnels._server.close()
+        await fleet.routers[NEAR].tunnel_server._listener.close()
 
     async def test_killed_router_breaks_off_what_may_not_run_again(self):
         async with run_cut_fleet() as fleet:
