Many routers together keep below the rejections that an upstream bears

Cause: a router without a request there might send one at any time, even where the upstream was known to be full, and where slots were fewer than routers each had a share of one. So all of them could try within the same second.

--- a/src/lifttrestle/internal/fleet/path/attempt.py
+++ b/src/lifttrestle/internal/fleet/path/attempt.py
@@ -94,7 +94,9 @@
     _update_idle_timeout(upstream, answer.facts)
     if _is_from_upstream(upstream, answer.facts, request_id):
         on_limit(answer.facts.limit)
-        upstream.max_rejections = answer.facts.max_rejections
+        upstream.note_max_rejections(
+            answer.facts.max_rejections, clock.monotonic()
+        )
     if answer.facts.not_run or answer.facts.other_instance:
         await _drain_declined_answer(connection)
         _mark_misdirected(upstream, answer.facts)
--- a/src/lifttrestle/internal/fleet/path/candidates.py
+++ b/src/lifttrestle/internal/fleet/path/candidates.py
@@ -24,6 +24,8 @@
 from lifttrestle.internal.fleet.policy.placement import choose_engine
 from lifttrestle.internal.fleet.policy.placement import choose_plain
 from lifttrestle.internal.fleet.policy.placement import Placement
+from lifttrestle.internal.fleet.policy.rejection_limit import divide_slots
+from lifttrestle.internal.fleet.policy.rejection_limit import SendingShare
 from lifttrestle.internal.fleet.policy.tunnel_peers import is_path_unknown
 from lifttrestle.internal.fleet.policy.weights_filter import select_engines
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
@@ -63,6 +65,9 @@
         self._excluded_until: dict[str, float] = {}
         # Starts that were chosen again after a connection had failed.
         self._reconsidered: set[str] = set()
+        # Start id -> what this router may send, set by the last choice if an
+        # upstream announces how few rejections it tolerates.
+        self._shares: dict[str, SendingShare] = {}
         # Priority of the request among those that want a permit, set by the
         # last choice.
         self.rank = 0
@@ -71,6 +76,13 @@
         """Exclude an upstream until ``until``, in monotonic seconds."""
         self._excluded_until[upstream.start] = until
 
+    def note_chosen(self, upstream: FleetUpstream) -> None:
+        """Record that an upstream is tried now; it is not chosen again."""
+        self.exclude(upstream)
+        share = self._shares.get(upstream.start)
+        if share is not None:
+            upstream.note_chosen(share, self._parts.clock.monotonic())
+
     def reconsider(self, upstream: FleetUpstream) -> None:
         """Let an upstream to which no connection was made be chosen again.
 
@@ -164,8 +176,7 @@
         now = parts.clock.monotonic()
         facts = admitted.catalogue.services.get(service)
         cap = facts.max_connections if facts is not None else 1
-        routers = parts.roster.live
-        cap = max(cap // routers, 1)
+        cap = max(cap // parts.roster.live, 1)
         listed = parts.directory.list_available(service)
         assumed = min(
             (
@@ -175,12 +186,13 @@
             ),
             default=None,
         )
+        self._shares = {} if assumed is None else self._divide_slots(listed)
         found = [
             upstream
             for upstream in listed
             if self._excluded_until.get(upstream.start, now) <= now
             and upstream.in_flight < cap
-            and not upstream.may_be_full(routers, now, assumed)
+            and not self._may_be_full(upstream, now, assumed)
         ]
         generation = self._facts.generation
         if generation is None:
@@ -193,6 +205,29 @@
             parts.settings.promises.weights_seconds,
         )
 
+    def _divide_slots(
+        self, upstreams: list[FleetUpstream]
+    ) -> dict[str, SendingShare]:
+        """Return what this router may send to each upstream, by its start."""
+        roster = self._parts.roster
+        routers = roster.routers
+        ordered = sorted(upstreams, key=lambda upstream: upstream.start)
+        shares = divide_slots(
+            (upstream.entry.slots for upstream in ordered),
+            len(routers),
+            routers.index(roster.key),
+        )
+        return {
+            upstream.start: share
+            for upstream, share in zip(ordered, shares, strict=True)
+        }
+
+    def _may_be_full(
+        self, upstream: FleetUpstream, now: float, assumed: float | None
+    ) -> bool:
+        share = self._shares.get(upstream.start)
+        return share is not None and upstream.may_be_full(share, now, assumed)
+
     def has_alternative(self, admitted: AdmittedRequest, service: str) -> bool:
         """Return whether a healthy upstream remains to fail over to."""
         now = self._parts.clock.monotonic()
--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -195,7 +195,7 @@
         self._context.readmit()
         self._context.charge_usage()
         placement = await find_upstream(self._context, self._candidates)
-        self._candidates.exclude(placement.upstream)
+        self._candidates.note_chosen(placement.upstream)
         self._event_buffer.add('chosen', **build_chosen_fields(placement))
         return placement
 
--- a/src/lifttrestle/internal/fleet/state/upstream.py
+++ b/src/lifttrestle/internal/fleet/state/upstream.py
@@ -15,7 +15,8 @@
 import dataclasses
 
 from lifttrestle.internal.fleet.policy.rejection_limit import get_pause_seconds
-from lifttrestle.internal.fleet.policy.rejection_limit import may_send
+from lifttrestle.internal.fleet.policy.rejection_limit import is_safe
+from lifttrestle.internal.fleet.policy.rejection_limit import SendingShare
 from lifttrestle.internal.fleet.state.reach import NEVER
 from lifttrestle.internal.fleet.state.reach import Reachability
 from lifttrestle.internal.fleet.state.upstream_entry import build_digest
@@ -72,6 +73,9 @@
     :ivar reach: whether it accepts connections.
     :ivar max_rejections: how many rejections a second it tolerates from
         all routers together, as its last answer announced, or None.
+    :ivar max_rejections_from: since when it announces that, monotonic seconds.
+    :ivar turn_ended_at: until when this router sends it no more than its share
+        after it has sent more, monotonic seconds.
     :ivar rejected_until: until when nothing is sent to it after a rejection,
         monotonic seconds.
     :ivar tunnel_found_at: when another router was found that reaches it,
@@ -97,7 +101,9 @@
     reach: Reachability = dataclasses.field(default_factory=Reachability)
     pending: dict[int, PendingAnswer] = dataclasses.field(default_factory=dict)
     max_rejections: float | None = None
+    max_rejections_from: float = NEVER
     rejected_until: float = NEVER
+    turn_ended_at: float = NEVER
     tunnel_found_at: float = NEVER
     tunnel_failed_at: float = NEVER
     digest: int = 0
@@ -162,12 +168,18 @@
         self.last_received_at = now
         self.reach.note_received(now)
 
+    def note_max_rejections(self, number: float | None, now: float) -> None:
+        """Record how many rejections a second its last answer announced."""
+        if self.max_rejections is None and number is not None:
+            self.max_rejections_from = now
+        self.max_rejections = number
+
     def may_be_full(
-        self, routers: int, now: float, assumed: float | None = None
+        self, share: SendingShare, now: float, assumed: float | None = None
     ) -> bool:
         """Return whether a request risks a rejection that it can't tolerate.
 
-        :param routers: number of live routers.
+        :param share: what this router may send there.
         :param assumed: what others of its service announce; it counts until
             this one has answered.
         """
@@ -175,14 +187,38 @@
         max_rejections = self.max_rejections if has_answered else assumed
         if max_rejections is None:
             return False
-        return now < self.rejected_until or not may_send(
-            self.in_flight,
-            self.peers_in_flight,
-            self.entry.slots,
-            routers,
-            max_rejections,
+        if now < self.rejected_until:
+            return True
+        if self._is_safe(share):
+            return False
+        return (
+            self.in_flight > 0
+            or not self.max_rejections
+            or now < self._get_turn(share, self.max_rejections)
         )
 
+    def _is_safe(self, share: SendingShare) -> bool:
+        return is_safe(
+            self.in_flight, self.peers_in_flight, self.entry.slots, share
+        )
+
+    def _get_turn(self, share: SendingShare, max_rejections: float) -> float:
+        """Return from when this router may send more than its share."""
+        pause = get_pause_seconds(share.routers, max_rejections)
+        first_turn = self.max_rejections_from + share.turn * pause
+        return max(first_turn, self.turn_ended_at)
+
+    def note_chosen(self, share: SendingShare, now: float) -> None:
+        """Record that a request is sent to it; that may use up the turn.
+
+        The fuller it is, the longer it takes until the next turn.
+        """
+        if self.max_rejections is None or self._is_safe(share):
+            return
+        pause = get_pause_seconds(share.routers, self.max_rejections)
+        used = (self.in_flight + self.peers_in_flight) / self.entry.slots
+        self.turn_ended_at = now + pause * min(used, 1.0)
+
     def note_rejected(self, routers: int, now: float) -> None:
         """Record a rejection for want of room."""
         if self.max_rejections is not None:
--- a/tests/cover/test_reach.py
+++ b/tests/cover/test_reach.py
@@ -48,8 +48,10 @@
         self.returned += 1
 
 
-def make_upstream(name, data_centre, reachable=True):
-    entry = UpstreamEntry(name, 's', '127.0.0.1:9', data_centre, 8, False, {})
+def make_upstream(name, data_centre, reachable=True, slots=8):
+    entry = UpstreamEntry(
+        name, 's', '127.0.0.1:9', data_centre, slots, False, {}
+    )
     return FleetUpstream(entry, FakePool(reachable))
 
 
--- a/tests/nocover/test_rejections.py
+++ b/tests/nocover/test_rejections.py
@@ -12,12 +12,12 @@
 """Tests of upstreams that tolerate few rejections a second in all."""
 
 import asyncio
-import bisect
 import unittest
 
 from tests.support.cut_fleet import KINDS
 from tests.support.cut_fleet import ROUTERS
 from tests.support.cut_fleet import run_cut_fleet
+from tests.support.rejection_simulation import find_most_in_a_second
 
 PLAIN = ('p1', 'p2')
 SAFE = KINDS[0]
@@ -31,18 +31,6 @@
 PAUSE_SECONDS = 0.1
 
 
-def find_most_in_a_second(times):
-    """Return the largest number of times within any one second."""
-    times = sorted(times)
-    return max(
-        (
-            bisect.bisect_left(times, at + 1.0) - index
-            for index, at in enumerate(times)
-        ),
-        default=0,
-    )
-
-
 class TestRejections(unittest.IsolatedAsyncioTestCase):
     async def test_regression_routers_together_exceeded_what_it_tolerates(
         self,
