--- a/src/lifttrestle/internal/fleet/path/attempt.py
+++ b/src/lifttrestle/internal/fleet/path/attempt.py
@@ -94,7 +94,7 @@
     _update_idle_timeout(upstream, answer.facts)
     if _is_from_upstream(upstream, answer.facts, request_id):
         on_limit(answer.facts.limit)
-        upstream.note_max_rejections(
+        upstream.rejections.note_announced(
             answer.facts.max_rejections, clock.monotonic()
         )
     if answer.facts.not_run or answer.facts.other_instance:
--- a/src/lifttrestle/internal/fleet/path/candidates.py
+++ b/src/lifttrestle/internal/fleet/path/candidates.py
@@ -180,9 +180,9 @@
         listed = parts.directory.list_available(service)
         assumed = min(
             (
-                upstream.max_rejections
+                upstream.rejections.max_rejections
                 for upstream in listed
-                if upstream.max_rejections is not None
+                if upstream.rejections.max_rejections is not None
             ),
             default=None,
         )
--- a/src/lifttrestle/internal/fleet/path/failure_recording.py
+++ b/src/lifttrestle/internal/fleet/path/failure_recording.py
@@ -55,7 +55,7 @@
         if isinstance(error, UpstreamDeclined):
             self._note_declined(upstream, now)
             if error.is_full:
-                upstream.note_rejected(self._parts.roster.live, now)
+                upstream.rejections.note_rejected(self._parts.roster.live, now)
             if upstream.misdirected:
                 losses.note_evidence(upstream.start, StartEvidence.REPLACED)
         elif isinstance(error, UpstreamConnectFailed):
--- a/src/lifttrestle/internal/fleet/state/upstream.py
+++ b/src/lifttrestle/internal/fleet/state/upstream.py
@@ -14,11 +14,11 @@
 
 import dataclasses
 
-from lifttrestle.internal.fleet.policy.rejection_limit import get_pause_seconds
 from lifttrestle.internal.fleet.policy.rejection_limit import is_safe
 from lifttrestle.internal.fleet.policy.rejection_limit import SendingShare
 from lifttrestle.internal.fleet.state.reach import NEVER
 from lifttrestle.internal.fleet.state.reach import Reachability
+from lifttrestle.internal.fleet.state.rejection_pacing import RejectionPacing
 from lifttrestle.internal.fleet.state.upstream_entry import build_digest
 from lifttrestle.internal.fleet.state.upstream_entry import UpstreamEntry
 from lifttrestle.internal.http.client_pool import ClientPool
@@ -71,13 +71,7 @@
     :ivar first_byte_seconds: moving average of the time to first byte.
     :ivar last_received_at: when it last sent anything.
     :ivar reach: whether it accepts connections.
-    :ivar max_rejections: how many rejections a second it tolerates from
-        all routers together, as its last answer announced, or None.
-    :ivar max_rejections_from: since when it announces that, monotonic seconds.
-    :ivar turn_ended_at: until when this router sends it no more than its share
-        after it has sent more, monotonic seconds.
-    :ivar rejected_until: until when nothing is sent to it after a rejection,
-        monotonic seconds.
+    :ivar rejections: when it may be sent what it may have to reject.
     :ivar tunnel_found_at: when another router was found that reaches it,
         monotonic seconds.
     :ivar tunnel_failed_at: when no router asked could reach it.
@@ -100,10 +94,9 @@
     last_received_at: float = 0.0
     reach: Reachability = dataclasses.field(default_factory=Reachability)
     pending: dict[int, PendingAnswer] = dataclasses.field(default_factory=dict)
-    max_rejections: float | None = None
-    max_rejections_from: float = NEVER
-    rejected_until: float = NEVER
-    turn_ended_at: float = NEVER
+    rejections: RejectionPacing = dataclasses.field(
+        default_factory=RejectionPacing
+    )
     tunnel_found_at: float = NEVER
     tunnel_failed_at: float = NEVER
     digest: int = 0
@@ -168,12 +161,6 @@
         self.last_received_at = now
         self.reach.note_received(now)
 
-    def note_max_rejections(self, number: float | None, now: float) -> None:
-        """Record how many rejections a second its last answer announced."""
-        if self.max_rejections is None and number is not None:
-            self.max_rejections_from = now
-        self.max_rejections = number
-
     def may_be_full(
         self, share: SendingShare, now: float, assumed: float | None = None
     ) -> bool:
@@ -184,47 +171,26 @@
             this one has answered.
         """
         has_answered = self.last_received_at > 0
-        max_rejections = self.max_rejections if has_answered else assumed
-        if max_rejections is None:
+        announced = self.rejections.max_rejections if has_answered else assumed
+        if announced is None:
             return False
-        if now < self.rejected_until:
+        if self.rejections.is_paused(now):
             return True
         if self._is_safe(share):
             return False
-        return (
-            self.in_flight > 0
-            or not self.max_rejections
-            or now < self._get_turn(share, self.max_rejections)
-        )
+        return self.in_flight > 0 or not self.rejections.has_turn(share, now)
+
+    def note_chosen(self, share: SendingShare, now: float) -> None:
+        """Record that a request is sent to it; that may use up a turn."""
+        if not self._is_safe(share):
+            load = (self.in_flight + self.peers_in_flight) / self.entry.slots
+            self.rejections.note_turn_used(share, load, now)
 
     def _is_safe(self, share: SendingShare) -> bool:
         return is_safe(
             self.in_flight, self.peers_in_flight, self.entry.slots, share
         )
 
-    def _get_turn(self, share: SendingShare, max_rejections: float) -> float:
-        """Return from when this router may send more than its share."""
-        pause = get_pause_seconds(share.routers, max_rejections)
-        first_turn = self.max_rejections_from + share.turn * pause
-        return max(first_turn, self.turn_ended_at)
-
-    def note_chosen(self, share: SendingShare, now: float) -> None:
-        """Record that a request is sent to it; that may use up the turn.
-
-        The fuller it is, the longer it takes until the next turn.
-        """
-        if self.max_rejections is None or self._is_safe(share):
-            return
-        pause = get_pause_seconds(share.routers, self.max_rejections)
-        used = (self.in_flight + self.peers_in_flight) / self.entry.slots
-        self.turn_ended_at = now + pause * min(used, 1.0)
-
-    def note_rejected(self, routers: int, now: float) -> None:
-        """Record a rejection for want of room."""
-        if self.max_rejections is not None:
-            pause = get_pause_seconds(routers, self.max_rejections)
-            self.rejected_until = now + pause
-
     @property
     def uses_tunnels(self) -> bool:
         """Return whether it is reached through other routers only."""
--- a/tests/cover/test_rejection_limit.py
+++ b/tests/cover/test_rejection_limit.py
@@ -101,7 +101,7 @@
 
     def _announce(self, number):
         self.upstream.note_alive(10.0)
-        self.upstream.note_max_rejections(number, 10.0)
+        self.upstream.rejections.note_announced(number, 10.0)
 
     def test_new_upstream_is_treated_as_others_of_its_service(self):
         self.upstream.in_flight = 8
@@ -112,7 +112,7 @@
 
     def test_nothing_is_sent_for_a_while_after_a_rejection(self):
         self._announce(5.0)
-        self.upstream.note_rejected(4, 10.0)
+        self.upstream.rejections.note_rejected(4, 10.0)
         self.assertTrue(self._may_be_full(11.5))
         self.assertFalse(self._may_be_full(11.7))
 
@@ -137,11 +137,11 @@
 
     def test_number_counts_from_its_first_announcement(self):
         self._announce(5.0)
-        self.upstream.note_max_rejections(4.0, 11.0)
-        self.assertEqual(self.upstream.max_rejections_from, 10.0)
-        self.upstream.note_max_rejections(None, 12.0)
-        self.upstream.note_max_rejections(4.0, 13.0)
-        self.assertEqual(self.upstream.max_rejections_from, 13.0)
+        self.upstream.rejections.note_announced(4.0, 11.0)
+        self.assertEqual(self.upstream.rejections.announced_at, 10.0)
+        self.upstream.rejections.note_announced(None, 12.0)
+        self.upstream.rejections.note_announced(4.0, 13.0)
+        self.assertEqual(self.upstream.rejections.announced_at, 13.0)
 
 
 class TestManyRouters(unittest.TestCase):
--- a/tests/nocover/test_cut_off_routers.py
+++ b/tests/nocover/test_cut_off_routers.py
@@ -33,6 +33,15 @@
 }
 
 
+def list_engines(fleet, router):
+    """Return what a router knows of the engines."""
+    return [
+        upstream
+        for upstream in fleet.routers[router].directory
+        if upstream.entry.service == 'engines'
+    ]
+
+
 class TestCutOffRouters(unittest.IsolatedAsyncioTestCase):
     async def _check(self, how):
         for name, struck in STRUCK.items():
@@ -83,12 +92,7 @@
         self,
     ):
         async with run_cut_fleet() as fleet:
-            router = fleet.routers['front-a-1']
-            engines = [
-                upstream
-                for upstream in router.directory
-                if upstream.entry.service == 'engines'
-            ]
+            engines = list_engines(fleet, 'front-a-1')
             for upstream in fleet.upstreams.values():
                 upstream.released.clear()
             streams = asyncio.gather(
@@ -100,8 +104,9 @@
                     == 12
                 )
             )
+            now = fleet.routers['front-a-1']._clock.monotonic()
             for engine in engines:
-                engine.reach.note_unreachable(router._clock.monotonic())
+                engine.reach.note_unreachable(now)
             fleet.links.cut('front-a-1', Cut.RESET)
             self.assertEqual(sum(await streams), 0)
             states = {engine.breaker.state for engine in engines}
@@ -109,12 +114,7 @@
 
     async def test_regression_hanging_requests_made_engines_seem_busy(self):
         async with run_cut_fleet() as fleet:
-            router = fleet.routers['front-a-1']
-            engines = [
-                upstream
-                for upstream in router.directory
-                if upstream.entry.service == 'engines'
-            ]
+            engines = list_engines(fleet, 'front-a-1')
             await fleet.count_served('front-a-1', 1)
             fleet.links.cut('front-a-1', Cut.HANG)
             hanging = asyncio.gather(
--- a/tests/support/rejection_simulation.py
+++ b/tests/support/rejection_simulation.py
@@ -61,7 +61,7 @@
         """Return what a router knows of the upstream."""
         upstream = make_upstream('u', 'a', slots=self._slots)
         upstream.note_alive(0.1)
-        upstream.note_max_rejections(max_rejections, 0.1)
+        upstream.rejections.note_announced(max_rejections, 0.1)
         return upstream
 
     def run(self) -> None:
@@ -90,7 +90,7 @@
         upstream = self._routers[router]
         if len(self._ends) >= self._slots:
             self.rejected_at.append(now)
-            upstream.note_rejected(len(self._routers), now)
+            upstream.rejections.note_rejected(len(self._routers), now)
             return
         self.served += 1
         upstream.in_flight += 1
