Soak of cut links: a request closed unread at a running router is a fault

A connection that a router refuses, or closes with the request unread, is an attempt of a caller that failed. The soak counted one that was closed as not served, which a few may be; now any at a router that runs on is a fault.

--- a/tests/support/cut_soak.py
+++ b/tests/support/cut_soak.py
@@ -45,6 +45,7 @@
     """A request of a caller, sent for the first time.
 
     :ivar at: when it was sent, monotonic seconds.
+    :ivar is_router_up: whether its router ran on, without a planned stop.
     """
 
     router: str
@@ -52,6 +53,7 @@
     kind: Kind
     at: float
     answer: Answer | None
+    is_router_up: bool = True
 
     @property
     def is_served(self) -> bool:
@@ -145,8 +147,15 @@
             request_id = f'{router}-{number}-{sent}'
             kind = source.choice(KINDS)
             at = time.monotonic()
+            process = self._fleet.routers[router]
             answer = await self._fleet.call(router, kind, request_id)
-            self._tries.append(Try(router, request_id, kind, at, answer))
+            is_up = (
+                process is self._fleet.routers[router]
+                and router not in self._fleet.stopped
+            )
+            self._tries.append(
+                Try(router, request_id, kind, at, answer, is_up)
+            )
 
     def _check(self) -> CutOutcome:
         outcome = CutOutcome(self._seed, len(self._tries), len(self._spells))
@@ -159,7 +168,7 @@
         ]
         for item in self._tries:
             outcome.faults.extend(
-                _find_faults(item, runs.count(item.request_id))
+                find_faults(item, runs.count(item.request_id))
             )
         return outcome
 
@@ -186,12 +195,17 @@
             )
 
 
-def _find_faults(item: Try, runs: int) -> list[str]:
-    """Return how the answer to one request broke a rule."""
+def find_faults(item: Try, runs: int) -> list[str]:
+    """Return how the answer to one request broke a rule.
+
+    :param runs: how often the request ran at an upstream.
+    """
     faults = []
     if runs > 1 and item.kind.path not in REPEATABLE_PATHS:
         faults.append(f'{item.request_id} ran {runs} times')
     if item.answer is None:
+        if item.is_router_up and not runs:
+            faults.append(f'{item.request_id} was closed unread')
         return faults
     if item.answer.status in NOT_RUN_STATUSES and runs:
         faults.append(f'{item.request_id} ran, answered {item.answer.status}')
