Tests: asking the next router at once is not measured in 10 ms

The stagger is now two minutes and the time limit one, so that a wait for the stagger fails whatever the load.

--- a/tests/cover/test_staggered.py
+++ b/tests/cover/test_staggered.py
@@ -55,10 +55,10 @@
         await asyncio.sleep(answer)
         return stream
 
-    async def _ask(self, **answers):
+    async def _ask(self, stagger_seconds=STAGGER_SECONDS, **answers):
         self.answers = answers
         return await connect_first(
-            self._connect, list(answers), STAGGER_SECONDS
+            self._connect, list(answers), stagger_seconds
         )
 
     async def test_others_are_not_asked_if_the_first_one_answers(self):
@@ -69,8 +69,8 @@
 
     async def test_next_one_is_asked_at_once_after_a_failure(self):
         answers = {'a': OSError('cut off'), 'b': TimeoutError(), 'c': 0.0}
-        async with asyncio.timeout(STAGGER_SECONDS):
-            first = await self._ask(**answers)
+        async with asyncio.timeout(FOREVER_SECONDS):
+            first = await self._ask(2 * FOREVER_SECONDS, **answers)
         self.assertEqual(first.peer, 'c')
         self.assertEqual(first.failures, {'a': 'cut off', 'b': 'timed out'})
 
