--- a/src/lifttrestle/internal/fleet/tunnels/staggered.py
+++ b/src/lifttrestle/internal/fleet/tunnels/staggered.py
@@ -48,8 +48,8 @@
     :param connect: returns the connection through a router; raises
         ``OSError`` or ``TimeoutError``.
     :param peers: keys of the routers to ask.
-    :param stagger_seconds: how long to wait for an answer before the next one
-        is asked as well; it is asked at once when all others have failed.
+    :param stagger_seconds: how long to wait for an answer before the next
+        router is asked as well; after a failure it is asked at once.
     """
     failures: dict[str, str] = {}
     asked = 0
