--- a/src/lifttrestle/internal/fleet/loads/weights_loader.py
+++ b/src/lifttrestle/internal/fleet/loads/weights_loader.py
@@ -195,8 +195,7 @@
                 break
             if upstream.start in loads:
                 continue
-            now = self._clock.monotonic()
-            if not upstream.may_take_orders(now):
+            if not upstream.may_take_orders(self._clock.monotonic()):
                 continue
             state = await loads.read_state(upstream)
             if state is None:
--- a/src/lifttrestle/internal/fleet/path/candidates.py
+++ b/src/lifttrestle/internal/fleet/path/candidates.py
@@ -159,9 +159,7 @@
         None unless rate limits are the only reason why no upstream may serve.
         """
         limits = self._parts.limits
-        remaining = [
-            item for item in self._list_left(service) if item.is_available
-        ]
+        remaining = self._list_remaining(service)
         if not remaining or not all(
             limits.is_limited(item) for item in remaining
         ):
@@ -242,12 +240,12 @@
         An unreachable upstream is not: only a probe can detect that it is
         reachable again, which takes longer than a request may wait.
         """
-        return any(item.is_available for item in self._list_left(service))
+        return bool(self._list_remaining(service))
 
     def may_find_path(self, service: str) -> bool:
         """Return whether other routers are yet to be asked for a path."""
-        return bool(self._parts.roster.list_tunnel_peers()) and (
-            is_path_unknown(self._list_left(service))
+        return is_path_unknown(self._list_left(service)) and bool(
+            self._parts.roster.list_tunnel_peers()
         )
 
     def list_unavailable(self, service: str) -> list[UpstreamStatus]:
@@ -262,6 +260,10 @@
             for upstream in self._parts.directory.list_available(service)
         ]
 
+    def _list_remaining(self, service: str) -> list[FleetUpstream]:
+        """Return the upstreams that were not tried and are available."""
+        return [item for item in self._list_left(service) if item.is_available]
+
     def _list_left(self, service: str) -> list[FleetUpstream]:
         """Return the upstreams that were not tried, available or not."""
         return [
--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -51,8 +51,6 @@
 # Maximum number of times that one request is sent, including the sends that
 # upstreams declined without running the request.
 MAX_SENDS = 4
-# An engine that declined a request is avoided for this long: by then, its
-# entry or the plan of the weights has been updated.
 FIRST_CLIENT_ERROR = 400
 _ATTEMPT_IDS = itertools.count()
 
--- a/src/lifttrestle/internal/fleet/path/failure_recording.py
+++ b/src/lifttrestle/internal/fleet/path/failure_recording.py
@@ -25,6 +25,8 @@
 from lifttrestle.internal.fleet.path.request_context import RequestContext
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 
+# An engine that declined a request is avoided for this long: by then, its
+# entry or the plan of the weights has been updated.
 DECLINED_BACKOFF_SECONDS = 0.15
 
 
--- a/src/lifttrestle/internal/fleet/state/probe_tasks.py
+++ b/src/lifttrestle/internal/fleet/state/probe_tasks.py
@@ -13,9 +13,14 @@
 """Tasks that probe targets, at most one for each."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
 import functools
 
+from lifttrestle.internal.clock.ticker import Ticker
+
+POLL_SECONDS = 0.1
+
 
 class ProbeTasks:
     """Runs probes by the names of their targets.
@@ -27,6 +32,20 @@
         self._limit = limit
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
+    async def run(
+        self, ticker: Ticker, start_probes: Callable[[], None]
+    ) -> None:
+        """Start due probes periodically until cancelled.
+
+        :param start_probes: starts a probe of each target that is due.
+        """
+        try:
+            while True:
+                await ticker.wait(POLL_SECONDS)
+                start_probes()
+        finally:
+            await self._cancel()
+
     def may_start(self, name: str) -> bool:
         """Return whether a target may be probed now."""
         return name not in self._tasks and len(self._tasks) < self._limit
@@ -40,7 +59,7 @@
     def _remove(self, name: str, task: 'asyncio.Task[None]') -> None:
         self._tasks.pop(name, None)
 
-    async def cancel(self) -> None:
+    async def _cancel(self) -> None:
         """Cancel all probes and wait until they have ended."""
         tasks = list(self._tasks.values())
         for task in tasks:
--- a/src/lifttrestle/internal/fleet/state/reach_probing.py
+++ b/src/lifttrestle/internal/fleet/state/reach_probing.py
@@ -35,7 +35,6 @@
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
 LOG = get_event_log('reach')
-POLL_SECONDS = 0.1
 # Concurrent probes. A data centre has about ten addresses on the largest
 # deployment, and a probe of an unreachable one takes the connect timeout
 # (0.1 s), so two rounds cover a data centre that is cut off.
@@ -69,12 +68,7 @@
 
     async def run(self, ticker: Ticker) -> None:
         """Start due probes periodically until cancelled."""
-        try:
-            while True:
-                await ticker.wait(POLL_SECONDS)
-                self.start_probes()
-        finally:
-            await self._probes.cancel()
+        await self._probes.run(ticker, self.start_probes)
 
     def start_probes(self) -> None:
         """Start a probe of each address that is due."""
--- a/src/lifttrestle/internal/fleet/state/upstream.py
+++ b/src/lifttrestle/internal/fleet/state/upstream.py
@@ -247,7 +247,7 @@
 
     def may_take_orders(self, now: float) -> bool:
         """Return whether orders reach it; they never pass through a tunnel."""
-        return not self.reach.unreachable and not self.seems_down(now)
+        return not self.reach.unreachable and not self.is_silent(now)
 
     def is_silent(self, now: float) -> bool:
         """Return whether it has pending answers and sends nothing."""
--- a/src/lifttrestle/internal/fleet/tunnels/probing.py
+++ b/src/lifttrestle/internal/fleet/tunnels/probing.py
@@ -30,7 +30,6 @@
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
 LOG = get_event_log('tunnels')
-POLL_SECONDS = 0.1
 PROBE_SECONDS = 0.4
 MAX_PROBES = 8
 # Interval between probes of an upstream that no router asked could reach,
@@ -59,12 +58,7 @@
 
     async def run(self, ticker: Ticker) -> None:
         """Start due probes periodically until cancelled."""
-        try:
-            while True:
-                await ticker.wait(POLL_SECONDS)
-                self.start_probes()
-        finally:
-            await self._probes.cancel()
+        await self._probes.run(ticker, self.start_probes)
 
     def start_probes(self) -> None:
         """Start a probe for each service that is due."""
--- a/src/lifttrestle/internal/fleet/tunnels/staggered.py
+++ b/src/lifttrestle/internal/fleet/tunnels/staggered.py
@@ -9,6 +9,7 @@
 #    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
 #    License for the specific language governing permissions and limitations
 #    under the License.
+
 """Asks several routers for a connection, each a while after the one before.
 
 A router that is busy may take longer to answer than one that is cut off. So a
--- a/tests/nocover/test_cut_soak.py
+++ b/tests/nocover/test_cut_soak.py
@@ -9,6 +9,7 @@
 #    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
 #    License for the specific language governing permissions and limitations
 #    under the License.
+
 """Soak: callers of routers that are cut off are served like all others.
 
 Four routers lose their links to all upstreams in random sets, ways and times,
--- a/tests/nocover/test_silent_hosts.py
+++ b/tests/nocover/test_silent_hosts.py
@@ -9,6 +9,7 @@
 #    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
 #    License for the specific language governing permissions and limitations
 #    under the License.
+
 """Tests of connections to hosts from which nothing arrives any more."""
 
 import asyncio
--- a/tests/nocover/test_tunnels.py
+++ b/tests/nocover/test_tunnels.py
@@ -9,6 +9,7 @@
 #    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
 #    License for the specific language governing permissions and limitations
 #    under the License.
+
 """Tests of routers that forward connections of routers that are cut off."""
 
 import asyncio
--- a/tests/support/cut_fleet.py
+++ b/tests/support/cut_fleet.py
@@ -9,6 +9,7 @@
 #    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
 #    License for the specific language governing permissions and limitations
 #    under the License.
+
 """A fleet of routers in two data centres whose links can be cut."""
 
 import asyncio
--- a/tests/support/cut_links.py
+++ b/tests/support/cut_links.py
@@ -9,6 +9,7 @@
 #    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
 #    License for the specific language governing permissions and limitations
 #    under the License.
+
 """Links from routers to upstreams that can be cut, one router at a time.
 
 All routers of a test share a process, so the links are told apart by the
