The log names the software version of upstreams, and what a caller resumes

No decision uses them yet. A value of Resumes that is too long or comes several times counts as none; it is forwarded as before.

The stand-in of an upstream may name a software version in its events.

--- a/src/lifttrestle/internal/fleet/path/dialect.py
+++ b/src/lifttrestle/internal/fleet/path/dialect.py
@@ -71,6 +71,8 @@
     :ivar key: the caller's API key, or None.
     :ivar wait_seconds: how long the caller waits, or None if not specified.
     :ivar last_event_id: last event that the caller has received, or None.
+    :ivar resumes: id of the request that brought the first event of the stream
+        that the caller resumes, or an empty string.
     """
 
     request_id: str
@@ -80,6 +82,7 @@
     wait_seconds: float | None
     generation: Generation | None
     last_event_id: int | None
+    resumes: str = ''
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/lifttrestle/internal/fleet/path/sending.py
+++ b/src/lifttrestle/internal/fleet/path/sending.py
@@ -69,6 +69,8 @@
         self._candidates = candidates
         self.answered_fields: dict[str, object] = {}
         self._first_answer_seconds = 0.0
+        # Software version of the upstream that was last sent the request.
+        self._software_version: str | None = None
 
     async def send(
         self, chosen: Placement, attempt_id: int, connection: ClientConnection
@@ -102,6 +104,9 @@
         reused = connection.exchanges > 0
         parts.metrics.count_connection(request.service, reused)
         self._log_sent(upstream, options, connection)
+        if options.last_event_id is not None:
+            self._count_resumed(upstream.entry.software_version)
+        self._software_version = upstream.entry.software_version
         inactivity_timeout = self._build_inactivity_timeout()
         answer = await begin_attempt(
             parts.clock,
@@ -179,6 +184,13 @@
         if options.cache is not None:
             self._parts.sources.note_served(options.cache, generation)
 
+    def _count_resumed(self, version: str | None) -> None:
+        known = self._software_version
+        software = 'same' if version == known else 'other'
+        if version is None or known is None:
+            software = 'unknown'
+        self._parts.metrics.count_resumed(self._request.service, software)
+
     def _suspect_store(self, options: AttemptOptions) -> None:
         """Request a probe of the store that the engine may have waited for."""
         if options.cache is not None and options.cache.source:
@@ -216,8 +228,10 @@
             name,
             instance=upstream.instance,
             address=upstream.entry.address,
+            software_version=upstream.entry.software_version,
             weights=options.weights,
             last_event=options.last_event_id,
+            resumes=self._request.facts.resumes or None,
             in_flight=upstream.in_flight,
             kept_connection=connection.exchanges > 0,
             via=connection.via or None,
--- a/src/lifttrestle/internal/fleet/state/directory.py
+++ b/src/lifttrestle/internal/fleet/state/directory.py
@@ -204,6 +204,7 @@
             service=entry.service,
             address=entry.address,
             weights=entry.weights,
+            software_version=entry.software_version,
         )
 
     def _withdraw(self, instance: str) -> None:
--- a/src/lifttrestle/internal/fleet/state/upstream_entry.py
+++ b/src/lifttrestle/internal/fleet/state/upstream_entry.py
@@ -29,6 +29,7 @@
     :ivar draining: whether it stops soon and accepts no new work.
     :ivar weights: version of the weights of each model.
     :ivar born: start time in Unix milliseconds, None if it is not reported.
+    :ivar software_version: version of its software, None if it is not known.
     """
 
     instance: str
@@ -39,6 +40,7 @@
     draining: bool
     weights: dict[str, int]
     born: int | None = None
+    software_version: str | None = None
 
     @property
     def start(self) -> str:
--- a/src/lifttrestle/internal/platform/names.py
+++ b/src/lifttrestle/internal/platform/names.py
@@ -21,6 +21,8 @@
 TOKEN_COUNT = 'token-count'
 PROMPT_PREFIX = 'prompt-prefix'
 LAST_EVENT = 'last-event-id'
+# The request that brought the first event of a stream that a caller resumes.
+RESUMES = 'resumes'
 EXPECT_INSTANCE = 'expect-instance'
 EXPECT_VERSION = 'expect-version'
 TENANT = 'tenant'
--- a/src/lifttrestle/internal/platform/request_dialect.py
+++ b/src/lifttrestle/internal/platform/request_dialect.py
@@ -40,6 +40,8 @@
 Number = typing.TypeVar('Number', int, float)
 MILLISECONDS = 1000
 IDENTITY = 'identity'
+# Request ids are known to have 16 characters; a longer value names no request.
+MAX_RESUMES_LENGTH = 128
 
 
 class PlatformDialect(RequestDialect):
@@ -62,6 +64,7 @@
             last_event_id=_read_number(
                 head, names.LAST_EVENT, int, 'a whole number'
             ),
+            resumes=_read_resumes(head),
         )
 
     def build_head(
@@ -144,6 +147,14 @@
     return value[len(names.KEY_SCHEME) :].strip()
 
 
+def _read_resumes(head: RequestHead) -> str:
+    """Return the request that a caller names, empty if there is none."""
+    values = [value for name, value in head.headers if name == names.RESUMES]
+    if len(values) != 1 or len(values[0]) > MAX_RESUMES_LENGTH:
+        return ''
+    return values[0]
+
+
 def _read_generation(head: RequestHead) -> Generation | None:
     model = find_single_header(head, names.MODEL)
     if not model:
--- a/src/lifttrestle/internal/platform/stored_format.py
+++ b/src/lifttrestle/internal/platform/stored_format.py
@@ -98,6 +98,7 @@
             draining=record.state is EntryState.DRAINING,
             weights={item.name: item.version for item in record.models},
             born=read_born(record.born),
+            software_version=record.version,
         )
 
 
--- a/src/lifttrestle/internal/telemetry/fleet_metrics.py
+++ b/src/lifttrestle/internal/telemetry/fleet_metrics.py
@@ -71,6 +71,9 @@
         self._permits = self._make_counter(
             'permits', 'Questions for a permit to send.', ('result',)
         )
+        self._resumed = self._make_counter(
+            'resumed', 'Sends that resume a stream.', ('service', 'software')
+        )
         self._over_cap_workspaces: set[str] = set()
         self._request_seconds = self._make_histogram(
             'request_seconds', 'From the head of a request to its end.'
@@ -115,6 +118,14 @@
         """Count a request for a permit by its result."""
         self._permits.labels(result).inc()
 
+    def count_resumed(self, service: str, software: str) -> None:
+        """Count a send that resumes a stream.
+
+        :param software: whether its upstream has the software version of the
+            one that began the stream: ``same``, ``other`` or ``unknown``.
+        """
+        self._resumed.labels(service, software).inc()
+
     def count_connection(self, service: str, reused: bool) -> None:
         """Count an attempt by whether its connection was reused."""
         self._connections.labels(service, 'kept' if reused else 'new').inc()
--- a/tests/support/fleet_upstream.py
+++ b/tests/support/fleet_upstream.py
@@ -79,6 +79,8 @@
     :ivar room: how many requests it takes at once, or None for any number.
     :ivar work_seconds: how long each of them takes.
     :ivar rejected_at: when it had no room for a request, monotonic seconds.
+    :ivar software_version: named in each event, unless it is empty.
+    :ivar event_seconds: pause before each event of a stream.
     :ivar arrived_at: when each of the arrivals came, monotonic seconds.
     """
 
@@ -99,6 +101,8 @@
         self.room: int | None = None
         self.work_seconds = 0.0
         self.rejected_at: list[float] = []
+        self.software_version = ''
+        self.event_seconds = 0.0
         self._working = 0
         self.arrived_at: list[float] = []
         limits = HttpLimits(idle_seconds=3600)
@@ -227,7 +231,9 @@
         await connection.start_answer(200, headers)
         first = int(head.get_header('last-event-id', '0')) + 1
         for number in range(first, EVENTS + 1):
-            event = f'id: {number}\ndata: token {number}\n\n'.encode()
+            event = self._make_event(number)
+            if self.event_seconds:
+                await asyncio.sleep(self.event_seconds)
             if number == first + 2 and behaviour is Behaviour.CUT_IN_EVENT:
                 await connection.send_part(event[: len(event) // 2])
                 connection.abort()
@@ -237,6 +243,10 @@
             await connection.send_part(event)
         await connection.end_answer()
 
+    def _make_event(self, number: int) -> bytes:
+        text = f'token {number} {self.software_version}'.rstrip()
+        return f'id: {number}\ndata: {text}\n\n'.encode()
+
     def _echo(self, head: RequestHead) -> tuple[tuple[str, str], ...]:
         echoed = ('request-id', head.get_header('request-id'))
         return (echoed, *self._name_limits())
