Streams that continue at another software version, as failing tests

One engine crashes; or the router that began them is killed and their callers resume them at another one.

--- a/tests/nocover/test_software_versions.py
+++ b/tests/nocover/test_software_versions.py
@@ -16,11 +16,20 @@
 import unittest
 
 from tests.support.version_fleet import CallerStream
+from tests.support.version_fleet import count_mixed
+from tests.support.version_fleet import LEAST_RATIO
+from tests.support.version_fleet import MAX_MIXED
 from tests.support.version_fleet import run_version_fleet
 
 OLD = 'v1'
 NEW = 'v1.1'
 ONE_TO_ONE = {'e1': OLD, 'e2': OLD, 'e3': NEW, 'e4': NEW}
+ONE_TO_FOUR = {
+    'e1': OLD,
+    'e2': OLD,
+    **{f'e{number}': NEW for number in range(3, 11)},
+}
+STREAMS = 24
 
 
 class TestLog(unittest.IsolatedAsyncioTestCase):
@@ -65,3 +74,45 @@
                 {'service': 'engines', 'software': 'same'},
             )
         self.assertEqual(same, 1.0)
+
+
+class TestOneAnswer(unittest.IsolatedAsyncioTestCase):
+    async def _crash_one(self, versions, crashed):
+        async with run_version_fleet(versions) as fleet:
+            streams, tasks = await fleet.begin_streams('r1', STREAMS)
+            await fleet.engines[crashed].stop()
+            fleet.release()
+            await asyncio.gather(*tasks)
+            return streams
+
+    async def test_regression_stream_continued_at_another_version(self):
+        cases = ((ONE_TO_ONE, 'e1'), (ONE_TO_FOUR, 'e1'), (ONE_TO_FOUR, 'e3'))
+        for versions, crashed in cases:
+            with self.subTest(versions=versions, crashed=crashed):
+                streams = await self._crash_one(versions, crashed)
+                self.assertLessEqual(count_mixed(streams), MAX_MIXED)
+                # One engine of each version is left to continue them.
+                complete = sum(stream.is_complete for stream in streams)
+                self.assertEqual(complete, STREAMS)
+
+
+class TestOverTries(unittest.IsolatedAsyncioTestCase):
+    async def _resume_elsewhere(self, versions):
+        async with run_version_fleet(versions) as fleet:
+            streams, tasks = await fleet.begin_streams('r1', STREAMS)
+            await fleet.kill('r1')
+            fleet.release()
+            await asyncio.gather(*tasks)
+            resumed = [item for item in streams if not item.is_complete]
+            address = fleet.get_address('r2')
+            await asyncio.gather(*(item.call(address) for item in resumed))
+            return resumed
+
+    async def test_regression_caller_resumed_at_another_version(self):
+        for versions in (ONE_TO_ONE, ONE_TO_FOUR):
+            with self.subTest(versions=versions):
+                resumed = await self._resume_elsewhere(versions)
+                self.assertGreaterEqual(len(resumed), STREAMS // 2)
+                self.assertLessEqual(count_mixed(resumed), MAX_MIXED)
+                complete = sum(item.is_complete for item in resumed)
+                self.assertGreaterEqual(complete, LEAST_RATIO * len(resumed))
