Owners of records, repeated updates and pending queries are shared modules

Records of where a stream began will be replicated as records of crashes are: choose_owners, the loop that repeats updates (RepeatedUpdates) and PendingQueries leave the packages of their first user. No behaviour changes.

--- a/src/lifttrestle/internal/fleet/crashes/replicator.py
+++ b/src/lifttrestle/internal/fleet/crashes/replicator.py
@@ -18,29 +18,20 @@
 dangerous request, or of one that no longer is, is sent to all routers.
 """
 
-import asyncio
 from collections.abc import Callable
 
-from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.crashes.ledger import CrashLedger
 from lifttrestle.internal.fleet.crashes.messages import CrashUpdate
+from lifttrestle.internal.fleet.state.owners import choose_owners
+from lifttrestle.internal.fleet.state.repeated_updates import RepeatedUpdates
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.roster import ROUTER_PREFIX
-from lifttrestle.internal.routing.rendezvous import rank_names
-
-# Number of routers that count the crashes of a request together. With 195
-# routers in front of 59 engines with 24 slots, half of which crash, 5 owners
-# receive 975 messages; sending to all routers would take 37,800.
-OWNER_COUNT = 5
-# Number of transmissions of each update, and the pause between them. A bad
-# link loses 3 in 100 datagrams, so 27 in a million updates are lost.
+
+# Number of transmissions of each update. A bad link loses 3 in 100 datagrams,
+# so 27 in a million updates are lost.
 SEND_COUNT = 3
-RESEND_SECONDS = 0.4
 # Maximum number of items in a message of at most 8 KiB, about 40 bytes each.
 MAX_ITEMS = 60
-# Maximum number of requests with pending updates.
-MAX_PENDING = 2048
-DIGEST_BYTES = 8
 Send = Callable[[CrashUpdate, str], None]
 
 
@@ -50,15 +41,13 @@
     :ivar send: sends a message to the router whose table row has the key.
     """
 
-    def __init__(
-        self, vm: str, ledger: CrashLedger, roster: Roster, clock: Clock
-    ) -> None:
+    def __init__(self, vm: str, ledger: CrashLedger, roster: Roster) -> None:
         self._vm = vm
         self._ledger = ledger
         self._roster = roster
-        self._clock = clock
-        self._pending: dict[int, int] = {}
-        self._queued = asyncio.Event()
+        self._updates = RepeatedUpdates(
+            self._list_receivers, self._send_records, SEND_COUNT, MAX_ITEMS
+        )
         self.send: Send = lambda update, key: None
 
     def is_owner(self, digest: int) -> bool:
@@ -67,47 +56,23 @@
 
     def queue_update(self, digest: int) -> None:
         """Queue an update on a request; it has the state at sending time."""
-        if digest in self._pending or len(self._pending) < MAX_PENDING:
-            self._pending[digest] = SEND_COUNT
-            self._queued.set()
+        self._updates.queue(digest)
 
     def reply(self, vm: str, digests: list[int]) -> None:
         """Send the records of requests to one router."""
-        items = [self._ledger.build_item(digest) for digest in digests]
-        self.send(CrashUpdate(self._vm, items), f'{ROUTER_PREFIX}{vm}')
+        self._send_records(digests, f'{ROUTER_PREFIX}{vm}')
 
     async def run(self) -> None:
         """Send queued updates until cancelled."""
-        while True:
-            await self._queued.wait()
-            # Batches the other requests that the same upstream has lost.
-            await asyncio.sleep(0)
-            self._queued.clear()
-            self.send_pending()
-            if not self._pending:
-                continue
-            try:
-                async with asyncio.timeout(RESEND_SECONDS):
-                    await self._queued.wait()
-            except TimeoutError:
-                self._queued.set()
+        await self._updates.run()
 
     def send_pending(self) -> None:
         """Send the update of each pending request once."""
-        by_receiver: dict[str, list[int]] = {}
-        for digest in self._pending:
-            for key in self._list_receivers(digest):
-                by_receiver.setdefault(key, []).append(digest)
-        for key, digests in by_receiver.items():
-            for first in range(0, len(digests), MAX_ITEMS):
-                part = digests[first : first + MAX_ITEMS]
-                items = [self._ledger.build_item(digest) for digest in part]
-                self.send(CrashUpdate(self._vm, items), key)
-        self._pending = {
-            digest: remaining - 1
-            for digest, remaining in self._pending.items()
-            if remaining > 1
-        }
+        self._updates.send_pending()
+
+    def _send_records(self, digests: list[int], key: str) -> None:
+        items = [self._ledger.build_item(digest) for digest in digests]
+        self.send(CrashUpdate(self._vm, items), key)
 
     def _list_receivers(self, digest: int) -> list[str]:
         others = self._roster.list_others()
@@ -117,11 +82,3 @@
         if self._ledger.is_dangerous(digest):
             return others
         return choose_owners(digest, others)
-
-
-def choose_owners(digest: int, routers: list[str]) -> list[str]:
-    """Return the routers that count the crashes of a request."""
-    if len(routers) <= OWNER_COUNT:
-        return routers
-    key_bytes = digest.to_bytes(DIGEST_BYTES, 'big')
-    return rank_names(key_bytes, routers)[:OWNER_COUNT]
--- a/src/lifttrestle/internal/fleet/crashes/tracker.py
+++ b/src/lifttrestle/internal/fleet/crashes/tracker.py
@@ -88,7 +88,7 @@
         self.holds.must_hold = self._ledger.is_dangerous
         self.holds.on_lost = self._rewrite_lost
         self.holds.on_undeleted = self._remove_undeleted
-        self.replicator = CrashReplicator(vm, self._ledger, roster, clock)
+        self.replicator = CrashReplicator(vm, self._ledger, roster)
         self.losses = LossWatch(clock, heartbeat_seconds)
         self.losses.on_crashed = self._note_crashed
         self.losses.on_crash_retracted = self._retract_crash
--- a/src/lifttrestle/internal/fleet/limits/permits.py
+++ b/src/lifttrestle/internal/fleet/limits/permits.py
@@ -20,11 +20,11 @@
 from lifttrestle.internal.fleet.limits.limit_state import LimitState
 from lifttrestle.internal.fleet.limits.messages import PermitAnswer
 from lifttrestle.internal.fleet.limits.messages import PermitQuery
-from lifttrestle.internal.fleet.limits.pending_queries import PendingQueries
 from lifttrestle.internal.fleet.limits.registry import LimitRegistry
 from lifttrestle.internal.fleet.limits.replicator import LimitReplicator
 from lifttrestle.internal.fleet.policy.limit_permits import FIRST_FLEXIBLE_RANK
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.state.pending_queries import PendingQueries
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.roster import ROUTER_PREFIX
 
@@ -72,7 +72,7 @@
         self._directory = directory
         self._roster = roster
         self._clock = clock
-        self._queries = PendingQueries(clock)
+        self._queries: PendingQueries[PermitAnswer] = PendingQueries(clock)
         self.count: Callable[[str], None] = lambda result: None
 
     async def request_permit(
--- a/tests/cover/test_crash_replication.py
+++ b/tests/cover/test_crash_replication.py
@@ -22,10 +22,10 @@
 from lifttrestle.internal.fleet.crashes.messages import CrashItem
 from lifttrestle.internal.fleet.crashes.messages import CrashUpdate
 from lifttrestle.internal.fleet.crashes.replicator import MAX_ITEMS
-from lifttrestle.internal.fleet.crashes.replicator import OWNER_COUNT
 from lifttrestle.internal.fleet.crashes.replicator import SEND_COUNT
 from lifttrestle.internal.fleet.state.load_messages import encode_message
 from lifttrestle.internal.fleet.state.load_messages import MAX_DATAGRAM_BYTES
+from lifttrestle.internal.fleet.state.owners import OWNER_COUNT
 from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from tests.support.crash_fleet import CrashFleet
