A stream continues at the software version that sent its first event

What callers saw: streams held events of two software versions, after an upstream had crashed in mid-stream and the answer went on at another one.

Cause: an attempt knew its upstream, the stream did not: Candidates chose the next upstream without a look at what had begun the stream.

Change: StreamBinding keeps the origin (service, software version, start) of one request over its attempts. It is noted before the first event leaves and limits every list of Candidates, and so the choice, permits, waiting, failover from silent upstreams, paths through other routers. The service is bound too: if the route leads to another one meanwhile, the stream ends. A start whose version is not known (its entry is empty or too long there, or a newer start was only seen in an answer) continues its own streams only. An entry with another version is another start, even with the same start time.

Streams that callers resume are not covered yet.

--- a/src/lifttrestle/internal/fleet/path/answer_forwarding.py
+++ b/src/lifttrestle/internal/fleet/path/answer_forwarding.py
@@ -27,6 +27,7 @@
 from lifttrestle.internal.fleet.path.request_context import NOT_RUN_STATUSES
 from lifttrestle.internal.fleet.state.catalogue import Route
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
+from lifttrestle.internal.fleet.streams.binding import StreamBinding
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.server_connection import ServerConnection
 
@@ -62,8 +63,10 @@
         connection: ServerConnection,
         progress: RequestProgress,
         last_event_id: int | None,
+        binding: StreamBinding,
     ) -> None:
         self._parts = parts
+        self._binding = binding
         self._connection = connection
         self._progress = progress
         self.relay = EventRelay(connection, last_event_id)
@@ -98,7 +101,11 @@
     ) -> None:
         parts = self._parts
         headers = parts.dialect.select_answer_headers(answer.head)
-        self.relay.begin_stream(answer.facts.status, headers)
+        self.relay.begin_stream(
+            answer.facts.status,
+            headers,
+            lambda: self._binding.note_begun(upstream),
+        )
         self._progress.apply(RequestEvent.ANSWER)
         while True:
             data = await read_with_timeout(
--- a/src/lifttrestle/internal/fleet/path/candidates.py
+++ b/src/lifttrestle/internal/fleet/path/candidates.py
@@ -29,6 +29,7 @@
 from lifttrestle.internal.fleet.policy.tunnel_peers import is_path_unknown
 from lifttrestle.internal.fleet.policy.weights_filter import select_engines
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
+from lifttrestle.internal.fleet.streams.binding import StreamBinding
 
 FOREVER = float('inf')
 
@@ -58,9 +59,12 @@
 class Candidates:
     """The upstreams for one request, except those already tried."""
 
-    def __init__(self, parts: FleetParts, facts: RequestFacts) -> None:
+    def __init__(
+        self, parts: FleetParts, facts: RequestFacts, binding: StreamBinding
+    ) -> None:
         self._parts = parts
         self._facts = facts
+        self._binding = binding
         # Start id -> monotonic time until which it is not tried again.
         self._excluded_until: dict[str, float] = {}
         # Starts that were chosen again after a connection had failed.
@@ -187,7 +191,7 @@
         self._shares = {} if assumed is None else self._divide_slots(listed)
         found = [
             upstream
-            for upstream in listed
+            for upstream in self._binding.select(listed)
             if self._excluded_until.get(upstream.start, now) <= now
             and upstream.in_flight < cap
             and not self._may_be_full(upstream, now, assumed)
@@ -257,9 +261,15 @@
                 has_idle_connection=upstream.pool.has_idle,
                 in_flight=upstream.in_flight,
             )
-            for upstream in self._parts.directory.list_available(service)
+            for upstream in self._list_allowed(service)
         ]
 
+    def _list_allowed(self, service: str) -> list[FleetUpstream]:
+        """Return the upstreams of a service that may continue the stream."""
+        return self._binding.select(
+            self._parts.directory.list_available(service)
+        )
+
     def _list_remaining(self, service: str) -> list[FleetUpstream]:
         """Return the upstreams that were not tried and are available."""
         return [item for item in self._list_left(service) if item.is_available]
@@ -268,6 +278,6 @@
         """Return the upstreams that were not tried, available or not."""
         return [
             upstream
-            for upstream in self._parts.directory.list_available(service)
+            for upstream in self._list_allowed(service)
             if self._excluded_until.get(upstream.start) != FOREVER
         ]
--- a/src/lifttrestle/internal/fleet/path/event_relay.py
+++ b/src/lifttrestle/internal/fleet/path/event_relay.py
@@ -12,6 +12,8 @@
 
 """Forwards server-sent events, each one complete, once and in order."""
 
+from collections.abc import Callable
+
 from lifttrestle.errors import UpstreamLost
 from lifttrestle.internal.http.answer import Header
 from lifttrestle.internal.http.server_connection import ServerConnection
@@ -22,6 +24,10 @@
 MAX_EVENT_BYTES = 1024 * 1024
 
 
+def _ignore() -> None:
+    """Do nothing; the default callback."""
+
+
 class EventRelay:
     """Sends a caller the events of a stream and of those that resume it.
 
@@ -43,14 +49,23 @@
         self._buffer = b''
         self._status = 0
         self._headers: tuple[Header, ...] = ()
+        self._on_event = _ignore
 
-    def begin_stream(self, status: int, headers: tuple[Header, ...]) -> None:
+    def begin_stream(
+        self,
+        status: int,
+        headers: tuple[Header, ...],
+        on_event: Callable[[], None] = _ignore,
+    ) -> None:
         """Prepare for the events of the first stream or of a resumed one.
 
         The caller receives the status and headers of the stream whose event
         is sent first.
+
+        :param on_event: called before events are sent.
         """
         self._buffer = b''
+        self._on_event = on_event
         if not self.started:
             self._status = status
             self._headers = headers
@@ -99,6 +114,7 @@
         return True
 
     async def _send(self, data: bytes) -> None:
+        self._on_event()
         if not self.started:
             await self._start()
         await self._connection.send_part(data)
--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -44,6 +44,7 @@
 from lifttrestle.internal.fleet.path.watched_work import read_body
 from lifttrestle.internal.fleet.path.watched_work import run_while_connected
 from lifttrestle.internal.fleet.policy.placement import Placement
+from lifttrestle.internal.fleet.streams.binding import StreamBinding
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.server_connection import ServerConnection
 from lifttrestle.internal.refusal.kind import ErrorKind
@@ -73,10 +74,15 @@
         self._received_at = parts.clock.monotonic()
         self._progress = RequestProgress()
         self._event_buffer = EventBuffer(parts.clock, facts.request_id)
+        self._binding = StreamBinding()
         self._forwarder = AnswerForwarder(
-            parts, connection, self._progress, facts.last_event_id
+            parts,
+            connection,
+            self._progress,
+            facts.last_event_id,
+            self._binding,
         )
-        self._candidates = Candidates(parts, facts)
+        self._candidates = Candidates(parts, facts, self._binding)
         # All are set on admission, before the first attempt.
         self._request: RequestContext | None = None
         self._failures: FailureRecorder | None = None
@@ -145,6 +151,7 @@
             self._event_buffer,
             self._progress,
             self._received_at,
+            self._binding,
         )
         self._request = request
         request.digest = build_request_digest(
--- a/src/lifttrestle/internal/fleet/path/request_context.py
+++ b/src/lifttrestle/internal/fleet/path/request_context.py
@@ -26,6 +26,7 @@
 from lifttrestle.internal.fleet.policy.admission import AdmittedRequest
 from lifttrestle.internal.fleet.policy.stopping import can_finish_in_time
 from lifttrestle.internal.fleet.policy.stopping import STOPPING_RETRY_SECONDS
+from lifttrestle.internal.fleet.streams.binding import StreamBinding
 from lifttrestle.internal.fleet.usage.charge import UsageCharge
 from lifttrestle.internal.refusal.answers import ANSWER_RULES
 from lifttrestle.internal.refusal.execution import Execution
@@ -49,6 +50,7 @@
     :ivar deadline: latest time of the answer, in monotonic seconds.
     :ivar admitted: its route and workspace by the newest configuration;
         updated with each attempt.
+    :ivar binding: limits which upstreams may serve it.
     :ivar service: the service whose upstreams serve it.
     :ivar sends: how many attempts were sent, including declined ones.
     :ivar runs: how many attempts may have run.
@@ -65,6 +67,7 @@
     progress: RequestProgress
     received_at: float
     deadline: float
+    binding: StreamBinding
     service: str = ''
     sends: int = 0
     runs: int = 0
@@ -95,9 +98,7 @@
         :raises RequestRefused: if it may not be served any more.
         """
         self.admitted = admit(self.parts, self.facts)
-        names = [share.service for share in self.admitted.route.shares]
-        if self.service not in names:
-            self.service = self._choose_service()
+        self._update_service()
         self._check_stopping()
         return self.admitted
 
@@ -163,14 +164,16 @@
         """Return a refusal that states correctly whether the request ran.
 
         If it did not run, the kind is ``NO_UPSTREAM`` and the caller may
-        retry.
+        retry, unless its stream can't be resumed.
         """
         ran = self.progress.execution
         if ran is Execution.NOT_RUN:
+            if kind is ErrorKind.STREAM_NOT_RESUMABLE:
+                return RequestRefused(kind, message)
             return RequestRefused(
                 ErrorKind.NO_UPSTREAM, message, retry_after=RETRY_SECONDS
             )
-        if kind is ErrorKind.NO_UPSTREAM:
+        if kind in (ErrorKind.NO_UPSTREAM, ErrorKind.STREAM_NOT_RESUMABLE):
             kind = ErrorKind.UPSTREAM_FAILED
         return RequestRefused(kind, message, ran=ran)
 
@@ -211,6 +214,25 @@
             retry_after=STOPPING_RETRY_SECONDS,
         )
 
+    def _update_service(self) -> None:
+        """Choose a service that the route leads to, unless it has one.
+
+        :raises RequestRefused: if the stream was begun by another service.
+        """
+        names = [share.service for share in self.admitted.route.shares]
+        origin = self.binding.origin
+        if origin is None:
+            if self.service not in names:
+                self.service = self._choose_service()
+            return
+        if origin.service not in names:
+            raise self.make_refusal(
+                ErrorKind.STREAM_NOT_RESUMABLE,
+                f'the route {self.admitted.route.name!r} leads no longer to'
+                f' the service {origin.service!r}, which began the stream',
+            )
+        self.service = origin.service
+
     def _choose_service(self) -> str:
         shares = self.admitted.route.shares
         if len(shares) == 1:
@@ -227,6 +249,7 @@
     event_buffer: EventBuffer,
     progress: RequestProgress,
     received_at: float,
+    binding: StreamBinding,
 ) -> RequestContext:
     """Admit a request and return its context, with its deadline.
 
@@ -244,6 +267,7 @@
         progress,
         received_at,
         received_at + seconds,
+        binding,
     )
     request.readmit()
     return request
--- a/src/lifttrestle/internal/fleet/state/directory.py
+++ b/src/lifttrestle/internal/fleet/state/directory.py
@@ -24,8 +24,10 @@
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.fleet.state.upstream_entry import compare_starts
+from lifttrestle.internal.fleet.state.upstream_entry import has_other_software
 from lifttrestle.internal.fleet.state.upstream_entry import StartEnd
 from lifttrestle.internal.fleet.state.upstream_entry import StartOrder
+from lifttrestle.internal.fleet.state.upstream_entry import update_entry
 from lifttrestle.internal.fleet.state.upstream_entry import UpstreamEntry
 from lifttrestle.internal.http.address import parse_address
 from lifttrestle.internal.http.client_pool import ClientPool
@@ -141,7 +143,11 @@
         order = compare_starts(upstream.entry.born, born)
         if order is StartOrder.NEWER:
             entry = dataclasses.replace(
-                upstream.entry, born=born, weights=dict(weights)
+                upstream.entry,
+                born=born,
+                weights=dict(weights),
+                # It may have changed with the start.
+                software_version=None,
             )
             self._replace(upstream, entry)
         return order is StartOrder.SAME
@@ -157,12 +163,17 @@
                 born=entry.born,
             )
             return
-        if order is StartOrder.NEWER or entry.address != known.entry.address:
+        moved = entry.address != known.entry.address
+        if (
+            order is StartOrder.NEWER
+            or moved
+            or has_other_software(known.entry, entry)
+        ):
             self._replace(known, entry)
             return
         if entry.draining and not known.entry.draining:
             LOG.info('upstream.draining', instance=entry.instance)
-        known.entry = dataclasses.replace(entry, born=known.entry.born)
+        known.entry = update_entry(known.entry, entry)
         known.vanished_at = None
         now = self._clock.monotonic()
         for model, version in entry.weights.items():
--- a/src/lifttrestle/internal/fleet/state/upstream_entry.py
+++ b/src/lifttrestle/internal/fleet/state/upstream_entry.py
@@ -97,6 +97,31 @@
     return StartOrder.OLDER
 
 
+def has_other_software(known: UpstreamEntry, reported: UpstreamEntry) -> bool:
+    """Return whether an entry reports another software version.
+
+    The software of a start does not change, so it is another start even if
+    its start time is the same or missing.
+    """
+    versions = {known.software_version, reported.software_version}
+    return None not in versions and len(versions) > 1
+
+
+def update_entry(
+    known: UpstreamEntry, reported: UpstreamEntry
+) -> UpstreamEntry:
+    """Return the entry of a start, updated with a report on the same start.
+
+    What the report lacks and can't have changed is kept.
+    """
+    version = reported.software_version
+    if version is None:
+        version = known.software_version
+    return dataclasses.replace(
+        reported, born=known.born, software_version=version
+    )
+
+
 @dataclasses.dataclass(frozen=True)
 class TargetWeights:
     """The version of a model's weights that the operator has requested."""
--- a/src/lifttrestle/internal/refusal/answers.py
+++ b/src/lifttrestle/internal/refusal/answers.py
@@ -92,6 +92,10 @@
     ErrorKind.NO_UPSTREAM: AnswerRule(
         503, True, 'Come back after the time in Retry-After.'
     ),
+    # 503 guarantees that this attempt has not run.
+    ErrorKind.STREAM_NOT_RESUMABLE: AnswerRule(
+        503, False, 'Begin the stream anew, without the last event id.'
+    ),
     ErrorKind.TABLE_UNAVAILABLE: AnswerRule(
         503, True, 'Come back after the time in Retry-After.'
     ),
--- a/src/lifttrestle/internal/refusal/kind.py
+++ b/src/lifttrestle/internal/refusal/kind.py
@@ -41,6 +41,7 @@
     RATE_LIMITED = 'rate_limited'
     OVERLOADED = 'overloaded'
     NO_UPSTREAM = 'no_upstream'
+    STREAM_NOT_RESUMABLE = 'stream_not_resumable'
     TABLE_UNAVAILABLE = 'table_unavailable'
     NOT_CONFIGURED = 'not_configured'
     STOPPING = 'stopping'
