A resumed stream continues at the software version that began it

What callers saw: a stream that they took up again, mostly after the end of the router that had begun it, held events of two software versions.

What began a stream was kept with the attempt; the router that a caller comes back to knew nothing of it, and Resumes was read by nobody.

Change: the origin of each stream that may be resumed is recorded under its workspace and the request that brings its first event, here and at five owners by rendezvous hashing, before that event leaves; it is sent twice and kept for twice the longest timeout (30 s to 10 min). A router without the record asks the owners (0.15 s at most). If nobody has it, the stream continues only if all upstreams that may have begun it have one version: those listed, those that ended within that time, and those in a row of the routers' table, which tells a router that has just started what served before it. Else the request is refused at once as not run (503 stream_not_resumable), never guessed. A stream whose version is no longer listed is refused likewise; one whose upstreams are only not available now gets a second in Retry-After.

--- a/src/lifttrestle/internal/fleet/parts.py
+++ b/src/lifttrestle/internal/fleet/parts.py
@@ -32,6 +32,7 @@
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.shutdown import Shutdown
 from lifttrestle.internal.fleet.state.table_watch import TableWatch
+from lifttrestle.internal.fleet.streams.origins import StreamOrigins
 from lifttrestle.internal.fleet.usage.ledger import UsageLedger
 from lifttrestle.internal.telemetry.fleet_metrics import FleetMetrics
 
@@ -51,6 +52,7 @@
     :ivar crashes: requests that must not run because they crashed upstreams.
     :ivar usage: remaining usage of workspaces under their caps.
     :ivar limits: limits that overloaded upstreams report.
+    :ivar streams: what began the streams that callers may resume.
     :ivar note_load_change: called when the load of an upstream has changed
         considerably.
     :ivar refresh_loads: awaited before an engine is chosen; receives the
@@ -74,6 +76,7 @@
     crashes: CrashTracker
     usage: UsageLedger
     limits: UpstreamLimits
+    streams: StreamOrigins
     note_load_change: Callable[[], None] = lambda: None
     refresh_loads: Callable[[Workspace | None], Awaitable[None]] = (
         _skip_refresh
--- a/src/lifttrestle/internal/fleet/path/event_buffer.py
+++ b/src/lifttrestle/internal/fleet/path/event_buffer.py
@@ -29,6 +29,7 @@
 from lifttrestle.internal.fleet.policy.admission import AdmittedRequest
 from lifttrestle.internal.fleet.policy.placement import Placement
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
+from lifttrestle.internal.fleet.streams.origins import FoundOrigin
 from lifttrestle.internal.fleet.usage.ledger import UsageDecision
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
@@ -108,6 +109,18 @@
     }
 
 
+def build_origin_fields(found: FoundOrigin) -> dict[str, object]:
+    """Return the log fields of what began a stream that is resumed."""
+    origin = found.origin
+    return {
+        'known_by': found.source.name.lower(),
+        'service': origin.service if origin is not None else None,
+        'software_version': (
+            origin.software_version if origin is not None else None
+        ),
+    }
+
+
 def build_usage_fields(decision: UsageDecision) -> dict[str, object]:
     """Return the log fields of a workspace's use of its cap."""
     return {
--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -40,6 +40,7 @@
 from lifttrestle.internal.fleet.path.request_context import RequestContext
 from lifttrestle.internal.fleet.path.request_digest import build_request_digest
 from lifttrestle.internal.fleet.path.sending import RequestSender
+from lifttrestle.internal.fleet.path.stream_origin import bind_stream
 from lifttrestle.internal.fleet.path.upstream_search import find_upstream
 from lifttrestle.internal.fleet.path.watched_work import read_body
 from lifttrestle.internal.fleet.path.watched_work import run_while_connected
@@ -173,6 +174,7 @@
             ),
             digest=format_digest(request.digest),
         )
+        await bind_stream(request)
         self._parts.get_budget(request.service).note_request()
         try:
             async with ReadTimeout(request.get_remaining_seconds()):
--- a/src/lifttrestle/internal/fleet/path/sending.py
+++ b/src/lifttrestle/internal/fleet/path/sending.py
@@ -69,8 +69,6 @@
         self._candidates = candidates
         self.answered_fields: dict[str, object] = {}
         self._first_answer_seconds = 0.0
-        # Software version of the upstream that was last sent the request.
-        self._software_version: str | None = None
 
     async def send(
         self, chosen: Placement, attempt_id: int, connection: ClientConnection
@@ -106,7 +104,6 @@
         self._log_sent(upstream, options, connection)
         if options.last_event_id is not None:
             self._count_resumed(upstream.entry.software_version)
-        self._software_version = upstream.entry.software_version
         inactivity_timeout = self._build_inactivity_timeout()
         answer = await begin_attempt(
             parts.clock,
@@ -185,7 +182,8 @@
             self._parts.sources.note_served(options.cache, generation)
 
     def _count_resumed(self, version: str | None) -> None:
-        known = self._software_version
+        origin = self._request.binding.origin
+        known = origin.software_version if origin is not None else None
         software = 'same' if version == known else 'other'
         if version is None or known is None:
             software = 'unknown'
--- a/src/lifttrestle/internal/fleet/path/upstream_search.py
+++ b/src/lifttrestle/internal/fleet/path/upstream_search.py
@@ -32,6 +32,9 @@
 # A router that is not overloaded answers sooner.
 PATH_SEARCH_SECONDS = 1.0
 PATH_POLL_SECONDS = 0.05
+# Upstreams with the software of a stream are few: one that fails or is full is
+# available again later than some upstream is for a new request.
+SAME_SOFTWARE_RETRY_SECONDS = 1.0
 
 
 async def find_upstream(
@@ -80,9 +83,32 @@
             candidates.list_unavailable(request.service), clock.monotonic()
         ),
     )
-    raise request.make_refusal(
-        ErrorKind.NO_UPSTREAM, 'no upstream may serve this request now'
+    raise _make_refusal(request, candidates)
+
+
+def _make_refusal(
+    request: RequestContext, candidates: Candidates
+) -> RequestRefused:
+    origin = request.binding.origin
+    if origin is None:
+        return request.make_refusal(
+            ErrorKind.NO_UPSTREAM, 'no upstream may serve this request now'
+        )
+    version = origin.software_version or 'of an unknown version'
+    if not candidates.list_unavailable(request.service):
+        return request.make_refusal(
+            ErrorKind.STREAM_NOT_RESUMABLE,
+            f'no upstream with the software {version} that began the stream'
+            ' serves any more',
+        )
+    refused = request.make_refusal(
+        ErrorKind.NO_UPSTREAM,
+        f'no upstream with the software {version} that began the stream may'
+        ' serve it now',
     )
+    if refused.retry_after:
+        refused.retry_after = SAME_SOFTWARE_RETRY_SECONDS
+    return refused
 
 
 async def _request_permit(
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -60,6 +60,7 @@
 from lifttrestle.internal.fleet.state.upstream_entry import StartEnd
 from lifttrestle.internal.fleet.state.weights_view import WeightsView
 from lifttrestle.internal.fleet.stop_sequence import stop_gracefully
+from lifttrestle.internal.fleet.streams.origins import StreamOrigins
 from lifttrestle.internal.fleet.table_watches import TableWatches
 from lifttrestle.internal.fleet.tunnels.dialler import TunnelDialler
 from lifttrestle.internal.fleet.tunnels.opener import UpstreamOpener
@@ -154,6 +155,17 @@
             refusals,
             lambda: self._watches.upstreams.copy.loaded,
         )
+        self._streams = StreamOrigins(
+            settings.vm,
+            store,
+            self._directory,
+            self.roster,
+            clock,
+            refusals,
+        )
+        self._streams.get_catalogue = lambda: self._view.catalogue
+        self._streams.is_list_current = self._watches.is_upstream_list_current
+        self._streams.is_loaded = self._watches.are_loaded
         control.note_limit = self.limits.note_answer
         losses = self.crashes.losses
         losses.is_list_current = self._watches.is_upstream_list_current
@@ -175,6 +187,7 @@
             crashes=self.crashes,
             usage=self._usage,
             limits=self.limits,
+            streams=self._streams,
         )
         self._weights_loader = WeightsLoader(
             store,
@@ -204,6 +217,9 @@
             self._peer_loads.send,
             metrics.count_permit,
         )
+        self._streams.connect(
+            self._peer_loads.add_handler, self._peer_loads.send
+        )
         self._parts.note_load_change = self._peer_loads.note_change
         self._parts.refresh_loads = self._peer_loads.refresh
         watches = self._watches.list_all()
@@ -271,10 +287,12 @@
         self.roster.apply_row(row)
         self._weights_view.apply_row(row)
         self.crashes.apply_row(row)
+        self._streams.apply_row(row)
 
     def _note_ended(self, upstream: FleetUpstream, end: StartEnd) -> None:
         self.crashes.losses.note_ended(upstream, end)
         self.limits.forget(upstream)
+        self._streams.note_ended(upstream)
 
     def _get_caps(self) -> dict[int, UsageCap]:
         """Return the caps in force, keyed by the digest of the workspace."""
@@ -402,6 +420,7 @@
             self._peer_loads.run(),
             self.crashes.run(self.ticker),
             self.limits.run(self.ticker),
+            self._streams.run(self.ticker),
         )
 
     async def stop(self) -> bool:
--- a/src/lifttrestle/internal/fleet/state/load_messages.py
+++ b/src/lifttrestle/internal/fleet/state/load_messages.py
@@ -25,6 +25,9 @@
 from lifttrestle.internal.fleet.limits.messages import LimitUpdate
 from lifttrestle.internal.fleet.limits.messages import PermitAnswer
 from lifttrestle.internal.fleet.limits.messages import PermitQuery
+from lifttrestle.internal.fleet.streams.messages import OriginAnswer
+from lifttrestle.internal.fleet.streams.messages import OriginQuery
+from lifttrestle.internal.fleet.streams.messages import OriginUpdate
 from lifttrestle.internal.fleet.usage.messages import LevelEntry
 from lifttrestle.internal.fleet.usage.messages import UsedEntry
 from lifttrestle.internal.intake.decoding import decode_msgpack
@@ -95,7 +98,15 @@
 
 
 LimitMessage = LimitUpdate | LimitSyncRequest | PermitQuery | PermitAnswer
-LoadMessage = LoadReport | GroupSum | FleetSum | CrashUpdate | LimitMessage
+OriginMessage = OriginUpdate | OriginQuery | OriginAnswer
+LoadMessage = (
+    LoadReport
+    | GroupSum
+    | FleetSum
+    | CrashUpdate
+    | LimitMessage
+    | OriginMessage
+)
 
 
 def decode_message(data: bytes) -> LoadMessage:
--- /dev/null
+++ b/src/lifttrestle/internal/fleet/streams/origins.py
@@ -0,0 +1,204 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""What began the streams that callers resume, as far as it can be known."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import enum
+
+from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.clock.ticker import Ticker
+from lifttrestle.internal.fleet.state.catalogue import Catalogue
+from lifttrestle.internal.fleet.state.catalogue import Route
+from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.state.roster import Roster
+from lifttrestle.internal.fleet.state.rows import RowStore
+from lifttrestle.internal.fleet.state.rows import VersionedRow
+from lifttrestle.internal.fleet.state.upstream import FleetUpstream
+from lifttrestle.internal.fleet.streams.exchange import OriginExchange
+from lifttrestle.internal.fleet.streams.exchange import Send
+from lifttrestle.internal.fleet.streams.exchange import Subscribe
+from lifttrestle.internal.fleet.streams.ledger import build_stream_digest
+from lifttrestle.internal.fleet.streams.ledger import OriginLedger
+from lifttrestle.internal.fleet.streams.origin import StreamOrigin
+from lifttrestle.internal.fleet.streams.recent_software import RecentSoftware
+from lifttrestle.internal.fleet.streams.software_rows import SoftwareRows
+from lifttrestle.internal.intake.refusals import InputRefusals
+
+POLL_SECONDS = 0.25
+# A stream may last for the timeout of its route, and its caller may come back
+# as late as that again.
+LIFE_TIMEOUTS = 2
+MIN_LIFE_SECONDS = 30.0
+MAX_LIFE_SECONDS = 600.0
+NO_START = 0
+
+
+class OriginSource(enum.Enum):
+    """How the origin of a resumed stream was found; logged by name."""
+
+    RECORD = enum.auto()
+    # All upstreams that may have begun it have the same software.
+    ONLY_VERSION = enum.auto()
+    OWNER = enum.auto()
+    UNKNOWN = enum.auto()
+
+
+@dataclasses.dataclass(frozen=True)
+class FoundOrigin:
+    """The origin of a resumed stream, None if it is not known."""
+
+    origin: StreamOrigin | None
+    source: OriginSource
+
+
+UNKNOWN = FoundOrigin(None, OriginSource.UNKNOWN)
+
+
+class StreamOrigins:
+    """Records what begins streams, and finds it when they are resumed.
+
+    :ivar get_catalogue: returns the configuration in force.
+    :ivar is_list_current: returns whether a newly listed upstream would
+        already be known.
+    :ivar is_loaded: returns whether the shared tables have been read.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        store: RowStore,
+        directory: UpstreamDirectory,
+        roster: Roster,
+        clock: Clock,
+        refusals: InputRefusals | None = None,
+    ) -> None:
+        self._ledger = OriginLedger(clock, self.get_life_seconds)
+        self._recent = RecentSoftware(directory, clock, self.get_life_seconds)
+        self._rows = SoftwareRows(store, roster, clock, refusals)
+        self._exchange = OriginExchange(vm, self._ledger, roster, clock)
+        self.get_catalogue: Callable[[], Catalogue | None] = lambda: None
+        self.is_list_current: Callable[[], bool] = lambda: True
+        self.is_loaded: Callable[[], bool] = lambda: True
+
+    def __len__(self) -> int:
+        """Return the number of recorded streams."""
+        return len(self._ledger)
+
+    def connect(self, subscribe: Subscribe, send: Send) -> None:
+        """Exchange messages with the other routers."""
+        self._exchange.connect(subscribe, send)
+
+    def apply_row(self, row: VersionedRow) -> None:
+        """Apply a changed row of the routers' table."""
+        self._rows.apply_row(row)
+
+    def note_ended(self, upstream: FleetUpstream) -> None:
+        """Record that an upstream is no longer listed."""
+        self._recent.note_ended(upstream)
+
+    def record(
+        self, workspace: str, request_id: str, origin: StreamOrigin
+    ) -> None:
+        """Record what began a stream, before its first event is sent.
+
+        :param request_id: of the request that brings the first event.
+        """
+        digest = build_stream_digest(workspace, request_id)
+        self._exchange.record(digest, origin)
+
+    async def find(
+        self, workspace: str, resumes: str, services: Iterable[str]
+    ) -> FoundOrigin:
+        """Return what began a stream that a caller resumes.
+
+        :param resumes: id of the request that brought its first event, as the
+            caller states it; empty if it does not.
+        :param services: those to which the route of the stream leads.
+        """
+        digest = build_stream_digest(workspace, resumes)
+        if resumes and (origin := self._ledger.get(digest)) is not None:
+            return FoundOrigin(origin, OriginSource.RECORD)
+        only = self._find_only(list(services))
+        if only is not None:
+            return FoundOrigin(only, OriginSource.ONLY_VERSION)
+        if (
+            resumes
+            and (origin := await self._exchange.ask(digest)) is not None
+        ):
+            return FoundOrigin(origin, OriginSource.OWNER)
+        return UNKNOWN
+
+    def has_several_versions(self, service: str) -> bool:
+        """Return whether upstreams of several versions serve now."""
+        return len(self._recent.list_listed(service)) > 1
+
+    def _find_only(self, services: list[str]) -> StreamOrigin | None:
+        """Return the only origin that a stream can have, None without one."""
+        if len(services) != 1 or not self.is_list_current():
+            return None
+        (service,) = services
+        versions = {
+            *self._recent.list_recent(service),
+            *self._rows.list_versions(service),
+        }
+        if len(versions) != 1 or None in versions:
+            return None
+        return StreamOrigin(service, versions.pop(), NO_START)
+
+    def get_life_seconds(self) -> float:
+        """Return for how long a stream that has begun may be resumed."""
+        timeouts = [
+            route.timeout_seconds for route in self._list_resumable_routes()
+        ]
+        life = LIFE_TIMEOUTS * max(timeouts, default=0.0)
+        return min(max(life, MIN_LIFE_SECONDS), MAX_LIFE_SECONDS)
+
+    def _list_resumable_routes(self) -> list[Route]:
+        catalogue = self.get_catalogue()
+        if catalogue is None:
+            return []
+        return [
+            route
+            for routes in catalogue.routes.values()
+            for route in routes
+            if route.streams and route.resumable
+        ]
+
+    async def run(self, ticker: Ticker) -> None:
+        """Repeat records and maintain the rows until cancelled."""
+        await asyncio.gather(self._exchange.run(), self._run_rows(ticker))
+
+    async def _run_rows(self, ticker: Ticker) -> None:
+        while True:
+            await ticker.wait(POLL_SECONDS)
+            if self.is_loaded():
+                await self.write_due_rows()
+
+    async def write_due_rows(self) -> None:
+        """Write the rows that list other versions than were seen."""
+        services = {
+            share.service
+            for route in self._list_resumable_routes()
+            for share in route.shares
+        }
+        life = self.get_life_seconds()
+        for service in sorted(services):
+            used = {
+                version
+                for version in self._recent.list_recent(service)
+                if version is not None
+            }
+            await self._rows.write_due(service, used, life)
--- a/src/lifttrestle/internal/fleet/table_watches.py
+++ b/src/lifttrestle/internal/fleet/table_watches.py
@@ -104,6 +104,10 @@
         """Return all watches."""
         return [self.operator, self.upstreams, self.routers]
 
+    def are_loaded(self) -> bool:
+        """Return whether each table has been read."""
+        return all(watch.copy.loaded for watch in self.list_all())
+
     def is_upstream_list_current(self) -> bool:
         """Return whether the end of an entry would already be known."""
         return self.upstreams.get_age() < 2 * UPSTREAMS_WAIT_SECONDS
--- a/tests/nocover/test_software_versions.py
+++ b/tests/nocover/test_software_versions.py
@@ -13,8 +13,11 @@
 """Streams keep to the software version that began them."""
 
 import asyncio
+import time
 import unittest
 
+from tests.support.fleet import CONFIGURATION
+from tests.support.fleet import wait_until
 from tests.support.version_fleet import CallerStream
 from tests.support.version_fleet import count_mixed
 from tests.support.version_fleet import LEAST_RATIO
@@ -116,3 +119,156 @@
                 self.assertLessEqual(count_mixed(resumed), MAX_MIXED)
                 complete = sum(item.is_complete for item in resumed)
                 self.assertGreaterEqual(complete, LEAST_RATIO * len(resumed))
+
+    async def test_stream_keeps_its_version_over_several_tries(self):
+        async with run_version_fleet(ONE_TO_ONE) as fleet:
+            (stream,), tasks = await fleet.begin_streams('r1', 1)
+            await fleet.kill('r1')
+            await asyncio.gather(*tasks)
+            # Each resumption gets one event, as a caller that is cut off.
+            for router in ('r2', 'r3', 'r2'):
+                before = len(stream.events)
+                task = asyncio.create_task(
+                    stream.call(fleet.get_address(router))
+                )
+                if not stream.is_complete:
+                    await wait_until(
+                        lambda count=before: len(stream.events) > count
+                    )
+                task.cancel()
+                await asyncio.gather(task, return_exceptions=True)
+        self.assertEqual(len(stream.versions), 1)
+        self.assertEqual(len(stream.events), 5)
+
+    async def test_restarted_router_asks_the_others(self):
+        async with run_version_fleet(ONE_TO_ONE) as fleet:
+            streams, tasks = await fleet.begin_streams('r1', 4)
+            await fleet.kill('r1')
+            fleet.release()
+            await asyncio.gather(*tasks)
+            await fleet.kill('r2')
+            await fleet.add_router('r2')
+            await wait_until(fleet.routers['r2'].is_ready)
+            address = fleet.get_address('r2')
+            await asyncio.gather(*(item.call(address) for item in streams))
+        self.assertTrue(all(item.is_complete for item in streams))
+        self.assertEqual(count_mixed(streams), 0)
+
+
+class TestUnknownOrigin(unittest.IsolatedAsyncioTestCase):
+    def _count_arrivals(self, fleet):
+        return sum(len(item.arrivals) for item in fleet.engines.values())
+
+    async def test_stream_of_an_unknown_origin_is_refused_as_not_run(self):
+        last = ('last-event-id', '2')
+        cases = {
+            'absent': (last,),
+            'never sent': (last, ('resumes', 'x.0')),
+            'twice': (last, ('resumes', 's.0'), ('resumes', 'x.0')),
+            'too long': (last, ('resumes', 's' * 200)),
+        }
+        async with run_version_fleet(ONE_TO_ONE, ('r1',)) as fleet:
+            stream = CallerStream('s')
+            address = fleet.get_address('r1')
+            await stream.call(address)
+            arrivals = self._count_arrivals(fleet)
+            for name, headers in cases.items():
+                with self.subTest(name):
+                    await stream.call(address, headers=headers)
+                    self.assertEqual(stream.statuses[-1], 503)
+            with self.subTest('of another workspace'):
+                stream.key = 'k3'
+                await stream.call(address, headers=(last, ('resumes', 's.0')))
+                self.assertEqual(stream.statuses[-1], 503)
+            self.assertEqual(self._count_arrivals(fleet), arrivals)
+
+    async def test_stream_begins_anew_without_the_last_event(self):
+        async with run_version_fleet(ONE_TO_ONE, ('r1',)) as fleet:
+            stream = CallerStream('s')
+            await stream.call(
+                fleet.get_address('r1'), headers=(('resumes', 'x.0'),)
+            )
+        self.assertEqual(stream.statuses, [200])
+        self.assertTrue(stream.is_complete)
+
+    async def test_stream_goes_on_while_there_is_one_version(self):
+        async with run_version_fleet({'e1': OLD, 'e2': OLD}) as fleet:
+            stream = CallerStream('s')
+            await stream.call(
+                fleet.get_address('r1'), headers=(('last-event-id', '2'),)
+            )
+        self.assertEqual([number for number, _ in stream.events], [3, 4, 5])
+
+    async def test_what_a_caller_names_is_forwarded(self):
+        async with run_version_fleet({'e1': OLD}, ('r1',)) as fleet:
+            await CallerStream('s').call(
+                fleet.get_address('r1'),
+                headers=(('last-event-id', '2'), ('resumes', 'x.0')),
+            )
+            (head,) = fleet.engines['e1'].arrivals
+        self.assertEqual(head.get_header('resumes'), 'x.0')
+
+
+class TestNoUpstreamLeft(unittest.IsolatedAsyncioTestCase):
+    VERSIONS = {'e1': OLD, 'e2': NEW, 'e3': NEW}
+
+    async def _begin_at_old(self, fleet):
+        """Begin streams until one is served by the old version."""
+        streams, tasks = await fleet.begin_streams('r1', 12)
+        found = [item for item in streams if item.versions == {OLD}]
+        self.assertTrue(found)
+        return found, tasks
+
+    async def test_open_stream_ends_and_does_not_look_complete(self):
+        async with run_version_fleet(self.VERSIONS) as fleet:
+            streams, tasks = await self._begin_at_old(fleet)
+            await fleet.engines['e1'].stop()
+            fleet.release()
+            await asyncio.gather(*tasks)
+            self.assertFalse(any(item.is_complete for item in streams))
+            self.assertEqual(count_mixed(streams), 0)
+
+    async def test_resumed_stream_is_refused_at_once_as_not_run(self):
+        async with run_version_fleet(self.VERSIONS) as fleet:
+            streams, tasks = await self._begin_at_old(fleet)
+            await fleet.engines['e1'].stop()
+            fleet.release()
+            await asyncio.gather(*tasks)
+            fleet.store.put('servers', 'e1', None)
+            del fleet.engines['e1']
+            await fleet.wait_settled()
+            began = time.monotonic()
+            await streams[0].call(fleet.get_address('r2'))
+            self.assertLess(time.monotonic() - began, 2.0)
+        self.assertEqual(streams[0].statuses[-1], 503)
+        self.assertEqual(len(streams[0].events), 2)
+
+    async def test_stream_goes_on_when_its_version_is_back(self):
+        async with run_version_fleet(self.VERSIONS) as fleet:
+            streams, tasks = await self._begin_at_old(fleet)
+            await fleet.engines['e1'].stop()
+            fleet.release()
+            await asyncio.gather(*tasks)
+            await fleet.add_engine('e4', OLD)
+            await fleet.wait_settled()
+            await streams[0].call(fleet.get_address('r2'))
+        self.assertTrue(streams[0].is_complete)
+        self.assertEqual(streams[0].versions, {OLD})
+
+    async def test_stream_ends_when_its_route_leads_to_another_service(self):
+        async with run_version_fleet(ONE_TO_ONE) as fleet:
+            stream = CallerStream('s')
+            await stream.call(fleet.get_address('r1'))
+            routes = [
+                {**route, 'service': 'plain'}
+                if route['name'] == 'text'
+                else route
+                for route in CONFIGURATION['routes']
+            ]
+            changed = {**CONFIGURATION, 'version': 4, 'routes': routes}
+            fleet.store.put('op', 'config', changed)
+            await wait_until(
+                lambda: fleet.routers['r1'].catalogue.version == 4
+            )
+            await stream.call(fleet.get_address('r1'))
+        self.assertEqual(stream.statuses, [200, 503])
--- /dev/null
+++ b/tests/support/origin_fleet.py
@@ -0,0 +1,172 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""A fleet of routers that exchange origins of streams without sockets."""
+
+import asyncio
+import datetime
+import random
+
+import msgspec
+
+from lifttrestle.internal.clock.manual import ManualClock
+from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.state.load_messages import decode_message
+from lifttrestle.internal.fleet.state.load_messages import encode_message
+from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
+from lifttrestle.internal.fleet.state.roster import Roster
+from lifttrestle.internal.fleet.state.roster import RouterRow
+from lifttrestle.internal.fleet.state.rows import VersionedRow
+from lifttrestle.internal.fleet.streams.origin import read_origin
+from lifttrestle.internal.fleet.streams.origins import FoundOrigin
+from lifttrestle.internal.fleet.streams.origins import StreamOrigins
+from lifttrestle.internal.platform.stored_format import PlatformFormat
+from tests.support.entries import make_entry
+from tests.support.memory_rows import MemoryRows
+
+START = datetime.datetime(2026, 12, 4, tzinfo=datetime.timezone.utc)
+SERVICE = 's'
+CONFIGURATION = {
+    'version': 1,
+    'services': [{'name': SERVICE, 'max_conns': 100}],
+    'routes': [
+        {
+            'name': 'text',
+            'host': 'h',
+            'prefix': '/text/',
+            'route_type': 'stream',
+            'can_resume': True,
+            'timeout_ms': 20_000,
+            'target_latency_ms': 500,
+            'priority': 1,
+            'service': SERVICE,
+            'max_attempts': 2,
+        }
+    ],
+}
+LIFE_SECONDS = 40.0
+# Enough for answers that have arrived to be processed.
+LOOP_ITERATIONS = 20
+
+
+class OriginFleet:
+    """Routers with one store, and a directory each.
+
+    :param lost_share: share of the messages that are lost.
+    :ivar gone: numbers of the routers that receive and send nothing.
+    :ivar messages: number of sent messages.
+    :ivar bytes: total size of the sent messages.
+    """
+
+    def __init__(self, routers: int, lost_share: float = 0.0) -> None:
+        self.clock = ManualClock(START)
+        self.rows = MemoryRows()
+        self.gone: set[int] = set()
+        self.messages = 0
+        self.bytes = 0
+        self._lost_share = lost_share
+        self._source = random.Random(1)
+        self._names = [f'router/r{number}' for number in range(routers)]
+        value = msgspec.json.encode(CONFIGURATION)
+        self._catalogue = PlatformFormat().decode_catalogue('config', value)
+        self.directories: list[UpstreamDirectory] = []
+        self.routers: list[StreamOrigins] = []
+        for number in range(routers):
+            self.directories.append(
+                UpstreamDirectory(PlatformFormat(), self.clock)
+            )
+            self.routers.append(self._make_router(number))
+
+    def _make_router(self, number: int) -> StreamOrigins:
+        roster = Roster(self.rows, self.clock, f'r{number}', 'a')
+        roster.loaded = True
+        for name in self._names:
+            row = msgspec.json.encode(RouterRow('a', '127.0.0.1:9'))
+            roster.apply_row(VersionedRow(name, row, 1))
+        directory = self.directories[number]
+        router = StreamOrigins(
+            f'r{number}', self.rows, directory, roster, self.clock
+        )
+        directory.on_ended = lambda upstream, end: router.note_ended(upstream)
+        router.get_catalogue = lambda: self._catalogue
+        handlers: dict[type, object] = {}
+        router.connect(
+            handlers.__setitem__,
+            lambda message, key: self._send(number, message, key),
+        )
+        router.handlers = handlers
+        return router
+
+    def _send(self, sender: int, message, key: str) -> None:
+        data = encode_message(message)
+        self.messages += 1
+        self.bytes += len(data)
+        receiver = int(key.removeprefix('router/r'))
+        if self.gone & {sender, receiver}:
+            return
+        if self._source.random() < self._lost_share:
+            return
+        decoded = decode_message(data)
+        self.routers[receiver].handlers[type(decoded)](decoded)
+
+    def restart(self, number: int) -> None:
+        """Start a router again, with an empty memory."""
+        self.directories[number] = UpstreamDirectory(
+            PlatformFormat(), self.clock
+        )
+        self.routers[number] = self._make_router(number)
+
+    def list_upstream(self, name: str, version: str, **fields: object) -> None:
+        """Make all routers read the entry of an upstream."""
+        entry = make_entry(service=SERVICE, version=version, **fields)
+        value = msgspec.json.encode(entry)
+        for directory in self.directories:
+            directory.apply_row(VersionedRow(name, value, 1))
+
+    def remove_upstream(self, name: str) -> None:
+        """Make all routers read the removal of an entry."""
+        for directory in self.directories:
+            directory.apply_row(VersionedRow(name, None, 2))
+
+    def begin(
+        self, router: int, request_id: str, upstream: str, workspace: str = ''
+    ) -> None:
+        """Begin a stream at an upstream."""
+        known = self.directories[router].get(upstream)
+        self.routers[router].record(workspace, request_id, read_origin(known))
+
+    async def find(
+        self, router: int, request_id: str, workspace: str = ''
+    ) -> FoundOrigin:
+        """Return what a router finds out, letting queries time out."""
+        search = asyncio.create_task(
+            self.routers[router].find(workspace, request_id, [SERVICE])
+        )
+        while not search.done():
+            for _ in range(LOOP_ITERATIONS):
+                await asyncio.sleep(0)
+            self.clock.advance(0.05)
+        return search.result()
+
+    async def write_rows(self) -> None:
+        """Let all running routers write due rows, and read them back."""
+        for number, router in enumerate(self.routers):
+            if number not in self.gone:
+                await router.write_due_rows()
+        await self.read_rows()
+
+    async def read_rows(self) -> None:
+        """Let all running routers read their table."""
+        changes = await self.rows.read_table(FLEET_TABLE)
+        for number, router in enumerate(self.routers):
+            for row in changes.rows if number not in self.gone else ():
+                router.apply_row(row)
