Room for streams that only one software version may continue

What callers would see: while few upstreams of a version are left, new streams fill them, and streams that may continue nowhere else are rejected (LOST).

Cause: once a stream is bound, it competes for a part of the upstreams with new streams that can use all of them; nothing told them apart.

Change: while several versions of a service are listed, a new stream avoids upstreams with three quarters of their slots in use, and if all are, uses those of the version with most upstreams only; it is one step less urgent at the upstream than a stream that continues; and a stream that continues is refused for its expected wait only if its time would not suffice. With one version nothing changes.

--- a/src/lifttrestle/internal/fleet/path/attempt_options.py
+++ b/src/lifttrestle/internal/fleet/path/attempt_options.py
@@ -16,7 +16,6 @@
 from lifttrestle.internal.fleet.path.dialect import CacheUse
 from lifttrestle.internal.fleet.path.request_context import RequestContext
 from lifttrestle.internal.fleet.policy.admission import get_cache_scope
-from lifttrestle.internal.fleet.policy.admission import get_urgency
 from lifttrestle.internal.fleet.state.shared_parts import build_salt
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 
@@ -41,7 +40,7 @@
         hide_key=admitted.catalogue.keys is not None,
         weights=weights,
         cache=_build_cache_use(request, weights),
-        urgency=get_urgency(admitted) if generation else None,
+        urgency=request.urgency if generation else None,
         last_event_id=last_event_id,
     )
 
--- a/src/lifttrestle/internal/fleet/path/candidates.py
+++ b/src/lifttrestle/internal/fleet/path/candidates.py
@@ -18,7 +18,6 @@
 from lifttrestle.internal.fleet.path.dialect import RequestFacts
 from lifttrestle.internal.fleet.policy.admission import AdmittedRequest
 from lifttrestle.internal.fleet.policy.admission import get_cache_scope
-from lifttrestle.internal.fleet.policy.admission import get_urgency
 from lifttrestle.internal.fleet.policy.engine_costs import PlacementContext
 from lifttrestle.internal.fleet.policy.limit_permits import rank_request
 from lifttrestle.internal.fleet.policy.placement import choose_engine
@@ -26,6 +25,7 @@
 from lifttrestle.internal.fleet.policy.placement import Placement
 from lifttrestle.internal.fleet.policy.rejection_limit import divide_slots
 from lifttrestle.internal.fleet.policy.rejection_limit import SendingShare
+from lifttrestle.internal.fleet.policy.software_room import leave_room
 from lifttrestle.internal.fleet.policy.tunnel_peers import is_path_unknown
 from lifttrestle.internal.fleet.policy.weights_filter import select_engines
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
@@ -97,10 +97,16 @@
             self._excluded_until.pop(upstream.start, None)
 
     def choose(
-        self, admitted: AdmittedRequest, service: str, *, repeated: bool
+        self,
+        admitted: AdmittedRequest,
+        service: str,
+        urgency: int,
+        *,
+        repeated: bool,
     ) -> Placement | None:
         """Return the best upstream, or None if none may serve now.
 
+        :param urgency: priority of the request at upstreams.
         :param repeated: whether the request was sent before.
         """
         parts = self._parts
@@ -109,9 +115,10 @@
             for upstream in self.list_available(admitted, service)
             if upstream.is_available
         ]
-        available = self._select_permitted(
-            available, get_urgency(admitted), repeated
-        )
+        if admitted.route.streams and self._binding.origin is None:
+            listed = parts.streams.count_versions(service)
+            available = leave_room(available, listed)
+        available = self._select_permitted(available, urgency, repeated)
         generation = self._facts.generation
         target = None
         if generation is not None:
@@ -120,7 +127,7 @@
             now=parts.clock.monotonic(),
             data_centre=parts.settings.data_centre,
             target_version=target.version if target is not None else 0,
-            urgency=get_urgency(admitted),
+            urgency=urgency,
             slots=_get_slots(admitted, service),
             prefill_seconds=parts.get_pace(service).prefill_seconds,
             fetch_seconds=admitted.catalogue.get_fetch_seconds(service),
--- a/src/lifttrestle/internal/fleet/path/request_context.py
+++ b/src/lifttrestle/internal/fleet/path/request_context.py
@@ -24,6 +24,8 @@
 from lifttrestle.internal.fleet.path.event_buffer import EventBuffer
 from lifttrestle.internal.fleet.policy.admission import admit
 from lifttrestle.internal.fleet.policy.admission import AdmittedRequest
+from lifttrestle.internal.fleet.policy.admission import get_urgency
+from lifttrestle.internal.fleet.policy.software_room import rank_new_stream
 from lifttrestle.internal.fleet.policy.stopping import can_finish_in_time
 from lifttrestle.internal.fleet.policy.stopping import STOPPING_RETRY_SECONDS
 from lifttrestle.internal.fleet.streams.binding import StreamBinding
@@ -84,6 +86,25 @@
         begun = self.progress.state is RequestState.FIRST_BYTE
         return self.sends > 0 and not begun
 
+    @property
+    def is_restricted(self) -> bool:
+        """Return whether only some upstreams may continue its stream."""
+        return self.binding.origin is not None and self._has_several_versions()
+
+    @property
+    def urgency(self) -> int:
+        """Return its priority at upstreams, 0 is the highest."""
+        urgency = get_urgency(self.admitted)
+        if self.binding.origin is None and self._has_several_versions():
+            return rank_new_stream(urgency)
+        return urgency
+
+    def _has_several_versions(self) -> bool:
+        return (
+            self.admitted.route.streams
+            and self.parts.streams.has_several_versions(self.service)
+        )
+
     def get_remaining_seconds(self) -> float:
         """Return the seconds until the deadline."""
         now = self.parts.clock.monotonic()
--- a/src/lifttrestle/internal/fleet/path/sending.py
+++ b/src/lifttrestle/internal/fleet/path/sending.py
@@ -22,7 +22,6 @@
 from lifttrestle.internal.fleet.path.dialect import AttemptOptions
 from lifttrestle.internal.fleet.path.event_buffer import build_answered_fields
 from lifttrestle.internal.fleet.path.request_context import RequestContext
-from lifttrestle.internal.fleet.policy.admission import get_urgency
 from lifttrestle.internal.fleet.policy.placement import Placement
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.http.client_connection import ClientConnection
@@ -80,7 +79,7 @@
         # Checked again because connecting may have taken a while. The retry
         # budget is charged only here: a failed connection is no retry.
         await request.check_held_before_send()
-        admitted = request.readmit()
+        request.readmit()
         if request.sends and not self._take_retry():
             raise request.make_refusal(
                 ErrorKind.UPSTREAM_FAILED, 'the retry budget is used up'
@@ -96,7 +95,7 @@
         request.progress.apply(RequestEvent.SEND)
         sent_at = parts.clock.monotonic()
         upstream.note_sent(
-            attempt_id, sent_at, get_urgency(admitted), chosen.unread_tokens
+            attempt_id, sent_at, request.urgency, chosen.unread_tokens
         )
         self._report_load(chosen)
         reused = connection.exchanges > 0
--- a/src/lifttrestle/internal/fleet/path/upstream_search.py
+++ b/src/lifttrestle/internal/fleet/path/upstream_search.py
@@ -52,12 +52,15 @@
         clock.monotonic(),
         request.admitted.route.target_seconds,
         request.get_remaining_seconds(),
-        was_sent=request.sends > 0,
+        was_sent=request.sends > 0 or request.is_restricted,
     )
     waiting = False
     while True:
         placement = candidates.choose(
-            request.admitted, request.service, repeated=request.is_repeat
+            request.admitted,
+            request.service,
+            request.urgency,
+            repeated=request.is_repeat,
         )
         if placement is not None:
             _check_queue(request, placement)
@@ -156,6 +159,9 @@
         return
     expected = placement.expected_seconds
     target = request.admitted.route.target_seconds
+    if request.is_restricted:
+        # Other upstreams could not serve it sooner.
+        target = request.get_remaining_seconds()
     shedding = decide_shedding(expected, placement.queue_seconds, target)
     if shedding is None:
         return
--- a/src/lifttrestle/internal/fleet/streams/origins.py
+++ b/src/lifttrestle/internal/fleet/streams/origins.py
@@ -15,6 +15,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 import enum
 
@@ -141,9 +142,13 @@
             return FoundOrigin(origin, OriginSource.OWNER)
         return UNKNOWN
 
+    def count_versions(self, service: str) -> Mapping[str | None, int]:
+        """Return the number of upstreams that serve now, by their version."""
+        return self._recent.count_listed(service)
+
     def has_several_versions(self, service: str) -> bool:
         """Return whether upstreams of several versions serve now."""
-        return len(self._recent.list_listed(service)) > 1
+        return len(self.count_versions(service)) > 1
 
     def _find_only(self, services: list[str]) -> StreamOrigin | None:
         """Return the only origin that a stream can have, None without one."""
--- a/src/lifttrestle/internal/fleet/streams/recent_software.py
+++ b/src/lifttrestle/internal/fleet/streams/recent_software.py
@@ -12,9 +12,12 @@
 
 """The software versions of each service that may have begun a stream."""
 
+import collections
 from collections.abc import Callable
+from collections.abc import Mapping
 
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.state.catalogue import Catalogue
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 
@@ -37,6 +40,9 @@
         self._get_life_seconds = get_life_seconds
         # Service and version -> when the last such upstream ended.
         self._ended_at: dict[tuple[str, str | None], float] = {}
+        # The counts by service, and the state that they were made in.
+        self._listed: dict[str, collections.Counter[str | None]] = {}
+        self._listed_state: tuple[int, Catalogue | None] = (-1, None)
 
     def note_ended(self, upstream: FleetUpstream) -> None:
         """Record that an upstream is no longer listed."""
@@ -44,13 +50,18 @@
         key = (entry.service, entry.software_version)
         self._ended_at[key] = self._clock.monotonic()
 
-    def list_listed(self, service: str) -> set[str | None]:
-        """Return the versions that serve now; None stands for unknown."""
-        return {
-            upstream.entry.software_version
-            for upstream in self._directory
-            if upstream.entry.service == service
-        }
+    def count_listed(self, service: str) -> Mapping[str | None, int]:
+        """Return the number of upstreams that serve now, by their version.
+
+        The version None stands for unknown.
+        """
+        state = (self._directory.changes, self._directory.get_catalogue())
+        if state[0] != self._listed_state[0] or (
+            state[1] is not self._listed_state[1]
+        ):
+            self._listed_state = state
+            self._listed = self._count_all()
+        return self._listed.get(service, {})
 
     def list_recent(self, service: str) -> set[str | None]:
         """Return the versions that serve or did; None stands for unknown."""
@@ -58,7 +69,15 @@
         ended = {
             version for name, version in self._ended_at if name == service
         }
-        return ended | self.list_listed(service)
+        return ended.union(self.count_listed(service))
+
+    def _count_all(self) -> dict[str, collections.Counter[str | None]]:
+        listed: dict[str, collections.Counter[str | None]] = {}
+        for upstream in self._directory:
+            entry = upstream.entry
+            counts = listed.setdefault(entry.service, collections.Counter())
+            counts[entry.software_version] += 1
+        return listed
 
     def _drop_expired(self) -> None:
         oldest = self._clock.monotonic() - self._get_life_seconds()
--- a/tests/cover/test_stream_binding.py
+++ b/tests/cover/test_stream_binding.py
@@ -12,9 +12,12 @@
 
 """Which upstreams may continue a stream that another one began."""
 
+import collections
+
 import msgspec
 
 from lifttrestle.errors import InputRefused
+from lifttrestle.internal.fleet.policy.software_room import leave_room
 from lifttrestle.internal.fleet.streams.binding import StreamBinding
 from lifttrestle.internal.platform.stored_format import PlatformFormat
 from tests.support.directories import DirectoryCase
@@ -98,3 +101,41 @@
         self.list_upstream('a', version='')
         self.assertEqual(self.directory.get('a').entry.software_version, 'v1')
         self.assertIs(self.directory.get('a'), known)
+
+
+class TestRoom(BindingCase):
+    def _list_loaded(self, name, version, in_flight):
+        upstream = self.list_upstream(name, version=version, slots=8)
+        upstream.in_flight = in_flight
+        return upstream
+
+    def _leave_room(self, *upstreams):
+        listed = collections.Counter(
+            item.entry.software_version for item in self.directory
+        )
+        return leave_room(list(upstreams), listed)
+
+    def test_new_stream_avoids_upstreams_that_are_nearly_full(self):
+        full = self._list_loaded('a', 'v1', 6)
+        idle = self._list_loaded('b', 'v2', 5)
+        self.assertEqual(self._leave_room(full, idle), [idle])
+
+    def test_load_of_other_routers_counts(self):
+        full = self._list_loaded('a', 'v1', 3)
+        full.peers_in_flight = 3
+        idle = self._list_loaded('b', 'v2', 0)
+        self.assertEqual(self._leave_room(full, idle), [idle])
+
+    def test_room_of_the_smaller_version_is_kept_when_all_are_full(self):
+        few = self._list_loaded('a', 'v2', 7)
+        many = [self._list_loaded(name, 'v1', 7) for name in 'bc']
+        self.assertEqual(self._leave_room(few, *many), many)
+        # The others were tried before.
+        self.assertEqual(self._leave_room(few), [])
+
+    def test_one_version_needs_no_room(self):
+        upstreams = [
+            self._list_loaded('a', 'v1', 7),
+            self._list_loaded('b', 'v1', 0),
+        ]
+        self.assertEqual(self._leave_room(*upstreams), upstreams)
--- a/tests/nocover/test_software_versions.py
+++ b/tests/nocover/test_software_versions.py
@@ -21,6 +21,7 @@
 from tests.support.version_fleet import CallerStream
 from tests.support.version_fleet import count_mixed
 from tests.support.version_fleet import LEAST_RATIO
+from tests.support.version_fleet import LEAST_RESUMED
 from tests.support.version_fleet import MAX_MIXED
 from tests.support.version_fleet import run_version_fleet
 
@@ -33,6 +34,8 @@
     **{f'e{number}': NEW for number in range(3, 11)},
 }
 STREAMS = 24
+# Requests that an engine runs or queues; it rejects the others.
+ROOM = 8
 
 
 class TestLog(unittest.IsolatedAsyncioTestCase):
@@ -272,3 +275,59 @@
             )
             await stream.call(fleet.get_address('r1'))
         self.assertEqual(stream.statuses, [200, 503])
+
+
+class TestRoom(unittest.IsolatedAsyncioTestCase):
+    async def test_new_stream_is_less_urgent_than_one_that_continues(self):
+        async with run_version_fleet(ONE_TO_ONE, ('r1',)) as fleet:
+            stream = CallerStream('s')
+            address = fleet.get_address('r1')
+            await stream.call(address)
+            await stream.call(
+                address, headers=(('last-event-id', '5'), ('resumes', 's.0'))
+            )
+            urgencies = [
+                head.get_header('request-urgency')
+                for engine in fleet.engines.values()
+                for head in engine.arrivals
+            ]
+        self.assertEqual(sorted(urgencies), ['2', '3'])
+
+    async def test_urgency_is_unchanged_while_there_is_one_version(self):
+        async with run_version_fleet({'e1': OLD}, ('r1',)) as fleet:
+            await CallerStream('s').call(fleet.get_address('r1'))
+            (head,) = fleet.engines['e1'].arrivals
+        self.assertEqual(head.get_header('request-urgency'), '2')
+
+    async def test_streams_of_few_upstreams_continue_beside_new_ones(self):
+        async with run_version_fleet(ONE_TO_FOUR) as fleet:
+            resumed, tasks = [], []
+            while len(resumed) < LEAST_RESUMED:
+                streams, reading = await fleet.begin_streams(
+                    'r1', STREAMS, f'{len(tasks)}-'
+                )
+                tasks += reading
+                resumed += [s for s in streams if s.versions == {OLD}]
+            await fleet.kill('r1')
+            fleet.release()
+            await asyncio.gather(*tasks)
+            del resumed[LEAST_RESUMED:]
+            for name, engine in fleet.engines.items():
+                engine.event_seconds = 0.02
+                engine.room = ROOM
+                fleet.put_engine(name, slots=ROOM // 2)
+            await wait_until(
+                lambda: all(
+                    item.entry.slots == ROOM // 2
+                    for item in fleet.routers['r2'].directory
+                )
+            )
+            new = [CallerStream(f'n{index}') for index in range(4 * STREAMS)]
+            address = fleet.get_address('r2')
+            await asyncio.gather(
+                *(item.call(address) for item in new + resumed)
+            )
+        begun = sum(item.is_complete for item in new) / len(new)
+        complete = sum(item.is_complete for item in resumed)
+        self.assertGreaterEqual(complete, LEAST_RATIO * begun * len(resumed))
+        self.assertEqual(count_mixed(resumed), 0)
--- a/tests/support/version_fleet.py
+++ b/tests/support/version_fleet.py
@@ -40,6 +40,8 @@
 # least share of the resumed streams that continue, compared to new ones.
 MAX_MIXED = 2
 LEAST_RATIO = 0.5
+# The share counts from this many resumed streams on.
+LEAST_RESUMED = 12
 
 
 @dataclasses.dataclass
