--- a/tests/nocover/test_software_versions.py
+++ b/tests/nocover/test_software_versions.py
@@ -237,7 +237,7 @@
             await fleet.engines['e1'].stop()
             fleet.release()
             await asyncio.gather(*tasks)
-            fleet.store.put('servers', 'e1', None)
+            fleet.store.remove('servers', 'e1')
             del fleet.engines['e1']
             await fleet.wait_settled()
             began = time.monotonic()
