A text is continued by an engine with the software that began it

Engines that report none count as alike, so that nothing changes for them.

Evidence: TestSoftwareOfContinuedStreams.test_regression_text_continued_at_another_software failed (2 engines generated one answer, 1 expected) and passes. Ran: tests.nocover.test_streams, the cover tests of orders, decisions and engine exchanges, lint.

--- a/src/lifttrestle/internal/cli/standin.py
+++ b/src/lifttrestle/internal/cli/standin.py
@@ -49,6 +49,7 @@
     engine.add_argument('--cache-blocks', type=int, default=4096)
     engine.add_argument('--prefill-rate', type=float, default=200000.0)
     engine.add_argument('--decode-seconds', type=float, default=0.002)
+    engine.add_argument('--software', default='')
     engine.add_argument('--ignore-fencing', action='store_true')
     service = _add_kind(kinds, 'service', _make_service)
     service.add_argument('--name', default='service')
@@ -89,6 +90,7 @@
         prefill_tokens_per_second=options.prefill_rate,
         decode_seconds=options.decode_seconds,
         checks_fencing=not options.ignore_fencing,
+        software=options.software,
     )
     return EngineStandin(settings, SystemClock()).server
 
--- a/src/lifttrestle/internal/router/model_exchange.py
+++ b/src/lifttrestle/internal/router/model_exchange.py
@@ -90,6 +90,8 @@
         self._body = self._build_body()
         self._tried: set[str] = set()
         self._attempts = 0
+        # Software version of the engine that begins the answer.
+        self._software = ''
         self._relay = self._build_relay()
 
     async def run(self) -> None:
@@ -139,6 +141,7 @@
             model=self._model.name,
             version=self._model.version,
             continues_text=relay.started,
+            software=self._software if relay.started else None,
         )
         self._attempts += 1
         try:
@@ -189,6 +192,8 @@
             self._check_weights(attempt, identity)
             self._scope.progress.apply(RequestEvent.ANSWER)
             self._chooser.note_first_byte(attempt)
+            if not self._relay.started:
+                self._software = attempt.upstream.software
             await self._forward_answer(attempt, call, identity)
         except CallerGone:
             call.connection.close()
--- a/src/lifttrestle/internal/standin/engine.py
+++ b/src/lifttrestle/internal/standin/engine.py
@@ -157,6 +157,7 @@
         state = {
             'incarnation': self._incarnation,
             'versions': self._runner.versions,
+            'software': self._settings.software,
             'draining': self._draining,
             'running': self._runner.running,
             'waiting': self._runner.waiting,
--- a/src/lifttrestle/internal/standin/engine_settings.py
+++ b/src/lifttrestle/internal/standin/engine_settings.py
@@ -21,6 +21,7 @@
 
     :ivar name: name of the engine, part of the IDs of its streams.
     :ivar versions: version of the weights for each loaded model.
+    :ivar software: version of its software in its reports, may be empty.
     :ivar cache_blocks: number of blocks that fit into the prefix cache; the
         least recently used ones are evicted first.
     :ivar cache_seconds: how long an unused block stays cached.
@@ -39,3 +40,4 @@
     prefill_tokens_per_second: float = 200000.0
     decode_seconds: float = 0.002
     checks_fencing: bool = True
+    software: str = ''
--- a/src/lifttrestle/internal/upstream/exclusion.py
+++ b/src/lifttrestle/internal/upstream/exclusion.py
@@ -30,6 +30,7 @@
     LEAVING = 'leaving'
     NO_REPORT = 'unproved'
     OTHER_WEIGHTS = 'other weights'
+    OTHER_SOFTWARE = 'other software'
     CANNOT_CONTINUE = 'cannot continue a text'
     EJECTED = 'ejected'
 
@@ -43,6 +44,8 @@
     :ivar version: the required version of the model's weights.
     :ivar continues_text: whether the upstream must continue a partial
         answer.
+    :ivar software: version of the software that began the answer; None before
+        it has begun.
     """
 
     kind: UpstreamKind
@@ -51,6 +54,7 @@
     model: str = ''
     version: str = ''
     continues_text: bool = False
+    software: str | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -98,6 +102,13 @@
             and upstream.get_version(target.model) != target.version
         ),
     ),
+    (
+        Exclusion.OTHER_SOFTWARE,
+        lambda upstream, target, _: (
+            target.software is not None
+            and upstream.software != target.software
+        ),
+    ),
     (
         Exclusion.CANNOT_CONTINUE,
         lambda upstream, target, _: (
--- a/src/lifttrestle/internal/upstream/report.py
+++ b/src/lifttrestle/internal/upstream/report.py
@@ -25,6 +25,7 @@
     :ivar versions: the version of the weights, by loaded model.
     :ivar running: number of requests being executed.
     :ivar waiting: number of requests in the queue.
+    :ivar software: version of its software, empty if it is not reported.
     """
 
     incarnation: str
@@ -32,6 +33,7 @@
     draining: bool = False
     running: int = 0
     waiting: int = 0
+    software: str = ''
 
 
 class NoReport(enum.Enum):
--- a/src/lifttrestle/internal/upstream/state.py
+++ b/src/lifttrestle/internal/upstream/state.py
@@ -53,6 +53,13 @@
             return self.report.incarnation
         return ''
 
+    @property
+    def software(self) -> str:
+        """Return the reported version of its software, or empty."""
+        if isinstance(self.report, EngineReport):
+            return self.report.software
+        return ''
+
     def get_version(self, model: str) -> str:
         """Return the reported version of a model's weights, or empty."""
         if isinstance(self.report, EngineReport):
--- a/tests/nocover/test_streams.py
+++ b/tests/nocover/test_streams.py
@@ -261,5 +261,57 @@
         )
 
 
+class TestSoftwareOfContinuedStreams(StreamTestCase):
+    """Engines of two software versions, without resumption of streams."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.deployment = Deployment(
+            engines=2,
+            engine_can=ENGINE_CAN.replace(
+                'resumes_streams = true', 'resumes_streams = false'
+            ),
+            extra='admission = { retry_share = 2.0 }',
+        )
+        cls.enterClassContext(cls.deployment)
+        cls.deployment.configure_usual()
+        _, second = cls.deployment.list_engines()
+        cls.earlier = cls.list_incarnations()[second]
+        cls.deployment.standins[second].kill()
+        address = cls.deployment.addresses[second]
+        cls.deployment.start_engine(second, listen=address, software='two')
+
+    @classmethod
+    def list_incarnations(cls) -> dict[str, str]:
+        status = cls.deployment.router.status()
+        return {
+            item['name']: item['incarnation'] for item in status['upstreams']
+        }
+
+    def count_generations(self) -> list[int]:
+        return [
+            self.deployment.count_arrivals(name, '/v1/chat/completions')
+            for name in self.deployment.list_engines()
+        ]
+
+    def test_regression_text_continued_at_another_software(self) -> None:
+        _, second = self.deployment.list_engines()
+        wait_until(
+            lambda: self.list_incarnations()[second] not in ('', self.earlier)
+        )
+        for number in range(6):
+            # Each engine cuts one stream.
+            self.set_engine_faults(cut_at_token=TOKENS // 2)
+            before = self.count_generations()
+            self.read_stream(f'software {number}?')
+            counts = self.count_generations()
+            used = [
+                after > earlier
+                for earlier, after in zip(before, counts, strict=True)
+            ]
+            self.assertEqual(sum(used), 1)
+            self.set_engine_faults()
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/support/deployment.py
+++ b/tests/support/deployment.py
@@ -233,10 +233,15 @@
         self.addresses[name] = process.wait_ready().split()[-1]
 
     def start_engine(
-        self, name: str, version: str = VERSION, listen: str = '127.0.0.1:0'
+        self,
+        name: str,
+        version: str = VERSION,
+        listen: str = '127.0.0.1:0',
+        software: str = '',
     ) -> None:
-        """Start an engine with the given version of the model."""
+        """Start an engine with the given versions of model and software."""
         arguments = ['engine', '--name', name, '--model', f'{MODEL}={version}']
+        arguments += ['--software', software]
         arguments += self._engine_arguments
         self.start_standin(name, arguments, listen)
 
