The listeners of a router are a module of their own

No behaviour changes, but metrics are served just before the peers' address instead of just after the tunnels'. Ran: tests of endpoints, stops, software versions, limits command and suspension; lint.

--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -29,13 +29,12 @@
 from lifttrestle.internal.fleet.gauges import GaugeSources
 from lifttrestle.internal.fleet.gauges import register_gauges
 from lifttrestle.internal.fleet.limits.upstream_limits import UpstreamLimits
+from lifttrestle.internal.fleet.listeners import RouterListeners
 from lifttrestle.internal.fleet.loads.engine_control import EngineControl
 from lifttrestle.internal.fleet.loads.weights_loader import WeightsLoader
 from lifttrestle.internal.fleet.parts import FleetParts
 from lifttrestle.internal.fleet.path.dialect import RequestDialect
-from lifttrestle.internal.fleet.path.handlers import MetricsHandler
 from lifttrestle.internal.fleet.path.handlers import ReadinessHandler
-from lifttrestle.internal.fleet.path.handlers import RequestHandler
 from lifttrestle.internal.fleet.policy.cache_sources import CacheSources
 from lifttrestle.internal.fleet.policy.retry_budget import SharedRetryBudget
 from lifttrestle.internal.fleet.policy.usage_caps import UsageCap
@@ -59,7 +58,6 @@
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.fleet.state.upstream_entry import StartEnd
 from lifttrestle.internal.fleet.state.weights_view import WeightsView
-from lifttrestle.internal.fleet.stop_sequence import stop_gracefully
 from lifttrestle.internal.fleet.streams.origins import StreamOrigins
 from lifttrestle.internal.fleet.table_watches import TableWatches
 from lifttrestle.internal.fleet.tunnels.dialler import TunnelDialler
@@ -70,8 +68,6 @@
 from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.http.address import parse_address
 from lifttrestle.internal.http.connection_opener import ConnectionOpener
-from lifttrestle.internal.http.limits import HttpLimits
-from lifttrestle.internal.http.server import HttpServer
 from lifttrestle.internal.intake.refusals import InputRefusals
 from lifttrestle.internal.telemetry.event_log import get_event_log
 from lifttrestle.internal.telemetry.fleet_metrics import FleetMetrics
@@ -79,8 +75,6 @@
 LOG = get_event_log('router')
 # Margin over the idle timeout, as callers reuse connections up to four fifths
 # of it.
-IDLE_MARGIN_SECONDS = 2.0
-MAX_CONNECTIONS = 1500
 # Poll interval of the settings file, which may change without a signal.
 SETTINGS_POLL_SECONDS = 5.0
 SettingsReader = Callable[[], FleetSettings | None]
@@ -108,8 +102,6 @@
         self._stop = asyncio.Event()
         self._reload = asyncio.Event()
         self._control_tasks = ControlTasks(self._stop.set)
-        self.callers_address = Address('', 0)
-        self.ready_address = Address('', 0)
         metrics = FleetMetrics()
         refusals = InputRefusals(metrics.count_refused_input)
         self._view = OperatorView(
@@ -239,9 +231,7 @@
                 self._watches.routers.copy.loaded and self.limits.is_synced()
             ),
         )
-        self._callers_server = HttpServer(
-            RequestHandler(self._parts).handle, _make_limits(None)
-        )
+        self._listeners = RouterListeners(self._parts, self._readiness)
         register_gauges(
             self._parts.metrics,
             GaugeSources(
@@ -252,18 +242,11 @@
                 self.relays,
                 self.relay_server,
                 self.tunnel_server,
-                self._callers_server,
+                self._listeners.callers,
                 self.crashes,
                 self.limits,
             ),
         )
-        self._readiness_server = HttpServer(
-            self._readiness.handle, _make_limits(None)
-        )
-        self._metrics_server = HttpServer(
-            MetricsHandler(metrics, self.limits, clock).handle,
-            _make_limits(None),
-        )
 
     def _make_opener(
         self, upstream: FleetUpstream, direct: ConnectionOpener
@@ -275,7 +258,7 @@
         self._view.apply_row(row)
         after = self._view.catalogue
         if after is not None and after is not before:
-            self._callers_server.set_limits(_make_limits(after))
+            self._listeners.apply_limits(after)
 
     def _apply_upstream_row(self, row: VersionedRow) -> None:
         watch = self._watches.upstreams
@@ -321,10 +304,20 @@
         """Return the configuration in force, None before the first one."""
         return self._view.catalogue
 
+    @property
+    def callers_address(self) -> Address:
+        """Return where callers are served, once started."""
+        return self._listeners.callers_address
+
+    @property
+    def ready_address(self) -> Address:
+        """Return where readiness is served, once started."""
+        return self._listeners.ready_address
+
     @property
     def busy(self) -> int:
         """Return the number of requests of callers in progress."""
-        return self._callers_server.busy
+        return self._listeners.callers.busy
 
     @property
     def settings(self) -> FleetSettings:
@@ -379,12 +372,7 @@
     async def start(self) -> None:
         """Open the listeners and start the control tasks."""
         settings = self._settings
-        self.callers_address = await self._callers_server.start(
-            parse_address(settings.callers_address)
-        )
-        self.ready_address = await self._readiness_server.start(
-            parse_address(settings.ready_address)
-        )
+        await self._listeners.start()
         if settings.peers_address:
             peers = await self.relay_server.start(
                 parse_address(settings.peers_address)
@@ -397,10 +385,6 @@
                 parse_address(settings.tunnels_address)
             )
             self.roster.tunnel_address = str(tunnels)
-        if settings.metrics_address:
-            await self._metrics_server.start(
-                parse_address(settings.metrics_address)
-            )
         LOG.info(
             'router.started',
             callers=str(self.callers_address),
@@ -429,10 +413,9 @@
     async def stop(self) -> bool:
         """Stop gracefully; return whether every request was ended."""
         self.tunnel_server.announce_stop()
-        all_ended = await stop_gracefully(self._parts, self._callers_server)
+        all_ended = await self._listeners.stop_callers()
         await self.tunnel_server.stop(self._parts.shutdown.get_abort_seconds())
-        await self._readiness_server.stop(0)
-        await self._metrics_server.stop(0)
+        await self._listeners.stop_others()
         await self._control_tasks.cancel()
         self._peer_loads.close()
         await self.relay_server.close()
@@ -440,16 +423,3 @@
         self.stores.close()
         self.store.close()
         return all_ended
-
-
-def _make_limits(catalogue: Catalogue | None) -> HttpLimits:
-    if catalogue is None:
-        return HttpLimits(max_connections=MAX_CONNECTIONS)
-    limits = catalogue.limits
-    return HttpLimits(
-        head_bytes=limits.head_bytes,
-        body_bytes=limits.body_bytes,
-        head_seconds=limits.head_seconds,
-        idle_seconds=limits.idle_seconds + IDLE_MARGIN_SECONDS,
-        max_connections=MAX_CONNECTIONS,
-    )
--- a/tests/support/version_fleet.py
+++ b/tests/support/version_fleet.py
@@ -178,7 +178,7 @@
         router = self.routers.pop(name)
         router._peer_loads.close()
         await router._control_tasks.cancel()
-        await router._callers_server.stop(0, 0)
+        await router._listeners.callers.stop(0, 0)
         await router.stop()
 
     def get_address(self, name: str) -> Address:
