A stream that all listed upstreams may continue is refused as before

With one version listed, a resumed stream without an available upstream got a second in Retry-After, or none, instead of 0.15 s; and one whose own version was the only one not listed any more did not count as restricted. It is restricted if an upstream of another version is listed. Ran: tests.nocover.test_software_versions, lint.

--- a/src/lifttrestle/internal/fleet/path/request_context.py
+++ b/src/lifttrestle/internal/fleet/path/request_context.py
@@ -88,23 +88,22 @@
 
     @property
     def is_restricted(self) -> bool:
-        """Return whether only some upstreams may continue its stream."""
-        return self.binding.origin is not None and self._has_several_versions()
+        """Return whether some upstreams may not continue its stream."""
+        origin = self.binding.origin
+        if origin is None:
+            return False
+        listed = self.parts.streams.count_versions(origin.service)
+        return bool(listed.keys() - {origin.software_version})
 
     @property
     def urgency(self) -> int:
         """Return its priority at upstreams, 0 is the highest."""
         urgency = get_urgency(self.admitted)
-        if self.binding.origin is None and self._has_several_versions():
+        is_new = self.admitted.route.streams and self.binding.origin is None
+        if is_new and self.parts.streams.has_several_versions(self.service):
             return rank_new_stream(urgency)
         return urgency
 
-    def _has_several_versions(self) -> bool:
-        return (
-            self.admitted.route.streams
-            and self.parts.streams.has_several_versions(self.service)
-        )
-
     def get_remaining_seconds(self) -> float:
         """Return the seconds until the deadline."""
         now = self.parts.clock.monotonic()
--- a/src/lifttrestle/internal/fleet/path/upstream_search.py
+++ b/src/lifttrestle/internal/fleet/path/upstream_search.py
@@ -93,7 +93,7 @@
     request: RequestContext, candidates: Candidates
 ) -> RequestRefused:
     origin = request.binding.origin
-    if origin is None:
+    if origin is None or not request.is_restricted:
         return request.make_refusal(
             ErrorKind.NO_UPSTREAM, 'no upstream may serve this request now'
         )
