--- a/src/lifttrestle/internal/fleet/streams/software_rows.py
+++ b/src/lifttrestle/internal/fleet/streams/software_rows.py
@@ -76,7 +76,7 @@
     def plan(
         self, used: set[str], now: float, life_seconds: float
     ) -> frozenset[str]:
-        """Return what the row should list.
+        """Update which versions are unused; return what the row should list.
 
         :param used: the versions that serve or did within ``life_seconds``,
             as far as this router has seen.
