--- a/src/lifttrestle/internal/fleet/path/candidates.py
+++ b/src/lifttrestle/internal/fleet/path/candidates.py
@@ -12,10 +12,9 @@
 
 """Selects the upstream for a request among those that may serve it now."""
 
-import dataclasses
-
 from lifttrestle.internal.fleet.parts import FleetParts
 from lifttrestle.internal.fleet.path.dialect import RequestFacts
+from lifttrestle.internal.fleet.path.upstream_status import UpstreamStatus
 from lifttrestle.internal.fleet.policy.admission import AdmittedRequest
 from lifttrestle.internal.fleet.policy.admission import get_cache_scope
 from lifttrestle.internal.fleet.policy.engine_costs import PlacementContext
@@ -36,21 +35,6 @@
 DRAIN_MARGIN_SECONDS = 0.5
 
 
-@dataclasses.dataclass(frozen=True)
-class UpstreamStatus:
-    """What a router knows of an upstream when it refuses a request.
-
-    :ivar unreachable_since: monotonic time of the first failed connection, or
-        None if the last one succeeded.
-    :ivar has_idle_connection: whether an open connection is unused.
-    """
-
-    instance: str
-    unreachable_since: float | None
-    has_idle_connection: bool
-    in_flight: int
-
-
 def _get_slots(admitted: AdmittedRequest, service: str) -> int:
     facts = admitted.catalogue.services.get(service)
     if facts is None or facts.engine is None:
--- a/src/lifttrestle/internal/fleet/path/event_buffer.py
+++ b/src/lifttrestle/internal/fleet/path/event_buffer.py
@@ -23,9 +23,9 @@
 
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.limits.permits import PermitDecision
-from lifttrestle.internal.fleet.path.candidates import UpstreamStatus
 from lifttrestle.internal.fleet.path.dialect import AttemptOptions
 from lifttrestle.internal.fleet.path.dialect import RequestFacts
+from lifttrestle.internal.fleet.path.upstream_status import UpstreamStatus
 from lifttrestle.internal.fleet.policy.admission import AdmittedRequest
 from lifttrestle.internal.fleet.policy.placement import Placement
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
--- a/src/lifttrestle/internal/fleet/state/catalogue.py
+++ b/src/lifttrestle/internal/fleet/state/catalogue.py
@@ -183,6 +183,22 @@
             if workspace.cap is not None
         }
 
+    @functools.cached_property
+    def resumable_routes(self) -> tuple[Route, ...]:
+        """Return the routes whose streams callers may resume."""
+        return tuple(
+            route
+            for routes in self.routes.values()
+            for route in routes
+            if route.streams and route.resumable
+        )
+
+    @functools.cached_property
+    def longest_stream_seconds(self) -> float:
+        """Return the longest timeout of a resumable route, or zero."""
+        timeouts = (route.timeout_seconds for route in self.resumable_routes)
+        return max(timeouts, default=0.0)
+
     def includes(self, entry: UpstreamEntry) -> bool:
         """Return whether an entry is a usable upstream of a service.
 
--- a/src/lifttrestle/internal/fleet/state/directory.py
+++ b/src/lifttrestle/internal/fleet/state/directory.py
@@ -21,6 +21,7 @@
 from lifttrestle.internal.fleet.state.decoding import StoredFormat
 from lifttrestle.internal.fleet.state.rows import RowOrigin
 from lifttrestle.internal.fleet.state.rows import VersionedRow
+from lifttrestle.internal.fleet.state.upstream import classify_end
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.fleet.state.upstream_entry import check_names
 from lifttrestle.internal.fleet.state.upstream_entry import compare_starts
@@ -79,11 +80,13 @@
         self.changes = 0
         self.make_opener: Callable[
             [FleetUpstream, ConnectionOpener], ConnectionOpener
-        ] = _use_direct
+        ] = lambda upstream, direct: direct
         self.get_catalogue: Callable[[], Catalogue | None] = lambda: None
         self.outage_until = float('-inf')
         self.get_list_time: Callable[[], float] = clock.monotonic
-        self.on_ended: Callable[[FleetUpstream, StartEnd], None] = _ignore_end
+        self.on_ended: Callable[[FleetUpstream, StartEnd], None] = (
+            lambda upstream, end: None
+        )
 
     def __iter__(self) -> Iterator[FleetUpstream]:
         """Iterate over the upstreams of configured services."""
@@ -250,10 +253,7 @@
             upstream
             for upstream in self
             if upstream.entry.service == service
-            and upstream.entry.draining
-            and upstream.drains_since > earliest
-            and upstream.vanished_at is None
-            and not upstream.misdirected
+            and upstream.is_draining_since(earliest)
         ]
 
     def close(self) -> None:
@@ -268,7 +268,7 @@
         known.vanished_at = self._clock.monotonic()
         LOG.info('upstream.entry_removed', instance=instance)
         if not self._may_return(known):
-            self._remove(known, _classify_end(known))
+            self._remove(known, classify_end(known))
 
     def _may_return(self, upstream: FleetUpstream) -> bool:
         if upstream.entry.draining:
@@ -285,7 +285,7 @@
             and not self._may_return(upstream)
         ]
         for upstream in expired:
-            self._remove(upstream, _classify_end(upstream))
+            self._remove(upstream, classify_end(upstream))
 
     def _remove(self, upstream: FleetUpstream, end: StartEnd) -> None:
         self.changes += 1
@@ -297,21 +297,3 @@
             'upstream.gone', instance=upstream.instance, end=end.name.lower()
         )
         self.on_ended(upstream, end)
-
-
-def _classify_end(upstream: FleetUpstream) -> StartEnd:
-    """Return how an upstream ended whose entry was removed."""
-    if upstream.entry.draining:
-        return StartEnd.WITHDRAWN
-    return StartEnd.VANISHED
-
-
-def _use_direct(
-    upstream: FleetUpstream, direct: ConnectionOpener
-) -> ConnectionOpener:
-    """Return the opener of direct connections."""
-    return direct
-
-
-def _ignore_end(upstream: FleetUpstream, end: StartEnd) -> None:
-    """Do nothing."""
--- a/src/lifttrestle/internal/fleet/state/upstream.py
+++ b/src/lifttrestle/internal/fleet/state/upstream.py
@@ -20,6 +20,7 @@
 from lifttrestle.internal.fleet.state.reach import Reachability
 from lifttrestle.internal.fleet.state.rejection_pacing import RejectionPacing
 from lifttrestle.internal.fleet.state.upstream_entry import build_digest
+from lifttrestle.internal.fleet.state.upstream_entry import StartEnd
 from lifttrestle.internal.fleet.state.upstream_entry import UpstreamEntry
 from lifttrestle.internal.http.client_pool import ClientPool
 from lifttrestle.internal.upstream.breaker import Breaker
@@ -118,6 +119,15 @@
         """Return the identity of this start."""
         return self.entry.start
 
+    def is_draining_since(self, earliest: float) -> bool:
+        """Return whether it drains, and did not before ``earliest``."""
+        return (
+            self.entry.draining
+            and self.drains_since > earliest
+            and self.vanished_at is None
+            and not self.misdirected
+        )
+
     def note_weights(self, model: str, version: int, now: float) -> None:
         """Record weights that it holds; older versions are ignored."""
         if version > self.weights.get(model, 0):
@@ -259,3 +269,10 @@
         oldest = min(pending.sent_at for pending in self.pending.values())
         since = max(oldest, self.last_received_at, self.tunnel_found_at)
         return now - since > SILENT_SECONDS
+
+
+def classify_end(upstream: FleetUpstream) -> StartEnd:
+    """Return how an upstream ended whose entry was removed."""
+    if upstream.entry.draining:
+        return StartEnd.WITHDRAWN
+    return StartEnd.VANISHED
--- a/src/lifttrestle/internal/fleet/streams/origins.py
+++ b/src/lifttrestle/internal/fleet/streams/origins.py
@@ -22,7 +22,6 @@
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.clock.ticker import Ticker
 from lifttrestle.internal.fleet.state.catalogue import Catalogue
-from lifttrestle.internal.fleet.state.catalogue import Route
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.rows import RowStore
@@ -165,22 +164,10 @@
 
     def get_life_seconds(self) -> float:
         """Return for how long a stream that has begun may be resumed."""
-        timeouts = [
-            route.timeout_seconds for route in self._list_resumable_routes()
-        ]
-        life = LIFE_TIMEOUTS * max(timeouts, default=0.0)
-        return min(max(life, MIN_LIFE_SECONDS), MAX_LIFE_SECONDS)
-
-    def _list_resumable_routes(self) -> list[Route]:
         catalogue = self.get_catalogue()
-        if catalogue is None:
-            return []
-        return [
-            route
-            for routes in catalogue.routes.values()
-            for route in routes
-            if route.streams and route.resumable
-        ]
+        longest = catalogue.longest_stream_seconds if catalogue else 0.0
+        life = LIFE_TIMEOUTS * longest
+        return min(max(life, MIN_LIFE_SECONDS), MAX_LIFE_SECONDS)
 
     async def run(self, ticker: Ticker) -> None:
         """Repeat records and maintain the rows until cancelled."""
@@ -194,10 +181,10 @@
 
     async def write_due_rows(self) -> None:
         """Write the rows that list other versions than were seen."""
+        catalogue = self.get_catalogue()
+        routes = catalogue.resumable_routes if catalogue is not None else ()
         services = {
-            share.service
-            for route in self._list_resumable_routes()
-            for share in route.shares
+            share.service for route in routes for share in route.shares
         }
         life = self.get_life_seconds()
         for service in sorted(services):
