--- a/src/lifttrestle/internal/fleet/path/attempt_options.py
+++ b/src/lifttrestle/internal/fleet/path/attempt_options.py
@@ -28,7 +28,6 @@
     :param last_event_id: event after which a stream resumes, or None.
     """
     admitted = request.admitted
-    workspace = admitted.workspace
     generation = request.facts.generation
     weights = None
     if generation is not None:
@@ -36,7 +35,7 @@
     return AttemptOptions(
         instance=upstream.instance,
         wait_seconds=request.get_remaining_seconds(),
-        workspace=workspace.name if workspace is not None else '',
+        workspace=admitted.workspace_name,
         hide_key=admitted.catalogue.keys is not None,
         weights=weights,
         cache=_build_cache_use(request, weights),
--- a/src/lifttrestle/internal/fleet/path/failure_recording.py
+++ b/src/lifttrestle/internal/fleet/path/failure_recording.py
@@ -73,9 +73,7 @@
 
     def _build_origin(self) -> RequestOrigin:
         admitted = self._request.admitted
-        workspace = admitted.workspace
-        name = workspace.name if workspace is not None else ''
-        return RequestOrigin(name, admitted.route.name)
+        return RequestOrigin(admitted.workspace_name, admitted.route.name)
 
     def _note_declined(self, upstream: FleetUpstream, now: float) -> None:
         """Remove a declined attempt from the counts and avoid its upstream."""
--- a/src/lifttrestle/internal/fleet/path/request_digest.py
+++ b/src/lifttrestle/internal/fleet/path/request_digest.py
@@ -40,9 +40,8 @@
     from the store before the first request, and a router that starts while the
     store is unavailable could not use what the other routers know.
     """
-    workspace = admitted.workspace
     fields = (
-        workspace.name if workspace is not None else '',
+        admitted.workspace_name,
         host,
         head.method,
         head.target,
--- a/src/lifttrestle/internal/fleet/path/stream_origin.py
+++ b/src/lifttrestle/internal/fleet/path/stream_origin.py
@@ -35,7 +35,7 @@
         return
     route = request.admitted.route
     found = await request.parts.streams.find(
-        _get_workspace(request),
+        request.admitted.workspace_name,
         facts.resumes,
         [share.service for share in route.shares],
     )
@@ -54,11 +54,7 @@
     facts = request.facts
     resumed = facts.last_event_id is not None
     begun_by = facts.resumes if resumed else facts.request_id
-    if begun_by and request.admitted.route.resumable:
+    admitted = request.admitted
+    if begun_by and admitted.route.resumable:
         streams = request.parts.streams
-        streams.record(_get_workspace(request), begun_by, origin)
-
-
-def _get_workspace(request: RequestContext) -> str:
-    workspace = request.admitted.workspace
-    return workspace.name if workspace is not None else ''
+        streams.record(admitted.workspace_name, begun_by, origin)
--- a/src/lifttrestle/internal/fleet/policy/admission.py
+++ b/src/lifttrestle/internal/fleet/policy/admission.py
@@ -49,6 +49,11 @@
     route: Route
     workspace: Workspace | None
 
+    @property
+    def workspace_name(self) -> str:
+        """Return the name of the workspace, empty without one."""
+        return self.workspace.name if self.workspace is not None else ''
+
 
 def admit(parts: FleetParts, facts: RequestFacts) -> AdmittedRequest:
     """Return the route and workspace of a request.
--- a/src/lifttrestle/internal/fleet/streams/recent_software.py
+++ b/src/lifttrestle/internal/fleet/streams/recent_software.py
@@ -56,9 +56,7 @@
         The version None stands for unknown.
         """
         state = (self._directory.changes, self._directory.get_catalogue())
-        if state[0] != self._listed_state[0] or (
-            state[1] is not self._listed_state[1]
-        ):
+        if state != self._listed_state:
             self._listed_state = state
             self._listed = self._count_all()
         return self._listed.get(service, {})
--- a/tests/nocover/test_software_versions.py
+++ b/tests/nocover/test_software_versions.py
@@ -223,21 +223,23 @@
         self.assertTrue(found)
         return found, tasks
 
+    async def _crash_old(self, fleet):
+        """Return streams that broke off with the only engine of a version."""
+        streams, tasks = await self._begin_at_old(fleet)
+        await fleet.engines['e1'].stop()
+        fleet.release()
+        await asyncio.gather(*tasks)
+        return streams
+
     async def test_open_stream_ends_and_does_not_look_complete(self):
         async with run_version_fleet(self.VERSIONS) as fleet:
-            streams, tasks = await self._begin_at_old(fleet)
-            await fleet.engines['e1'].stop()
-            fleet.release()
-            await asyncio.gather(*tasks)
+            streams = await self._crash_old(fleet)
             self.assertFalse(any(item.is_complete for item in streams))
             self.assertEqual(count_mixed(streams), 0)
 
     async def test_resumed_stream_is_refused_at_once_as_not_run(self):
         async with run_version_fleet(self.VERSIONS) as fleet:
-            streams, tasks = await self._begin_at_old(fleet)
-            await fleet.engines['e1'].stop()
-            fleet.release()
-            await asyncio.gather(*tasks)
+            streams = await self._crash_old(fleet)
             fleet.store.remove('servers', 'e1')
             del fleet.engines['e1']
             await fleet.wait_settled()
@@ -249,10 +251,7 @@
 
     async def test_stream_goes_on_when_its_version_is_back(self):
         async with run_version_fleet(self.VERSIONS) as fleet:
-            streams, tasks = await self._begin_at_old(fleet)
-            await fleet.engines['e1'].stop()
-            fleet.release()
-            await asyncio.gather(*tasks)
+            streams = await self._crash_old(fleet)
             await fleet.add_engine('e4', OLD)
             await fleet.wait_settled()
             await streams[0].call(fleet.get_address('r2'))
