--- a/src/lifttrestle/internal/fleet/path/request_digest.py
+++ b/src/lifttrestle/internal/fleet/path/request_digest.py
@@ -20,11 +20,9 @@
 import hashlib
 
 from lifttrestle.internal.fleet.policy.admission import AdmittedRequest
+from lifttrestle.internal.fleet.state.digests import RECORD_DIGEST_BYTES
 from lifttrestle.internal.http.head import RequestHead
 
-# With a million requests tracked at the same time, the probability that any
-# two have the same digest is one in 37 million.
-DIGEST_BYTES = 8
 # Occurs in none of the fields, so different requests never encode to the same
 # bytes.
 SEPARATOR = b'\0'
@@ -46,7 +44,7 @@
         head.method,
         head.target,
     )
-    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    digest = hashlib.blake2b(digest_size=RECORD_DIGEST_BYTES)
     for text in fields:
         digest.update(text.encode())
         digest.update(SEPARATOR)
--- a/src/lifttrestle/internal/fleet/state/owners.py
+++ b/src/lifttrestle/internal/fleet/state/owners.py
@@ -12,18 +12,18 @@
 
 """Selects the routers that keep a record together."""
 
+from lifttrestle.internal.fleet.state.digests import RECORD_DIGEST_BYTES
 from lifttrestle.internal.routing.rendezvous import rank_names
 
 # With 195 routers in front of 59 engines with 24 slots, half of which crash, 5
 # owners receive 975 records of crashes; sending to all routers would take
 # 37,800.
 OWNER_COUNT = 5
-DIGEST_BYTES = 8
 
 
 def choose_owners(digest: int, routers: list[str]) -> list[str]:
     """Return the routers that keep the record with a digest."""
     if len(routers) <= OWNER_COUNT:
         return routers
-    key_bytes = digest.to_bytes(DIGEST_BYTES, 'big')
+    key_bytes = digest.to_bytes(RECORD_DIGEST_BYTES, 'big')
     return rank_names(key_bytes, routers)[:OWNER_COUNT]
--- a/src/lifttrestle/internal/fleet/state/shared_parts.py
+++ b/src/lifttrestle/internal/fleet/state/shared_parts.py
@@ -19,9 +19,9 @@
 """
 
 import collections
-import hashlib
 
 from lifttrestle.internal.fleet.path.dialect import PromptPart
+from lifttrestle.internal.fleet.state.digests import compute_digest
 
 # About 100 bytes each; several times what engines and the cache store hold.
 MAX_PARTS = 20_000
@@ -92,5 +92,4 @@
 
 def _make_key(salt: str, part: PromptPart) -> int:
     text = f'{salt}/{part.part_id}'.encode()
-    digest = hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest()
-    return int.from_bytes(digest, 'big')
+    return compute_digest(text, DIGEST_BYTES)
--- a/src/lifttrestle/internal/fleet/state/upstream_entry.py
+++ b/src/lifttrestle/internal/fleet/state/upstream_entry.py
@@ -14,9 +14,9 @@
 
 import dataclasses
 import enum
-import hashlib
 import re
 
+from lifttrestle.internal.fleet.state.digests import compute_digest
 from lifttrestle.internal.http.address import parse_address
 
 DIGEST_BYTES = 4
@@ -61,8 +61,7 @@
     With 600 upstreams, one fleet in 24,000 has a collision; a load report is
     then attributed to the wrong one of the two upstreams.
     """
-    digest = hashlib.blake2b(start.encode(), digest_size=DIGEST_BYTES).digest()
-    return int.from_bytes(digest, 'big')
+    return compute_digest(start.encode(), DIGEST_BYTES)
 
 
 class StartOrder(enum.Enum):
--- a/src/lifttrestle/internal/fleet/streams/ledger.py
+++ b/src/lifttrestle/internal/fleet/streams/ledger.py
@@ -15,15 +15,15 @@
 import collections
 from collections.abc import Callable
 import dataclasses
-import hashlib
 
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.state.digests import compute_digest
+from lifttrestle.internal.fleet.state.digests import RECORD_DIGEST_BYTES
 from lifttrestle.internal.fleet.streams.origin import StreamOrigin
 
 # Maximum number of records, about 300 bytes each: those of 250 streams a
 # second for a minute.
 MAX_RECORDS = 16_384
-DIGEST_BYTES = 8
 
 
 @dataclasses.dataclass(frozen=True)
@@ -95,5 +95,4 @@
     :param request_id: of the request that brought the first event.
     """
     text = f'{workspace}\0{request_id}'.encode(errors='replace')
-    digest = hashlib.blake2b(text, digest_size=DIGEST_BYTES).digest()
-    return int.from_bytes(digest, 'big')
+    return compute_digest(text, RECORD_DIGEST_BYTES)
