Retry budgets tell what is spent, earned and shared

Cause: neither log nor metrics could tell whether a router exceeded its share of a retry budget, or all of them together: 'the retry budget is used up' named no figures, and a granted retry left no trace but a count. Change: each retry and each refusal logs request.retry with granted, spent, earned, slack and routers; three gauges a service tell the same, to be added up over the routers. The budget returns them as BudgetUse; no decision changes.

--- a/src/lifttrestle/internal/fleet/parts.py
+++ b/src/lifttrestle/internal/fleet/parts.py
@@ -100,4 +100,7 @@
         if budget is None:
             budget = SharedRetryBudget(self.settings.promises, self.clock)
             self.budgets[service] = budget
+            self.metrics.add_retry_budget(
+                service, lambda: budget.get_use(self.roster.live)
+            )
         return budget
--- a/src/lifttrestle/internal/fleet/path/event_buffer.py
+++ b/src/lifttrestle/internal/fleet/path/event_buffer.py
@@ -28,6 +28,7 @@
 from lifttrestle.internal.fleet.path.upstream_status import UpstreamStatus
 from lifttrestle.internal.fleet.policy.admission import AdmittedRequest
 from lifttrestle.internal.fleet.policy.placement import Placement
+from lifttrestle.internal.fleet.policy.retry_budget import BudgetUse
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.fleet.streams.origins import FoundOrigin
 from lifttrestle.internal.fleet.usage.ledger import UsageDecision
@@ -109,6 +110,16 @@
     }
 
 
+def build_budget_fields(use: BudgetUse) -> dict[str, object]:
+    """Return the log fields of a router's use of a retry budget."""
+    return {
+        'spent': use.spent,
+        'earned': round(use.earned, 2),
+        'slack': round(use.slack, 2),
+        'routers': use.routers,
+    }
+
+
 def build_origin_fields(found: FoundOrigin) -> dict[str, object]:
     """Return the log fields of what began a stream that is resumed."""
     origin = found.origin
--- a/src/lifttrestle/internal/fleet/path/sending.py
+++ b/src/lifttrestle/internal/fleet/path/sending.py
@@ -21,6 +21,7 @@
 from lifttrestle.internal.fleet.path.candidates import Candidates
 from lifttrestle.internal.fleet.path.dialect import AttemptOptions
 from lifttrestle.internal.fleet.path.event_buffer import build_answered_fields
+from lifttrestle.internal.fleet.path.event_buffer import build_budget_fields
 from lifttrestle.internal.fleet.path.request_context import RequestContext
 from lifttrestle.internal.fleet.policy.placement import Placement
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
@@ -154,8 +155,14 @@
     def _take_retry(self) -> bool:
         service = self._request.service
         budget = self._parts.get_budget(service)
-        granted = budget.take(self._parts.roster.live)
+        live_routers = self._parts.roster.live
+        granted = budget.take(live_routers)
         self._parts.metrics.count_retry(service, granted)
+        self._request.event_buffer.add(
+            'retry',
+            granted=granted,
+            **build_budget_fields(budget.get_use(live_routers)),
+        )
         return granted
 
     def _record_engine_answer(
--- a/src/lifttrestle/internal/fleet/policy/retry_budget.py
+++ b/src/lifttrestle/internal/fleet/policy/retry_budget.py
@@ -17,6 +17,7 @@
 """
 
 import collections
+import dataclasses
 
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.settings import Promises
@@ -25,6 +26,24 @@
 USABLE_SHARE = 0.85
 
 
+@dataclasses.dataclass(frozen=True)
+class BudgetUse:
+    """What one router has of a retry budget in the current window.
+
+    The sums over all routers can be compared with the whole budget.
+
+    :ivar spent: retries.
+    :ivar earned: retries that its requests allow.
+    :ivar slack: its share of the retries that need no requests.
+    :ivar routers: routers that share the slack.
+    """
+
+    spent: int
+    earned: float
+    slack: float
+    routers: int
+
+
 class SharedRetryBudget:
     """Counts requests and retries of one service over a sliding window."""
 
@@ -38,10 +57,18 @@
         """Record a request of a caller."""
         self._requests.append(self._clock.monotonic())
 
-    @property
-    def spent(self) -> int:
-        """Return the number of retries in the window."""
-        return len(self._retries)
+    def get_use(self, live_routers: int) -> BudgetUse:
+        """Return what is spent and what may be, without safety margin."""
+        oldest = self._clock.monotonic() - self.promises.retry_window_seconds
+        _drop_before(self._requests, oldest)
+        _drop_before(self._retries, oldest)
+        routers = max(live_routers, 1)
+        return BudgetUse(
+            spent=len(self._retries),
+            earned=self.promises.retry_share * len(self._requests),
+            slack=self.promises.retry_slack / routers,
+            routers=routers,
+        )
 
     def has_room(self, live_routers: int) -> bool:
         """Return whether the budget allows a retry.
@@ -49,12 +76,8 @@
         :param live_routers: upper estimate of the routers that share the
             slack.
         """
-        oldest = self._clock.monotonic() - self.promises.retry_window_seconds
-        _drop_before(self._requests, oldest)
-        _drop_before(self._retries, oldest)
-        earned = self.promises.retry_share * len(self._requests)
-        slack = self.promises.retry_slack / max(live_routers, 1)
-        return len(self._retries) + 1 <= USABLE_SHARE * (earned + slack)
+        use = self.get_use(live_routers)
+        return use.spent + 1 <= USABLE_SHARE * (use.earned + use.slack)
 
     def take(self, live_routers: int) -> bool:
         """Spend a retry; return False if the budget is exhausted."""
--- a/src/lifttrestle/internal/telemetry/fleet_metrics.py
+++ b/src/lifttrestle/internal/telemetry/fleet_metrics.py
@@ -19,6 +19,8 @@
 
 import prometheus_client
 
+from lifttrestle.internal.fleet.policy.retry_budget import BudgetUse
+
 PREFIX = 'lifttrestle'
 # Workspaces with a label value of their own; all others share ``OTHERS``.
 MAX_WORKSPACES = 100
@@ -75,6 +77,16 @@
             'resumed', 'Sends that resume a stream.', ('service', 'software')
         )
         self._over_cap_workspaces: set[str] = set()
+        self._retries_spent = self._make_gauge(
+            'retry_budget_spent', 'Retries in the current window.'
+        )
+        self._retries_earned = self._make_gauge(
+            'retry_budget_earned',
+            'Retries that the requests in the window allow.',
+        )
+        self._retry_slack = self._make_gauge(
+            'retry_budget_slack', 'Retries allowed regardless of requests.'
+        )
         self._request_seconds = self._make_histogram(
             'request_seconds', 'From the head of a request to its end.'
         )
@@ -107,6 +119,17 @@
         result = 'granted' if granted else 'refused'
         self._retries.labels(service, result).inc()
 
+    def add_retry_budget(
+        self, service: str, get_use: Callable[[], BudgetUse]
+    ) -> None:
+        """Export what this router has of the retry budget of a service."""
+        for gauge, read in (
+            (self._retries_spent, lambda: get_use().spent),
+            (self._retries_earned, lambda: get_use().earned),
+            (self._retry_slack, lambda: get_use().slack),
+        ):
+            gauge.labels(service).set_function(read)
+
     def count_over_cap(self, workspace: str) -> None:
         """Count a request that exceeded the usage cap of its workspace."""
         if len(self._over_cap_workspaces) < MAX_WORKSPACES:
@@ -161,6 +184,16 @@
             f'{PREFIX}_{name}', description, labels, registry=self.registry
         )
 
+    def _make_gauge(
+        self, name: str, description: str
+    ) -> prometheus_client.Gauge:
+        return prometheus_client.Gauge(
+            f'{PREFIX}_{name}',
+            description,
+            ('service',),
+            registry=self.registry,
+        )
+
     def _make_histogram(
         self,
         name: str,
