--- a/tests/support/router_soak.py
+++ b/tests/support/router_soak.py
@@ -79,6 +79,16 @@
     def make_upstream(self, name: str) -> U:
         """Return an upstream that is not started yet."""
 
+    def make_router(self, name: str) -> SoakRouter:
+        """Return a router that is not started yet."""
+        return SoakRouter(
+            name,
+            self._folder,
+            self._store.address,
+            self._record,
+            self._get_source(name),
+        )
+
     @abc.abstractmethod
     def list_coroutines(self) -> Sequence[Coroutine[None, None, None]]:
         """Return coroutines that run until the soak is over."""
@@ -108,18 +118,12 @@
         return self.check()
 
     async def _set_up(self) -> None:
-        address = await self._store.start()
+        await self._store.start()
         self._store.put('op', 'config', CONFIGURATION)
         for upstream in self._upstreams:
             await upstream.start()
         self._routers = [
-            SoakRouter(
-                f'r{number}',
-                self._folder,
-                address,
-                self._record,
-                self._get_source(f'r{number}'),
-            )
+            self.make_router(f'r{number}')
             for number in range(self.router_count)
         ]
         await asyncio.gather(*(router.start() for router in self._routers))
--- a/tests/support/soak_router.py
+++ b/tests/support/soak_router.py
@@ -55,6 +55,7 @@
     :ivar slack: seconds from the end of the grace period until a process that
         has not exited is killed; 0 for one that was paused.
     :ivar logs: output lines by the name of the start.
+    :ivar promises: settings of guarantees that differ from those of a soak.
     """
 
     def __init__(
@@ -71,6 +72,7 @@
         self.signals_share = 0.0
         self.slack = 0.0
         self.logs: dict[str, list[str]] = {}
+        self.promises: dict[str, float] = {}
         self._readiness_address = find_free_address()
         self._peer_address = find_free_address()
         self._path = folder / f'{name}.yaml'
@@ -195,6 +197,7 @@
             'contract_params': {
                 'grace_s': self._record.grace,
                 'retry_slack': self._source.randint(100, 200),
+                **self.promises,
             },
         }
         new = self._path.with_suffix('.new')
