A router that starts spends no retries that the one before may have spent

Cause: SharedRetryBudget knows what its own process sent. A start had its whole share at once, while the retries of the process before still counted at the upstreams; the rest took over the shares of routers that left at once; a start that had not read the table divided by 12. The class: what bounds all routers together and is held as unspent by a start. Change: 0.4 of the allowance at once, the rest spread over a window; a start has the latter only, and its slack comes in over the window, so that any series of lives fits into one window (docs/design/retry-budget.md). The highest number of routers in the window divides the slack; none of it is used while the share is not known or others may have counted this router out; traffic that has just come from other routers earns little at first. Shares below one retry are rounded by the router's position, so that some may be used at hundreds.

--- a/src/lifttrestle/internal/fleet/parts.py
+++ b/src/lifttrestle/internal/fleet/parts.py
@@ -23,6 +23,7 @@
 from lifttrestle.internal.fleet.path.dialect import RequestDialect
 from lifttrestle.internal.fleet.policy.cache_sources import CacheSources
 from lifttrestle.internal.fleet.policy.retry_budget import SharedRetryBudget
+from lifttrestle.internal.fleet.policy.router_share import RouterShare
 from lifttrestle.internal.fleet.settings import FleetSettings
 from lifttrestle.internal.fleet.state.cache_stores import CacheStores
 from lifttrestle.internal.fleet.state.catalogue import Workspace
@@ -59,6 +60,7 @@
         workspace whose usage must be known, or None.
     :ivar budgets: retry budget of each service.
     :ivar paces: prefill speed of the engines of each service.
+    :ivar started_at: when this process started, in monotonic seconds.
     """
 
     settings: FleetSettings
@@ -86,6 +88,9 @@
     )
     paces: dict[str, EnginePace] = dataclasses.field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self.started_at = self.clock.monotonic()
+
     def get_pace(self, service: str) -> EnginePace:
         """Return the measured prefill speed of the engines of a service."""
         pace = self.paces.get(service)
@@ -98,9 +103,16 @@
         """Return the retry budget of a service."""
         budget = self.budgets.get(service)
         if budget is None:
-            budget = SharedRetryBudget(self.settings.promises, self.clock)
+            budget = SharedRetryBudget(
+                self.settings.promises, self.clock, service, self.started_at
+            )
             self.budgets[service] = budget
             self.metrics.add_retry_budget(
-                service, lambda: budget.get_use(self.roster.live)
+                service, lambda: budget.get_use(self.list_retry_shares())
             )
         return budget
+
+    def list_retry_shares(self) -> list[RouterShare]:
+        """Return this router's shares in the window of the retry budgets."""
+        seconds = self.settings.promises.retry_window_seconds
+        return self.roster.list_shares(seconds)
--- a/src/lifttrestle/internal/fleet/path/sending.py
+++ b/src/lifttrestle/internal/fleet/path/sending.py
@@ -155,13 +155,13 @@
     def _take_retry(self) -> bool:
         service = self._request.service
         budget = self._parts.get_budget(service)
-        live_routers = self._parts.roster.live
-        granted = budget.take(live_routers)
+        shares = self._parts.list_retry_shares()
+        granted = budget.take(shares)
         self._parts.metrics.count_retry(service, granted)
         self._request.event_buffer.add(
             'retry',
             granted=granted,
-            **build_budget_fields(budget.get_use(live_routers)),
+            **build_budget_fields(budget.get_use(shares)),
         )
         return granted
 
@@ -205,7 +205,7 @@
         request = self._request
         budget = self._parts.get_budget(request.service)
         return budget.has_room(
-            self._parts.roster.live
+            self._parts.list_retry_shares()
         ) and self._candidates.has_alternative(
             request.admitted, request.service
         )
--- a/src/lifttrestle/internal/fleet/policy/retry_budget.py
+++ b/src/lifttrestle/internal/fleet/policy/retry_budget.py
@@ -10,20 +10,35 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
+
 """Retry budget that all routers share.
 
 The routers do not coordinate: each spends the share earned by its own requests
 and its part of the slack, so that the total stays within the budget.
+
+A router that starts does not know what the process before it has spent, so
+the two must fit into one window, whatever ends the first and however often
+that happens. Therefore a running router spends only a part of its allowance at
+once and the rest spread over a window, and a router that starts spends at most
+that rest in its first window.
 """
 
 import collections
+from collections.abc import Sequence
 import dataclasses
+import zlib
 
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.policy.router_share import RouterShare
 from lifttrestle.internal.fleet.settings import Promises
 
 # Usable fraction of the allowance, as the windows of the routers differ.
 USABLE_SHARE = 0.85
+# Fraction that may be spent at once, if it is not less than one retry.
+BURST_SHARE = 0.4
+# Requests earn retries up to this multiple of the requests of the window
+# before: callers that come from other routers have earned some there.
+MAX_GROWTH = 1.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -35,7 +50,7 @@
     :ivar spent: retries.
     :ivar earned: retries that its requests allow.
     :ivar slack: its share of the retries that need no requests.
-    :ivar routers: routers that share the slack.
+    :ivar routers: routers that share the slack, 0 if that is not known.
     """
 
     spent: int
@@ -45,47 +60,115 @@
 
 
 class SharedRetryBudget:
-    """Counts requests and retries of one service over a sliding window."""
+    """Counts requests and retries of one service over a sliding window.
+
+    :param service: name of the service.
+    :param started_at: when this process started, in monotonic seconds.
+    """
 
-    def __init__(self, promises: Promises, clock: Clock) -> None:
+    def __init__(
+        self,
+        promises: Promises,
+        clock: Clock,
+        service: str = '',
+        started_at: float = float('-inf'),
+    ) -> None:
         self.promises = promises
         self._clock = clock
+        self._service_number = zlib.crc32(service.encode())
+        self._started_at = started_at
+        # Times of the requests of this window and of the one before, and of
+        # the retries of this window.
         self._requests: collections.deque[float] = collections.deque()
+        self._earlier_requests: collections.deque[float] = collections.deque()
         self._retries: collections.deque[float] = collections.deque()
 
     def note_request(self) -> None:
         """Record a request of a caller."""
         self._requests.append(self._clock.monotonic())
 
-    def get_use(self, live_routers: int) -> BudgetUse:
-        """Return what is spent and what may be, without safety margin."""
-        oldest = self._clock.monotonic() - self.promises.retry_window_seconds
-        _drop_before(self._requests, oldest)
-        _drop_before(self._retries, oldest)
-        routers = max(live_routers, 1)
+    def get_use(self, shares: Sequence[RouterShare]) -> BudgetUse:
+        """Return what is spent and what may be, without safety margin.
+
+        :param shares: those that this router had in the last window; empty
+            if its share is not known.
+        """
+        self._drop_expired()
+        routers = max((share.routers for share in shares), default=0)
+        slack = self.promises.retry_slack / routers if routers else 0.0
         return BudgetUse(
             spent=len(self._retries),
-            earned=self.promises.retry_share * len(self._requests),
-            slack=self.promises.retry_slack / routers,
+            earned=self.promises.retry_share * self._count_earning(),
+            slack=slack * min(self._get_age(), 1.0),
             routers=routers,
         )
 
-    def has_room(self, live_routers: int) -> bool:
+    def has_room(self, shares: Sequence[RouterShare]) -> bool:
         """Return whether the budget allows a retry.
 
-        :param live_routers: upper estimate of the routers that share the
-            slack.
+        :param shares: see ``get_use``.
         """
-        use = self.get_use(live_routers)
-        return use.spent + 1 <= USABLE_SHARE * (use.earned + use.slack)
+        use = self.get_use(shares)
+        allowance = use.earned + use.slack
+        usable = USABLE_SHARE * allowance
+        age = self._get_age()
+        least_burst = 0.0 if 1.0 <= age < 2.0 else 1.0
+        burst = min(max(BURST_SHARE * allowance, least_burst), usable)
+        flow = usable - burst
+        rounding = self._get_rounding(shares)
+        if age < 1.0:
+            return use.spent + 1 <= flow + rounding
+        now = self._clock.monotonic()
+        window = self.promises.retry_window_seconds
+        spans = ((now - at) / window for at in reversed(self._retries))
+        return all(
+            count <= burst + flow * windows + rounding
+            for count, windows in enumerate((0.0, *spans), start=1)
+        )
 
-    def take(self, live_routers: int) -> bool:
+    def take(self, shares: Sequence[RouterShare]) -> bool:
         """Spend a retry; return False if the budget is exhausted."""
-        if not self.has_room(live_routers):
+        if not self.has_room(shares):
             return False
         self._retries.append(self._clock.monotonic())
         return True
 
+    def _get_age(self) -> float:
+        """Return the age of this process in windows."""
+        age = self._clock.monotonic() - self._started_at
+        return age / self.promises.retry_window_seconds
+
+    def _count_earning(self) -> float:
+        """Return the number of requests that earn retries."""
+        if self._get_age() < 2.0:
+            return len(self._requests)
+        most = MAX_GROWTH * len(self._earlier_requests)
+        return min(len(self._requests), most)
+
+    def _drop_expired(self) -> None:
+        window = self.promises.retry_window_seconds
+        oldest = self._clock.monotonic() - window
+        while self._requests and self._requests[0] < oldest:
+            self._earlier_requests.append(self._requests.popleft())
+        _drop_before(self._earlier_requests, oldest - window)
+        _drop_before(self._retries, oldest)
+
+    def _get_rounding(self, shares: Sequence[RouterShare]) -> float:
+        """Return what is added to the allowance before it is rounded down.
+
+        Over all routers it is spread evenly from 0 to 1, so that they round as
+        many shares up as down. Where a share is a tenth of a retry, one in ten
+        routers may send one.
+        """
+        return min(
+            (
+                ((share.position + self._service_number) % share.routers + 0.5)
+                / share.routers
+                for share in shares
+            ),
+            default=0.0,
+        )
+
 
 def _drop_before(times: collections.deque[float], oldest: float) -> None:
     while times and times[0] < oldest:
--- a/src/lifttrestle/internal/fleet/state/roster.py
+++ b/src/lifttrestle/internal/fleet/state/roster.py
@@ -28,6 +28,8 @@
 from lifttrestle.errors import ConditionFailed
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.policy.router_share import RouterShare
+from lifttrestle.internal.fleet.policy.router_share import ShareHistory
 from lifttrestle.internal.fleet.state.row_version import get_epoch
 from lifttrestle.internal.fleet.state.rows import NO_ROW
 from lifttrestle.internal.fleet.state.rows import RowOrigin
@@ -122,6 +124,7 @@
         self._repair_needed = asyncio.Event()
         self._write_lock = asyncio.Lock()
         self._has_left = False
+        self._shares = ShareHistory()
         self.address = ''
         self.tunnel_address = ''
         self.loaded = False
@@ -142,6 +145,34 @@
         fresh = set(self._entries) - set(self._list_stale())
         return sorted({*fresh, self._key})
 
+    def list_shares(self, seconds: float) -> list[RouterShare]:
+        """Return the shares that this router had in the last seconds.
+
+        Empty while the number of routers is not known, or while the others may
+        not count this one.
+        """
+        if not self.loaded or not self._is_counted():
+            return []
+        now = self._clock.monotonic()
+        self._note_share()
+        return self._shares.list_since(now - seconds)
+
+    def _note_share(self) -> None:
+        routers = self.routers
+        share = RouterShare(len(routers), routers.index(self._key))
+        self._shares.note(share, self._clock.monotonic())
+
+    def _is_counted(self) -> bool:
+        """Return whether the others surely count this router.
+
+        A router that is cut off can't refresh its row, and can't read that
+        the row was removed.
+        """
+        if not self._is_listed():
+            return False
+        age = self._clock.monotonic() - self._entries[self._key].seen_at
+        return age < STALE_SECONDS - REFRESH_SECONDS / 2
+
     def list_others(self) -> list[str]:
         """Return the keys of the other routers that receive load reports."""
         return [
@@ -216,6 +247,7 @@
                 now,
                 decoded.tunnel_address,
             )
+        self._note_share()
         if self.live != before:
             LOG.info('roster.changed', live=self.live, before=before)
         own_unlisted = row.key == self._key and not self._is_listed()
@@ -344,6 +376,7 @@
             return False
         self._entries.pop(key, None)
         self.changes += 1
+        self._note_share()
         return True
 
     def _list_stale(self) -> list[str]:
--- a/tests/cover/test_roster.py
+++ b/tests/cover/test_roster.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from lifttrestle.internal.clock.manual import ManualClock
+from lifttrestle.internal.fleet.policy.router_share import RouterShare
 from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
 from lifttrestle.internal.fleet.state.roster import LOST_GRACE_SECONDS
 from lifttrestle.internal.fleet.state.roster import REFRESH_SECONDS
@@ -105,6 +106,48 @@
         self.assertEqual((one.live, other.live), (2, 2))
 
 
+class TestShares(RosterCase):
+    """What a router may know of its share of what all spend together."""
+
+    async def join_all(self, *names):
+        rosters = [self.make_roster(name) for name in names]
+        for roster in rosters:
+            await roster.join()
+        for roster in rosters:
+            await self.apply_changes(roster)
+        return rosters
+
+    async def test_positions_of_routers_differ(self):
+        rosters = await self.join_all('one', 'other', 'third')
+        shares = [roster.list_shares(10.0)[-1] for roster in rosters]
+        self.assertEqual({share.routers for share in shares}, {3})
+        self.assertEqual({share.position for share in shares}, {0, 1, 2})
+
+    async def test_share_is_not_known_before_the_table_is_read(self):
+        (one,) = await self.join_all('one')
+        one.loaded = False
+        self.assertEqual(one.list_shares(10.0), [])
+
+    async def test_share_is_not_known_while_the_row_is_not_in_the_table(self):
+        one = self.make_roster('one')
+        self.assertEqual(one.list_shares(10.0), [])
+
+    async def test_share_before_another_router_left_is_remembered(self):
+        one, other = await self.join_all('one', 'other')
+        self.pass_time(60.0)
+        await other.leave()
+        await self.apply_changes(one)
+        counts = [share.routers for share in one.list_shares(10.0)]
+        self.assertEqual(counts, [2, 1])
+        self.pass_time(10.0)
+        self.assertEqual(one.list_shares(10.0), [RouterShare(1, 0)])
+
+    async def test_router_that_may_be_counted_out_has_no_share(self):
+        one, _ = await self.join_all('one', 'other')
+        self.pass_time(STALE_SECONDS - REFRESH_SECONDS / 2)
+        self.assertEqual(one.list_shares(10.0), [])
+
+
 class TestJoin(RosterCase):
     async def test_regression_row_kept_the_address_of_an_earlier_start(self):
         # A VM that restarted at another address kept its old row, so that it
