Lost requests tell the digests of their prompt's parts

Change: each shared part has a digest (service, model and id of the part; an isolated workspace has its own), whose two highest bits tell parts, first parts and whole requests apart; request.admitted and crash.noted list them, and crash.noted names the start that crashed. Digests of whole requests lose their two highest bits, so a hold of a request that an older version wrote is no longer found (it costs three upstreams once more); no decision changes else. A part's digest tells nobody its text; whoever knows an id can test it.

--- a/src/lifttrestle/internal/fleet/crashes/held_row.py
+++ b/src/lifttrestle/internal/fleet/crashes/held_row.py
@@ -12,6 +12,8 @@
 
 """Table rows of held requests and their encoding."""
 
+from collections.abc import Iterable
+
 import msgspec
 
 from lifttrestle.internal.intake.decoding import decode_json
@@ -44,6 +46,11 @@
     return f'{digest:016x}'
 
 
+def format_digests(digests: Iterable[int]) -> str | None:
+    """Return digests as text for logs, None if there are none."""
+    return ' '.join(map(format_digest, digests)) or None
+
+
 def build_key(digest: int) -> str:
     """Return the key of the row for a request."""
     return f'{HELD_PREFIX}{format_digest(digest)}'
--- a/src/lifttrestle/internal/fleet/crashes/tracker.py
+++ b/src/lifttrestle/internal/fleet/crashes/tracker.py
@@ -18,6 +18,7 @@
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.clock.ticker import Ticker
 from lifttrestle.internal.fleet.crashes.held_row import format_digest
+from lifttrestle.internal.fleet.crashes.held_row import format_digests
 from lifttrestle.internal.fleet.crashes.held_row import HeldRow
 from lifttrestle.internal.fleet.crashes.hold_rules import allows_trial
 from lifttrestle.internal.fleet.crashes.hold_rules import CRASH_LIMIT
@@ -50,10 +51,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class RequestOrigin:
-    """Workspace and route of a request."""
+    """Workspace, route and part digests of a request."""
 
     workspace: str
     route: str
+    parts: tuple[int, ...] = ()
 
 
 UNKNOWN_ORIGIN = RequestOrigin('', '')
@@ -204,6 +206,8 @@
             'crash.noted',
             digest=format_digest(digest),
             crashed=self._ledger.count_crashed(digest),
+            start=f'{start:x}',
+            parts=format_digests(self._get_origin(digest).parts),
         )
         self.replicator.queue_update(digest)
         self._update_hold(
@@ -236,7 +240,7 @@
             if writes:
                 self.holds.schedule_write(digest, 0.0, None)
             return
-        origin = self._origins.get(digest, UNKNOWN_ORIGIN)
+        origin = self._get_origin(digest)
         crashed = self._ledger.count_crashed(digest)
         LOG.warning(
             'hold.begun',
@@ -254,6 +258,9 @@
         )
         self.holds.schedule_write(digest, delay, row)
 
+    def _get_origin(self, digest: int) -> RequestOrigin:
+        return self._origins.get(digest, UNKNOWN_ORIGIN)
+
     def _rewrite_lost(self, digest: int, row: HeldRow) -> None:
         """Schedule a new write of a lost row.
 
--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -27,6 +27,7 @@
 from lifttrestle.internal.exchange.progress import RequestEvent
 from lifttrestle.internal.exchange.progress import RequestProgress
 from lifttrestle.internal.fleet.crashes.held_row import format_digest
+from lifttrestle.internal.fleet.crashes.held_row import format_digests
 from lifttrestle.internal.fleet.parts import FleetParts
 from lifttrestle.internal.fleet.path.answer_forwarding import AnswerForwarder
 from lifttrestle.internal.fleet.path.candidates import Candidates
@@ -38,6 +39,7 @@
 from lifttrestle.internal.fleet.path.failure_recording import FailureRecorder
 from lifttrestle.internal.fleet.path.request_context import begin_request
 from lifttrestle.internal.fleet.path.request_context import RequestContext
+from lifttrestle.internal.fleet.path.request_digest import build_part_digests
 from lifttrestle.internal.fleet.path.request_digest import build_request_digest
 from lifttrestle.internal.fleet.path.sending import RequestSender
 from lifttrestle.internal.fleet.path.stream_origin import bind_stream
@@ -158,6 +160,9 @@
         request.digest = build_request_digest(
             request.admitted, self._facts.host, self._head, self._body
         )
+        request.part_digests = build_part_digests(
+            request.admitted, request.service, self._facts.generation
+        )
         self._failures = FailureRecorder(request, self._candidates)
         self._sender = RequestSender(
             request, self._head, self._body, self._forwarder, self._candidates
@@ -173,6 +178,7 @@
                 self._parts.shutdown.get_remaining_seconds(),
             ),
             digest=format_digest(request.digest),
+            parts=format_digests(request.part_digests),
         )
         await bind_stream(request)
         self._parts.get_budget(request.service).note_request()
--- a/src/lifttrestle/internal/fleet/path/failure_recording.py
+++ b/src/lifttrestle/internal/fleet/path/failure_recording.py
@@ -73,7 +73,11 @@
 
     def _build_origin(self) -> RequestOrigin:
         admitted = self._request.admitted
-        return RequestOrigin(admitted.workspace_name, admitted.route.name)
+        return RequestOrigin(
+            admitted.workspace_name,
+            admitted.route.name,
+            self._request.part_digests,
+        )
 
     def _note_declined(self, upstream: FleetUpstream, now: float) -> None:
         """Remove a declined attempt from the counts and avoid its upstream."""
--- a/src/lifttrestle/internal/fleet/path/request_context.py
+++ b/src/lifttrestle/internal/fleet/path/request_context.py
@@ -57,6 +57,7 @@
     :ivar sends: how many attempts were sent, including declined ones.
     :ivar runs: how many attempts may have run.
     :ivar digest: identifies the request when it is repeated.
+    :ivar part_digests: identify the shared parts of its prompt, in order.
     :ivar on_trial: whether it may run once more although it is held.
     :ivar charge: its share of the usage cap of its workspace, None before it
         is charged and if there is no cap.
@@ -74,6 +75,7 @@
     sends: int = 0
     runs: int = 0
     digest: int = 0
+    part_digests: tuple[int, ...] = ()
     on_trial: bool = False
     charge: UsageCharge | None = None
 
--- a/src/lifttrestle/internal/fleet/path/request_digest.py
+++ b/src/lifttrestle/internal/fleet/path/request_digest.py
@@ -10,7 +10,7 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-"""Identifies repeats of a request by a digest.
+"""Identifies repeats of a request, and parts of prompts, by digests.
 
 A repeat may have another request id, connection, router, key of the same
 workspace or last event id. The digest therefore covers only the workspace and
@@ -19,7 +19,12 @@
 
 import hashlib
 
+from lifttrestle.internal.fleet.crashes.suspects import set_kind
+from lifttrestle.internal.fleet.crashes.suspects import SuspectKind
+from lifttrestle.internal.fleet.path.dialect import Generation
 from lifttrestle.internal.fleet.policy.admission import AdmittedRequest
+from lifttrestle.internal.fleet.policy.admission import get_cache_scope
+from lifttrestle.internal.fleet.state.digests import compute_digest
 from lifttrestle.internal.fleet.state.digests import RECORD_DIGEST_BYTES
 from lifttrestle.internal.http.head import RequestHead
 
@@ -49,4 +54,28 @@
         digest.update(text.encode())
         digest.update(SEPARATOR)
     digest.update(body)
-    return int.from_bytes(digest.digest(), 'big')
+    number = int.from_bytes(digest.digest(), 'big')
+    return set_kind(number, SuspectKind.REQUEST)
+
+
+def build_part_digests(
+    admitted: AdmittedRequest, service: str, generation: Generation | None
+) -> tuple[int, ...]:
+    """Return numbers that identify the shared parts of a request's prompt.
+
+    A part has the same number in all requests for its model, whoever sends
+    them and by whatever route, except that those of an isolated workspace are
+    its own. The last part belongs to the request alone and has none.
+    """
+    if generation is None:
+        return ()
+    scope = get_cache_scope(admitted)
+    digests = []
+    kind = SuspectKind.FIRST_PART
+    for part in generation.shared:
+        fields = (scope, service, generation.model, part.part_id)
+        data = b''.join(text.encode() + SEPARATOR for text in fields)
+        number = compute_digest(data, RECORD_DIGEST_BYTES)
+        digests.append(set_kind(number, kind))
+        kind = SuspectKind.PART
+    return tuple(digests)
