Failing test: a prompt part crashes every engine that writes on it

Three routers, ten engines that crash 0.1 s after they begin to write on one part, neither first nor last; no two requests are alike, sound ones share the key and the first part and are sent beside.

--- /dev/null
+++ b/tests/nocover/test_crashing_parts.py
@@ -0,0 +1,179 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+
+"""Tests of prompt parts that crash every engine that writes on them.
+
+No two requests are alike: each has the part, neither first nor last, and a last
+part and a body of its own. Sound requests share the key and the first part.
+"""
+
+import asyncio
+import contextlib
+import itertools
+import random
+import time
+import unittest
+
+from tests.support.crashing_engine import CrashingEngine
+from tests.support.fleet import CONFIGURATION
+from tests.support.fleet import Fleet
+from tests.support.fleet import make_router
+from tests.support.fleet import PROMISES
+from tests.support.fleet import wait_until
+from tests.support.fleet_store import FleetStoreStandin
+from tests.support.shifted_clock import ShiftedClock
+
+NAMES = ('front-a-1', 'front-a-2', 'front-a-3')
+ENGINES = 10
+FIRST = 'aa'
+FATAL = 'dead'
+SOUND = ('b1', 'b2', 'b3', 'b4')
+# Routers in touch know of a crash within this time.
+CONTACT_SECONDS = 3.0
+LIMIT = 5
+MAX_LATE = 3
+GUILTY_PER_SECOND = 8
+SOUND_PER_SECOND = 30
+# How much less often sound requests may be served than before.
+LEAST_SHARE = 0.5
+
+
+@contextlib.asynccontextmanager
+async def run_routers():
+    """Run three routers in front of engines that parts can crash."""
+    store = FleetStoreStandin()
+    address = await store.start()
+    store.put('op', 'config', CONFIGURATION)
+    engines = [
+        CrashingEngine(f'e{number}', store, {FATAL})
+        for number in range(ENGINES)
+    ]
+    for engine in engines:
+        await engine.start()
+    day = Day(store, engines)
+    for vm in NAMES:
+        day.routers[vm] = make_router(address, PROMISES, vm)
+    try:
+        for router in day.routers.values():
+            await router.start()
+        await wait_until(
+            lambda: all(
+                item.is_ready()
+                and item.roster.live == len(NAMES)
+                and len(list(item.directory)) == ENGINES
+                for item in day.routers.values()
+            )
+        )
+        yield day
+    finally:
+        for router in day.routers.values():
+            await router.stop()
+        for engine in engines:
+            await engine.stop()
+        await store.server.stop()
+
+
+class Day:
+    """Callers of three routers, and what became of their requests.
+
+    :ivar served: when each sound request was sent and whether it was served.
+    :ivar guilty: answers to the others.
+    """
+
+    def __init__(self, store, engines):
+        self.store = store
+        self.engines = engines
+        self.routers = {}
+        self.served = []
+        self.guilty = []
+        self._source = random.Random(3)
+        self._ids = itertools.count()
+        self._calls = set()
+
+    @property
+    def crashed_at(self):
+        """Return when engines crashed."""
+        return sorted(at for item in self.engines for at in item.crashed_at)
+
+    async def call(self, parts, vm=None, **fields):
+        """Send a request with these shared parts to a random router."""
+        number = next(self._ids)
+        router = self.routers[vm or self._source.choice(NAMES)]
+        fleet = Fleet(self.store, router, {}, ShiftedClock())
+        prefix = ','.join(f'{part}:100' for part in (*parts, f'{number:x}'))
+        headers = (
+            ('model', 'm'),
+            ('token-count', '400,5'),
+            ('prompt-prefix', prefix),
+        )
+        return await fleet.call(
+            '/text/x',
+            method='POST',
+            headers=headers,
+            body=b'%d' % number,
+            request_id=f'r{number}',
+            **fields,
+        )
+
+    async def send_sound(self):
+        """Send a sound request and record whether it was served."""
+        sent_at = time.monotonic()
+        status = 0
+        with contextlib.suppress(Exception):
+            parts = (FIRST, self._source.choice(SOUND))
+            status = (await self.call(parts)).status
+        self.served.append((sent_at, status == 200))
+
+    async def send_guilty(self):
+        """Send a request with the part that crashes engines."""
+        with contextlib.suppress(Exception):
+            self.guilty.append(await self.call((FIRST, FATAL)))
+
+    async def run(self, seconds, guilty=True):
+        """Send requests at random times, then wait for their answers."""
+        rate = SOUND_PER_SECOND + guilty * GUILTY_PER_SECOND
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            is_guilty = (
+                guilty and self._source.random() < GUILTY_PER_SECOND / rate
+            )
+            send = self.send_guilty if is_guilty else self.send_sound
+            self._calls.add(asyncio.create_task(send()))
+            await asyncio.sleep(self._source.expovariate(rate))
+        await asyncio.gather(*self._calls)
+        self._calls.clear()
+
+    def count_late(self):
+        """Return the guilty runs later than routers knew of five crashes."""
+        known_at = self.crashed_at[LIMIT - 1] + CONTACT_SECONDS
+        return sum(
+            at > known_at for item in self.engines for at in item.fatal_at
+        )
+
+    def get_served_share(self, since, until=float('inf')):
+        """Return the share of the sound requests sent then that was served."""
+        outcomes = [ok for at, ok in self.served if since <= at < until]
+        return sum(outcomes) / len(outcomes)
+
+
+class TestCrashingParts(unittest.IsolatedAsyncioTestCase):
+    async def test_regression_part_that_crashed_five_engines_ran(self):
+        async with run_routers() as day:
+            await day.run(2.0, guilty=False)
+            await day.run(9.0)
+            late = day.count_late()
+            share = day.get_served_share(
+                day.crashed_at[LIMIT - 1] + 2 * CONTACT_SECONDS
+            )
+        self.assertLessEqual(late, MAX_LATE)
+        self.assertGreaterEqual(share, LEAST_SHARE)
--- /dev/null
+++ b/tests/support/crashing_engine.py
@@ -0,0 +1,88 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+
+"""An engine stand-in that parts of prompts can crash and that restarts."""
+
+import asyncio
+import time
+
+from lifttrestle.errors import CallerGone
+from lifttrestle.internal.http.head import RequestHead
+from lifttrestle.internal.http.server_connection import ServerConnection
+from tests.support.crashing_upstream import CrashingUpstream
+from tests.support.crashing_upstream import FIRST_BORN
+from tests.support.entries import make_entry
+from tests.support.fleet_upstream import Behaviour
+from tests.support.fleet_upstream import STAMP
+
+DOWNTIME_SECONDS = 0.8
+# From the begin of an answer to the crash under it.
+CRASH_SECONDS = 0.1
+
+
+class CrashingEngine(CrashingUpstream):
+    """Crashes while it writes an answer to a prompt with a fatal part.
+
+    :ivar fatal_parts: ids of the parts that crash it.
+    :ivar fatal_at: when it began to write on each of them, monotonic seconds.
+    :ivar crashed_at: when it crashed.
+    """
+
+    def __init__(self, instance, store, fatal_parts: set[str]) -> None:
+        super().__init__(instance, store, DOWNTIME_SECONDS)
+        self.fatal_parts = fatal_parts
+        self.fatal_at: list[float] = []
+        self.crashed_at: list[float] = []
+        # Sound streams run for some tenths of a second.
+        self.event_seconds = 0.05
+
+    def put_entry(self, **fields: object) -> None:
+        """Write the entry of the current start."""
+        entry = make_entry(
+            service='engines',
+            address=str(self.address),
+            slots=8,
+            born=FIRST_BORN + self._starts,
+            models=[{'name': 'm', 'version': self.weights}],
+            **fields,
+        )
+        self._store.put('servers', self.instance, entry)
+
+    def begin_crash(self) -> None:
+        """Crash without waiting for the next start."""
+        if not self._restarts:
+            self.crashed_at.append(time.monotonic())
+        super().begin_crash()
+
+    async def _run(
+        self,
+        connection: ServerConnection,
+        head: RequestHead,
+        behaviour: Behaviour,
+    ) -> None:
+        prefix = head.get_header('prompt-prefix', '')
+        parts = {item.partition(':')[0] for item in prefix.split(',')}
+        if not parts & self.fatal_parts:
+            await super()._run(connection, head, behaviour)
+            return
+        self.fatal_at.append(time.monotonic())
+        headers = (
+            *self._echo(head),
+            ('server-stamp', STAMP),
+            ('content-type', 'text/event-stream'),
+            ('weight-versions', str(self.weights)),
+        )
+        await connection.start_answer(200, headers)
+        await asyncio.sleep(CRASH_SECONDS)
+        self.begin_crash()
+        raise CallerGone('crashed by a part')
