A prompt part that crashes upstreams is known by itself

Cause: what crashes was known by the whole request only. Change: the parts of lost requests are suspects beside the requests, by the ledger, messages, rows, trials and commands that exist. crashes/verdicts.py decides who is guilty: what a part with more crashes explains speaks against nothing else, first parts are judged last and by waves, a good end or an answer that was written for a second clears. Refusals, the log and 'lifttrestle held' tell the kind; explain knows parts. Ruled out: knowledge that is late or lost (the digests of each wave are new).

--- a/src/lifttrestle/internal/cli/held.py
+++ b/src/lifttrestle/internal/cli/held.py
@@ -33,6 +33,8 @@
 from lifttrestle.internal.fleet.crashes.held_row import decode_held_row
 from lifttrestle.internal.fleet.crashes.held_row import HELD_PREFIX
 from lifttrestle.internal.fleet.crashes.held_row import HeldRow
+from lifttrestle.internal.fleet.crashes.held_row import parse_digest
+from lifttrestle.internal.fleet.crashes.suspects import get_kind_name
 from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
 from lifttrestle.internal.fleet.state.rows import RowStore
 from lifttrestle.internal.fleet.state.rows import RowWrite
@@ -46,8 +48,16 @@
 # A call to the store usually takes 4 ms, and 0.4 s when the store is slow.
 STORE_TIMEOUT_SECONDS = 2.0
 MILLISECONDS = 1000
-COLUMNS = '{:18} {:25} {:>7} {:20} {:16} {:6} {}'
-HEADINGS = ('DIGEST', 'HELD AT', 'CRASHED', 'WORKSPACE', 'ROUTE', 'TRIALS')
+COLUMNS = '{:18} {:10} {:25} {:>7} {:20} {:16} {:6} {}'
+HEADINGS = (
+    'DIGEST',
+    'KIND',
+    'HELD AT',
+    'CRASHED',
+    'WORKSPACE',
+    'ROUTE',
+    'TRIALS',
+)
 
 
 def add_commands(commands: 'argparse._SubParsersAction') -> None:
@@ -145,7 +155,11 @@
     """Return the rows as JSON, one object per line."""
     return '\n'.join(
         msgspec.json.encode(
-            {'digest': digest, **msgspec.structs.asdict(row)}
+            {
+                'digest': digest,
+                'kind': get_kind_name(parse_digest(digest)),
+                **msgspec.structs.asdict(row),
+            }
         ).decode()
         for digest, row in rows.items()
     )
@@ -161,6 +175,7 @@
         lines.append(
             COLUMNS.format(
                 digest,
+                get_kind_name(parse_digest(digest)),
                 held_at.isoformat(timespec='seconds'),
                 row.crashed,
                 row.workspace or '-',
--- a/src/lifttrestle/internal/fleet/crashes/held_row.py
+++ b/src/lifttrestle/internal/fleet/crashes/held_row.py
@@ -46,6 +46,14 @@
     return f'{digest:016x}'
 
 
+def parse_digest(text: str) -> int:
+    """Return a digest from its text.
+
+    :raises ValueError: if the text is not that of a digest.
+    """
+    return int(text, HEXADECIMAL)
+
+
 def format_digests(digests: Iterable[int]) -> str | None:
     """Return digests as text for logs, None if there are none."""
     return ' '.join(map(format_digest, digests)) or None
@@ -61,7 +69,7 @@
 
     :raises ValueError: if the key is not that of a held request.
     """
-    return int(key.removeprefix(HELD_PREFIX), HEXADECIMAL)
+    return parse_digest(key.removeprefix(HELD_PREFIX))
 
 
 def encode_held_row(row: HeldRow) -> bytes:
--- a/src/lifttrestle/internal/fleet/crashes/ledger.py
+++ b/src/lifttrestle/internal/fleet/crashes/ledger.py
@@ -10,7 +10,7 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-"""Records of the requests under which upstreams crashed.
+"""Records of the requests and prompt parts under which upstreams crashed.
 
 Merging records is commutative and idempotent, because the messages by which
 routers exchange them may be lost, duplicated or reordered.
@@ -23,12 +23,20 @@
 from lifttrestle.internal.fleet.crashes.hold_rules import HOLD_SECONDS
 from lifttrestle.internal.fleet.crashes.hold_rules import is_dangerous
 from lifttrestle.internal.fleet.crashes.messages import CrashItem
+from lifttrestle.internal.fleet.crashes.suspects import get_kind
+from lifttrestle.internal.fleet.crashes.verdicts import judge
+from lifttrestle.internal.fleet.crashes.verdicts import Suspect
+from lifttrestle.internal.fleet.crashes.verdicts import Verdicts
 
 # Maximum number of records, about 500 bytes each. A crashed engine runs about
 # 20 requests, so 4,096 records cover 200 crashes.
 MAX_RECORDS = 4096
 # Maximum number of crashed and of retracted starts in one record.
 MAX_STARTS = 64
+# Maximum number of retracted starts in a message, whose size is bounded.
+MAX_TOLD_STARTS = 16
+# Crashes expire, so verdicts are renewed after this time without changes.
+VERDICT_SECONDS = 1.0
 # Maximum number of remembered successes, about 100 bytes each: those of at
 # least the last minute at the 50 requests per second that one router serves.
 MAX_SUCCEEDED = 4096
@@ -36,16 +44,17 @@
 
 @dataclasses.dataclass
 class CrashRecord:
-    """Crashes and successes of one request.
+    """Crashes and successes of one request or part.
 
     :ivar crashed: detection time of each crash, monotonic seconds by digest
         of the start that crashed.
-    :ivar retracted: digests of starts whose crashes no longer count.
-    :ivar succeeded: whether the request has ever succeeded at any router.
+    :ivar retracted: digests of starts whose crashes no longer count, the
+        oldest first.
+    :ivar succeeded: whether it has ever succeeded at any router.
     """
 
     crashed: dict[int, float] = dataclasses.field(default_factory=dict)
-    retracted: set[int] = dataclasses.field(default_factory=set)
+    retracted: dict[int, None] = dataclasses.field(default_factory=dict)
     succeeded: bool = False
 
 
@@ -57,6 +66,9 @@
         self._records: collections.OrderedDict[int, CrashRecord] = (
             collections.OrderedDict()
         )
+        self._verdicts = Verdicts()
+        self._judged_at = clock.monotonic()
+        self._is_changed = False
         # An ordered set, in the order of the last success.
         self._succeeded: collections.OrderedDict[int, None] = (
             collections.OrderedDict()
@@ -72,6 +84,7 @@
         ]
         for start in new[: MAX_STARTS - len(record.crashed)]:
             record.crashed[start] = self._clock.monotonic()
+            self._is_changed = True
         return bool(new)
 
     def note_success(self, digest: int) -> bool:
@@ -97,8 +110,10 @@
             for start in starts
             if record.crashed.pop(start, None) is not None
         ]
-        if len(record.retracted) + len(starts) <= MAX_STARTS:
-            record.retracted.update(starts)
+        record.retracted.update(dict.fromkeys(starts))
+        while len(record.retracted) > MAX_STARTS:
+            del record.retracted[next(iter(record.retracted))]
+        self._is_changed = True
         return bool(counted)
 
     def merge(self, item: CrashItem) -> bool:
@@ -111,25 +126,61 @@
         self.retract(item.digest, item.retracted)
         record = self._records[item.digest]
         record.succeeded = record.succeeded or item.succeeded
+        self._is_changed = True
         return record.succeeded and not item.succeeded
 
+    @property
+    def guilty(self) -> frozenset[int]:
+        """Return the digests of all that must be held."""
+        return self._get_verdicts().guilty
+
     def is_dangerous(self, digest: int, unconfirmed: int = 0) -> bool:
-        """Return whether a request must be held.
+        """Return whether a request or part must be held.
 
-        :param unconfirmed: number of further upstreams that the request has
+        :param unconfirmed: number of further upstreams that a request has
             just lost and that are not yet known to have crashed.
         """
+        verdicts = self._get_verdicts()
+        if digest in verdicts.guilty or not unconfirmed:
+            return digest in verdicts.guilty
         record = self._records.get(digest)
         if record is None:
             return False
         now = self._clock.monotonic()
-        recent = [
+        counted = [
             crashed_at
-            for crashed_at in record.crashed.values()
-            if now - crashed_at < HOLD_SECONDS
+            for start, crashed_at in self._list_recent(record).items()
+            if start not in verdicts.explained
         ]
-        recent += [now] * unconfirmed
-        return is_dangerous(recent, succeeded=record.succeeded)
+        counted += [now] * unconfirmed
+        return is_dangerous(counted, succeeded=record.succeeded)
+
+    def _get_verdicts(self) -> Verdicts:
+        now = self._clock.monotonic()
+        is_old = now - self._judged_at >= VERDICT_SECONDS
+        if self._is_changed or is_old:
+            self._is_changed = False
+            self._judged_at = now
+            self._verdicts = judge(self._list_suspects())
+        return self._verdicts
+
+    def _list_suspects(self) -> list[Suspect]:
+        suspects = []
+        for digest, record in self._records.items():
+            if not record.crashed:
+                continue
+            recent = self._list_recent(record)
+            kind = get_kind(digest)
+            suspects.append(Suspect(digest, kind, recent, record.succeeded))
+        return suspects
+
+    def _list_recent(self, record: CrashRecord) -> dict[int, float]:
+        oldest = self._clock.monotonic() - HOLD_SECONDS
+        return {
+            start: crashed_at
+            for start, crashed_at in record.crashed.items()
+            if crashed_at > oldest
+        }
 
     def count_crashed(self, digest: int) -> int:
         """Return the number of crashes that count against a request."""
@@ -142,7 +193,7 @@
         return CrashItem(
             digest,
             list(record.crashed),
-            list(record.retracted),
+            list(record.retracted)[-MAX_TOLD_STARTS:],
             record.succeeded,
         )
 
@@ -159,4 +210,5 @@
             self._records[digest] = record
             if len(self._records) > MAX_RECORDS:
                 self._records.popitem(last=False)
+                self._is_changed = True
         return record
--- a/src/lifttrestle/internal/fleet/crashes/replicator.py
+++ b/src/lifttrestle/internal/fleet/crashes/replicator.py
@@ -14,14 +14,17 @@
 
 The record of a request that is not yet known to be dangerous is sent to a few
 routers, its owners, which rendezvous hashing of the digest selects, so that
-the crashes that different routers saw are counted together. The record of a
-dangerous request, or of one that no longer is, is sent to all routers.
+the crashes that different routers saw are counted together. Those of prompt
+parts all have the same owners. The record of a dangerous request or part, or
+of one that no longer is, is sent to all routers.
 """
 
 from collections.abc import Callable
 
 from lifttrestle.internal.fleet.crashes.ledger import CrashLedger
 from lifttrestle.internal.fleet.crashes.messages import CrashUpdate
+from lifttrestle.internal.fleet.crashes.suspects import get_kind
+from lifttrestle.internal.fleet.crashes.suspects import SuspectKind
 from lifttrestle.internal.fleet.state.owners import choose_owners
 from lifttrestle.internal.fleet.state.repeated_updates import RepeatedUpdates
 from lifttrestle.internal.fleet.state.roster import Roster
@@ -32,6 +35,8 @@
 SEND_COUNT = 3
 # Maximum number of items in a message of at most 8 KiB, about 40 bytes each.
 MAX_ITEMS = 60
+# Selects the owners of the records of all parts.
+PARTS_DIGEST = 0
 Send = Callable[[CrashUpdate, str], None]
 
 
@@ -52,7 +57,8 @@
 
     def is_owner(self, digest: int) -> bool:
         """Return whether this router is an owner of a request."""
-        return self._roster.key in choose_owners(digest, self._roster.routers)
+        owners = choose_owners(_get_owned(digest), self._roster.routers)
+        return self._roster.key in owners
 
     def queue_update(self, digest: int) -> None:
         """Queue an update on a request; it has the state at sending time."""
@@ -81,4 +87,13 @@
             return others
         if self._ledger.is_dangerous(digest):
             return others
-        return choose_owners(digest, others)
+        return choose_owners(_get_owned(digest), others)
+
+
+def _get_owned(digest: int) -> int:
+    """Return the digest that selects the owners of a record.
+
+    All parts have the same owners, since they are judged against each other.
+    """
+    is_request = get_kind(digest) is SuspectKind.REQUEST
+    return digest if is_request else PARTS_DIGEST
--- a/src/lifttrestle/internal/fleet/crashes/tracker.py
+++ b/src/lifttrestle/internal/fleet/crashes/tracker.py
@@ -10,9 +10,10 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-"""Tracks and holds requests that crash upstreams."""
+"""Tracks and holds requests and prompt parts that crash upstreams."""
 
 import asyncio
+from collections.abc import Iterable
 import dataclasses
 
 from lifttrestle.internal.clock.clock import Clock
@@ -27,8 +28,10 @@
 from lifttrestle.internal.fleet.crashes.holds import MAX_HELD
 from lifttrestle.internal.fleet.crashes.ledger import CrashLedger
 from lifttrestle.internal.fleet.crashes.loss_watch import LossWatch
+from lifttrestle.internal.fleet.crashes.messages import CrashItem
 from lifttrestle.internal.fleet.crashes.messages import CrashUpdate
 from lifttrestle.internal.fleet.crashes.replicator import CrashReplicator
+from lifttrestle.internal.fleet.crashes.suspects import get_kind_name
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.rows import RowStore
@@ -45,8 +48,11 @@
 # Delay after which the owners of the request write the row if the routers
 # that saw the crashes have not.
 OWNER_DELAY_SECONDS = 1.0
+# An upstream that has written an answer for this long does not crash under its
+# parts: those that crash upstreams do so within some tenths of a second.
+SOUND_WRITING_SECONDS = 1.0
 # Maximum number of remembered origins of requests that lost an upstream.
-MAX_ORIGINS = 1024
+MAX_ORIGINS = 4096
 
 
 @dataclasses.dataclass(frozen=True)
@@ -62,7 +68,7 @@
 
 
 class CrashTracker:
-    """Decides which requests must not run, from the crashes under them.
+    """Decides what must not run, from the crashes under it.
 
     :ivar losses: detects whether upstreams that aborted answers have crashed.
     :ivar replicator: sends crash records to other routers.
@@ -85,6 +91,8 @@
         self._ledger = CrashLedger(clock)
         self._origins: dict[int, RequestOrigin] = {}
         self._refusals: dict[int, int] = {}
+        # What the ledger found guilty when holds were last begun and ended.
+        self._guilty: frozenset[int] = frozenset()
         self.holds = HoldRows(store, clock, refusals or InputRefusals())
         self.holds.on_lifted = self._handle_lifted
         self.holds.must_hold = self._ledger.is_dangerous
@@ -112,24 +120,32 @@
         return self._directory.get_start(start) is not None
 
     def is_held(self, digest: int) -> bool:
-        """Return whether a request is held."""
+        """Return whether a request or part is held."""
         return self.holds.get(digest) is not None or self._ledger.is_dangerous(
             digest
         )
 
-    def must_not_retry(self, digest: int) -> bool:
+    def list_held(self, digests: Iterable[int]) -> list[int]:
+        """Return those of a request and its parts that are held."""
+        return [digest for digest in digests if self.is_held(digest)]
+
+    def must_not_retry(self, digest: int, parts: Iterable[int]) -> bool:
         """Return whether a request that was just lost must not be retried.
 
         Lost upstreams count at once, although undecided: the detection of a
         crash takes 0.1 s, and the request may crash the next upstream sooner.
+
+        :param parts: digests of the parts of its prompt.
         """
         unconfirmed = self.losses.count_open(digest)
-        return self.holds.get(digest) is not None or self._ledger.is_dangerous(
-            digest, unconfirmed
+        return (
+            self.holds.get(digest) is not None
+            or self._ledger.is_dangerous(digest, unconfirmed)
+            or bool(self.list_held(parts))
         )
 
     def may_run_trial(self, digest: int) -> bool:
-        """Return whether a held request may have a trial run."""
+        """Return whether a held request or part may have a trial run."""
         hold = self.holds.get(digest)
         return hold is not None and allows_trial(
             self.holds.get_age(hold),
@@ -138,39 +154,62 @@
         )
 
     def note_refused(self, digest: int) -> None:
-        """Record a refusal of a held request."""
+        """Record a refusal of a held request or of one with a held part."""
         if digest in self._refusals or len(self._refusals) < MAX_HELD:
             self._refusals[digest] = self._refusals.get(digest, 0) + 1
 
     async def claim_trial(self, digest: int) -> bool:
-        """Claim a trial run of a held request; return whether granted."""
+        """Claim a trial run; return whether it is granted."""
         hold = self.holds.get(digest)
         if hold is None or not self.may_run_trial(digest):
             return False
         return await self.holds.claim_trial(digest, hold)
 
     def note_lost(
-        self, digest: int, origin: RequestOrigin, upstream: FleetUpstream
+        self,
+        digest: int,
+        origin: RequestOrigin,
+        upstream: FleetUpstream,
+        writing_seconds: float = 0.0,
     ) -> None:
-        """Record that an upstream aborted its answer to a request."""
-        if len(self._origins) >= MAX_ORIGINS:
-            del self._origins[next(iter(self._origins))]
-        self._origins[digest] = origin
-        self.losses.note_lost(digest, upstream)
+        """Record that an upstream aborted its answer to a request.
 
-    def note_success(self, digest: int) -> None:
+        :param writing_seconds: for how long it had been writing the answer. A
+            part that crashes upstreams does so when they begin to write.
+        """
+        suspects = [digest]
+        if writing_seconds < SOUND_WRITING_SECONDS:
+            suspects += origin.parts
+        else:
+            self._note_sound(origin.parts)
+        for suspect in suspects:
+            if len(self._origins) >= MAX_ORIGINS:
+                del self._origins[next(iter(self._origins))]
+            self._origins[suspect] = origin
+            self.losses.note_lost(suspect, upstream)
+
+    def note_success(self, digest: int, parts: Iterable[int] = ()) -> None:
         """Record that an upstream served a request.
 
         An error or rejection by the upstream is no success: it may be
         answered before the upstream begins to run the request.
+
+        :param parts: digests of the parts of its prompt.
         """
-        cleared = self._ledger.note_success(digest)
-        held = self.holds.get(digest) is not None
-        if cleared:
-            LOG.info('hold.cleared', digest=format_digest(digest))
-            self.replicator.queue_update(digest)
-        if held:
-            self.holds.schedule_write(digest, 0.0, None)
+        self._note_sound((digest, *parts))
+
+    def _note_sound(self, digests: Iterable[int]) -> None:
+        for digest in digests:
+            if self._ledger.note_success(digest):
+                LOG.info(
+                    'hold.cleared',
+                    digest=format_digest(digest),
+                    kind=get_kind_name(digest),
+                )
+                self.replicator.queue_update(digest)
+            if self.holds.get(digest) is not None:
+                self.holds.schedule_write(digest, 0.0, None)
+        self._apply_verdicts()
 
     def apply_row(self, row: VersionedRow) -> None:
         """Apply a changed row of the routers' table."""
@@ -178,86 +217,91 @@
 
     def handle_update(self, update: CrashUpdate) -> None:
         """Merge the records that another router has sent."""
-        replies = []
-        for item in update.items:
-            was_dangerous = self._ledger.is_dangerous(item.digest)
-            if self._ledger.merge(item):
-                replies.append(item.digest)
-            # The result is new to all others if this router has added up the
-            # crashes, or if the request was cleared after this router had
-            # reported it.
-            counted_here = len(item.crashed) < CRASH_LIMIT
-            replicated_here = item.digest in self._origins
-            replicate = replicated_here if was_dangerous else counted_here
-            self._update_hold(
-                item.digest,
-                was_dangerous,
-                OWNER_DELAY_SECONDS,
-                replicate=replicate,
-            )
+        replies = [
+            item.digest for item in update.items if self._ledger.merge(item)
+        ]
+        self._apply_verdicts(update.items)
         if replies:
             self.replicator.reply(update.vm, replies)
 
     def _note_crashed(self, digest: int, start: int) -> None:
-        was_dangerous = self._ledger.is_dangerous(digest)
         if not self._ledger.note_crashes(digest, [start]):
             return
         LOG.info(
             'crash.noted',
             digest=format_digest(digest),
+            kind=get_kind_name(digest),
             crashed=self._ledger.count_crashed(digest),
             start=f'{start:x}',
             parts=format_digests(self._get_origin(digest).parts),
         )
         self.replicator.queue_update(digest)
-        self._update_hold(
-            digest, was_dangerous, WRITE_DELAY_SECONDS, replicate=True
-        )
+        self._apply_verdicts()
 
     def _retract_crash(self, digest: int, start: int) -> None:
         """Retract a crash that later evidence has refuted."""
         if self._ledger.retract(digest, [start]):
             self.replicator.queue_update(digest)
+            self._apply_verdicts()
 
-    def _update_hold(
-        self,
-        digest: int,
-        was_dangerous: bool,
-        delay: float,
-        *,
-        replicate: bool,
-    ) -> None:
-        """Begin or end the hold if the request became dangerous or safe."""
-        dangerous = self._ledger.is_dangerous(digest)
-        if was_dangerous == dangerous:
+    def _apply_verdicts(self, received: Iterable[CrashItem] = ()) -> None:
+        """Begin and end holds if other requests or parts are guilty now.
+
+        :param received: the records of another router that were just merged.
+        """
+        guilty = self._ledger.guilty
+        if guilty == self._guilty:
             return
-        if replicate:
+        before, self._guilty = self._guilty, guilty
+        items = {item.digest: item for item in received}
+        for digest in sorted(before - guilty):
+            self._end_hold(digest)
+        for digest in sorted(guilty - before):
+            self._begin_hold(digest, items.get(digest))
+
+    def _end_hold(self, digest: int) -> None:
+        """Cancel the scheduled write, or remove the written row."""
+        if digest in self._origins:
+            self.replicator.queue_update(digest)
+        if self._writes_row(digest):
+            self.holds.schedule_write(digest, 0.0, None)
+
+    def _begin_hold(self, digest: int, received: CrashItem | None) -> None:
+        """Hold a request or part.
+
+        :param received: its record at the router that made it known, if this
+            router learned of it from another one.
+        """
+        # The result is new to all others if this router has added up the
+        # crashes.
+        if received is None or len(received.crashed) < CRASH_LIMIT:
             self.replicator.queue_update(digest)
-        seen_here = digest in self._origins
-        writes = seen_here or self.replicator.is_owner(digest)
-        if not dangerous:
-            # Cancels a scheduled write, or removes the written row.
-            if writes:
-                self.holds.schedule_write(digest, 0.0, None)
-            return
         origin = self._get_origin(digest)
         crashed = self._ledger.count_crashed(digest)
         LOG.warning(
             'hold.begun',
             digest=format_digest(digest),
+            kind=get_kind_name(digest),
             crashed=crashed,
             workspace=origin.workspace,
             route=origin.route,
         )
-        if not writes:
+        if not self._writes_row(digest):
             # Other routers write the row. If all did, the whole fleet would
             # retry its writes at an unavailable store.
             return
+        delay = (
+            WRITE_DELAY_SECONDS if received is None else OWNER_DELAY_SECONDS
+        )
         row = build_held_row(
             self._clock, origin.workspace, origin.route, crashed, self._vm
         )
         self.holds.schedule_write(digest, delay, row)
 
+    def _writes_row(self, digest: int) -> bool:
+        """Return whether this router writes the row of a request or part."""
+        return digest in self._origins or self.replicator.is_owner(digest)
+
     def _get_origin(self, digest: int) -> RequestOrigin:
         return self._origins.get(digest, UNKNOWN_ORIGIN)
 
@@ -281,3 +325,4 @@
         """Clear a request whose row was removed."""
         self._refusals.pop(digest, None)
         self._ledger.clear(digest)
+        self._apply_verdicts()
--- a/src/lifttrestle/internal/fleet/path/answer_forwarding.py
+++ b/src/lifttrestle/internal/fleet/path/answer_forwarding.py
@@ -73,6 +73,18 @@
         self.failure: Answer | None = None
         self.longest_pause = 0.0
         self._last_part_at: float | None = None
+        # Of the current attempt.
+        self._first_part_at: float | None = None
+
+    def begin_attempt(self) -> None:
+        """Note that another answer will be forwarded, if there is any."""
+        self._first_part_at = None
+
+    def get_writing_seconds(self) -> float:
+        """Return for how long the current attempt has been answered."""
+        if self._first_part_at is None:
+            return 0.0
+        return self._parts.clock.monotonic() - self._first_part_at
 
     async def forward(
         self,
@@ -136,6 +148,8 @@
                 self.longest_pause, now - self._last_part_at
             )
         self._last_part_at = now
+        if self._first_part_at is None:
+            self._first_part_at = now
 
     async def _forward_buffered(
         self, route: Route, upstream: FleetUpstream, answer: UpstreamAnswer
--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -229,14 +229,18 @@
         """Record the failure of an attempt and decide whether to retry."""
         request = self._context
         assert self._failures is not None, 'attempts follow admission'
-        self._failures.note_failure(chosen.upstream, error)
+        self._failures.note_failure(
+            chosen.upstream, error, self._forwarder.get_writing_seconds()
+        )
         if request.sends >= MAX_SENDS:
             raise request.make_refusal(
                 ErrorKind.UPSTREAM_FAILED, f'too many attempts: {error}'
             )
         if request.runs == 0:
             return FailureAction.RETRY
-        if self._parts.crashes.must_not_retry(request.digest):
+        if self._parts.crashes.must_not_retry(
+            request.digest, request.part_digests
+        ):
             raise request.make_refusal(
                 ErrorKind.UPSTREAM_FAILED,
                 f'upstreams crash while running this request: {error}',
@@ -256,6 +260,7 @@
         self, chosen: Placement, attempt_id: int
     ) -> None:
         upstream = chosen.upstream
+        self._forwarder.begin_attempt()
         connection = await upstream.pool.take()
         try:
             assert self._sender is not None, 'attempts follow admission'
@@ -278,7 +283,9 @@
         if answer.facts.status < FIRST_CLIENT_ERROR:
             # Error answers don't count: an upstream may reject a request that
             # it has not begun to run.
-            self._parts.crashes.note_success(self._context.digest)
+            self._parts.crashes.note_success(
+                self._context.digest, self._context.part_digests
+            )
         self._parts.metrics.count_attempt(self._context.service, 'good')
         upstream.breaker.note_success()
         upstream.pool.give_back(connection)
--- a/src/lifttrestle/internal/fleet/path/failure_recording.py
+++ b/src/lifttrestle/internal/fleet/path/failure_recording.py
@@ -41,9 +41,15 @@
         self._candidates = candidates
 
     def note_failure(
-        self, upstream: FleetUpstream, error: LifttrestleError
+        self,
+        upstream: FleetUpstream,
+        error: LifttrestleError,
+        writing_seconds: float,
     ) -> None:
-        """Record the failure of an attempt in all counts that it concerns."""
+        """Record the failure of an attempt in all counts that it concerns.
+
+        :param writing_seconds: for how long it had been answered.
+        """
         kind = type(error).__name__
         self._parts.metrics.count_attempt(self._request.service, kind)
         self._request.event_buffer.add(
@@ -68,7 +74,10 @@
             upstream.breaker.note_failure(now)
         if isinstance(error, UpstreamBrokeOff):
             self._parts.crashes.note_lost(
-                self._request.digest, self._build_origin(), upstream
+                self._request.digest,
+                self._build_origin(),
+                upstream,
+                writing_seconds,
             )
 
     def _build_origin(self) -> RequestOrigin:
--- a/src/lifttrestle/internal/telemetry/explanation.py
+++ b/src/lifttrestle/internal/telemetry/explanation.py
@@ -34,8 +34,9 @@
 # Events about the limit of one start of an upstream, relevant at any age: a
 # limit may be much older than the request that it explains.
 LIMIT_EVENTS = 'limit.'
-# Events about the digest of a request, relevant at any age: they may come from
-# another request with that digest, and be as old as its hold.
+# Events about the digest of a request or of a part of its prompt, relevant at
+# any age: they may come from another request with that digest, and be as old
+# as its hold.
 DIGEST_EVENTS = ('crash.', 'hold.')
 # Fields of each line that the timeline does not repeat.
 OMITTED_FIELDS = ('at', 'vm', 'level', 'event', 'request', 'after_ms')
@@ -115,8 +116,9 @@
         return False
     digest = line.fields.get('digest')
     if line.event.startswith(DIGEST_EVENTS) and digest is not None:
-        digests = {step.fields.get('digest') for step in own_steps}
-        return digest in digests and line.at <= own_steps[-1].at
+        return (
+            digest in _list_digests(own_steps) and line.at <= own_steps[-1].at
+        )
     chosen = {step.fields.get('instance') for step in own_steps}
     if line.event.startswith(LIMIT_EVENTS):
         start = line.fields.get('start', '')
@@ -136,6 +138,14 @@
     return line.event.startswith(STATE_EVENTS + DIGEST_EVENTS)
 
 
+def _list_digests(steps: list[Line]) -> set[str]:
+    """Return the digests of a request and of the parts of its prompt."""
+    digests = {step.fields.get('digest') or '' for step in steps}
+    for step in steps:
+        digests.update((step.fields.get('parts') or '').split())
+    return digests
+
+
 def _render_row(after: datetime.timedelta, line: Line) -> str:
     marker = ' ' if line.event.startswith(REQUEST_PREFIX) else '*'
     fields = ' '.join(
--- a/tests/nocover/test_crashing_parts.py
+++ b/tests/nocover/test_crashing_parts.py
@@ -13,8 +13,9 @@
 
 """Tests of prompt parts that crash every engine that writes on them.
 
-No two requests are alike: each has the part, neither first nor last, and a last
-part and a body of its own. Sound requests share the key and the first part.
+No two requests are alike: each has the part, neither first nor last, and a
+last part and a body of its own. Sound requests share the key and the first
+part.
 """
 
 import asyncio
@@ -24,6 +25,9 @@
 import time
 import unittest
 
+from lifttrestle.internal.fleet.crashes.held_row import HELD_PREFIX
+from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
+from tests.support.crashing_engine import CRASH_SECONDS
 from tests.support.crashing_engine import CrashingEngine
 from tests.support.fleet import CONFIGURATION
 from tests.support.fleet import Fleet
@@ -177,3 +181,65 @@
             )
         self.assertLessEqual(late, MAX_LATE)
         self.assertGreaterEqual(share, LEAST_SHARE)
+
+    async def test_request_with_a_held_part_is_refused_as_not_run(self):
+        async with run_routers() as day:
+            await hold_part(day)
+            answers = [await day.call((FIRST, FATAL), vm) for vm in NAMES]
+            others = [await day.call((FIRST, 'b1'), vm) for vm in NAMES]
+            crashes = len(day.crashed_at)
+            await asyncio.sleep(2 * CRASH_SECONDS)
+            self.assertEqual(len(day.crashed_at), crashes)
+        self.assertEqual({answer.status for answer in answers}, {503})
+        for answer in answers:
+            self.assertIn(b'"ran":"not run"', answer.body)
+            self.assertIn(b'running this part', answer.body)
+            self.assertNotIn('retry-after', dict(answer.headers))
+        self.assertEqual({answer.status for answer in others}, {200})
+
+    async def test_router_that_starts_after_all_stopped_holds_the_part(self):
+        async with run_routers() as day:
+            await hold_part(day)
+            await wait_until(lambda: list_rows(day.store))
+            for router in day.routers.values():
+                await router.stop()
+            newcomer = make_router(day.store.address, PROMISES, 'front-a-9')
+            day.routers['front-a-9'] = newcomer
+            await newcomer.start()
+            await wait_until(newcomer.is_ready)
+            answer = await day.call((FIRST, FATAL), 'front-a-9')
+            other = await day.call((FIRST, 'b1'), 'front-a-9')
+        self.assertEqual((answer.status, other.status), (503, 200))
+
+    async def test_lifted_part_runs_again(self):
+        async with run_routers() as day:
+            await hold_part(day)
+            await wait_until(lambda: list_rows(day.store))
+            for engine in day.engines:
+                engine.fatal_parts.clear()
+            for key in list_rows(day.store):
+                day.store.remove(FLEET_TABLE, key)
+            holds = [item.crashes.holds for item in day.routers.values()]
+            await wait_until(lambda: not any(map(len, holds)))
+            answers = [await day.call((FIRST, FATAL), vm) for vm in NAMES]
+        self.assertEqual({answer.status for answer in answers}, {200})
+
+
+async def hold_part(day):
+    """Send requests with the fatal part until all routers hold it."""
+    await day.run(0.5, guilty=False)
+    routers = list(day.routers.values())
+    async with asyncio.timeout(20.0):
+        while not all(router.crashes._guilty for router in routers):
+            await asyncio.gather(*(day.send_guilty() for _ in range(3)))
+    # Until the neighbours are released and engines have started again.
+    await asyncio.sleep(CONTACT_SECONDS)
+
+
+def list_rows(store):
+    """Return the keys of the rows of holds."""
+    return [
+        key
+        for key, row in store.rows._rows.get(FLEET_TABLE, {}).items()
+        if key.startswith(HELD_PREFIX) and row.value is not None
+    ]
--- a/tests/nocover/test_held_command.py
+++ b/tests/nocover/test_held_command.py
@@ -24,6 +24,9 @@
 
 from lifttrestle.internal.cli.main import main
 from lifttrestle.internal.fleet.crashes.held_row import build_key
+from lifttrestle.internal.fleet.crashes.held_row import format_digest
+from lifttrestle.internal.fleet.crashes.suspects import set_kind
+from lifttrestle.internal.fleet.crashes.suspects import SuspectKind
 from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
 from tests.support.fleet_store import FleetStoreStandin
 
@@ -79,6 +82,24 @@
         code, text = self.run_command('--json')
         self.assertEqual(msgspec.json.decode(text)['workspace'], 'acme')
 
+    def test_tells_parts_from_requests(self):
+        part = set_kind(DIGEST, SuspectKind.PART)
+        self.store.rows.put(
+            FLEET_TABLE, build_key(part), msgspec.json.encode(ROW)
+        )
+        _, text = self.run_command()
+        line = next(
+            line
+            for line in text.splitlines()
+            if line.startswith(format_digest(part))
+        )
+        self.assertEqual(line.split()[1], 'part')
+        _, text = self.run_command('--json')
+        kinds = [
+            msgspec.json.decode(line)['kind'] for line in text.splitlines()
+        ]
+        self.assertIn('part', kinds)
+
     def test_lifts_one_hold(self):
         code, text = self.run_command('--lift', 'cae714bdfb5ae264')
         self.assertEqual((code, text), (0, 'cae714bdfb5ae264: lifted\n'))
