Soak of prompt parts that crash engines, with router processes

Two such parts, requests of which no two are alike, sound ones with the same key and first part beside; routers are killed, the store does not answer writes at times, half of the engines crash together for other reasons.

--- a/tests/nocover/test_crashing_parts.py
+++ b/tests/nocover/test_crashing_parts.py
@@ -107,7 +107,9 @@
     @property
     def crashed_at(self):
         """Return when engines crashed."""
-        return sorted(at for item in self.engines for at in item.crashed_at)
+        return sorted(
+            at for item in self.engines for _, at in item.crashed_under
+        )
 
     async def call(self, parts, vm=None, **fields):
         """Send a request with these shared parts to a random router."""
@@ -161,7 +163,7 @@
         """Return the guilty runs later than routers knew of five crashes."""
         known_at = self.crashed_at[LIMIT - 1] + CONTACT_SECONDS
         return sum(
-            at > known_at for item in self.engines for at in item.fatal_at
+            at > known_at for item in self.engines for _, at in item.fatal_runs
         )
 
     def get_served_share(self, since, until=float('inf')):
--- a/tests/support/crashing_engine.py
+++ b/tests/support/crashing_engine.py
@@ -34,15 +34,18 @@
     """Crashes while it writes an answer to a prompt with a fatal part.
 
     :ivar fatal_parts: ids of the parts that crash it.
-    :ivar fatal_at: when it began to write on each of them, monotonic seconds.
-    :ivar crashed_at: when it crashed.
+    :ivar fatal_runs: fatal part and time of each begin to write on one,
+        monotonic seconds.
+    :ivar crashed_under: the fatal parts and the time of each crash.
     """
 
     def __init__(self, instance, store, fatal_parts: set[str]) -> None:
         super().__init__(instance, store, DOWNTIME_SECONDS)
         self.fatal_parts = fatal_parts
-        self.fatal_at: list[float] = []
-        self.crashed_at: list[float] = []
+        self.fatal_runs: list[tuple[str, float]] = []
+        self.crashed_under: list[tuple[set[str], float]] = []
+        # Fatal parts on which it writes now.
+        self._writing: set[str] = set()
         # Sound streams run for some tenths of a second.
         self.event_seconds = 0.05
 
@@ -61,7 +64,8 @@
     def begin_crash(self) -> None:
         """Crash without waiting for the next start."""
         if not self._restarts:
-            self.crashed_at.append(time.monotonic())
+            self.crashed_under.append((self._writing, time.monotonic()))
+            self._writing = set()
         super().begin_crash()
 
     async def _run(
@@ -72,10 +76,13 @@
     ) -> None:
         prefix = head.get_header('prompt-prefix', '')
         parts = {item.partition(':')[0] for item in prefix.split(',')}
-        if not parts & self.fatal_parts:
+        fatal = parts & self.fatal_parts
+        if not fatal:
             await super()._run(connection, head, behaviour)
             return
-        self.fatal_at.append(time.monotonic())
+        now = time.monotonic()
+        self.fatal_runs += [(part, now) for part in sorted(fatal)]
+        self._writing |= fatal
         headers = (
             *self._echo(head),
             ('server-stamp', STAMP),
--- a/tests/support/soak_call.py
+++ b/tests/support/soak_call.py
@@ -18,6 +18,7 @@
 from lifttrestle.errors import LifttrestleError
 from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.http.answer import Answer
+from lifttrestle.internal.http.answer import Header
 from lifttrestle.internal.http.client_connection import ClientConnection
 from lifttrestle.internal.http.head import RequestHead
 
@@ -35,6 +36,7 @@
     path: str = '/safe/a'
     body: bytes = b''
     api_key: str = 'k1'
+    headers: tuple[Header, ...] = ()
 
 
 async def call_router(call: SoakCall) -> Answer | None:
@@ -46,6 +48,7 @@
         ('host', 'shop.example'),
         ('request-id', call.request_id),
         ('authorization', f'Token {call.api_key}'),
+        *call.headers,
     )
     connection = None
     try:
