A first part that never succeeded is held as soon as another part is

Read: a guilty first part was held only after four waves of crashes, as crashes close together counted as one for every first part. That is needed only while a router cannot know what has succeeded: in the 10 s after its start. Later, the good ends of a first part in use speak for it, as for other parts; it is still judged after those.

--- a/src/lifttrestle/internal/fleet/crashes/ledger.py
+++ b/src/lifttrestle/internal/fleet/crashes/ledger.py
@@ -24,6 +24,7 @@
 from lifttrestle.internal.fleet.crashes.hold_rules import is_dangerous
 from lifttrestle.internal.fleet.crashes.messages import CrashItem
 from lifttrestle.internal.fleet.crashes.suspects import get_kind
+from lifttrestle.internal.fleet.crashes.suspects import SuspectKind
 from lifttrestle.internal.fleet.crashes.verdicts import judge
 from lifttrestle.internal.fleet.crashes.verdicts import Suspect
 from lifttrestle.internal.fleet.crashes.verdicts import Verdicts
@@ -37,6 +38,8 @@
 MAX_TOLD_STARTS = 16
 # Crashes expire, so verdicts are renewed after this time without changes.
 VERDICT_SECONDS = 1.0
+# In this time, first parts that are in use succeed at some router.
+YOUNG_SECONDS = 10.0
 # Maximum number of remembered successes, about 100 bytes each: those of at
 # least the last minute at the 50 requests per second that one router serves.
 MAX_SUCCEEDED = 4096
@@ -67,7 +70,7 @@
             collections.OrderedDict()
         )
         self._verdicts = Verdicts()
-        self._judged_at = clock.monotonic()
+        self._judged_at = self._began_at = clock.monotonic()
         self._is_changed = False
         # An ordered set, in the order of the last success.
         self._succeeded: collections.OrderedDict[int, None] = (
@@ -171,9 +174,17 @@
                 continue
             recent = self._list_recent(record)
             kind = get_kind(digest)
-            suspects.append(Suspect(digest, kind, recent, record.succeeded))
+            succeeded = record.succeeded or (
+                kind is SuspectKind.FIRST_PART and self._is_young()
+            )
+            suspects.append(Suspect(digest, kind, recent, succeeded))
         return suspects
 
+    def _is_young(self) -> bool:
+        """Return whether much may have succeeded before this ledger began."""
+        age = self._clock.monotonic() - self._began_at
+        return age < YOUNG_SECONDS
+
     def _list_recent(self, record: CrashRecord) -> dict[int, float]:
         oldest = self._clock.monotonic() - HOLD_SECONDS
         return {
--- a/src/lifttrestle/internal/fleet/crashes/verdicts.py
+++ b/src/lifttrestle/internal/fleet/crashes/verdicts.py
@@ -20,8 +20,8 @@
    by that request.
 2. Of the parts, the one with the most crashes comes first. What it explains
    does not count against those with fewer.
-3. First parts come last, since many requests share them, and crashes that are
-   close together count as one for them, as for anything that has succeeded.
+3. First parts come after the others, since many requests share them. For what
+   has succeeded, crashes that are close together count as one.
 4. What the guilty parts explain does not count against requests.
 """
 
@@ -46,7 +46,7 @@
 
     :ivar crashed_at: detection time of each crash, seconds by the digest of
         the start that crashed.
-    :ivar succeeded: whether it has ever succeeded.
+    :ivar succeeded: whether it has ever succeeded, or may have.
     """
 
     digest: int
@@ -100,8 +100,7 @@
 
 def _is_guilty_part(part: Suspect, explained: set[int]) -> bool:
     times = _list_times(part, explained)
-    by_episodes = part.succeeded or part.kind is SuspectKind.FIRST_PART
-    count = count_episodes(times) if by_episodes else len(times)
+    count = count_episodes(times) if part.succeeded else len(times)
     return count >= PART_CRASH_LIMIT
 
 
--- a/tests/cover/test_crash_verdicts.py
+++ b/tests/cover/test_crash_verdicts.py
@@ -21,6 +21,7 @@
 from lifttrestle.internal.exchange.progress import RequestProgress
 from lifttrestle.internal.fleet.crashes.hold_rules import CRASH_LIMIT
 from lifttrestle.internal.fleet.crashes.hold_rules import EPISODE_SECONDS
+from lifttrestle.internal.fleet.crashes.ledger import YOUNG_SECONDS
 from lifttrestle.internal.fleet.crashes.suspects import set_kind
 from lifttrestle.internal.fleet.crashes.suspects import SuspectKind
 from lifttrestle.internal.fleet.crashes.tracker import RequestOrigin
@@ -105,10 +106,17 @@
             make_suspect(GUILTY, range(7)),
         )
 
-    def test_first_part_is_held_after_several_waves(self):
+    def test_first_part_that_never_succeeded_is_held(self):
+        starts = range(PART_CRASH_LIMIT)
+        self.check([FIRST], make_suspect(FIRST, starts))
+
+    def test_part_that_succeeded_is_held_after_several_waves(self):
         waves = range(PART_CRASH_LIMIT)
         apart = 2 * EPISODE_SECONDS
-        self.check([FIRST], make_suspect(FIRST, waves, gap_seconds=apart))
+        self.check(
+            [FIRST],
+            make_suspect(FIRST, waves, succeeded=True, gap_seconds=apart),
+        )
 
     def test_herd_of_crashes_speaks_against_no_part_that_succeeded(self):
         self.check([], make_suspect(POPULAR, range(9), succeeded=True))
@@ -144,6 +152,15 @@
         self.assertEqual(self.fleet.count_holding(GUILTY), 8)
         self.assertEqual(self.fleet.count_holding(FIRST), 0)
 
+    def test_first_part_is_held_unless_all_routers_have_just_started(self):
+        for seconds, holding in ((0.0, 0), (YOUNG_SECONDS, 8)):
+            with self.subTest(seconds=seconds):
+                self.setUp()
+                self.fleet.clock.advance(seconds)
+                for number in range(PART_CRASH_LIMIT):
+                    self.crash(number, number, (100 + number, (FIRST,)))
+                self.assertEqual(self.fleet.count_holding(FIRST), holding)
+
     def test_neighbours_are_released_when_the_part_is_known(self):
         for number in range(CRASH_LIMIT):
             self.crash(
--- a/tests/nocover/test_crashing_parts.py
+++ b/tests/nocover/test_crashing_parts.py
@@ -24,7 +24,9 @@
 import random
 import time
 import unittest
+from unittest import mock
 
+from lifttrestle.internal.fleet.crashes import ledger
 from lifttrestle.internal.fleet.crashes.held_row import HELD_PREFIX
 from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
 from tests.support.crashing_engine import CRASH_SECONDS
@@ -92,6 +94,7 @@
 
     :ivar served: when each sound request was sent and whether it was served.
     :ivar guilty: answers to the others.
+    :ivar guilty_parts: shared parts of the others.
     """
 
     def __init__(self, store, engines):
@@ -100,6 +103,7 @@
         self.routers = {}
         self.served = []
         self.guilty = []
+        self.guilty_parts = (FIRST, FATAL)
         self._source = random.Random(3)
         self._ids = itertools.count()
         self._calls = set()
@@ -143,7 +147,7 @@
     async def send_guilty(self):
         """Send a request with the part that crashes engines."""
         with contextlib.suppress(Exception):
-            self.guilty.append(await self.call((FIRST, FATAL)))
+            self.guilty.append(await self.call(self.guilty_parts))
 
     async def run(self, seconds, guilty=True):
         """Send requests at random times, then wait for their answers."""
@@ -184,6 +188,19 @@
         self.assertLessEqual(late, MAX_LATE)
         self.assertGreaterEqual(share, LEAST_SHARE)
 
+    @mock.patch.object(ledger, 'YOUNG_SECONDS', 0.0)
+    async def test_first_part_may_crash_engines_too(self):
+        async with run_routers() as day:
+            day.guilty_parts = (FATAL, SOUND[0])
+            await day.run(2.0, guilty=False)
+            await day.run(9.0)
+            late = day.count_late()
+            share = day.get_served_share(
+                day.crashed_at[LIMIT - 1] + 2 * CONTACT_SECONDS
+            )
+        self.assertLessEqual(late, MAX_LATE)
+        self.assertGreaterEqual(share, LEAST_SHARE)
+
     async def test_request_with_a_held_part_is_refused_as_not_run(self):
         async with run_routers() as day:
             await hold_part(day)
