--- a/tests/nocover/test_crashing_parts.py
+++ b/tests/nocover/test_crashing_parts.py
@@ -26,7 +26,6 @@
 import unittest
 from unittest import mock
 
-from lifttrestle.internal.fleet.crashes import ledger
 from lifttrestle.internal.fleet.crashes.held_row import HELD_PREFIX
 from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
 from tests.support.crashing_engine import CRASH_SECONDS
@@ -46,6 +45,7 @@
 SOUND = ('b1', 'b2', 'b3', 'b4')
 # Routers in touch know of a crash within this time.
 CONTACT_SECONDS = 3.0
+YOUNG_SECONDS = 'lifttrestle.internal.fleet.crashes.ledger.YOUNG_SECONDS'
 LIMIT = 5
 MAX_LATE = 3
 GUILTY_PER_SECOND = 8
@@ -188,7 +188,7 @@
         self.assertLessEqual(late, MAX_LATE)
         self.assertGreaterEqual(share, LEAST_SHARE)
 
-    @mock.patch.object(ledger, 'YOUNG_SECONDS', 0.0)
+    @mock.patch(YOUNG_SECONDS, 0.0)
     async def test_first_part_may_crash_engines_too(self):
         async with run_routers() as day:
             day.guilty_parts = (FATAL, SOUND[0])
