Of two guilty parts at a time, the second is known by two crashes of its own

Cause (by reasoning): both parts come together, the one with more crashes explains those that they share, and the other was held only after four further crashes. Change: for a part that never succeeded, four crashes of which two are not explained are enough. First parts and what has succeeded are judged as before.

--- a/src/lifttrestle/internal/fleet/crashes/verdicts.py
+++ b/src/lifttrestle/internal/fleet/crashes/verdicts.py
@@ -19,7 +19,8 @@
 1. A part whose crashes all happened under one dangerous request is explained
    by that request.
 2. Of the parts, the one with the most crashes comes first. What it explains
-   does not count against those with fewer.
+   does not count against those with fewer; for one that never succeeded, two
+   crashes that nothing explains are enough then.
 3. First parts come after the others, since many requests share them. For what
    has succeeded, crashes that are close together count as one.
 4. What the guilty parts explain does not count against requests.
@@ -38,6 +39,9 @@
 # merely ran beside a guilty one loses three upstreams more easily than one
 # request does.
 PART_CRASH_LIMIT = 4
+# So many of those crashes must not be explained otherwise. Of two guilty parts
+# that come at the same time, one explains most crashes of the other.
+UNEXPLAINED_LIMIT = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -100,8 +104,14 @@
 
 def _is_guilty_part(part: Suspect, explained: set[int]) -> bool:
     times = _list_times(part, explained)
-    count = count_episodes(times) if part.succeeded else len(times)
-    return count >= PART_CRASH_LIMIT
+    if part.succeeded:
+        return count_episodes(times) >= PART_CRASH_LIMIT
+    if part.kind is SuspectKind.FIRST_PART:
+        return len(times) >= PART_CRASH_LIMIT
+    return (
+        len(part.crashed_at) >= PART_CRASH_LIMIT
+        and len(times) >= UNEXPLAINED_LIMIT
+    )
 
 
 def _is_dangerous(request: Suspect, explained: set[int]) -> bool:
--- a/tests/cover/test_crash_verdicts.py
+++ b/tests/cover/test_crash_verdicts.py
@@ -69,6 +69,14 @@
             make_suspect(REQUEST, range(4)),
         )
 
+    def test_second_guilty_part_is_known_by_few_crashes_of_its_own(self):
+        self.check(
+            [GUILTY, OTHER_GUILTY],
+            make_suspect(GUILTY, range(6)),
+            make_suspect(OTHER_GUILTY, range(3, 8)),
+            make_suspect(RARE, range(2, 7)),
+        )
+
     def test_neighbour_with_further_crashes_is_guilty_too(self):
         self.check(
             [GUILTY, OTHER_GUILTY],
