A loss by a start that is not read yet, or was replaced, counts for its start

Callers saw: a request that crashes upstreams crashed four before it was held. Cause: LossWatch knows losses by the start that its router has read. A request that the next start under the name lost was taken for lost by the start before ('digest in loss.digests'); a loss by a start whose end had been read already was recorded for that start, which nothing judges any more. Change: a loss sent after the crash of its start is carried over to the start that is read next; one whose start was replaced counts for the newer start if that had begun when it was sent, else as a crash of the older one.

--- a/src/lifttrestle/internal/fleet/crashes/loss_watch.py
+++ b/src/lifttrestle/internal/fleet/crashes/loss_watch.py
@@ -36,6 +36,9 @@
 # another cause than the end of the connection.
 REFUSED_SECONDS = 2.0
 # Maximum number of watched starts; a large deployment has 600 upstreams.
+# An entry is read within this time after its start has crashed, if at all.
+UNREAD_SECONDS = 5.0
+MILLISECONDS = 1000
 MAX_STARTS = 256
 # Maximum number of lost requests per start, more than one router has in
 # progress at one upstream.
@@ -114,12 +117,22 @@
 
     :ivar lost_at: time of the first aborted answer, monotonic seconds.
     :ivar digests: digests of the requests of this router that were lost.
+    :ivar lost_later: when each of those was sent that may have been lost by a
+        newer start under its name, whose entry had not been read.
     """
 
     upstream: FleetUpstream
     lost_at: float
     state: LossState = LossState.OPEN
     digests: set[int] = dataclasses.field(default_factory=set)
+    lost_later: dict[int, float] = dataclasses.field(default_factory=dict)
+
+    def may_be_newer_start(self, sent_at: float) -> bool:
+        """Return whether a newer start, not read yet, may have been reached.
+
+        :param sent_at: when a request was sent that was lost, too.
+        """
+        return self.state is not LossState.OPEN and sent_at > self.lost_at
 
 
 class LossWatch:
@@ -139,20 +152,39 @@
             ENTRY_HEARTBEATS * heartbeat_seconds + ENTRY_MARGIN_SECONDS
         )
         self._losses: dict[str, Loss] = {}
+        # The start of each listed upstream whose entry was read last.
+        self._newest: dict[str, FleetUpstream] = {}
         self.on_crashed: Callable[[int, int], None] = _ignore
         self.on_crash_retracted: Callable[[int, int], None] = _ignore
         self.is_list_current: Callable[[], bool] = lambda: True
 
-    def note_lost(self, digest: int, upstream: FleetUpstream) -> None:
-        """Record that an upstream aborted its answer to a request."""
+    def note_lost(
+        self,
+        digest: int,
+        upstream: FleetUpstream,
+        sent_at: float | None = None,
+    ) -> None:
+        """Record that an upstream aborted its answer to a request.
+
+        :param sent_at: when the request was sent, in monotonic seconds.
+        """
         if upstream.entry.draining or upstream.vanished_at is not None:
             return
+        newest = self._newest.get(upstream.instance, upstream)
+        is_replaced = newest.start != upstream.start
+        if is_replaced and self._had_begun(newest, sent_at):
+            self.note_lost(digest, newest)
+            return
         loss = self._losses.get(upstream.start)
         if loss is None:
             if len(self._losses) >= MAX_STARTS:
                 del self._losses[next(iter(self._losses))]
             loss = Loss(upstream, self._clock.monotonic())
             self._losses[upstream.start] = loss
+        elif sent_at is not None and loss.may_be_newer_start(sent_at):
+            loss.lost_later[digest] = sent_at
+        if is_replaced:
+            loss.state = LossState.PROVED
         if digest in loss.digests or len(loss.digests) >= MAX_REQUESTS:
             return
         loss.digests.add(digest)
@@ -167,6 +199,35 @@
         if loss is not None and sent_at > loss.lost_at:
             self.note_evidence(upstream.start, StartEvidence.ANSWERED)
 
+    def _had_begun(
+        self, upstream: FleetUpstream, sent_at: float | None
+    ) -> bool:
+        """Return whether a start had begun when a request was sent."""
+        if sent_at is None or upstream.entry.born is None:
+            return False
+        ago = self._clock.monotonic() - sent_at
+        sent = self._clock.now().timestamp() - ago
+        return sent * MILLISECONDS >= upstream.entry.born
+
+    def note_listed(self, upstream: FleetUpstream) -> None:
+        """Record that the entry of a start was read.
+
+        What its name lost after the crash of the start before was lost by it.
+        """
+        self._newest[upstream.instance] = upstream
+        oldest = self._clock.monotonic() - UNREAD_SECONDS
+        for loss in list(self._losses.values()):
+            before = loss.upstream
+            if (
+                before.instance != upstream.instance
+                or before.start == upstream.start
+            ):
+                continue
+            later, loss.lost_later = loss.lost_later, {}
+            for digest, sent_at in later.items():
+                if sent_at >= oldest:
+                    self.note_lost(digest, upstream)
+
     def note_evidence(self, start: str, evidence: StartEvidence) -> None:
         """Update the state of a start by new evidence."""
         loss = self._losses.get(start)
@@ -205,6 +266,8 @@
 
     def note_ended(self, upstream: FleetUpstream, end: StartEnd) -> None:
         """Record that a start is no longer listed."""
+        if self._newest.get(upstream.instance) is upstream:
+            del self._newest[upstream.instance]
         self.note_evidence(upstream.start, END_EVIDENCE[end])
 
     def count_open(self, digest: int) -> int:
--- a/src/lifttrestle/internal/fleet/crashes/tracker.py
+++ b/src/lifttrestle/internal/fleet/crashes/tracker.py
@@ -171,11 +171,13 @@
         origin: RequestOrigin,
         upstream: FleetUpstream,
         writing_seconds: float = 0.0,
+        sent_at: float | None = None,
     ) -> None:
         """Record that an upstream aborted its answer to a request.
 
         :param writing_seconds: for how long it had been writing the answer. A
             part that crashes upstreams does so when they begin to write.
+        :param sent_at: when it was sent, in monotonic seconds.
         """
         suspects = [digest]
         if writing_seconds < SOUND_WRITING_SECONDS:
@@ -186,7 +188,7 @@
             if len(self._origins) >= MAX_ORIGINS:
                 del self._origins[next(iter(self._origins))]
             self._origins[suspect] = origin
-            self.losses.note_lost(suspect, upstream)
+            self.losses.note_lost(suspect, upstream, sent_at)
 
     def note_success(self, digest: int, parts: Iterable[int] = ()) -> None:
         """Record that an upstream served a request.
--- a/src/lifttrestle/internal/fleet/path/failure_recording.py
+++ b/src/lifttrestle/internal/fleet/path/failure_recording.py
@@ -78,6 +78,7 @@
                 self._build_origin(),
                 upstream,
                 writing_seconds,
+                self._request.sent_at,
             )
 
     def _build_origin(self) -> RequestOrigin:
--- a/src/lifttrestle/internal/fleet/path/request_context.py
+++ b/src/lifttrestle/internal/fleet/path/request_context.py
@@ -56,6 +56,7 @@
     :ivar binding: limits which upstreams may serve it.
     :ivar service: the service whose upstreams serve it.
     :ivar sends: how many attempts were sent, including declined ones.
+    :ivar sent_at: when it was last sent, in monotonic seconds.
     :ivar runs: how many attempts may have run.
     :ivar digest: identifies the request when it is repeated.
     :ivar part_digests: identify the shared parts of its prompt, in order.
@@ -74,6 +75,7 @@
     binding: StreamBinding
     service: str = ''
     sends: int = 0
+    sent_at: float | None = None
     runs: int = 0
     digest: int = 0
     part_digests: tuple[int, ...] = ()
--- a/src/lifttrestle/internal/fleet/path/sending.py
+++ b/src/lifttrestle/internal/fleet/path/sending.py
@@ -94,7 +94,7 @@
         if request.charge is not None:
             request.charge.note_sent()
         request.progress.apply(RequestEvent.SEND)
-        sent_at = parts.clock.monotonic()
+        sent_at = request.sent_at = parts.clock.monotonic()
         upstream.note_sent(
             attempt_id, sent_at, request.urgency, chosen.unread_tokens
         )
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -267,6 +267,9 @@
             # lapsed or are lost may still return.
             self._directory.outage_until = self._clock.monotonic()
         self._directory.apply_row(row)
+        upstream = self._directory.get(row.key)
+        if upstream is not None:
+            self.crashes.losses.note_listed(upstream)
 
     def _apply_routers_row(self, row: VersionedRow) -> None:
         self.roster.loaded = True
--- a/tests/cover/test_loss_watch.py
+++ b/tests/cover/test_loss_watch.py
@@ -79,6 +79,63 @@
         self.list('p1', BORN + 500)
         self.assertEqual(self.crashed, [DIGEST])
 
+    def test_regression_crash_of_an_unread_start_was_the_one_before(self):
+        for evidence in ((False, True), (True, False)):
+            with self.subTest(evidence=evidence):
+                self.setUp()
+                self.lose()
+                self.watch.note_probed(self.upstream.start, *evidence)
+                self.clock.advance(0.3)
+                # Sent to the next start, whose entry has not been read.
+                sent_at = self.clock.monotonic()
+                self.clock.advance(0.1)
+                self.watch.note_lost(DIGEST, self.upstream, sent_at)
+                self.list('p1', BORN + 500)
+                newer = self.directory.get('p1')
+                self.watch.note_listed(newer)
+                self.watch.note_probed(newer.start, False, True)
+                self.assertEqual(self.crashed, [DIGEST, DIGEST])
+
+    def test_loss_may_be_noted_after_the_next_start_was_read(self):
+        self.lose()
+        self.watch.note_probed(self.upstream.start, False, True)
+        self.clock.advance(0.3)
+        sent_at = self.clock.monotonic()
+        self.list('p1', BORN + 500)
+        newer = self.directory.get('p1')
+        self.watch.note_listed(newer)
+        self.clock.advance(0.1)
+        self.watch.note_lost(DIGEST, self.upstream, sent_at)
+        self.watch.note_probed(newer.start, False, True)
+        self.assertEqual(self.crashed, [DIGEST, DIGEST])
+
+    def test_regression_loss_by_a_start_that_was_replaced_was_forgotten(self):
+        before = self.upstream
+        sent_at = self.clock.monotonic()
+        self.clock.advance(0.3)
+        began = int(self.clock.now().timestamp() * 1000)
+        self.list('p1', began)
+        newer = self.directory.get('p1')
+        self.watch.note_listed(newer)
+        # This router has not noted the crash of the start before.
+        self.watch.note_lost(DIGEST, before, sent_at)
+        self.assertEqual(self.crashed, [DIGEST])
+        self.clock.advance(0.1)
+        self.watch.note_lost(DIGEST, before, self.clock.monotonic())
+        self.watch.note_probed(newer.start, False, True)
+        self.assertEqual(self.crashed, [DIGEST, DIGEST])
+
+    def test_request_sent_before_the_crash_is_no_loss_of_the_next_start(self):
+        self.clock.advance(1.0)
+        self.lose()
+        self.watch.note_probed(self.upstream.start, False, True)
+        self.watch.note_lost(DIGEST, self.upstream, 0.9)
+        self.list('p1', BORN + 500)
+        newer = self.directory.get('p1')
+        self.watch.note_listed(newer)
+        self.watch.note_probed(newer.start, False, True)
+        self.assertEqual(self.crashed, [DIGEST])
+
     def test_entry_that_ends_is_a_crash(self):
         self.lose()
         self.take('p1', None)
