Holds ask one judge; the check of holds and the origins are modules of their own

HoldRows had four callbacks and must_hold set from outside: HoldJudge names them, and CrashTracker is one. The check of a request that is held left request_context.py, origins of lost requests and the row's builder left tracker.py and holds.py, identify_request sets the digests in one place. Ruled out: behaviour changes; the tests changed only where they set must_hold and import moved names.

--- a/src/lifttrestle/internal/fleet/crashes/held_row.py
+++ b/src/lifttrestle/internal/fleet/crashes/held_row.py
@@ -16,10 +16,12 @@
 
 import msgspec
 
+from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.intake.decoding import decode_json
 
 HELD_PREFIX = 'held/'
 HEXADECIMAL = 16
+MILLISECONDS = 1000
 
 
 class HeldRow(msgspec.Struct, frozen=True):
@@ -83,3 +85,11 @@
     :raises ValueError: if the bytes are not a valid row.
     """
     return decode_json(value, HeldRow)
+
+
+def build_held_row(
+    clock: Clock, workspace: str, route: str, crashed: int, by: str
+) -> HeldRow:
+    """Return the row of a request whose hold starts now."""
+    held_at = int(clock.now().timestamp() * MILLISECONDS)
+    return HeldRow(workspace, route, crashed, held_at, by)
--- a/src/lifttrestle/internal/fleet/crashes/holds.py
+++ b/src/lifttrestle/internal/fleet/crashes/holds.py
@@ -18,7 +18,6 @@
 """
 
 import asyncio
-from collections.abc import Callable
 import dataclasses
 
 import msgspec
@@ -34,6 +33,7 @@
 from lifttrestle.internal.fleet.crashes.held_row import HELD_PREFIX
 from lifttrestle.internal.fleet.crashes.held_row import HeldRow
 from lifttrestle.internal.fleet.crashes.held_row import parse_key
+from lifttrestle.internal.fleet.crashes.hold_judge import HoldJudge
 from lifttrestle.internal.fleet.crashes.hold_rules import choose_evicted
 from lifttrestle.internal.fleet.crashes.hold_rules import HOLD_SECONDS
 from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
@@ -74,7 +74,7 @@
     :ivar due_at: time of the write, monotonic seconds.
     :ivar row: row to write, None to remove it.
     :ivar is_repair: whether the write corrects a restored store; the
-        written row then stays without a check of ``must_hold``.
+        written row then stays without a check by the judge.
     :ivar backoff: delay of the next retry in seconds.
     """
 
@@ -87,19 +87,18 @@
 class HoldRows:
     """Watches, writes and removes the rows of held requests.
 
-    :ivar on_lifted: called with the digest of a request whose row was
-        removed.
-    :ivar on_lost: called with the digest of a request whose row is lost, and
-        that row.
-    :ivar on_undeleted: called with the digest of a request whose row is
-        undeleted.
-    :ivar must_hold: returns whether a request must still be held.
+    :param judge: decides what becomes of rows that others have changed.
     """
 
     def __init__(
-        self, store: RowStore, clock: Clock, refusals: InputRefusals
+        self,
+        store: RowStore,
+        clock: Clock,
+        refusals: InputRefusals,
+        judge: HoldJudge,
     ) -> None:
         self._store = store
+        self._judge = judge
         self._clock = clock
         self._refusals = refusals
         self._held: dict[int, Hold] = {}
@@ -110,10 +109,6 @@
         self._checked_epoch = 0
         # Versions of undeleted rows by request digest.
         self._undeleted: dict[int, int] = {}
-        self.on_lifted: Callable[[int], None] = lambda digest: None
-        self.on_lost: Callable[[int, HeldRow], None] = _ignore
-        self.on_undeleted: Callable[[int], None] = lambda digest: None
-        self.must_hold: Callable[[int], bool] = lambda digest: True
 
     def __len__(self) -> int:
         """Return the number of held requests."""
@@ -149,7 +144,7 @@
         if row.origin is RowOrigin.UNDELETED:
             # The hold had been lifted, so it is not restored.
             self._undeleted[digest] = row.version
-            self.on_undeleted(digest)
+            self._judge.handle_undeleted(digest)
             return
         self._undeleted.pop(digest, None)
         due = self._due.get(digest)
@@ -163,7 +158,7 @@
         self._due.pop(digest, None)
         self._held.pop(digest, None)
         LOG.warning('hold.lifted', digest=format_digest(digest))
-        self.on_lifted(digest)
+        self._judge.handle_lifted(digest)
 
     def check_epoch(self) -> None:
         """Treat holds from earlier epochs as lost once a new epoch begins.
@@ -187,7 +182,7 @@
         if held is None:
             return
         self._held[digest] = Hold(held.row, NO_ROW)
-        self.on_lost(digest, held.row)
+        self._judge.handle_lost(digest, held.row)
 
     def schedule_repair(
         self, digest: int, delay: float, row: HeldRow | None
@@ -243,7 +238,7 @@
             return
         if due.row is None:
             return
-        if not due.is_repair and not self.must_hold(digest):
+        if not due.is_repair and not self._judge.must_hold(digest):
             # The request was cleared during the write of its row.
             self.schedule_write(digest, 0.0, None)
         elif len(self._held) > MAX_HELD:
@@ -303,15 +298,3 @@
         return choose_evicted(
             {digest: hold.row.workspace for digest, hold in oldest_first}
         )
-
-
-def _ignore(digest: int, row: HeldRow) -> None:
-    """Do nothing; the default callback."""
-
-
-def build_held_row(
-    clock: Clock, workspace: str, route: str, crashed: int, by: str
-) -> HeldRow:
-    """Return the row of a request whose hold starts now."""
-    held_at = int(clock.now().timestamp() * MILLISECONDS)
-    return HeldRow(workspace, route, crashed, held_at, by)
--- a/src/lifttrestle/internal/fleet/crashes/tracker.py
+++ b/src/lifttrestle/internal/fleet/crashes/tracker.py
@@ -14,20 +14,22 @@
 
 import asyncio
 from collections.abc import Iterable
-import dataclasses
 
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.clock.ticker import Ticker
+from lifttrestle.internal.fleet.crashes.held_row import build_held_row
 from lifttrestle.internal.fleet.crashes.held_row import format_digest
 from lifttrestle.internal.fleet.crashes.held_row import format_digests
 from lifttrestle.internal.fleet.crashes.held_row import HeldRow
+from lifttrestle.internal.fleet.crashes.hold_judge import HoldJudge
 from lifttrestle.internal.fleet.crashes.hold_rules import allows_trial
 from lifttrestle.internal.fleet.crashes.hold_rules import CRASH_LIMIT
-from lifttrestle.internal.fleet.crashes.holds import build_held_row
 from lifttrestle.internal.fleet.crashes.holds import HoldRows
 from lifttrestle.internal.fleet.crashes.holds import MAX_HELD
 from lifttrestle.internal.fleet.crashes.ledger import CrashLedger
 from lifttrestle.internal.fleet.crashes.loss_watch import LossWatch
+from lifttrestle.internal.fleet.crashes.lost_origins import LostOrigins
+from lifttrestle.internal.fleet.crashes.lost_origins import RequestOrigin
 from lifttrestle.internal.fleet.crashes.messages import CrashItem
 from lifttrestle.internal.fleet.crashes.messages import CrashUpdate
 from lifttrestle.internal.fleet.crashes.replicator import CrashReplicator
@@ -51,23 +53,9 @@
 # An upstream that has written an answer for this long does not crash under its
 # parts: those that crash upstreams do so within some tenths of a second.
 SOUND_WRITING_SECONDS = 1.0
-# Maximum number of remembered origins of requests that lost an upstream.
-MAX_ORIGINS = 4096
 
 
-@dataclasses.dataclass(frozen=True)
-class RequestOrigin:
-    """Workspace, route and part digests of a request."""
-
-    workspace: str
-    route: str
-    parts: tuple[int, ...] = ()
-
-
-UNKNOWN_ORIGIN = RequestOrigin('', '')
-
-
-class CrashTracker:
+class CrashTracker(HoldJudge):
     """Decides what must not run, from the crashes under it.
 
     :ivar losses: detects whether upstreams that aborted answers have crashed.
@@ -89,15 +77,11 @@
         self._clock = clock
         self._directory = directory
         self._ledger = CrashLedger(clock)
-        self._origins: dict[int, RequestOrigin] = {}
+        self._origins = LostOrigins()
         self._refusals: dict[int, int] = {}
         # What the ledger found guilty when holds were last begun and ended.
         self._guilty: frozenset[int] = frozenset()
-        self.holds = HoldRows(store, clock, refusals or InputRefusals())
-        self.holds.on_lifted = self._handle_lifted
-        self.holds.must_hold = self._ledger.is_dangerous
-        self.holds.on_lost = self._rewrite_lost
-        self.holds.on_undeleted = self._remove_undeleted
+        self.holds = HoldRows(store, clock, refusals or InputRefusals(), self)
         self.replicator = CrashReplicator(vm, self._ledger, roster)
         self.losses = LossWatch(clock, heartbeat_seconds)
         self.losses.on_crashed = self._note_crashed
@@ -185,9 +169,7 @@
         else:
             self._note_sound(origin.parts)
         for suspect in suspects:
-            if len(self._origins) >= MAX_ORIGINS:
-                del self._origins[next(iter(self._origins))]
-            self._origins[suspect] = origin
+            self._origins.put(suspect, origin)
             self.losses.note_lost(suspect, upstream, sent_at)
 
     def note_success(self, digest: int, parts: Iterable[int] = ()) -> None:
@@ -235,7 +217,7 @@
             kind=get_kind_name(digest),
             crashed=self._ledger.count_crashed(digest),
             start=f'{start:x}',
-            parts=format_digests(self._get_origin(digest).parts),
+            parts=format_digests(self._origins.get(digest).parts),
         )
         self.replicator.queue_update(digest)
         self._apply_verdicts()
@@ -278,7 +260,7 @@
         # crashes.
         if received is None or len(received.crashed) < CRASH_LIMIT:
             self.replicator.queue_update(digest)
-        origin = self._get_origin(digest)
+        origin = self._origins.get(digest)
         crashed = self._ledger.count_crashed(digest)
         LOG.warning(
             'hold.begun',
@@ -304,10 +286,11 @@
         """Return whether this router writes the row of a request or part."""
         return digest in self._origins or self.replicator.is_owner(digest)
 
-    def _get_origin(self, digest: int) -> RequestOrigin:
-        return self._origins.get(digest, UNKNOWN_ORIGIN)
+    def must_hold(self, digest: int) -> bool:
+        """Return whether crashes speak against a request or part."""
+        return self._ledger.is_dangerous(digest)
 
-    def _rewrite_lost(self, digest: int, row: HeldRow) -> None:
+    def handle_lost(self, digest: int, row: HeldRow) -> None:
         """Schedule a new write of a lost row.
 
         The router that wrote the row writes it at once; the owners of the
@@ -318,12 +301,12 @@
         elif self.replicator.is_owner(digest):
             self.holds.schedule_repair(digest, OWNER_DELAY_SECONDS, row)
 
-    def _remove_undeleted(self, digest: int) -> None:
+    def handle_undeleted(self, digest: int) -> None:
         """Schedule the removal of an undeleted row."""
         if self.replicator.is_owner(digest):
             self.holds.schedule_repair(digest, 0.0, None)
 
-    def _handle_lifted(self, digest: int) -> None:
+    def handle_lifted(self, digest: int) -> None:
         """Clear a request whose row was removed."""
         self._refusals.pop(digest, None)
         self._ledger.clear(digest)
--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -37,10 +37,10 @@
 from lifttrestle.internal.fleet.path.event_buffer import EventBuffer
 from lifttrestle.internal.fleet.path.event_buffer import MILLISECONDS
 from lifttrestle.internal.fleet.path.failure_recording import FailureRecorder
+from lifttrestle.internal.fleet.path.hold_check import check_held
 from lifttrestle.internal.fleet.path.request_context import begin_request
 from lifttrestle.internal.fleet.path.request_context import RequestContext
-from lifttrestle.internal.fleet.path.request_digest import build_part_digests
-from lifttrestle.internal.fleet.path.request_digest import build_request_digest
+from lifttrestle.internal.fleet.path.request_digest import identify_request
 from lifttrestle.internal.fleet.path.sending import RequestSender
 from lifttrestle.internal.fleet.path.stream_origin import bind_stream
 from lifttrestle.internal.fleet.path.upstream_search import find_upstream
@@ -157,12 +157,7 @@
             self._binding,
         )
         self._request = request
-        request.digest = build_request_digest(
-            request.admitted, self._facts.host, self._head, self._body
-        )
-        request.part_digests = build_part_digests(
-            request.admitted, request.service, self._facts.generation
-        )
+        identify_request(request, self._head, self._body)
         self._failures = FailureRecorder(request, self._candidates)
         self._sender = RequestSender(
             request, self._head, self._body, self._forwarder, self._candidates
@@ -200,7 +195,7 @@
 
     async def choose(self) -> Placement:
         """Choose an upstream by the current configuration and loads."""
-        self._context.check_held()
+        check_held(self._context)
         workspace = self._context.admitted.workspace
         capped = workspace is not None and workspace.cap is not None
         if self._facts.generation is not None or capped:
--- a/src/lifttrestle/internal/fleet/path/request_context.py
+++ b/src/lifttrestle/internal/fleet/path/request_context.py
@@ -17,8 +17,6 @@
 from lifttrestle.errors import RequestRefused
 from lifttrestle.internal.exchange.progress import RequestProgress
 from lifttrestle.internal.exchange.progress import RequestState
-from lifttrestle.internal.fleet.crashes.held_row import format_digest
-from lifttrestle.internal.fleet.crashes.suspects import get_kind_name
 from lifttrestle.internal.fleet.parts import FleetParts
 from lifttrestle.internal.fleet.path.dialect import RequestFacts
 from lifttrestle.internal.fleet.path.event_buffer import build_usage_fields
@@ -152,50 +150,6 @@
             )
         self.charge = charge
 
-    def check_held(self) -> None:
-        """Check that neither it nor a part of its prompt is held.
-
-        :raises RequestRefused: if it is held and may not be tried. The refusal
-            has no retry time, since a repeat would be refused, too.
-        """
-        held = self._list_held()
-        if held and (self.sends or not self._may_run_trial(held)):
-            raise self._make_held_refusal(held)
-
-    async def check_held_before_send(self) -> None:
-        """Check that the request may be sent now, claiming a trial if held.
-
-        :raises RequestRefused: if it may not be sent.
-        """
-        self.check_held()
-        held = self._list_held()
-        if not held:
-            return
-        self.on_trial = await self.parts.crashes.claim_trial(held[0])
-        if not self.on_trial:
-            raise self._make_held_refusal(held)
-
-    def _list_held(self) -> list[int]:
-        """Return the digests for which the request is held."""
-        if self.on_trial:
-            return []
-        digests = (self.digest, *self.part_digests)
-        return self.parts.crashes.list_held(digests)
-
-    def _may_run_trial(self, held: list[int]) -> bool:
-        """Return whether its trial would tell whether one hold is right."""
-        return len(held) == 1 and self.parts.crashes.may_run_trial(held[0])
-
-    def _make_held_refusal(self, held: list[int]) -> RequestRefused:
-        for digest in held:
-            self.parts.crashes.note_refused(digest)
-        kind = get_kind_name(held[0])
-        return RequestRefused(
-            ErrorKind.CRASHES_UPSTREAMS,
-            f'upstreams have crashed while running this {kind}; it is held as'
-            f' {format_digest(held[0])}',
-        )
-
     def make_refusal(self, kind: ErrorKind, message: str) -> RequestRefused:
         """Return a refusal that states correctly whether the request ran.
 
--- a/src/lifttrestle/internal/fleet/path/request_digest.py
+++ b/src/lifttrestle/internal/fleet/path/request_digest.py
@@ -22,6 +22,7 @@
 from lifttrestle.internal.fleet.crashes.suspects import set_kind
 from lifttrestle.internal.fleet.crashes.suspects import SuspectKind
 from lifttrestle.internal.fleet.path.dialect import Generation
+from lifttrestle.internal.fleet.path.request_context import RequestContext
 from lifttrestle.internal.fleet.policy.admission import AdmittedRequest
 from lifttrestle.internal.fleet.policy.admission import get_cache_scope
 from lifttrestle.internal.fleet.state.digests import compute_digest
@@ -79,3 +80,16 @@
         digests.append(set_kind(number, kind))
         kind = SuspectKind.PART
     return tuple(digests)
+
+
+def identify_request(
+    request: RequestContext, head: RequestHead, body: bytes
+) -> None:
+    """Set the digests of an admitted request and of its prompt's parts."""
+    facts = request.facts
+    request.digest = build_request_digest(
+        request.admitted, facts.host, head, body
+    )
+    request.part_digests = build_part_digests(
+        request.admitted, request.service, facts.generation
+    )
--- a/src/lifttrestle/internal/fleet/path/sending.py
+++ b/src/lifttrestle/internal/fleet/path/sending.py
@@ -22,6 +22,7 @@
 from lifttrestle.internal.fleet.path.dialect import AttemptOptions
 from lifttrestle.internal.fleet.path.event_buffer import build_answered_fields
 from lifttrestle.internal.fleet.path.event_buffer import build_budget_fields
+from lifttrestle.internal.fleet.path.hold_check import check_held_before_send
 from lifttrestle.internal.fleet.path.request_context import RequestContext
 from lifttrestle.internal.fleet.policy.placement import Placement
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
@@ -79,7 +80,7 @@
         upstream = chosen.upstream
         # Checked again because connecting may have taken a while. The retry
         # budget is charged only here: a failed connection is no retry.
-        await request.check_held_before_send()
+        await check_held_before_send(request)
         request.readmit()
         if request.sends and not self._take_retry():
             raise request.make_refusal(
--- a/tests/cover/test_crash_replication.py
+++ b/tests/cover/test_crash_replication.py
@@ -15,9 +15,9 @@
 import asyncio
 import unittest
 
+from lifttrestle.internal.fleet.crashes.held_row import build_held_row
 from lifttrestle.internal.fleet.crashes.held_row import build_key
 from lifttrestle.internal.fleet.crashes.hold_rules import HOLD_SECONDS
-from lifttrestle.internal.fleet.crashes.holds import build_held_row
 from lifttrestle.internal.fleet.crashes.holds import MAX_HELD
 from lifttrestle.internal.fleet.crashes.messages import CrashItem
 from lifttrestle.internal.fleet.crashes.messages import CrashUpdate
@@ -129,7 +129,7 @@
         self.assertIsNotNone(self.holds.get(DIGEST))
 
     def test_rows_are_bounded_and_evicted_within_their_workspace(self):
-        self.holds.must_hold = lambda digest: True
+        self.fleet.trackers[0].must_hold = lambda digest: True
         self.hold(1, 'vault')
         for number in range(MAX_HELD + 5):
             self.fleet.clock.advance(0.01)
@@ -148,7 +148,7 @@
             return await write_row(write)
 
         self.fleet.rows.write_row = note
-        self.holds.must_hold = lambda digest: True
+        self.fleet.trackers[0].must_hold = lambda digest: True
         self.hold(DIGEST)
         for _ in range(100):
             self.fleet.clock.advance(0.1)
@@ -161,7 +161,7 @@
 
     def test_row_whose_answer_was_lost_is_not_written_twice(self):
         self.fleet.rows.lose_answers = True
-        self.holds.must_hold = lambda digest: True
+        self.fleet.trackers[0].must_hold = lambda digest: True
         self.hold(DIGEST)
         self.fleet.rows.lose_answers = False
         version = self.fleet.rows.version
--- a/tests/cover/test_crash_verdicts.py
+++ b/tests/cover/test_crash_verdicts.py
@@ -22,13 +22,14 @@
 from lifttrestle.internal.fleet.crashes.hold_rules import CRASH_LIMIT
 from lifttrestle.internal.fleet.crashes.hold_rules import EPISODE_SECONDS
 from lifttrestle.internal.fleet.crashes.ledger import YOUNG_SECONDS
+from lifttrestle.internal.fleet.crashes.lost_origins import RequestOrigin
 from lifttrestle.internal.fleet.crashes.suspects import set_kind
 from lifttrestle.internal.fleet.crashes.suspects import SuspectKind
-from lifttrestle.internal.fleet.crashes.tracker import RequestOrigin
 from lifttrestle.internal.fleet.crashes.tracker import SOUND_WRITING_SECONDS
 from lifttrestle.internal.fleet.crashes.verdicts import judge
 from lifttrestle.internal.fleet.crashes.verdicts import PART_CRASH_LIMIT
 from lifttrestle.internal.fleet.crashes.verdicts import Suspect
+from lifttrestle.internal.fleet.path.hold_check import check_held
 from lifttrestle.internal.fleet.path.request_context import RequestContext
 from tests.support.crash_fleet import CrashFleet
 
@@ -226,10 +227,10 @@
         )
 
     def test_one_held_part_may_be_tried(self):
-        self.make_request([GUILTY]).check_held()
+        check_held(self.make_request([GUILTY]))
 
     def test_request_with_two_held_parts_is_refused(self):
         request = self.make_request([GUILTY, RARE])
         with self.assertRaises(RequestRefused) as caught:
-            request.check_held()
+            check_held(request)
         self.assertIn(f'{GUILTY:016x}', caught.exception.message)
--- a/tests/support/crash_fleet.py
+++ b/tests/support/crash_fleet.py
@@ -19,9 +19,9 @@
 
 from lifttrestle.internal.clock.manual import ManualClock
 from lifttrestle.internal.fleet.crashes.loss_watch import StartEvidence
+from lifttrestle.internal.fleet.crashes.lost_origins import RequestOrigin
 from lifttrestle.internal.fleet.crashes.replicator import SEND_COUNT
 from lifttrestle.internal.fleet.crashes.tracker import CrashTracker
-from lifttrestle.internal.fleet.crashes.tracker import RequestOrigin
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.load_messages import decode_message
 from lifttrestle.internal.fleet.state.load_messages import encode_message
