Owners that find a part guilty tell all routers

Found by reading the diff: a router that learned of a hold by a message told the others only if the message had fewer than three crashes. A part needs four, so that owners that add one crash of their own to three of another router's kept it to themselves until its row was read: 5 of 60 routers held it in a new test, 60 now. Parts are judged at their owners, which now always tell; requests as before.

--- a/src/lifttrestle/internal/fleet/crashes/tracker.py
+++ b/src/lifttrestle/internal/fleet/crashes/tracker.py
@@ -33,7 +33,9 @@
 from lifttrestle.internal.fleet.crashes.messages import CrashItem
 from lifttrestle.internal.fleet.crashes.messages import CrashUpdate
 from lifttrestle.internal.fleet.crashes.replicator import CrashReplicator
+from lifttrestle.internal.fleet.crashes.suspects import get_kind
 from lifttrestle.internal.fleet.crashes.suspects import get_kind_name
+from lifttrestle.internal.fleet.crashes.suspects import SuspectKind
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.rows import RowStore
@@ -256,9 +258,7 @@
         :param received: its record at the router that made it known, if this
             router learned of it from another one.
         """
-        # The result is new to all others if this router has added up the
-        # crashes.
-        if received is None or len(received.crashed) < CRASH_LIMIT:
+        if received is None or self._is_news(received):
             self.replicator.queue_update(digest)
         origin = self._origins.get(digest)
         crashed = self._ledger.count_crashed(digest)
@@ -282,6 +282,16 @@
         )
         self.holds.schedule_write(digest, delay, row)
 
+    def _is_news(self, received: CrashItem) -> bool:
+        """Return whether a hold is new to the router that sent a record.
+
+        It is if this router has added up the crashes, or has judged a part
+        against others as one of the owners.
+        """
+        if get_kind(received.digest) is SuspectKind.REQUEST:
+            return len(received.crashed) < CRASH_LIMIT
+        return self.replicator.is_owner(received.digest)
+
     def _writes_row(self, digest: int) -> bool:
         """Return whether this router writes the row of a request or part."""
         return digest in self._origins or self.replicator.is_owner(digest)
--- a/tests/cover/test_crash_verdicts.py
+++ b/tests/cover/test_crash_verdicts.py
@@ -161,6 +161,27 @@
         self.assertEqual(self.fleet.count_holding(GUILTY), 8)
         self.assertEqual(self.fleet.count_holding(FIRST), 0)
 
+    def test_part_is_known_to_a_large_fleet_without_rows(self):
+        self.fleet = CrashFleet(routers=60, upstreams=8)
+        for number in range(PART_CRASH_LIMIT):
+            parts = (FIRST, GUILTY)
+            self.crash(7 * number, number, (100 + number, parts))
+        self.fleet.send_updates()
+        self.assertEqual(self.fleet.count_holding(GUILTY), 60)
+
+    def test_three_crashes_of_one_router_and_one_of_another(self):
+        self.fleet = CrashFleet(routers=60, upstreams=8)
+        others = [
+            number
+            for number, tracker in enumerate(self.fleet.trackers)
+            if not tracker.replicator.is_owner(GUILTY)
+        ]
+        for number in range(PART_CRASH_LIMIT):
+            router = others[0] if number else others[1]
+            self.crash(router, number, (100 + number, (FIRST, GUILTY)))
+        self.fleet.send_updates()
+        self.assertEqual(self.fleet.count_holding(GUILTY), 60)
+
     def test_first_part_is_held_unless_all_routers_have_just_started(self):
         for seconds, holding in ((0.0, 0), (YOUNG_SECONDS, 8)):
             with self.subTest(seconds=seconds):
