A hold outlasts the record that it was made from

Found by reading the diff: since holds follow the verdicts of the ledger, a record that was evicted by newer ones ended its hold, and its row was removed for all routers. Only a record that speaks for a request or part ends its hold. The new test failed before.

--- a/src/lifttrestle/internal/fleet/crashes/ledger.py
+++ b/src/lifttrestle/internal/fleet/crashes/ledger.py
@@ -193,6 +193,10 @@
             if crashed_at > oldest
         }
 
+    def has_record(self, digest: int) -> bool:
+        """Return whether anything is known of a request or part."""
+        return digest in self._records
+
     def count_crashed(self, digest: int) -> int:
         """Return the number of crashes that count against a request."""
         record = self._records.get(digest)
--- a/src/lifttrestle/internal/fleet/crashes/tracker.py
+++ b/src/lifttrestle/internal/fleet/crashes/tracker.py
@@ -241,7 +241,9 @@
         before, self._guilty = self._guilty, guilty
         items = {item.digest: item for item in received}
         for digest in sorted(before - guilty):
-            self._end_hold(digest)
+            # A record that was evicted tells nothing; the row stays.
+            if self._ledger.has_record(digest):
+                self._end_hold(digest)
         for digest in sorted(guilty - before):
             self._begin_hold(digest, items.get(digest))
 
--- a/tests/cover/test_crash_verdicts.py
+++ b/tests/cover/test_crash_verdicts.py
@@ -13,6 +13,7 @@
 
 """Tests of which requests and prompt parts are at fault for crashes."""
 
+import asyncio
 import types
 import unittest
 from unittest import mock
@@ -41,6 +42,7 @@
 REQUEST = set_kind(6, SuspectKind.REQUEST)
 OTHER_REQUEST = set_kind(7, SuspectKind.REQUEST)
 GAP_SECONDS = 0.1
+MAX_RECORDS = 'lifttrestle.internal.fleet.crashes.ledger.MAX_RECORDS'
 
 
 def make_suspect(digest, starts, succeeded=False, gap_seconds=GAP_SECONDS):
@@ -182,6 +184,18 @@
         self.fleet.send_updates()
         self.assertEqual(self.fleet.count_holding(GUILTY), 60)
 
+    def test_evicted_record_does_not_end_a_hold(self):
+        for number in range(PART_CRASH_LIMIT):
+            self.crash(0, number, (100 + number, (FIRST, GUILTY)))
+        tracker = self.fleet.trackers[0]
+        self.fleet.clock.advance(1.0)
+        asyncio.run(tracker.holds.write_due())
+        with mock.patch(MAX_RECORDS, 1):
+            self.crash(0, 7, *((900 + number, ()) for number in range(12)))
+        self.fleet.clock.advance(1.0)
+        asyncio.run(tracker.holds.write_due())
+        self.assertTrue(tracker.is_held(GUILTY))
+
     def test_first_part_is_held_unless_all_routers_have_just_started(self):
         for seconds, holding in ((0.0, 0), (YOUNG_SECONDS, 8)):
             with self.subTest(seconds=seconds):
