The retry budget splits its allowance in a function of its own

has_room decided the stage of a start, what may be spent at once and the rest in one go, with bare ages; they have names now.

--- a/src/lifttrestle/internal/fleet/policy/retry_budget.py
+++ b/src/lifttrestle/internal/fleet/policy/retry_budget.py
@@ -39,6 +39,10 @@
 # Requests earn retries up to this multiple of the requests of the window
 # before: callers that come from other routers have earned some there.
 MAX_GROWTH = 1.5
+# Ages of a process, in windows, from which it knows all that it has spent in
+# the window, and all requests of the window before.
+KNOWN_WINDOWS = 1.0
+SETTLED_WINDOWS = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -109,14 +113,9 @@
         :param shares: see ``get_use``.
         """
         use = self.get_use(shares)
-        allowance = use.earned + use.slack
-        usable = USABLE_SHARE * allowance
-        age = self._get_age()
-        least_burst = 0.0 if 1.0 <= age < 2.0 else 1.0
-        burst = min(max(BURST_SHARE * allowance, least_burst), usable)
-        flow = usable - burst
+        burst, flow = self._split_allowance(use.earned + use.slack)
         rounding = self._get_rounding(shares)
-        if age < 1.0:
+        if self._get_age() < KNOWN_WINDOWS:
             return use.spent + 1 <= flow + rounding
         now = self._clock.monotonic()
         window = self.promises.retry_window_seconds
@@ -138,9 +137,23 @@
         age = self._clock.monotonic() - self._started_at
         return age / self.promises.retry_window_seconds
 
+    def _split_allowance(self, allowance: float) -> tuple[float, float]:
+        """Return what may be spent at once, and spread over a window.
+
+        Routers that started together come to know their window at the same
+        moment; until they have known two, a whole retry each would be too much
+        where their allowances are far below one.
+        """
+        is_settled = self._get_age() >= SETTLED_WINDOWS
+        is_starting = self._get_age() < KNOWN_WINDOWS
+        least_burst = 1.0 if is_settled or is_starting else 0.0
+        usable = USABLE_SHARE * allowance
+        burst = min(max(BURST_SHARE * allowance, least_burst), usable)
+        return burst, usable - burst
+
     def _count_earning(self) -> float:
         """Return the number of requests that earn retries."""
-        if self._get_age() < 2.0:
+        if self._get_age() < SETTLED_WINDOWS:
             return len(self._requests)
         most = MAX_GROWTH * len(self._earlier_requests)
         return min(len(self._requests), most)
