Only records with three crashes or more are judged

Fewer than three crashes neither make anything guilty nor explain other crashes; the ledger keeps which records have more and judges those, when one of them changes. Ran: verdicts, ledger, replication, restored holds, crashing parts and requests: 73 passed; benchmarks.crashes.

--- a/src/lifttrestle/internal/fleet/crashes/ledger.py
+++ b/src/lifttrestle/internal/fleet/crashes/ledger.py
@@ -20,12 +20,14 @@
 import dataclasses
 
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.crashes.hold_rules import CRASH_LIMIT
 from lifttrestle.internal.fleet.crashes.hold_rules import HOLD_SECONDS
 from lifttrestle.internal.fleet.crashes.hold_rules import is_dangerous
 from lifttrestle.internal.fleet.crashes.messages import CrashItem
 from lifttrestle.internal.fleet.crashes.suspects import get_kind
 from lifttrestle.internal.fleet.crashes.suspects import SuspectKind
 from lifttrestle.internal.fleet.crashes.verdicts import judge
+from lifttrestle.internal.fleet.crashes.verdicts import PART_CRASH_LIMIT
 from lifttrestle.internal.fleet.crashes.verdicts import Suspect
 from lifttrestle.internal.fleet.crashes.verdicts import Verdicts
 
@@ -36,6 +38,8 @@
 MAX_STARTS = 64
 # Maximum number of retracted starts in a message, whose size is bounded.
 MAX_TOLD_STARTS = 16
+# Fewer crashes neither make anything guilty nor explain other crashes.
+LEAST_CRASHES = min(CRASH_LIMIT, PART_CRASH_LIMIT)
 # Crashes expire, so verdicts are renewed after this time without changes.
 VERDICT_SECONDS = 1.0
 # In this time, first parts that are in use succeed at some router.
@@ -69,6 +73,8 @@
         self._records: collections.OrderedDict[int, CrashRecord] = (
             collections.OrderedDict()
         )
+        # Digests of the records that are judged.
+        self._candidates: set[int] = set()
         self._verdicts = Verdicts()
         self._judged_at = self._began_at = clock.monotonic()
         self._is_changed = False
@@ -87,7 +93,8 @@
         ]
         for start in new[: MAX_STARTS - len(record.crashed)]:
             record.crashed[start] = self._clock.monotonic()
-            self._is_changed = True
+        if new:
+            self._update_candidate(digest, record)
         return bool(new)
 
     def note_success(self, digest: int) -> bool:
@@ -116,7 +123,8 @@
         record.retracted.update(dict.fromkeys(starts))
         while len(record.retracted) > MAX_STARTS:
             del record.retracted[next(iter(record.retracted))]
-        self._is_changed = True
+        if counted:
+            self._update_candidate(digest, record)
         return bool(counted)
 
     def merge(self, item: CrashItem) -> bool:
@@ -129,7 +137,7 @@
         self.retract(item.digest, item.retracted)
         record = self._records[item.digest]
         record.succeeded = record.succeeded or item.succeeded
-        self._is_changed = True
+        self._update_candidate(item.digest, record)
         return record.succeeded and not item.succeeded
 
     @property
@@ -161,7 +169,7 @@
     def _get_verdicts(self) -> Verdicts:
         now = self._clock.monotonic()
         is_old = now - self._judged_at >= VERDICT_SECONDS
-        if self._is_changed or is_old:
+        if self._is_changed or (is_old and self._candidates):
             self._is_changed = False
             self._judged_at = now
             self._verdicts = judge(self._list_suspects())
@@ -169,9 +177,8 @@
 
     def _list_suspects(self) -> list[Suspect]:
         suspects = []
-        for digest, record in self._records.items():
-            if not record.crashed:
-                continue
+        for digest in self._candidates:
+            record = self._records[digest]
             recent = self._list_recent(record)
             kind = get_kind(digest)
             succeeded = record.succeeded or (
@@ -224,6 +231,16 @@
             record = CrashRecord(succeeded=digest in self._succeeded)
             self._records[digest] = record
             if len(self._records) > MAX_RECORDS:
-                self._records.popitem(last=False)
-                self._is_changed = True
+                evicted, _ = self._records.popitem(last=False)
+                self._update_candidate(evicted, CrashRecord())
         return record
+
+    def _update_candidate(self, digest: int, record: CrashRecord) -> None:
+        """Judge anew if a record that may matter has changed."""
+        was_candidate = digest in self._candidates
+        if len(record.crashed) >= LEAST_CRASHES:
+            self._candidates.add(digest)
+        else:
+            self._candidates.discard(digest)
+        if was_candidate or digest in self._candidates:
+            self._is_changed = True
