Tests of usage caps have the short retry window of the other fixtures

Change: the module takes the shared guarantees and adds its own slack of caps. No assertion changes.

--- a/tests/nocover/test_usage_caps.py
+++ b/tests/nocover/test_usage_caps.py
@@ -12,10 +12,11 @@
 
 """End-to-end tests of usage caps with a router and its upstreams."""
 
+import dataclasses
 import unittest
 
-from lifttrestle.internal.fleet.settings import Promises
 from tests.support.fleet import CONFIGURATION
+from tests.support.fleet import PROMISES as FLEET_PROMISES
 from tests.support.fleet import run_fleet
 from tests.support.fleet import wait_until
 from tests.support.fleet_upstream import Behaviour
@@ -23,7 +24,7 @@
 ENGINES = ('e1', 'e2')
 # A test request has 465 tokens. The usage permitted after a start is a fifth
 # of the slack.
-PROMISES = Promises(retry_slack=40.0, grace_seconds=0.4, cap_slack=1_000_000.0)
+PROMISES = dataclasses.replace(FLEET_PROMISES, cap_slack=1_000_000.0)
 
 
 def cap_workspace(fleet, **fields):
