Holds are looked up once before a send

check_held_before_send asked for the holds of a request and of each part of its prompt twice, on every send: once to refuse, once to claim a trial. One function finds the hold that a run would try. Behaviour is the same. Ran: verdicts, crashing parts, crashing requests; lint.

--- a/src/lifttrestle/internal/fleet/path/hold_check.py
+++ b/src/lifttrestle/internal/fleet/path/hold_check.py
@@ -25,9 +25,7 @@
     :raises RequestRefused: if it is held and may not be tried. The refusal has
         no retry time, since a repeat would be refused, too.
     """
-    held = _list_held(request)
-    if held and (request.sends or not _may_run_trial(request, held)):
-        raise _make_refusal(request, held)
+    _find_trial(request)
 
 
 async def check_held_before_send(request: RequestContext) -> None:
@@ -35,26 +33,30 @@
 
     :raises RequestRefused: if it may not be sent.
     """
-    check_held(request)
-    held = _list_held(request)
-    if not held:
+    digest = _find_trial(request)
+    if digest is None:
         return
-    request.on_trial = await request.parts.crashes.claim_trial(held[0])
+    request.on_trial = await request.parts.crashes.claim_trial(digest)
     if not request.on_trial:
-        raise _make_refusal(request, held)
+        raise _make_refusal(request, [digest])
 
 
-def _list_held(request: RequestContext) -> list[int]:
-    """Return the digests for which the request is held."""
-    if request.on_trial:
-        return []
-    digests = (request.digest, *request.part_digests)
-    return request.parts.crashes.list_held(digests)
-
+def _find_trial(request: RequestContext) -> int | None:
+    """Return the digest of the hold that its run would try, None if not held.
 
-def _may_run_trial(request: RequestContext, held: list[int]) -> bool:
-    """Return whether a trial would tell whether one hold is right."""
-    return len(held) == 1 and request.parts.crashes.may_run_trial(held[0])
+    :raises RequestRefused: if it is held and may not be tried.
+    """
+    if request.on_trial:
+        return None
+    crashes = request.parts.crashes
+    held = crashes.list_held((request.digest, *request.part_digests))
+    if not held:
+        return None
+    # With two held parts a trial would not tell which hold is right.
+    may_run = len(held) == 1 and crashes.may_run_trial(held[0])
+    if request.sends or not may_run:
+        raise _make_refusal(request, held)
+    return held[0]
 
 
 def _make_refusal(request: RequestContext, held: list[int]) -> RequestRefused:
