A share history without a share lists none

list_since raised ValueError for an empty history: it paired the shares with one end too many. The new test raised before.

--- a/src/lifttrestle/internal/fleet/policy/router_share.py
+++ b/src/lifttrestle/internal/fleet/policy/router_share.py
@@ -59,9 +59,11 @@
 
         :param oldest: at most ``KEPT_SECONDS`` ago.
         """
-        ends = [since for since, _ in self._shares][1:] + [math.inf]
+        later = [since for since, _ in self._shares][1:]
         return [
             share
-            for (_, share), end in zip(self._shares, ends, strict=True)
+            for (_, share), end in zip(
+                self._shares, (*later, math.inf), strict=False
+            )
             if end > oldest
         ]
--- a/tests/cover/test_retry_budget.py
+++ b/tests/cover/test_retry_budget.py
@@ -130,6 +130,9 @@
 
 
 class TestShareHistory(unittest.TestCase):
+    def test_no_share_is_listed_before_the_first(self):
+        self.assertEqual(ShareHistory().list_since(0.0), [])
+
     def test_shares_are_listed_until_a_later_one_is_older(self):
         history = ShareHistory()
         history.note(RouterShare(8, 1), 0.0)
