Soaks share their faults, stand-ins the head of a stream

The soak of parts had the kills and herds of the soak of crashing requests once more: RouterSoak has them, with the pauses of each; the draws of each seed are the same. The engine stand-in wrote the head of its parent's streams anew. A played router kept what it had read beside its shares, which tell it.

--- a/tests/support/crash_soak.py
+++ b/tests/support/crash_soak.py
@@ -12,7 +12,6 @@
 
 """Soak of requests that crash upstreams, while routers are killed."""
 
-import asyncio
 from collections.abc import Coroutine
 import dataclasses
 import pathlib
@@ -124,8 +123,8 @@
         return [
             *(self._send_fatal(body) for body in FATAL_BODIES),
             *(self._send_harmless(number) for number in range(CALLERS)),
-            self._kill_routers(),
-            self._crash_groups(),
+            self._kill_routers((1.0, 4.0), (0.0, 0.5)),
+            self._crash_groups((1.0, 4.0)),
         ]
 
     async def _call(
@@ -162,24 +161,6 @@
                 times.append(time.monotonic())
             await sleep(self._done, source.uniform(0.0, 0.1))
 
-    async def _kill_routers(self) -> None:
-        source = self._get_source('kills')
-        while not self._done.is_set():
-            await sleep(self._done, source.uniform(1.0, 4.0))
-            count = source.choice((1, 1, 2, ROUTERS))
-            killed = source.sample(self._routers, count)
-            for router in killed:
-                router.kill()
-            await sleep(self._done, source.uniform(0.0, 0.5))
-            await asyncio.gather(*(router.start() for router in killed))
-
-    async def _crash_groups(self) -> None:
-        source = self._get_source('herds')
-        while not self._done.is_set():
-            await sleep(self._done, source.uniform(1.0, 4.0))
-            for upstream in source.sample(self._upstreams, UPSTREAMS // 2):
-                upstream.begin_crash()
-
     def check(self) -> CrashOutcome:
         """Count the fatal runs that began too late."""
         outcome = self._outcome
--- a/tests/support/crashing_engine.py
+++ b/tests/support/crashing_engine.py
@@ -20,7 +20,6 @@
 from lifttrestle.internal.http.server_connection import ServerConnection
 from tests.support.crashing_upstream import CrashingUpstream
 from tests.support.fleet_upstream import Behaviour
-from tests.support.fleet_upstream import STAMP
 
 DOWNTIME_SECONDS = 0.8
 # From the begin of an answer to the crash under it.
@@ -73,13 +72,7 @@
         now = time.monotonic()
         self.fatal_runs += [(part, now) for part in sorted(fatal)]
         self._writing |= fatal
-        headers = (
-            *self._echo(head),
-            ('server-stamp', STAMP),
-            ('content-type', 'text/event-stream'),
-            ('weight-versions', str(self.weights)),
-        )
-        await connection.start_answer(200, headers)
+        await self._start_stream(connection, head)
         await asyncio.sleep(CRASH_SECONDS)
         self.begin_crash()
         raise CallerGone('crashed by a part')
--- a/tests/support/fleet_upstream.py
+++ b/tests/support/fleet_upstream.py
@@ -222,13 +222,7 @@
         head: RequestHead,
         behaviour: Behaviour,
     ) -> None:
-        headers = (
-            *self._echo(head),
-            ('server-stamp', STAMP),
-            ('content-type', 'text/event-stream'),
-            ('weight-versions', str(self.weights)),
-        )
-        await connection.start_answer(200, headers)
+        await self._start_stream(connection, head)
         first = int(head.get_header('last-event-id', '0')) + 1
         for number in range(first, EVENTS + 1):
             event = self._make_event(number)
@@ -243,6 +237,17 @@
             await connection.send_part(event)
         await connection.end_answer()
 
+    async def _start_stream(
+        self, connection: ServerConnection, head: RequestHead
+    ) -> None:
+        headers = (
+            *self._echo(head),
+            ('server-stamp', STAMP),
+            ('content-type', 'text/event-stream'),
+            ('weight-versions', str(self.weights)),
+        )
+        await connection.start_answer(200, headers)
+
     def _make_event(self, number: int) -> bytes:
         text = f'token {number} {self.software_version}'.rstrip()
         return f'id: {number}\ndata: {text}\n\n'.encode()
--- a/tests/support/part_soak.py
+++ b/tests/support/part_soak.py
@@ -12,7 +12,6 @@
 
 """Soak of prompt parts that crash engines, while routers are killed."""
 
-import asyncio
 from collections.abc import Coroutine
 import dataclasses
 import pathlib
@@ -103,8 +102,8 @@
         return [
             *(self._send_fatal(part) for part in FATAL_PARTS),
             *(self._send_sound(number) for number in range(CALLERS)),
-            self._kill_routers(),
-            self._crash_groups(),
+            self._kill_routers((1.5, 5.0)),
+            self._crash_groups((2.0, 5.0)),
         ]
 
     async def _call(
@@ -147,23 +146,6 @@
                 times.append(time.monotonic())
             await sleep(self._done, source.uniform(0.0, 0.2))
 
-    async def _kill_routers(self) -> None:
-        source = self._get_source('kills')
-        while not self._done.is_set():
-            await sleep(self._done, source.uniform(1.5, 5.0))
-            count = source.choice((1, 1, 2, ROUTERS))
-            killed = source.sample(self._routers, count)
-            for router in killed:
-                router.kill()
-            await asyncio.gather(*(router.start() for router in killed))
-
-    async def _crash_groups(self) -> None:
-        source = self._get_source('herds')
-        while not self._done.is_set():
-            await sleep(self._done, source.uniform(2.0, 5.0))
-            for engine in source.sample(self._upstreams, ENGINES // 2):
-                engine.begin_crash()
-
     def check(self) -> PartOutcome:
         """Count the fatal runs that began too late."""
         outcome = self._outcome
--- a/tests/support/retry_simulation.py
+++ b/tests/support/retry_simulation.py
@@ -36,7 +36,6 @@
     """One router, the budget of its process and what it reads of others.
 
     :ivar listed: whether its row is in the table.
-    :ivar known: the routers whose rows it has read, None before the first.
     :ivar counted: whether the others count it; otherwise it knows that its row
         is too old.
     :ivar shares: what it has read of its share.
@@ -48,7 +47,6 @@
         self.running = False
         self.listed = False
         self.cut = False
-        self.known: list[int] | None = None
         self.ready_tick = 0
         self.counted = True
         self.shares = ShareHistory()
@@ -101,7 +99,6 @@
         """Start a process of each of the routers."""
         for router in routers:
             router.running = router.listed = router.counted = True
-            router.known = None
             router.shares = ShareHistory()
             router.ready_tick = len(self._retries) + READ_TICKS
             router.budget = SharedRetryBudget(
@@ -156,7 +153,6 @@
         for router in self.running:
             if router.cut or len(self._retries) < router.ready_tick:
                 continue
-            router.known = listed
             share = RouterShare(len(listed), positions[router.number])
             router.shares.note(share, now)
 
@@ -180,10 +176,8 @@
 
     def _take(self, router: SimulatedRouter) -> bool:
         oldest = self._clock.monotonic() - self._promises.retry_window_seconds
-        known = router.known is not None and router.counted
-        return router.budget.take(
-            router.shares.list_since(oldest) if known else []
-        )
+        shares = router.shares.list_since(oldest) if router.counted else []
+        return router.budget.take(shares)
 
     def _judge(self) -> None:
         retries = self._retries[-1] - self._retries[-1 - self._window]
--- a/tests/support/router_soak.py
+++ b/tests/support/router_soak.py
@@ -128,6 +128,40 @@
         ]
         await asyncio.gather(*(router.start() for router in self._routers))
 
+    async def _kill_routers(
+        self,
+        pauses: tuple[float, float],
+        downtimes: tuple[float, float] | None = None,
+    ) -> None:
+        """Kill one, two or all routers at random times, and start them again.
+
+        :param pauses: range of the seconds between two such times.
+        :param downtimes: range of the seconds until they start; None for at
+            once.
+        """
+        source = self._get_source('kills')
+        while not self._done.is_set():
+            await sleep(self._done, source.uniform(*pauses))
+            count = source.choice((1, 1, 2, self.router_count))
+            killed = source.sample(self._routers, count)
+            for router in killed:
+                router.kill()
+            if downtimes is not None:
+                await sleep(self._done, source.uniform(*downtimes))
+            await asyncio.gather(*(router.start() for router in killed))
+
+    async def _crash_groups(self, pauses: tuple[float, float]) -> None:
+        """Crash half of the upstreams at once, at random times.
+
+        :param pauses: range of the seconds between two such times.
+        """
+        source = self._get_source('herds')
+        while not self._done.is_set():
+            await sleep(self._done, source.uniform(*pauses))
+            count = self.upstream_count // 2
+            for upstream in source.sample(self._upstreams, count):
+                upstream.begin_crash()
+
     async def _disturb_store(self) -> None:
         source = self._get_source('store')
         while not self._done.is_set():
