A loss by an earlier start is not carried to a later one

Found by reading the change once more: a request that was sent after the crash of a start and before the next one began was also kept for the start that is read next, although the next one had been read already; it then counted against the start after that. Only losses of the newest start that was read are carried over now. note_lost is split by what each branch does, and an unknown time of sending is NEVER. The new test failed before (two crashes, not one). Ran: loss watch, verdicts, replication, crashing requests, fleet exchange; lint.

--- a/src/lifttrestle/internal/fleet/crashes/loss_watch.py
+++ b/src/lifttrestle/internal/fleet/crashes/loss_watch.py
@@ -23,6 +23,7 @@
 import enum
 
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.state.reach import NEVER
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.fleet.state.upstream_entry import StartEnd
 from lifttrestle.internal.telemetry.event_log import get_event_log
@@ -162,7 +163,7 @@
         self,
         digest: int,
         upstream: FleetUpstream,
-        sent_at: float | None = None,
+        sent_at: float = NEVER,
     ) -> None:
         """Record that an upstream aborted its answer to a request.
 
@@ -171,27 +172,36 @@
         if upstream.entry.draining or upstream.vanished_at is not None:
             return
         newest = self._newest.get(upstream.instance, upstream)
-        is_replaced = newest.start != upstream.start
-        if is_replaced and self._had_begun(newest, sent_at):
+        if newest.start == upstream.start:
+            loss = self._get_loss(upstream)
+            if loss.may_be_newer_start(sent_at):
+                loss.lost_later[digest] = sent_at
+        elif self._had_begun(newest, sent_at):
             self.note_lost(digest, newest)
             return
+        else:
+            loss = self._get_loss(upstream)
+            loss.state = LossState.PROVED
+        self._add_request(loss, digest)
+
+    def _get_loss(self, upstream: FleetUpstream) -> Loss:
         loss = self._losses.get(upstream.start)
         if loss is None:
             if len(self._losses) >= MAX_STARTS:
                 del self._losses[next(iter(self._losses))]
             loss = Loss(upstream, self._clock.monotonic())
             self._losses[upstream.start] = loss
-        elif sent_at is not None and loss.may_be_newer_start(sent_at):
-            loss.lost_later[digest] = sent_at
-        if is_replaced:
-            loss.state = LossState.PROVED
+        return loss
+
+    def _add_request(self, loss: Loss, digest: int) -> None:
+        """Record that a start has lost a request."""
         if digest in loss.digests or len(loss.digests) >= MAX_REQUESTS:
             return
         loss.digests.add(digest)
         # Schedules a probe of the upstream.
-        upstream.reach.note_connection_lost()
+        loss.upstream.reach.note_connection_lost()
         if loss.state in CRASHED_STATES:
-            self.on_crashed(digest, upstream.digest)
+            self.on_crashed(digest, loss.upstream.digest)
 
     def note_answered(self, upstream: FleetUpstream, sent_at: float) -> None:
         """Record an answer to a request that was sent at ``sent_at``."""
@@ -199,11 +209,9 @@
         if loss is not None and sent_at > loss.lost_at:
             self.note_evidence(upstream.start, StartEvidence.ANSWERED)
 
-    def _had_begun(
-        self, upstream: FleetUpstream, sent_at: float | None
-    ) -> bool:
+    def _had_begun(self, upstream: FleetUpstream, sent_at: float) -> bool:
         """Return whether a start had begun when a request was sent."""
-        if sent_at is None or upstream.entry.born is None:
+        if upstream.entry.born is None:
             return False
         ago = self._clock.monotonic() - sent_at
         sent = self._clock.now().timestamp() - ago
--- a/src/lifttrestle/internal/fleet/crashes/tracker.py
+++ b/src/lifttrestle/internal/fleet/crashes/tracker.py
@@ -37,6 +37,7 @@
 from lifttrestle.internal.fleet.crashes.suspects import get_kind_name
 from lifttrestle.internal.fleet.crashes.suspects import SuspectKind
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.state.reach import NEVER
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.rows import RowStore
 from lifttrestle.internal.fleet.state.rows import VersionedRow
@@ -157,7 +158,7 @@
         origin: RequestOrigin,
         upstream: FleetUpstream,
         writing_seconds: float = 0.0,
-        sent_at: float | None = None,
+        sent_at: float = NEVER,
     ) -> None:
         """Record that an upstream aborted its answer to a request.
 
--- a/src/lifttrestle/internal/fleet/path/request_context.py
+++ b/src/lifttrestle/internal/fleet/path/request_context.py
@@ -27,6 +27,7 @@
 from lifttrestle.internal.fleet.policy.software_room import rank_new_stream
 from lifttrestle.internal.fleet.policy.stopping import can_finish_in_time
 from lifttrestle.internal.fleet.policy.stopping import STOPPING_RETRY_SECONDS
+from lifttrestle.internal.fleet.state.reach import NEVER
 from lifttrestle.internal.fleet.streams.binding import StreamBinding
 from lifttrestle.internal.fleet.usage.charge import UsageCharge
 from lifttrestle.internal.refusal.answers import ANSWER_RULES
@@ -73,7 +74,7 @@
     binding: StreamBinding
     service: str = ''
     sends: int = 0
-    sent_at: float | None = None
+    sent_at: float = NEVER
     runs: int = 0
     digest: int = 0
     part_digests: tuple[int, ...] = ()
--- a/tests/cover/test_loss_watch.py
+++ b/tests/cover/test_loss_watch.py
@@ -125,6 +125,23 @@
         self.watch.note_probed(newer.start, False, True)
         self.assertEqual(self.crashed, [DIGEST, DIGEST])
 
+    def test_loss_by_a_start_before_is_not_carried_to_the_next_but_one(self):
+        before = self.upstream
+        self.lose()
+        self.watch.note_probed(before.start, False, True)
+        self.clock.advance(0.1)
+        sent_at = self.clock.monotonic()
+        self.clock.advance(0.3)
+        began = int(self.clock.now().timestamp() * 1000)
+        self.list('p1', began)
+        self.watch.note_listed(self.directory.get('p1'))
+        self.watch.note_lost(DIGEST, before, sent_at)
+        self.list('p1', began + 500)
+        newest = self.directory.get('p1')
+        self.watch.note_listed(newest)
+        self.watch.note_probed(newest.start, False, True)
+        self.assertEqual(self.crashed, [DIGEST])
+
     def test_request_sent_before_the_crash_is_no_loss_of_the_next_start(self):
         self.clock.advance(1.0)
         self.lose()
