The states of a crash's detection are a module of their own

Ruled out: behaviour changes. Ran: loss watch, verdicts, replication, crashing requests, fleet exchange: 100 passed; lint (375 files).

--- a/src/lifttrestle/internal/fleet/crashes/loss_watch.py
+++ b/src/lifttrestle/internal/fleet/crashes/loss_watch.py
@@ -20,9 +20,13 @@
 
 from collections.abc import Callable
 import dataclasses
-import enum
 
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.crashes.loss_states import CRASHED_STATES
+from lifttrestle.internal.fleet.crashes.loss_states import END_EVIDENCE
+from lifttrestle.internal.fleet.crashes.loss_states import LossState
+from lifttrestle.internal.fleet.crashes.loss_states import StartEvidence
+from lifttrestle.internal.fleet.crashes.loss_states import TRANSITIONS
 from lifttrestle.internal.fleet.state.reach import NEVER
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.fleet.state.upstream_entry import StartEnd
@@ -46,72 +50,6 @@
 MAX_REQUESTS = 256
 
 
-class StartEvidence(enum.Enum):
-    """Evidence on whether a start that aborted an answer has crashed."""
-
-    # Its address refused a connection.
-    REFUSED = enum.auto()
-    # Its address accepted a connection: the start is alive, or a newer start
-    # has its address.
-    ACCEPTED = enum.auto()
-    # It answered a request that was sent after the aborted answer.
-    ANSWERED = enum.auto()
-    # A newer start has its name or address.
-    REPLACED = enum.auto()
-    # Its entry was removed without notice.
-    VANISHED = enum.auto()
-    # It had announced that it stops, or its entry is no longer readable.
-    WITHDRAWN = enum.auto()
-    # Its entry still exists after the time by which that of a crashed start
-    # would have expired.
-    STILL_LISTED = enum.auto()
-
-
-class LossState(enum.Enum):
-    """State of the crash detection for a start that aborted an answer."""
-
-    OPEN = enum.auto()
-    # It accepts connections, so only a refused connection or a newer start
-    # would still prove a crash.
-    REACHED = enum.auto()
-    # Nothing listens at its address; later evidence may refute the crash.
-    CRASHED = enum.auto()
-    # It has certainly crashed: its entry is gone or a newer start exists.
-    PROVED = enum.auto()
-    # It has not crashed.
-    SOUND = enum.auto()
-
-
-END_EVIDENCE = {
-    StartEnd.REPLACED: StartEvidence.REPLACED,
-    StartEnd.VANISHED: StartEvidence.VANISHED,
-    StartEnd.WITHDRAWN: StartEvidence.WITHDRAWN,
-}
-CRASHED_STATES = (LossState.CRASHED, LossState.PROVED)
-TRANSITIONS = {
-    (LossState.OPEN, StartEvidence.REFUSED): LossState.CRASHED,
-    (LossState.OPEN, StartEvidence.ACCEPTED): LossState.REACHED,
-    (LossState.OPEN, StartEvidence.ANSWERED): LossState.SOUND,
-    (LossState.OPEN, StartEvidence.REPLACED): LossState.PROVED,
-    (LossState.OPEN, StartEvidence.VANISHED): LossState.PROVED,
-    (LossState.OPEN, StartEvidence.WITHDRAWN): LossState.SOUND,
-    (LossState.OPEN, StartEvidence.STILL_LISTED): LossState.SOUND,
-    # The listener may close shortly after the connections.
-    (LossState.REACHED, StartEvidence.REFUSED): LossState.CRASHED,
-    (LossState.REACHED, StartEvidence.ANSWERED): LossState.SOUND,
-    (LossState.REACHED, StartEvidence.REPLACED): LossState.PROVED,
-    (LossState.REACHED, StartEvidence.VANISHED): LossState.SOUND,
-    (LossState.REACHED, StartEvidence.WITHDRAWN): LossState.SOUND,
-    (LossState.REACHED, StartEvidence.STILL_LISTED): LossState.SOUND,
-    # A cut link may also lead to refused connections, without a crash.
-    (LossState.CRASHED, StartEvidence.ANSWERED): LossState.SOUND,
-    (LossState.CRASHED, StartEvidence.REPLACED): LossState.PROVED,
-    (LossState.CRASHED, StartEvidence.VANISHED): LossState.PROVED,
-    (LossState.CRASHED, StartEvidence.WITHDRAWN): LossState.SOUND,
-    (LossState.CRASHED, StartEvidence.STILL_LISTED): LossState.SOUND,
-}
-
-
 @dataclasses.dataclass
 class Loss:
     """A start that aborted answers.
--- a/src/lifttrestle/internal/fleet/path/failure_recording.py
+++ b/src/lifttrestle/internal/fleet/path/failure_recording.py
@@ -19,7 +19,7 @@
 from lifttrestle.errors import UpstreamLost
 from lifttrestle.errors import UpstreamPathLost
 from lifttrestle.internal.exchange.progress import RequestEvent
-from lifttrestle.internal.fleet.crashes.loss_watch import StartEvidence
+from lifttrestle.internal.fleet.crashes.loss_states import StartEvidence
 from lifttrestle.internal.fleet.crashes.lost_origins import RequestOrigin
 from lifttrestle.internal.fleet.path.candidates import Candidates
 from lifttrestle.internal.fleet.path.request_context import RequestContext
--- a/tests/support/crash_fleet.py
+++ b/tests/support/crash_fleet.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from lifttrestle.internal.clock.manual import ManualClock
-from lifttrestle.internal.fleet.crashes.loss_watch import StartEvidence
+from lifttrestle.internal.fleet.crashes.loss_states import StartEvidence
 from lifttrestle.internal.fleet.crashes.lost_origins import RequestOrigin
 from lifttrestle.internal.fleet.crashes.replicator import SEND_COUNT
 from lifttrestle.internal.fleet.crashes.tracker import CrashTracker
