Interfaces of the decisions under load

Cause: engine memory, the pace of single engines and fair shares of engine time decide by what all routers know, and share one exchange of news. Nothing uses them yet; the existing messages are the same to the byte.

--- a/src/lifttrestle/internal/fleet/state/catalogue.py
+++ b/src/lifttrestle/internal/fleet/state/catalogue.py
@@ -36,6 +36,11 @@
 
 BITS_PER_BYTE = 8
 MEGA = 1_000_000
+# Size of a slot, in bytes of KV cache, from which decisions consider single
+# engines: an engine with such slots runs a handful of requests, so one request
+# too many delays all of them. With smaller slots, sums over many requests
+# average that out.
+LARGE_SLOT_BYTES = 1_000_000_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -98,6 +103,12 @@
     token_bytes: float = 0.0
     link_megabits: float = 0.0
 
+    @property
+    def has_large_slots(self) -> bool:
+        """Return whether load decisions consider each engine by itself."""
+        capacity_bytes = self.memory_tokens * self.token_bytes
+        return capacity_bytes >= self.slots * LARGE_SLOT_BYTES > 0
+
 
 @dataclasses.dataclass(frozen=True)
 class CacheStoreConfig:
@@ -126,6 +137,11 @@
     engine: EngineConfig | None = None
     cache_store: CacheStoreConfig | None = None
 
+    @property
+    def has_large_slots(self) -> bool:
+        """Return whether load decisions consider each engine by itself."""
+        return self.engine is not None and self.engine.has_large_slots
+
 
 @dataclasses.dataclass(frozen=True)
 class Workspace:
@@ -183,6 +199,11 @@
             if workspace.cap is not None
         }
 
+    @functools.cached_property
+    def has_large_slots(self) -> bool:
+        """Return whether load decisions of any service consider engines."""
+        return any(item.has_large_slots for item in self.services.values())
+
     @functools.cached_property
     def resumable_routes(self) -> tuple[Route, ...]:
         """Return the routes whose streams callers may resume."""
--- a/src/lifttrestle/internal/fleet/state/load_messages.py
+++ b/src/lifttrestle/internal/fleet/state/load_messages.py
@@ -25,6 +25,7 @@
 from lifttrestle.internal.fleet.limits.messages import LimitUpdate
 from lifttrestle.internal.fleet.limits.messages import PermitAnswer
 from lifttrestle.internal.fleet.limits.messages import PermitQuery
+from lifttrestle.internal.fleet.news.messages import NewsMessage
 from lifttrestle.internal.fleet.streams.messages import OriginAnswer
 from lifttrestle.internal.fleet.streams.messages import OriginQuery
 from lifttrestle.internal.fleet.streams.messages import OriginUpdate
@@ -106,6 +107,7 @@
     | CrashUpdate
     | LimitMessage
     | OriginMessage
+    | NewsMessage
 )
 
 
