Usage is reported to one aggregator only

Cause: a router that changed its aggregator went on with the counts of its usage. An aggregator that it returned to counted what the other one had counted meanwhile, and both told the other data centres. Change: a change of the aggregator begins new counts with the units that were not sent to the old one.

--- a/src/lifttrestle/internal/fleet/state/peer_loads.py
+++ b/src/lifttrestle/internal/fleet/state/peer_loads.py
@@ -327,6 +327,7 @@
     ) -> None:
         """Send a report to the aggregator, which answers if it is a query."""
         self._number += 1
+        key = self._choice.choose()
         report = LoadReport(
             self._vm,
             self._number,
@@ -334,12 +335,11 @@
             parts,
             True,
             is_query,
-            self._usage_publisher.build_report(),
+            self._usage_publisher.build_report(key),
         )
         self._reported_load = bool(loads)
         self._own_reports[self._number] = loads
         self._own_reports.pop(self._number - MAX_OWN_REPORTS, None)
-        key = self._choice.choose()
         if is_query:
             self._queried_at = self._clock.monotonic()
             self._sum_received.clear()
--- a/src/lifttrestle/internal/fleet/usage/counts.py
+++ b/src/lifttrestle/internal/fleet/usage/counts.py
@@ -33,12 +33,14 @@
     :ivar touched_at: monotonic time of the last use, in seconds.
     :ivar net: units charged less units returned.
     :ivar reported: maximum of ``net``; a reported count never decreases.
+    :ivar sent: part of ``reported`` that was sent to an aggregator.
     """
 
     serial: int
     touched_at: float
     net: float = 0.0
     reported: float = 0.0
+    sent: float = 0.0
 
 
 class UsageCounts:
@@ -66,6 +68,19 @@
         count.net += units
         count.reported = max(count.reported, count.net)
 
+    def begin_anew(self, now: float) -> None:
+        """Begin new counts, with the units that were not sent yet.
+
+        Called when another router becomes the aggregator. Both aggregators
+        forward what they are told, so a unit must be part of a single count.
+        """
+        for workspace, count in self._counts.items():
+            net = count.net - count.sent
+            serial = max(int(now * MILLISECONDS), count.serial + 1)
+            self._counts[workspace] = Count(
+                serial, count.touched_at, net, max(net, 0.0)
+            )
+
     def get(self, workspace: int) -> Count | None:
         """Return the count of a workspace, None if there is none."""
         return self._counts.get(workspace)
--- a/src/lifttrestle/internal/fleet/usage/publisher.py
+++ b/src/lifttrestle/internal/fleet/usage/publisher.py
@@ -49,6 +49,7 @@
         self._senders: dict[str, ReceivedCounts] = {}
         self._received_at: dict[str, float] = {}
         self._reported_at = float('-inf')
+        self._aggregator = ''
         self._sum_built_at = float('-inf')
 
     def is_due(self) -> bool:
@@ -57,11 +58,21 @@
             return False
         return self._clock.monotonic() - self._reported_at >= IDLE_SECONDS
 
-    def build_report(self) -> list[UsedEntry]:
-        """Return the recent usage at this router."""
+    def build_report(self, aggregator: str = '') -> list[UsedEntry]:
+        """Return the recent usage at this router.
+
+        :param aggregator: key of the router that aggregates it, empty if all
+            routers receive it.
+        """
         now = self._clock.monotonic()
         self._reported_at = now
-        return self._build(self._ledger.counts, now)
+        counts = self._ledger.counts
+        if aggregator != self._aggregator:
+            counts.begin_anew(now)
+            self._aggregator = aggregator
+        for _, count in counts.list_newest(now):
+            count.sent = count.reported
+        return self._build(counts, now)
 
     def build_sum(self) -> list[UsedEntry] | None:
         """Return the recent usage of this router's group, None if not due."""
--- a/tests/cover/test_usage_caps.py
+++ b/tests/cover/test_usage_caps.py
@@ -38,6 +38,7 @@
 from lifttrestle.internal.fleet.usage.counts import UsageCounts
 from lifttrestle.internal.fleet.usage.ledger import FRESH_LOW_LEVEL_SECONDS
 from lifttrestle.internal.fleet.usage.ledger import UsageLedger
+from lifttrestle.internal.fleet.usage.publisher import SUM_SECONDS
 from lifttrestle.internal.fleet.usage.publisher import UsagePublisher
 from lifttrestle.internal.platform.stored_format import PlatformFormat
 from tests.support.cap_simulation import CapPlay
@@ -325,6 +326,67 @@
         self.assertTrue(ledger.is_level_fresh(self.workspace))
 
 
+class TestChangeOfAggregator(unittest.TestCase):
+    """A router reports to one aggregator, then to another, and back."""
+
+    def setUp(self):
+        self.clock = ManualClock(START)
+        self.workspace = Workspace(
+            'acme', None, False, UsageCap(1000.0, 8000.0, UsageUnit.TOKENS)
+        )
+        caps = {self.workspace.digest: self.workspace.cap}
+        self.publishers = {}
+        self.ledgers = {}
+        for name in ('member', 'first', 'second', 'remote'):
+            ledger = UsageLedger(self.clock, Promises(), lambda: caps)
+            self.ledgers[name] = ledger
+            self.publishers[name] = UsagePublisher(name, ledger, self.clock)
+        self.ledgers['member'].use_aggregator(4)
+        self.ledgers['first'].use_groups({'member': 1, 'b': 1})
+        self.ledgers['second'].use_groups({'member': 1, 'b': 1})
+        self.ledgers['remote'].use_groups({'a': 3})
+
+    def report(self, units, aggregator):
+        """Use units, report them to one aggregator and exchange the sums."""
+        self.clock.advance(1.1 * SUM_SECONDS)
+        self.ledgers['member'].take(self.workspace, units)
+        report = self.publishers['member'].build_report(aggregator)
+        self.publishers[aggregator].handle_member_report(
+            'member', 'member', report
+        )
+        for name in ('first', 'second'):
+            entries = self.publishers[name].build_sum()
+            self.publishers['remote'].handle_report(name, 'a', entries)
+
+    def measure_counted(self, aggregators):
+        """Return the units counted elsewhere when 50 are used per report."""
+        for aggregator in ('first', 'second'):
+            # The first message of a sender is the baseline of its counts.
+            self.report(1.0, aggregator)
+        level = self.ledgers['remote'].find_level(self.workspace)
+        before = level.get_remaining(self.clock.monotonic())
+        level.level = before
+        began = self.clock.monotonic()
+        for aggregator in aggregators:
+            self.report(50.0, aggregator)
+        refill = (self.clock.monotonic() - began) * 1000.0
+        return before + refill - level.level
+
+    def test_regression_usage_was_counted_at_both_aggregators(self):
+        # Other data centres counted up to twice what was used and refused
+        # requests that were within the cap.
+        used = 50.0 * 40
+        alternating = (['first'] * 5 + ['second'] * 5) * 4
+        counted = self.measure_counted(alternating)
+        self.assertLessEqual(counted, used * 1.01)
+        # What was used since the last report to the other aggregator counts.
+        self.assertGreaterEqual(counted, used * 0.99)
+
+    def test_usage_without_a_change_is_counted_once(self):
+        counted = self.measure_counted(['first'] * 40)
+        self.assertAlmostEqual(counted, 50.0 * 40, delta=1.0)
+
+
 class TestCounts(unittest.TestCase):
     @settings(derandomize=True, database=None)
     @given(
