The roster's entries, writes and row format are modules of their own

Change: roster_entries.py decides which routers are live, stale, lost or undeleted, roster_writer.py writes this router's row and removes rows, and router_row.py decodes rows. Roster keeps its interface and uses all three. Tests import the constants and the row format from the new modules; tests/support/load_simulation.py still gets RouterRow through roster.py. No change of behaviour.

--- a/src/lifttrestle/internal/fleet/state/roster.py
+++ b/src/lifttrestle/internal/fleet/state/roster.py
@@ -20,8 +20,6 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
-import math
 
 import msgspec
 
@@ -30,14 +28,16 @@
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.policy.router_share import RouterShare
 from lifttrestle.internal.fleet.policy.router_share import ShareHistory
+from lifttrestle.internal.fleet.state.roster_entries import REFRESH_SECONDS
+from lifttrestle.internal.fleet.state.roster_entries import RosterEntries
+from lifttrestle.internal.fleet.state.roster_entries import STALE_SECONDS
+from lifttrestle.internal.fleet.state.roster_writer import RosterWriter
+from lifttrestle.internal.fleet.state.router_row import RouterRow
 from lifttrestle.internal.fleet.state.row_version import get_epoch
 from lifttrestle.internal.fleet.state.rows import NO_ROW
-from lifttrestle.internal.fleet.state.rows import RowOrigin
 from lifttrestle.internal.fleet.state.rows import RowStore
-from lifttrestle.internal.fleet.state.rows import RowWrite
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.http.address import parse_address
-from lifttrestle.internal.intake.decoding import decode_json
 from lifttrestle.internal.intake.refusals import InputRefusals
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
@@ -45,14 +45,6 @@
 FLEET_TABLE = 'lifttrestle'
 ROUTER_PREFIX = 'router/'
 RETRY_SECONDS = 0.5
-# Interval at which a row is rewritten; each write is sent to every router.
-REFRESH_SECONDS = 300.0
-# A router whose row has not changed for three such intervals is not counted,
-# and its row is removed.
-STALE_SECONDS = 3 * REFRESH_SECONDS
-# A router whose row is lost is still counted for this long. If it is live, it
-# rewrites its row within half a second of learning of the loss.
-LOST_GRACE_SECONDS = 5.0
 # Number of routers assumed until the table has been read. If it were far above
 # the number of VMs that a deployment has in a region, every budget would be
 # zero; if it were below, the routers would exceed the budgets. Each known
@@ -60,32 +52,6 @@
 ASSUMED_COUNT = 12
 
 
-class RouterRow(msgspec.Struct, frozen=True):
-    """One router's row.
-
-    :ivar address: where it receives load reports; may be empty.
-    :ivar tunnel_address: where it accepts tunnels; may be empty.
-    """
-
-    data_centre: str
-    address: str = ''
-    tunnel_address: str = ''
-
-
-@dataclasses.dataclass(frozen=True)
-class RosterEntry:
-    """A router's row as last read.
-
-    :ivar seen_at: monotonic time at which its last change was read.
-    """
-
-    version: int
-    address: str
-    data_centre: str
-    seen_at: float
-    tunnel_address: str = ''
-
-
 class Roster:
     """Counts the live routers and maintains the row of this one.
 
@@ -106,24 +72,15 @@
         data_centre: str,
         refusals: InputRefusals | None = None,
     ) -> None:
-        self._refusals = refusals or InputRefusals()
-        self._store = store
         self._clock = clock
         self._key = f'{ROUTER_PREFIX}{vm}'
         self._data_centre = data_centre
-        self._entries: dict[str, RosterEntry] = {}
-        # Lower bound of ``seen_at`` of the other routers' rows.
-        self._oldest_seen_at = math.inf
-        # Version of this router's row as last written or read.
-        self._own_version = NO_ROW
+        self._entries = RosterEntries(self._key, refusals or InputRefusals())
+        self._writer = RosterWriter(store, FLEET_TABLE, self._key)
         # The highest epoch of a received row.
         self._epoch = 0
-        # Versions of other routers' undeleted rows, by key.
-        self._undeleted: dict[str, int] = {}
         # Set when this router's row must be written or undeleted rows removed.
         self._repair_needed = asyncio.Event()
-        self._write_lock = asyncio.Lock()
-        self._has_left = False
         self._shares = ShareHistory()
         self.address = ''
         self.tunnel_address = ''
@@ -142,8 +99,7 @@
     @property
     def routers(self) -> list[str]:
         """Return the keys of the live routers, sorted."""
-        fresh = set(self._entries) - set(self._list_stale())
-        return sorted({*fresh, self._key})
+        return self._entries.list_live(self.get_current_as_of())
 
     def list_shares(self, seconds: float) -> list[RouterShare]:
         """Return the shares that this router had in the last seconds.
@@ -170,7 +126,7 @@
         """
         if not self._is_listed():
             return False
-        age = self._clock.monotonic() - self._entries[self._key].seen_at
+        age = self._clock.monotonic() - self._entries.own.seen_at
         return age < STALE_SECONDS - REFRESH_SECONDS / 2
 
     def list_others(self) -> list[str]:
@@ -193,8 +149,7 @@
 
     def get_address(self, key: str) -> str:
         """Return the address of a router, or an empty string."""
-        entry = self._entries.get(key)
-        return entry.address if entry is not None else ''
+        return self._entries.get(key).address
 
     def list_tunnel_peers(self) -> dict[str, str]:
         """Return the data centres of the routers that accept tunnels."""
@@ -206,8 +161,7 @@
 
     def get_tunnel_address(self, key: str) -> str:
         """Return where a router accepts tunnels, or an empty string."""
-        entry = self._entries.get(key)
-        return entry.tunnel_address if entry is not None else ''
+        return self._entries.get(key).tunnel_address
 
     def is_known_host(self, key: str, host: str) -> bool:
         """Return whether a router announces addresses of a host."""
@@ -216,8 +170,7 @@
 
     def get_data_centre(self, key: str) -> str:
         """Return the data centre of a router, or an empty string."""
-        entry = self._entries.get(key)
-        return entry.data_centre if entry is not None else ''
+        return self._entries.get(key).data_centre
 
     def apply_row(self, row: VersionedRow) -> None:
         """Apply a changed row of the table."""
@@ -226,59 +179,25 @@
         before = self.live
         if get_epoch(row.version) > self._epoch:
             self._begin_epoch(get_epoch(row.version))
-        if row.key == self._key and row.version > self._own_version:
-            self._own_version = NO_ROW if row.value is None else row.version
+        if row.key == self._key:
+            self._writer.note_own(row)
         self.changes += 1
-        self._undeleted.pop(row.key, None)
-        if row.origin is RowOrigin.LOST:
-            self._keep_lost_entry(row.key)
-        elif row.origin is RowOrigin.UNDELETED and row.key != self._key:
-            self._undeleted[row.key] = row.version
-        elif row.value is None:
-            self._entries.pop(row.key, None)
-        else:
-            decoded = self._decode_row(row.key, row.value)
-            now = self._clock.monotonic()
-            self._oldest_seen_at = min(self._oldest_seen_at, now)
-            self._entries[row.key] = RosterEntry(
-                row.version,
-                decoded.address,
-                decoded.data_centre,
-                now,
-                decoded.tunnel_address,
-            )
+        self._entries.apply_row(
+            row, self._clock.monotonic(), self.get_current_as_of()
+        )
         self._note_share()
         if self.live != before:
             LOG.info('roster.changed', live=self.live, before=before)
         own_unlisted = row.key == self._key and not self._is_listed()
-        if self._undeleted or own_unlisted:
+        if self._entries.has_undeleted or own_unlisted:
             self._repair_needed.set()
 
     def _begin_epoch(self, epoch: int) -> None:
-        """Drop this router's version of an earlier epoch; schedule a repair.
-
-        The watch does not report a row as lost that this router wrote just
-        before a restore, before the watch could read it.
-        """
+        """Drop this router's version of an earlier epoch and repair."""
         self._epoch = epoch
-        if get_epoch(self._own_version) < epoch:
-            self._own_version = NO_ROW
+        self._writer.begin_epoch(epoch)
         self._repair_needed.set()
 
-    def _keep_lost_entry(self, key: str) -> None:
-        """Keep counting a router whose row is lost, for the grace period.
-
-        A live router rewrites its row within that period.
-        """
-        entry = self._entries.get(key)
-        if entry is None:
-            return
-        seen_at = self.get_current_as_of() - STALE_SECONDS + LOST_GRACE_SECONDS
-        self._oldest_seen_at = min(self._oldest_seen_at, seen_at)
-        self._entries[key] = dataclasses.replace(
-            entry, version=NO_ROW, seen_at=seen_at
-        )
-
     async def run(self) -> None:
         """Maintain this router's row and remove stale rows until cancelled."""
         await self.join()
@@ -306,14 +225,14 @@
         """
         if self.routers[0] != self._key:
             return
-        for key, version in list(self._undeleted.items()):
+        for key, version in self._entries.list_undeleted():
             LOG.info('roster.undeleted', router=key)
             if await self._remove(key, version):
-                self._undeleted.pop(key, None)
+                self._entries.remove_undeleted(key)
 
     async def join(self) -> None:
         """Write this router's row, with retries until it is in the table."""
-        while not self._has_left and not self._is_listed():
+        while not self._writer.has_left and not self._is_listed():
             try:
                 await self._write_own()
                 return
@@ -332,22 +251,16 @@
             LOG.warning('roster.not_refreshed', reason=str(error))
 
     def _is_listed(self) -> bool:
-        known = self._entries.get(self._key)
+        own = self._entries.own
         return (
-            known is not None
-            and known.version != NO_ROW
-            and known.address == self.address
-            and known.tunnel_address == self.tunnel_address
+            own.version != NO_ROW
+            and own.address == self.address
+            and own.tunnel_address == self.tunnel_address
         )
 
     async def _write_own(self) -> None:
         own = RouterRow(self._data_centre, self.address, self.tunnel_address)
-        row = msgspec.json.encode(own)
-        async with self._write_lock:
-            if not self._has_left:
-                self._own_version = await self._write(
-                    self._key, row, self._own_version
-                )
+        await self._writer.write_own(msgspec.json.encode(own))
 
     async def remove_stale(self) -> None:
         """Remove the stale rows of other routers."""
@@ -361,54 +274,19 @@
         A write in progress completes first, so that it can't restore the row
         after its removal.
         """
-        self._has_left = True
-        async with self._write_lock:
-            if self._own_version == NO_ROW:
-                return
-            if await self._remove(self._key, self._own_version):
-                self._own_version = NO_ROW
+        if await self._writer.remove_own():
+            self._drop_entry(self._key)
 
     async def _remove(self, key: str, version: int) -> bool:
-        try:
-            await self._write(key, None, version)
-        except (ConditionFailed, PlatformUnavailable) as error:
-            LOG.warning('roster.row_left', router=key, reason=str(error))
-            return False
-        self._entries.pop(key, None)
+        removed = await self._writer.remove(key, version)
+        if removed:
+            self._drop_entry(key)
+        return removed
+
+    def _drop_entry(self, key: str) -> None:
+        self._entries.remove(key)
         self.changes += 1
         self._note_share()
-        return True
 
     def _list_stale(self) -> list[str]:
-        latest = self.get_current_as_of() - STALE_SECONDS
-        if self._oldest_seen_at >= latest:
-            # Called for each received load report, 250 times a second. A scan
-            # of 195 rows each time took two fifths of the cost of a report
-            # (72 microseconds with it, 43 without; benchmarks/decisions.py).
-            return []
-        others = [
-            item for item in self._entries.items() if item[0] != self._key
-        ]
-        self._oldest_seen_at = min(
-            (entry.seen_at for _, entry in others), default=math.inf
-        )
-        return [key for key, entry in others if entry.seen_at < latest]
-
-    async def _write(self, key: str, value: bytes | None, version: int) -> int:
-        write = RowWrite(FLEET_TABLE, key, value, version)
-        return await self._store.write_row(write)
-
-    def _decode_row(self, key: str, value: bytes) -> RouterRow:
-        """Return a decoded row, an empty one if it is invalid.
-
-        The router of an invalid row is counted, but is sent no messages.
-        """
-        try:
-            row = decode_json(value, RouterRow)
-            for address in (row.address, row.tunnel_address):
-                if address:
-                    parse_address(address)
-        except ValueError as error:
-            self._refusals.report('routers', key, error)
-            return RouterRow('')
-        return row
+        return self._entries.list_stale(self.get_current_as_of())
--- a/tests/cover/test_fleet_weights.py
+++ b/tests/cover/test_fleet_weights.py
@@ -38,7 +38,7 @@
 from lifttrestle.internal.fleet.state.operator_view import OperatorView
 from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
 from lifttrestle.internal.fleet.state.roster import Roster
-from lifttrestle.internal.fleet.state.roster import RouterRow
+from lifttrestle.internal.fleet.state.router_row import RouterRow
 from lifttrestle.internal.fleet.state.row_version import get_epoch
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.fleet.state.table_copy import TableCopy
--- a/tests/cover/test_relay_follower.py
+++ b/tests/cover/test_relay_follower.py
@@ -29,7 +29,7 @@
 from lifttrestle.internal.fleet.state.relay_follower import RelayFollower
 from lifttrestle.internal.fleet.state.relay_messages import TableUpdate
 from lifttrestle.internal.fleet.state.roster import Roster
-from lifttrestle.internal.fleet.state.roster import RouterRow
+from lifttrestle.internal.fleet.state.router_row import RouterRow
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.fleet.state.table_watch import TableWatch
 from lifttrestle.internal.routing.rendezvous import rank_names
--- a/tests/cover/test_roster.py
+++ b/tests/cover/test_roster.py
@@ -21,11 +21,11 @@
 from lifttrestle.internal.clock.manual import ManualClock
 from lifttrestle.internal.fleet.policy.router_share import RouterShare
 from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
-from lifttrestle.internal.fleet.state.roster import LOST_GRACE_SECONDS
-from lifttrestle.internal.fleet.state.roster import REFRESH_SECONDS
 from lifttrestle.internal.fleet.state.roster import Roster
-from lifttrestle.internal.fleet.state.roster import RouterRow
-from lifttrestle.internal.fleet.state.roster import STALE_SECONDS
+from lifttrestle.internal.fleet.state.roster_entries import LOST_GRACE_SECONDS
+from lifttrestle.internal.fleet.state.roster_entries import REFRESH_SECONDS
+from lifttrestle.internal.fleet.state.roster_entries import STALE_SECONDS
+from lifttrestle.internal.fleet.state.router_row import RouterRow
 from lifttrestle.internal.fleet.state.row_version import build_version
 from lifttrestle.internal.fleet.state.rows import RowOrigin
 from lifttrestle.internal.fleet.state.rows import VersionedRow
--- a/tests/cover/test_tunnel_peers.py
+++ b/tests/cover/test_tunnel_peers.py
@@ -22,7 +22,7 @@
 from lifttrestle.internal.fleet.policy.tunnel_peers import is_path_unknown
 from lifttrestle.internal.fleet.policy.tunnel_peers import rank_peers
 from lifttrestle.internal.fleet.state.roster import Roster
-from lifttrestle.internal.fleet.state.roster import RouterRow
+from lifttrestle.internal.fleet.state.router_row import RouterRow
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.fleet.tunnels.dialler import TunnelDialler
 from tests.cover.test_reach import make_upstream
--- a/tests/support/crash_fleet.py
+++ b/tests/support/crash_fleet.py
@@ -26,7 +26,7 @@
 from lifttrestle.internal.fleet.state.load_messages import decode_message
 from lifttrestle.internal.fleet.state.load_messages import encode_message
 from lifttrestle.internal.fleet.state.roster import Roster
-from lifttrestle.internal.fleet.state.roster import RouterRow
+from lifttrestle.internal.fleet.state.router_row import RouterRow
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.platform.stored_format import PlatformFormat
 from tests.support.entries import make_entry
--- a/tests/support/origin_fleet.py
+++ b/tests/support/origin_fleet.py
@@ -24,7 +24,7 @@
 from lifttrestle.internal.fleet.state.load_messages import encode_message
 from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
 from lifttrestle.internal.fleet.state.roster import Roster
-from lifttrestle.internal.fleet.state.roster import RouterRow
+from lifttrestle.internal.fleet.state.router_row import RouterRow
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.fleet.streams.origin import read_origin
 from lifttrestle.internal.fleet.streams.origins import FoundOrigin
