The bytes of a caller's connection are a module of their own

Change: caller_stream.py reads and writes the bytes; ServerConnection keeps its interface and the messages. Requests and answers stay together, since both need the state of h11 and the decision to close, and the read of a body sends the status 100. Tests that write raw bytes or set socket options reach the writer through the new object. No change of behaviour.

--- a/src/lifttrestle/internal/http/server_connection.py
+++ b/src/lifttrestle/internal/http/server_connection.py
@@ -15,7 +15,6 @@
 import asyncio
 from collections.abc import AsyncIterator
 import http
-from typing import cast
 
 import h11
 
@@ -24,17 +23,14 @@
 from lifttrestle.internal.clock.read_timeout import ReadTimeout
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.answer import Header
-from lifttrestle.internal.http.byte_stream import set_tcp_timeouts
+from lifttrestle.internal.http.caller_stream import CallerStream
 from lifttrestle.internal.http.head import decode_headers
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.head_checks import check_head
 from lifttrestle.internal.http.head_checks import make_body_refusal
 from lifttrestle.internal.http.limits import HttpLimits
 from lifttrestle.internal.refusal.kind import ErrorKind
-from lifttrestle.internal.telemetry.event_log import get_event_log
 
-LOG = get_event_log('http')
-READ_BYTES = 64 * 1024
 # Most bytes of pipelined requests that are read during a request.
 MAX_PIPELINED_BYTES = 64 * 1024
 STATUS_HEAD_TOO_LARGE = 431
@@ -53,25 +49,18 @@
         writer: asyncio.StreamWriter,
         limits: HttpLimits,
     ) -> None:
-        self._reader = reader
-        self._writer = writer
+        self._stream = CallerStream(reader, writer, limits)
         self._limits = limits
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.head_bytes
         )
         self._closing = False
         self._awaiting_request = False
-        # StreamWriter declares a WriteTransport, but the transport of a
-        # connection also reads.
-        self._transport = cast(asyncio.Transport, writer.transport)
-        set_tcp_timeouts(self._transport)
-        self._transport.set_write_buffer_limits(high=limits.write_buffer_bytes)
 
     @property
     def peer(self) -> str:
         """Return the IP address and port of the caller, or an empty text."""
-        name = self._writer.get_extra_info('peername')
-        return f'{name[0]}:{name[1]}' if name else ''
+        return self._stream.peer
 
     @property
     def answer_started(self) -> bool:
@@ -92,13 +81,11 @@
 
     def pause_reading(self) -> bool:
         """Pause reading from the socket; return whether it was active."""
-        was_reading = self._transport.is_reading()
-        self._transport.pause_reading()
-        return was_reading
+        return self._stream.pause_reading()
 
     def resume_reading(self) -> None:
         """Resume reading from the socket."""
-        self._transport.resume_reading()
+        self._stream.resume_reading()
 
     async def read_head(self) -> RequestHead | None:
         """Return the head of the next request.
@@ -172,7 +159,7 @@
         """
         while len(self._h11.trailing_data[0]) < MAX_PIPELINED_BYTES:
             try:
-                data = await self._reader.read(READ_BYTES)
+                data = await self._stream.read()
             except OSError:
                 return
             if not data:
@@ -234,39 +221,18 @@
 
     def abort(self) -> None:
         """Close at once, so that the caller detects an incomplete answer."""
-        self._writer.transport.abort()
+        self._stream.abort()
 
     async def close(self) -> None:
         """Close the connection after giving sent answers time to arrive."""
-        if self._writer.transport.is_closing():
-            return
-        try:
-            await self._linger()
-        except OSError:
-            pass
-        finally:
-            self._writer.close()
-
-    async def _linger(self) -> None:
-        # Closing a socket with unread bytes resets the connection, and the
-        # caller can receive the reset before it has read the answer. So the
-        # rest of the request is read and discarded.
-        if not self._writer.can_write_eof():
-            return
-        self._writer.write_eof()
-        try:
-            async with asyncio.timeout(1.0):
-                while await self._reader.read(READ_BYTES):
-                    pass
-        except TimeoutError:
-            pass
+        await self._stream.close()
 
     async def _wait_for_bytes(self) -> bool:
         if self._h11.trailing_data[0]:
             return True
         self._awaiting_request = True
         try:
-            data = await self._read_before_idle_limit()
+            data = await self._stream.read_before_idle_limit()
         except OSError:
             return False
         finally:
@@ -276,44 +242,6 @@
         self._h11.receive_data(data)
         return True
 
-    async def _read_before_idle_limit(self) -> bytes:
-        """Return received bytes; empty if the connection has to be closed."""
-        loop = asyncio.get_running_loop()
-        limit = self._limits.idle_seconds
-        began_at = loop.time()
-        data = b''
-        try:
-            async with ReadTimeout(limit):
-                data = await self._reader.read(READ_BYTES)
-        except TimeoutError:
-            data = await self._take_received()
-            if not data:
-                LOG.debug('connection.idle_closed', limit=limit)
-        idle = loop.time() - began_at
-        if data and idle > limit:
-            LOG.info(
-                'connection.used_at_limit', limit=limit, idle=round(idle, 3)
-            )
-        return data
-
-    async def _take_received(self) -> bytes:
-        """Return what was received and not read yet, without waiting.
-
-        As reading from the socket is paused meanwhile, nothing is received
-        between an empty result and the next step of the caller. It stays
-        paused if it was before, and if the stop cancels this task.
-        """
-        was_reading = self.pause_reading()
-        data = b''
-        try:
-            async with asyncio.timeout(0):
-                data = await self._reader.read(READ_BYTES)
-        except TimeoutError:
-            pass
-        if was_reading:
-            self.resume_reading()
-        return data
-
     async def _next_event(self) -> object:
         while True:
             event = self._parse()
@@ -324,7 +252,7 @@
                     h11.InformationalResponse(status_code=100, headers=[])
                 )
             try:
-                data = await self._reader.read(READ_BYTES)
+                data = await self._stream.read()
             except OSError as error:
                 raise CallerGone('the caller reset its connection') from error
             self._h11.receive_data(data)
@@ -359,27 +287,7 @@
             raise CallerGone(f'the connection is unusable: {error}') from error
         if not data:
             return
-        self._writer.write(data)
-        if self._is_flushed():
-            # The usual case, which needs no timer. Setting one for each write
-            # took 50 of the 186 system calls of a request.
-            return
-        try:
-            async with asyncio.timeout(self._limits.stalled_reader_seconds):
-                await self._writer.drain()
-        except TimeoutError:
-            self.abort()
-            raise CallerGone('the caller stopped reading') from None
-        except OSError as error:
-            raise CallerGone('the caller closed its connection') from error
-
-    def _is_flushed(self) -> bool:
-        """Return whether the write buffer is empty, and writing possible."""
-        transport = self._transport
-        return (
-            not transport.is_closing()
-            and transport.get_write_buffer_size() == 0
-        )
+        await self._stream.write(data)
 
 
 def _get_reason_phrase(status: int) -> bytes:
--- a/tests/cover/test_idle_connections.py
+++ b/tests/cover/test_idle_connections.py
@@ -140,10 +140,10 @@
         connection = await accepted.get()
         self.addCleanup(connection.abort)
         connection.pause_reading()
-        self.assertEqual(await connection._take_received(), b'')
+        self.assertEqual(await connection._stream.take_received(), b'')
         self.assertFalse(connection.pause_reading())
         connection.resume_reading()
-        self.assertEqual(await connection._take_received(), b'')
+        self.assertEqual(await connection._stream.take_received(), b'')
         self.assertTrue(connection.pause_reading())
         writer.close()
 
--- a/tests/support/fleet_upstream.py
+++ b/tests/support/fleet_upstream.py
@@ -214,7 +214,7 @@
             b'HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Stamp: x\r\n'
             b'Content-Length: 7\r\n\r\nforeign'
         )
-        connection._writer.write(raw)
+        connection._stream._writer.write(raw)
 
     async def _stream(
         self,
