Exchange of news between routers

Cause: the sources of news need a transport with the roles of the load reports. Change: PeerNews sends and receives NewsReport, GroupNews and FleetNews next to PeerLoads, whose aggregator choice it shares. A router that changes its aggregator sends empty reports until its former one no longer counts it. FleetParts.news_sources has the sources; the process runs the exchange. A counter and two gauges show it. The exchange has no tests of its own yet.

--- a/src/lifttrestle/internal/fleet/gauges.py
+++ b/src/lifttrestle/internal/fleet/gauges.py
@@ -18,6 +18,7 @@
 
 from lifttrestle.internal.fleet.crashes.tracker import CrashTracker
 from lifttrestle.internal.fleet.limits.upstream_limits import UpstreamLimits
+from lifttrestle.internal.fleet.news.exchange import PeerNews
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.relay_follower import RelayFollower
 from lifttrestle.internal.fleet.state.relay_server import RelayServer
@@ -43,6 +44,7 @@
     callers: HttpServer
     crashes: CrashTracker
     limits: UpstreamLimits
+    news: PeerNews
 
 
 @dataclasses.dataclass(frozen=True)
@@ -135,6 +137,16 @@
             default=-1.0,
         ),
     ),
+    Gauge(
+        'news_age_seconds',
+        'Since the last news of other routers; -1 without any.',
+        lambda sources: sources.news.age_seconds,
+    ),
+    Gauge(
+        'news_entries',
+        'Entries about engines and workspaces from other routers, in use.',
+        lambda sources: sources.news.entries,
+    ),
 )
 
 
--- a/src/lifttrestle/internal/fleet/parts.py
+++ b/src/lifttrestle/internal/fleet/parts.py
@@ -20,6 +20,7 @@
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.crashes.tracker import CrashTracker
 from lifttrestle.internal.fleet.limits.upstream_limits import UpstreamLimits
+from lifttrestle.internal.fleet.news.source import NewsSource
 from lifttrestle.internal.fleet.path.dialect import RequestDialect
 from lifttrestle.internal.fleet.policy.cache_sources import CacheSources
 from lifttrestle.internal.fleet.policy.retry_budget import SharedRetryBudget
@@ -60,6 +61,7 @@
         workspace whose usage must be known, or None.
     :ivar budgets: retry budget of each service.
     :ivar paces: prefill speed of the engines of each service.
+    :ivar news_sources: parts whose state the routers share.
     :ivar started_at: when this process started, in monotonic seconds.
     """
 
@@ -87,6 +89,7 @@
         default_factory=dict
     )
     paces: dict[str, EnginePace] = dataclasses.field(default_factory=dict)
+    news_sources: list[NewsSource] = dataclasses.field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.started_at = self.clock.monotonic()
--- /dev/null
+++ b/src/lifttrestle/internal/fleet/policy/news_pacing.py
@@ -0,0 +1,130 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""How often routers send news, how long it is valid and how large it is.
+
+In a large fleet each router sends a report and receives the news of the fleet
+once per period, and the aggregators exchange the news of their groups.
+"""
+
+import dataclasses
+
+from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.policy.load_exchange import uses_aggregation
+from lifttrestle.internal.fleet.policy.report_pacing import ReportPacer
+
+PERIOD_SECONDS = 0.25
+MAX_PERIOD_SECONDS = 1.0
+# News is valid for at least this long, and for three periods: two lost
+# messages in a row must not make a loaded engine look idle.
+FRESH_SECONDS = 1.0
+FRESH_PERIODS = 3
+# Traffic for each router in a fleet of this size. Smaller fleets send more
+# for each router, in inverse proportion to the square of their size: 21 KB/s
+# at 76 routers, where a message has room for all news of 45 engines.
+REFERENCE_ROUTERS = 350
+REFERENCE_BYTES_PER_SECOND = 1000
+# Parts of this traffic for the reports, the news of the groups and the news
+# of the fleet.
+REPORT_SHARE = 0.24
+GROUP_SHARE = 0.1
+FLEET_SHARE = 0.66
+# Upper bound of any news message in bytes; a datagram has at most 8 KiB.
+MAX_MESSAGE_BYTES = 6000
+
+
+@dataclasses.dataclass(frozen=True)
+class NewsPace:
+    """Timing and limits of the news messages.
+
+    :ivar period_seconds: interval of the messages of a sender.
+    :ivar report_bytes: upper bound of a ``NewsReport``.
+    :ivar group_bytes: upper bound of the ``GroupNews`` of all aggregators in
+        a period, all receivers together.
+    :ivar fleet_bytes: upper bound of a ``FleetNews``.
+    """
+
+    period_seconds: float
+    report_bytes: int
+    group_bytes: int
+    fleet_bytes: int
+
+    @property
+    def fresh_seconds(self) -> float:
+        """Return how long the news of a sender is valid."""
+        return max(FRESH_SECONDS, FRESH_PERIODS * self.period_seconds)
+
+    @property
+    def handover_seconds(self) -> float:
+        """Return how long the news of a router is known after its last report.
+
+        The aggregator drops the report after ``fresh_seconds``, and the other
+        aggregators learn of it one period later.
+        """
+        return self.fresh_seconds + self.period_seconds
+
+    def get_group_limit(self, aggregators: int, receivers: int) -> int:
+        """Return the upper bound of one ``GroupNews`` in bytes.
+
+        :param receivers: number of routers to which each aggregator sends it.
+        """
+        messages = max(aggregators * receivers, 1)
+        return min(self.group_bytes // messages, MAX_MESSAGE_BYTES)
+
+
+def compute_news_pace(
+    clock: Clock, routers: int, largest_group: int
+) -> NewsPace:
+    """Return the timing and limits for a fleet.
+
+    :param routers: number of live routers.
+    :param largest_group: number of routers that report to one receiver. It is
+        that of the largest data centre, so that all routers have the same
+        period and news of no group expires between two messages.
+    """
+    regular = ReportPacer(clock).get_regular_seconds(largest_group)
+    period = min(max(regular, PERIOD_SECONDS), MAX_PERIOD_SECONDS)
+    if not uses_aggregation(routers):
+        return NewsPace(period, MAX_MESSAGE_BYTES, 0, 0)
+    factor = max(REFERENCE_ROUTERS / routers, 1.0) ** 2
+    router_bytes = REFERENCE_BYTES_PER_SECOND * factor * period
+    return NewsPace(
+        period,
+        min(int(router_bytes * REPORT_SHARE), MAX_MESSAGE_BYTES),
+        int(router_bytes * GROUP_SHARE * routers),
+        min(int(router_bytes * FLEET_SHARE), MAX_MESSAGE_BYTES),
+    )
+
+
+class Handover:
+    """Decides to which aggregator a router sends its entries.
+
+    The former aggregator and those that it sends to know the last report for
+    a while. A router therefore sends no entries to a new one until they have
+    expired, so that nothing is counted twice.
+    """
+
+    def __init__(self) -> None:
+        self._key = ''
+        self._sent_at = float('-inf')
+
+    def may_send(self, key: str, now: float, pace: NewsPace) -> bool:
+        """Return whether a report to an aggregator may have entries.
+
+        The report is sent at once if it may.
+        """
+        elapsed = now - self._sent_at
+        if key != self._key and elapsed < pace.handover_seconds:
+            return False
+        self._key = key
+        self._sent_at = now
+        return True
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -32,6 +32,7 @@
 from lifttrestle.internal.fleet.listeners import RouterListeners
 from lifttrestle.internal.fleet.loads.engine_control import EngineControl
 from lifttrestle.internal.fleet.loads.weights_loader import WeightsLoader
+from lifttrestle.internal.fleet.news.exchange import PeerNews
 from lifttrestle.internal.fleet.parts import FleetParts
 from lifttrestle.internal.fleet.path.dialect import RequestDialect
 from lifttrestle.internal.fleet.path.handlers import ReadinessHandler
@@ -215,6 +216,18 @@
         self._streams.connect(
             self._peer_loads.add_handler, self._peer_loads.send
         )
+        self._peer_news = PeerNews(
+            settings.vm,
+            self.roster,
+            self._peer_loads.choice,
+            clock,
+            self._parts.news_sources,
+            lambda: self._view.catalogue,
+            metrics,
+        )
+        self._peer_news.connect(
+            self._peer_loads.add_handler, self._peer_loads.send
+        )
         self._parts.note_load_change = self._peer_loads.note_change
         self._parts.refresh_loads = self._peer_loads.refresh
         watches = self._watches.list_all()
@@ -245,6 +258,7 @@
                 self._listeners.callers,
                 self.crashes,
                 self.limits,
+                self._peer_news,
             ),
         )
 
@@ -408,6 +422,7 @@
             prober.run(self.ticker),
             tunnel_prober.run(self.ticker),
             self._peer_loads.run(),
+            self._peer_news.run(self.ticker),
             self.crashes.run(self.ticker),
             self.limits.run(self.ticker),
             self._streams.run(self.ticker),
--- a/src/lifttrestle/internal/fleet/state/peer_loads.py
+++ b/src/lifttrestle/internal/fleet/state/peer_loads.py
@@ -120,6 +120,11 @@
         self.add_handler(GroupSum, self._handle_group_sum)
         self.add_handler(FleetSum, self._handle_fleet_sum)
 
+    @property
+    def choice(self) -> AggregatorChoice:
+        """Return the choice of this router's aggregator."""
+        return self._choice
+
     def note_change(self) -> None:
         """Schedule a report after a large change of load."""
         self._load_changed.set()
--- a/src/lifttrestle/internal/telemetry/fleet_metrics.py
+++ b/src/lifttrestle/internal/telemetry/fleet_metrics.py
@@ -73,6 +73,9 @@
         self._permits = self._make_counter(
             'permits', 'Questions for a permit to send.', ('result',)
         )
+        self._news = self._make_counter(
+            'news_messages', 'Messages of news.', ('kind', 'result')
+        )
         self._resumed = self._make_counter(
             'resumed', 'Sends that resume a stream.', ('service', 'software')
         )
@@ -141,6 +144,14 @@
         """Count a request for a permit by its result."""
         self._permits.labels(result).inc()
 
+    def count_news(self, kind: str, result: str) -> None:
+        """Count a message of news.
+
+        :param kind: ``report``, ``group`` or ``fleet``.
+        :param result: ``sent``, ``applied`` or ``outdated``.
+        """
+        self._news.labels(kind, result).inc()
+
     def count_resumed(self, service: str, software: str) -> None:
         """Count a send that resumes a stream.
 
