The view and the platform's status leave the configuration keeper

Change: current_view.py applies documents, accepted changes and proposals; platform_status.py holds what the last polls returned and logs outages. ConfigurationKeeper keeps its interface and the polls. No change of behaviour.

--- a/src/lifttrestle/internal/configuration/keeper.py
+++ b/src/lifttrestle/internal/configuration/keeper.py
@@ -17,53 +17,35 @@
 """
 
 import asyncio
-import dataclasses
 import logging
 
 import msgspec
 
 from lifttrestle.errors import ConditionFailed
 from lifttrestle.errors import PlatformUnavailable
+from lifttrestle.internal.configuration.current_view import CurrentView
 from lifttrestle.internal.configuration.document import Document
 from lifttrestle.internal.configuration.plan import AcceptedChange
 from lifttrestle.internal.configuration.plan import Plan
 from lifttrestle.internal.configuration.plan import PlanState
 from lifttrestle.internal.configuration.plan_progress import compute_progress
 from lifttrestle.internal.configuration.plan_progress import PlanProgress
+from lifttrestle.internal.configuration.platform_status import PlatformStatus
 from lifttrestle.internal.configuration.row_format import Versioned
 from lifttrestle.internal.configuration.store import ConfigurationStore
 from lifttrestle.internal.configuration.store import Heads
-from lifttrestle.internal.configuration.view import build_view
-from lifttrestle.internal.configuration.view import EMPTY_VIEW
 from lifttrestle.internal.configuration.view import View
 from lifttrestle.internal.membership.member import Member
 from lifttrestle.internal.membership.member import Members
 from lifttrestle.internal.membership.sponsorship import Sponsorship
-from lifttrestle.internal.store.vm import Vm
 
 LOG = logging.getLogger('lifttrestle.configuration')
-# Accepted changes kept for peers that lag by a few revisions.
-MAX_RECENT_CHANGES = 256
 # While a proposal is pending, the poll interval is multiplied by this.
 PROPOSAL_POLL_FACTOR = 0.5
 # Without a proposal, one of this many polls reads the list of routers.
 POLLS_PER_MEMBERS_READ = 10
 
 
-@dataclasses.dataclass
-class PlatformStatus:
-    """What the last polls of the platform returned.
-
-    :ivar table_up: whether the last poll of the table succeeded.
-    :ivar members: the registered routers, as read last.
-    :ivar vms: the VM list, or None until it was read once.
-    """
-
-    table_up: bool = False
-    members: Members = Members()
-    vms: dict[str, Vm] | None = None
-
-
 class ConfigurationKeeper:
     """Polls the table, acknowledges proposals and accepts complete ones.
 
@@ -85,26 +67,22 @@
         self._member = member
         self._poll_seconds = poll_seconds
         self._sponsorship = sponsorship
-        self._view = EMPTY_VIEW
-        self._loaded = False
+        self._current = CurrentView()
         self._registered = False
-        self._outage_logged = False
         self._acknowledged = ''
         self._polls = 0
         self._members: Versioned[Members] = Versioned(Members(), 0)
-        self._changed = asyncio.Event()
         self._wake = asyncio.Event()
-        self._recent: list[AcceptedChange] = []
 
     @property
     def view(self) -> View:
         """Return the view that applies to new requests."""
-        return self._view
+        return self._current.view
 
     @property
     def loaded(self) -> bool:
         """Return whether a configuration was read, from any source."""
-        return self._loaded
+        return self._current.loaded
 
     @property
     def registered(self) -> bool:
@@ -129,7 +107,7 @@
 
     async def wait_for_change(self) -> None:
         """Wait until the view has changed."""
-        await self._changed.wait()
+        await self._current.wait_for_change()
 
     async def run(self) -> None:
         """Poll until the task is cancelled."""
@@ -137,7 +115,7 @@
             self._wake.clear()
             await self.poll()
             seconds = self._poll_seconds
-            if self._view.proposal is not None:
+            if self.view.proposal is not None:
                 seconds *= PROPOSAL_POLL_FACTOR
             try:
                 async with asyncio.timeout(seconds):
@@ -153,9 +131,9 @@
         except ConditionFailed:
             return True
         except PlatformUnavailable as error:
-            self._record_outage(error)
+            self.platform_status.record_outage(error)
             return False
-        self._record_success()
+        self.platform_status.record_success()
         return True
 
     async def deregister(self) -> None:
@@ -171,16 +149,11 @@
         None if some of them are no longer kept; the peer then needs the whole
         document.
         """
-        newer = [item for item in self._recent if item.revision > revision]
-        if len(newer) != self._view.revision - revision:
-            return None
-        return newer
+        return self._current.list_changes_after(revision)
 
     def apply_changes(self, changes: list[AcceptedChange]) -> None:
         """Apply accepted changes in order, ignoring any out of sequence."""
-        for change in changes:
-            if change.revision == self._view.revision + 1:
-                self._apply_accepted_change(change)
+        self._current.apply_changes(changes)
 
     def apply_document(
         self,
@@ -191,23 +164,13 @@
     ) -> None:
         """Apply a document, unless its revision or a later one is loaded.
 
-        Documents come from the table and from peers. A peer may send a later
-        revision while the table is being read, and the earlier one must not
-        replace it.
-
         :param origin: where the document comes from, for the log.
         """
-        if self._loaded and revision <= self._view.revision:
-            return
-        self._loaded = True
-        self._set_view(build_view(revision, document, proposal))
-        LOG.info('configuration: loaded revision %d from %s', revision, origin)
+        self._current.apply_document(revision, document, proposal, origin)
 
     def apply_proposal(self, plan: Plan) -> None:
         """Enforce a proposal from a peer, without acknowledging it."""
-        if plan.base != self._view.revision or self._view.proposal is not None:
-            return
-        self._enforce_proposal(plan)
+        self._current.apply_proposal(plan)
 
     async def read_progress(self, plan: Plan) -> PlanProgress:
         """Return which routers have not acknowledged a proposed plan.
@@ -239,15 +202,15 @@
     async def _catch_up(self) -> None:
         heads = await self._read_heads()
         head = heads.head.value
-        if not self._loaded:
+        if not self.loaded:
             revision, document = await self._store.load_document()
             self.apply_document(revision, document, None, 'the table')
-        if head.revision > self._view.revision:
+        if head.revision > self.view.revision:
             changes = await self._store.read_changes(
-                self._view.revision, head.revision
+                self.view.revision, head.revision
             )
             self.apply_changes(changes)
-        if head.revision < self._view.revision:
+        if head.revision < self.view.revision:
             return
         await self._handle_proposal(heads)
 
@@ -274,24 +237,20 @@
 
     async def _handle_proposal(self, heads: Heads) -> None:
         plan_id = heads.head.value.plan_id
-        known = self._view.proposal
+        known = self.view.proposal
         if known is not None and known.plan_id != plan_id:
             # The head doesn't name the plan, and the plan was not accepted,
             # so it was withdrawn.
-            self._set_view(
-                build_view(self._view.revision, self._view.accepted, None)
-            )
-            LOG.info('configuration: plan %s was withdrawn', known.plan_id)
+            self._current.withdraw_proposal(known)
         if not plan_id:
             return
         plan = await self._store.read_plan(plan_id)
         if plan is None or plan.value.state is not PlanState.PROPOSED:
             return
-        if self._view.revision != plan.value.base:
+        if self.view.revision != plan.value.base:
             # While the plan was being read, a peer sent a later revision.
             return
-        if self._view.proposal is None:
-            self._enforce_proposal(plan.value)
+        self._current.apply_proposal(plan.value)
         await self._acknowledge(plan_id)
         await self._accept_if_complete(plan, heads)
 
@@ -325,36 +284,3 @@
             revision, plan.value.plan_id, plan.value.changes
         )
         self.apply_changes([accepted])
-
-    def _enforce_proposal(self, plan: Plan) -> None:
-        self._set_view(
-            build_view(self._view.revision, self._view.accepted, plan)
-        )
-        LOG.info('configuration: enforcing proposed plan %s', plan.plan_id)
-
-    def _apply_accepted_change(self, change: AcceptedChange) -> None:
-        document = self._view.accepted.apply(change.changes)
-        self._set_view(build_view(change.revision, document, None))
-        self._recent = [*self._recent, change][-MAX_RECENT_CHANGES:]
-        LOG.info(
-            'configuration: revision %d in force, plan %s',
-            change.revision,
-            change.plan_id,
-        )
-
-    def _set_view(self, view: View) -> None:
-        self._view = view
-        changed, self._changed = self._changed, asyncio.Event()
-        changed.set()
-
-    def _record_success(self) -> None:
-        if self._outage_logged:
-            self._outage_logged = False
-            LOG.info('configuration: table service available again')
-        self.platform_status.table_up = True
-
-    def _record_outage(self, error: PlatformUnavailable) -> None:
-        if not self._outage_logged:
-            self._outage_logged = True
-            LOG.warning('configuration: table service unavailable: %s', error)
-        self.platform_status.table_up = False
