The beginning and end of holds leave the crash tracker

Tests that replace the judge's verdict or read the guilty digests reach them there. No change of behaviour.

--- a/src/lifttrestle/internal/fleet/crashes/tracker.py
+++ b/src/lifttrestle/internal/fleet/crashes/tracker.py
@@ -17,25 +17,18 @@
 
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.clock.ticker import Ticker
-from lifttrestle.internal.fleet.crashes.held_row import build_held_row
+from lifttrestle.internal.fleet.crashes.decisions import HoldDecisions
 from lifttrestle.internal.fleet.crashes.held_row import format_digest
 from lifttrestle.internal.fleet.crashes.held_row import format_digests
-from lifttrestle.internal.fleet.crashes.held_row import HeldRow
-from lifttrestle.internal.fleet.crashes.hold_judge import HoldJudge
 from lifttrestle.internal.fleet.crashes.hold_rules import allows_trial
-from lifttrestle.internal.fleet.crashes.hold_rules import CRASH_LIMIT
-from lifttrestle.internal.fleet.crashes.holds import HoldRows
 from lifttrestle.internal.fleet.crashes.holds import MAX_HELD
 from lifttrestle.internal.fleet.crashes.ledger import CrashLedger
 from lifttrestle.internal.fleet.crashes.loss_watch import LossWatch
 from lifttrestle.internal.fleet.crashes.lost_origins import LostOrigins
 from lifttrestle.internal.fleet.crashes.lost_origins import RequestOrigin
-from lifttrestle.internal.fleet.crashes.messages import CrashItem
 from lifttrestle.internal.fleet.crashes.messages import CrashUpdate
 from lifttrestle.internal.fleet.crashes.replicator import CrashReplicator
-from lifttrestle.internal.fleet.crashes.suspects import get_kind
 from lifttrestle.internal.fleet.crashes.suspects import get_kind_name
-from lifttrestle.internal.fleet.crashes.suspects import SuspectKind
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.reach import NEVER
 from lifttrestle.internal.fleet.state.roster import Roster
@@ -47,22 +40,17 @@
 
 LOG = get_event_log('crashes')
 POLL_SECONDS = 0.5
-# Delay between the detection of a dangerous request and the write of its row.
-# A router that has seen the request succeed replies within some milliseconds.
-WRITE_DELAY_SECONDS = 0.2
-# Delay after which the owners of the request write the row if the routers
-# that saw the crashes have not.
-OWNER_DELAY_SECONDS = 1.0
 # An upstream that has written an answer for this long does not crash under its
 # parts: those that crash upstreams do so within some tenths of a second.
 SOUND_WRITING_SECONDS = 1.0
 
 
-class CrashTracker(HoldJudge):
+class CrashTracker:
     """Decides what must not run, from the crashes under it.
 
     :ivar losses: detects whether upstreams that aborted answers have crashed.
     :ivar replicator: sends crash records to other routers.
+    :ivar decisions: begins and ends holds.
     :ivar holds: persistent rows of held requests.
     """
 
@@ -76,16 +64,22 @@
         heartbeat_seconds: float,
         refusals: InputRefusals | None = None,
     ) -> None:
-        self._vm = vm
-        self._clock = clock
         self._directory = directory
         self._ledger = CrashLedger(clock)
         self._origins = LostOrigins()
         self._refusals: dict[int, int] = {}
-        # What the ledger found guilty when holds were last begun and ended.
-        self._guilty: frozenset[int] = frozenset()
-        self.holds = HoldRows(store, clock, refusals or InputRefusals(), self)
         self.replicator = CrashReplicator(vm, self._ledger, roster)
+        self.decisions = HoldDecisions(
+            vm,
+            store,
+            clock,
+            refusals or InputRefusals(),
+            self._ledger,
+            self._origins,
+            self.replicator,
+        )
+        self.decisions.on_lifted = self._forget_refusals
+        self.holds = self.decisions.holds
         self.losses = LossWatch(clock, heartbeat_seconds)
         self.losses.on_crashed = self._note_crashed
         self.losses.on_crash_retracted = self._retract_crash
@@ -145,6 +139,9 @@
         if digest in self._refusals or len(self._refusals) < MAX_HELD:
             self._refusals[digest] = self._refusals.get(digest, 0) + 1
 
+    def _forget_refusals(self, digest: int) -> None:
+        self._refusals.pop(digest, None)
+
     async def claim_trial(self, digest: int) -> bool:
         """Claim a trial run; return whether it is granted."""
         hold = self.holds.get(digest)
@@ -196,7 +193,7 @@
                 self.replicator.queue_update(digest)
             if self.holds.get(digest) is not None:
                 self.holds.schedule_write(digest, 0.0, None)
-        self._apply_verdicts()
+        self.decisions.apply_verdicts()
 
     def apply_row(self, row: VersionedRow) -> None:
         """Apply a changed row of the routers' table."""
@@ -207,7 +204,7 @@
         replies = [
             item.digest for item in update.items if self._ledger.merge(item)
         ]
-        self._apply_verdicts(update.items)
+        self.decisions.apply_verdicts(update.items)
         if replies:
             self.replicator.reply(update.vm, replies)
 
@@ -223,104 +220,10 @@
             parts=format_digests(self._origins.get(digest).parts),
         )
         self.replicator.queue_update(digest)
-        self._apply_verdicts()
+        self.decisions.apply_verdicts()
 
     def _retract_crash(self, digest: int, start: int) -> None:
         """Retract a crash that later evidence has refuted."""
         if self._ledger.retract(digest, [start]):
             self.replicator.queue_update(digest)
-            self._apply_verdicts()
-
-    def _apply_verdicts(self, received: Iterable[CrashItem] = ()) -> None:
-        """Begin and end holds if other requests or parts are guilty now.
-
-        :param received: the records of another router that were just merged.
-        """
-        guilty = self._ledger.guilty
-        if guilty == self._guilty:
-            return
-        before, self._guilty = self._guilty, guilty
-        items = {item.digest: item for item in received}
-        for digest in sorted(before - guilty):
-            # A record that was evicted tells nothing; the row stays.
-            if self._ledger.has_record(digest):
-                self._end_hold(digest)
-        for digest in sorted(guilty - before):
-            self._begin_hold(digest, items.get(digest))
-
-    def _end_hold(self, digest: int) -> None:
-        """Cancel the scheduled write, or remove the written row."""
-        if digest in self._origins:
-            self.replicator.queue_update(digest)
-        if self._writes_row(digest):
-            self.holds.schedule_write(digest, 0.0, None)
-
-    def _begin_hold(self, digest: int, received: CrashItem | None) -> None:
-        """Hold a request or part.
-
-        :param received: its record at the router that made it known, if this
-            router learned of it from another one.
-        """
-        if received is None or self._is_news(received):
-            self.replicator.queue_update(digest)
-        origin = self._origins.get(digest)
-        crashed = self._ledger.count_crashed(digest)
-        LOG.warning(
-            'hold.begun',
-            digest=format_digest(digest),
-            kind=get_kind_name(digest),
-            crashed=crashed,
-            workspace=origin.workspace,
-            route=origin.route,
-        )
-        if not self._writes_row(digest):
-            # Other routers write the row. If all did, the whole fleet would
-            # retry its writes at an unavailable store.
-            return
-        delay = (
-            WRITE_DELAY_SECONDS if received is None else OWNER_DELAY_SECONDS
-        )
-        row = build_held_row(
-            self._clock, origin.workspace, origin.route, crashed, self._vm
-        )
-        self.holds.schedule_write(digest, delay, row)
-
-    def _is_news(self, received: CrashItem) -> bool:
-        """Return whether a hold is new to the router that sent a record.
-
-        It is if this router has added up the crashes, or has judged a part
-        against others as one of the owners.
-        """
-        if get_kind(received.digest) is SuspectKind.REQUEST:
-            return len(received.crashed) < CRASH_LIMIT
-        return self.replicator.is_owner(received.digest)
-
-    def _writes_row(self, digest: int) -> bool:
-        """Return whether this router writes the row of a request or part."""
-        return digest in self._origins or self.replicator.is_owner(digest)
-
-    def must_hold(self, digest: int) -> bool:
-        """Return whether crashes speak against a request or part."""
-        return self._ledger.is_dangerous(digest)
-
-    def handle_lost(self, digest: int, row: HeldRow) -> None:
-        """Schedule a new write of a lost row.
-
-        The router that wrote the row writes it at once; the owners of the
-        request write it later, in case that router is gone.
-        """
-        if row.by == self._vm:
-            self.holds.schedule_repair(digest, 0.0, row)
-        elif self.replicator.is_owner(digest):
-            self.holds.schedule_repair(digest, OWNER_DELAY_SECONDS, row)
-
-    def handle_undeleted(self, digest: int) -> None:
-        """Schedule the removal of an undeleted row."""
-        if self.replicator.is_owner(digest):
-            self.holds.schedule_repair(digest, 0.0, None)
-
-    def handle_lifted(self, digest: int) -> None:
-        """Clear a request whose row was removed."""
-        self._refusals.pop(digest, None)
-        self._ledger.clear(digest)
-        self._apply_verdicts()
+            self.decisions.apply_verdicts()
--- a/tests/cover/test_crash_replication.py
+++ b/tests/cover/test_crash_replication.py
@@ -129,7 +129,7 @@
         self.assertIsNotNone(self.holds.get(DIGEST))
 
     def test_rows_are_bounded_and_evicted_within_their_workspace(self):
-        self.fleet.trackers[0].must_hold = lambda digest: True
+        self.fleet.trackers[0].decisions.must_hold = lambda digest: True
         self.hold(1, 'vault')
         for number in range(MAX_HELD + 5):
             self.fleet.clock.advance(0.01)
@@ -148,7 +148,7 @@
             return await write_row(write)
 
         self.fleet.rows.write_row = note
-        self.fleet.trackers[0].must_hold = lambda digest: True
+        self.fleet.trackers[0].decisions.must_hold = lambda digest: True
         self.hold(DIGEST)
         for _ in range(100):
             self.fleet.clock.advance(0.1)
@@ -161,7 +161,7 @@
 
     def test_row_whose_answer_was_lost_is_not_written_twice(self):
         self.fleet.rows.lose_answers = True
-        self.fleet.trackers[0].must_hold = lambda digest: True
+        self.fleet.trackers[0].decisions.must_hold = lambda digest: True
         self.hold(DIGEST)
         self.fleet.rows.lose_answers = False
         version = self.fleet.rows.version
--- a/tests/cover/test_restored_holds.py
+++ b/tests/cover/test_restored_holds.py
@@ -17,11 +17,11 @@
 import unittest
 
 from lifttrestle.internal.clock.manual import ManualClock
+from lifttrestle.internal.fleet.crashes.decisions import OWNER_DELAY_SECONDS
 from lifttrestle.internal.fleet.crashes.held_row import build_held_row
 from lifttrestle.internal.fleet.crashes.held_row import build_key
 from lifttrestle.internal.fleet.crashes.held_row import encode_held_row
 from lifttrestle.internal.fleet.crashes.tracker import CrashTracker
-from lifttrestle.internal.fleet.crashes.tracker import OWNER_DELAY_SECONDS
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
 from lifttrestle.internal.fleet.state.roster import Roster
--- a/tests/nocover/test_crashing_parts.py
+++ b/tests/nocover/test_crashing_parts.py
@@ -244,7 +244,7 @@
     await day.run(0.5, guilty=False)
     routers = list(day.routers.values())
     async with asyncio.timeout(20.0):
-        while not all(router.crashes._guilty for router in routers):
+        while not all(router.crashes.decisions._guilty for router in routers):
             await asyncio.gather(*(day.send_guilty() for _ in range(3)))
     # Until the neighbours are released and engines have started again.
     await asyncio.sleep(CONTACT_SECONDS)
