Stale rows are checked again before each is removed

Cause: the stale rows of routers are listed once and removed one after the other. A row that another router removes meanwhile raised KeyError, which ends the task that maintains this router's row; one that its owner refreshes meanwhile was removed at its new version, and a live router was not counted. Change: each row is checked again just before its removal. Measured: the new test raised KeyError before; test_roster, 21 passed, after.

--- a/src/lifttrestle/internal/fleet/state/roster.py
+++ b/src/lifttrestle/internal/fleet/state/roster.py
@@ -265,6 +265,9 @@
     async def remove_stale(self) -> None:
         """Remove the stale rows of other routers."""
         for key in self._list_stale():
+            if key not in self._list_stale():
+                # It was refreshed or removed while another row was written.
+                continue
             LOG.warning('roster.vanished', router=key)
             await self._remove(key, self._entries[key].version)
 
--- a/tests/cover/test_roster.py
+++ b/tests/cover/test_roster.py
@@ -92,6 +92,31 @@
         await one.remove_stale()
         self.assertEqual(one.live, 2)
 
+    async def test_regression_row_refreshed_meanwhile_was_removed(self):
+        # Rows change while others are removed: another router removed a row
+        # (KeyError, which ended the router), or its owner wrote it again.
+        one = self.make_roster('one')
+        others = [self.make_roster(name) for name in ('b', 'c', 'd')]
+        for roster in (one, *others):
+            await roster.join()
+        await self.apply_changes(one)
+        self.pass_time(STALE_SECONDS + 1)
+        write_row = self.rows.write_row
+
+        async def write_and_change(write):
+            version = await write_row(write)
+            if write.key == 'router/b':
+                await others[1].refresh()
+                self.rows.put(FLEET_TABLE, 'router/d', None)
+                await self.apply_changes(one)
+            return version
+
+        self.rows.write_row = write_and_change
+        await one.remove_stale()
+        self.assertIsNone(self.rows.get(FLEET_TABLE, 'router/b').value)
+        self.assertIsNotNone(self.rows.get(FLEET_TABLE, 'router/c').value)
+        self.assertEqual(one.routers, ['router/c', 'router/one'])
+
     async def test_router_that_refreshes_its_row_is_counted(self):
         one, other = self.make_roster('one'), self.make_roster('other')
         for roster in (one, other):
