Hand over news to an answering aggregator, limit reports by load

Cause: a failed aggregator is chosen again every 3 s while the roster lists it. At 350 routers the wait of 4 s for the handover began anew each time, so that a third of the fleet's news stayed unknown. The same limit for every router cut the report of one that sends most of the requests. Change: entries go to a new aggregator only after it has answered and the former one no longer counts them. Half of the traffic of the reports is divided by the requests in flight.

--- a/src/lifttrestle/internal/fleet/news/exchange.py
+++ b/src/lifttrestle/internal/fleet/news/exchange.py
@@ -19,6 +19,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.clock.ticker import Ticker
@@ -37,13 +38,14 @@
 from lifttrestle.internal.fleet.news.source import NewsDraft
 from lifttrestle.internal.fleet.news.source import NewsSource
 from lifttrestle.internal.fleet.policy.load_exchange import uses_aggregation
+from lifttrestle.internal.fleet.policy.news_handover import Handover
 from lifttrestle.internal.fleet.policy.news_pacing import compute_news_pace
-from lifttrestle.internal.fleet.policy.news_pacing import Handover
 from lifttrestle.internal.fleet.policy.news_pacing import NewsPace
 from lifttrestle.internal.fleet.state.aggregator_choice import AggregatorChoice
 from lifttrestle.internal.fleet.state.catalogue import Catalogue
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.roster import ROUTER_PREFIX
+from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.telemetry.event_log import get_event_log
 from lifttrestle.internal.telemetry.fleet_metrics import FleetMetrics
 
@@ -61,6 +63,7 @@
 
     :param choice: names the aggregator of this router. ``PeerLoads`` detects
         its failure.
+    :param upstreams: the known upstreams, with their loads.
     :param sources: parts of the router that share their state.
     :param get_catalogue: returns the configuration in force, or None.
     """
@@ -71,6 +74,7 @@
         roster: Roster,
         choice: AggregatorChoice,
         clock: Clock,
+        upstreams: Iterable[FleetUpstream],
         sources: list[NewsSource],
         get_catalogue: Callable[[], Catalogue | None],
         metrics: FleetMetrics,
@@ -79,6 +83,7 @@
         self._roster = roster
         self._choice = choice
         self._clock = clock
+        self._upstreams = upstreams
         self._sources = sources
         self._get_catalogue = get_catalogue
         self._metrics = metrics
@@ -151,7 +156,10 @@
         self._number += 1
         self._peers.expire(now, pace.fresh_seconds)
         self._fleet.expire(now, pace.fresh_seconds)
-        news = self._limit(draft.build(), pace.report_bytes)
+        limit = pace.get_report_limit(
+            self._roster.live, self._get_load_share()
+        )
+        news = self._limit(draft.build(), limit)
         if uses_aggregation(self._roster.live):
             self._report_to_aggregator(news, now, pace)
             self._aggregator.exchange(
@@ -196,6 +204,7 @@
         if kept:
             own = self._own_reports.get(fleet.included, NO_NEWS)
             others = subtract_news(fleet.news, own)
+            self._handover.note_answer(now)
             kept = self._fleet.update(fleet.vm, fleet.number, others, now)
         self._note_received(fleet, kept)
         if kept:
@@ -229,10 +238,20 @@
             self._own_news = news
         else:
             news = NO_NEWS
+            if not self._handover.is_known(now, pace):
+                self._own_news = NO_NEWS
         self._own_reports[self._number] = self._own_news
         self._own_reports.pop(self._number - MAX_OWN_REPORTS, None)
         self._send(NewsReport(self._vm, self._number, news, True), key)
 
+    def _get_load_share(self) -> float:
+        """Return the part of the fleet's requests that this router sent."""
+        own = sum(upstream.in_flight for upstream in self._upstreams)
+        peers = sum(upstream.peers_in_flight for upstream in self._upstreams)
+        if not own + peers:
+            return 1.0 / self._roster.live
+        return own / (own + peers)
+
     def _limit(self, news: EngineNews, max_bytes: int) -> EngineNews:
         space = max_bytes - HEADER_BYTES - len(self._vm.encode())
         limited = limit_news(news, space)
--- a/src/lifttrestle/internal/fleet/policy/news_pacing.py
+++ b/src/lifttrestle/internal/fleet/policy/news_pacing.py
@@ -47,7 +47,8 @@
     """Timing and limits of the news messages.
 
     :ivar period_seconds: interval of the messages of a sender.
-    :ivar report_bytes: upper bound of a ``NewsReport``.
+    :ivar report_bytes: mean of the upper bounds of the ``NewsReport`` of all
+        routers.
     :ivar group_bytes: upper bound of the ``GroupNews`` of all aggregators in
         a period, all receivers together.
     :ivar fleet_bytes: upper bound of a ``FleetNews``.
@@ -72,6 +73,19 @@
         """
         return self.fresh_seconds + self.period_seconds
 
+    def get_report_limit(self, routers: int, load_share: float) -> int:
+        """Return the upper bound of the ``NewsReport`` of one router.
+
+        Half of the traffic is divided by load, so that a router that sends
+        most of the requests can report all of the engines that it uses. The
+        entries of all reports are at most the requests in flight.
+
+        :param load_share: part of the requests in flight in the fleet that
+            this router has sent.
+        """
+        factor = (1.0 + routers * load_share) / 2
+        return min(int(self.report_bytes * factor), MAX_MESSAGE_BYTES)
+
     def get_group_limit(self, aggregators: int, receivers: int) -> int:
         """Return the upper bound of one ``GroupNews`` in bytes.
 
@@ -103,28 +117,3 @@
         int(router_bytes * GROUP_SHARE * routers),
         min(int(router_bytes * FLEET_SHARE), MAX_MESSAGE_BYTES),
     )
-
-
-class Handover:
-    """Decides to which aggregator a router sends its entries.
-
-    The former aggregator and those that it sends to know the last report for
-    a while. A router therefore sends no entries to a new one until they have
-    expired, so that nothing is counted twice.
-    """
-
-    def __init__(self) -> None:
-        self._key = ''
-        self._sent_at = float('-inf')
-
-    def may_send(self, key: str, now: float, pace: NewsPace) -> bool:
-        """Return whether a report to an aggregator may have entries.
-
-        The report is sent at once if it may.
-        """
-        elapsed = now - self._sent_at
-        if key != self._key and elapsed < pace.handover_seconds:
-            return False
-        self._key = key
-        self._sent_at = now
-        return True
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -221,6 +221,7 @@
             self.roster,
             self._peer_loads.choice,
             clock,
+            self._directory,
             self._parts.news_sources,
             lambda: self._view.catalogue,
             metrics,
