--- a/src/lifttrestle/internal/fleet/state/upstream.py
+++ b/src/lifttrestle/internal/fleet/state/upstream.py
@@ -49,11 +49,14 @@
     :ivar urgency: its priority, 0 is the highest; upstreams serve requests in
         the order of their priority.
     :ivar unread_tokens: prompt tokens that were uncached when it was sent.
+    :ivar expected_seconds: time to first byte that was expected at the usual
+        speed, zero if it is not known.
     """
 
     sent_at: float
     urgency: int
     unread_tokens: int = 0
+    expected_seconds: float = 0.0
 
 
 @dataclasses.dataclass
@@ -71,7 +74,8 @@
     :ivar drains_since: when it may have reported first that it is draining,
         monotonic seconds; never if that is not known.
     :ivar misdirected: whether another start answers at its address.
-    :ivar first_byte_seconds: moving average of the time to first byte.
+    :ivar first_byte_seconds: moving average of the time to first byte, at its
+        usual speed.
     :ivar last_received_at: when it last sent anything.
     :ivar reach: whether it accepts connections.
     :ivar rejections: when it may be sent what it may have to reject.
@@ -156,17 +160,33 @@
         return sum(pending.unread_tokens for pending in self._list_awaited())
 
     def note_sent(
-        self, attempt_id: int, now: float, urgency: int = 0, unread: int = 0
+        self,
+        attempt_id: int,
+        now: float,
+        urgency: int = 0,
+        unread: int = 0,
+        expected: float = 0.0,
     ) -> None:
-        """Record that a request with ``unread`` uncached tokens was sent."""
-        self.pending[attempt_id] = PendingAnswer(now, urgency, unread)
+        """Record that a request with ``unread`` uncached tokens was sent.
+
+        :param expected: time to first byte at the usual speed, in seconds.
+        """
+        pending = PendingAnswer(now, urgency, unread, expected)
+        self.pending[attempt_id] = pending
         self.breaker.note_sent(now)
 
-    def note_first_byte(self, attempt_id: int, now: float) -> None:
-        """Record the first byte of an answer."""
+    def note_first_byte(
+        self, attempt_id: int, now: float, slowdown: float = 1.0
+    ) -> None:
+        """Record the first byte of an answer.
+
+        :param slowdown: factor by which it was known to be slower than usual.
+            Choices multiply by the present one, so the average excludes it.
+        """
         pending = self.pending.pop(attempt_id, PendingAnswer(now, 0))
         self.note_alive(now)
-        change = (now - pending.sent_at) - self.first_byte_seconds
+        seconds = (now - pending.sent_at) / slowdown
+        change = seconds - self.first_byte_seconds
         self.first_byte_seconds += SMOOTHING_FACTOR * change
 
     def note_alive(self, now: float) -> None:
