Choices of upstreams consider the speed of each

Cause: estimates and costs used one speed for all engines of a service.

Change: PlacementContext has the conditions of upstreams. Estimates and costs of engines and plain upstreams multiply by the slowdown, samples of EnginePace and the average time to first byte are divided by it, so that it does not count twice. Requests record samples when their answers begin, except answers with an error status, which come sooner. The event 'chosen' has the slowdown; the gauge slow_upstreams counts slow upstreams. Only for services with large slots, and plain services beside one; otherwise the slowdown is 1.0 and all results are the same.

Result: tests of placement, fleet parts, decisions and the event log pass.

--- a/src/lifttrestle/internal/fleet/parts.py
+++ b/src/lifttrestle/internal/fleet/parts.py
@@ -20,6 +20,7 @@
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.crashes.tracker import CrashTracker
 from lifttrestle.internal.fleet.limits.upstream_limits import UpstreamLimits
+from lifttrestle.internal.fleet.news.source import NewsSource
 from lifttrestle.internal.fleet.path.dialect import RequestDialect
 from lifttrestle.internal.fleet.policy.cache_sources import CacheSources
 from lifttrestle.internal.fleet.policy.retry_budget import SharedRetryBudget
@@ -29,6 +30,7 @@
 from lifttrestle.internal.fleet.state.catalogue import Workspace
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.engine_pace import EnginePace
+from lifttrestle.internal.fleet.state.engine_speeds import EngineSpeeds
 from lifttrestle.internal.fleet.state.operator_view import OperatorView
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.shutdown import Shutdown
@@ -60,6 +62,8 @@
         workspace whose usage must be known, or None.
     :ivar budgets: retry budget of each service.
     :ivar paces: prefill speed of the engines of each service.
+    :ivar news_sources: parts whose state is shared with the other routers.
+    :ivar engine_speeds: how slow single upstreams are.
     :ivar started_at: when this process started, in monotonic seconds.
     """
 
@@ -87,9 +91,19 @@
         default_factory=dict
     )
     paces: dict[str, EnginePace] = dataclasses.field(default_factory=dict)
+    news_sources: list[NewsSource] = dataclasses.field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.started_at = self.clock.monotonic()
+        self.engine_speeds = EngineSpeeds(
+            self.directory, lambda: self.view.catalogue
+        )
+        self.news_sources.append(self.engine_speeds)
+        self.metrics.add_gauge(
+            'slow_upstreams',
+            'Upstreams that are slower than their service.',
+            lambda: self.engine_speeds.count_slow(self.clock.monotonic()),
+        )
 
     def get_pace(self, service: str) -> EnginePace:
         """Return the measured prefill speed of the engines of a service."""
--- a/src/lifttrestle/internal/fleet/path/candidates.py
+++ b/src/lifttrestle/internal/fleet/path/candidates.py
@@ -117,6 +117,9 @@
             slots=_get_slots(admitted, service),
             prefill_seconds=parts.get_pace(service).prefill_seconds,
             fetch_seconds=admitted.catalogue.get_fetch_seconds(service),
+            conditions=parts.engine_speeds.get_conditions(
+                service, parts.clock.monotonic()
+            ),
         )
         if generation is None:
             return choose_plain(available, context, parts.source)
--- a/src/lifttrestle/internal/fleet/path/event_buffer.py
+++ b/src/lifttrestle/internal/fleet/path/event_buffer.py
@@ -198,6 +198,9 @@
             for name, cost in placement.candidates
         },
         'avoided': list(placement.avoided) or None,
+        'slowdown': (
+            round(placement.slowdown, 2) if placement.slowdown > 1.0 else None
+        ),
     }
 
 
--- a/src/lifttrestle/internal/fleet/path/sending.py
+++ b/src/lifttrestle/internal/fleet/path/sending.py
@@ -24,6 +24,7 @@
 from lifttrestle.internal.fleet.path.event_buffer import build_budget_fields
 from lifttrestle.internal.fleet.path.hold_check import check_held_before_send
 from lifttrestle.internal.fleet.path.request_context import RequestContext
+from lifttrestle.internal.fleet.policy.engine_speed import expect_first_token
 from lifttrestle.internal.fleet.policy.placement import Placement
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.http.client_connection import ClientConnection
@@ -45,6 +46,8 @@
 # the next regular report, at most 0.15 s later, mean worth was 0.527 instead
 # of 0.561 (three days with faults, three seeds).
 LONG_PROMPT_TOKENS = 1000
+# Answers with an error status come sooner than others and show no speed.
+FIRST_ERROR = 400
 
 
 class RequestSender:
@@ -96,8 +99,13 @@
             request.charge.note_sent()
         request.progress.apply(RequestEvent.SEND)
         sent_at = request.sent_at = parts.clock.monotonic()
+        usual_seconds = self._expect_usual(chosen)
         upstream.note_sent(
-            attempt_id, sent_at, request.urgency, chosen.unread_tokens
+            attempt_id,
+            sent_at,
+            request.urgency,
+            chosen.unread_tokens,
+            usual_seconds,
         )
         self._report_load(chosen)
         reused = connection.exchanges > 0
@@ -120,6 +128,11 @@
         )
         parts.crashes.losses.note_answered(upstream, sent_at)
         self._record_answer(chosen, attempt_id, options, answer, sent_at)
+        if answer.facts.status < FIRST_ERROR:
+            now = parts.clock.monotonic()
+            parts.engine_speeds.record_answer(
+                upstream, usual_seconds, now - sent_at, now
+            )
         return answer, inactivity_timeout
 
     def _record_answer(
@@ -134,7 +147,9 @@
         request = self._request
         first_byte_at = self._parts.clock.monotonic()
         seconds = first_byte_at - sent_at
-        chosen.upstream.note_first_byte(attempt_id, first_byte_at)
+        chosen.upstream.note_first_byte(
+            attempt_id, first_byte_at, chosen.slowdown
+        )
         self._report_load(chosen)
         self._parts.metrics.observe_first_byte(
             request.service, seconds, chosen.expected_seconds
@@ -148,6 +163,20 @@
             self._suspect_store(options)
         self._record_engine_answer(chosen, options, answer, seconds)
 
+    def _expect_usual(self, chosen: Placement) -> float:
+        """Return the time to first byte expected at the usual speed."""
+        parts = self._parts
+        service = self._request.service
+        if not parts.engine_speeds.is_enabled(service):
+            return 0.0
+        if self._request.facts.generation is None:
+            return parts.engine_speeds.expect_plain(service)
+        return expect_first_token(
+            chosen.queue_tokens,
+            chosen.unread_tokens,
+            parts.get_pace(service).prefill_seconds,
+        )
+
     def _report_load(self, chosen: Placement) -> None:
         """Report to other routers that a long prefill started or ended."""
         if chosen.unread_tokens >= LONG_PROMPT_TOKENS:
@@ -177,7 +206,10 @@
         if generation is None:
             return
         self._parts.get_pace(self._request.service).note_answer(
-            chosen.queue_tokens, chosen.unread_tokens, seconds
+            chosen.queue_tokens,
+            chosen.unread_tokens,
+            seconds,
+            chosen.slowdown,
         )
         if answer.facts.weights is not None:
             chosen.upstream.note_weights(
--- a/src/lifttrestle/internal/fleet/policy/engine_costs.py
+++ b/src/lifttrestle/internal/fleet/policy/engine_costs.py
@@ -12,9 +12,11 @@
 
 """Estimates of queueing and prefill at engines, and their costs in seconds."""
 
+from collections.abc import Mapping
 import dataclasses
 
 from lifttrestle.internal.fleet.path.dialect import Generation
+from lifttrestle.internal.fleet.policy.load_view import EngineCondition
 from lifttrestle.internal.fleet.state.engine_pace import FIRST_STEP_SECONDS
 from lifttrestle.internal.fleet.state.engine_pace import PRIOR_PREFILL_SECONDS
 from lifttrestle.internal.fleet.state.shared_parts import build_salt
@@ -43,6 +45,8 @@
 # half a minute, so requests without a home go to an upstream with an idle
 # connection. Well below the prefill time of a shared prefix of 600 tokens.
 NEW_CONNECTION_SECONDS = 0.01
+# An upstream of which nothing is known.
+USUAL_CONDITION = EngineCondition()
 # Engines without a queue begin to answer within this time. A request that has
 # waited longer shows that there is a queue, and how long it is.
 NORMAL_WAIT_SECONDS = 0.15
@@ -91,6 +95,7 @@
     :ivar prefill_seconds: prefill time per token.
     :ivar fetch_seconds: time to fetch the cache of one token, None if
         unknown.
+    :ivar conditions: what is known of upstreams, by their start.
     """
 
     now: float
@@ -100,6 +105,9 @@
     slots: int = 0
     prefill_seconds: float = PRIOR_PREFILL_SECONDS
     fetch_seconds: float | None = None
+    conditions: Mapping[str, EngineCondition] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def fetch_share(self) -> float:
@@ -108,6 +116,10 @@
             return DEFAULT_FETCH_SHARE
         return min(self.fetch_seconds / self.prefill_seconds, 1.0)
 
+    def get_slowdown(self, upstream: FleetUpstream) -> float:
+        """Return the factor by which an upstream is slower than usual."""
+        return self.conditions.get(upstream.start, USUAL_CONDITION).slowdown
+
 
 def lacks_connection(upstream: FleetUpstream) -> bool:
     """Return whether the upstream has no idle connection to reuse."""
@@ -157,8 +169,10 @@
     fetched = known * _get_miss_probability(rank) * context.fetch_share
     unread = prompt.own_tokens + unknown + round(fetched)
     queue = _estimate_queue_seconds(upstream, context)
-    prefill = unread * context.prefill_seconds
-    return EngineEstimate(unread, queue, queue + prefill + FIRST_STEP_SECONDS)
+    slowdown = context.get_slowdown(upstream)
+    prefill = unread * context.prefill_seconds * slowdown
+    first_step = FIRST_STEP_SECONDS * slowdown
+    return EngineEstimate(unread, queue, queue + prefill + first_step)
 
 
 def _get_miss_probability(rank: int) -> float:
@@ -170,6 +184,7 @@
     upstream: FleetUpstream, context: PlacementContext
 ) -> float:
     queue = count_queued_tokens(upstream) * context.prefill_seconds
+    queue *= context.get_slowdown(upstream)
     waited = upstream.get_oldest_wait(context.now, context.urgency)
     # The estimate is too low if the oldest request has waited longer already.
     return max(queue, waited - NORMAL_WAIT_SECONDS)
@@ -192,14 +207,16 @@
     The cost is the time to first token plus the delay of other requests and
     penalties for a distant engine, a new connection and old weights.
     """
+    slowdown = context.get_slowdown(upstream)
     cost = estimate.first_token_seconds
     cost += (
         _get_miss_probability(rank)
         * prompt.shared_tokens
         * context.prefill_seconds
+        * slowdown
     )
     running = upstream.in_flight + upstream.peers_in_flight
-    cost += running * RUNNING_REQUEST_SECONDS
+    cost += running * RUNNING_REQUEST_SECONDS * slowdown
     if context.slots:
         cost += max(running + 1 - context.slots, 0) * SLOT_WAIT_SECONDS
     cost += compute_network_cost(upstream, context)
--- a/src/lifttrestle/internal/fleet/policy/placement.py
+++ b/src/lifttrestle/internal/fleet/policy/placement.py
@@ -56,6 +56,7 @@
     :ivar queue_seconds: part of it until prefill of the prompt begins.
     :ivar unread_tokens: prompt tokens that the engine has to compute.
     :ivar queue_tokens: tokens that it has to compute before them.
+    :ivar slowdown: factor by which it is slower than its service.
     :ivar candidates: the cheapest instances with their costs in seconds.
     :ivar avoided: some instances that were excluded as unhealthy.
     """
@@ -66,6 +67,7 @@
     queue_seconds: float = 0.0
     unread_tokens: int = 0
     queue_tokens: int = 0
+    slowdown: float = 1.0
     candidates: tuple[tuple[str, float], ...] = ()
     avoided: tuple[str, ...] = ()
 
@@ -82,14 +84,19 @@
     costs = {}
     healthy = _prefer_healthy(available, context.now)
     for upstream in healthy:
-        cost = upstream.first_byte_seconds
-        cost += upstream.in_flight * PLAIN_RUNNING_SECONDS
+        slowdown = context.get_slowdown(upstream)
+        cost = upstream.first_byte_seconds * slowdown
+        cost += upstream.in_flight * PLAIN_RUNNING_SECONDS * slowdown
         cost += compute_network_cost(upstream, context)
         cost += source.random() * TIE_BREAK_SECONDS
         costs[upstream.instance] = cost
     if not healthy:
         return None
-    return _choose_cheapest(available, healthy, costs, 'least expected time')
+    placement = _choose_cheapest(
+        available, healthy, costs, 'least expected time'
+    )
+    slowdown = context.get_slowdown(placement.upstream)
+    return dataclasses.replace(placement, slowdown=slowdown)
 
 
 def choose_engine(
@@ -130,6 +137,7 @@
         queue_seconds=estimate.queue_seconds,
         unread_tokens=estimate.unread_tokens,
         queue_tokens=count_queued_tokens(chosen),
+        slowdown=context.get_slowdown(chosen),
     )
 
 
--- a/src/lifttrestle/internal/fleet/state/engine_pace.py
+++ b/src/lifttrestle/internal/fleet/state/engine_pace.py
@@ -48,17 +48,24 @@
         self.prefill_seconds = PRIOR_PREFILL_SECONDS
 
     def note_answer(
-        self, queue_tokens: int, unread_tokens: int, seconds: float
+        self,
+        queue_tokens: int,
+        unread_tokens: int,
+        seconds: float,
+        slowdown: float = 1.0,
     ) -> None:
         """Add the sample of an answer.
 
         :param queue_tokens: uncached tokens queued at the engine before it.
         :param unread_tokens: uncached tokens of its own prompt.
         :param seconds: time from sending the request to its first token.
+        :param slowdown: factor by which the engine was known to be slower than
+            its service; without it, slow engines would raise the estimate for
+            the others.
         """
         if unread_tokens < MIN_UNREAD_TOKENS:
             return
-        duration = max(seconds - FIRST_STEP_SECONDS, 0.0)
+        duration = max(seconds / slowdown - FIRST_STEP_SECONDS, 0.0)
         self._seconds.append(duration / (queue_tokens + unread_tokens))
         missing = max(MIN_ANSWERS - len(self._seconds), 0)
         samples = sorted([*self._seconds, *[PRIOR_PREFILL_SECONDS] * missing])
