--- a/src/lifttrestle/internal/fleet/parts.py
+++ b/src/lifttrestle/internal/fleet/parts.py
@@ -30,6 +30,7 @@
 from lifttrestle.internal.fleet.state.catalogue import Workspace
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.engine_pace import EnginePace
+from lifttrestle.internal.fleet.state.engine_speeds import EngineSpeeds
 from lifttrestle.internal.fleet.state.operator_view import OperatorView
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.shutdown import Shutdown
@@ -62,6 +63,7 @@
     :ivar budgets: retry budget of each service.
     :ivar paces: prefill speed of the engines of each service.
     :ivar news_sources: parts whose state the routers share.
+    :ivar engine_speeds: how slow single upstreams are.
     :ivar started_at: when this process started, in monotonic seconds.
     """
 
@@ -93,6 +95,15 @@
 
     def __post_init__(self) -> None:
         self.started_at = self.clock.monotonic()
+        self.engine_speeds = EngineSpeeds(
+            self.directory, lambda: self.view.catalogue
+        )
+        self.news_sources.append(self.engine_speeds)
+        self.metrics.add_gauge(
+            'slow_upstreams',
+            'Upstreams that are slower than their service.',
+            lambda: self.engine_speeds.count_slow(self.clock.monotonic()),
+        )
 
     def get_pace(self, service: str) -> EnginePace:
         """Return the measured prefill speed of the engines of a service."""
