Requests over a fair share are refused while engine time is short

Cause: beside a workspace with a high load, the queue at every engine grows to the limit of 0.8 of the objective, and requests of all workspaces are refused alike.

Change: decide_shedding receives the standing of the workspace, and refuses a request over its share if the queue at the best engine exceeds a quarter of the objective. path/fair_share.py counts the engine time of a request when its first engine is considered, which is when the cost is known, and when it is sent; it logs the refusal as fair_share and counts it by workspace. Only workspaces with a cap at services with large slots are concerned; streams that are resumed are not. FleetParts lists the news sources.

--- a/src/lifttrestle/internal/fleet/parts.py
+++ b/src/lifttrestle/internal/fleet/parts.py
@@ -14,16 +14,19 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Mapping
 import dataclasses
 import random
 
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.crashes.tracker import CrashTracker
 from lifttrestle.internal.fleet.limits.upstream_limits import UpstreamLimits
+from lifttrestle.internal.fleet.news.source import NewsSource
 from lifttrestle.internal.fleet.path.dialect import RequestDialect
 from lifttrestle.internal.fleet.policy.cache_sources import CacheSources
 from lifttrestle.internal.fleet.policy.retry_budget import SharedRetryBudget
 from lifttrestle.internal.fleet.policy.router_share import RouterShare
+from lifttrestle.internal.fleet.policy.usage_caps import UsageCap
 from lifttrestle.internal.fleet.settings import FleetSettings
 from lifttrestle.internal.fleet.state.cache_stores import CacheStores
 from lifttrestle.internal.fleet.state.catalogue import Workspace
@@ -33,6 +36,7 @@
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.shutdown import Shutdown
 from lifttrestle.internal.fleet.state.table_watch import TableWatch
+from lifttrestle.internal.fleet.state.workspace_use import WorkspaceUse
 from lifttrestle.internal.fleet.streams.origins import StreamOrigins
 from lifttrestle.internal.fleet.usage.ledger import UsageLedger
 from lifttrestle.internal.telemetry.fleet_metrics import FleetMetrics
@@ -60,7 +64,9 @@
         workspace whose usage must be known, or None.
     :ivar budgets: retry budget of each service.
     :ivar paces: prefill speed of the engines of each service.
+    :ivar news_sources: parts that share their state with other routers.
     :ivar started_at: when this process started, in monotonic seconds.
+    :ivar workspace_use: engine time of the workspaces with a cap.
     """
 
     settings: FleetSettings
@@ -87,9 +93,18 @@
         default_factory=dict
     )
     paces: dict[str, EnginePace] = dataclasses.field(default_factory=dict)
+    news_sources: list[NewsSource] = dataclasses.field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.started_at = self.clock.monotonic()
+        self.workspace_use = WorkspaceUse(
+            self.clock, lambda: self.roster.live, self._get_caps
+        )
+        self.news_sources.append(self.workspace_use)
+
+    def _get_caps(self) -> Mapping[int, UsageCap]:
+        catalogue = self.view.catalogue
+        return {} if catalogue is None else catalogue.caps
 
     def get_pace(self, service: str) -> EnginePace:
         """Return the measured prefill speed of the engines of a service."""
--- a/src/lifttrestle/internal/fleet/path/request_context.py
+++ b/src/lifttrestle/internal/fleet/path/request_context.py
@@ -62,6 +62,8 @@
     :ivar on_trial: whether it may run once more although it is held.
     :ivar charge: its share of the usage cap of its workspace, None before it
         is charged and if there is no cap.
+    :ivar cost_seconds: engine time that counts for the share of its workspace,
+        None before the first choice of an engine and without a share.
     """
 
     parts: FleetParts
@@ -80,6 +82,7 @@
     part_digests: tuple[int, ...] = ()
     on_trial: bool = False
     charge: UsageCharge | None = None
+    cost_seconds: float | None = None
 
     @property
     def is_repeat(self) -> bool:
--- a/src/lifttrestle/internal/fleet/path/sending.py
+++ b/src/lifttrestle/internal/fleet/path/sending.py
@@ -22,6 +22,7 @@
 from lifttrestle.internal.fleet.path.dialect import AttemptOptions
 from lifttrestle.internal.fleet.path.event_buffer import build_answered_fields
 from lifttrestle.internal.fleet.path.event_buffer import build_budget_fields
+from lifttrestle.internal.fleet.path.fair_share import note_used
 from lifttrestle.internal.fleet.path.hold_check import check_held_before_send
 from lifttrestle.internal.fleet.path.request_context import RequestContext
 from lifttrestle.internal.fleet.policy.placement import Placement
@@ -99,6 +100,7 @@
         upstream.note_sent(
             attempt_id, sent_at, request.urgency, chosen.unread_tokens
         )
+        note_used(request)
         self._report_load(chosen)
         reused = connection.exchanges > 0
         parts.metrics.count_connection(request.service, reused)
--- a/src/lifttrestle/internal/fleet/path/upstream_search.py
+++ b/src/lifttrestle/internal/fleet/path/upstream_search.py
@@ -18,6 +18,9 @@
 from lifttrestle.internal.fleet.path.candidates import Candidates
 from lifttrestle.internal.fleet.path.event_buffer import build_permit_fields
 from lifttrestle.internal.fleet.path.event_buffer import build_reach_fields
+from lifttrestle.internal.fleet.path.fair_share import get_standing
+from lifttrestle.internal.fleet.path.fair_share import make_share_refusal
+from lifttrestle.internal.fleet.path.fair_share import note_asked
 from lifttrestle.internal.fleet.path.request_context import RequestContext
 from lifttrestle.internal.fleet.policy.placement import Placement
 from lifttrestle.internal.fleet.policy.shedding import decide_shedding
@@ -162,9 +165,15 @@
     if request.is_restricted:
         # Other upstreams could not serve it sooner.
         target = request.get_remaining_seconds()
-    shedding = decide_shedding(expected, placement.queue_seconds, target)
+    standing = get_standing(request, placement, target)
+    note_asked(request, placement)
+    shedding = decide_shedding(
+        expected, placement.queue_seconds, target, standing
+    )
     if shedding is None:
         return
+    if shedding.is_over_share and standing is not None:
+        raise make_share_refusal(request, placement, shedding, standing)
     raise RequestRefused(
         ErrorKind.OVERLOADED,
         f'the first token would take {expected:.2f} s at the least loaded'
--- a/src/lifttrestle/internal/fleet/policy/shedding.py
+++ b/src/lifttrestle/internal/fleet/policy/shedding.py
@@ -19,6 +19,9 @@
 
 import dataclasses
 
+from lifttrestle.internal.fleet.policy.fair_shares import compute_retry_seconds
+from lifttrestle.internal.fleet.policy.load_view import WorkspaceStanding
+
 # A request, first attempt or retry, is refused if its time to first token is
 # expected to exceed this fraction of its objective at every engine. The
 # fraction is below one as requests of other routers may be queued before it.
@@ -32,6 +35,10 @@
 # engine. It is served if the queue before it is at most this fraction of its
 # objective, as it would be refused forever otherwise.
 LONG_PROMPT_QUEUE_SHARE = 0.25
+# A request of a workspace over its share is refused if the queue before it
+# exceeds this fraction of its objective. An engine with such a queue does not
+# become idle, and requests of the other workspaces wait no longer than that.
+FAIR_QUEUE_SHARE = 0.25
 MIN_RETRY_SECONDS = 0.4
 MAX_RETRY_SECONDS = 1.0
 # A request that was not sent to any upstream yet and that none can serve waits
@@ -49,16 +56,32 @@
 class ShedDecision:
     """Decision to refuse a request.
 
-    :ivar limit: maximum expected time to first token, in seconds.
-    :ivar retry_after: seconds after which the queue should be short enough.
+    :ivar limit: maximum expected time to first token, in seconds; maximum
+        queue, for a workspace over its share.
+    :ivar retry_after: seconds after which the queue should be short enough,
+        or the use of the workspace back at its share.
+    :ivar is_over_share: whether its workspace is over its share.
     """
 
     limit: float
     retry_after: float
+    is_over_share: bool = False
+
+
+def is_engine_time_short(queue: float, target: float) -> bool:
+    """Return whether requests over a fair share are refused.
+
+    :param queue: time until prefill begins at the best engine, in seconds.
+    :param target: objective for the time to first token, in seconds.
+    """
+    return queue > FAIR_QUEUE_SHARE * target
 
 
 def decide_shedding(
-    expected: float, queue: float, target: float
+    expected: float,
+    queue: float,
+    target: float,
+    standing: WorkspaceStanding | None = None,
 ) -> ShedDecision | None:
     """Return how a request is refused, or None if it should be sent.
 
@@ -66,7 +89,15 @@
         seconds.
     :param queue: part of it until prefill of the prompt begins, in seconds.
     :param target: objective for the time to first token, in seconds.
+    :param standing: of its workspace, None if it has no share.
     """
+    if standing is not None and standing.is_over:
+        if is_engine_time_short(queue, target):
+            return ShedDecision(
+                FAIR_QUEUE_SHARE * target,
+                compute_retry_seconds(standing),
+                is_over_share=True,
+            )
     limit = SHED_TARGET_SHARE * target
     if expected <= limit:
         return None
--- a/src/lifttrestle/internal/telemetry/fleet_metrics.py
+++ b/src/lifttrestle/internal/telemetry/fleet_metrics.py
@@ -70,13 +70,18 @@
         self._over_cap = self._make_counter(
             'over_cap', 'Requests refused over a usage cap.', ('workspace',)
         )
+        self._over_share = self._make_counter(
+            'over_share',
+            'Requests refused over a share of engine time.',
+            ('workspace',),
+        )
         self._permits = self._make_counter(
             'permits', 'Questions for a permit to send.', ('result',)
         )
         self._resumed = self._make_counter(
             'resumed', 'Sends that resume a stream.', ('service', 'software')
         )
-        self._over_cap_workspaces: set[str] = set()
+        self._labelled_workspaces: set[str] = set()
         self._retries_spent = self._make_gauge(
             'retry_budget_spent', 'Retries in the current window.'
         )
@@ -132,10 +137,11 @@
 
     def count_over_cap(self, workspace: str) -> None:
         """Count a request that exceeded the usage cap of its workspace."""
-        if len(self._over_cap_workspaces) < MAX_WORKSPACES:
-            self._over_cap_workspaces.add(workspace)
-        has_own_label = workspace in self._over_cap_workspaces
-        self._over_cap.labels(workspace if has_own_label else OTHERS).inc()
+        self._over_cap.labels(self._get_label(workspace)).inc()
+
+    def count_over_share(self, workspace: str) -> None:
+        """Count a request of a workspace over its share of engine time."""
+        self._over_share.labels(self._get_label(workspace)).inc()
 
     def count_permit(self, result: str) -> None:
         """Count a request for a permit by its result."""
@@ -177,6 +183,12 @@
         """Return all metrics in the Prometheus text format."""
         return prometheus_client.generate_latest(self.registry)
 
+    def _get_label(self, workspace: str) -> str:
+        """Return the label of a workspace; later ones have none."""
+        if len(self._labelled_workspaces) < MAX_WORKSPACES:
+            self._labelled_workspaces.add(workspace)
+        return workspace if workspace in self._labelled_workspaces else OTHERS
+
     def _make_counter(
         self, name: str, description: str, labels: tuple[str, ...]
     ) -> prometheus_client.Counter:
