--- a/src/lifttrestle/internal/fleet/parts.py
+++ b/src/lifttrestle/internal/fleet/parts.py
@@ -14,6 +14,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Mapping
 import dataclasses
 import random
 
@@ -25,6 +26,7 @@
 from lifttrestle.internal.fleet.policy.cache_sources import CacheSources
 from lifttrestle.internal.fleet.policy.retry_budget import SharedRetryBudget
 from lifttrestle.internal.fleet.policy.router_share import RouterShare
+from lifttrestle.internal.fleet.policy.usage_caps import UsageCap
 from lifttrestle.internal.fleet.settings import FleetSettings
 from lifttrestle.internal.fleet.state.cache_stores import CacheStores
 from lifttrestle.internal.fleet.state.catalogue import Workspace
@@ -35,6 +37,7 @@
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.shutdown import Shutdown
 from lifttrestle.internal.fleet.state.table_watch import TableWatch
+from lifttrestle.internal.fleet.state.workspace_use import WorkspaceUse
 from lifttrestle.internal.fleet.streams.origins import StreamOrigins
 from lifttrestle.internal.fleet.usage.ledger import UsageLedger
 from lifttrestle.internal.telemetry.fleet_metrics import FleetMetrics
@@ -65,6 +68,7 @@
     :ivar news_sources: parts whose state the routers share.
     :ivar engine_speeds: how slow single upstreams are.
     :ivar started_at: when this process started, in monotonic seconds.
+    :ivar workspace_use: engine time of the workspaces with a cap.
     """
 
     settings: FleetSettings
@@ -104,6 +108,14 @@
             'Upstreams that are slower than their service.',
             lambda: self.engine_speeds.count_slow(self.clock.monotonic()),
         )
+        self.workspace_use = WorkspaceUse(
+            self.clock, lambda: self.roster.live, self._get_caps
+        )
+        self.news_sources.append(self.workspace_use)
+
+    def _get_caps(self) -> Mapping[int, UsageCap]:
+        catalogue = self.view.catalogue
+        return {} if catalogue is None else catalogue.caps
 
     def get_pace(self, service: str) -> EnginePace:
         """Return the measured prefill speed of the engines of a service."""
