Slow answers count for two seconds

Cause: a slow engine gets so few requests that four answers take longer than the window of 0.8 s. With 76 routers, 0.3 to 0.4 of the estimates for slow engines were still 1 from a second after they turned slow on.

Change: answers that took at least 1.5 times the expected time count for two seconds, unless this router saw a faster one since.

--- a/src/lifttrestle/internal/fleet/policy/engine_speed.py
+++ b/src/lifttrestle/internal/fleet/policy/engine_speed.py
@@ -27,6 +27,9 @@
 # Answers that are older don't count, so that traffic leaves an engine within a
 # second after it turned slow.
 WINDOW_SECONDS = 0.8
+# Slow answers count for longer: a slow engine gets so few requests that the
+# number of samples needed takes longer than the window.
+SLOW_WINDOW_SECONDS = 2.0
 # A few samples may all have waited in a queue that was not known.
 MIN_SAMPLES = 4
 # Without new samples, the slowdown in excess of 1 halves in this time.
@@ -36,8 +39,9 @@
 # so smaller slowdowns are ignored.
 SLOW_FROM = 1.5
 SLOW_UNTIL = 1.2
-# An answer is overdue after this multiple of the expected time.
-OVERDUE_RATIO = 1.5
+# An answer is slow, or overdue if it is pending, from this multiple of the
+# expected time on.
+SLOW_RATIO = 1.5
 # Bounds of a sample, so that no ratio of two samples is extreme.
 MIN_RATIO = 0.01
 MAX_RATIO = 100.0
@@ -93,6 +97,15 @@
     return min(max(ratio, MIN_RATIO), MAX_RATIO)
 
 
+def is_recent(ratio: float, age: float, window: float) -> bool:
+    """Return whether an answer counts.
+
+    :param age: time since it began, in seconds.
+    :param window: for how long answers that are not slow count, in seconds.
+    """
+    return age <= (window if ratio < SLOW_RATIO else SLOW_WINDOW_SECONDS)
+
+
 def find_lowest(
     answered: Iterable[float], pending: Iterable[float]
 ) -> LowestSample | None:
@@ -102,7 +115,7 @@
     :param pending: ratios that pending answers have reached.
     """
     ratios = list(answered)
-    ratios += [ratio for ratio in pending if ratio >= OVERDUE_RATIO]
+    ratios += [ratio for ratio in pending if ratio >= SLOW_RATIO]
     return LowestSample(min(ratios), len(ratios)) if ratios else None
 
 
--- a/src/lifttrestle/internal/fleet/state/engine_speeds.py
+++ b/src/lifttrestle/internal/fleet/state/engine_speeds.py
@@ -25,8 +25,10 @@
 from lifttrestle.internal.fleet.policy.engine_speed import compute_sample
 from lifttrestle.internal.fleet.policy.engine_speed import find_lowest
 from lifttrestle.internal.fleet.policy.engine_speed import find_reference
+from lifttrestle.internal.fleet.policy.engine_speed import is_recent
 from lifttrestle.internal.fleet.policy.engine_speed import LowestSample
 from lifttrestle.internal.fleet.policy.engine_speed import merge_lowest
+from lifttrestle.internal.fleet.policy.engine_speed import SLOW_RATIO
 from lifttrestle.internal.fleet.policy.engine_speed import SLOW_UNTIL
 from lifttrestle.internal.fleet.policy.engine_speed import SpeedEstimate
 from lifttrestle.internal.fleet.policy.engine_speed import update_estimate
@@ -53,8 +55,7 @@
 # Answers of plain upstreams from which the median of a service is computed.
 MAX_PLAIN_ANSWERS = 64
 MIN_PLAIN_ANSWERS = 8
-# Samples of one engine that are kept: those of a router that sends 640
-# requests a second to it.
+# Samples of one engine that are kept.
 MAX_SAMPLES = 512
 NEVER = float('-inf')
 
@@ -75,6 +76,16 @@
     seen_at: float = NEVER
     estimate: SpeedEstimate = SpeedEstimate()
 
+    def drop_slow(self) -> None:
+        """Drop the slow answers."""
+        if any(ratio >= SLOW_RATIO for _, ratio in self.samples):
+            kept = [item for item in self.samples if item[1] < SLOW_RATIO]
+            self.samples.clear()
+            self.samples.extend(kept)
+
+
+RecordGroup = list[tuple[FleetUpstream, _EngineRecord]]
+
 
 class EngineSpeeds(NewsSource):
     """Estimates the slowdown of each upstream of the services that need it.
@@ -137,6 +148,9 @@
         ratio = compute_sample(observed_seconds, expected_seconds)
         key = shorten_digest(upstream.digest)
         record = self._records.setdefault(key, _EngineRecord())
+        if ratio < SLOW_RATIO:
+            # It ends a slow period, so slow answers before it count no more.
+            record.drop_slow()
         record.samples.append((now, ratio))
         self._updated_at = NEVER
 
@@ -172,7 +186,7 @@
         """Append the lowest recent sample of each upstream."""
         for key, record in self._records.items():
             upstream = self._directory.get_by_digest(key)
-            if upstream is None:
+            if upstream is None or not self.is_enabled(upstream.entry.service):
                 continue
             lowest = _find_own(upstream, record, now, SHARED_SECONDS)
             if lowest is not None:
@@ -204,11 +218,9 @@
         for service, found in self._group_records().items():
             self._update_service(service, found, now)
 
-    def _group_records(
-        self,
-    ) -> dict[str, list[tuple[FleetUpstream, _EngineRecord]]]:
+    def _group_records(self) -> dict[str, RecordGroup]:
         """Return the records by service; drop those of other upstreams."""
-        groups: dict[str, list[tuple[FleetUpstream, _EngineRecord]]] = {}
+        groups: dict[str, RecordGroup] = {}
         kept = {}
         for key, record in self._records.items():
             upstream = self._directory.get_by_digest(key)
@@ -221,10 +233,7 @@
         return groups
 
     def _update_service(
-        self,
-        service: str,
-        found: list[tuple[FleetUpstream, _EngineRecord]],
-        now: float,
+        self, service: str, found: RecordGroup, now: float
     ) -> None:
         seen = {}
         for upstream, record in found:
@@ -257,15 +266,15 @@
 
 
 def _find_own(
-    upstream: FleetUpstream,
-    record: _EngineRecord,
-    now: float,
-    seconds: float,
+    upstream: FleetUpstream, record: _EngineRecord, now: float, seconds: float
 ) -> LowestSample | None:
-    """Return the lowest sample of this router in the last ``seconds``."""
-    earliest = now - seconds
+    """Return this router's lowest sample in a window of ``seconds``."""
     return find_lowest(
-        (ratio for at, ratio in record.samples if at >= earliest),
+        (
+            ratio
+            for at, ratio in record.samples
+            if is_recent(ratio, now - at, seconds)
+        ),
         (
             compute_sample(now - item.sent_at, item.expected_seconds)
             for item in upstream.pending.values()
