Tests of the speed of each engine

Change: the simulated load has engines that are slow for a while, routers that know no speeds, learn them or know them exactly, and news that is delivered directly each 0.25 s.

--- a/tests/support/load_simulation.py
+++ b/tests/support/load_simulation.py
@@ -20,11 +20,13 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Mapping
 import dataclasses
 import datetime
 import enum
 import heapq
 import itertools
+import math
 import random
 from unittest import mock
 
@@ -34,6 +36,8 @@
 from lifttrestle.internal.fleet.path.dialect import Generation
 from lifttrestle.internal.fleet.path.dialect import PromptPart
 from lifttrestle.internal.fleet.policy.engine_costs import PlacementContext
+from lifttrestle.internal.fleet.policy.engine_speed import expect_first_token
+from lifttrestle.internal.fleet.policy.load_view import EngineCondition
 from lifttrestle.internal.fleet.policy.placement import choose_engine
 from lifttrestle.internal.fleet.policy.placement import Placement
 from lifttrestle.internal.fleet.policy.report_pacing import REPORT_SECONDS
@@ -41,6 +45,7 @@
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.engine_pace import EnginePace
 from lifttrestle.internal.fleet.state.engine_pace import FIRST_STEP_SECONDS
+from lifttrestle.internal.fleet.state.engine_speeds import EngineSpeeds
 from lifttrestle.internal.fleet.state.peer_loads import ANSWER_SECONDS
 from lifttrestle.internal.fleet.state.peer_loads import PeerLoads
 from lifttrestle.internal.fleet.state.peer_loads import SUM_SECONDS
@@ -51,6 +56,10 @@
 from lifttrestle.internal.platform.stored_format import PlatformFormat
 from tests.support.entries import make_entry
 from tests.support.memory_rows import MemoryRows
+from tests.support.news_delivery import CATALOGUE
+from tests.support.news_delivery import exchange_news
+from tests.support.news_delivery import NEWS_SECONDS
+from tests.support.news_delivery import SERVICE
 
 START = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
 DATA_CENTRES = 6
@@ -61,6 +70,14 @@
 ROUND_TRIP_SECONDS = 0.05
 
 
+class SpeedKnowledge(enum.Enum):
+    """What routers know of the speed of single engines."""
+
+    NONE = 'none'
+    LEARNED = 'learned'
+    EXACT = 'exact'
+
+
 class Outcome(enum.Enum):
     """Outcome of one request."""
 
@@ -81,6 +98,12 @@
     :ivar sheds: whether routers refuse requests that would wait too long.
     :ivar aggregates: whether one router of each data centre aggregates loads;
         None if that depends on the size of the fleet.
+    :ivar slow_share: fraction of the engines that become slow.
+    :ivar slow_factor: how many times as long they take meanwhile.
+    :ivar slow_from: when they become slow, in seconds from the start.
+    :ivar slow_until: when they are as fast as the others again.
+    :ivar speeds: what routers know of the speed of single engines.
+    :ivar has_news: whether routers exchange news.
     """
 
     seconds: float = 20.0
@@ -96,6 +119,12 @@
     learns: bool = True
     sheds: bool = True
     aggregates: bool | None = None
+    slow_share: float = 0.0
+    slow_factor: float = 3.5
+    slow_from: float = 0.0
+    slow_until: float = math.inf
+    speeds: SpeedKnowledge = SpeedKnowledge.NONE
+    has_news: bool = True
 
 
 class SimulatedRouter:
@@ -116,6 +145,7 @@
             self.directory.apply_row(row)
         self.parts = SharedParts()
         self.pace = EnginePace()
+        self.speeds = EngineSpeeds(self.directory, lambda: CATALOGUE)
         self.key = f'router/r{number}'
         self.roster = Roster(
             MemoryRows(), clock, f'r{number}', get_data_centre(number)
@@ -157,6 +187,11 @@
             SimulatedRouter(number, engines, self._clock, self._deliver)
             for number in range(load.routers)
         ]
+        self._slow = set(engines[: round(load.slow_share * load.engines)])
+        # Times and instances of the sent requests, in order.
+        self.sent: list[tuple[float, str]] = []
+        # Times of the first attempts of the requests that were late.
+        self.late_at: list[float] = []
         self._fill_rosters()
         self.datagrams = 0
         self._pending_reports: set[SimulatedRouter] = set()
@@ -198,6 +233,49 @@
             at = self._source.uniform(0, SUM_SECONDS)
             self._schedule(at, lambda router=router: self._send_sums(router))
 
+        if load.speeds is SpeedKnowledge.LEARNED and load.has_news:
+            self._schedule(NEWS_SECONDS, self._exchange_news)
+
+    def _exchange_news(self) -> None:
+        """Deliver the news of each router to all others."""
+        now = self._clock.monotonic()
+        exchange_news([router.speeds for router in self._routers], now)
+        if now < self._load.seconds:
+            self._schedule(now + NEWS_SECONDS, self._exchange_news)
+
+    def is_slow(self, instance: str, at: float) -> bool:
+        """Return whether an engine is slow at a time."""
+        load = self._load
+        return (
+            instance in self._slow and load.slow_from <= at < load.slow_until
+        )
+
+    def _get_slowdown(self, instance: str, at: float) -> float:
+        return self._load.slow_factor if self.is_slow(instance, at) else 1.0
+
+    def _find_end(self, instance: str, begun: float, work: float) -> float:
+        """Return when an engine ends ``work`` seconds of prefill."""
+        load = self._load
+        at = begun
+        for change in (load.slow_from, load.slow_until):
+            slowdown = self._get_slowdown(instance, at)
+            if at < change < at + work * slowdown:
+                work -= (change - at) / slowdown
+                at = change
+        return at + work * self._get_slowdown(instance, at)
+
+    def _get_conditions(
+        self, router: SimulatedRouter, now: float
+    ) -> Mapping[str, EngineCondition]:
+        if self._load.speeds is SpeedKnowledge.LEARNED:
+            return router.speeds.get_conditions(SERVICE, now)
+        if self._load.speeds is SpeedKnowledge.NONE:
+            return {}
+        return {
+            instance: EngineCondition(self._get_slowdown(instance, now))
+            for instance in self._slow
+        }
+
     def _fill_rosters(self) -> None:
         rows = []
         for number in range(self._load.routers):
@@ -298,7 +376,11 @@
             'shared',
             router.parts,
             PlacementContext(
-                now, 'a', 1, prefill_seconds=router.pace.prefill_seconds
+                now,
+                'a',
+                1,
+                prefill_seconds=router.pace.prefill_seconds,
+                conditions=self._get_conditions(router, now),
             ),
             self._source,
         )
@@ -332,11 +414,18 @@
         now = self._clock.monotonic()
         upstream = placement.upstream
         attempt_id = next(self._order)
-        begun = max(now, self._free_at[upstream.instance])
-        read_at = begun + tokens * load.prefill_seconds
-        self._free_at[upstream.instance] = read_at
+        instance = upstream.instance
+        begun = max(now, self._free_at[instance])
+        read_at = self._find_end(
+            instance, begun, tokens * load.prefill_seconds
+        )
+        self._free_at[instance] = read_at
+        self.sent.append((now, instance))
         upstream.in_flight += 1
-        upstream.note_sent(attempt_id, now, unread=tokens)
+        expected = expect_first_token(
+            placement.queue_tokens, tokens, router.pace.prefill_seconds
+        )
+        upstream.note_sent(attempt_id, now, unread=tokens, expected=expected)
         if load.reports_at_once and is_long:
             self._request_report(router)
 
@@ -344,14 +433,23 @@
             seconds = self._clock.monotonic() - now
             upstream.in_flight -= 1
             upstream.note_first_byte(attempt_id, self._clock.monotonic())
+            router.speeds.record_answer(
+                upstream, expected, seconds, self._clock.monotonic()
+            )
             if load.learns:
                 router.pace.note_answer(
-                    placement.queue_tokens, tokens, seconds
+                    placement.queue_tokens,
+                    tokens,
+                    seconds,
+                    placement.slowdown,
                 )
             since_first = self._clock.monotonic() - first_at
             in_time = since_first <= load.target_seconds
             self.outcomes[Outcome.IN_TIME if in_time else Outcome.LATE] += 1
+            if not in_time:
+                self.late_at.append(first_at)
             if load.reports_at_once and is_long:
                 self._request_report(router)
 
-        self._schedule(read_at + FIRST_STEP_SECONDS, answer)
+        first_step = FIRST_STEP_SECONDS * self._get_slowdown(instance, read_at)
+        self._schedule(read_at + first_step, answer)
