--- a/src/lifttrestle/internal/fleet/policy/memory_fit.py
+++ b/src/lifttrestle/internal/fleet/policy/memory_fit.py
@@ -31,8 +31,8 @@
 # Routers that see the same memory become free would all send to it before
 # they know of each other. An engine with room for fewer requests than this is
 # left out of some decisions at random, the more the less room it has.
-# In a simulated burst at 8 routers, engines rejected 0.002 of the arrivals, and
-# 0.017 if none was left out.
+# In a simulated burst at 8 routers, engines rejected 0.002 of the arrivals,
+# and 0.017 if none was left out.
 CONTENDED_REQUESTS = 6
 
 
