--- a/tests/support/load_simulation.py
+++ b/tests/support/load_simulation.py
@@ -50,7 +50,7 @@
 from lifttrestle.internal.fleet.state.peer_loads import PeerLoads
 from lifttrestle.internal.fleet.state.peer_loads import SUM_SECONDS
 from lifttrestle.internal.fleet.state.roster import Roster
-from lifttrestle.internal.fleet.state.roster import RouterRow
+from lifttrestle.internal.fleet.state.router_row import RouterRow
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.fleet.state.shared_parts import SharedParts
 from lifttrestle.internal.platform.stored_format import PlatformFormat
