The demand of a request is no class of its own

Cause: nothing used it: fair shares need its cost only, and the memory of engines has a need of its own.

--- a/src/lifttrestle/internal/fleet/policy/load_view.py
+++ b/src/lifttrestle/internal/fleet/policy/load_view.py
@@ -10,7 +10,7 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-"""What decisions under load know of engines, workspaces and requests."""
+"""What decisions under load know of engines and workspaces."""
 
 import dataclasses
 
@@ -47,19 +47,3 @@
     def is_over(self) -> bool:
         """Return whether the workspace used more than its share."""
         return self.used_seconds > self.share_seconds
-
-
-@dataclasses.dataclass(frozen=True)
-class RequestDemand:
-    """What a request needs of an engine.
-
-    :ivar target_seconds: objective for the time to first token.
-    :ivar remaining_seconds: time until its deadline.
-    :ivar memory_tokens: KV cache that it needs, shared parts included.
-    :ivar cost_seconds: engine time that it takes.
-    """
-
-    target_seconds: float
-    remaining_seconds: float
-    memory_tokens: int
-    cost_seconds: float
