Usage counts are marked as sent where their entries are built

Cause: a report went through the newest counts twice, once to mark them. Change: the entry's builder marks its count; sums of groups are marked too, which nothing reads. No behaviour.

--- a/src/lifttrestle/internal/fleet/usage/counts.py
+++ b/src/lifttrestle/internal/fleet/usage/counts.py
@@ -33,7 +33,7 @@
     :ivar touched_at: monotonic time of the last use, in seconds.
     :ivar net: units charged less units returned.
     :ivar reported: maximum of ``net``; a reported count never decreases.
-    :ivar sent: part of ``reported`` that was sent to an aggregator.
+    :ivar sent: part of ``reported`` that was sent.
     """
 
     serial: int
--- a/src/lifttrestle/internal/fleet/usage/publisher.py
+++ b/src/lifttrestle/internal/fleet/usage/publisher.py
@@ -70,8 +70,6 @@
         if aggregator != self._aggregator:
             counts.begin_anew(now)
             self._aggregator = aggregator
-        for _, count in counts.list_newest(now):
-            count.sent = count.reported
         return self._build(counts, now)
 
     def build_sum(self) -> list[UsedEntry] | None:
@@ -92,6 +90,7 @@
         shared = self._ledger.get_level(workspace)
         reliable = shared is not None and self._ledger.is_synced
         level = shared.level if shared is not None and reliable else None
+        count.sent = count.reported
         return UsedEntry(workspace, count.serial, count.reported, level)
 
     def handle_report(
