The time to first byte of an answer is measured once

Cause: the sample of an engine's speed read the clock again after the answer was recorded, and the status from which an answer is an error had two constants on the path of requests. Change: the sample uses the recorded time; one constant beside the answer.

--- a/src/lifttrestle/internal/fleet/path/attempt.py
+++ b/src/lifttrestle/internal/fleet/path/attempt.py
@@ -40,6 +40,7 @@
 # Shortest interval between checks of an upstream that has timed out while no
 # other upstream can take the request over.
 MIN_POLL_SECONDS = 0.2
+FIRST_CLIENT_ERROR = 400
 FIRST_SERVER_ERROR = 500
 MAX_DISCARDED_BYTES = 4 * 1024 * 1024
 # The body of an answer that declines a request is expected with its head, so
--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -30,6 +30,7 @@
 from lifttrestle.internal.fleet.crashes.held_row import format_digests
 from lifttrestle.internal.fleet.parts import FleetParts
 from lifttrestle.internal.fleet.path.answer_forwarding import AnswerForwarder
+from lifttrestle.internal.fleet.path.attempt import FIRST_CLIENT_ERROR
 from lifttrestle.internal.fleet.path.candidates import Candidates
 from lifttrestle.internal.fleet.path.dialect import RequestFacts
 from lifttrestle.internal.fleet.path.event_buffer import build_admitted_fields
@@ -55,7 +56,6 @@
 # Maximum number of times that one request is sent, including the sends that
 # upstreams declined without running the request.
 MAX_SENDS = 4
-FIRST_CLIENT_ERROR = 400
 _ATTEMPT_IDS = itertools.count()
 
 
--- a/src/lifttrestle/internal/fleet/path/sending.py
+++ b/src/lifttrestle/internal/fleet/path/sending.py
@@ -16,6 +16,7 @@
 from lifttrestle.internal.fleet.path.answer_forwarding import AnswerForwarder
 from lifttrestle.internal.fleet.path.answer_forwarding import InactivityTimeout
 from lifttrestle.internal.fleet.path.attempt import begin_attempt
+from lifttrestle.internal.fleet.path.attempt import FIRST_CLIENT_ERROR
 from lifttrestle.internal.fleet.path.attempt import UpstreamAnswer
 from lifttrestle.internal.fleet.path.attempt_options import build_options
 from lifttrestle.internal.fleet.path.candidates import Candidates
@@ -47,8 +48,6 @@
 # the next regular report, at most 0.15 s later, mean worth was 0.527 instead
 # of 0.561 (three days with faults, three seeds).
 LONG_PROMPT_TOKENS = 1000
-# Answers with an error status come sooner than others and show no speed.
-FIRST_ERROR = 400
 
 
 class RequestSender:
@@ -129,12 +128,9 @@
             lambda limit: parts.limits.note_answer(upstream, limit, sent_at),
         )
         parts.crashes.losses.note_answered(upstream, sent_at)
-        self._record_answer(chosen, attempt_id, options, answer, sent_at)
-        if answer.facts.status < FIRST_ERROR:
-            now = parts.clock.monotonic()
-            parts.engine_speeds.record_answer(
-                upstream, usual_seconds, now - sent_at, now
-            )
+        self._record_answer(
+            chosen, attempt_id, options, answer, sent_at, usual_seconds
+        )
         return answer, inactivity_timeout
 
     def _record_answer(
@@ -144,8 +140,12 @@
         options: AttemptOptions,
         answer: UpstreamAnswer,
         sent_at: float,
+        usual_seconds: float,
     ) -> None:
-        """Record when an answer began, compared to the expected time."""
+        """Record when an answer began, compared to the expected time.
+
+        :param usual_seconds: time expected at the usual speed of the service.
+        """
         request = self._request
         first_byte_at = self._parts.clock.monotonic()
         seconds = first_byte_at - sent_at
@@ -164,6 +164,11 @@
         if seconds > chosen.expected_seconds + FETCH_LATE_SECONDS:
             self._suspect_store(options)
         self._record_engine_answer(chosen, options, answer, seconds)
+        if answer.facts.status < FIRST_CLIENT_ERROR:
+            # Answers with an error status come sooner and show no speed.
+            self._parts.engine_speeds.record_answer(
+                chosen.upstream, usual_seconds, seconds, first_byte_at
+            )
 
     def _expect_usual(self, chosen: Placement) -> float:
         """Return the time to first byte expected at the usual speed."""
