The period of news needs no pacer of reports

Cause: each period a token bucket was built only to ask it for the regular period of reports, which its state does not change. Change: that period is a function, which the pacer calls too.

--- a/src/lifttrestle/internal/fleet/news/exchange.py
+++ b/src/lifttrestle/internal/fleet/news/exchange.py
@@ -140,7 +140,7 @@
         if uses_aggregation(live):
             remote = self._choice.count_remote_routers().values()
             group = max(self._choice.count_neighbours(), *remote, 1)
-        return compute_news_pace(self._clock, live, group)
+        return compute_news_pace(live, group)
 
     def exchange(self) -> None:
         """Send the news of this router, and apply that of the others."""
--- a/src/lifttrestle/internal/fleet/policy/news_pacing.py
+++ b/src/lifttrestle/internal/fleet/policy/news_pacing.py
@@ -18,9 +18,8 @@
 
 import dataclasses
 
-from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.policy.load_exchange import uses_aggregation
-from lifttrestle.internal.fleet.policy.report_pacing import ReportPacer
+from lifttrestle.internal.fleet.policy.report_pacing import compute_period
 
 PERIOD_SECONDS = 0.25
 MAX_PERIOD_SECONDS = 1.0
@@ -99,9 +98,7 @@
         return min(self.group_bytes // messages, MAX_MESSAGE_BYTES)
 
 
-def compute_news_pace(
-    clock: Clock, routers: int, largest_group: int
-) -> NewsPace:
+def compute_news_pace(routers: int, largest_group: int) -> NewsPace:
     """Return the timing and limits for a fleet.
 
     :param routers: number of live routers.
@@ -109,7 +106,7 @@
         that of the largest data centre, so that all routers have the same
         period and news of no group expires between two messages.
     """
-    regular = ReportPacer(clock).get_regular_seconds(largest_group)
+    regular = compute_period(largest_group)
     period = min(max(regular, PERIOD_SECONDS), MAX_PERIOD_SECONDS)
     if not uses_aggregation(routers):
         reports = routers * (routers - 1)
--- a/src/lifttrestle/internal/fleet/policy/report_pacing.py
+++ b/src/lifttrestle/internal/fleet/policy/report_pacing.py
@@ -39,6 +39,17 @@
 MAX_REGULAR_SECONDS = 1.0
 
 
+def compute_period(routers: int, max_rate: float = MAX_REPORT_RATE) -> float:
+    """Return the period of regular reports in seconds.
+
+    :param routers: number of routers that send reports to one receiver.
+    :param max_rate: reports per second that it receives from all together.
+    """
+    period = routers / max_rate
+    spread = min(period * REGULAR_PERIOD_FACTOR, MAX_REGULAR_SECONDS)
+    return max(REPORT_SECONDS, period, spread)
+
+
 class ReportPacer:
     """Token bucket for the reports of one router.
 
@@ -59,9 +70,7 @@
 
         :param routers: number of routers that send reports.
         """
-        period = routers / self._max_rate
-        spread = min(period * REGULAR_PERIOD_FACTOR, MAX_REGULAR_SECONDS)
-        return max(REPORT_SECONDS, period, spread)
+        return compute_period(routers, self._max_rate)
 
     def take(self, routers: int) -> float:
         """Take a token; return the seconds until the report may be sent."""
