News uses the digests as they are and has one age limit

Cause: digests of starts and of workspaces have 32 bits already, so cutting them to 32 bits did nothing; three sources of news had the same limit of its age under two names. Change: shorten_digest is gone, MAX_NEWS_SECONDS stands beside the interface of the sources. No behaviour; the test of the memory reads the constant there.

--- a/src/lifttrestle/internal/fleet/news/messages.py
+++ b/src/lifttrestle/internal/fleet/news/messages.py
@@ -21,14 +21,10 @@
 import msgspec
 
 Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+# Digests of starts and of workspaces have four bytes.
 ShortDigest = Annotated[int, msgspec.Meta(ge=0, lt=2**32)]
 
 
-def shorten_digest(digest: int) -> int:
-    """Return the digest as news contains it, 32 bits long."""
-    return digest % 2**32
-
-
 class HeldEntry(msgspec.Struct, frozen=True, array_like=True):
     """KV cache that the running requests of some routers use at an engine.
 
--- a/src/lifttrestle/internal/fleet/news/source.py
+++ b/src/lifttrestle/internal/fleet/news/source.py
@@ -20,6 +20,9 @@
 from lifttrestle.internal.fleet.news.messages import SpeedEntry
 from lifttrestle.internal.fleet.news.messages import UseEntry
 
+# News that was not replaced for three of its longest periods does not count.
+MAX_NEWS_SECONDS = 3.0
+
 
 @dataclasses.dataclass
 class NewsDraft:
--- a/src/lifttrestle/internal/fleet/state/engine_memory.py
+++ b/src/lifttrestle/internal/fleet/state/engine_memory.py
@@ -19,7 +19,7 @@
 
 from lifttrestle.internal.fleet.news.messages import EngineNews
 from lifttrestle.internal.fleet.news.messages import HeldEntry
-from lifttrestle.internal.fleet.news.messages import shorten_digest
+from lifttrestle.internal.fleet.news.source import MAX_NEWS_SECONDS
 from lifttrestle.internal.fleet.news.source import NewsDraft
 from lifttrestle.internal.fleet.news.source import NewsSource
 from lifttrestle.internal.fleet.policy.memory_fit import combine_held
@@ -35,9 +35,6 @@
 from lifttrestle.internal.fleet.state.catalogue import EngineConfig
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 
-# News applied longer ago counts as missing; the exchange applies it at least
-# once a second.
-NEWS_SECONDS = 3.0
 # Answers of a route that are remembered, and the part of them that the
 # expected length covers.
 MAX_ANSWERS = 64
@@ -123,7 +120,7 @@
             return
         added = need.count_added(self.get_held(upstream, now).parts)
         self._note_sizes(need, added)
-        engine = shorten_digest(upstream.digest)
+        engine = upstream.digest
         self._running[attempt_id] = RunningRequest(engine, need)
         self._own.setdefault(engine, {})[attempt_id] = need
 
@@ -159,7 +156,7 @@
 
         :param sizes: mean sizes of requests, None for those of this router.
         """
-        engine = shorten_digest(upstream.digest)
+        engine = upstream.digest
         own = _sum_needs(self._own.get(engine, {}).values())
         return combine_held(
             own,
@@ -171,9 +168,9 @@
 
     def _get_others(self, upstream: FleetUpstream, now: float) -> HeldMemory:
         """Return what other routers hold at an engine by their news."""
-        if now - self._news_at > NEWS_SECONDS:
+        if now - self._news_at > MAX_NEWS_SECONDS:
             return NOTHING
-        return self._others.get(shorten_digest(upstream.digest), NOTHING)
+        return self._others.get(upstream.digest, NOTHING)
 
     def decide(
         self,
--- a/src/lifttrestle/internal/fleet/state/engine_speeds.py
+++ b/src/lifttrestle/internal/fleet/state/engine_speeds.py
@@ -18,8 +18,8 @@
 import dataclasses
 
 from lifttrestle.internal.fleet.news.messages import EngineNews
-from lifttrestle.internal.fleet.news.messages import shorten_digest
 from lifttrestle.internal.fleet.news.messages import SpeedEntry
+from lifttrestle.internal.fleet.news.source import MAX_NEWS_SECONDS
 from lifttrestle.internal.fleet.news.source import NewsDraft
 from lifttrestle.internal.fleet.news.source import NewsSource
 from lifttrestle.internal.fleet.policy.engine_speed import compute_sample
@@ -44,8 +44,6 @@
 # Other routers use an entry until the next one, a period later: what it
 # contains is younger than the window by then.
 SHARED_SECONDS = WINDOW_SECONDS - 0.25
-# News that was not replaced for three of its longest periods is not used.
-MAX_NEWS_SECONDS = 3.0
 # Estimates are updated after this time, or when an answer was recorded.
 UPDATE_SECONDS = 0.02
 # An engine without recent samples counts in the median of its service with its
@@ -146,7 +144,7 @@
         if expected_seconds <= 0:
             return
         ratio = compute_sample(observed_seconds, expected_seconds)
-        key = shorten_digest(upstream.digest)
+        key = upstream.digest
         record = self._records.setdefault(key, _EngineRecord())
         if ratio < SLOW_RATIO:
             # It ends a slow period, so slow answers before it count no more.
@@ -239,7 +237,7 @@
         for upstream, record in found:
             lowest = merge_lowest(
                 _find_own(upstream, record, now, WINDOW_SECONDS),
-                self._news.get(shorten_digest(upstream.digest)),
+                self._news.get(upstream.digest),
             )
             if lowest is not None:
                 record.ratio = lowest.ratio
--- a/src/lifttrestle/internal/fleet/state/workspace_use.py
+++ b/src/lifttrestle/internal/fleet/state/workspace_use.py
@@ -19,8 +19,8 @@
 
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.news.messages import EngineNews
-from lifttrestle.internal.fleet.news.messages import shorten_digest
 from lifttrestle.internal.fleet.news.messages import UseEntry
+from lifttrestle.internal.fleet.news.source import MAX_NEWS_SECONDS
 from lifttrestle.internal.fleet.news.source import NewsDraft
 from lifttrestle.internal.fleet.news.source import NewsSource
 from lifttrestle.internal.fleet.policy.fair_shares import AVERAGING_SECONDS
@@ -32,9 +32,6 @@
 from lifttrestle.internal.fleet.state.catalogue import Workspace
 
 MILLISECONDS = 1000
-# News that was not replaced for this long no longer counts: three of the
-# longest periods in which it is sent.
-NEWS_SECONDS = 3.0
 # A level of the shares is used for this long: the averages change by 2% at
 # most, and 80 workspaces take 0.6 ms to evaluate.
 LEVEL_SECONDS = 0.05
@@ -137,7 +134,7 @@
         now = self._clock.monotonic()
         self._began_at = min(self._began_at, now)
         average = self._averages.setdefault(
-            shorten_digest(workspace.digest), UseAverage(at=now)
+            workspace.digest, UseAverage(at=now)
         )
         average.decay(now)
         return average
@@ -158,11 +155,10 @@
         return [demand for demand in found if demand is not None]
 
     def _get_demand(
-        self, full_digest: int, cap: UsageCap | None, now: float
+        self, digest: int, cap: UsageCap | None, now: float
     ) -> WorkspaceDemand | None:
         """Return the demand of a workspace, None without demand or cap."""
-        digest = shorten_digest(full_digest)
-        fresh = now - self._applied_at < NEWS_SECONDS
+        fresh = now - self._applied_at < MAX_NEWS_SECONDS
         others = self._others if fresh else {}
         scale = 1 if others else self._count_routers()
         asked = used = 0.0
--- a/tests/cover/test_engine_memory.py
+++ b/tests/cover/test_engine_memory.py
@@ -17,6 +17,7 @@
 
 from lifttrestle.internal.fleet.news.messages import EngineNews
 from lifttrestle.internal.fleet.news.messages import HeldEntry
+from lifttrestle.internal.fleet.news.source import MAX_NEWS_SECONDS
 from lifttrestle.internal.fleet.news.source import NewsDraft
 from lifttrestle.internal.fleet.path.dialect import Generation
 from lifttrestle.internal.fleet.path.dialect import PromptPart
@@ -26,7 +27,6 @@
 from lifttrestle.internal.fleet.policy.memory_fit import MemoryNeed
 from lifttrestle.internal.fleet.state.engine_memory import AnswerLengths
 from lifttrestle.internal.fleet.state.engine_memory import EngineMemory
-from lifttrestle.internal.fleet.state.engine_memory import NEWS_SECONDS
 from tests.support.directories import DirectoryCase
 from tests.support.memory_simulation import MemoryScenario
 from tests.support.memory_simulation import MemorySimulation
@@ -128,7 +128,7 @@
         entry = HeldEntry(self.upstream.digest, 500, [(7, 3000), (8, 200)])
         self.memory.apply_news(EngineNews([entry]), 0.0)
         self.assertEqual(self.get_tokens(), 4700)
-        self.assertEqual(self.get_tokens(NEWS_SECONDS + 0.1), 4000)
+        self.assertEqual(self.get_tokens(MAX_NEWS_SECONDS + 0.1), 4000)
 
     def test_unread_prompts_count_before_their_news(self):
         self.upstream.peers_unread = 9000
