Answers that no longer count for the speed of an engine are dropped

Cause: each engine's last 512 answers were kept, and every decision went through those of all engines, though an answer counts for two seconds at most. The cost of a decision grew with the time that the router ran. Change: the old answers are dropped where the lowest one is looked for. Measured: the new test kept 512 answers before; test_engine_speeds 16 passed.

--- a/src/lifttrestle/internal/fleet/state/engine_speeds.py
+++ b/src/lifttrestle/internal/fleet/state/engine_speeds.py
@@ -30,6 +30,7 @@
 from lifttrestle.internal.fleet.policy.engine_speed import merge_lowest
 from lifttrestle.internal.fleet.policy.engine_speed import SLOW_RATIO
 from lifttrestle.internal.fleet.policy.engine_speed import SLOW_UNTIL
+from lifttrestle.internal.fleet.policy.engine_speed import SLOW_WINDOW_SECONDS
 from lifttrestle.internal.fleet.policy.engine_speed import SpeedEstimate
 from lifttrestle.internal.fleet.policy.engine_speed import update_estimate
 from lifttrestle.internal.fleet.policy.engine_speed import WINDOW_SECONDS
@@ -74,6 +75,12 @@
     seen_at: float = NEVER
     estimate: SpeedEstimate = SpeedEstimate()
 
+    def drop_expired(self, now: float) -> None:
+        """Drop the answers that are too old to count."""
+        earliest = now - SLOW_WINDOW_SECONDS
+        while self.samples and self.samples[0][0] < earliest:
+            self.samples.popleft()
+
     def drop_slow(self) -> None:
         """Drop the slow answers."""
         if any(ratio >= SLOW_RATIO for _, ratio in self.samples):
@@ -267,6 +274,7 @@
     upstream: FleetUpstream, record: _EngineRecord, now: float, seconds: float
 ) -> LowestSample | None:
     """Return this router's lowest sample in a window of ``seconds``."""
+    record.drop_expired(now)
     return find_lowest(
         (
             ratio
--- a/tests/cover/test_engine_speeds.py
+++ b/tests/cover/test_engine_speeds.py
@@ -130,6 +130,15 @@
         self.get_slowdowns(0.1)
         self.assertEqual(self.get_slowdowns(5.0), {})
 
+    def test_regression_answers_that_no_longer_count_were_kept(self):
+        # Each decision went through up to 512 answers of every engine.
+        for number in range(1, 601):
+            now = 0.1 * number
+            self.speeds.record_answer(self.engines[0], 0.1, 0.1, now)
+            self.get_slowdowns(now)
+        record = self.speeds._records[self.engines[0].digest]
+        self.assertLessEqual(len(record.samples), 21)
+
     def test_news_of_a_killed_router_is_replaced(self):
         fast = [SpeedEntry(self.engines[0].digest, 100, 4)]
         self.speeds.apply_news(EngineNews(speeds=fast), 0.1)
