The size of the news in a message is computed in one place

Cause: the exchange and the aggregator each took the header and the name of the sender off the size of a message. Change: limit_message_news does it for both; no behaviour. Measured: test_news_exchange 16 passed.

--- a/src/lifttrestle/internal/fleet/news/aggregation.py
+++ b/src/lifttrestle/internal/fleet/news/aggregation.py
@@ -15,10 +15,8 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 
-from lifttrestle.internal.fleet.news.merging import HEADER_BYTES
-from lifttrestle.internal.fleet.news.merging import limit_news
+from lifttrestle.internal.fleet.news.merging import limit_message_news
 from lifttrestle.internal.fleet.news.merging import merge_news
-from lifttrestle.internal.fleet.news.messages import EngineNews
 from lifttrestle.internal.fleet.news.messages import FleetNews
 from lifttrestle.internal.fleet.news.messages import GroupNews
 from lifttrestle.internal.fleet.news.messages import NewsMessage
@@ -80,18 +78,17 @@
         groups = [f'{ROUTER_PREFIX}{vm}' for vm in self._groups.list_numbers()]
         others = {*groups, *candidates} - {own}
         limit = pace.get_group_limit(len(groups) + 1, len(others))
-        message = GroupNews(self._vm, self._number, self._limit(group, limit))
+        limited = limit_message_news(group, self._vm, limit)
+        message = GroupNews(self._vm, self._number, limited)
         for key in sorted(others):
             self._send(message, key)
-        fleet = self._limit(
-            merge_news([group, *self._groups.list_news()]), pace.fleet_bytes
+        fleet = limit_message_news(
+            merge_news([group, *self._groups.list_news()]),
+            self._vm,
+            pace.fleet_bytes,
         )
         for vm, number in members.items():
             self._send(
                 FleetNews(self._vm, self._number, number, fleet),
                 f'{ROUTER_PREFIX}{vm}',
             )
-
-    def _limit(self, news: EngineNews, max_bytes: int) -> EngineNews:
-        space = max_bytes - HEADER_BYTES - len(self._vm.encode())
-        return limit_news(news, space)
--- a/src/lifttrestle/internal/fleet/news/exchange.py
+++ b/src/lifttrestle/internal/fleet/news/exchange.py
@@ -25,8 +25,7 @@
 from lifttrestle.internal.clock.ticker import Ticker
 from lifttrestle.internal.fleet.news.aggregation import NewsAggregator
 from lifttrestle.internal.fleet.news.merging import count_entries
-from lifttrestle.internal.fleet.news.merging import HEADER_BYTES
-from lifttrestle.internal.fleet.news.merging import limit_news
+from lifttrestle.internal.fleet.news.merging import limit_message_news
 from lifttrestle.internal.fleet.news.merging import merge_news
 from lifttrestle.internal.fleet.news.merging import subtract_news
 from lifttrestle.internal.fleet.news.messages import EngineNews
@@ -253,8 +252,7 @@
         return own / (own + peers)
 
     def _limit(self, news: EngineNews, max_bytes: int) -> EngineNews:
-        space = max_bytes - HEADER_BYTES - len(self._vm.encode())
-        limited = limit_news(news, space)
+        limited = limit_message_news(news, self._vm, max_bytes)
         omitted = count_entries(news) - count_entries(limited)
         if omitted and not self._omits:
             LOG.info('news.entries_omitted', count=omitted, bytes=max_bytes)
--- a/src/lifttrestle/internal/fleet/news/merging.py
+++ b/src/lifttrestle/internal/fleet/news/merging.py
@@ -116,9 +116,20 @@
     )
 
 
-def limit_news(news: EngineNews, max_bytes: int) -> EngineNews:
+def limit_message_news(
+    news: EngineNews, vm: str, max_bytes: int
+) -> EngineNews:
     """Return the most important entries that fit into a message.
 
+    :param vm: sender of the message.
+    :param max_bytes: size of the message in bytes.
+    """
+    return limit_news(news, max_bytes - HEADER_BYTES - len(vm.encode()))
+
+
+def limit_news(news: EngineNews, max_bytes: int) -> EngineNews:
+    """Return the most important of some entries.
+
     The tokens of small shared parts are added to those of their engine first,
     so that the sum of an engine stays right. Then the entries of the engines
     that hold least, are least slow, and of the workspaces that use least are
