Functions and fields that nothing uses are gone

Cause: the memory of engines is not connected, so its gauge and the services that call for it had no caller; nothing set the free memory of a condition and nothing read the age of its news. Change: removed; a comment on the age of shared samples says for which period it holds. Measured: TestFit, TestEngineSpeeds and test_fleet_placement, 28 passed; lint clean.

--- a/src/lifttrestle/internal/fleet/policy/load_view.py
+++ b/src/lifttrestle/internal/fleet/policy/load_view.py
@@ -20,14 +20,9 @@
     """Condition of one engine, as all routers together know it.
 
     :ivar slowdown: factor by which it is slower than its service, at least 1.
-    :ivar free_tokens: KV cache that requests may still use, None if unknown.
-    :ivar age_seconds: age of the news of the other routers, infinite if there
-        is none.
     """
 
     slowdown: float = 1.0
-    free_tokens: int | None = None
-    age_seconds: float = float('inf')
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/lifttrestle/internal/fleet/state/engine_memory.py
+++ b/src/lifttrestle/internal/fleet/state/engine_memory.py
@@ -31,8 +31,6 @@
 from lifttrestle.internal.fleet.policy.memory_fit import MemoryNeed
 from lifttrestle.internal.fleet.policy.memory_fit import NO_SIZES
 from lifttrestle.internal.fleet.policy.memory_fit import RequestSizes
-from lifttrestle.internal.fleet.state.catalogue import Catalogue
-from lifttrestle.internal.fleet.state.catalogue import EngineConfig
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 
 # Answers of a route that are remembered, and the part of them that the
@@ -210,24 +208,6 @@
             for entry in others.held
         }
 
-    def find_fullest_share(
-        self,
-        catalogue: Catalogue | None,
-        upstreams: Iterable[FleetUpstream],
-        now: float,
-    ) -> float:
-        """Return the largest part of an engine's memory that is in use.
-
-        Only engines with large slots count; zero if there are none.
-        """
-        shares = []
-        for upstream in upstreams:
-            engine = find_large_engine(catalogue, upstream.entry.service)
-            if engine is not None:
-                held = self.get_held(upstream, now).all_tokens
-                shares.append(held / engine.memory_tokens)
-        return max(shares, default=0.0)
-
     def _note_sizes(self, need: MemoryNeed, added: int) -> None:
         self._sent += 1
         weight = max(1 / self._sent, MIN_SIZE_WEIGHT)
@@ -239,16 +219,6 @@
         )
 
 
-def find_large_engine(
-    catalogue: Catalogue | None, service: str
-) -> EngineConfig | None:
-    """Return the engines of a service, None if they lack large slots."""
-    configured = catalogue.services.get(service) if catalogue else None
-    if configured is None or not configured.has_large_slots:
-        return None
-    return configured.engine
-
-
 def _smooth(mean: float, newest: float, weight: float) -> float:
     return mean + weight * (newest - mean)
 
--- a/src/lifttrestle/internal/fleet/state/engine_speeds.py
+++ b/src/lifttrestle/internal/fleet/state/engine_speeds.py
@@ -42,8 +42,8 @@
 
 LOG = get_event_log('upstreams')
 PERCENT = 100
-# Other routers use an entry until the next one, a period later: what it
-# contains is younger than the window by then.
+# Other routers use an entry until the next one: with the shortest period,
+# what it contains is younger than the window by then.
 SHARED_SECONDS = WINDOW_SECONDS - 0.25
 # Estimates are updated after this time, or when an answer was recorded.
 UPDATE_SECONDS = 0.02
@@ -265,9 +265,7 @@
             if estimate.is_slow != before.is_slow:
                 _log_change(upstream, estimate, seen[upstream.start])
             if estimate.slowdown >= SLOW_UNTIL:
-                conditions[upstream.start] = EngineCondition(
-                    estimate.slowdown, age_seconds=now - self._news_at
-                )
+                conditions[upstream.start] = EngineCondition(estimate.slowdown)
 
 
 def _find_own(
