The simulation of shares decides within the simulation of loads

Cause: it had a copy of the placing of a request, with its decision, its rule for a second refusal and its count inside. Change: these three are methods of the simulation of loads, which it overrides; no bound, seed or assertion.

--- a/tests/support/load_simulation.py
+++ b/tests/support/load_simulation.py
@@ -42,6 +42,7 @@
 from lifttrestle.internal.fleet.policy.placement import Placement
 from lifttrestle.internal.fleet.policy.report_pacing import REPORT_SECONDS
 from lifttrestle.internal.fleet.policy.shedding import decide_shedding
+from lifttrestle.internal.fleet.policy.shedding import ShedDecision
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.engine_pace import EnginePace
 from lifttrestle.internal.fleet.state.engine_pace import FIRST_STEP_SECONDS
@@ -385,23 +386,40 @@
             self._source,
         )
         assert placement is not None, 'no engine fails in this simulation'
-        shedding = None
-        if load.sheds:
-            shedding = decide_shedding(
-                placement.expected_seconds,
-                placement.queue_seconds,
-                load.target_seconds,
-            )
+        shedding = self._decide(router, placement, tokens, first_at)
         if shedding is None:
             self._send(router, placement, tokens, first_at)
-        elif now > first_at:
-            self.outcomes[Outcome.REFUSED_TWICE] += 1
+        elif self._came_back(first_at, now):
+            self._count_refused_twice(first_at)
         else:
             back_at = now + shedding.retry_after + ROUND_TRIP_SECONDS
             self._schedule(
                 back_at, lambda: self._handle_request(first_at, is_long)
             )
 
+    def _decide(
+        self,
+        router: SimulatedRouter,
+        placement: Placement,
+        tokens: int,
+        first_at: float,
+    ) -> ShedDecision | None:
+        """Return how a request is refused, None if it is sent."""
+        if not self._load.sheds:
+            return None
+        return decide_shedding(
+            placement.expected_seconds,
+            placement.queue_seconds,
+            self._load.target_seconds,
+        )
+
+    def _came_back(self, first_at: float, now: float) -> bool:
+        """Return whether a request was refused before."""
+        return now > first_at
+
+    def _count_refused_twice(self, first_at: float) -> None:
+        self.outcomes[Outcome.REFUSED_TWICE] += 1
+
     def _send(
         self,
         router: SimulatedRouter,
--- a/tests/support/share_simulation.py
+++ b/tests/support/share_simulation.py
@@ -25,13 +25,10 @@
 from lifttrestle.internal.fleet.news.messages import EngineNews
 from lifttrestle.internal.fleet.news.messages import UseEntry
 from lifttrestle.internal.fleet.news.source import NewsDraft
-from lifttrestle.internal.fleet.path.dialect import Generation
-from lifttrestle.internal.fleet.path.dialect import PromptPart
-from lifttrestle.internal.fleet.policy.engine_costs import PlacementContext
 from lifttrestle.internal.fleet.policy.fair_shares import estimate_cost
-from lifttrestle.internal.fleet.policy.placement import choose_engine
 from lifttrestle.internal.fleet.policy.placement import Placement
 from lifttrestle.internal.fleet.policy.shedding import decide_shedding
+from lifttrestle.internal.fleet.policy.shedding import ShedDecision
 from lifttrestle.internal.fleet.policy.usage_caps import UsageCap
 from lifttrestle.internal.fleet.state.catalogue import Workspace
 from lifttrestle.internal.fleet.state.engine_pace import FIRST_STEP_SECONDS
@@ -40,7 +37,6 @@
 from tests.support.load_simulation import LoadScenario
 from tests.support.load_simulation import LoadSimulation
 from tests.support.load_simulation import Outcome
-from tests.support.load_simulation import ROUND_TRIP_SECONDS
 from tests.support.load_simulation import SimulatedRouter
 
 NEWS_SECONDS = 0.25
@@ -215,26 +211,16 @@
             self._sender = self._senders[first_at]
             super()._handle_request(first_at, is_long)
 
-    def _place(
-        self, router: SimulatedRouter, first_at: float, is_long: bool
-    ) -> None:
-        """Place a request of a workspace on an engine, or refuse it."""
+    def _decide(
+        self,
+        router: SimulatedRouter,
+        placement: Placement,
+        tokens: int,
+        first_at: float,
+    ) -> ShedDecision | None:
+        """Return how a request is refused by the standing of its workspace."""
         load = self._shares
         workspace = self._senders[first_at]
-        tokens = load.long_tokens if is_long else load.short_tokens
-        own = PromptPart(f'{self._source.getrandbits(32):x}', tokens)
-        now = self._clock.monotonic()
-        placement = choose_engine(
-            list(router.directory),
-            Generation('m', tokens, OUTPUT_TOKENS, (own,)),
-            'shared',
-            router.parts,
-            PlacementContext(
-                now, 'a', 1, prefill_seconds=router.pace.prefill_seconds
-            ),
-            self._source,
-        )
-        assert placement is not None, 'no engine fails in this simulation'
         use = self._uses[router]
         cost = self._get_cost(router, tokens)
         standing = use.get_standing(workspace, cost) if load.shares else None
@@ -245,19 +231,16 @@
             load.target_seconds,
             standing,
         )
-        if shedding is None:
-            self._send(router, placement, tokens, first_at)
-            return
-        if shedding.is_over_share:
-            self.over_share.append(now)
+        if shedding is not None and shedding.is_over_share:
+            self.over_share.append(self._clock.monotonic())
+        return shedding
+
+    def _came_back(self, first_at: float, now: float) -> bool:
         # The first attempt may have waited for the loads of other routers.
-        if now > first_at + 2 * ANSWER_SECONDS:
-            self._count(first_at, Outcome.REFUSED_TWICE)
-            return
-        back_at = now + shedding.retry_after + ROUND_TRIP_SECONDS
-        self._schedule(
-            back_at, lambda: self._handle_request(first_at, is_long)
-        )
+        return now > first_at + 2 * ANSWER_SECONDS
+
+    def _count_refused_twice(self, first_at: float) -> None:
+        self._count(first_at, Outcome.REFUSED_TWICE)
 
     def _send(
         self,
