--- a/src/lifttrestle/internal/fleet/path/stream_origin.py
+++ b/src/lifttrestle/internal/fleet/path/stream_origin.py
@@ -40,6 +40,7 @@
         [share.service for share in route.shares],
     )
     request.event_buffer.add('origin', **build_origin_fields(found))
+    request.parts.metrics.count_origin(found.source.name.lower())
     if found.origin is None:
         raise RequestRefused(
             ErrorKind.STREAM_NOT_RESUMABLE,
--- a/src/lifttrestle/internal/telemetry/fleet_metrics.py
+++ b/src/lifttrestle/internal/telemetry/fleet_metrics.py
@@ -84,6 +84,9 @@
         self._resumed = self._make_counter(
             'resumed', 'Sends that resume a stream.', ('service', 'software')
         )
+        self._origins = self._make_counter(
+            'origins', 'Streams that callers resume.', ('known_by',)
+        )
         self._labelled_workspaces: set[str] = set()
         self._retries_spent = self._make_gauge(
             'retry_budget_spent', 'Retries in the current window.'
@@ -166,6 +169,13 @@
         """
         self._resumed.labels(service, software).inc()
 
+    def count_origin(self, known_by: str) -> None:
+        """Count a stream that a caller resumes.
+
+        :param known_by: how it was found what began it, or ``unknown``.
+        """
+        self._origins.labels(known_by).inc()
+
     def count_connection(self, service: str, reused: bool) -> None:
         """Count an attempt by whether its connection was reused."""
         self._connections.labels(service, 'kept' if reused else 'new').inc()
--- a/tests/nocover/test_software_versions.py
+++ b/tests/nocover/test_software_versions.py
@@ -176,6 +176,7 @@
             address = fleet.get_address('r1')
             await stream.call(address)
             arrivals = self._count_arrivals(fleet)
+            count = fleet.routers['r1'].registry.get_sample_value
             for name, headers in cases.items():
                 with self.subTest(name):
                     await stream.call(address, headers=headers)
@@ -185,6 +186,10 @@
                 await stream.call(address, headers=(last, ('resumes', 's.0')))
                 self.assertEqual(stream.statuses[-1], 503)
             self.assertEqual(self._count_arrivals(fleet), arrivals)
+            unknown = count(
+                'lifttrestle_origins_total', {'known_by': 'unknown'}
+            )
+            self.assertEqual(unknown, len(cases) + 1)
 
     async def test_stream_begins_anew_without_the_last_event(self):
         async with run_version_fleet(ONE_TO_ONE, ('r1',)) as fleet:
