Origins of streams outlast all routers that know them

Cause: what began a stream was kept in the memory of routers only. Once each router that held a record had ended, killed at once or in turn, or stopped as planned, nobody knew it, and what is not known is not guessed.

--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -44,6 +44,7 @@
 from lifttrestle.internal.fleet.path.request_digest import identify_request
 from lifttrestle.internal.fleet.path.sending import RequestSender
 from lifttrestle.internal.fleet.path.stream_origin import bind_stream
+from lifttrestle.internal.fleet.path.stream_origin import note_complete
 from lifttrestle.internal.fleet.path.upstream_search import find_upstream
 from lifttrestle.internal.fleet.path.watched_work import read_body
 from lifttrestle.internal.fleet.path.watched_work import run_while_connected
@@ -180,6 +181,7 @@
         try:
             async with ReadTimeout(request.get_remaining_seconds()):
                 await run_attempts(self)
+            note_complete(request)
         except TimeoutError:
             self._event_buffer.add('out_of_time')
             raise RequestRefused(
--- a/src/lifttrestle/internal/fleet/path/stream_origin.py
+++ b/src/lifttrestle/internal/fleet/path/stream_origin.py
@@ -50,12 +50,29 @@
     request.readmit()
 
 
+def note_complete(request: RequestContext) -> None:
+    """Record that the answer was sent, so that no caller resumes it."""
+    begun_by = _get_first_request(request)
+    if begun_by and request.binding.origin is not None:
+        streams = request.parts.streams
+        streams.note_complete(request.admitted.workspace_name, begun_by)
+
+
 def _record(request: RequestContext, origin: StreamOrigin) -> None:
     """Record the origin of a stream that its caller may resume."""
+    begun_by = _get_first_request(request)
+    if begun_by:
+        streams = request.parts.streams
+        streams.record(request.admitted.workspace_name, begun_by, origin)
+
+
+def _get_first_request(request: RequestContext) -> str:
+    """Return the id of the request that brought the first event.
+
+    Empty if the caller may not resume the stream, or does not name it.
+    """
+    if not request.admitted.route.resumable:
+        return ''
     facts = request.facts
     resumed = facts.last_event_id is not None
-    begun_by = facts.resumes if resumed else facts.request_id
-    admitted = request.admitted
-    if begun_by and admitted.route.resumable:
-        streams = request.parts.streams
-        streams.record(admitted.workspace_name, begun_by, origin)
+    return facts.resumes if resumed else facts.request_id
--- /dev/null
+++ b/src/lifttrestle/internal/fleet/streams/origin_rows.py
@@ -0,0 +1,205 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Stores the origins of open streams, and reads those of all routers.
+
+Messages between routers and what they keep in memory are lost when all routers
+that hold an origin end. Each router stores those of the streams that it
+serves; the rows are read only when a stream is resumed that nobody knows.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from lifttrestle.errors import ConditionFailed
+from lifttrestle.errors import PlatformUnavailable
+from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.policy.origin_pacing import get_write_seconds
+from lifttrestle.internal.fleet.state.roster import Roster
+from lifttrestle.internal.fleet.state.rows import NO_ROW
+from lifttrestle.internal.fleet.state.rows import RowStore
+from lifttrestle.internal.fleet.state.rows import RowWrite
+from lifttrestle.internal.fleet.state.rows import VersionedRow
+from lifttrestle.internal.fleet.streams.ledger import OriginLedger
+from lifttrestle.internal.fleet.streams.open_streams import OpenStreams
+from lifttrestle.internal.fleet.streams.origin import StreamOrigin
+from lifttrestle.internal.fleet.streams.origin_row import decode_origin_row
+from lifttrestle.internal.fleet.streams.origin_row import encode_origin_row
+from lifttrestle.internal.fleet.streams.origin_row import list_row_origins
+from lifttrestle.internal.fleet.streams.origin_row import ORIGIN_TABLE
+from lifttrestle.internal.fleet.streams.origin_row import OriginRow
+from lifttrestle.internal.intake.refusals import InputRefusals
+from lifttrestle.internal.telemetry.event_log import get_event_log
+
+LOG = get_event_log('streams')
+# Any caller can name a stream that never was: that costs one read a period.
+READ_SECONDS = 1.0
+# The row of a router that has ended for good is removed after this time.
+ABANDONED_SECONDS = 3600.0
+MILLISECONDS = 1000
+
+
+class OriginRows:
+    """Writes the row of this router and reads the rows of all.
+
+    :param vm: key of this router's row.
+    :param ledger: receives the origins that are read.
+    :param get_life_seconds: returns for how long a stream that has begun may
+        be resumed.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        store: RowStore,
+        roster: Roster,
+        ledger: OriginLedger,
+        clock: Clock,
+        get_life_seconds: Callable[[], float],
+        refusals: InputRefusals | None = None,
+    ) -> None:
+        self._key = vm
+        self._store = store
+        self._roster = roster
+        self._ledger = ledger
+        self._clock = clock
+        self._get_life_seconds = get_life_seconds
+        self._refusals = refusals or InputRefusals()
+        self._open = OpenStreams(clock)
+        # Version of this router's row, None if it has to be read first.
+        self._own_version: int | None = None
+        self._write_at = 0.0
+        self._read_at = -READ_SECONDS
+        self._next_read: asyncio.Task[None] | None = None
+
+    def note_begun(self, digest: int, origin: StreamOrigin) -> None:
+        """Record a stream that this router begins or resumes."""
+        self._open.add(digest, origin)
+
+    def note_complete(self, digest: int) -> None:
+        """Record that a caller has received its stream completely."""
+        self._open.remove(digest)
+
+    async def write_due(self, *, needed: bool) -> None:
+        """Write this router's row if it has changed; errors are logged.
+
+        :param needed: whether streams may have different origins; without
+            that the row is removed.
+        """
+        now = self._clock.monotonic()
+        if now < self._write_at:
+            return
+        self._open.remove_expired(self._get_life_seconds())
+        if needed and self._open.changed:
+            await self._write_open()
+        elif not needed and self._own_version not in (None, NO_ROW):
+            await self._write(None)
+
+    async def read_current(self) -> None:
+        """Read all rows, beginning after this call; errors are logged.
+
+        Calls that wait together share one read.
+        """
+        if self._next_read is None:
+            self._next_read = asyncio.create_task(self._read_next())
+        await asyncio.shield(self._next_read)
+
+    async def _read_next(self) -> None:
+        pause = self._read_at + READ_SECONDS - self._clock.monotonic()
+        if pause > 0:
+            await self._clock.sleep(pause)
+        self._read_at = self._clock.monotonic()
+        self._next_read = None
+        await self._read()
+
+    async def _write_open(self) -> None:
+        if self._own_version is None:
+            await self._read()
+        if self._own_version is None:
+            self._delay_write()
+            return
+        self._open.changed = False
+        written = await self._write(
+            encode_origin_row(self._open.list_origins(), self._get_unix_ms())
+        )
+        if not written:
+            self._open.changed = True
+
+    async def _write(self, value: bytes | None) -> bool:
+        assert self._own_version is not None, 'the row was read'
+        self._delay_write()
+        write = RowWrite(ORIGIN_TABLE, self._key, value, self._own_version)
+        try:
+            version = await self._store.write_row(write)
+        except (ConditionFailed, PlatformUnavailable) as error:
+            # A write without an answer may have taken effect.
+            self._own_version = None
+            LOG.info('origins.not_written', reason=str(error))
+            return False
+        self._own_version = NO_ROW if value is None else version
+        return True
+
+    def _delay_write(self) -> None:
+        seconds = get_write_seconds(self._roster.live)
+        self._write_at = self._clock.monotonic() + seconds
+
+    async def _read(self) -> None:
+        try:
+            changes = await self._store.read_table(ORIGIN_TABLE)
+        except PlatformUnavailable as error:
+            LOG.info('origins.not_read', reason=str(error))
+            return
+        is_first = self._own_version is None
+        if is_first:
+            self._own_version = NO_ROW
+        for row in changes.rows:
+            self._apply_row(row, adopt=is_first and row.key == self._key)
+        LOG.info('origins.read', routers=len(changes.rows))
+        for row in changes.rows:
+            await self._remove_abandoned(row)
+
+    def _apply_row(self, row: VersionedRow, *, adopt: bool) -> None:
+        """Record the origins of a row.
+
+        :param adopt: whether the row is of an earlier start of this router,
+            whose streams the next write must not drop.
+        """
+        decoded = self._decode(row)
+        for digest, origin in list_row_origins(decoded).items():
+            if self._ledger.get(digest) is None:
+                self._ledger.put(digest, origin)
+            if adopt:
+                self._open.add(digest, origin)
+        if adopt:
+            self._own_version = row.version
+
+    def _decode(self, row: VersionedRow) -> OriginRow:
+        """Return a decoded row, an empty one if it is invalid."""
+        try:
+            if row.value is not None:
+                return decode_origin_row(row.value)
+        except ValueError as error:
+            self._refusals.report('streams', row.key, error)
+        return OriginRow(self._get_unix_ms(), [], [])
+
+    async def _remove_abandoned(self, row: VersionedRow) -> None:
+        age_ms = self._get_unix_ms() - self._decode(row).written_at_ms
+        if row.key == self._key or age_ms < ABANDONED_SECONDS * MILLISECONDS:
+            return
+        write = RowWrite(ORIGIN_TABLE, row.key, None, row.version)
+        try:
+            await self._store.write_row(write)
+        except (ConditionFailed, PlatformUnavailable) as error:
+            LOG.info('origins.row_left', router=row.key, reason=str(error))
+
+    def _get_unix_ms(self) -> int:
+        return int(self._clock.now().timestamp() * MILLISECONDS)
--- a/src/lifttrestle/internal/fleet/streams/origins.py
+++ b/src/lifttrestle/internal/fleet/streams/origins.py
@@ -33,6 +33,7 @@
 from lifttrestle.internal.fleet.streams.ledger import build_stream_digest
 from lifttrestle.internal.fleet.streams.ledger import OriginLedger
 from lifttrestle.internal.fleet.streams.origin import StreamOrigin
+from lifttrestle.internal.fleet.streams.origin_rows import OriginRows
 from lifttrestle.internal.fleet.streams.recent_software import RecentSoftware
 from lifttrestle.internal.fleet.streams.software_rows import SoftwareRows
 from lifttrestle.internal.intake.refusals import InputRefusals
@@ -53,6 +54,7 @@
     # All upstreams that may have begun it have the same software.
     ONLY_VERSION = enum.auto()
     OWNER = enum.auto()
+    STORE = enum.auto()
     UNKNOWN = enum.auto()
 
 
@@ -89,6 +91,15 @@
         self._recent = RecentSoftware(directory, clock, self.get_life_seconds)
         self._rows = SoftwareRows(store, roster, clock, refusals)
         self._exchange = OriginExchange(vm, self._ledger, roster, clock)
+        self._origin_rows = OriginRows(
+            vm,
+            store,
+            roster,
+            self._ledger,
+            clock,
+            self.get_life_seconds,
+            refusals,
+        )
         self.get_catalogue: Callable[[], Catalogue | None] = lambda: None
         self.is_list_current: Callable[[], bool] = lambda: True
         self.is_loaded: Callable[[], bool] = lambda: True
@@ -118,6 +129,15 @@
         """
         digest = build_stream_digest(workspace, request_id)
         self._exchange.record(digest, origin)
+        self._origin_rows.note_begun(digest, origin)
+
+    def note_complete(self, workspace: str, request_id: str) -> None:
+        """Record that a stream was sent completely.
+
+        :param request_id: of the request that brought the first event.
+        """
+        digest = build_stream_digest(workspace, request_id)
+        self._origin_rows.note_complete(digest)
 
     async def find(
         self, workspace: str, resumes: str, services: Iterable[str]
@@ -134,11 +154,15 @@
         only = self._find_only(list(services))
         if only is not None:
             return FoundOrigin(only, OriginSource.ONLY_VERSION)
-        if (
-            resumes
-            and (origin := await self._exchange.ask(digest)) is not None
-        ):
+        if not resumes:
+            return UNKNOWN
+        origin = await self._exchange.ask(digest)
+        if origin is not None:
             return FoundOrigin(origin, OriginSource.OWNER)
+        await self._origin_rows.read_current()
+        origin = self._ledger.get(digest)
+        if origin is not None:
+            return FoundOrigin(origin, OriginSource.STORE)
         return UNKNOWN
 
     def count_versions(self, service: str) -> Mapping[str | None, int]:
@@ -154,14 +178,18 @@
         if len(services) != 1 or not self.is_list_current():
             return None
         (service,) = services
-        versions = {
-            *self._recent.list_recent(service),
-            *self._rows.list_versions(service),
-        }
+        versions = self._list_versions(service)
         if len(versions) != 1 or None in versions:
             return None
         return StreamOrigin(service, versions.pop(), NO_START)
 
+    def _list_versions(self, service: str) -> set[str | None]:
+        """Return the versions that may have begun a stream of a service."""
+        return {
+            *self._recent.list_recent(service),
+            *self._rows.list_versions(service),
+        }
+
     def get_life_seconds(self) -> float:
         """Return for how long a stream that has begun may be resumed."""
         catalogue = self.get_catalogue()
@@ -178,16 +206,28 @@
             await ticker.wait(POLL_SECONDS)
             if self.is_loaded():
                 await self.write_due_rows()
+                await self.write_due_origins()
 
-    async def write_due_rows(self) -> None:
-        """Write the rows that list other versions than were seen."""
+    def _list_services(self) -> list[str]:
+        """Return the services to which routes of resumable streams lead."""
         catalogue = self.get_catalogue()
         routes = catalogue.resumable_routes if catalogue is not None else ()
-        services = {
-            share.service for route in routes for share in route.shares
-        }
+        return sorted(
+            {share.service for route in routes for share in route.shares}
+        )
+
+    async def write_due_origins(self) -> None:
+        """Store the origins of open streams while they may differ."""
+        needed = any(
+            len(self._list_versions(service)) > 1
+            for service in self._list_services()
+        )
+        await self._origin_rows.write_due(needed=needed)
+
+    async def write_due_rows(self) -> None:
+        """Write the rows that list other versions than were seen."""
         life = self.get_life_seconds()
-        for service in sorted(services):
+        for service in self._list_services():
             used = {
                 version
                 for version in self._recent.list_recent(service)
--- a/tests/support/origin_fleet.py
+++ b/tests/support/origin_fleet.py
@@ -13,18 +13,21 @@
 """A fleet of routers that exchange origins of streams without sockets."""
 
 import asyncio
+from collections.abc import Callable
 import datetime
 import random
 
 import msgspec
 
 from lifttrestle.internal.clock.manual import ManualClock
+from lifttrestle.internal.fleet.policy.origin_pacing import get_write_seconds
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.load_messages import decode_message
 from lifttrestle.internal.fleet.state.load_messages import encode_message
 from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.router_row import RouterRow
+from lifttrestle.internal.fleet.state.rows import RowChanges
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.fleet.streams.origin import read_origin
 from lifttrestle.internal.fleet.streams.origins import FoundOrigin
@@ -148,8 +151,18 @@
         self, router: int, request_id: str, workspace: str = ''
     ) -> FoundOrigin:
         """Return what a router finds out, letting queries time out."""
-        search = asyncio.create_task(
-            self.routers[router].find(workspace, request_id, [SERVICE])
+        (found,) = await self.find_many(router, [request_id], workspace)
+        return found
+
+    async def find_many(
+        self, router: int, request_ids: list[str], workspace: str = ''
+    ) -> list[FoundOrigin]:
+        """Return what a router finds out about streams resumed together."""
+        search = asyncio.gather(
+            *(
+                self.routers[router].find(workspace, request_id, [SERVICE])
+                for request_id in request_ids
+            )
         )
         while not search.done():
             for _ in range(LOOP_ITERATIONS):
@@ -157,6 +170,25 @@
             self.clock.advance(0.05)
         return search.result()
 
+    def count_reads(self, table: str) -> Callable[[], int]:
+        """Count the reads of a table from now on; return their getter."""
+        read_table = self.rows.read_table
+        reads: list[str] = []
+
+        async def read_counted(name: str) -> RowChanges:
+            reads.append(name)
+            return await read_table(name)
+
+        self.rows.read_table = read_counted
+        return lambda: reads.count(table)
+
+    async def store_origins(self) -> None:
+        """Let all running routers store the origins of their streams."""
+        self.clock.advance(get_write_seconds(len(self.routers)))
+        for number, router in enumerate(self.routers):
+            if number not in self.gone:
+                await router.write_due_origins()
+
     async def write_rows(self) -> None:
         """Let all running routers write due rows, and read them back."""
         for number, router in enumerate(self.routers):
