--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -24,42 +24,30 @@
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.clock.ticker import Ticker
 from lifttrestle.internal.fleet.control_tasks import ControlTasks
-from lifttrestle.internal.fleet.crashes.messages import CrashUpdate
-from lifttrestle.internal.fleet.crashes.tracker import CrashTracker
 from lifttrestle.internal.fleet.gauges import GaugeSources
 from lifttrestle.internal.fleet.gauges import register_gauges
-from lifttrestle.internal.fleet.limits.upstream_limits import UpstreamLimits
 from lifttrestle.internal.fleet.listeners import RouterListeners
 from lifttrestle.internal.fleet.loads.engine_control import EngineControl
 from lifttrestle.internal.fleet.loads.weights_loader import WeightsLoader
-from lifttrestle.internal.fleet.news.exchange import PeerNews
 from lifttrestle.internal.fleet.parts import FleetParts
 from lifttrestle.internal.fleet.path.dialect import RequestDialect
 from lifttrestle.internal.fleet.path.handlers import ReadinessHandler
+from lifttrestle.internal.fleet.peer_exchange import PeerExchange
 from lifttrestle.internal.fleet.policy.cache_sources import CacheSources
 from lifttrestle.internal.fleet.policy.retry_budget import SharedRetryBudget
-from lifttrestle.internal.fleet.policy.weights_filter import OLD_WEIGHTS_SHARE
 from lifttrestle.internal.fleet.settings import FleetSettings
+from lifttrestle.internal.fleet.shared_state import SharedState
 from lifttrestle.internal.fleet.stall_watch import watch_stalls
 from lifttrestle.internal.fleet.state.cache_stores import CacheStores
 from lifttrestle.internal.fleet.state.catalogue import Catalogue
 from lifttrestle.internal.fleet.state.decoding import StoredFormat
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
-from lifttrestle.internal.fleet.state.operator_view import OperatorView
-from lifttrestle.internal.fleet.state.peer_loads import PeerLoads
 from lifttrestle.internal.fleet.state.reach_probing import ReachProber
 from lifttrestle.internal.fleet.state.relay_follower import RelayFollower
 from lifttrestle.internal.fleet.state.relay_server import RelayServer
-from lifttrestle.internal.fleet.state.roster import Roster
-from lifttrestle.internal.fleet.state.rows import RowOrigin
 from lifttrestle.internal.fleet.state.rows import RowStore
-from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.fleet.state.shutdown import Shutdown
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
-from lifttrestle.internal.fleet.state.upstream_entry import StartEnd
-from lifttrestle.internal.fleet.state.weights_view import WeightsView
-from lifttrestle.internal.fleet.streams.origins import StreamOrigins
-from lifttrestle.internal.fleet.table_watches import TableWatches
 from lifttrestle.internal.fleet.tunnels.dialler import TunnelDialler
 from lifttrestle.internal.fleet.tunnels.opener import UpstreamOpener
 from lifttrestle.internal.fleet.tunnels.probing import TunnelProber
@@ -73,8 +61,6 @@
 from lifttrestle.internal.telemetry.fleet_metrics import FleetMetrics
 
 LOG = get_event_log('router')
-# Margin over the idle timeout, as callers reuse connections up to four fifths
-# of it.
 # Poll interval of the settings file, which may change without a signal.
 SETTINGS_POLL_SECONDS = 5.0
 SettingsReader = Callable[[], FleetSettings | None]
@@ -104,67 +90,18 @@
         self._control_tasks = ControlTasks(self._stop.set)
         metrics = FleetMetrics()
         refusals = InputRefusals(metrics.count_refused_input)
-        self._view = OperatorView(
-            stored_format,
-            clock,
-            settings.promises.weights_seconds * OLD_WEIGHTS_SHARE,
-            refusals,
-        )
-        self._directory = UpstreamDirectory(stored_format, clock, refusals)
-        self._directory.get_catalogue = lambda: self._view.catalogue
-        self._weights_view = WeightsView(self._directory, clock, refusals)
-        self.roster = Roster(
-            store, clock, settings.vm, settings.data_centre, refusals
-        )
-        self._watches = TableWatches(
-            settings,
-            store,
-            stored_format,
-            clock,
-            source,
-            self._apply_operator_row,
-            self._apply_upstream_row,
-            self._apply_routers_row,
-        )
-        self.roster.get_current_as_of = lambda: (
-            self._watches.routers.current_as_of
+        state = SharedState(
+            settings, store, stored_format, clock, source, refusals
         )
+        self._view = state.view
+        self._directory = state.directory
+        self._watches = state.watches
+        self._streams = state.streams
+        self.roster = state.roster
+        self.crashes = state.crashes
+        self.limits = state.limits
         self.stores = CacheStores(clock)
-        self.crashes = CrashTracker(
-            settings.vm,
-            store,
-            self._directory,
-            self.roster,
-            clock,
-            settings.heartbeat_seconds,
-            refusals,
-        )
-        self.limits = UpstreamLimits(
-            settings.vm,
-            self._directory,
-            self.roster,
-            clock,
-            refusals,
-            lambda: self._watches.upstreams.copy.loaded,
-        )
-        self._streams = StreamOrigins(
-            settings.vm,
-            store,
-            self._directory,
-            self.roster,
-            clock,
-            refusals,
-        )
-        self._streams.get_catalogue = lambda: self._view.catalogue
-        self._streams.is_list_current = self._watches.is_upstream_list_current
-        self._streams.is_loaded = self._watches.are_loaded
         control.note_limit = self.limits.note_answer
-        losses = self.crashes.losses
-        losses.is_list_current = self._watches.is_upstream_list_current
-        self._directory.on_ended = self._note_ended
-        self._directory.get_list_time = lambda: (
-            self._watches.upstreams.current_as_of
-        )
         self._usage = UsageLedger(
             clock, settings.promises, lambda: self._view.caps
         )
@@ -191,47 +128,16 @@
             control,
             self._view,
             self._directory,
-            self._weights_view,
+            state.weights_view,
             self.roster,
             settings.promises,
             clock,
             source,
             settings.vm,
         )
-        self._peer_loads = PeerLoads(
-            settings.vm,
-            self._directory,
-            self.roster,
-            self._parts.sources.shared,
-            clock,
-            refusals,
-            self._usage,
-        )
-        self._peer_loads.add_handler(CrashUpdate, self.crashes.handle_update)
-        self.crashes.replicator.send = self._peer_loads.send
-        self.limits.connect(
-            self._peer_loads.add_handler,
-            self._peer_loads.send,
-            metrics.count_permit,
-        )
-        self._streams.connect(
-            self._peer_loads.add_handler, self._peer_loads.send
-        )
-        self._peer_news = PeerNews(
-            settings.vm,
-            self.roster,
-            self._peer_loads.choice,
-            clock,
-            self._directory,
-            self._parts.news_sources,
-            lambda: self._view.catalogue,
-            metrics,
-        )
-        self._peer_news.connect(
-            self._peer_loads.add_handler, self._peer_loads.send
-        )
-        self._parts.note_load_change = self._peer_loads.note_change
-        self._parts.refresh_loads = self._peer_loads.refresh
+        peers = PeerExchange(state, self._parts, refusals)
+        self._peer_loads = peers.loads
+        self._peer_news = peers.news
         watches = self._watches.list_all()
         self.relay_server = RelayServer(watches, clock)
         self.relays = RelayFollower(watches, self.roster, clock)
@@ -247,6 +153,7 @@
             ),
         )
         self._listeners = RouterListeners(self._parts, self._readiness)
+        state.on_catalogue = self._listeners.apply_limits
         register_gauges(
             self._parts.metrics,
             GaugeSources(
@@ -269,36 +176,6 @@
     ) -> ConnectionOpener:
         return UpstreamOpener(upstream, direct, self._dialler, self._clock)
 
-    def _apply_operator_row(self, row: VersionedRow) -> None:
-        before = self._view.catalogue
-        self._view.apply_row(row)
-        after = self._view.catalogue
-        if after is not None and after is not before:
-            self._listeners.apply_limits(after)
-
-    def _apply_upstream_row(self, row: VersionedRow) -> None:
-        watch = self._watches.upstreams
-        if watch.lost or row.origin is not RowOrigin.WRITTEN:
-            # The first rows after an outage or a restore: entries that have
-            # lapsed or are lost may still return.
-            self._directory.outage_until = self._clock.monotonic()
-        self._directory.apply_row(row)
-        upstream = self._directory.get(row.key)
-        if upstream is not None:
-            self.crashes.losses.note_listed(upstream)
-
-    def _apply_routers_row(self, row: VersionedRow) -> None:
-        self.roster.loaded = True
-        self.roster.apply_row(row)
-        self._weights_view.apply_row(row)
-        self.crashes.apply_row(row)
-        self._streams.apply_row(row)
-
-    def _note_ended(self, upstream: FleetUpstream, end: StartEnd) -> None:
-        self.crashes.losses.note_ended(upstream, end)
-        self.limits.forget(upstream)
-        self._streams.note_ended(upstream)
-
     @property
     def directory(self) -> UpstreamDirectory:
         """Return the directory of known upstreams."""
