--- a/tests/support/fleet_upstream.py
+++ b/tests/support/fleet_upstream.py
@@ -76,6 +76,7 @@
     :ivar limit: what its answers name as the rate that it takes, or None.
     :ivar max_rejections: what its answers name as the rejections a second that
         it tolerates, or None.
+    :ivar leaving: what its answers say of its end, ``1`` or None.
     :ivar room: how many requests it takes at once, or None for any number.
     :ivar work_seconds: how long each of them takes.
     :ivar rejected_at: when it had no room for a request, monotonic seconds.
@@ -98,6 +99,7 @@
         self.released.set()
         self.limit: str | None = None
         self.max_rejections: str | None = None
+        self.leaving: str | None = None
         self.room: int | None = None
         self.work_seconds = 0.0
         self.rejected_at: list[float] = []
@@ -254,12 +256,13 @@
 
     def _echo(self, head: RequestHead) -> tuple[tuple[str, str], ...]:
         echoed = ('request-id', head.get_header('request-id'))
-        return (echoed, *self._name_limits())
+        return (echoed, *self._name_state())
 
-    def _name_limits(self) -> tuple[Header, ...]:
+    def _name_state(self) -> tuple[Header, ...]:
         named = (
             ('server-limit', self.limit),
             ('server-brittle', self.max_rejections),
+            ('server-leaving', self.leaving),
         )
         return tuple(
             (name, value) for name, value in named if value is not None
@@ -279,7 +282,7 @@
         content: dict[str, object],
         status: int = 200,
     ) -> None:
-        headers = (('content-type', 'application/json'), *self._name_limits())
+        headers = (('content-type', 'application/json'), *self._name_state())
         body = msgspec.json.encode(content)
         await connection.send_answer(Answer(status, headers, body))
 
