What an upstream announces in an answer about its end holds until it is gone

Cause: leaving was known from the entry in the store only, which lagged behind by as long as the store was away. Change: a fact of the start, apart from its entry: it outlives entries that say otherwise, are restored, or lapse and return. It counts wherever a draining entry did: choice, tunnels of others, loads of weights, evidence of crashes, the time for streams that only it may continue.

--- a/src/lifttrestle/internal/fleet/crashes/loss_watch.py
+++ b/src/lifttrestle/internal/fleet/crashes/loss_watch.py
@@ -107,7 +107,7 @@
 
         :param sent_at: when the request was sent, in monotonic seconds.
         """
-        if upstream.entry.draining or upstream.vanished_at is not None:
+        if upstream.draining or upstream.vanished_at is not None:
             return
         newest = self._newest.get(upstream.instance, upstream)
         if newest.start == upstream.start:
--- a/src/lifttrestle/internal/fleet/path/attempt.py
+++ b/src/lifttrestle/internal/fleet/path/attempt.py
@@ -95,9 +95,7 @@
     _update_idle_timeout(upstream, answer.facts)
     if _is_from_upstream(upstream, answer.facts, request_id):
         on_limit(answer.facts.limit)
-        upstream.rejections.note_announced(
-            answer.facts.max_rejections, clock.monotonic()
-        )
+        _note_announced(upstream, answer.facts, clock.monotonic())
     if answer.facts.not_run or answer.facts.other_instance:
         await _drain_declined_answer(connection)
         _mark_misdirected(upstream, answer.facts)
@@ -208,6 +206,15 @@
     return matches or facts.not_run
 
 
+def _note_announced(
+    upstream: FleetUpstream, facts: AnswerFacts, now: float
+) -> None:
+    """Record what an upstream announces about itself in an answer."""
+    upstream.rejections.note_announced(facts.max_rejections, now)
+    if facts.leaving:
+        upstream.departure.note_announced(now)
+
+
 def _update_idle_timeout(upstream: FleetUpstream, facts: AnswerFacts) -> None:
     idle = facts.idle_seconds
     if idle is not None:
--- a/src/lifttrestle/internal/fleet/path/dialect.py
+++ b/src/lifttrestle/internal/fleet/path/dialect.py
@@ -139,6 +139,7 @@
     :ivar limit: the rate limit that the upstream announces.
     :ivar max_rejections: how many rejections a second it announces to
         tolerate from all routers together, or None.
+    :ivar leaving: the upstream announces that it leaves.
     """
 
     status: int
@@ -152,6 +153,7 @@
     idle_seconds: float | None
     limit: ReportedLimit
     max_rejections: float | None = None
+    leaving: bool = False
 
 
 class RequestDialect(abc.ABC):
--- a/src/lifttrestle/internal/fleet/policy/weight_loading.py
+++ b/src/lifttrestle/internal/fleet/policy/weight_loading.py
@@ -59,7 +59,7 @@
         upstream
         for upstream in upstreams
         if model in upstream.entry.weights
-        and not upstream.entry.draining
+        and not upstream.draining
         and not upstream.misdirected
         and upstream.vanished_at is None
     ]
--- a/src/lifttrestle/internal/fleet/state/directory.py
+++ b/src/lifttrestle/internal/fleet/state/directory.py
@@ -19,10 +19,12 @@
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.state.catalogue import Catalogue
 from lifttrestle.internal.fleet.state.decoding import StoredFormat
+from lifttrestle.internal.fleet.state.departures import Departures
 from lifttrestle.internal.fleet.state.rows import RowOrigin
 from lifttrestle.internal.fleet.state.rows import VersionedRow
-from lifttrestle.internal.fleet.state.upstream import classify_end
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
+from lifttrestle.internal.fleet.state.upstream_ends import classify_end
+from lifttrestle.internal.fleet.state.upstream_ends import is_draining_since
 from lifttrestle.internal.fleet.state.upstream_entry import check_names
 from lifttrestle.internal.fleet.state.upstream_entry import compare_starts
 from lifttrestle.internal.fleet.state.upstream_entry import has_other_software
@@ -52,6 +54,7 @@
 class UpstreamDirectory:
     """Holds the newest start of each upstream; older ones are dropped.
 
+    :ivar departures: which starts have announced that they leave.
     :ivar changes: counts the applied rows and the added or removed starts.
     :ivar make_opener: returns how connections to an upstream are opened, from
         how direct ones are; set by the owner.
@@ -77,6 +80,7 @@
         self._known: dict[str, FleetUpstream] = {}
         self._starts: dict[str, FleetUpstream] = {}
         self._digests: dict[int, FleetUpstream] = {}
+        self.departures = Departures(clock)
         self.changes = 0
         self.make_opener: Callable[
             [FleetUpstream, ConnectionOpener], ConnectionOpener
@@ -209,6 +213,7 @@
             pool,
             weights=dict(entry.weights),
             weights_noted_at=self._clock.monotonic(),
+            departure=self.departures.get(entry.start),
         )
         pool.opener = self.make_opener(upstream, pool.opener)
         self._known[entry.instance] = upstream
@@ -237,7 +242,7 @@
             upstream
             for upstream in self
             if upstream.entry.service == service
-            and not upstream.entry.draining
+            and not upstream.draining
             and not upstream.misdirected
         ]
 
@@ -253,7 +258,7 @@
             upstream
             for upstream in self
             if upstream.entry.service == service
-            and upstream.is_draining_since(earliest)
+            and is_draining_since(upstream, earliest)
         ]
 
     def close(self) -> None:
@@ -271,7 +276,7 @@
             self._remove(known, classify_end(known))
 
     def _may_return(self, upstream: FleetUpstream) -> bool:
-        if upstream.entry.draining:
+        if upstream.draining:
             return False
         return (
             self._clock.monotonic() < self.outage_until + OUTAGE_GRACE_SECONDS
@@ -292,6 +297,7 @@
         self._known.pop(upstream.instance, None)
         self._starts.pop(upstream.start, None)
         self._digests.pop(upstream.digest, None)
+        self.departures.note_ended(upstream.start)
         upstream.pool.close()
         LOG.info(
             'upstream.gone', instance=upstream.instance, end=end.name.lower()
--- a/src/lifttrestle/internal/fleet/state/upstream.py
+++ b/src/lifttrestle/internal/fleet/state/upstream.py
@@ -16,11 +16,11 @@
 
 from lifttrestle.internal.fleet.policy.rejection_limit import is_safe
 from lifttrestle.internal.fleet.policy.rejection_limit import SendingShare
+from lifttrestle.internal.fleet.state.departures import Departure
 from lifttrestle.internal.fleet.state.reach import NEVER
 from lifttrestle.internal.fleet.state.reach import Reachability
 from lifttrestle.internal.fleet.state.rejection_pacing import RejectionPacing
 from lifttrestle.internal.fleet.state.upstream_entry import build_digest
-from lifttrestle.internal.fleet.state.upstream_entry import StartEnd
 from lifttrestle.internal.fleet.state.upstream_entry import UpstreamEntry
 from lifttrestle.internal.http.client_pool import ClientPool
 from lifttrestle.internal.upstream.breaker import Breaker
@@ -73,6 +73,7 @@
     :ivar vanished_at: when its entry was removed, or None.
     :ivar drains_since: when it may have reported first that it is draining,
         monotonic seconds; never if that is not known.
+    :ivar departure: whether it has announced in an answer that it leaves.
     :ivar misdirected: whether another start answers at its address.
     :ivar first_byte_seconds: moving average of the time to first byte, at its
         usual speed.
@@ -94,6 +95,7 @@
     weights_noted_at: float = 0.0
     vanished_at: float | None = None
     drains_since: float = NEVER
+    departure: Departure = dataclasses.field(default_factory=Departure)
     misdirected: bool = False
     in_flight: int = 0
     peers_in_flight: int = 0
@@ -123,14 +125,10 @@
         """Return the identity of this start."""
         return self.entry.start
 
-    def is_draining_since(self, earliest: float) -> bool:
-        """Return whether it drains, and did not before ``earliest``."""
-        return (
-            self.entry.draining
-            and self.drains_since > earliest
-            and self.vanished_at is None
-            and not self.misdirected
-        )
+    @property
+    def draining(self) -> bool:
+        """Return whether it accepts no new work, as it says by any way."""
+        return self.entry.draining or self.departure.has_begun
 
     def note_weights(self, model: str, version: int, now: float) -> None:
         """Record weights that it holds; older versions are ignored."""
@@ -289,10 +287,3 @@
         oldest = min(pending.sent_at for pending in self.pending.values())
         since = max(oldest, self.last_received_at, self.tunnel_found_at)
         return now - since > SILENT_SECONDS
-
-
-def classify_end(upstream: FleetUpstream) -> StartEnd:
-    """Return how an upstream ended whose entry was removed."""
-    if upstream.entry.draining:
-        return StartEnd.WITHDRAWN
-    return StartEnd.VANISHED
--- a/src/lifttrestle/internal/fleet/tunnels/probing.py
+++ b/src/lifttrestle/internal/fleet/tunnels/probing.py
@@ -68,7 +68,7 @@
                 # Tunnels that end, or are used no more, are closed at once, so
                 # that they don't hold up a stop of the other router.
                 upstream.pool.prune()
-            if not upstream.misdirected and not upstream.entry.draining:
+            if not upstream.misdirected and not upstream.draining:
                 groups[upstream.entry.service].append(upstream)
         for service, group in groups.items():
             due = self._find_due(service, group)
--- a/src/lifttrestle/internal/fleet/tunnels/server.py
+++ b/src/lifttrestle/internal/fleet/tunnels/server.py
@@ -137,7 +137,7 @@
             return TunnelStatus.STOPPING
         if len(self._open) >= MAX_TUNNELS:
             return TunnelStatus.BUSY
-        if upstream is None or upstream.entry.draining or upstream.misdirected:
+        if upstream is None or upstream.draining or upstream.misdirected:
             return TunnelStatus.UNKNOWN_START
         if upstream.reach.unreachable:
             return TunnelStatus.UNREACHABLE
--- a/src/lifttrestle/internal/platform/engine_calls.py
+++ b/src/lifttrestle/internal/platform/engine_calls.py
@@ -29,6 +29,7 @@
 from lifttrestle.internal.platform import names
 from lifttrestle.internal.platform.records import read_born
 from lifttrestle.internal.platform.records import ReportRecord
+from lifttrestle.internal.platform.upstream_departure import read_leaving
 from lifttrestle.internal.platform.upstream_limit import read_limit
 
 STATUS_OK = 200
@@ -117,4 +118,6 @@
         answer = await client.call(method, path, content, tuple(headers))
         if answer.status != names.STATUS_OTHER_INSTANCE:
             self.note_limit(engine, read_limit(answer.headers), sent_at)
+            if read_leaving(answer.headers):
+                engine.departure.note_announced(self._clock.monotonic())
         return answer
--- a/src/lifttrestle/internal/platform/names.py
+++ b/src/lifttrestle/internal/platform/names.py
@@ -65,6 +65,9 @@
 LIMIT = 'server-limit'
 # Rejections per second that an upstream tolerates from all routers together.
 BRITTLE = 'server-brittle'
+# The upstream leaves, whatever its entry in the store says.
+LEAVING = 'server-leaving'
+LEAVING_SET = '1'
 
 # Calls to an engine.
 REPORT_PATH = '/report'
--- a/src/lifttrestle/internal/platform/request_dialect.py
+++ b/src/lifttrestle/internal/platform/request_dialect.py
@@ -32,6 +32,7 @@
 from lifttrestle.internal.http.hop_headers import drop_hop_headers
 from lifttrestle.internal.http.hop_headers import parse_keep_alive
 from lifttrestle.internal.platform import names
+from lifttrestle.internal.platform.upstream_departure import read_leaving
 from lifttrestle.internal.platform.upstream_limit import read_limit
 from lifttrestle.internal.platform.upstream_rejections import read_rejections
 from lifttrestle.internal.refusal.answers import ANSWER_RULES
@@ -113,6 +114,7 @@
             idle_seconds=parse_keep_alive(head.get_header('keep-alive')),
             limit=read_limit(head.headers),
             max_rejections=read_rejections(head),
+            leaving=read_leaving(head.headers),
         )
 
     def select_answer_headers(self, head: ResponseHead) -> tuple[Header, ...]:
