Routers tell each other which upstreams leave

What upstreams saw: a router that had no answer of a leaving upstream itself sent it requests, also through the tunnels of routers that knew. Cause: each router learned it from its own answers only.

--- a/src/lifttrestle/internal/fleet/peer_exchange.py
+++ b/src/lifttrestle/internal/fleet/peer_exchange.py
@@ -16,6 +16,7 @@
 from lifttrestle.internal.fleet.news.exchange import PeerNews
 from lifttrestle.internal.fleet.parts import FleetParts
 from lifttrestle.internal.fleet.shared_state import SharedState
+from lifttrestle.internal.fleet.state.departure_news import DepartureNews
 from lifttrestle.internal.fleet.state.peer_loads import PeerLoads
 from lifttrestle.internal.intake.refusals import InputRefusals
 
@@ -49,6 +50,9 @@
             lambda: state.view.catalogue,
             parts.metrics,
         )
+        self.departures = DepartureNews(
+            vm, state.directory.departures, state.roster
+        )
         subscribe = self.loads.add_handler
         send = self.loads.send
         subscribe(CrashUpdate, state.crashes.handle_update)
@@ -56,5 +60,6 @@
         state.limits.connect(subscribe, send, parts.metrics.count_permit)
         state.streams.connect(subscribe, send)
         self.news.connect(subscribe, send)
+        self.departures.connect(subscribe, send)
         parts.note_load_change = self.loads.note_change
         parts.refresh_loads = self.loads.refresh
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -138,6 +138,7 @@
         peers = PeerExchange(state, self._parts, refusals)
         self._peer_loads = peers.loads
         self._peer_news = peers.news
+        self._departures = peers.departures
         watches = self._watches.list_all()
         self.relay_server = RelayServer(watches, clock)
         self.relays = RelayFollower(watches, self.roster, clock)
@@ -300,6 +301,7 @@
             self.crashes.run(self.ticker),
             self.limits.run(self.ticker),
             self._streams.run(self.ticker),
+            self._departures.run(),
         )
 
     async def stop(self) -> bool:
--- a/tests/cover/test_departures.py
+++ b/tests/cover/test_departures.py
@@ -19,15 +19,21 @@
 
 from lifttrestle.internal.clock.manual import ManualClock
 from lifttrestle.internal.fleet.policy.weight_loading import list_engines
+from lifttrestle.internal.fleet.state.departure_messages import DepartureUpdate
+from lifttrestle.internal.fleet.state.departure_news import DepartureNews
 from lifttrestle.internal.fleet.state.departures import Departures
 from lifttrestle.internal.fleet.state.departures import MAX_DEPARTURES
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
+from lifttrestle.internal.fleet.state.load_messages import encode_message
+from lifttrestle.internal.fleet.state.roster import Roster
+from lifttrestle.internal.fleet.state.router_row import RouterRow
 from lifttrestle.internal.fleet.state.rows import RowOrigin
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.http.head import ResponseHead
 from lifttrestle.internal.platform.request_dialect import PlatformDialect
 from lifttrestle.internal.platform.stored_format import PlatformFormat
 from tests.support.entries import make_entry
+from tests.support.memory_rows import MemoryRows
 
 START = datetime.datetime(2026, 12, 4, tzinfo=datetime.timezone.utc)
 DRAIN_SECONDS = 2.0
@@ -128,5 +134,42 @@
                 self.assertIs(facts.leaving, leaving)
 
 
+class TestNews(unittest.TestCase):
+    ROUTERS = 350
+
+    def test_departure_takes_few_messages_in_a_large_fleet(self):
+        rows = MemoryRows()
+        roster = Roster(rows, ManualClock(START), 'r0', 'a')
+        roster.loaded = True
+        for number in range(self.ROUTERS):
+            value = msgspec.json.encode(RouterRow('a', '127.0.0.1:9'))
+            key = f'router/r{number}'
+            roster.apply_row(VersionedRow(key, value, 1))
+        sent = []
+        departures = Departures(ManualClock(START))
+        news = DepartureNews('r0', departures, roster)
+        news.connect(
+            lambda kind, handler: None,
+            lambda message, key: sent.append(encode_message(message)),
+        )
+        departures.get('a').note_announced(1.0)
+        departures.get('a').note_announced(2.0)
+        self.assertEqual(len(sent), self.ROUTERS - 1)
+        self.assertLess(max(map(len, sent)), 50)
+
+    def test_told_departure_is_not_told_again(self):
+        sent = []
+        departures = Departures(ManualClock(START))
+        roster = Roster(MemoryRows(), ManualClock(START), 'r0', 'a')
+        news = DepartureNews('r0', departures, roster)
+        news.connect(
+            lambda kind, handler: None,
+            lambda message, key: sent.append(message),
+        )
+        news.handle_update(DepartureUpdate('r1', ['a']))
+        departures.get('a').note_announced(1.0)
+        self.assertEqual(sent, [])
+
+
 if __name__ == '__main__':
     unittest.main()
