An upstream that asks for a pause is sent nothing until its end

Cause: the header of an upstream's answer was read nowhere. Change: the pause is kept with the other pauses of a start (RejectionPacing), at most 600 s; what is no number of seconds is ignored and logged. If all upstreams of a service pause for longer than a request may wait, it is refused at once with the time until the first pause ends.

--- a/src/lifttrestle/internal/fleet/path/attempt.py
+++ b/src/lifttrestle/internal/fleet/path/attempt.py
@@ -213,6 +213,19 @@
     upstream.rejections.note_announced(facts.max_rejections, now)
     if facts.leaving:
         upstream.departure.note_announced(now)
+    if facts.pause_seconds is not None:
+        upstream.rejections.note_requested(facts.pause_seconds, now)
+        LOG.info(
+            'upstream.pause_requested',
+            instance=upstream.instance,
+            seconds=facts.pause_seconds,
+        )
+    if facts.invalid_pause:
+        LOG.warning(
+            'upstream.invalid_pause',
+            instance=upstream.instance,
+            value=facts.invalid_pause,
+        )
 
 
 def _update_idle_timeout(upstream: FleetUpstream, facts: AnswerFacts) -> None:
--- a/src/lifttrestle/internal/fleet/path/candidates.py
+++ b/src/lifttrestle/internal/fleet/path/candidates.py
@@ -14,10 +14,10 @@
 
 from lifttrestle.internal.fleet.parts import FleetParts
 from lifttrestle.internal.fleet.path.dialect import RequestFacts
+from lifttrestle.internal.fleet.path.placement_context import build_context
 from lifttrestle.internal.fleet.path.upstream_status import UpstreamStatus
 from lifttrestle.internal.fleet.policy.admission import AdmittedRequest
 from lifttrestle.internal.fleet.policy.admission import get_cache_scope
-from lifttrestle.internal.fleet.policy.engine_costs import PlacementContext
 from lifttrestle.internal.fleet.policy.limit_permits import rank_request
 from lifttrestle.internal.fleet.policy.placement import choose_engine
 from lifttrestle.internal.fleet.policy.placement import choose_plain
@@ -35,13 +35,6 @@
 DRAIN_MARGIN_SECONDS = 0.5
 
 
-def _get_slots(admitted: AdmittedRequest, service: str) -> int:
-    facts = admitted.catalogue.services.get(service)
-    if facts is None or facts.engine is None:
-        return 0
-    return facts.engine.slots
-
-
 class Candidates:
     """The upstreams for one request, except those already tried."""
 
@@ -106,21 +99,7 @@
             available = leave_room(available, listed)
         available = self._select_permitted(available, urgency, repeated)
         generation = self._facts.generation
-        target = None
-        if generation is not None:
-            target = parts.view.target_weights.get(generation.model)
-        context = PlacementContext(
-            now=parts.clock.monotonic(),
-            data_centre=parts.settings.data_centre,
-            target_version=target.version if target is not None else 0,
-            urgency=urgency,
-            slots=_get_slots(admitted, service),
-            prefill_seconds=parts.get_pace(service).prefill_seconds,
-            fetch_seconds=admitted.catalogue.get_fetch_seconds(service),
-            conditions=parts.engine_speeds.get_conditions(
-                service, parts.clock.monotonic()
-            ),
-        )
+        context = build_context(parts, admitted, service, urgency, generation)
         if generation is None:
             return choose_plain(available, context, parts.source)
         return choose_engine(
@@ -166,6 +145,18 @@
             return None
         return min(limits.get_retry_delay(item) for item in remaining)
 
+    def find_pause_seconds(self, service: str) -> float | None:
+        """Return the seconds until a pausing upstream takes requests.
+
+        None unless all that remain asked for a pause.
+        """
+        now = self._parts.clock.monotonic()
+        pauses = [
+            upstream.rejections.get_requested_seconds(now)
+            for upstream in self._list_remaining(service)
+        ]
+        return min(pauses) if pauses and all(pauses) else None
+
     def list_available(
         self, admitted: AdmittedRequest, service: str
     ) -> list[FleetUpstream]:
@@ -190,6 +181,7 @@
             for upstream in self._select_allowed(listed, service)
             if self._excluded_until.get(upstream.start, now) <= now
             and upstream.in_flight < cap
+            and not upstream.rejections.get_requested_seconds(now)
             and not self._may_be_full(upstream, now, assumed)
         ]
         generation = self._facts.generation
--- a/src/lifttrestle/internal/fleet/path/dialect.py
+++ b/src/lifttrestle/internal/fleet/path/dialect.py
@@ -140,6 +140,9 @@
     :ivar max_rejections: how many rejections a second it announces to
         tolerate from all routers together, or None.
     :ivar leaving: the upstream announces that it leaves.
+    :ivar pause_seconds: how long it asks to be sent nothing after this
+        answer, or None.
+    :ivar invalid_pause: what it names in place of a time, or an empty string.
     """
 
     status: int
@@ -154,6 +157,8 @@
     limit: ReportedLimit
     max_rejections: float | None = None
     leaving: bool = False
+    pause_seconds: float | None = None
+    invalid_pause: str = ''
 
 
 class RequestDialect(abc.ABC):
--- a/src/lifttrestle/internal/fleet/path/upstream_search.py
+++ b/src/lifttrestle/internal/fleet/path/upstream_search.py
@@ -29,9 +29,9 @@
 from lifttrestle.internal.refusal.kind import ErrorKind
 
 WAIT_POLL_SECONDS = 0.01
-# The retry times of callers that are refused for rate limits are spread over
-# at least this time.
-PERMIT_SPREAD_SECONDS = 0.5
+# The retry times of callers that are refused for rate limits or pauses are
+# spread over at least this time.
+RETRY_SPREAD_SECONDS = 0.5
 # A router that is not overloaded answers sooner.
 PATH_SEARCH_SECONDS = 1.0
 PATH_POLL_SECONDS = 0.05
@@ -71,6 +71,7 @@
                 return placement
             continue
         _check_permits(request, candidates, until)
+        _check_pauses(request, candidates, until)
         now = clock.monotonic()
         if now < until and candidates.may_become_available(request.service):
             poll_seconds = WAIT_POLL_SECONDS
@@ -137,23 +138,43 @@
 def _check_permits(
     request: RequestContext, candidates: Candidates, until: float
 ) -> None:
-    """Refuse a request at once if no rate limit permits it in time.
-
-    The retry times are randomized, so that callers that are refused together
-    do not all retry at once.
-    """
+    """Refuse a request at once if no rate limit permits it in time."""
     wait = candidates.find_permit_seconds(request.service)
     if wait is None or request.parts.clock.monotonic() + wait <= until:
         return
-    refused = request.make_refusal(
-        ErrorKind.NO_UPSTREAM,
+    raise _make_timed_refusal(
+        request,
         'all upstreams are rate limited, and accept no more requests for'
         f' {wait:.2f} s',
+        wait,
     )
+
+
+def _check_pauses(
+    request: RequestContext, candidates: Candidates, until: float
+) -> None:
+    """Refuse a request at once if all upstreams pause for too long."""
+    wait = candidates.find_pause_seconds(request.service)
+    if wait is None or request.parts.clock.monotonic() + wait <= until:
+        return
+    raise _make_timed_refusal(
+        request, f'all upstreams asked for a pause of {wait:.2f} s', wait
+    )
+
+
+def _make_timed_refusal(
+    request: RequestContext, message: str, wait: float
+) -> RequestRefused:
+    """Return the refusal of a request that can be served after ``wait``.
+
+    The retry times are randomized, so that callers that are refused together
+    do not all retry at once.
+    """
+    refused = request.make_refusal(ErrorKind.NO_UPSTREAM, message)
     if refused.retry_after:
-        spread = max(wait, PERMIT_SPREAD_SECONDS)
+        spread = max(wait, RETRY_SPREAD_SECONDS)
         refused.retry_after = wait + request.parts.source.uniform(0, spread)
-    raise refused
+    return refused
 
 
 def _check_queue(request: RequestContext, placement: Placement) -> None:
--- a/src/lifttrestle/internal/fleet/state/directory.py
+++ b/src/lifttrestle/internal/fleet/state/directory.py
@@ -56,16 +56,16 @@
 
     :ivar departures: which starts have announced that they leave.
     :ivar changes: counts the applied rows and the added or removed starts.
+    The owner sets the following.
+
     :ivar make_opener: returns how connections to an upstream are opened, from
-        how direct ones are; set by the owner.
+        how direct ones are.
     :ivar get_catalogue: returns the current configuration; upstreams of
         services that it does not contain are not used.
-    :ivar outage_until: monotonic time of the first read after an outage of
-        the store, set by the owner.
+    :ivar outage_until: when an outage of the store ended, monotonic seconds.
     :ivar get_list_time: returns the monotonic time as of which the list was
-        last known to be current, set by the owner.
-    :ivar on_ended: called when a start of an upstream has ended, set by the
-        owner.
+        last known to be current.
+    :ivar on_ended: called when a start of an upstream has ended.
     """
 
     def __init__(
@@ -121,14 +121,15 @@
         if row.value is None:
             self._handle_removal(row.key)
             return
+        known = self._known.get(row.key)
         try:
             entry = self._format.decode_upstream(row.key, row.value)
             check_names(entry)
         except ValueError as error:
             self._refusals.report('upstreams', row.key, error)
-            self._withdraw(row.key)
+            if known is not None:
+                self._remove(known, StartEnd.WITHDRAWN)
             return
-        known = self._known.get(row.key)
         if known is None:
             self._add(entry)
             return
@@ -229,12 +230,6 @@
             software_version=entry.software_version,
         )
 
-    def _withdraw(self, instance: str) -> None:
-        """Remove an upstream whose entry is no longer valid."""
-        known = self._known.get(instance)
-        if known is not None:
-            self._remove(known, StartEnd.WITHDRAWN)
-
     def list_available(self, service: str) -> list[FleetUpstream]:
         """Return the upstreams of a service that accept new work."""
         self._remove_expired()
--- a/src/lifttrestle/internal/fleet/state/rejection_pacing.py
+++ b/src/lifttrestle/internal/fleet/state/rejection_pacing.py
@@ -16,6 +16,7 @@
 
 from lifttrestle.internal.fleet.policy.rejection_limit import get_pause_seconds
 from lifttrestle.internal.fleet.policy.rejection_limit import SendingShare
+from lifttrestle.internal.fleet.policy.requested_pause import limit_pause
 from lifttrestle.internal.fleet.state.reach import NEVER
 
 
@@ -29,6 +30,7 @@
         routers together, as its last answer announced, or None.
     :ivar announced_at: since when it announces a number.
     :ivar paused_until: until when nothing is sent to it after a rejection.
+    :ivar requested_until: until when it asked to be sent nothing.
     :ivar next_turn_at: from when this router may send more than its share
         again, after it has done so.
     """
@@ -36,6 +38,7 @@
     max_rejections: float | None = None
     announced_at: float = NEVER
     paused_until: float = NEVER
+    requested_until: float = NEVER
     next_turn_at: float = NEVER
 
     def note_announced(self, number: float | None, now: float) -> None:
@@ -48,6 +51,15 @@
         """Return whether nothing may be sent to it."""
         return now < self.paused_until
 
+    def note_requested(self, seconds: float, now: float) -> None:
+        """Record that it asked to be sent nothing for some seconds."""
+        until = now + limit_pause(seconds)
+        self.requested_until = max(self.requested_until, until)
+
+    def get_requested_seconds(self, now: float) -> float:
+        """Return the rest of the pause that it asked for, in seconds."""
+        return max(self.requested_until - now, 0.0)
+
     def has_turn(self, share: SendingShare, now: float) -> bool:
         """Return whether this router may send more than its share now."""
         if not self.max_rejections:
--- a/src/lifttrestle/internal/platform/request_dialect.py
+++ b/src/lifttrestle/internal/platform/request_dialect.py
@@ -34,6 +34,7 @@
 from lifttrestle.internal.platform import names
 from lifttrestle.internal.platform.upstream_departure import read_leaving
 from lifttrestle.internal.platform.upstream_limit import read_limit
+from lifttrestle.internal.platform.upstream_pause import read_pause
 from lifttrestle.internal.platform.upstream_rejections import read_rejections
 from lifttrestle.internal.refusal.answers import ANSWER_RULES
 from lifttrestle.internal.refusal.kind import ErrorKind
@@ -102,6 +103,7 @@
         """Parse the head of an upstream's answer."""
         weights = head.get_header(names.WEIGHTS)
         encoding = head.get_header('content-encoding', IDENTITY)
+        pause_seconds, invalid_pause = read_pause(head)
         return AnswerFacts(
             status=head.status,
             verified=bool(head.get_header(names.STAMP)),
@@ -115,6 +117,8 @@
             limit=read_limit(head.headers),
             max_rejections=read_rejections(head),
             leaving=read_leaving(head.headers),
+            pause_seconds=pause_seconds,
+            invalid_pause=invalid_pause,
         )
 
     def select_answer_headers(self, head: ResponseHead) -> tuple[Header, ...]:
--- a/tests/support/fleet_upstream.py
+++ b/tests/support/fleet_upstream.py
@@ -76,7 +76,8 @@
     :ivar limit: what its answers name as the rate that it takes, or None.
     :ivar max_rejections: what its answers name as the rejections a second that
         it tolerates, or None.
-    :ivar leaving: what its answers say of its end, ``1`` or None.
+    :ivar leaving: what its answers say of its end, ``1`` or nothing.
+    :ivar retry_after: named with each request that it declines.
     :ivar room: how many requests it takes at once, or None for any number.
     :ivar work_seconds: how long each of them takes.
     :ivar rejected_at: when it had no room for a request, monotonic seconds.
@@ -99,7 +100,7 @@
         self.released.set()
         self.limit: str | None = None
         self.max_rejections: str | None = None
-        self.leaving: str | None = None
+        self.leaving = self.retry_after = ''
         self.room: int | None = None
         self.work_seconds = 0.0
         self.rejected_at: list[float] = []
@@ -177,6 +178,8 @@
         )
         if status == 421:
             headers += (('instance-id', self.instance),)
+        elif self.retry_after:
+            headers += (('retry-after', self.retry_after),)
         await connection.start_answer(
             status, (*headers, ('content-length', '0'))
         )
@@ -264,9 +267,7 @@
             ('server-brittle', self.max_rejections),
             ('server-leaving', self.leaving),
         )
-        return tuple(
-            (name, value) for name, value in named if value is not None
-        )
+        return tuple((name, value) for name, value in named if value)
 
     async def _report(self, connection: ServerConnection) -> None:
         content = {
