Stored origins that disagree make a stream unknown

What callers saw: none reported; found in review. Two streams of different software versions under one id were to be unknown. A resumption at a router that was not an owner, or after a restart of all, was bound to one of them, so that its caller could get what another version continues. Cause: the first row that named the stream was believed, and a router stored only the later of two streams under one id. Change: rows that disagree make the origin unknown, and a router doesn't store a stream that it knows to be ambiguous. Result: both tests failed before (bound to v1, and to v1.1) and pass now.

--- a/src/lifttrestle/internal/fleet/streams/origin_rows.py
+++ b/src/lifttrestle/internal/fleet/streams/origin_rows.py
@@ -85,6 +85,11 @@
         """Record a stream that this router begins or resumes."""
         self._open.add(digest, origin)
 
+    def note_unknown(self, digest: int) -> None:
+        """Record that several streams began under one digest."""
+        self._open.remove(digest)
+        self._open.changed = True
+
     def note_complete(self, digest: int) -> None:
         """Record that a caller has received its stream completely."""
         self._open.remove(digest)
@@ -175,13 +180,18 @@
         """
         decoded = self._decode(row)
         for digest, origin in list_row_origins(decoded).items():
-            if self._ledger.get(digest) is None:
-                self._ledger.put(digest, origin)
+            self._record(digest, origin)
             if adopt:
                 self._open.add(digest, origin)
         if adopt:
             self._own_version = row.version
 
+    def _record(self, digest: int, origin: StreamOrigin) -> None:
+        """Record an origin; those that disagree become unknown."""
+        known = self._ledger.get(digest)
+        if known is None or not known.agrees_with(origin):
+            self._ledger.put(digest, origin)
+
     def _decode(self, row: VersionedRow) -> OriginRow:
         """Return a decoded row, an empty one if it is invalid."""
         try:
--- a/src/lifttrestle/internal/fleet/streams/origins.py
+++ b/src/lifttrestle/internal/fleet/streams/origins.py
@@ -131,7 +131,10 @@
         """
         digest = build_stream_digest(workspace, request_id)
         self._exchange.record(digest, origin)
-        self._origin_rows.note_begun(digest, origin)
+        if self._ledger.get(digest) is None:
+            self._origin_rows.note_unknown(digest)
+        else:
+            self._origin_rows.note_begun(digest, origin)
 
     def note_complete(self, workspace: str, request_id: str) -> None:
         """Record that a stream was sent completely.
--- /dev/null
+++ b/tests/cover/test_origin_row_faults.py
@@ -0,0 +1,47 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Regression tests of the stored origins of streams."""
+
+import unittest
+
+from tests.cover.test_origin_rows import make_fleet
+from tests.cover.test_origin_rows import NEW
+from tests.cover.test_origin_rows import OLD
+from tests.cover.test_origin_rows import restart_all
+
+
+class TestFaults(unittest.IsolatedAsyncioTestCase):
+    async def test_regression_rows_that_disagree_bind_to_one_of_them(self):
+        for restarts in (False, True):
+            with self.subTest(restarts=restarts):
+                fleet = make_fleet(60)
+                fleet.begin(0, 'id1', OLD)
+                fleet.begin(1, 'id1', NEW)
+                await fleet.store_origins()
+                if restarts:
+                    restart_all(fleet)
+                for router in range(2, 60, 6):
+                    found = await fleet.find(router, 'id1')
+                    self.assertIsNone(found.origin)
+
+    async def test_regression_router_that_began_two_under_one_id(self):
+        fleet = make_fleet(2)
+        fleet.begin(0, 'id1', OLD)
+        fleet.begin(0, 'id1', NEW)
+        await fleet.store_origins()
+        restart_all(fleet)
+        self.assertIsNone((await fleet.find(1, 'id1')).origin)
+
+
+if __name__ == '__main__':
+    unittest.main()
