Reading stored origins evicts no records of a router

What callers saw: none reported; found in review. With more stored streams in the fleet than one router keeps records of (16,384; a row holds up to 1,000), a read evicted the record that its caller looked for, and those of streams that this router had begun or owns: refused though known. Any caller could cause that by naming an id that never was. Cause: a read recorded all origins of all rows. Change: what the callers of the read look for is recorded, other origins only while records evict none. Result: the test failed before (the sought origin was unknown), passes now.

--- a/src/lifttrestle/internal/fleet/streams/ledger.py
+++ b/src/lifttrestle/internal/fleet/streams/ledger.py
@@ -57,6 +57,11 @@
         """Return the number of records."""
         return len(self._records)
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether a new record evicts another one."""
+        return len(self._records) >= MAX_RECORDS
+
     def put(self, digest: int, origin: StreamOrigin) -> None:
         """Record what began a stream, or keep a record of it for longer.
 
--- a/src/lifttrestle/internal/fleet/streams/origin_rows.py
+++ b/src/lifttrestle/internal/fleet/streams/origin_rows.py
@@ -19,6 +19,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Collection
 
 from lifttrestle.errors import ConditionFailed
 from lifttrestle.errors import PlatformUnavailable
@@ -80,6 +81,8 @@
         self._write_at = 0.0
         self._read_at = -READ_SECONDS
         self._next_read: asyncio.Task[None] | None = None
+        # Digests that callers of the next read look for.
+        self._sought: set[int] = set()
 
     def note_begun(self, digest: int, origin: StreamOrigin) -> None:
         """Record a stream that this router begins or resumes."""
@@ -109,11 +112,15 @@
         elif not needed and self._own_version not in (None, NO_ROW):
             await self._write(None)
 
-    async def read_current(self) -> None:
+    async def read_current(self, digest: int) -> None:
         """Read all rows, beginning after this call; errors are logged.
 
         Calls that wait together share one read.
+
+        :param digest: a stream whose origin is recorded if a row has it; those
+            of others are as far as there is room.
         """
+        self._sought.add(digest)
         if self._next_read is None:
             self._next_read = asyncio.create_task(self._read_next())
         await asyncio.shield(self._next_read)
@@ -124,7 +131,8 @@
             await self._clock.sleep(pause)
         self._read_at = self._clock.monotonic()
         self._next_read = None
-        await self._read()
+        sought, self._sought = self._sought, set()
+        await self._read(sought)
 
     async def _write_open(self) -> None:
         if self._own_version is None:
@@ -157,7 +165,7 @@
         seconds = get_write_seconds(self._roster.live)
         self._write_at = self._clock.monotonic() + seconds
 
-    async def _read(self) -> None:
+    async def _read(self, sought: Collection[int] = ()) -> None:
         try:
             changes = await self._store.read_table(ORIGIN_TABLE)
         except PlatformUnavailable as error:
@@ -167,12 +175,15 @@
         if is_first:
             self._own_version = NO_ROW
         for row in changes.rows:
-            self._apply_row(row, adopt=is_first and row.key == self._key)
+            is_own = is_first and row.key == self._key
+            self._apply_row(row, sought, adopt=is_own)
         LOG.info('origins.read', routers=len(changes.rows))
         for row in changes.rows:
             await self._remove_abandoned(row)
 
-    def _apply_row(self, row: VersionedRow, *, adopt: bool) -> None:
+    def _apply_row(
+        self, row: VersionedRow, sought: Collection[int], *, adopt: bool
+    ) -> None:
         """Record the origins of a row.
 
         :param adopt: whether the row is of an earlier start of this router,
@@ -180,7 +191,8 @@
         """
         decoded = self._decode(row)
         for digest, origin in list_row_origins(decoded).items():
-            self._record(digest, origin)
+            if digest in sought or not self._ledger.is_full:
+                self._record(digest, origin)
             if adopt:
                 self._open.add(digest, origin)
         if adopt:
--- a/src/lifttrestle/internal/fleet/streams/origins.py
+++ b/src/lifttrestle/internal/fleet/streams/origins.py
@@ -164,7 +164,7 @@
         origin = await self._exchange.ask(digest)
         if origin is not None:
             return FoundOrigin(origin, OriginSource.OWNER)
-        await self._origin_rows.read_current()
+        await self._origin_rows.read_current(digest)
         origin = self._ledger.get(digest)
         if origin is not None:
             return FoundOrigin(origin, OriginSource.STORE)
--- a/tests/cover/test_origin_row_faults.py
+++ b/tests/cover/test_origin_row_faults.py
@@ -14,6 +14,11 @@
 
 import unittest
 
+from lifttrestle.internal.fleet.streams.ledger import MAX_RECORDS
+from lifttrestle.internal.fleet.streams.open_streams import MAX_OPEN
+from lifttrestle.internal.fleet.streams.origin import StreamOrigin
+from lifttrestle.internal.fleet.streams.origin_row import encode_origin_row
+from lifttrestle.internal.fleet.streams.origin_row import ORIGIN_TABLE
 from tests.cover.test_origin_rows import make_fleet
 from tests.cover.test_origin_rows import NEW
 from tests.cover.test_origin_rows import OLD
@@ -42,6 +47,25 @@
         restart_all(fleet)
         self.assertIsNone((await fleet.find(1, 'id1')).origin)
 
+    async def test_regression_read_evicts_what_was_sought_or_known(self):
+        fleet = make_fleet(2)
+        fleet.begin(0, 'sought', OLD)
+        await fleet.store_origins()
+        restart_all(fleet)
+        fleet.begin(1, 'known', NEW)
+        for number in range(MAX_RECORDS // MAX_OPEN + 2):
+            origin = StreamOrigin('s', OLD, 1)
+            first = number * MAX_OPEN
+            streams = dict.fromkeys(range(first, first + MAX_OPEN), origin)
+            now_ms = int(fleet.clock.now().timestamp() * 1000)
+            value = encode_origin_row(streams, now_ms)
+            fleet.rows.put(ORIGIN_TABLE, f'x{number}', value)
+        fleet.gone.add(0)
+        for name, version in (('sought', OLD), ('known', NEW)):
+            found = await fleet.find(1, name)
+            self.assertIsNotNone(found.origin, name)
+            self.assertEqual(found.origin.software_version, version)
+
 
 if __name__ == '__main__':
     unittest.main()
