Streams of an earlier start don't displace newer ones

What callers saw: none reported; found in review. A router that began streams before it had read its row of up to 1,000 streams again, after a restart or a write without an answer, dropped the newest from the row: after the next end of all routers these were refused. Cause: adopted streams were added as the newest, and the oldest are evicted. Change: they are added as the oldest, as far as there is room.

--- a/src/lifttrestle/internal/fleet/streams/open_streams.py
+++ b/src/lifttrestle/internal/fleet/streams/open_streams.py
@@ -16,6 +16,7 @@
 """
 
 import collections
+from collections.abc import Mapping
 import dataclasses
 
 from lifttrestle.internal.clock.clock import Clock
@@ -62,6 +63,24 @@
             self._streams.popitem(last=False)
         self.changed = True
 
+    def add_earlier(self, origins: Mapping[int, StreamOrigin]) -> None:
+        """Add streams that began before all others, as far as there is room.
+
+        They expire with the oldest of the others.
+
+        :param origins: by digest, the oldest first.
+        """
+        oldest = next(iter(self._streams.values()), None)
+        began_at = oldest.began_at if oldest else self._clock.monotonic()
+        for digest in reversed([*origins]):
+            if len(self._streams) >= MAX_OPEN:
+                break
+            if digest not in self._streams:
+                stream = OpenStream(origins[digest], began_at)
+                self._streams[digest] = stream
+                self._streams.move_to_end(digest, last=False)
+        self.changed = True
+
     def remove(self, digest: int) -> None:
         """Remove a stream that its caller has received completely."""
         self._streams.pop(digest, None)
--- a/src/lifttrestle/internal/fleet/streams/origin_rows.py
+++ b/src/lifttrestle/internal/fleet/streams/origin_rows.py
@@ -189,13 +189,12 @@
         :param adopt: whether the row is of an earlier start of this router,
             whose streams the next write must not drop.
         """
-        decoded = self._decode(row)
-        for digest, origin in list_row_origins(decoded).items():
+        origins = list_row_origins(self._decode(row))
+        for digest, origin in origins.items():
             if digest in sought or not self._ledger.is_full:
                 self._record(digest, origin)
-            if adopt:
-                self._open.add(digest, origin)
         if adopt:
+            self._open.add_earlier(origins)
             self._own_version = row.version
 
     def _record(self, digest: int, origin: StreamOrigin) -> None:
--- a/tests/cover/test_origin_row_faults.py
+++ b/tests/cover/test_origin_row_faults.py
@@ -66,6 +66,17 @@
             self.assertIsNotNone(found.origin, name)
             self.assertEqual(found.origin.software_version, version)
 
+    async def test_regression_adopted_streams_evict_new_ones(self):
+        fleet = make_fleet(1)
+        for number in range(MAX_OPEN):
+            fleet.begin(0, f'old{number}', OLD)
+        await fleet.store_origins()
+        restart_all(fleet)
+        fleet.begin(0, 'new', NEW)
+        await fleet.store_origins()
+        restart_all(fleet)
+        self.assertIsNotNone((await fleet.find(0, 'new')).origin)
+
 
 if __name__ == '__main__':
     unittest.main()
