Open streams are stored again after a row was removed

What callers saw: none reported; found in review. Between two releases a row is removed; in the second, the streams that had been stored in the first and were open yet were not stored until the router began another one. Cause: they counted as written. Change: a removal marks them as changed. Result: the test failed before (origin unknown), passes now.

--- a/src/lifttrestle/internal/fleet/streams/origin_rows.py
+++ b/src/lifttrestle/internal/fleet/streams/origin_rows.py
@@ -110,6 +110,7 @@
         if needed and self._open.changed:
             await self._write_open()
         elif not needed and self._own_version not in (None, NO_ROW):
+            self._open.changed = True
             await self._write(None)
 
     async def read_current(self, digest: int) -> None:
--- a/tests/cover/test_origin_row_faults.py
+++ b/tests/cover/test_origin_row_faults.py
@@ -66,6 +66,18 @@
             self.assertIsNotNone(found.origin, name)
             self.assertEqual(found.origin.software_version, version)
 
+    async def test_regression_streams_unstored_after_a_removal(self):
+        fleet = make_fleet(1)
+        fleet.begin(0, 'id1', OLD)
+        await fleet.store_origins()
+        rows = fleet.routers[0]._origin_rows
+        fleet.clock.advance(1)
+        await rows.write_due(needed=False)
+        fleet.clock.advance(1)
+        await rows.write_due(needed=True)
+        restart_all(fleet)
+        self.assertIsNotNone((await fleet.find(0, 'id1')).origin)
+
     async def test_regression_adopted_streams_evict_new_ones(self):
         fleet = make_fleet(1)
         for number in range(MAX_OPEN):
