Rows of origins fit the store however many upstreams began them

What callers saw: none reported; found in review. The row of a router whose open streams 1,000 starts had begun exceeds the store's 65,536 bytes, so that nothing of that router would be stored; the test of a full row has one start. Cause: the start of the upstream was stored with each origin, though it decides nothing where the version is known. Change: it is stored only with an unknown version. Result: the new test failed before (the row was too large), passes now.

--- a/src/lifttrestle/internal/fleet/streams/origin.py
+++ b/src/lifttrestle/internal/fleet/streams/origin.py
@@ -20,6 +20,9 @@
 
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 
+# Stands for a start that does not matter.
+NO_START = 0
+
 
 @dataclasses.dataclass(frozen=True)
 class StreamOrigin:
@@ -42,6 +45,12 @@
             return upstream.digest == self.start
         return upstream.entry.software_version == self.software_version
 
+    def without_unused_start(self) -> 'StreamOrigin':
+        """Return the origin without a start if a known version decides."""
+        if self.software_version is None:
+            return self
+        return dataclasses.replace(self, start=NO_START)
+
     def agrees_with(self, other: 'StreamOrigin') -> bool:
         """Return whether the same upstreams may continue both streams."""
         same_start = (
--- a/src/lifttrestle/internal/fleet/streams/origin_rows.py
+++ b/src/lifttrestle/internal/fleet/streams/origin_rows.py
@@ -86,7 +86,7 @@
 
     def note_begun(self, digest: int, origin: StreamOrigin) -> None:
         """Record a stream that this router begins or resumes."""
-        self._open.add(digest, origin)
+        self._open.add(digest, origin.without_unused_start())
 
     def note_unknown(self, digest: int) -> None:
         """Record that several streams began under one digest."""
--- a/src/lifttrestle/internal/fleet/streams/origins.py
+++ b/src/lifttrestle/internal/fleet/streams/origins.py
@@ -32,6 +32,7 @@
 from lifttrestle.internal.fleet.streams.exchange import Subscribe
 from lifttrestle.internal.fleet.streams.ledger import build_stream_digest
 from lifttrestle.internal.fleet.streams.ledger import OriginLedger
+from lifttrestle.internal.fleet.streams.origin import NO_START
 from lifttrestle.internal.fleet.streams.origin import StreamOrigin
 from lifttrestle.internal.fleet.streams.origin_rows import OriginRows
 from lifttrestle.internal.fleet.streams.recent_software import RecentSoftware
@@ -46,7 +47,6 @@
 LIFE_TIMEOUTS = 2
 MIN_LIFE_SECONDS = 30.0
 MAX_LIFE_SECONDS = 600.0
-NO_START = 0
 
 
 class OriginSource(enum.Enum):
--- a/tests/cover/test_origin_row_faults.py
+++ b/tests/cover/test_origin_row_faults.py
@@ -23,6 +23,7 @@
 from tests.cover.test_origin_rows import NEW
 from tests.cover.test_origin_rows import OLD
 from tests.cover.test_origin_rows import restart_all
+from tests.cover.test_origin_rows import ROW_BYTES
 
 
 class TestFaults(unittest.IsolatedAsyncioTestCase):
@@ -89,6 +90,15 @@
         restart_all(fleet)
         self.assertIsNotNone((await fleet.find(0, 'new')).origin)
 
+    async def test_regression_row_with_many_starts_exceeds_the_store(self):
+        fleet = make_fleet(1)
+        for number in range(MAX_OPEN):
+            origin = StreamOrigin('s' * 20, OLD, (1 << 64) - 1 - number)
+            fleet.routers[0].record('', f'id{number}', origin)
+        await fleet.store_origins()
+        (row,) = (await fleet.rows.read_table(ORIGIN_TABLE)).rows
+        self.assertLess(len(row.value) * 4 / 3, ROW_BYTES)
+
 
 if __name__ == '__main__':
     unittest.main()
