Callers don't wait for the removal of rows of ended routers

What callers saw: none reported; found in review. Whoever resumed a stream that nobody knew waited until the rows of all routers that had ended for good were removed one after the other, up to 0.8 s each at a slow store, and each router wrote them without a pause, outside the writes of origins a second. Cause: a read removed the rows that it found. Change: it notes them; the loop that writes removes one with each turn. Result: the test failed before (50 writes during a resumption); none now.

--- a/src/lifttrestle/internal/fleet/streams/origin_rows.py
+++ b/src/lifttrestle/internal/fleet/streams/origin_rows.py
@@ -83,6 +83,8 @@
         self._next_read: asyncio.Task[None] | None = None
         # Digests that callers of the next read look for.
         self._sought: set[int] = set()
+        # Rows of routers that have ended for good, as last read.
+        self._abandoned: list[VersionedRow] = []
 
     def note_begun(self, digest: int, origin: StreamOrigin) -> None:
         """Record a stream that this router begins or resumes."""
@@ -100,6 +102,8 @@
     async def write_due(self, *, needed: bool) -> None:
         """Write this router's row if it has changed; errors are logged.
 
+        Of the rows of routers that have ended for good, one is removed.
+
         :param needed: whether streams may have different origins; without
             that the row is removed.
         """
@@ -112,6 +116,7 @@
         elif not needed and self._own_version not in (None, NO_ROW):
             self._open.changed = True
             await self._write(None)
+        await self._remove_one_abandoned()
 
     async def read_current(self, digest: int) -> None:
         """Read all rows, beginning after this call; errors are logged.
@@ -179,8 +184,9 @@
             is_own = is_first and row.key == self._key
             self._apply_row(row, sought, adopt=is_own)
         LOG.info('origins.read', routers=len(changes.rows))
-        for row in changes.rows:
-            await self._remove_abandoned(row)
+        self._abandoned = [
+            row for row in changes.rows if self._is_abandoned(row)
+        ]
 
     def _apply_row(
         self, row: VersionedRow, sought: Collection[int], *, adopt: bool
@@ -213,10 +219,16 @@
             self._refusals.report('streams', row.key, error)
         return OriginRow(self._get_unix_ms(), [], [])
 
-    async def _remove_abandoned(self, row: VersionedRow) -> None:
+    def _is_abandoned(self, row: VersionedRow) -> bool:
         age_ms = self._get_unix_ms() - self._decode(row).written_at_ms
-        if row.key == self._key or age_ms < ABANDONED_SECONDS * MILLISECONDS:
+        is_old = age_ms >= ABANDONED_SECONDS * MILLISECONDS
+        return is_old and row.key != self._key
+
+    async def _remove_one_abandoned(self) -> None:
+        if not self._abandoned:
             return
+        self._delay_write()
+        row = self._abandoned.pop()
         write = RowWrite(ORIGIN_TABLE, row.key, None, row.version)
         try:
             await self._store.write_row(write)
--- a/tests/cover/test_origin_row_faults.py
+++ b/tests/cover/test_origin_row_faults.py
@@ -99,6 +99,20 @@
         (row,) = (await fleet.rows.read_table(ORIGIN_TABLE)).rows
         self.assertLess(len(row.value) * 4 / 3, ROW_BYTES)
 
+    async def test_regression_callers_wait_for_removals_of_rows(self):
+        fleet = make_fleet(2)
+        for number in range(50):
+            value = encode_origin_row({}, 0)
+            fleet.rows.put(ORIGIN_TABLE, f'x{number}', value)
+        version = fleet.rows.version
+        await fleet.find(1, 'id1')
+        self.assertEqual(fleet.rows.version, version)
+        for number in range(1, 51):
+            fleet.clock.advance(1)
+            await fleet.routers[1].write_due_origins()
+            self.assertEqual(fleet.rows.version, version + number)
+        self.assertEqual((await fleet.rows.read_table(ORIGIN_TABLE)).rows, ())
+
 
 if __name__ == '__main__':
     unittest.main()
