A row of origins that a restore of the store lost is written again

What callers saw: none reported; found in review. After the store was restored from an older copy, streams that were open were not stored until their router began another one. Cause: they counted as written. Change: a row that was written in an earlier epoch of the store is read and written again. Result: the test failed before (origin unknown), passes now.

--- a/src/lifttrestle/internal/fleet/streams/origin_rows.py
+++ b/src/lifttrestle/internal/fleet/streams/origin_rows.py
@@ -26,6 +26,7 @@
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.policy.origin_pacing import get_write_seconds
 from lifttrestle.internal.fleet.state.roster import Roster
+from lifttrestle.internal.fleet.state.row_version import get_epoch
 from lifttrestle.internal.fleet.state.rows import NO_ROW
 from lifttrestle.internal.fleet.state.rows import RowStore
 from lifttrestle.internal.fleet.state.rows import RowWrite
@@ -111,6 +112,7 @@
         if now < self._write_at:
             return
         self._open.remove_expired(self._get_life_seconds())
+        self._check_restored()
         if needed and self._open.changed:
             await self._write_open()
         elif not needed and self._own_version not in (None, NO_ROW):
@@ -140,6 +142,15 @@
         sought, self._sought = self._sought, set()
         await self._read(sought)
 
+    def _check_restored(self) -> None:
+        """Write the row again if the store was restored since its write."""
+        version = self._own_version
+        if version is None or version == NO_ROW:
+            return
+        if get_epoch(version) < self._store.epoch:
+            self._own_version = None
+            self._open.changed = True
+
     async def _write_open(self) -> None:
         if self._own_version is None:
             await self._read()
--- a/tests/cover/test_origin_row_faults.py
+++ b/tests/cover/test_origin_row_faults.py
@@ -113,6 +113,16 @@
             self.assertEqual(fleet.rows.version, version + number)
         self.assertEqual((await fleet.rows.read_table(ORIGIN_TABLE)).rows, ())
 
+    async def test_regression_rows_lost_in_a_restore_stay_lost(self):
+        fleet = make_fleet(2)
+        snapshot = fleet.rows.take_snapshot()
+        fleet.begin(0, 'id1', OLD)
+        await fleet.store_origins()
+        fleet.rows.restore(snapshot)
+        await fleet.store_origins()
+        restart_all(fleet)
+        self.assertIsNotNone((await fleet.find(1, 'id1')).origin)
+
 
 if __name__ == '__main__':
     unittest.main()
