--- a/src/lifttrestle/internal/fleet/streams/origin_rows.py
+++ b/src/lifttrestle/internal/fleet/streams/origin_rows.py
@@ -19,12 +19,14 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Collection
 
 from lifttrestle.errors import ConditionFailed
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.policy.origin_pacing import get_write_seconds
 from lifttrestle.internal.fleet.state.roster import Roster
+from lifttrestle.internal.fleet.state.row_version import get_epoch
 from lifttrestle.internal.fleet.state.rows import NO_ROW
 from lifttrestle.internal.fleet.state.rows import RowStore
 from lifttrestle.internal.fleet.state.rows import RowWrite
@@ -80,10 +82,19 @@
         self._write_at = 0.0
         self._read_at = -READ_SECONDS
         self._next_read: asyncio.Task[None] | None = None
+        # Digests that callers of the next read look for.
+        self._sought: set[int] = set()
+        # Rows of routers that have ended for good, as last read.
+        self._abandoned: list[VersionedRow] = []
 
     def note_begun(self, digest: int, origin: StreamOrigin) -> None:
         """Record a stream that this router begins or resumes."""
-        self._open.add(digest, origin)
+        self._open.add(digest, origin.without_unused_start())
+
+    def note_unknown(self, digest: int) -> None:
+        """Record that several streams began under one digest."""
+        self._open.remove(digest)
+        self._open.changed = True
 
     def note_complete(self, digest: int) -> None:
         """Record that a caller has received its stream completely."""
@@ -92,6 +103,8 @@
     async def write_due(self, *, needed: bool) -> None:
         """Write this router's row if it has changed; errors are logged.
 
+        Of the rows of routers that have ended for good, one is removed.
+
         :param needed: whether streams may have different origins; without
             that the row is removed.
         """
@@ -99,16 +112,23 @@
         if now < self._write_at:
             return
         self._open.remove_expired(self._get_life_seconds())
+        self._check_restored()
         if needed and self._open.changed:
             await self._write_open()
         elif not needed and self._own_version not in (None, NO_ROW):
+            self._open.changed = True
             await self._write(None)
+        await self._remove_one_abandoned()
 
-    async def read_current(self) -> None:
+    async def read_current(self, digest: int) -> None:
         """Read all rows, beginning after this call; errors are logged.
 
         Calls that wait together share one read.
+
+        :param digest: a stream whose origin is recorded if a row has it; those
+            of others are as far as there is room.
         """
+        self._sought.add(digest)
         if self._next_read is None:
             self._next_read = asyncio.create_task(self._read_next())
         await asyncio.shield(self._next_read)
@@ -119,7 +139,17 @@
             await self._clock.sleep(pause)
         self._read_at = self._clock.monotonic()
         self._next_read = None
-        await self._read()
+        sought, self._sought = self._sought, set()
+        await self._read(sought)
+
+    def _check_restored(self) -> None:
+        """Write the row again if the store was restored since its write."""
+        version = self._own_version
+        if version is None or version == NO_ROW:
+            return
+        if get_epoch(version) < self._store.epoch:
+            self._own_version = None
+            self._open.changed = True
 
     async def _write_open(self) -> None:
         if self._own_version is None:
@@ -152,7 +182,7 @@
         seconds = get_write_seconds(self._roster.live)
         self._write_at = self._clock.monotonic() + seconds
 
-    async def _read(self) -> None:
+    async def _read(self, sought: Collection[int] = ()) -> None:
         try:
             changes = await self._store.read_table(ORIGIN_TABLE)
         except PlatformUnavailable as error:
@@ -162,26 +192,35 @@
         if is_first:
             self._own_version = NO_ROW
         for row in changes.rows:
-            self._apply_row(row, adopt=is_first and row.key == self._key)
+            is_own = is_first and row.key == self._key
+            self._apply_row(row, sought, adopt=is_own)
         LOG.info('origins.read', routers=len(changes.rows))
-        for row in changes.rows:
-            await self._remove_abandoned(row)
+        self._abandoned = [
+            row for row in changes.rows if self._is_abandoned(row)
+        ]
 
-    def _apply_row(self, row: VersionedRow, *, adopt: bool) -> None:
+    def _apply_row(
+        self, row: VersionedRow, sought: Collection[int], *, adopt: bool
+    ) -> None:
         """Record the origins of a row.
 
         :param adopt: whether the row is of an earlier start of this router,
             whose streams the next write must not drop.
         """
-        decoded = self._decode(row)
-        for digest, origin in list_row_origins(decoded).items():
-            if self._ledger.get(digest) is None:
-                self._ledger.put(digest, origin)
-            if adopt:
-                self._open.add(digest, origin)
+        origins = list_row_origins(self._decode(row))
+        for digest, origin in origins.items():
+            if digest in sought or not self._ledger.is_full:
+                self._record(digest, origin)
         if adopt:
+            self._open.add_earlier(origins)
             self._own_version = row.version
 
+    def _record(self, digest: int, origin: StreamOrigin) -> None:
+        """Record an origin; those that disagree become unknown."""
+        known = self._ledger.get(digest)
+        if known is None or not known.agrees_with(origin):
+            self._ledger.put(digest, origin)
+
     def _decode(self, row: VersionedRow) -> OriginRow:
         """Return a decoded row, an empty one if it is invalid."""
         try:
@@ -191,10 +230,16 @@
             self._refusals.report('streams', row.key, error)
         return OriginRow(self._get_unix_ms(), [], [])
 
-    async def _remove_abandoned(self, row: VersionedRow) -> None:
+    def _is_abandoned(self, row: VersionedRow) -> bool:
         age_ms = self._get_unix_ms() - self._decode(row).written_at_ms
-        if row.key == self._key or age_ms < ABANDONED_SECONDS * MILLISECONDS:
+        is_old = age_ms >= ABANDONED_SECONDS * MILLISECONDS
+        return is_old and row.key != self._key
+
+    async def _remove_one_abandoned(self) -> None:
+        if not self._abandoned:
             return
+        self._delay_write()
+        row = self._abandoned.pop()
         write = RowWrite(ORIGIN_TABLE, row.key, None, row.version)
         try:
             await self._store.write_row(write)
--- a/src/lifttrestle/internal/fleet/streams/origins.py
+++ b/src/lifttrestle/internal/fleet/streams/origins.py
@@ -32,6 +32,7 @@
 from lifttrestle.internal.fleet.streams.exchange import Subscribe
 from lifttrestle.internal.fleet.streams.ledger import build_stream_digest
 from lifttrestle.internal.fleet.streams.ledger import OriginLedger
+from lifttrestle.internal.fleet.streams.origin import NO_START
 from lifttrestle.internal.fleet.streams.origin import StreamOrigin
 from lifttrestle.internal.fleet.streams.origin_rows import OriginRows
 from lifttrestle.internal.fleet.streams.recent_software import RecentSoftware
@@ -46,7 +47,6 @@
 LIFE_TIMEOUTS = 2
 MIN_LIFE_SECONDS = 30.0
 MAX_LIFE_SECONDS = 600.0
-NO_START = 0
 
 
 class OriginSource(enum.Enum):
@@ -131,7 +131,10 @@
         """
         digest = build_stream_digest(workspace, request_id)
         self._exchange.record(digest, origin)
-        self._origin_rows.note_begun(digest, origin)
+        if self._ledger.get(digest) is None:
+            self._origin_rows.note_unknown(digest)
+        else:
+            self._origin_rows.note_begun(digest, origin)
 
     def note_complete(self, workspace: str, request_id: str) -> None:
         """Record that a stream was sent completely.
@@ -161,7 +164,7 @@
         origin = await self._exchange.ask(digest)
         if origin is not None:
             return FoundOrigin(origin, OriginSource.OWNER)
-        await self._origin_rows.read_current()
+        await self._origin_rows.read_current(digest)
         origin = self._ledger.get(digest)
         if origin is not None:
             return FoundOrigin(origin, OriginSource.STORE)
