The deadline of a request counts while the origin of its stream is searched

Found in review: a resumed stream whose origin nobody knew waited for the store without regard to its deadline.

--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -176,10 +176,10 @@
             digest=format_digest(request.digest),
             parts=format_digests(request.part_digests),
         )
-        await bind_stream(request)
-        self._parts.get_budget(request.service).note_request()
         try:
             async with ReadTimeout(request.get_remaining_seconds()):
+                await bind_stream(request)
+                self._parts.get_budget(request.service).note_request()
                 await run_attempts(self)
             note_complete(request)
         except TimeoutError:
--- a/tests/nocover/test_software_versions.py
+++ b/tests/nocover/test_software_versions.py
@@ -191,6 +191,25 @@
             )
             self.assertEqual(unknown, len(cases) + 1)
 
+    async def test_regression_deadline_passed_while_the_store_was_read(self):
+        async with run_version_fleet(ONE_TO_ONE, ('r1',)) as fleet:
+            fleet.routers['r1'].store.read_table = self._hang
+            stream = CallerStream('s')
+            began = time.monotonic()
+            await stream.call(
+                fleet.get_address('r1'),
+                headers=(
+                    ('last-event-id', '2'),
+                    ('resumes', 'x.0'),
+                    ('deadline-ms', '400'),
+                ),
+            )
+        self.assertLess(time.monotonic() - began, 1.5)
+        self.assertEqual(stream.statuses, [504])
+
+    async def _hang(self, table):
+        await asyncio.Event().wait()
+
     async def test_stream_begins_anew_without_the_last_event(self):
         async with run_version_fleet(ONE_TO_ONE, ('r1',)) as fleet:
             stream = CallerStream('s')
