A stream that repeats old events without end is left

What callers saw: nothing more, up to the time limit, if an upstream sent events without end that they already had; all of them were read. Cause: such events were dropped without a bound. Change: over 4 MiB of them in one stream, it counts as lost and is resumed at another upstream.

--- a/src/lifttrestle/internal/fleet/path/event_relay.py
+++ b/src/lifttrestle/internal/fleet/path/event_relay.py
@@ -22,6 +22,8 @@
 ID_FIELD = b'id:'
 # A longer event is treated as a broken stream.
 MAX_EVENT_BYTES = 1024 * 1024
+# A resumed stream that repeats more than this is treated as broken.
+MAX_REPEATED_BYTES = 4 * 1024 * 1024
 
 
 def _ignore() -> None:
@@ -47,6 +49,8 @@
         self.started = False
         self.sent = 0
         self._buffer = b''
+        # Bytes of events of the current stream that the caller already has.
+        self._repeated_bytes = 0
         self._status = 0
         self._headers: tuple[Header, ...] = ()
         self._on_event = _ignore
@@ -65,6 +69,7 @@
         :param on_event: called before events are sent.
         """
         self._buffer = b''
+        self._repeated_bytes = 0
         self._on_event = on_event
         if not self.started:
             self._status = status
@@ -73,8 +78,9 @@
     async def feed(self, data: bytes) -> None:
         """Send the events that ``data`` completes.
 
-        :raises UpstreamLost: if an event exceeds ``MAX_EVENT_BYTES``; the
-            events before it have been sent.
+        :raises UpstreamLost: if an event exceeds ``MAX_EVENT_BYTES``, or the
+            events that the caller already has exceed ``MAX_REPEATED_BYTES``;
+            the events before have been sent.
         """
         buffer = self._buffer + data
         ready: list[bytes] = []
@@ -86,12 +92,16 @@
             start = end
             if self._accept_event(event):
                 ready.append(event)
+            else:
+                self._repeated_bytes += len(event)
         self._buffer = buffer[start:]
         if ready:
             self.sent += len(ready)
             await self._send(b''.join(ready))
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise UpstreamLost('an event of the stream is too long')
+        if self._repeated_bytes > MAX_REPEATED_BYTES:
+            raise UpstreamLost('the stream repeats its events without end')
 
     async def finish(self) -> None:
         """Send the end of the stream.
--- a/tests/nocover/test_endless_answers.py
+++ b/tests/nocover/test_endless_answers.py
@@ -147,6 +147,10 @@
 STREAMS = {
     'event': (HEAD + b'id: 1\ndata: ', b'x'),
     'event of lines': (HEAD + b'id: 1\n', b'data: x\n'),
+    'events with old ids': (
+        HEAD + b'id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\n',
+        b'id: 1\ndata: token 1\n\n',
+    ),
     'head': (make_head(200)[:-2], b'A: b\r\n'),
 }
 REPORTS = {
