Reports of engines are read up to 1 MiB

What was seen: an engine whose report had no end was read for the whole time limit of the call, 62 MB in 0.5 s, all of which was kept until then. Cause: the limit was that of the store's tables, 64 MiB. Change: the limit is a setting of the JSON client; calls to engines set 1 MiB.

--- a/src/lifttrestle/internal/http/json_client.py
+++ b/src/lifttrestle/internal/http/json_client.py
@@ -38,6 +38,7 @@
     :param headers: sent with every request.
     :param timeout_seconds: for a whole exchange, including connecting.
     :param pool: pool to use; by default, the client creates its own.
+    :param max_answer_bytes: limit on the body of an answer.
     """
 
     def __init__(
@@ -48,7 +49,9 @@
         tls: ssl.SSLContext | None = None,
         headers: tuple[Header, ...] = (),
         pool: ClientPool | None = None,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
     ) -> None:
+        self._max_answer_bytes = max_answer_bytes
         self._headers = headers
         self._timeout_seconds = timeout_seconds
         self._pool = pool or ClientPool(address, clock, timeout_seconds, tls)
@@ -78,7 +81,7 @@
                 connection = await self._pool.take_direct()
                 await connection.send_request(head, body)
                 answer_head = await connection.read_head()
-                data = await connection.read_body(MAX_ANSWER_BYTES)
+                data = await connection.read_body(self._max_answer_bytes)
         except (UpstreamConnectFailed, UpstreamLost, TimeoutError) as error:
             if connection is not None:
                 connection.close()
--- a/src/lifttrestle/internal/platform/engine_calls.py
+++ b/src/lifttrestle/internal/platform/engine_calls.py
@@ -33,6 +33,7 @@
 from lifttrestle.internal.platform.upstream_limit import read_limit
 
 STATUS_OK = 200
+MAX_ANSWER_BYTES = 1024 * 1024
 # If its running requests finish first, an engine starts no others until its
 # longest stream ends, three seconds per load. If they continue, it is
 # unavailable only during the load itself (0.6 s), so that enough engines
@@ -110,6 +111,7 @@
             self._clock,
             self._timeout_seconds,
             pool=engine.pool,
+            max_answer_bytes=MAX_ANSWER_BYTES,
         )
         headers = [(names.EXPECT_INSTANCE, engine.instance)]
         if content is not None:
--- a/tests/nocover/test_endless_answers.py
+++ b/tests/nocover/test_endless_answers.py
@@ -156,6 +156,7 @@
 REPORTS = {
     'head': (b'HTTP/1.1 200 OK\r\n', b'A: b\r\n'),
     'interim answers': PLAIN['interim answers'],
+    'body': (b'HTTP/1.1 200 OK\r\n\r\n', b' '),
 }
 
 
