Engines that asked for a pause get no calls for reports or orders to load

Cause: the pause was known to the choice of upstreams only. Change: they count as unavailable for loads, are not polled, and get no order if the pause began after the choice. It is sent once the pause has ended. Result: three tests of test_fleet_weights failed before and pass now.

--- a/src/lifttrestle/internal/fleet/loads/load_tracking.py
+++ b/src/lifttrestle/internal/fleet/loads/load_tracking.py
@@ -96,7 +96,8 @@
             if self._is_finished(load, now):
                 del self._loads[start]
                 continue
-            if now < load.next_poll_at:
+            pause = load.upstream.rejections.get_requested_seconds(now)
+            if now < load.next_poll_at or pause:
                 continue
             load.next_poll_at = now + POLL_SECONDS
             state = await self.read_state(load.upstream)
--- a/src/lifttrestle/internal/fleet/loads/weights_loader.py
+++ b/src/lifttrestle/internal/fleet/loads/weights_loader.py
@@ -114,7 +114,9 @@
             return
         loads = self._get_loads(model)
         await loads.poll()
-        outdated = list_outdated(self._list_engines(model), model, version)
+        outdated = list_outdated(
+            list_engines(self._directory, model), model, version
+        )
         now = self._clock.monotonic()
         if not outdated:
             await self._publish_completion(model)
@@ -143,9 +145,6 @@
             self._loads[model] = loads
         return loads
 
-    def _list_engines(self, model: str) -> list[FleetUpstream]:
-        return list_engines(self._directory, model)
-
     def _may_order(
         self, model: str, observed: ObservedPlan, now: float
     ) -> bool:
@@ -186,7 +185,7 @@
         loads: LoadTracker,
         outdated: list[FleetUpstream],
     ) -> None:
-        engines = self._list_engines(model)
+        engines = list_engines(self._directory, model)
         allowed = count_loadable(engines, self._clock.monotonic()) - len(loads)
         version = self._view.target_weights[model].version
         batch: list[tuple[FleetUpstream, EngineState]] = []
@@ -261,12 +260,14 @@
         self, upstream: FleetUpstream, order: LoadOrder, requested_at: float
     ) -> bool:
         """Send an order; return whether the engine has answered it."""
-        if self._clock.monotonic() - requested_at > ORDER_SECONDS:
+        now = self._clock.monotonic()
+        if now - requested_at > ORDER_SECONDS:
             LOG.warning('weights.lease_ran_out', instance=upstream.instance)
             return False
-        if self._directory.get_start(upstream.start) is None:
-            # An order to one start of an engine must not reach a later one.
-            LOG.info('weights.start_gone', instance=upstream.instance)
+        # An order to one start of an engine must not reach a later one.
+        gone = self._directory.get_start(upstream.start) is None
+        if gone or upstream.rejections.get_requested_seconds(now):
+            LOG.info('weights.kept', instance=upstream.instance, gone=gone)
             return False
         try:
             outcome = await self._control.send_load(upstream, order)
--- a/src/lifttrestle/internal/fleet/state/upstream.py
+++ b/src/lifttrestle/internal/fleet/state/upstream.py
@@ -277,8 +277,12 @@
         return not self.is_available or self.is_silent(now)
 
     def may_take_orders(self, now: float) -> bool:
-        """Return whether orders reach it; they never pass through a tunnel."""
-        return not self.reach.unreachable and not self.is_silent(now)
+        """Return whether orders reach it, directly, and it wants them."""
+        return (
+            not self.reach.unreachable
+            and not self.is_silent(now)
+            and not self.rejections.get_requested_seconds(now)
+        )
 
     def is_silent(self, now: float) -> bool:
         """Return whether it has pending answers and sends nothing."""
--- a/tests/cover/test_fleet_weights.py
+++ b/tests/cover/test_fleet_weights.py
@@ -17,6 +17,7 @@
 import datetime
 import random
 import unittest
+from unittest import mock
 
 from hypothesis import stateful
 from hypothesis import strategies as st
@@ -462,6 +463,36 @@
         router.act()
         self.assertEqual(len(self.engines.log), 1)
 
+    def test_regression_engine_that_asked_for_a_pause_was_called(self):
+        router = self.make_router('a')
+        router.name(2)
+        engine = router.directory.get('e1')
+        engine.rejections.note_requested(3.0, self.time.monotonic())
+        for _ in range(2):
+            router.act()
+            self.time.advance(1.0)
+        ordered = {instance for _, instance, _ in self.engines.log}
+        self.assertNotIn('e1', ordered)
+        for _ in range(8):
+            self.time.advance(1.0)
+            router.act()
+        self.assertEqual(set(self.engines.weights.values()), {2})
+
+    def test_regression_order_was_sent_after_a_pause_had_begun(self):
+        router = self.make_router('a')
+        router.name(2)
+        engines = list(router.directory)
+        write = self.rows.write_row
+
+        async def write_then_pause(row_write):
+            for engine in engines:
+                engine.rejections.note_requested(3.0, self.time.monotonic())
+            return await write(row_write)
+
+        self.rows.write_row = write_then_pause
+        router.act()
+        self.assertEqual(self.engines.log, [])
+
 
 class TestRestoredStore(unittest.TestCase):
     """After a restore, two routers must not send orders within one lease."""
@@ -652,3 +683,14 @@
         self.engine.reach.note_unreachable(0.0)
         self._poll(0.1)
         self.assertNotIn('e1', self.loads)
+
+    def test_regression_engine_that_asked_for_a_pause_was_polled(self):
+        self.loads.add(self.engine, self.order, answered=False)
+        now = self.time.monotonic()
+        self.engine.rejections.note_requested(3.0, now)
+        for expected in (0, 1):
+            with mock.patch.object(
+                self.control, 'read_state', wraps=self.control.read_state
+            ) as read_state:
+                self._poll(1.6)
+            self.assertEqual(read_state.call_count, expected)
