A pause that an engine asks for in an answer to a call is kept

Found by reading, not in a play. Cause: the header was read in answers to requests of callers only. Change: it is read in answers to calls too. Result: the new test of test_quiet_upstreams failed before and passes now.

--- a/src/lifttrestle/internal/platform/engine_calls.py
+++ b/src/lifttrestle/internal/platform/engine_calls.py
@@ -24,6 +24,7 @@
 from lifttrestle.internal.fleet.loads.engine_control import OrderOutcome
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.http.answer import Answer
+from lifttrestle.internal.http.head import ResponseHead
 from lifttrestle.internal.http.json_client import JsonClient
 from lifttrestle.internal.intake.decoding import decode_json
 from lifttrestle.internal.platform import names
@@ -31,6 +32,7 @@
 from lifttrestle.internal.platform.records import ReportRecord
 from lifttrestle.internal.platform.upstream_departure import read_leaving
 from lifttrestle.internal.platform.upstream_limit import read_limit
+from lifttrestle.internal.platform.upstream_pause import read_pause
 
 STATUS_OK = 200
 # If its running requests finish first, an engine starts no others until its
@@ -118,6 +120,14 @@
         answer = await client.call(method, path, content, tuple(headers))
         if answer.status != names.STATUS_OTHER_INSTANCE:
             self.note_limit(engine, read_limit(answer.headers), sent_at)
-            if read_leaving(answer.headers):
-                engine.departure.note_announced(self._clock.monotonic())
+            self._note_announced(engine, answer)
         return answer
+
+    def _note_announced(self, engine: FleetUpstream, answer: Answer) -> None:
+        """Record what an engine announces about itself in an answer."""
+        now = self._clock.monotonic()
+        if read_leaving(answer.headers):
+            engine.departure.note_announced(now)
+        seconds, _ = read_pause(ResponseHead(answer.status, answer.headers))
+        if seconds is not None:
+            engine.rejections.note_requested(seconds, now)
--- a/tests/nocover/test_quiet_upstreams.py
+++ b/tests/nocover/test_quiet_upstreams.py
@@ -14,7 +14,12 @@
 
 import time
 import unittest
+from unittest import mock
 
+from lifttrestle.errors import PlatformUnavailable
+from lifttrestle.internal.http.answer import Answer
+from lifttrestle.internal.http.json_client import JsonClient
+from lifttrestle.internal.platform.engine_calls import PlatformEngineControl
 from tests.support.fleet import run_fleet
 from tests.support.fleet_upstream import Behaviour
 
@@ -88,6 +93,21 @@
                     await self._call(fleet)
                     self.assertGreater(len(quiet.arrivals), arrivals)
 
+    async def test_regression_pause_in_an_answer_to_a_report_call_was_ignored(
+        self,
+    ):
+        declined = Answer(503, (('retry-after', f'{QUIET_SECONDS:g}'),))
+        async with run_fleet() as fleet:
+            engine = fleet.router.directory.get('e1')
+            control = PlatformEngineControl(fleet.clock, 0.5)
+            with mock.patch.object(
+                JsonClient, 'call', autospec=True, return_value=declined
+            ):
+                with self.assertRaises(PlatformUnavailable):
+                    await control.read_state(engine)
+            now = fleet.clock.monotonic()
+            self.assertGreater(engine.rejections.get_requested_seconds(now), 2)
+
 
 if __name__ == '__main__':
     unittest.main()
