No tunnels are opened to upstreams that asked this router for a pause

Cause: the router that forwards checked other reasons only. Change: it refuses new tunnels as if it had too many, and the other router asks the next one. Tunnels that are open remain. Result: the new test of test_tunnels failed before and passes now.

--- a/src/lifttrestle/internal/fleet/tunnels/messages.py
+++ b/src/lifttrestle/internal/fleet/tunnels/messages.py
@@ -52,7 +52,7 @@
     UNREACHABLE = 1
     # It does not know this start, or the start accepts no new work.
     UNKNOWN_START = 2
-    # It forwards for as many tunnels as it may.
+    # It forwards for as many tunnels as it may, or the upstream wants a pause.
     BUSY = 3
     STOPPING = 4
 
--- a/src/lifttrestle/internal/fleet/tunnels/server.py
+++ b/src/lifttrestle/internal/fleet/tunnels/server.py
@@ -139,6 +139,9 @@
             return TunnelStatus.BUSY
         if upstream is None or upstream.draining or upstream.misdirected:
             return TunnelStatus.UNKNOWN_START
+        now = self._clock.monotonic()
+        if upstream.rejections.get_requested_seconds(now):
+            return TunnelStatus.BUSY
         if upstream.reach.unreachable:
             return TunnelStatus.UNREACHABLE
         return TunnelStatus.CONNECTED
--- a/tests/nocover/test_tunnels.py
+++ b/tests/nocover/test_tunnels.py
@@ -21,6 +21,7 @@
 from lifttrestle.errors import UpstreamLost
 from lifttrestle.internal.fleet.state.relay_messages import encode_frame
 from lifttrestle.internal.fleet.tunnels.messages import TunnelRequest
+from lifttrestle.internal.fleet.tunnels.messages import TunnelStatus
 from lifttrestle.internal.http.address import parse_address
 from lifttrestle.internal.http.client_connection import ClientConnection
 from lifttrestle.internal.http.head import RequestHead
@@ -99,6 +100,17 @@
                 fleet.links.cut(STRUCK, Cut.RESET)
                 self.assertFalse(await fleet.try_once(STRUCK, ONCE))
 
+    async def test_regression_tunnels_led_to_upstreams_that_want_a_pause(self):
+        async with run_cut_fleet() as fleet:
+            near = fleet.routers[NEAR]
+            upstream = list_upstreams(fleet, NEAR)[0]
+            now = near._clock.monotonic()
+            upstream.rejections.note_requested(3.0, now)
+            address = near.roster.tunnel_address
+            request = TunnelRequest(f'router/{STRUCK}', upstream.start)
+            answer = await ask_for_tunnel(address, request)
+            self.assertEqual(answer, bytes([TunnelStatus.BUSY]))
+
 
 class TestPath(unittest.IsolatedAsyncioTestCase):
     async def test_own_data_centre_forwards_and_ends_when_links_are_back(self):
