A request is placed anew if its upstream asks for a pause before the send

Cause: the pause was checked at the choice only. Change: it is checked again right before the send. The request counts neither as run nor as a retry, nor as a failure of the upstream.

--- a/src/lifttrestle/errors.py
+++ b/src/lifttrestle/errors.py
@@ -136,6 +136,13 @@
         self.is_full = is_full
 
 
+class UpstreamPauses(LifttrestleError):
+    """The upstream has asked for a pause since it was chosen.
+
+    Nothing was sent.
+    """
+
+
 class UpstreamFailed(LifttrestleError):
     """The upstream answered with an error."""
 
--- a/src/lifttrestle/internal/exchange/attempts.py
+++ b/src/lifttrestle/internal/exchange/attempts.py
@@ -27,6 +27,7 @@
 from lifttrestle.errors import UpstreamDeclined
 from lifttrestle.errors import UpstreamFailed
 from lifttrestle.errors import UpstreamLost
+from lifttrestle.errors import UpstreamPauses
 from lifttrestle.errors import WrongAnswer
 
 Chosen = TypeVar('Chosen')
@@ -37,10 +38,11 @@
     UpstreamDeclined,
     UpstreamFailed,
     UpstreamLost,
+    UpstreamPauses,
     WrongAnswer,
 )
 # Exceptions after which the upstream has not executed the request.
-NOT_RUN_FAILURES = (UpstreamConnectFailed, UpstreamDeclined)
+NOT_RUN_FAILURES = (UpstreamConnectFailed, UpstreamDeclined, UpstreamPauses)
 
 
 class FailureAction(enum.Enum):
--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -18,8 +18,6 @@
 from lifttrestle.errors import CallerGone
 from lifttrestle.errors import LifttrestleError
 from lifttrestle.errors import RequestRefused
-from lifttrestle.errors import UpstreamDeclined
-from lifttrestle.errors import UpstreamFailed
 from lifttrestle.internal.clock.read_timeout import ReadTimeout
 from lifttrestle.internal.exchange.attempts import AttemptPlan
 from lifttrestle.internal.exchange.attempts import FailureAction
@@ -38,6 +36,7 @@
 from lifttrestle.internal.fleet.path.event_buffer import EventBuffer
 from lifttrestle.internal.fleet.path.event_buffer import MILLISECONDS
 from lifttrestle.internal.fleet.path.failure_recording import FailureRecorder
+from lifttrestle.internal.fleet.path.failure_recording import REUSABLE_AFTER
 from lifttrestle.internal.fleet.path.hold_check import check_held
 from lifttrestle.internal.fleet.path.request_context import begin_request
 from lifttrestle.internal.fleet.path.request_context import RequestContext
@@ -270,7 +269,7 @@
                 answer,
                 inactivity_timeout,
             )
-        except (UpstreamDeclined, UpstreamFailed, RequestRefused):
+        except REUSABLE_AFTER:
             # The answer was read completely, or nothing was sent.
             upstream.pool.give_back(connection)
             raise
--- a/src/lifttrestle/internal/fleet/path/failure_recording.py
+++ b/src/lifttrestle/internal/fleet/path/failure_recording.py
@@ -13,11 +13,14 @@
 """Records what a failed attempt shows about its upstream."""
 
 from lifttrestle.errors import LifttrestleError
+from lifttrestle.errors import RequestRefused
 from lifttrestle.errors import UpstreamBrokeOff
 from lifttrestle.errors import UpstreamConnectFailed
 from lifttrestle.errors import UpstreamDeclined
+from lifttrestle.errors import UpstreamFailed
 from lifttrestle.errors import UpstreamLost
 from lifttrestle.errors import UpstreamPathLost
+from lifttrestle.errors import UpstreamPauses
 from lifttrestle.internal.exchange.progress import RequestEvent
 from lifttrestle.internal.fleet.crashes.loss_states import StartEvidence
 from lifttrestle.internal.fleet.crashes.lost_origins import RequestOrigin
@@ -28,6 +31,13 @@
 # An engine that declined a request is avoided for this long: by then, its
 # entry or the plan of the weights has been updated.
 DECLINED_BACKOFF_SECONDS = 0.15
+# After these, a connection holds no rest of an answer.
+REUSABLE_AFTER = (
+    RequestRefused,
+    UpstreamDeclined,
+    UpstreamFailed,
+    UpstreamPauses,
+)
 
 
 class FailureRecorder:
@@ -70,6 +80,9 @@
             upstream.reach.note_unreachable(now)
             self._candidates.reconsider(upstream)
             losses.note_probed(upstream.start, False, error.refused)
+        elif isinstance(error, UpstreamPauses):
+            # It may be chosen again once its pause has ended.
+            self._candidates.exclude(upstream, now)
         elif not _is_path_failure(upstream, error):
             upstream.breaker.note_failure(now)
         if isinstance(error, UpstreamBrokeOff):
--- a/src/lifttrestle/internal/fleet/path/sending.py
+++ b/src/lifttrestle/internal/fleet/path/sending.py
@@ -12,6 +12,7 @@
 
 """Sends a request to its upstream and records when its answer begins."""
 
+from lifttrestle.errors import UpstreamPauses
 from lifttrestle.internal.exchange.progress import RequestEvent
 from lifttrestle.internal.fleet.path.answer_forwarding import AnswerForwarder
 from lifttrestle.internal.fleet.path.answer_forwarding import InactivityTimeout
@@ -77,7 +78,10 @@
     async def send(
         self, chosen: Placement, attempt_id: int, connection: ClientConnection
     ) -> tuple[UpstreamAnswer, InactivityTimeout]:
-        """Send the request and return its answer once it has begun."""
+        """Send the request and return its answer once it has begun.
+
+        :raises UpstreamPauses: if it must be sent to another upstream.
+        """
         parts = self._parts
         request = self._request
         upstream = chosen.upstream
@@ -85,6 +89,7 @@
         # budget is charged only here: a failed connection is no retry.
         await check_held_before_send(request)
         request.readmit()
+        _check_pause(upstream, parts.clock.monotonic())
         if request.sends and not self._take_retry():
             raise request.make_refusal(
                 ErrorKind.UPSTREAM_FAILED, 'the retry budget is used up'
@@ -282,3 +287,12 @@
             attempt=self._request.sends,
             live_routers=self._parts.roster.live,
         )
+
+
+def _check_pause(upstream: FleetUpstream, now: float) -> None:
+    """Raise an error if an upstream has asked for a pause since the choice."""
+    seconds = upstream.rejections.get_requested_seconds(now)
+    if seconds:
+        raise UpstreamPauses(
+            f'{upstream.instance} wants nothing for {seconds:.2f} s'
+        )
--- a/tests/nocover/test_quiet_upstreams.py
+++ b/tests/nocover/test_quiet_upstreams.py
@@ -108,6 +108,23 @@
             now = fleet.clock.monotonic()
             self.assertGreater(engine.rejections.get_requested_seconds(now), 2)
 
+    async def test_regression_request_was_sent_after_a_pause_had_begun(self):
+        async with run_fleet() as fleet:
+            upstream = fleet.router.directory.get('p1')
+            take = upstream.pool.take
+
+            async def take_late(**options):
+                now = fleet.clock.monotonic()
+                upstream.rejections.note_requested(QUIET_SECONDS, now)
+                return await take(**options)
+
+            upstream.pool.take = take_late
+            answers = await self._call(fleet)
+            self.assertEqual({item.status for item in answers}, {200})
+            now = fleet.clock.monotonic()
+            self.assertTrue(upstream.rejections.get_requested_seconds(now))
+            self.assertEqual(fleet.upstreams['p1'].arrivals, [])
+
 
 if __name__ == '__main__':
     unittest.main()
