--- a/tests/nocover/test_leaving_upstreams.py
+++ b/tests/nocover/test_leaving_upstreams.py
@@ -13,6 +13,7 @@
 """Upstreams that say in their answers that they leave."""
 
 import asyncio
+import time
 import unittest
 
 from tests.support.fleet import run_fleet
@@ -55,6 +56,26 @@
             await wait_until(lambda: fleet.router.directory.changes > changes)
             self.assertEqual(await self._count_sent(fleet, leaver), 0)
 
+    async def test_callers_are_told_soon_once_all_leave(self):
+        async with run_fleet() as fleet:
+            for name in ('p1', 'p2'):
+                leaver = fleet.upstreams[name]
+                leaver.leaving = '1'
+                while not leaver.arrivals:
+                    await fleet.call('/safe/x')
+            arrivals = [
+                len(item.arrivals) for item in fleet.upstreams.values()
+            ]
+            began = time.monotonic()
+            answer = await fleet.call('/safe/x')
+            self.assertLess(time.monotonic() - began, 0.5)
+            self.assertEqual(answer.status, 503)
+            self.assertIn('retry-after', dict(answer.headers))
+            self.assertEqual(
+                [len(item.arrivals) for item in fleet.upstreams.values()],
+                arrivals,
+            )
+
     async def test_after_its_entry_lapsed_and_came_back(self):
         async with run_fleet() as fleet:
             leaver = fleet.upstreams['p1']
