--- a/src/lifttrestle/internal/fleet/path/upstream_search.py
+++ b/src/lifttrestle/internal/fleet/path/upstream_search.py
@@ -70,8 +70,7 @@
             if await _request_permit(request, candidates, placement.upstream):
                 return placement
             continue
-        _check_permits(request, candidates, until)
-        _check_pauses(request, candidates, until)
+        _check_waits(request, candidates, until)
         now = clock.monotonic()
         if now < until and candidates.may_become_available(request.service):
             poll_seconds = WAIT_POLL_SECONDS
@@ -135,31 +134,24 @@
     return not permit.wait
 
 
-def _check_permits(
+def _check_waits(
     request: RequestContext, candidates: Candidates, until: float
 ) -> None:
-    """Refuse a request at once if no rate limit permits it in time."""
-    wait = candidates.find_permit_seconds(request.service)
-    if wait is None or request.parts.clock.monotonic() + wait <= until:
-        return
-    raise _make_timed_refusal(
-        request,
-        'all upstreams are rate limited, and accept no more requests for'
-        f' {wait:.2f} s',
-        wait,
-    )
-
-
-def _check_pauses(
-    request: RequestContext, candidates: Candidates, until: float
-) -> None:
-    """Refuse a request at once if all upstreams pause for too long."""
-    wait = candidates.find_pause_seconds(request.service)
-    if wait is None or request.parts.clock.monotonic() + wait <= until:
-        return
-    raise _make_timed_refusal(
-        request, f'all upstreams asked for a pause of {wait:.2f} s', wait
+    """Refuse a request at once if it is known to wait for too long."""
+    now = request.parts.clock.monotonic()
+    service = request.service
+    waits = (
+        ('are rate limited', candidates.find_permit_seconds(service)),
+        ('asked for a pause', candidates.find_pause_seconds(service)),
     )
+    for reason, seconds in waits:
+        if seconds is not None and now + seconds > until:
+            raise _make_timed_refusal(
+                request,
+                f'all upstreams {reason}, and accept no more requests for'
+                f' {seconds:.2f} s',
+                seconds,
+            )
 
 
 def _make_timed_refusal(
