An event in small parts no longer stops the router

What callers saw: while an upstream sent one event without end in chunks of two bytes, the router stood still for up to 20.8 s (a trial on a scratch script). Cause: each part copied the event so far and searched all of it again. Change: the buffer grows in place, and only new bytes are searched. Not done: answers in tiny chunks still hold up the event loop (0.86 s at a time in the same trial, plain route).

--- a/src/lifttrestle/internal/fleet/path/event_relay.py
+++ b/src/lifttrestle/internal/fleet/path/event_relay.py
@@ -19,6 +19,7 @@
 from lifttrestle.internal.http.server_connection import ServerConnection
 
 EVENT_TERMINATORS = (b'\n\n', b'\r\n\r\n')
+MAX_TERMINATOR_BYTES = max(map(len, EVENT_TERMINATORS))
 ID_FIELD = b'id:'
 # A longer event is treated as a broken stream.
 MAX_EVENT_BYTES = 1024 * 1024
@@ -48,7 +49,9 @@
         self.last_event_id = last_event_id
         self.started = False
         self.sent = 0
-        self._buffer = b''
+        self._buffer = bytearray()
+        # How much of it is known to hold no end of an event.
+        self._searched = 0
         # Bytes of events of the current stream that the caller already has.
         self._repeated_bytes = 0
         self._status = 0
@@ -68,7 +71,8 @@
 
         :param on_event: called before events are sent.
         """
-        self._buffer = b''
+        self._buffer = bytearray()
+        self._searched = 0
         self._repeated_bytes = 0
         self._on_event = on_event
         if not self.started:
@@ -82,19 +86,22 @@
             events that the caller already has exceed ``MAX_REPEATED_BYTES``;
             the events before have been sent.
         """
-        buffer = self._buffer + data
+        buffer = self._buffer
+        buffer += data
         ready: list[bytes] = []
         start = 0
-        while end := _find_event_end(buffer, start):
+        searched = max(self._searched - MAX_TERMINATOR_BYTES, 0)
+        while end := _find_event_end(buffer, max(start, searched)):
             if end - start > MAX_EVENT_BYTES:
                 break
-            event = buffer[start:end]
+            event = bytes(buffer[start:end])
             start = end
             if self._accept_event(event):
                 ready.append(event)
             else:
                 self._repeated_bytes += len(event)
-        self._buffer = buffer[start:]
+        del buffer[:start]
+        self._searched = len(buffer)
         if ready:
             self.sent += len(ready)
             await self._send(b''.join(ready))
@@ -134,7 +141,7 @@
         await self._connection.start_answer(self._status, self._headers)
 
 
-def _find_event_end(data: bytes, start: int) -> int:
+def _find_event_end(data: bytearray, start: int) -> int:
     """Return the end of the first complete event from ``start``, or zero."""
     first = 0
     for terminator in EVENT_TERMINATORS:
--- a/tests/nocover/test_endless_answers.py
+++ b/tests/nocover/test_endless_answers.py
@@ -21,6 +21,7 @@
 from lifttrestle.errors import CallerGone
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.system import SystemClock
+from lifttrestle.internal.fleet.path.event_relay import EventRelay
 from lifttrestle.internal.platform.engine_calls import PlatformEngineControl
 from tests.support.fleet import run_fleet
 from tests.support.fleet import wait_until
@@ -221,3 +222,10 @@
                         await wait_until(lambda sent=upstream: sent.seconds)
                     self.assertLess(upstream.most_sent, MAX_BYTES)
                     self.assertLess(max(upstream.seconds), CLOSE_SECONDS)
+
+    async def test_regression_event_in_small_parts_stopped_the_router(self):
+        relay = EventRelay(None, None)
+        began = time.monotonic()
+        for _ in range(50_000):
+            await relay.feed(b'x' * 16)
+        self.assertLess(time.monotonic() - began, CLOSE_SECONDS)
