--- a/src/lifttrestle/internal/platform/names.py
+++ b/src/lifttrestle/internal/platform/names.py
@@ -68,10 +68,6 @@
 # The upstream leaves, whatever its entry in the store says.
 LEAVING = 'server-leaving'
 LEAVING_SET = '1'
-# After an answer with this status, the upstream may ask for nothing more for
-# some seconds.
-STATUS_UNAVAILABLE = 503
-RETRY_AFTER = 'retry-after'
 
 # Calls to an engine.
 REPORT_PATH = '/report'
--- a/src/lifttrestle/internal/platform/upstream_pause.py
+++ b/src/lifttrestle/internal/platform/upstream_pause.py
@@ -15,15 +15,17 @@
 import math
 
 from lifttrestle.internal.http.head import ResponseHead
-from lifttrestle.internal.platform import names
 from lifttrestle.internal.platform.upstream_limit import DECIMAL
 from lifttrestle.internal.platform.upstream_limit import MAX_CHARACTERS
 
+STATUS_UNAVAILABLE = 503
+RETRY_AFTER = 'retry-after'
+
 
 def read_pause(head: ResponseHead) -> tuple[float | None, str]:
     """Return the seconds, and the text if it is not a number of seconds."""
-    text = head.get_header(names.RETRY_AFTER)
-    if head.status != names.STATUS_UNAVAILABLE or not text:
+    text = head.get_header(RETRY_AFTER)
+    if head.status != STATUS_UNAVAILABLE or not text:
         return None, ''
     if len(text) <= MAX_CHARACTERS and DECIMAL.fullmatch(text) is not None:
         seconds = float(text)
