--- a/src/lifttrestle/internal/fleet/streams/origin_rows.py
+++ b/src/lifttrestle/internal/fleet/streams/origin_rows.py
@@ -191,23 +191,29 @@
         is_first = self._own_version is None
         if is_first:
             self._own_version = NO_ROW
+        self._abandoned = []
         for row in changes.rows:
+            decoded = self._decode(row)
             is_own = is_first and row.key == self._key
-            self._apply_row(row, sought, adopt=is_own)
+            self._apply_row(row, decoded, sought, adopt=is_own)
+            if self._is_abandoned(row, decoded):
+                self._abandoned.append(row)
         LOG.info('origins.read', routers=len(changes.rows))
-        self._abandoned = [
-            row for row in changes.rows if self._is_abandoned(row)
-        ]
 
     def _apply_row(
-        self, row: VersionedRow, sought: Collection[int], *, adopt: bool
+        self,
+        row: VersionedRow,
+        decoded: OriginRow,
+        sought: Collection[int],
+        *,
+        adopt: bool,
     ) -> None:
         """Record the origins of a row.
 
         :param adopt: whether the row is of an earlier start of this router,
             whose streams the next write must not drop.
         """
-        origins = list_row_origins(self._decode(row))
+        origins = list_row_origins(decoded)
         for digest, origin in origins.items():
             if digest in sought or not self._ledger.is_full:
                 self._record(digest, origin)
@@ -230,8 +236,8 @@
             self._refusals.report('streams', row.key, error)
         return OriginRow(self._get_unix_ms(), [], [])
 
-    def _is_abandoned(self, row: VersionedRow) -> bool:
-        age_ms = self._get_unix_ms() - self._decode(row).written_at_ms
+    def _is_abandoned(self, row: VersionedRow, decoded: OriginRow) -> bool:
+        age_ms = self._get_unix_ms() - decoded.written_at_ms
         is_old = age_ms >= ABANDONED_SECONDS * MILLISECONDS
         return is_old and row.key != self._key
 
