--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -81,9 +81,7 @@
     ) -> None:
         self._settings = settings
         self._clock = clock
-        self._source = source
         self.store = store
-        self._format = stored_format
         self.ticker = Ticker(clock, source.random())
         self._stop = asyncio.Event()
         self._reload = asyncio.Event()
