--- a/tests/nocover/test_crashing_requests.py
+++ b/tests/nocover/test_crashing_requests.py
@@ -30,19 +30,18 @@
 from lifttrestle.internal.fleet.crashes.hold_rules import TRIAL_SECONDS
 from lifttrestle.internal.fleet.crashes.holds import HoldRows
 from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
-from tests.support.crashing_upstream import CrashingUpstream
+from tests.support.crashing_routers import count_crashes
+from tests.support.crashing_routers import run_routers
+from tests.support.crashing_routers import send_fatal
+from tests.support.crashing_routers import UPSTREAMS
 from tests.support.crashing_upstream import FATAL
-from tests.support.fleet import CONFIGURATION
 from tests.support.fleet import Fleet
 from tests.support.fleet import make_router
 from tests.support.fleet import PROMISES
 from tests.support.fleet import wait_until
-from tests.support.fleet_store import FleetStoreStandin
 from tests.support.fleet_upstream import Behaviour
 from tests.support.shifted_clock import ShiftedClock
 
-NAMES = ('front-a-1', 'front-a-2', 'front-a-3')
-UPSTREAMS = 8
 # Routers that reach each other and the store know of a crash within this time.
 CONTACT_SECONDS = 3.0
 LIMIT = 3
@@ -51,52 +50,6 @@
 MAX_TRIES = 5
 
 
-@contextlib.asynccontextmanager
-async def run_routers(upstream_count=UPSTREAMS):
-    """Run three routers in front of upstreams that a request can crash."""
-    store = FleetStoreStandin()
-    address = await store.start()
-    store.put('op', 'config', CONFIGURATION)
-    upstreams = [
-        CrashingUpstream(f'p{number}', store)
-        for number in range(upstream_count)
-    ]
-    for upstream in upstreams:
-        await upstream.start()
-    routers = [make_router(address, PROMISES, vm) for vm in NAMES]
-    fleets = [Fleet(store, router, {}, ShiftedClock()) for router in routers]
-    try:
-        for router in routers:
-            await router.start()
-        await wait_until(
-            lambda: all(
-                item.is_ready()
-                and item.roster.live == len(NAMES)
-                and len(list(item.directory)) == upstream_count
-                for item in routers
-            )
-        )
-        yield fleets, upstreams
-    finally:
-        for fleet in fleets:
-            await fleet.router.stop()
-        for upstream in upstreams:
-            await upstream.stop()
-        await store.server.stop()
-
-
-def count_crashes(upstreams):
-    """Return the total number of crashes of the upstreams."""
-    return sum(upstream.crashes for upstream in upstreams)
-
-
-async def send_fatal(fleet, request_id, route='safe'):
-    """Send the request that crashes every upstream that runs it."""
-    return await fleet.call(
-        f'/{route}/a', method='POST', body=FATAL, request_id=request_id
-    )
-
-
 async def make_dangerous(fleets, route='safe'):
     """Send the fatal request until all routers hold it.
 
