Rows of which each router writes one have a class of their own

Cause: crash counts need the same as origins of streams: a conditional write of the own row, its version after lost answers and restores, a pace for the whole fleet, removal of the rows of routers that are gone. Change: state/router_rows.py, taken out of streams/origin_rows.py; policy/row_pacing.py is its pace.

--- a/src/lifttrestle/internal/fleet/policy/origin_pacing.py
+++ b/src/lifttrestle/internal/fleet/policy/row_pacing.py
@@ -10,7 +10,7 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-"""How often a router stores the origins of its open streams."""
+"""How often a router writes its row of a table in which each has one."""
 
 # Writes of all routers together, a twentieth of what the store accepts.
 MAX_WRITES_PER_SECOND = 20.0
--- a/src/lifttrestle/internal/fleet/streams/origin_rows.py
+++ b/src/lifttrestle/internal/fleet/streams/origin_rows.py
@@ -21,15 +21,11 @@
 from collections.abc import Callable
 from collections.abc import Collection
 
-from lifttrestle.errors import ConditionFailed
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.fleet.policy.origin_pacing import get_write_seconds
 from lifttrestle.internal.fleet.state.roster import Roster
-from lifttrestle.internal.fleet.state.row_version import get_epoch
-from lifttrestle.internal.fleet.state.rows import NO_ROW
+from lifttrestle.internal.fleet.state.router_rows import RouterRows
 from lifttrestle.internal.fleet.state.rows import RowStore
-from lifttrestle.internal.fleet.state.rows import RowWrite
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.fleet.streams.ledger import OriginLedger
 from lifttrestle.internal.fleet.streams.open_streams import OpenStreams
@@ -69,23 +65,16 @@
         get_life_seconds: Callable[[], float],
         refusals: InputRefusals | None = None,
     ) -> None:
-        self._key = vm
-        self._store = store
-        self._roster = roster
+        self._rows = RouterRows(ORIGIN_TABLE, vm, store, roster, clock)
         self._ledger = ledger
         self._clock = clock
         self._get_life_seconds = get_life_seconds
         self._refusals = refusals or InputRefusals()
         self._open = OpenStreams(clock)
-        # Version of this router's row, None if it has to be read first.
-        self._own_version: int | None = None
-        self._write_at = 0.0
         self._read_at = -READ_SECONDS
         self._next_read: asyncio.Task[None] | None = None
         # Digests that callers of the next read look for.
         self._sought: set[int] = set()
-        # Rows of routers that have ended for good, as last read.
-        self._abandoned: list[VersionedRow] = []
 
     def note_begun(self, digest: int, origin: StreamOrigin) -> None:
         """Record a stream that this router begins or resumes."""
@@ -108,17 +97,17 @@
         :param needed: whether streams may have different origins; without
             that the row is removed.
         """
-        now = self._clock.monotonic()
-        if now < self._write_at:
+        if not self._rows.may_write:
             return
         self._open.remove_expired(self._get_life_seconds())
-        self._check_restored()
+        if self._rows.forget_restored():
+            self._open.changed = True
         if needed and self._open.changed:
             await self._write_open()
-        elif not needed and self._own_version not in (None, NO_ROW):
+        elif not needed and self._rows.exists:
             self._open.changed = True
-            await self._write(None)
-        await self._remove_one_abandoned()
+            await self._rows.write(None)
+        await self._rows.remove_one_abandoned()
 
     async def read_current(self, digest: int) -> None:
         """Read all rows, beginning after this call; errors are logged.
@@ -142,84 +131,40 @@
         sought, self._sought = self._sought, set()
         await self._read(sought)
 
-    def _check_restored(self) -> None:
-        """Write the row again if the store was restored since its write."""
-        version = self._own_version
-        if version is None or version == NO_ROW:
-            return
-        if get_epoch(version) < self._store.epoch:
-            self._own_version = None
-            self._open.changed = True
-
     async def _write_open(self) -> None:
-        if self._own_version is None:
+        if not self._rows.is_known:
             await self._read()
-        if self._own_version is None:
-            self._delay_write()
+        if not self._rows.is_known:
+            self._rows.delay_write()
             return
         self._open.changed = False
-        written = await self._write(
+        written = await self._rows.write(
             encode_origin_row(self._open.list_origins(), self._get_unix_ms())
         )
         if not written:
             self._open.changed = True
 
-    async def _write(self, value: bytes | None) -> bool:
-        assert self._own_version is not None, 'the row was read'
-        self._delay_write()
-        write = RowWrite(ORIGIN_TABLE, self._key, value, self._own_version)
-        try:
-            version = await self._store.write_row(write)
-        except (ConditionFailed, PlatformUnavailable) as error:
-            # A write without an answer may have taken effect.
-            self._own_version = None
-            LOG.info('origins.not_written', reason=str(error))
-            return False
-        self._own_version = NO_ROW if value is None else version
-        return True
-
-    def _delay_write(self) -> None:
-        seconds = get_write_seconds(self._roster.live)
-        self._write_at = self._clock.monotonic() + seconds
-
     async def _read(self, sought: Collection[int] = ()) -> None:
         try:
-            changes = await self._store.read_table(ORIGIN_TABLE)
+            read = await self._rows.read()
         except PlatformUnavailable as error:
             LOG.info('origins.not_read', reason=str(error))
             return
-        is_first = self._own_version is None
-        if is_first:
-            self._own_version = NO_ROW
-        self._abandoned = []
-        for row in changes.rows:
+        abandoned = []
+        for row in read.rows:
             decoded = self._decode(row)
-            is_own = is_first and row.key == self._key
-            self._apply_row(row, decoded, sought, adopt=is_own)
-            if self._is_abandoned(row, decoded):
-                self._abandoned.append(row)
-        LOG.info('origins.read', routers=len(changes.rows))
-
-    def _apply_row(
-        self,
-        row: VersionedRow,
-        decoded: OriginRow,
-        sought: Collection[int],
-        *,
-        adopt: bool,
-    ) -> None:
-        """Record the origins of a row.
-
-        :param adopt: whether the row is of an earlier start of this router,
-            whose streams the next write must not drop.
-        """
-        origins = list_row_origins(decoded)
-        for digest, origin in origins.items():
+            self._record_row(decoded, sought)
+            if row is read.earlier:
+                self._open.add_earlier(list_row_origins(decoded))
+            if self._is_abandoned(decoded):
+                abandoned.append(row)
+        self._rows.set_abandoned(abandoned)
+        LOG.info('origins.read', routers=len(read.rows))
+
+    def _record_row(self, row: OriginRow, sought: Collection[int]) -> None:
+        for digest, origin in list_row_origins(row).items():
             if digest in sought or not self._ledger.is_full:
                 self._record(digest, origin)
-        if adopt:
-            self._open.add_earlier(origins)
-            self._own_version = row.version
 
     def _record(self, digest: int, origin: StreamOrigin) -> None:
         """Record an origin; those that disagree become unknown."""
@@ -236,21 +181,9 @@
             self._refusals.report('streams', row.key, error)
         return OriginRow(self._get_unix_ms(), [], [])
 
-    def _is_abandoned(self, row: VersionedRow, decoded: OriginRow) -> bool:
-        age_ms = self._get_unix_ms() - decoded.written_at_ms
-        is_old = age_ms >= ABANDONED_SECONDS * MILLISECONDS
-        return is_old and row.key != self._key
-
-    async def _remove_one_abandoned(self) -> None:
-        if not self._abandoned:
-            return
-        self._delay_write()
-        row = self._abandoned.pop()
-        write = RowWrite(ORIGIN_TABLE, row.key, None, row.version)
-        try:
-            await self._store.write_row(write)
-        except (ConditionFailed, PlatformUnavailable) as error:
-            LOG.info('origins.row_left', router=row.key, reason=str(error))
+    def _is_abandoned(self, row: OriginRow) -> bool:
+        age_ms = self._get_unix_ms() - row.written_at_ms
+        return age_ms >= ABANDONED_SECONDS * MILLISECONDS
 
     def _get_unix_ms(self) -> int:
         return int(self._clock.now().timestamp() * MILLISECONDS)
--- a/tests/cover/test_origin_rows.py
+++ b/tests/cover/test_origin_rows.py
@@ -14,7 +14,7 @@
 
 import unittest
 
-from lifttrestle.internal.fleet.policy import origin_pacing
+from lifttrestle.internal.fleet.policy import row_pacing
 from lifttrestle.internal.fleet.streams.open_streams import MAX_OPEN
 from lifttrestle.internal.fleet.streams.origin import StreamOrigin
 from lifttrestle.internal.fleet.streams.origin_row import decode_origin_row
@@ -218,8 +218,8 @@
         for routers in (6, 60, 195, 350):
             with self.subTest(routers=routers):
                 self.assertLessEqual(
-                    routers / origin_pacing.get_write_seconds(routers),
-                    origin_pacing.MAX_WRITES_PER_SECOND,
+                    routers / row_pacing.get_write_seconds(routers),
+                    row_pacing.MAX_WRITES_PER_SECOND,
                 )
 
     async def test_unknown_streams_share_one_read(self):
--- a/tests/support/origin_fleet.py
+++ b/tests/support/origin_fleet.py
@@ -20,7 +20,7 @@
 import msgspec
 
 from lifttrestle.internal.clock.manual import ManualClock
-from lifttrestle.internal.fleet.policy.origin_pacing import get_write_seconds
+from lifttrestle.internal.fleet.policy.row_pacing import get_write_seconds
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.load_messages import decode_message
 from lifttrestle.internal.fleet.state.load_messages import encode_message
