Crashes of requests below the limit are known after restarts

What callers saw: a request that crashes upstreams is held after three of them; if all routers were killed at once, killed in turn or stopped in turn after its second crash, it took down five, and streams of others with each. Cause: crash counts below the limit were kept in memory only, by the router that noted the crash and five owners; a router that starts got none of it. Change: each router stores the records that it changed itself in a row of the table lifttrestle-crashes, and reads all rows when it starts. Good ends and lifted holds are stored too, by the routers that note them and the owners.

--- a/src/lifttrestle/internal/fleet/crashes/ledger.py
+++ b/src/lifttrestle/internal/fleet/crashes/ledger.py
@@ -17,9 +17,13 @@
 """
 
 import collections
+from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
+import types
 
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.crashes.crash_row import KnownCrashes
 from lifttrestle.internal.fleet.crashes.hold_rules import CRASH_LIMIT
 from lifttrestle.internal.fleet.crashes.hold_rules import HOLD_SECONDS
 from lifttrestle.internal.fleet.crashes.hold_rules import is_dangerous
@@ -47,6 +51,7 @@
 # Maximum number of remembered successes, about 100 bytes each: those of at
 # least the last minute at the 50 requests per second that one router serves.
 MAX_SUCCEEDED = 4096
+NO_TIMES: Mapping[int, float] = types.MappingProxyType({})
 
 
 @dataclasses.dataclass
@@ -83,8 +88,17 @@
             collections.OrderedDict()
         )
 
-    def note_crashes(self, digest: int, starts: list[int]) -> bool:
-        """Record crashes under a request; return whether any is new."""
+    def note_crashes(
+        self,
+        digest: int,
+        starts: Iterable[int],
+        crashed_at: Mapping[int, float] = NO_TIMES,
+    ) -> bool:
+        """Record crashes under a request; return whether any is new.
+
+        :param crashed_at: when they were noticed, in monotonic seconds, if
+            that was earlier than now.
+        """
         record = self._get_record(digest)
         new = [
             start
@@ -92,7 +106,8 @@
             if start not in record.crashed and start not in record.retracted
         ]
         for start in new[: MAX_STARTS - len(record.crashed)]:
-            record.crashed[start] = self._clock.monotonic()
+            now = self._clock.monotonic()
+            record.crashed[start] = crashed_at.get(start, now)
         if new:
             self._update_candidate(digest, record)
         return bool(new)
@@ -110,11 +125,12 @@
         self.retract(digest, list(record.crashed))
         return True
 
-    def retract(self, digest: int, starts: list[int]) -> bool:
+    def retract(self, digest: int, starts: Iterable[int]) -> bool:
         """Retract crashes of starts; return whether one of them counted."""
         record = self._records.get(digest)
         if record is None:
             return False
+        starts = list(starts)
         counted = [
             start
             for start in starts
@@ -134,12 +150,24 @@
         the other router does not.
         """
         self.note_crashes(item.digest, item.crashed)
-        self.retract(item.digest, item.retracted)
-        record = self._records[item.digest]
-        record.succeeded = record.succeeded or item.succeeded
-        self._update_candidate(item.digest, record)
+        record = self._merge_good(item.digest, item.retracted, item.succeeded)
         return record.succeeded and not item.succeeded
 
+    def restore(self, digest: int, known: KnownCrashes) -> None:
+        """Merge a record that a router had stored."""
+        self.note_crashes(digest, known.crashed, known.crashed)
+        self._merge_good(digest, known.retracted, known.succeeded)
+
+    def _merge_good(
+        self, digest: int, retracted: Iterable[int], succeeded: bool
+    ) -> CrashRecord:
+        """Merge what speaks for a request, and return its record."""
+        self.retract(digest, retracted)
+        record = self._records[digest]
+        record.succeeded = record.succeeded or succeeded
+        self._update_candidate(digest, record)
+        return record
+
     @property
     def guilty(self) -> frozenset[int]:
         """Return the digests of all that must be held."""
@@ -219,6 +247,15 @@
             record.succeeded,
         )
 
+    def get_crashes(self, digest: int) -> KnownCrashes:
+        """Return the record of a request, to be stored."""
+        record = self._records.get(digest, CrashRecord())
+        return KnownCrashes(
+            self._list_recent(record),
+            tuple(record.retracted)[-MAX_TOLD_STARTS:],
+            record.succeeded,
+        )
+
     def clear(self, digest: int) -> None:
         """Retract all crashes of a request."""
         record = self._records.get(digest)
--- a/src/lifttrestle/internal/fleet/crashes/tracker.py
+++ b/src/lifttrestle/internal/fleet/crashes/tracker.py
@@ -17,6 +17,7 @@
 
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.clock.ticker import Ticker
+from lifttrestle.internal.fleet.crashes.crash_rows import CrashRows
 from lifttrestle.internal.fleet.crashes.decisions import HoldDecisions
 from lifttrestle.internal.fleet.crashes.held_row import format_digest
 from lifttrestle.internal.fleet.crashes.held_row import format_digests
@@ -52,6 +53,7 @@
     :ivar replicator: sends crash records to other routers.
     :ivar decisions: begins and ends holds.
     :ivar holds: persistent rows of held requests.
+    :ivar rows: persistent rows of crashes.
     """
 
     def __init__(
@@ -69,16 +71,19 @@
         self._origins = LostOrigins()
         self._refusals: dict[int, int] = {}
         self.replicator = CrashReplicator(vm, self._ledger, roster)
+        refusals = refusals or InputRefusals()
         self.decisions = HoldDecisions(
             vm,
             store,
             clock,
-            refusals or InputRefusals(),
+            refusals,
             self._ledger,
             self._origins,
             self.replicator,
         )
-        self.decisions.on_lifted = self._forget_refusals
+        self.decisions.on_lifted = self._note_lifted
+        self.rows = CrashRows(vm, store, roster, self._ledger, clock, refusals)
+        self.rows.on_read = self.decisions.apply_verdicts
         self.holds = self.decisions.holds
         self.losses = LossWatch(clock, heartbeat_seconds)
         self.losses.on_crashed = self._note_crashed
@@ -89,6 +94,7 @@
         await asyncio.gather(
             self.replicator.run(),
             self.holds.run(ticker),
+            self.rows.run(ticker),
             self._run_sweep(ticker),
         )
 
@@ -139,8 +145,14 @@
         if digest in self._refusals or len(self._refusals) < MAX_HELD:
             self._refusals[digest] = self._refusals.get(digest, 0) + 1
 
-    def _forget_refusals(self, digest: int) -> None:
+    def _note_lifted(self, digest: int) -> None:
+        """Record the removal of a hold, after which crashes no longer count.
+
+        Rows of routers that are gone may still list them.
+        """
         self._refusals.pop(digest, None)
+        if self.replicator.is_owner(digest):
+            self.rows.note(digest)
 
     async def claim_trial(self, digest: int) -> bool:
         """Claim a trial run; return whether it is granted."""
@@ -190,7 +202,7 @@
                     digest=format_digest(digest),
                     kind=get_kind_name(digest),
                 )
-                self.replicator.queue_update(digest)
+                self._publish(digest)
             if self.holds.get(digest) is not None:
                 self.holds.schedule_write(digest, 0.0, None)
         self.decisions.apply_verdicts()
@@ -204,6 +216,8 @@
         replies = [
             item.digest for item in update.items if self._ledger.merge(item)
         ]
+        for item in update.items:
+            self.rows.note_merged(item.digest)
         self.decisions.apply_verdicts(update.items)
         if replies:
             self.replicator.reply(update.vm, replies)
@@ -219,11 +233,16 @@
             start=f'{start:x}',
             parts=format_digests(self._origins.get(digest).parts),
         )
-        self.replicator.queue_update(digest)
+        self._publish(digest)
         self.decisions.apply_verdicts()
 
     def _retract_crash(self, digest: int, start: int) -> None:
         """Retract a crash that later evidence has refuted."""
         if self._ledger.retract(digest, [start]):
-            self.replicator.queue_update(digest)
+            self._publish(digest)
             self.decisions.apply_verdicts()
+
+    def _publish(self, digest: int) -> None:
+        """Tell other routers, and those that start later, of a record."""
+        self.replicator.queue_update(digest)
+        self.rows.note(digest)
--- /dev/null
+++ b/tests/cover/test_crash_rows.py
@@ -0,0 +1,283 @@
+#    Licensed under the Apache License, Version 2.0 (the "License"); you may
+#    not use this file except in compliance with the License. You may obtain
+#    a copy of the License at
+#
+#         http://www.apache.org/licenses/LICENSE-2.0
+#
+#    Unless required by applicable law or agreed to in writing, software
+#    distributed under the License is distributed on an "AS IS" BASIS, WITHOUT
+#    WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied. See the
+#    License for the specific language governing permissions and limitations
+#    under the License.
+
+"""Tests of the stored crashes under requests and prompt parts."""
+
+import unittest
+
+from lifttrestle.internal.fleet.crashes.crash_row import CRASH_TABLE
+from lifttrestle.internal.fleet.crashes.crash_row import CrashRow
+from lifttrestle.internal.fleet.crashes.crash_row import encode_crash_row
+from lifttrestle.internal.fleet.crashes.crash_rows import MAX_STORED_STARTS
+from lifttrestle.internal.fleet.crashes.held_row import build_key
+from lifttrestle.internal.fleet.crashes.hold_rules import EPISODE_SECONDS
+from lifttrestle.internal.fleet.crashes.hold_rules import HOLD_SECONDS
+from lifttrestle.internal.fleet.policy import row_pacing
+from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
+from lifttrestle.internal.fleet.state.rows import VersionedRow
+from tests.support.crash_fleet import CrashFleet
+
+DIGEST = 0xCAE714BDFB5AE264
+SIZES = (2, 6, 82)
+# The platform's limit for the value of a row, in bytes.
+ROW_BYTES = 65_536
+
+
+async def restart_all(fleet: CrashFleet) -> None:
+    """End all routers at once and start them again."""
+    for number in range(len(fleet.trackers)):
+        fleet.restart(number)
+    await fleet.synchronize()
+
+
+async def restart_in_turn(fleet: CrashFleet) -> None:
+    """Start one router after the other again."""
+    for number in range(len(fleet.trackers)):
+        fleet.restart(number)
+        await fleet.synchronize()
+
+
+async def crash_twice(fleet: CrashFleet) -> None:
+    """Crash two upstreams and let the routers store that."""
+    await fleet.synchronize()
+    for number in range(2):
+        fleet.crash(number % len(fleet.trackers), number, [DIGEST])
+    fleet.send_updates()
+    await fleet.synchronize()
+
+
+async def list_rows(fleet: CrashFleet) -> list[VersionedRow]:
+    """Return the stored rows."""
+    return [*(await fleet.rows.read_table(CRASH_TABLE)).rows]
+
+
+class TestRestarts(unittest.IsolatedAsyncioTestCase):
+    async def test_regression_crash_counts_forgotten_after_restarts(self):
+        for routers in SIZES:
+            for restart in (restart_all, restart_in_turn):
+                with self.subTest(restart.__name__, routers=routers):
+                    fleet = CrashFleet(routers)
+                    await crash_twice(fleet)
+                    await restart(fleet)
+                    self.assertEqual(fleet.count_holding(DIGEST), 0)
+                    fleet.crash(0, 2, [DIGEST])
+                    fleet.send_updates()
+                    self.assertEqual(fleet.count_holding(DIGEST), routers)
+
+    async def test_counts_survive_several_restarts(self):
+        fleet = CrashFleet(3)
+        await crash_twice(fleet)
+        for _ in range(3):
+            await restart_all(fleet)
+            fleet.crash(0, 5, [DIGEST + 1])
+            await fleet.synchronize()
+        await restart_all(fleet)
+        fleet.crash(1, 2, [DIGEST])
+        self.assertTrue(fleet.trackers[1].is_held(DIGEST))
+
+    async def test_third_crash_that_nobody_could_tell_is_held(self):
+        fleet = CrashFleet(3)
+        await crash_twice(fleet)
+        fleet.crash(0, 2, [DIGEST])
+        await fleet.synchronize()
+        await restart_all(fleet)
+        self.assertEqual(fleet.count_holding(DIGEST), 3)
+
+    async def test_crashes_close_together_stay_one_for_what_succeeded(self):
+        for pause, held in ((0.0, 0), (EPISODE_SECONDS + 0.1, 3)):
+            with self.subTest(pause=pause):
+                fleet = CrashFleet(3)
+                await fleet.synchronize()
+                fleet.trackers[0].note_success(DIGEST)
+                for number in range(3):
+                    fleet.crash(0, number, [DIGEST])
+                    fleet.clock.advance(pause)
+                fleet.send_updates()
+                await fleet.synchronize()
+                await restart_all(fleet)
+                self.assertEqual(fleet.count_holding(DIGEST), held)
+
+
+class TestGoodEnds(unittest.IsolatedAsyncioTestCase):
+    async def _check_count(self, fleet, crashes):
+        """Check how many crashes count after a restart of all routers."""
+        await restart_all(fleet)
+        for number in range(3 - crashes):
+            self.assertFalse(fleet.trackers[1].is_held(DIGEST))
+            fleet.crash(1, 3 + number, [DIGEST])
+        self.assertTrue(fleet.trackers[1].is_held(DIGEST))
+
+    async def test_success_counts_though_the_router_of_a_crash_is_gone(self):
+        fleet = CrashFleet(3)
+        await crash_twice(fleet)
+        fleet.gone.add(0)
+        fleet.trackers[1].note_success(DIGEST)
+        fleet.send_updates()
+        await fleet.synchronize()
+        fleet.gone.clear()
+        fleet.clock.advance(EPISODE_SECONDS)
+        await restart_all(fleet)
+        for number in range(2):
+            fleet.crash(1, 3 + number, [DIGEST])
+            fleet.clock.advance(2 * EPISODE_SECONDS)
+        self.assertFalse(fleet.trackers[1].is_held(DIGEST))
+        fleet.crash(1, 5, [DIGEST])
+        self.assertTrue(fleet.trackers[1].is_held(DIGEST))
+
+    async def test_retracted_crash_does_not_count(self):
+        fleet = CrashFleet(3)
+        await crash_twice(fleet)
+        start = fleet.directories[0].get('p0').digest
+        fleet.trackers[0]._retract_crash(DIGEST, start)
+        fleet.send_updates()
+        await fleet.synchronize()
+        await self._check_count(fleet, 1)
+
+    async def test_crash_retracted_elsewhere_does_not_count(self):
+        fleet = CrashFleet(3)
+        await crash_twice(fleet)
+        start = fleet.directories[0].get('p0').digest
+        fleet.gone.add(0)
+        fleet.trackers[1]._retract_crash(DIGEST, start)
+        fleet.send_updates()
+        await fleet.synchronize()
+        fleet.gone.clear()
+        await self._check_count(fleet, 1)
+
+    async def test_lifted_hold_does_not_return(self):
+        for routers in (3, 82):
+            with self.subTest(routers=routers):
+                fleet = CrashFleet(routers)
+                await crash_twice(fleet)
+                fleet.crash(0, 2, [DIGEST])
+                fleet.send_updates()
+                await fleet.synchronize()
+                # The routers that saw the crashes have no time to note it.
+                fleet.gone.update((0, 1))
+                lifted = VersionedRow(build_key(DIGEST), None, 9)
+                for tracker in fleet.trackers[2:]:
+                    tracker.apply_row(lifted)
+                await fleet.synchronize()
+                fleet.gone.clear()
+                await restart_all(fleet)
+                self.assertEqual(fleet.count_holding(DIGEST), 0)
+
+
+class TestStore(unittest.IsolatedAsyncioTestCase):
+    async def _check_counted(self, fleet):
+        await restart_all(fleet)
+        fleet.crash(1, 2, [DIGEST])
+        self.assertTrue(fleet.trackers[1].is_held(DIGEST))
+
+    async def test_crashes_are_stored_once_the_store_is_back(self):
+        fleet = CrashFleet(2)
+        fleet.rows.down = True
+        await crash_twice(fleet)
+        fleet.rows.down = False
+        await fleet.synchronize()
+        await self._check_counted(fleet)
+
+    async def test_router_that_starts_without_the_store_reads_it_later(self):
+        fleet = CrashFleet(2)
+        await crash_twice(fleet)
+        fleet.rows.down = True
+        await restart_all(fleet)
+        fleet.rows.down = False
+        await fleet.synchronize()
+        fleet.crash(1, 2, [DIGEST])
+        self.assertTrue(fleet.trackers[1].is_held(DIGEST))
+
+    async def test_crashes_are_stored_though_answers_were_lost(self):
+        fleet = CrashFleet(2)
+        fleet.rows.lose_answers = True
+        await crash_twice(fleet)
+        fleet.rows.lose_answers = False
+        fleet.crash(0, 4, [DIGEST + 1])
+        for _ in range(2):
+            await fleet.synchronize()
+        await self._check_counted(fleet)
+
+    async def test_crashes_are_stored_again_after_a_restore(self):
+        fleet = CrashFleet(2)
+        snapshot = fleet.rows.take_snapshot()
+        await crash_twice(fleet)
+        fleet.rows.restore(snapshot)
+        await fleet.synchronize()
+        await self._check_counted(fleet)
+
+    async def test_invalid_row_is_ignored_and_replaced(self):
+        for value in (b'', b'{}', b'{"written_at_ms":1,"records":[[1]]}'):
+            with self.subTest(value):
+                fleet = CrashFleet(2)
+                fleet.rows.put(CRASH_TABLE, 'r0', value)
+                await crash_twice(fleet)
+                await self._check_counted(fleet)
+
+    async def test_old_crashes_do_not_count(self):
+        fleet = CrashFleet(2)
+        await crash_twice(fleet)
+        fleet.clock.advance(HOLD_SECONDS)
+        await restart_all(fleet)
+        fleet.crash(1, 2, [DIGEST])
+        self.assertFalse(fleet.trackers[1].is_held(DIGEST))
+
+    async def test_row_of_a_router_that_is_gone_for_good_is_removed(self):
+        fleet = CrashFleet(2)
+        old = encode_crash_row(CrashRow(1, []))
+        fleet.rows.put(CRASH_TABLE, 'gone', old)
+        for _ in range(2):
+            await fleet.synchronize()
+        self.assertEqual(await list_rows(fleet), [])
+
+
+class TestCost(unittest.IsolatedAsyncioTestCase):
+    async def test_nothing_is_stored_without_crashes(self):
+        fleet = CrashFleet(6)
+        for number in range(20):
+            fleet.trackers[number % 6].note_success(DIGEST + number)
+            await fleet.synchronize()
+        self.assertEqual(fleet.rows.version, 0)
+
+    async def test_writes_do_not_grow_with_the_fleet(self):
+        for routers in (6, 82):
+            with self.subTest(routers=routers):
+                fleet = CrashFleet(routers)
+                await fleet.synchronize()
+                began_at, before = fleet.clock.monotonic(), fleet.rows.version
+                for turn in range(10):
+                    for number in range(routers):
+                        digest = DIGEST + turn * routers + number
+                        fleet.crash(number, turn % 6, [digest])
+                        await fleet.trackers[number].rows.synchronize()
+                    fleet.clock.advance(1.0)
+                seconds = fleet.clock.monotonic() - began_at
+                writes = fleet.rows.version - before
+                self.assertLessEqual(
+                    writes,
+                    routers + row_pacing.MAX_WRITES_PER_SECOND * seconds,
+                )
+
+    async def test_row_fits_the_store_and_has_the_latest(self):
+        fleet = CrashFleet(1)
+        await fleet.synchronize()
+        for number in range(2 * MAX_STORED_STARTS):
+            fleet.crash(0, number % 6, [2**64 - 1 - number])
+        await fleet.synchronize()
+        (row,) = await list_rows(fleet)
+        self.assertLess(len(row.value) * 4 / 3, ROW_BYTES)
+        latest = 2**64 - 2 * MAX_STORED_STARTS
+        self.assertIn(f'{latest}'.encode(), row.value)
+        self.assertEqual((await fleet.rows.read_table(FLEET_TABLE)).rows, ())
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/support/crash_fleet.py
+++ b/tests/support/crash_fleet.py
@@ -22,6 +22,7 @@
 from lifttrestle.internal.fleet.crashes.lost_origins import RequestOrigin
 from lifttrestle.internal.fleet.crashes.replicator import SEND_COUNT
 from lifttrestle.internal.fleet.crashes.tracker import CrashTracker
+from lifttrestle.internal.fleet.policy.row_pacing import get_write_seconds
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.load_messages import decode_message
 from lifttrestle.internal.fleet.state.load_messages import encode_message
@@ -41,6 +42,7 @@
     """Routers with one directory each, connected by lossy messages.
 
     :param lost_share: share of the messages that are lost.
+    :ivar gone: numbers of the routers that receive and send nothing.
     :ivar messages: number of sent messages.
     :ivar bytes: total size of the sent messages.
     """
@@ -50,32 +52,51 @@
     ) -> None:
         self.clock = ManualClock(START)
         self.rows = MemoryRows()
+        self.gone: set[int] = set()
         self.messages = 0
         self.bytes = 0
         self._lost_share = lost_share
         self._source = random.Random(1)
         self.directories: list[UpstreamDirectory] = []
         self.trackers: list[CrashTracker] = []
-        names = [f'router/r{number}' for number in range(routers)]
+        self._upstreams = upstreams
+        self._names = [f'router/r{number}' for number in range(routers)]
         for number in range(routers):
-            directory = UpstreamDirectory(PlatformFormat(), self.clock)
-            for upstream in range(upstreams):
-                entry = make_entry(
-                    born=BORN, address=f'127.0.0.1:{upstream + 1}'
-                )
-                value = msgspec.json.encode(entry)
-                directory.apply_row(VersionedRow(f'p{upstream}', value, 1))
-            roster = Roster(self.rows, self.clock, f'r{number}', 'a')
-            roster.loaded = True
-            for name in names:
-                row = msgspec.json.encode(RouterRow('a', '127.0.0.1:9'))
-                roster.apply_row(VersionedRow(name, row, 1))
-            tracker = CrashTracker(
-                f'r{number}', self.rows, directory, roster, self.clock, 1.2
-            )
-            tracker.replicator.send = self._send
-            self.directories.append(directory)
-            self.trackers.append(tracker)
+            self.directories.append(self._make_directory())
+            self.trackers.append(self._make_tracker(number))
+
+    def _make_directory(self) -> UpstreamDirectory:
+        directory = UpstreamDirectory(PlatformFormat(), self.clock)
+        for upstream in range(self._upstreams):
+            entry = make_entry(born=BORN, address=f'127.0.0.1:{upstream + 1}')
+            value = msgspec.json.encode(entry)
+            directory.apply_row(VersionedRow(f'p{upstream}', value, 1))
+        return directory
+
+    def _make_tracker(self, number: int) -> CrashTracker:
+        roster = Roster(self.rows, self.clock, f'r{number}', 'a')
+        roster.loaded = True
+        for name in self._names:
+            row = msgspec.json.encode(RouterRow('a', '127.0.0.1:9'))
+            roster.apply_row(VersionedRow(name, row, 1))
+        directory = self.directories[number]
+        tracker = CrashTracker(
+            f'r{number}', self.rows, directory, roster, self.clock, 1.2
+        )
+        tracker.replicator.send = self._send
+        return tracker
+
+    def restart(self, number: int) -> None:
+        """Start a router again, with an empty memory."""
+        self.directories[number] = self._make_directory()
+        self.trackers[number] = self._make_tracker(number)
+
+    async def synchronize(self) -> None:
+        """Let all running routers read and write the rows of crashes."""
+        self.clock.advance(max(1.0, get_write_seconds(len(self.trackers))))
+        for number, tracker in enumerate(self.trackers):
+            if number not in self.gone:
+                await tracker.rows.synchronize()
 
     def _send(self, update, key) -> None:
         data = encode_message(update)
@@ -84,6 +105,8 @@
         if self._source.random() < self._lost_share:
             return
         number = int(key.removeprefix('router/r'))
+        if number in self.gone:
+            return
         self.trackers[number].handle_update(decode_message(data))
 
     def crash(self, router: int, upstream: int, digests: list[int]) -> None:
@@ -97,8 +120,9 @@
     def send_updates(self) -> None:
         """Send all pending updates, with all their repetitions."""
         for _ in range(SEND_COUNT):
-            for tracker in self.trackers:
-                tracker.replicator.send_pending()
+            for number, tracker in enumerate(self.trackers):
+                if number not in self.gone:
+                    tracker.replicator.send_pending()
 
     def count_holding(self, digest: int) -> int:
         """Return the number of routers that hold a request."""
