Answers in small chunks without end neither stop the router nor go on

An event in such chunks, and small events with ids that the caller has, went on until 1 MiB and 4 MiB of them had passed, more than 4 s. Cause: each chunk passed through the whole path without a pause, and limits counted bytes, not work. Change: chunks that were received together are one part, and other tasks run after each 64; more than 20,000 chunks of less than eight bytes in the mean end the attempt, unless they completed events for the caller; so do more than 1,000 events with an id that the same stream had passed. The test of streams lets the other engine decline, as that of plain answers did: which engine came first hung on the number in the stand-in's name, and a case added before it had the other one preferred 50 times.

--- a/src/lifttrestle/internal/fleet/path/answer_forwarding.py
+++ b/src/lifttrestle/internal/fleet/path/answer_forwarding.py
@@ -132,7 +132,8 @@
             now = parts.clock.monotonic()
             upstream.note_alive(now)
             self._note_part(now)
-            await self.relay.feed(data)
+            if await self.relay.feed(data):
+                answer.connection.note_parts_used()
         await self.relay.finish()
 
     def get_inactive_seconds(self, now: float) -> float | None:
--- a/src/lifttrestle/internal/fleet/path/event_relay.py
+++ b/src/lifttrestle/internal/fleet/path/event_relay.py
@@ -25,6 +25,7 @@
 MAX_EVENT_BYTES = 1024 * 1024
 # A resumed stream that repeats more than this is treated as broken.
 MAX_REPEATED_BYTES = 4 * 1024 * 1024
+MAX_OUT_OF_ORDER = 1000
 
 
 def _ignore() -> None:
@@ -54,6 +55,10 @@
         self._searched = 0
         # Bytes of events of the current stream that the caller already has.
         self._repeated_bytes = 0
+        # The highest id in the current stream, and how many events followed
+        # that should have come before.
+        self._highest_id: int | None = None
+        self._out_of_order = 0
         self._status = 0
         self._headers: tuple[Header, ...] = ()
         self._on_event = _ignore
@@ -74,17 +79,21 @@
         self._buffer = bytearray()
         self._searched = 0
         self._repeated_bytes = 0
+        self._highest_id = None
+        self._out_of_order = 0
         self._on_event = on_event
         if not self.started:
             self._status = status
             self._headers = headers
 
-    async def feed(self, data: bytes) -> None:
+    async def feed(self, data: bytes) -> bool:
         """Send the events that ``data`` completes.
 
-        :raises UpstreamLost: if an event exceeds ``MAX_EVENT_BYTES``, or the
-            events that the caller already has exceed ``MAX_REPEATED_BYTES``;
-            the events before have been sent.
+        :return: whether there are any.
+        :raises UpstreamLost: if an event exceeds ``MAX_EVENT_BYTES``, or if
+            the events that the caller already has exceed
+            ``MAX_REPEATED_BYTES`` or are out of order; the events before have
+            been sent.
         """
         buffer = self._buffer
         buffer += data
@@ -107,8 +116,12 @@
             await self._send(b''.join(ready))
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise UpstreamLost('an event of the stream is too long')
-        if self._repeated_bytes > MAX_REPEATED_BYTES:
+        if (
+            self._repeated_bytes > MAX_REPEATED_BYTES
+            or self._out_of_order > MAX_OUT_OF_ORDER
+        ):
             raise UpstreamLost('the stream repeats its events without end')
+        return bool(ready)
 
     async def finish(self) -> None:
         """Send the end of the stream.
@@ -125,6 +138,10 @@
         number = _read_id(event)
         if number is None:
             return True
+        if self._highest_id is not None and number <= self._highest_id:
+            self._out_of_order += 1
+        else:
+            self._highest_id = number
         if self.last_event_id is not None and number <= self.last_event_id:
             return False
         self.last_event_id = number
--- a/src/lifttrestle/internal/http/client_connection.py
+++ b/src/lifttrestle/internal/http/client_connection.py
@@ -12,6 +12,7 @@
 
 """HTTP/1.1 client connections to upstreams and platform services."""
 
+import asyncio
 from collections.abc import AsyncIterator
 import ssl
 
@@ -28,6 +29,7 @@
 from lifttrestle.internal.http.head import decode_headers
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.head import ResponseHead
+from lifttrestle.internal.http.part_counter import PartCounter
 from lifttrestle.internal.http.stream import Stream
 
 # Most answers to earlier requests that are skipped on one connection before it
@@ -35,6 +37,7 @@
 MAX_SKIPPED_ANSWERS = 4
 # Most interim answers to one request; more are no sign of progress.
 MAX_INTERIM_ANSWERS = 100
+MAX_JOINED_PARTS = 64
 
 
 class ClientConnection:
@@ -58,6 +61,10 @@
         self._skipped = 0
         # Interim answers to the current request.
         self._interim = 0
+        # Parts of the body of the current answer.
+        self._parts = PartCounter()
+        # An event that was taken from h11 and not returned yet.
+        self._taken: object = None
         # Limit on the rest of an answer that is being skipped, or None.
         self._skip_limit: int | None = None
         self.exchanges = 0
@@ -146,6 +153,7 @@
                 self._count_interim()
                 continue
             if isinstance(event, h11.Response):
+                self._parts.reset()
                 return ResponseHead(
                     event.status_code, decode_headers(event.headers)
                 )
@@ -169,20 +177,45 @@
 
         It may be cancelled and called again without losing bytes.
 
-        :return: empty at the end that the message framing declares.
-        :raises UpstreamLost: if the body ended early.
+        :return: what has been received, or empty at the end that the message
+            framing declares.
+        :raises UpstreamLost: if the body ended early, or arrives in too many
+            small parts.
         """
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Data):
-                if event.data:
-                    return bytes(event.data)
+                if data := self._join_received(event):
+                    return data
                 continue
             if isinstance(event, h11.EndOfMessage):
                 self._finish()
                 return b''
             raise UpstreamBrokeOff(f'{self.address} ended its answer early')
 
+    def _join_received(self, event: object) -> bytes:
+        """Return the data of an event and of those received after it."""
+        parts: list[bytes] = []
+        while isinstance(event, h11.Data) and len(parts) < MAX_JOINED_PARTS:
+            self._parts.add(len(event.data))
+            parts.append(bytes(event.data))
+            event = self._take_received()
+        if event is not h11.NEED_DATA:
+            self._taken = event
+        return b''.join(parts)
+
+    def _take_received(self) -> object:
+        """Return the next event if no read is needed for it."""
+        try:
+            return self._h11.next_event()
+        except h11.ProtocolError:
+            # It raises again at the next call.
+            return h11.NEED_DATA
+
+    def note_parts_used(self) -> None:
+        """Record that the parts of the body read so far were of use."""
+        self._parts.reset()
+
     async def read_body(self, limit: int) -> bytes:
         """Return the complete body.
 
@@ -251,8 +284,13 @@
 
     async def _next_event(self) -> object:
         while True:
+            if isinstance(self._taken, h11.Data):
+                # More may have been received than other tasks can wait for.
+                await asyncio.sleep(0)
             try:
-                event = self._h11.next_event()
+                event, self._taken = self._taken, None
+                if event is None:
+                    event = self._h11.next_event()
                 if event is not h11.NEED_DATA:
                     return event
                 self._h11.receive_data(await self._stream.read())
--- a/tests/nocover/test_endless_answers.py
+++ b/tests/nocover/test_endless_answers.py
@@ -37,6 +37,8 @@
 # A request that fails over is answered well before its route's limit, 8 s.
 ANSWER_SECONDS = 4.0
 CLOSE_SECONDS = 1.0
+# Processor time for which other callers may have to wait at a time.
+STALL_SECONDS = 0.1
 PARTS = 30_000
 # Twice the parts take twice the time, four times if each copies all before.
 MAX_GROWTH = 3.0
@@ -135,6 +137,7 @@
         make_head(200, CHUNKED),
         b'8000\r\n' + b'x' * 0x8000 + b'\r\n',
     ),
+    'body of small chunks': (make_head(200, CHUNKED), b'2\r\nxx\r\n'),
     'chunk extension': (make_head(200, CHUNKED) + b'5;', b'x'),
     'trailers': (make_head(200, CHUNKED) + b'0\r\n', b'A: b\r\n'),
     'body without framing': (make_head(200, 'Connection: close'), b'x'),
@@ -148,6 +151,7 @@
     'bytes after an answer': (make_head(200, 'Content-Length: 1'), b'x'),
 }
 HEAD = make_head(200, 'Content-Type: text/event-stream')
+CHUNKED_HEAD = make_head(200, 'Content-Type: text/event-stream', CHUNKED)
 STREAMS = {
     'event': (HEAD + b'id: 1\ndata: ', b'x'),
     'event of lines': (HEAD + b'id: 1\n', b'data: x\n'),
@@ -156,6 +160,14 @@
         b'id: 1\ndata: token 1\n\n',
     ),
     'head': (make_head(200)[:-2], b'A: b\r\n'),
+    'event of small chunks': (
+        CHUNKED_HEAD + b'6\r\ndata: \r\n',
+        b'2\r\nxx\r\n',
+    ),
+    'small events with old ids': (
+        CHUNKED_HEAD + b'f\r\nid: 1\ndata: 1\n\n\r\n',
+        b'7\r\nid: 1\n\n\r\n',
+    ),
 }
 REPORTS = {
     'head': (b'HTTP/1.1 200 OK\r\n', b'A: b\r\n'),
@@ -164,14 +176,35 @@
 }
 
 
+@contextlib.asynccontextmanager
+async def watch_stalls():
+    """Yield a list of the processor time of each iteration of the loop."""
+    seconds = [0.0]
+
+    async def watch():
+        before = time.process_time()
+        while True:
+            await asyncio.sleep(0)
+            now = time.process_time()
+            seconds.append(now - before)
+            before = now
+
+    task = asyncio.create_task(watch())
+    try:
+        yield seconds
+    finally:
+        task.cancel()
+
+
 class TestEndlessAnswers(unittest.IsolatedAsyncioTestCase):
     async def _check_answers(self, fleet, service, content, send):
         """Send requests until one met the upstream; return the answers."""
         answers = []
         async with run_endless(fleet, service, *content) as upstream:
             while not upstream.runs:
-                # Otherwise a kept connection to it would be preferred.
-                fleet.upstreams['p1'].script.append(Behaviour.DECLINE)
+                # Otherwise the other upstream may be preferred each time.
+                other = fleet.upstreams['p1' if service == 'plain' else 'e1']
+                other.script.append(Behaviour.DECLINE)
                 began = time.monotonic()
                 answers.append(await send())
                 self.assertLess(time.monotonic() - began, ANSWER_SECONDS)
@@ -226,6 +259,14 @@
                     self.assertLess(upstream.most_sent, MAX_BYTES)
                     self.assertLess(max(upstream.seconds), CLOSE_SECONDS)
 
+    async def test_regression_small_chunks_kept_other_callers_waiting(self):
+        async with run_fleet() as fleet, watch_stalls() as seconds:
+            content = PLAIN['body of small chunks']
+            await self._check_answers(
+                fleet, 'plain', content, lambda: fleet.call('/safe/a')
+            )
+        self.assertLess(max(seconds), STALL_SECONDS)
+
     async def test_regression_event_in_small_parts_stopped_the_router(self):
         few = await self._measure_feeding(PARTS)
         many = await self._measure_feeding(2 * PARTS)
