Routers learn of pauses that upstreams ask for in what they forward

Cause: a router passes the bytes of a tunnel unread; the one that reads the answer kept the pause for itself. Change: it tells the router that forwards (PauseUpdate, twice), which keeps the pause, opens no tunnels there and marks the open ones, so that they end with their answers.

--- a/src/lifttrestle/internal/fleet/parts.py
+++ b/src/lifttrestle/internal/fleet/parts.py
@@ -59,6 +59,8 @@
     :ivar streams: what began the streams that callers may resume.
     :ivar note_load_change: called when the load of an upstream has changed
         considerably.
+    :ivar tell_pause: tells a router, by its key, of the pause that a start of
+        an upstream asked for in an answer that it forwarded.
     :ivar refresh_loads: awaited before an engine is chosen; receives the
         workspace whose usage must be known, or None.
     :ivar budgets: retry budget of each service.
@@ -86,6 +88,7 @@
     limits: UpstreamLimits
     streams: StreamOrigins
     note_load_change: Callable[[], None] = lambda: None
+    tell_pause: Callable[[str, str], None] = lambda via, start: None
     refresh_loads: Callable[[Workspace | None], Awaitable[None]] = (
         _skip_refresh
     )
--- a/src/lifttrestle/internal/fleet/path/attempt.py
+++ b/src/lifttrestle/internal/fleet/path/attempt.py
@@ -27,7 +27,6 @@
 from lifttrestle.internal.fleet.path.dialect import AnswerFacts
 from lifttrestle.internal.fleet.path.dialect import RequestDialect
 from lifttrestle.internal.fleet.path.request_context import NOT_RUN_STATUSES
-from lifttrestle.internal.fleet.policy.known_limit import ReportedLimit
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.fleet.state.upstream import SILENT_SECONDS
 from lifttrestle.internal.http.client_connection import ClientConnection
@@ -72,13 +71,14 @@
     request_id: str,
     inactivity_seconds: float | None,
     can_fail_over: Callable[[], bool],
-    on_limit: Callable[[ReportedLimit], None],
+    on_announced: Callable[[AnswerFacts], None],
 ) -> UpstreamAnswer:
     """Send a request and return its answer once the head is verified.
 
     :param inactivity_seconds: see ``read_with_timeout``.
     :param can_fail_over: see ``read_with_timeout``.
-    :param on_limit: called with the rate limit that the upstream announced.
+    :param on_announced: called with an answer in which the upstream may have
+        announced something about itself.
     :raises UpstreamLost: if no answer came; the request may have run.
     :raises UpstreamDeclined: if the upstream did not run the request.
     :raises WrongAnswer: if the answer can't be verified as the upstream's
@@ -94,8 +94,8 @@
     )
     _update_idle_timeout(upstream, answer.facts)
     if _is_from_upstream(upstream, answer.facts, request_id):
-        on_limit(answer.facts.limit)
         _note_announced(upstream, answer.facts, clock.monotonic())
+        on_announced(answer.facts)
     if answer.facts.not_run or answer.facts.other_instance:
         await _drain_declined_answer(connection)
         _mark_misdirected(upstream, answer.facts)
--- a/src/lifttrestle/internal/fleet/path/sending.py
+++ b/src/lifttrestle/internal/fleet/path/sending.py
@@ -21,6 +21,7 @@
 from lifttrestle.internal.fleet.path.attempt import UpstreamAnswer
 from lifttrestle.internal.fleet.path.attempt_options import build_options
 from lifttrestle.internal.fleet.path.candidates import Candidates
+from lifttrestle.internal.fleet.path.dialect import AnswerFacts
 from lifttrestle.internal.fleet.path.dialect import AttemptOptions
 from lifttrestle.internal.fleet.path.event_buffer import build_answered_fields
 from lifttrestle.internal.fleet.path.event_buffer import build_budget_fields
@@ -130,7 +131,9 @@
             request.facts.request_id,
             inactivity_timeout.seconds,
             inactivity_timeout.can_fail_over,
-            lambda limit: parts.limits.note_answer(upstream, limit, sent_at),
+            lambda facts: self._note_announced(
+                upstream, connection, facts, sent_at
+            ),
         )
         parts.crashes.losses.note_answered(upstream, sent_at)
         self._record_answer(
@@ -138,6 +141,18 @@
         )
         return answer, inactivity_timeout
 
+    def _note_announced(
+        self,
+        upstream: FleetUpstream,
+        connection: ClientConnection,
+        facts: AnswerFacts,
+        sent_at: float,
+    ) -> None:
+        """Tell others what an upstream announced about itself."""
+        self._parts.limits.note_answer(upstream, facts.limit, sent_at)
+        if facts.pause_seconds is not None and connection.via:
+            self._parts.tell_pause(connection.via, upstream.start)
+
     def _record_answer(
         self,
         chosen: Placement,
--- a/src/lifttrestle/internal/fleet/peer_exchange.py
+++ b/src/lifttrestle/internal/fleet/peer_exchange.py
@@ -17,6 +17,7 @@
 from lifttrestle.internal.fleet.parts import FleetParts
 from lifttrestle.internal.fleet.shared_state import SharedState
 from lifttrestle.internal.fleet.state.departure_news import DepartureNews
+from lifttrestle.internal.fleet.state.pause_news import PauseNews
 from lifttrestle.internal.fleet.state.peer_loads import PeerLoads
 from lifttrestle.internal.intake.refusals import InputRefusals
 
@@ -53,6 +54,7 @@
         self.departures = DepartureNews(
             vm, state.directory.departures, state.roster
         )
+        self.pauses = PauseNews(vm, state.directory, parts.clock)
         subscribe = self.loads.add_handler
         send = self.loads.send
         subscribe(CrashUpdate, state.crashes.handle_update)
@@ -61,5 +63,7 @@
         state.streams.connect(subscribe, send)
         self.news.connect(subscribe, send)
         self.departures.connect(subscribe, send)
+        self.pauses.connect(subscribe, send)
+        parts.tell_pause = self.pauses.tell
         parts.note_load_change = self.loads.note_change
         parts.refresh_loads = self.loads.refresh
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -137,12 +137,14 @@
         self._peer_loads = peers.loads
         self._peer_news = peers.news
         self._departures = peers.departures
+        self._pauses = peers.pauses
         watches = self._watches.list_all()
         self.relay_server = RelayServer(watches, clock)
         self.relays = RelayFollower(watches, self.roster, clock)
         self._dialler = TunnelDialler(self.roster, clock)
         self._directory.make_opener = self._make_opener
         self.tunnel_server = TunnelServer(self._directory, self.roster, clock)
+        self._pauses.on_told = self.tunnel_server.announce_pause
         # A router that does not know the held requests yet would run them, and
         # one that does not know the limits yet would exceed them.
         self._readiness = ReadinessHandler(
@@ -300,6 +302,7 @@
             self.limits.run(self.ticker),
             self._streams.run(self.ticker),
             self._departures.run(),
+            self._pauses.run(),
         )
 
     async def stop(self) -> bool:
--- a/src/lifttrestle/internal/fleet/state/load_messages.py
+++ b/src/lifttrestle/internal/fleet/state/load_messages.py
@@ -27,6 +27,7 @@
 from lifttrestle.internal.fleet.limits.messages import PermitQuery
 from lifttrestle.internal.fleet.news.messages import NewsMessage
 from lifttrestle.internal.fleet.state.departure_messages import DepartureUpdate
+from lifttrestle.internal.fleet.state.pause_messages import PauseUpdate
 from lifttrestle.internal.fleet.streams.messages import OriginAnswer
 from lifttrestle.internal.fleet.streams.messages import OriginQuery
 from lifttrestle.internal.fleet.streams.messages import OriginUpdate
@@ -108,6 +109,7 @@
     | CrashUpdate
     | LimitMessage
     | OriginMessage
+    | PauseUpdate
     | NewsMessage
     | DepartureUpdate
 )
--- a/src/lifttrestle/internal/fleet/tunnels/server.py
+++ b/src/lifttrestle/internal/fleet/tunnels/server.py
@@ -60,7 +60,8 @@
         self._roster = roster
         self._clock = clock
         self._listener = ConnectionListener(self._serve)
-        self._open: set[asyncio.StreamWriter] = set()
+        # The start that each open tunnel leads to.
+        self._open: dict[asyncio.StreamWriter, str] = {}
         self._stopping = False
 
     @property
@@ -78,6 +79,12 @@
         for writer in self._open:
             writer.write(encode_mark(STOPPING))
 
+    def announce_pause(self, start: str) -> None:
+        """Have the open tunnels to a start end with their answers."""
+        for writer, other in self._open.items():
+            if other == start:
+                writer.write(encode_mark(STOPPING))
+
     async def stop(self, seconds: float) -> None:
         """Wait until the tunnels are closed, then close the rest.
 
@@ -113,7 +120,7 @@
         )
         writer.write(status.to_bytes(STATUS_BYTES, 'big'))
         if stream is not None:
-            await self._forward(reader, writer, stream)
+            await self._forward(reader, writer, stream, request.start)
 
     async def _connect(
         self, request: TunnelRequest
@@ -151,9 +158,10 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         stream: ByteStream,
+        start: str,
     ) -> None:
         """Pass bytes in both directions until either end has closed."""
-        self._open.add(writer)
+        self._open[writer] = start
         sending = asyncio.create_task(_pass_requests(reader, stream))
         answering = asyncio.create_task(_pass_answers(stream, writer))
         try:
@@ -161,7 +169,7 @@
                 {sending, answering}, return_when=asyncio.FIRST_COMPLETED
             )
         finally:
-            self._open.discard(writer)
+            self._open.pop(writer, None)
             stream.abort()
             for task in (sending, answering):
                 task.cancel()
