What a review of the stored crashes found: full rows, bad rows, parts

What callers would have seen: a request that crashed upstreams is run again after restarts, as cleared records had pushed it out of its row, or as the restart had turned the row's order round; a prompt part that a herd of crashes met is held after a restart at 12 of 12 routers; a lifted hold returns, as the row of a router that is no owner kept the crashes; a row with a number of more than 64 bits ends each router that reads it. Cause: rows were filled in the order of their last change, good ends and crashes alike; good ends of parts are in memory only. Change: only requests are stored; the latest crash that counts comes first; lifted holds are written by the router that noted the crashes too; numbers are checked.

--- a/src/lifttrestle/internal/fleet/crashes/crash_row.py
+++ b/src/lifttrestle/internal/fleet/crashes/crash_row.py
@@ -18,9 +18,13 @@
 import msgspec
 
 from lifttrestle.internal.fleet.crashes.messages import Number
+from lifttrestle.internal.fleet.state.reach import NEVER
 from lifttrestle.internal.intake.decoding import decode_json
 
 CRASH_TABLE = 'lifttrestle-crashes'
+MAX_DIGEST = 2**64 - 1
+# Unix milliseconds, some thousand years from now.
+MAX_TIME_MS = 10**14
 
 
 class StoredRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -67,6 +71,11 @@
         """Return the number of starts."""
         return len(self.crashed) + len(self.retracted)
 
+    @property
+    def latest(self) -> float:
+        """Return when the latest crash that counts was noticed, or NEVER."""
+        return max(self.crashed.values(), default=NEVER)
+
 
 def encode_crash_row(row: CrashRow) -> bytes:
     """Return a row encoded as JSON."""
@@ -78,4 +87,16 @@
 
     :raises ValueError: if the bytes are not a valid row.
     """
-    return decode_json(value, CrashRow)
+    row = decode_json(value, CrashRow)
+    for record in row.records:
+        _check(record)
+    return row
+
+
+def _check(record: StoredRecord) -> None:
+    starts = [start for start, _ in record.crashed]
+    digests = [record.digest, *starts, *record.retracted]
+    if max(digests) > MAX_DIGEST:
+        raise ValueError('a digest has more than 64 bits')
+    if any(at_ms > MAX_TIME_MS for _, at_ms in record.crashed):
+        raise ValueError('a time is too far ahead')
--- a/src/lifttrestle/internal/fleet/crashes/crash_rows.py
+++ b/src/lifttrestle/internal/fleet/crashes/crash_rows.py
@@ -14,7 +14,9 @@
 
 Messages between routers and what they keep in memory are lost when all routers
 that know of a crash end, at once or in turn. Each router stores what it has
-noted itself, and reads what all have stored when it starts.
+noted itself of requests, and reads what all have stored when it starts. Parts
+of prompts are not stored: many requests share them, and their good ends, which
+speak for them, are known by memory only.
 """
 
 import collections
@@ -31,6 +33,8 @@
 from lifttrestle.internal.fleet.crashes.crash_row import StoredRecord
 from lifttrestle.internal.fleet.crashes.hold_rules import HOLD_SECONDS
 from lifttrestle.internal.fleet.crashes.ledger import CrashLedger
+from lifttrestle.internal.fleet.crashes.suspects import get_kind
+from lifttrestle.internal.fleet.crashes.suspects import SuspectKind
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.router_rows import RouterRows
 from lifttrestle.internal.fleet.state.rows import RowStore
@@ -81,6 +85,8 @@
 
     def note(self, digest: int) -> None:
         """Store a record that this router has changed, from now on."""
+        if get_kind(digest) is not SuspectKind.REQUEST:
+            return
         self._stored[digest] = None
         self._stored.move_to_end(digest)
         if len(self._stored) > MAX_STORED_STARTS:
@@ -124,7 +130,8 @@
         abandoned = []
         for row in read.rows:
             decoded = self._decode(row)
-            for record in decoded.records:
+            # The latest is first in a row, and last in memory.
+            for record in reversed(decoded.records):
                 self._merge(record)
                 if row is read.earlier:
                     self.note(record.digest)
@@ -169,16 +176,23 @@
             self._is_changed = True
 
     def _list_records(self) -> list[StoredRecord]:
-        """Return the latest of the records that matter, as many as fit."""
+        """Return the records that matter, as many as fit.
+
+        Those with the latest crash that counts come first.
+        """
+        known = {
+            digest: self._ledger.get_crashes(digest)
+            for digest in reversed(self._stored)
+        }
+        ranked = sorted(
+            known.items(), key=lambda item: item[1].latest, reverse=True
+        )
         records = []
         room = MAX_STORED_STARTS
-        for digest in reversed(self._stored):
-            known = self._ledger.get_crashes(digest)
-            room -= known.size
-            if room < 0:
-                break
-            if known.size:
-                records.append(self._encode_record(digest, known))
+        for digest, crashes in ranked:
+            if 0 < crashes.size <= room:
+                room -= crashes.size
+                records.append(self._encode_record(digest, crashes))
         return records
 
     def _encode_record(self, digest: int, known: KnownCrashes) -> StoredRecord:
--- a/src/lifttrestle/internal/fleet/crashes/tracker.py
+++ b/src/lifttrestle/internal/fleet/crashes/tracker.py
@@ -153,6 +153,8 @@
         self._refusals.pop(digest, None)
         if self.replicator.is_owner(digest):
             self.rows.note(digest)
+        else:
+            self.rows.note_merged(digest)
 
     async def claim_trial(self, digest: int) -> bool:
         """Claim a trial run; return whether it is granted."""
--- a/tests/cover/test_crash_rows.py
+++ b/tests/cover/test_crash_rows.py
@@ -16,11 +16,15 @@
 
 from lifttrestle.internal.fleet.crashes.crash_row import CRASH_TABLE
 from lifttrestle.internal.fleet.crashes.crash_row import CrashRow
+from lifttrestle.internal.fleet.crashes.crash_row import decode_crash_row
 from lifttrestle.internal.fleet.crashes.crash_row import encode_crash_row
 from lifttrestle.internal.fleet.crashes.crash_rows import MAX_STORED_STARTS
 from lifttrestle.internal.fleet.crashes.held_row import build_key
 from lifttrestle.internal.fleet.crashes.hold_rules import EPISODE_SECONDS
 from lifttrestle.internal.fleet.crashes.hold_rules import HOLD_SECONDS
+from lifttrestle.internal.fleet.crashes.ledger import YOUNG_SECONDS
+from lifttrestle.internal.fleet.crashes.suspects import set_kind
+from lifttrestle.internal.fleet.crashes.suspects import SuspectKind
 from lifttrestle.internal.fleet.policy import row_pacing
 from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
 from lifttrestle.internal.fleet.state.rows import VersionedRow
@@ -153,6 +157,46 @@
         fleet.gone.clear()
         await self._check_count(fleet, 1)
 
+    async def test_regression_lifted_hold_stayed_in_the_row_of_its_router(
+        self,
+    ):
+        fleet = CrashFleet(12)
+        await fleet.synchronize()
+        (noting, *_) = [
+            number
+            for number, tracker in enumerate(fleet.trackers)
+            if not tracker.replicator.is_owner(DIGEST)
+        ]
+        for upstream in range(3):
+            fleet.crash(noting, upstream, [DIGEST])
+        fleet.send_updates()
+        await fleet.synchronize()
+        lifted = VersionedRow(build_key(DIGEST), None, 9)
+        for tracker in fleet.trackers:
+            tracker.apply_row(lifted)
+        await fleet.synchronize()
+        (row,) = [
+            decode_crash_row(row.value)
+            for row in await list_rows(fleet)
+            if row.key == f'r{noting}'
+        ]
+        self.assertEqual([item.crashed for item in row.records], [[]])
+
+    async def test_regression_part_was_held_for_a_herd_before_a_restart(self):
+        part = set_kind(1, SuspectKind.FIRST_PART)
+        fleet = CrashFleet(12)
+        await fleet.synchronize()
+        for upstream in range(3):
+            fleet.crash(0, upstream, [part])
+        fleet.send_updates()
+        await fleet.synchronize()
+        fleet.trackers[11].note_success(part)
+        await restart_all(fleet)
+        fleet.clock.advance(2 * YOUNG_SECONDS)
+        fleet.crash(1, 3, [part])
+        fleet.send_updates()
+        self.assertEqual(fleet.count_holding(part), 0)
+
     async def test_lifted_hold_does_not_return(self):
         for routers in (3, 82):
             with self.subTest(routers=routers):
@@ -172,6 +216,43 @@
                 self.assertEqual(fleet.count_holding(DIGEST), 0)
 
 
+class TestFullRows(unittest.IsolatedAsyncioTestCase):
+    async def _check_counted(self, fleet):
+        await restart_all(fleet)
+        fleet.crash(1, 2, [DIGEST])
+        self.assertTrue(fleet.trackers[1].is_held(DIGEST))
+
+    async def test_regression_cleared_requests_pushed_out_what_counts(self):
+        fleet = CrashFleet(2)
+        await fleet.synchronize()
+        cleared = range(1, MAX_STORED_STARTS // 2)
+        for upstream in range(3):
+            fleet.crash(0, upstream, list(cleared))
+            for digest in cleared:
+                fleet.trackers[0].note_success(digest)
+        fleet.crash(0, 3, [DIGEST])
+        fleet.crash(0, 4, [DIGEST])
+        for digest in cleared:
+            fleet.trackers[0].rows.note(digest)
+        await fleet.synchronize()
+        await self._check_counted(fleet)
+
+    async def test_regression_restart_reversed_the_order_of_a_full_row(self):
+        fleet = CrashFleet(2)
+        await fleet.synchronize()
+        older = range(1, MAX_STORED_STARTS + 20)
+        for upstream in range(3):
+            fleet.crash(0, upstream, list(older[upstream::3]))
+            fleet.clock.advance(1.0)
+        fleet.crash(0, 3, [DIGEST])
+        fleet.crash(0, 4, [DIGEST])
+        await fleet.synchronize()
+        await restart_all(fleet)
+        fleet.crash(0, 5, list(range(1000, 1020)))
+        await fleet.synchronize()
+        await self._check_counted(fleet)
+
+
 class TestStore(unittest.IsolatedAsyncioTestCase):
     async def _check_counted(self, fleet):
         await restart_all(fleet)
@@ -215,7 +296,13 @@
         await self._check_counted(fleet)
 
     async def test_invalid_row_is_ignored_and_replaced(self):
-        for value in (b'', b'{}', b'{"written_at_ms":1,"records":[[1]]}'):
+        for value in (
+            b'',
+            b'{}',
+            b'{"written_at_ms":1,"records":[[1]]}',
+            b'{"written_at_ms":1,"records":[[1,[[2,%d]]]]}' % 10**400,
+            b'{"written_at_ms":1,"records":[[%d,[]]]}' % 2**70,
+        ):
             with self.subTest(value):
                 fleet = CrashFleet(2)
                 fleet.rows.put(CRASH_TABLE, 'r0', value)
