Answers in chunks of three bytes and more have no limit on their number

What callers would have seen: a sound plain answer in 30,000 chunks of five bytes, a token each, broken off (found by a review, played). Cause: the limit of eight bytes in the mean was above the size of a token. Change: less than three bytes in the mean.

--- a/src/lifttrestle/internal/http/part_counter.py
+++ b/src/lifttrestle/internal/http/part_counter.py
@@ -20,7 +20,8 @@
 from lifttrestle.errors import UpstreamLost
 
 MAX_SMALL_PARTS = 20_000
-SMALL_PART_BYTES = 8
+# The tokens of a sound answer have more, if each is a part.
+SMALL_PART_BYTES = 3
 
 
 class PartCounter:
