--- a/tests/nocover/test_restarted_crash_counts.py
+++ b/tests/nocover/test_restarted_crash_counts.py
@@ -19,6 +19,7 @@
 from tests.support.crashing_routers import run_routers
 from tests.support.crashing_routers import send_fatal
 from tests.support.fleet import Fleet
+from tests.support.fleet import kill_router
 from tests.support.fleet import make_router
 from tests.support.fleet import PROMISES
 from tests.support.fleet import wait_until
@@ -29,15 +30,6 @@
 SETTLING_SECONDS = 2.0
 
 
-async def kill(fleet: Fleet) -> None:
-    """End a router at once; its rows stay in the store."""
-    router = fleet.router
-    router._peer_loads.close()
-    await router._control_tasks.cancel()
-    await router._listeners.callers.stop(0, 0)
-    await router.stop()
-
-
 async def start_again(fleet: Fleet) -> None:
     """Start a router again under the name of its VM."""
     vm = fleet.router._settings.vm
@@ -52,7 +44,7 @@
 async def restart_all(fleets: list[Fleet]) -> None:
     """Kill all routers at once and start them again."""
     for fleet in fleets:
-        await kill(fleet)
+        await kill_router(fleet.router)
     for fleet in fleets:
         await start_again(fleet)
     for fleet in fleets:
@@ -62,7 +54,7 @@
 async def restart_in_turn(fleets: list[Fleet]) -> None:
     """Kill each router and start it again before the next one."""
     for fleet in fleets:
-        await kill(fleet)
+        await kill_router(fleet.router)
         await start_again(fleet)
         await wait_ready(fleet)
 
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -202,6 +202,14 @@
         await store.server.stop()
 
 
+async def kill_router(router: FleetRouterProcess) -> None:
+    """End a router at once; its rows stay in the store."""
+    router._peer_loads.close()
+    await router._control_tasks.cancel()
+    await router._listeners.callers.stop(0, 0)
+    await router.stop()
+
+
 def make_router(
     store: Address,
     promises: Promises,
--- a/tests/support/version_fleet.py
+++ b/tests/support/version_fleet.py
@@ -26,6 +26,7 @@
 from lifttrestle.internal.http.head import RequestHead
 from tests.support.entries import make_entry
 from tests.support.fleet import CONFIGURATION
+from tests.support.fleet import kill_router
 from tests.support.fleet import make_router
 from tests.support.fleet import PROMISES
 from tests.support.fleet import WAIT_SECONDS
@@ -175,11 +176,7 @@
 
     async def kill(self, name: str) -> None:
         """End a router at once; its row stays in the store."""
-        router = self.routers.pop(name)
-        router._peer_loads.close()
-        await router._control_tasks.cancel()
-        await router._listeners.callers.stop(0, 0)
-        await router.stop()
+        await kill_router(self.routers.pop(name))
 
     def get_address(self, name: str) -> Address:
         """Return where a router accepts callers."""
