Tests of crashing parts judge a part that is held after four crashes

Cause: a part is guilty after four crashes. Whether a fifth engine crashes beside them depends on what runs at that moment. If none does, the fifth crash is the trial run some five seconds later, and the test counted sound requests from 6 s after it, when none was sent any more. The router did better than the test could judge.

Ruled out: full collections of a large heap (none in a run beside 5 million objects).

Change: requests are sent until 3 s of sound ones can be counted; with fewer than five crashes the last one counts, which is earlier.

--- a/tests/nocover/test_crashing_parts.py
+++ b/tests/nocover/test_crashing_parts.py
@@ -51,6 +51,10 @@
 SOUND_PER_SECOND = 30
 # How much less often sound requests may be served than before.
 LEAST_SHARE = 0.5
+RUN_SECONDS = 9.0
+# How long sound requests are counted, at least.
+JUDGED_SECONDS = 3.0
+MAX_RUN_SECONDS = 40.0
 
 
 @contextlib.asynccontextmanager
@@ -162,9 +166,28 @@
         await asyncio.gather(*self._calls)
         self._calls.clear()
 
+    @property
+    def last_needed_at(self):
+        """Return when the fifth engine crashed, or the last of fewer.
+
+        A part may be held after four crashes; the fifth is its trial run then.
+        """
+        return self.crashed_at[:LIMIT][-1]
+
+    async def run_until_judged(self):
+        """Send requests of both kinds until their outcome can be judged."""
+        end = time.monotonic() + MAX_RUN_SECONDS
+        await self.run(RUN_SECONDS)
+        while time.monotonic() < end and not self._is_judged():
+            await self.run(1.0)
+
+    def _is_judged(self):
+        judged_from = self.last_needed_at + 2 * CONTACT_SECONDS
+        return time.monotonic() >= judged_from + JUDGED_SECONDS
+
     def count_late(self):
-        """Return the guilty runs later than routers knew of five crashes."""
-        known_at = self.crashed_at[LIMIT - 1] + CONTACT_SECONDS
+        """Return the guilty runs later than routers knew of the crashes."""
+        known_at = self.last_needed_at + CONTACT_SECONDS
         return sum(
             at > known_at for item in self.engines for _, at in item.fatal_runs
         )
@@ -179,10 +202,8 @@
     async def check_held_in_time(self, day):
         """Check that a part is held and that sound requests are served."""
         await day.run(2.0, guilty=False)
-        await day.run(9.0)
-        share = day.get_served_share(
-            day.crashed_at[LIMIT - 1] + 2 * CONTACT_SECONDS
-        )
+        await day.run_until_judged()
+        share = day.get_served_share(day.last_needed_at + 2 * CONTACT_SECONDS)
         self.assertLessEqual(day.count_late(), MAX_LATE)
         self.assertGreaterEqual(share, LEAST_SHARE)
 
