One writer of rows that routers keep of themselves; Unix time in one place

RosterWriter is OwnRowWriter, as rows of crashes will need it too; its event for a row that could not be removed is row.left, the one of other tables. Unix milliseconds were computed alike in three modules. No behaviour changes.

--- a/src/lifttrestle/internal/fleet/crashes/held_row.py
+++ b/src/lifttrestle/internal/fleet/crashes/held_row.py
@@ -17,11 +17,11 @@
 import msgspec
 
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.clock.unix_time import get_unix_ms
 from lifttrestle.internal.intake.decoding import decode_json
 
 HELD_PREFIX = 'held/'
 HEXADECIMAL = 16
-MILLISECONDS = 1000
 
 
 class HeldRow(msgspec.Struct, frozen=True):
@@ -91,5 +91,4 @@
     clock: Clock, workspace: str, route: str, crashed: int, by: str
 ) -> HeldRow:
     """Return the row of a request whose hold starts now."""
-    held_at = int(clock.now().timestamp() * MILLISECONDS)
-    return HeldRow(workspace, route, crashed, held_at, by)
+    return HeldRow(workspace, route, crashed, get_unix_ms(clock), by)
--- a/src/lifttrestle/internal/fleet/crashes/holds.py
+++ b/src/lifttrestle/internal/fleet/crashes/holds.py
@@ -26,6 +26,7 @@
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.clock.ticker import Ticker
+from lifttrestle.internal.clock.unix_time import MILLISECONDS
 from lifttrestle.internal.fleet.crashes.held_row import build_key
 from lifttrestle.internal.fleet.crashes.held_row import decode_held_row
 from lifttrestle.internal.fleet.crashes.held_row import encode_held_row
@@ -56,7 +57,6 @@
 # the store has recovered to two seconds.
 FIRST_BACKOFF_SECONDS = 0.25
 MAX_BACKOFF_SECONDS = 2.0
-MILLISECONDS = 1000
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/lifttrestle/internal/fleet/state/roster_writer.py
+++ b/src/lifttrestle/internal/fleet/state/own_row_writer.py
@@ -10,7 +10,7 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-"""Writes of the rows that routers keep of themselves."""
+"""Writes the row that a router keeps of itself in a shared table."""
 
 import asyncio
 
@@ -23,10 +23,10 @@
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
-LOG = get_event_log('roster')
+LOG = get_event_log('rows')
 
 
-class RosterWriter:
+class OwnRowWriter:
     """Writes the row of this router and removes rows of any router.
 
     :param table: the table of the rows.
@@ -43,6 +43,11 @@
         self._own_lock = asyncio.Lock()
         self.has_left = False
 
+    @property
+    def exists(self) -> bool:
+        """Return whether this router is known to have a row."""
+        return self._own_version != NO_ROW
+
     def note_own(self, row: VersionedRow) -> None:
         """Record the version of this router's row as it was read."""
         if row.version > self._own_version:
@@ -91,7 +96,9 @@
         try:
             await self._write(key, None, version)
         except (ConditionFailed, PlatformUnavailable) as error:
-            LOG.warning('roster.row_left', router=key, reason=str(error))
+            LOG.warning(
+                'row.left', table=self._table, router=key, reason=str(error)
+            )
             return False
         return True
 
--- a/src/lifttrestle/internal/fleet/state/roster.py
+++ b/src/lifttrestle/internal/fleet/state/roster.py
@@ -28,10 +28,10 @@
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.policy.router_share import RouterShare
 from lifttrestle.internal.fleet.policy.router_share import ShareHistory
+from lifttrestle.internal.fleet.state.own_row_writer import OwnRowWriter
 from lifttrestle.internal.fleet.state.roster_entries import REFRESH_SECONDS
 from lifttrestle.internal.fleet.state.roster_entries import RosterEntries
 from lifttrestle.internal.fleet.state.roster_entries import STALE_SECONDS
-from lifttrestle.internal.fleet.state.roster_writer import RosterWriter
 from lifttrestle.internal.fleet.state.router_row import RouterRow
 from lifttrestle.internal.fleet.state.row_version import get_epoch
 from lifttrestle.internal.fleet.state.rows import NO_ROW
@@ -76,7 +76,7 @@
         self._key = f'{ROUTER_PREFIX}{vm}'
         self._data_centre = data_centre
         self._entries = RosterEntries(self._key, refusals or InputRefusals())
-        self._writer = RosterWriter(store, FLEET_TABLE, self._key)
+        self._writer = OwnRowWriter(store, FLEET_TABLE, self._key)
         # The highest epoch of a received row.
         self._epoch = 0
         # Set when this router's row must be written or undeleted rows removed.
--- a/src/lifttrestle/internal/fleet/streams/origin_rows.py
+++ b/src/lifttrestle/internal/fleet/streams/origin_rows.py
@@ -23,6 +23,8 @@
 
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.clock.unix_time import get_unix_ms
+from lifttrestle.internal.clock.unix_time import MILLISECONDS
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.router_rows import RouterRows
 from lifttrestle.internal.fleet.state.rows import RowStore
@@ -43,7 +45,6 @@
 READ_SECONDS = 1.0
 # The row of a router that has ended for good is removed after this time.
 ABANDONED_SECONDS = 3600.0
-MILLISECONDS = 1000
 
 
 class OriginRows:
@@ -139,7 +140,9 @@
             return
         self._open.changed = False
         written = await self._rows.write(
-            encode_origin_row(self._open.list_origins(), self._get_unix_ms())
+            encode_origin_row(
+                self._open.list_origins(), get_unix_ms(self._clock)
+            )
         )
         if not written:
             self._open.changed = True
@@ -179,11 +182,8 @@
                 return decode_origin_row(row.value)
         except ValueError as error:
             self._refusals.report('streams', row.key, error)
-        return OriginRow(self._get_unix_ms(), [], [])
+        return OriginRow(get_unix_ms(self._clock), [], [])
 
     def _is_abandoned(self, row: OriginRow) -> bool:
-        age_ms = self._get_unix_ms() - row.written_at_ms
+        age_ms = get_unix_ms(self._clock) - row.written_at_ms
         return age_ms >= ABANDONED_SECONDS * MILLISECONDS
-
-    def _get_unix_ms(self) -> int:
-        return int(self._clock.now().timestamp() * MILLISECONDS)
--- a/tests/nocover/test_fleet_stop.py
+++ b/tests/nocover/test_fleet_stop.py
@@ -264,7 +264,7 @@
                 fleet.store.writable.set()
                 self.assertTrue(await stopping)
                 held = await fleet.store.rows.read_table(FLEET_TABLE)
-        self.assertEqual(find_events(logs, 'roster.row_left'), [])
+        self.assertEqual(find_events(logs, 'row.left'), [])
         # The versions of the upstreams' software outlast all routers.
         left = [
             row.key
