Stored crashes are rows of the routers' table

A good end at a router that was no owner and had not seen the crashes did not clear them: after a restart an innocent request was held.

Cause: the rows had a table of their own, which only a start read.

Change: each router's row is crashes/VM in the routers' table. A start has it before it is ready, relays pass it on, and every router knows what counts against a request, so that any good end clears it. Rows of all routers together fill half a ledger at most, those with most crashes first. Only owners tell others of a hold that all can read from rows.

--- a/src/lifttrestle/internal/fleet/crashes/crash_row.py
+++ b/src/lifttrestle/internal/fleet/crashes/crash_row.py
@@ -21,7 +21,7 @@
 from lifttrestle.internal.fleet.state.reach import NEVER
 from lifttrestle.internal.intake.decoding import decode_json
 
-CRASH_TABLE = 'lifttrestle-crashes'
+CRASH_PREFIX = 'crashes/'
 MAX_DIGEST = 2**64 - 1
 # Unix milliseconds, some thousand years from now.
 MAX_TIME_MS = 10**14
--- a/src/lifttrestle/internal/fleet/crashes/crash_rows.py
+++ b/src/lifttrestle/internal/fleet/crashes/crash_rows.py
@@ -10,22 +10,25 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
-"""Stores the crashes that routers have noted, and reads them at their start.
+"""Stores the crashes that routers have noted, in rows of the routers' table.
 
 Messages between routers and what they keep in memory are lost when all routers
 that know of a crash end, at once or in turn. Each router stores what it has
-noted itself of requests, and reads what all have stored when it starts. Parts
-of prompts are not stored: many requests share them, and their good ends, which
-speak for them, are known by memory only.
+noted itself of requests, in a row of its own, and all merge the rows of all; a
+starting router does before it accepts any request. Parts of prompts are not
+stored: many requests share them, and their good ends, which speak for them,
+are known by memory only.
 """
 
 import collections
-from collections.abc import Callable
 
+from lifttrestle.errors import ConditionFailed
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.clock.ticker import Ticker
-from lifttrestle.internal.fleet.crashes.crash_row import CRASH_TABLE
+from lifttrestle.internal.clock.unix_time import get_unix_ms
+from lifttrestle.internal.clock.unix_time import MILLISECONDS
+from lifttrestle.internal.fleet.crashes.crash_row import CRASH_PREFIX
 from lifttrestle.internal.fleet.crashes.crash_row import CrashRow
 from lifttrestle.internal.fleet.crashes.crash_row import decode_crash_row
 from lifttrestle.internal.fleet.crashes.crash_row import encode_crash_row
@@ -33,10 +36,14 @@
 from lifttrestle.internal.fleet.crashes.crash_row import StoredRecord
 from lifttrestle.internal.fleet.crashes.hold_rules import HOLD_SECONDS
 from lifttrestle.internal.fleet.crashes.ledger import CrashLedger
+from lifttrestle.internal.fleet.crashes.ledger import MAX_RECORDS
 from lifttrestle.internal.fleet.crashes.suspects import get_kind
 from lifttrestle.internal.fleet.crashes.suspects import SuspectKind
+from lifttrestle.internal.fleet.policy.row_pacing import get_write_seconds
+from lifttrestle.internal.fleet.state.own_row_writer import OwnRowWriter
+from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
 from lifttrestle.internal.fleet.state.roster import Roster
-from lifttrestle.internal.fleet.state.router_rows import RouterRows
+from lifttrestle.internal.fleet.state.row_version import get_epoch
 from lifttrestle.internal.fleet.state.rows import RowStore
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.intake.refusals import InputRefusals
@@ -44,22 +51,26 @@
 
 LOG = get_event_log('crashes')
 POLL_SECONDS = 0.1
-READ_SECONDS = 1.0
-# Bound of the row's size, in starts that have crashed under something.
+# Bounds of a row's size, in starts that have crashed under something.
 MAX_STORED_STARTS = 400
-MILLISECONDS = 1000
+MIN_STORED_STARTS = 8
+NO_RECORDS: tuple[StoredRecord, ...] = ()
 
 
-def _ignore() -> None:
-    """Do nothing; the default callback."""
+def get_max_starts(routers: int) -> int:
+    """Return how many starts one router may store.
+
+    The records of all rows fit into half of a ledger.
+    """
+    share = MAX_RECORDS // 2 // max(routers, 1)
+    return min(max(share, MIN_STORED_STARTS), MAX_STORED_STARTS)
 
 
 class CrashRows:
-    """Writes the row of this router and reads the rows of all once.
+    """Writes the row of this router, and merges those of all.
 
-    :param vm: key of this router's row.
+    :param vm: names this router's row.
     :param ledger: holds the records to store, and receives those read.
-    :ivar on_read: called after the rows were read.
     """
 
     def __init__(
@@ -71,7 +82,9 @@
         clock: Clock,
         refusals: InputRefusals,
     ) -> None:
-        self._rows = RouterRows(CRASH_TABLE, vm, store, roster, clock)
+        self._key = f'{CRASH_PREFIX}{vm}'
+        self._writer = OwnRowWriter(store, FLEET_TABLE, self._key)
+        self._roster = roster
         self._ledger = ledger
         self._clock = clock
         self._refusals = refusals
@@ -80,8 +93,11 @@
             collections.OrderedDict()
         )
         self._is_changed = False
-        self._read_at = -READ_SECONDS
-        self.on_read: Callable[[], None] = _ignore
+        self._write_at = 0.0
+        # The highest epoch of a received row.
+        self._epoch = 0
+        # Rows of other routers, and when each was written, Unix milliseconds.
+        self._others: dict[str, tuple[VersionedRow, int]] = {}
 
     def note(self, digest: int) -> None:
         """Store a record that this router has changed, from now on."""
@@ -98,48 +114,82 @@
         if digest in self._stored:
             self._is_changed = True
 
+    def apply_row(self, row: VersionedRow) -> tuple[StoredRecord, ...]:
+        """Merge a changed row of the routers' table; return its records."""
+        self._note_epoch(get_epoch(row.version))
+        if not row.key.startswith(CRASH_PREFIX):
+            return NO_RECORDS
+        is_own = row.key == self._key
+        if is_own:
+            self._writer.note_own(row)
+        if row.value is None:
+            self._others.pop(row.key, None)
+            # Removed by another router, or lost by the store.
+            self._is_changed = self._is_changed or (
+                is_own and bool(self._stored)
+            )
+            return NO_RECORDS
+        decoded = self._decode(row)
+        # The latest is first in a row, and last in memory.
+        for record in reversed(decoded.records):
+            self._merge(record)
+            if is_own and record.digest not in self._stored:
+                # Of an earlier start of this router.
+                self.note(record.digest)
+        if not is_own:
+            self._others[row.key] = (row, decoded.written_at_ms)
+        return tuple(decoded.records)
+
+    def _note_epoch(self, epoch: int) -> None:
+        """Write the row again if the store was restored."""
+        if epoch <= self._epoch:
+            return
+        self._epoch = epoch
+        self._writer.begin_epoch(epoch)
+        self._is_changed = self._is_changed or bool(self._stored)
+
     async def run(self, ticker: Ticker) -> None:
-        """Read the rows, and write changes, until cancelled."""
+        """Write changes until cancelled."""
         while True:
             await self.synchronize()
             await ticker.wait(POLL_SECONDS)
 
     async def synchronize(self) -> None:
-        """Read the rows if that is due, and write what has changed."""
-        if self._rows.forget_restored():
-            self._is_changed = True
-        if not self._rows.is_known:
-            await self._read()
-        if not self._rows.is_known or not self._rows.may_write:
+        """Write what has changed, or remove a row that nobody needs."""
+        if not self._roster.loaded:
             return
-        if self._is_changed:
-            await self._write()
-        else:
-            await self._rows.remove_one_abandoned()
-
-    async def _read(self) -> None:
         now = self._clock.monotonic()
-        if now < self._read_at + READ_SECONDS:
+        if now < self._write_at:
             return
-        self._read_at = now
-        try:
-            read = await self._rows.read()
-        except PlatformUnavailable as error:
-            LOG.info('crashes.not_read', reason=str(error))
+        if self._is_changed:
+            self._delay_write(now)
+            await self._write()
             return
-        abandoned = []
-        for row in read.rows:
-            decoded = self._decode(row)
-            # The latest is first in a row, and last in memory.
-            for record in reversed(decoded.records):
-                self._merge(record)
-                if row is read.earlier:
-                    self.note(record.digest)
-            if self._is_old(decoded.written_at_ms):
-                abandoned.append(row)
-        self._rows.set_abandoned(abandoned)
-        LOG.info('crashes.read', routers=len(read.rows))
-        self.on_read()
+        abandoned = self._find_abandoned()
+        if abandoned is not None:
+            self._delay_write(now)
+            del self._others[abandoned.key]
+            await self._writer.remove(abandoned.key, abandoned.version)
+
+    def _delay_write(self, now: float) -> None:
+        """Let other routers write first."""
+        self._write_at = now + get_write_seconds(self._roster.live)
+
+    def _find_abandoned(self) -> VersionedRow | None:
+        """Return a row whose records no longer count, if there is one.
+
+        The first live router removes it.
+        """
+        if not self._others or self._roster.routers[0] != self._roster.key:
+            return None
+        return next(
+            (
+                row
+                for row, written_at_ms in self._others.values()
+                if self._is_old(written_at_ms)
+            ),
+            None,
+        )
 
     def _decode(self, row: VersionedRow) -> CrashRow:
         """Return a decoded row, an empty one if it is invalid."""
@@ -148,10 +198,10 @@
                 return decode_crash_row(row.value)
         except ValueError as error:
             self._refusals.report('crashes', row.key, error)
-        return CrashRow(self._get_unix_ms(), [])
+        return CrashRow(get_unix_ms(self._clock), [])
 
     def _merge(self, record: StoredRecord) -> None:
-        now, now_ms = self._clock.monotonic(), self._get_unix_ms()
+        now, now_ms = self._clock.monotonic(), get_unix_ms(self._clock)
         crashed = {
             start: min(now, now - (now_ms - at_ms) / MILLISECONDS)
             for start, at_ms in record.crashed
@@ -163,32 +213,34 @@
         self._ledger.restore(record.digest, known)
 
     async def _write(self) -> None:
-        self._is_changed = False
         records = self._list_records()
-        if records:
-            row = CrashRow(self._get_unix_ms(), records)
-            written = await self._rows.write(encode_crash_row(row))
-        elif self._rows.exists:
-            written = await self._rows.write(None)
-        else:
+        self._is_changed = False
+        if not records and not self._writer.exists:
             return
-        if not written:
+        row = CrashRow(get_unix_ms(self._clock), records)
+        try:
+            await self._writer.write_own(encode_crash_row(row))
+        except (ConditionFailed, PlatformUnavailable) as error:
+            # The watch delivers the row that the store has.
+            LOG.info('crashes.not_written', reason=str(error))
             self._is_changed = True
 
     def _list_records(self) -> list[StoredRecord]:
         """Return the records that matter, as many as fit.
 
-        Those with the latest crash that counts come first.
+        Those with most crashes come first, then those with the latest.
         """
         known = {
             digest: self._ledger.get_crashes(digest)
             for digest in reversed(self._stored)
         }
         ranked = sorted(
-            known.items(), key=lambda item: item[1].latest, reverse=True
+            known.items(),
+            key=lambda item: (len(item[1].crashed), item[1].latest),
+            reverse=True,
         )
         records = []
-        room = MAX_STORED_STARTS
+        room = get_max_starts(self._roster.live)
         for digest, crashes in ranked:
             if 0 < crashes.size <= room:
                 room -= crashes.size
@@ -196,7 +248,7 @@
         return records
 
     def _encode_record(self, digest: int, known: KnownCrashes) -> StoredRecord:
-        now, now_ms = self._clock.monotonic(), self._get_unix_ms()
+        now, now_ms = self._clock.monotonic(), get_unix_ms(self._clock)
         crashed = [
             (start, int(now_ms - (now - at) * MILLISECONDS))
             for start, at in known.crashed.items()
@@ -206,8 +258,5 @@
         )
 
     def _is_old(self, at_ms: int) -> bool:
-        age_ms = self._get_unix_ms() - at_ms
+        age_ms = get_unix_ms(self._clock) - at_ms
         return age_ms >= HOLD_SECONDS * MILLISECONDS
-
-    def _get_unix_ms(self) -> int:
-        return int(self._clock.now().timestamp() * MILLISECONDS)
--- a/src/lifttrestle/internal/fleet/crashes/decisions.py
+++ b/src/lifttrestle/internal/fleet/crashes/decisions.py
@@ -13,9 +13,11 @@
 """Decides which holds begin and end, and who writes their rows."""
 
 from collections.abc import Callable
+from collections.abc import Container
 from collections.abc import Iterable
 
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.fleet.crashes.crash_row import StoredRecord
 from lifttrestle.internal.fleet.crashes.held_row import build_held_row
 from lifttrestle.internal.fleet.crashes.held_row import format_digest
 from lifttrestle.internal.fleet.crashes.held_row import HeldRow
@@ -77,17 +79,39 @@
 
         :param received: the records of another router that were just merged.
         """
+        items = {item.digest: item for item in received}
+        self._apply(items, lambda digest: self._is_news(items[digest]))
+
+    def apply_stored(self, records: Iterable[StoredRecord]) -> None:
+        """Begin and end holds after a row was merged.
+
+        All routers merge it, so that only the owners tell others.
+        """
+        digests = {record.digest for record in records}
+        self._apply(digests, self._replicator.is_owner)
+
+    def _apply(
+        self, learned: Container[int], is_news: Callable[[int], bool]
+    ) -> None:
+        """Begin and end holds if other requests or parts are guilty now.
+
+        :param learned: digests of the records that were just merged.
+        :param is_news: returns whether a hold of one of them is news to
+            others.
+        """
         guilty = self._ledger.guilty
         if guilty == self._guilty:
             return
         before, self._guilty = self._guilty, guilty
-        items = {item.digest: item for item in received}
         for digest in sorted(before - guilty):
             # A record that was evicted tells nothing; the row stays.
             if self._ledger.has_record(digest):
                 self._end_hold(digest)
         for digest in sorted(guilty - before):
-            self._begin_hold(digest, items.get(digest))
+            is_learned = digest in learned
+            if not is_learned or is_news(digest):
+                self._replicator.queue_update(digest)
+            self._begin_hold(digest, is_learned)
 
     def _end_hold(self, digest: int) -> None:
         """Cancel the scheduled write, or remove the written row."""
@@ -96,14 +120,11 @@
         if self._writes_row(digest):
             self.holds.schedule_write(digest, 0.0, None)
 
-    def _begin_hold(self, digest: int, received: CrashItem | None) -> None:
+    def _begin_hold(self, digest: int, is_learned: bool) -> None:
         """Hold a request or part.
 
-        :param received: its record at the router that made it known, if this
-            router learned of it from another one.
+        :param is_learned: whether another router has made it known.
         """
-        if received is None or self._is_news(received):
-            self._replicator.queue_update(digest)
         origin = self._origins.get(digest)
         crashed = self._ledger.count_crashed(digest)
         LOG.warning(
@@ -118,9 +139,7 @@
             # Other routers write the row. If all did, the whole fleet would
             # retry its writes at an unavailable store.
             return
-        delay = (
-            WRITE_DELAY_SECONDS if received is None else OWNER_DELAY_SECONDS
-        )
+        delay = OWNER_DELAY_SECONDS if is_learned else WRITE_DELAY_SECONDS
         row = build_held_row(
             self._clock, origin.workspace, origin.route, crashed, self._vm
         )
--- a/src/lifttrestle/internal/fleet/crashes/tracker.py
+++ b/src/lifttrestle/internal/fleet/crashes/tracker.py
@@ -83,7 +83,6 @@
         )
         self.decisions.on_lifted = self._note_lifted
         self.rows = CrashRows(vm, store, roster, self._ledger, clock, refusals)
-        self.rows.on_read = self.decisions.apply_verdicts
         self.holds = self.decisions.holds
         self.losses = LossWatch(clock, heartbeat_seconds)
         self.losses.on_crashed = self._note_crashed
@@ -212,6 +211,9 @@
     def apply_row(self, row: VersionedRow) -> None:
         """Apply a changed row of the routers' table."""
         self.holds.apply_row(row)
+        records = self.rows.apply_row(row)
+        if records:
+            self.decisions.apply_stored(records)
 
     def handle_update(self, update: CrashUpdate) -> None:
         """Merge the records that another router has sent."""
