A good end that one router has seen counts after restarts

Cause: crashes are stored by whoever notes them; that a request had succeeded was known to the routers that had served it, and told only when it was accused. A restart kept what speaks against it and lost what speaks for it.

Change: a router that reads a stored crash of a request that it has seen succeed tells all, and stores that.

--- a/src/lifttrestle/internal/fleet/crashes/ledger.py
+++ b/src/lifttrestle/internal/fleet/crashes/ledger.py
@@ -125,6 +125,10 @@
         self.retract(digest, list(record.crashed))
         return True
 
+    def has_seen_success(self, digest: int) -> bool:
+        """Return whether this router itself saw a success lately."""
+        return digest in self._succeeded
+
     def retract(self, digest: int, starts: Iterable[int]) -> bool:
         """Retract crashes of starts; return whether one of them counted."""
         record = self._records.get(digest)
--- a/src/lifttrestle/internal/fleet/crashes/tracker.py
+++ b/src/lifttrestle/internal/fleet/crashes/tracker.py
@@ -19,6 +19,8 @@
 from lifttrestle.internal.clock.ticker import Ticker
 from lifttrestle.internal.fleet.crashes.crash_rows import CrashRows
 from lifttrestle.internal.fleet.crashes.decisions import HoldDecisions
+from lifttrestle.internal.fleet.crashes.good_ends import GoodEnds
+from lifttrestle.internal.fleet.crashes.good_ends import TURN_SECONDS
 from lifttrestle.internal.fleet.crashes.held_row import format_digest
 from lifttrestle.internal.fleet.crashes.held_row import format_digests
 from lifttrestle.internal.fleet.crashes.hold_rules import allows_trial
@@ -83,6 +85,7 @@
         )
         self.decisions.on_lifted = self._note_lifted
         self.rows = CrashRows(vm, store, roster, self._ledger, clock, refusals)
+        self._good_ends = GoodEnds(roster, clock)
         self.holds = self.decisions.holds
         self.losses = LossWatch(clock, heartbeat_seconds)
         self.losses.on_crashed = self._note_crashed
@@ -95,6 +98,7 @@
             self.holds.run(ticker),
             self.rows.run(ticker),
             self._run_sweep(ticker),
+            self._run_good_ends(ticker),
         )
 
     async def _run_sweep(self, ticker: Ticker) -> None:
@@ -102,6 +106,16 @@
             await ticker.wait(POLL_SECONDS)
             self.losses.sweep(self._is_listed)
 
+    async def _run_good_ends(self, ticker: Ticker) -> None:
+        while True:
+            await ticker.wait(TURN_SECONDS)
+            self.tell_good_ends()
+
+    def tell_good_ends(self) -> None:
+        """Tell other routers of the good ends that are due."""
+        for digest in self._good_ends.take_due():
+            self._publish(digest)
+
     def _is_listed(self, start: str) -> bool:
         return self._directory.get_start(start) is not None
 
@@ -212,8 +226,14 @@
         """Apply a changed row of the routers' table."""
         self.holds.apply_row(row)
         records = self.rows.apply_row(row)
-        if records:
-            self.decisions.apply_stored(records)
+        if not records:
+            return
+        self.decisions.apply_stored(records)
+        for record in records:
+            if record.succeeded:
+                self._good_ends.note_told(record.digest)
+            elif self._ledger.has_seen_success(record.digest):
+                self._good_ends.note(record.digest)
 
     def handle_update(self, update: CrashUpdate) -> None:
         """Merge the records that another router has sent."""
@@ -222,6 +242,8 @@
         ]
         for item in update.items:
             self.rows.note_merged(item.digest)
+            if item.succeeded:
+                self._good_ends.note_told(item.digest)
         self.decisions.apply_verdicts(update.items)
         if replies:
             self.replicator.reply(update.vm, replies)
--- a/tests/cover/test_crash_rows.py
+++ b/tests/cover/test_crash_rows.py
@@ -19,10 +19,12 @@
 from lifttrestle.internal.fleet.crashes.crash_row import decode_crash_row
 from lifttrestle.internal.fleet.crashes.crash_row import encode_crash_row
 from lifttrestle.internal.fleet.crashes.crash_rows import MAX_STORED_STARTS
+from lifttrestle.internal.fleet.crashes.good_ends import TURN_SECONDS
 from lifttrestle.internal.fleet.crashes.held_row import build_key
 from lifttrestle.internal.fleet.crashes.hold_rules import EPISODE_SECONDS
 from lifttrestle.internal.fleet.crashes.hold_rules import HOLD_SECONDS
 from lifttrestle.internal.fleet.crashes.ledger import YOUNG_SECONDS
+from lifttrestle.internal.fleet.crashes.replicator import SEND_COUNT
 from lifttrestle.internal.fleet.crashes.suspects import set_kind
 from lifttrestle.internal.fleet.crashes.suspects import SuspectKind
 from lifttrestle.internal.fleet.policy import row_pacing
@@ -205,6 +207,14 @@
             fleet.crash(0, upstream, [DIGEST])
         fleet.send_updates()
         await fleet.synchronize()
+        self._wait_for_turns(fleet)
+        await fleet.synchronize()
+
+    def _wait_for_turns(self, fleet):
+        """Let the routers that know of a good end tell it."""
+        for _ in range(25):
+            fleet.clock.advance(TURN_SECONDS)
+            fleet.tell_good_ends()
 
     async def _check_not_held_after_restart(self, fleet):
         """Check that one more crash is not one too many."""
@@ -215,6 +225,15 @@
         await fleet.synchronize()
         self.assertEqual(fleet.count_holding(DIGEST), 0)
 
+    async def test_regression_innocent_request_held_after_a_restart(self):
+        for routers in (3, 12, 82):
+            for knowing in range(0, routers, max(1, routers // 6)):
+                with self.subTest(routers=routers, knowing=knowing):
+                    fleet = CrashFleet(routers)
+                    fleet.trackers[knowing].note_success(DIGEST)
+                    await self._crash_herd(fleet)
+                    await self._check_not_held_after_restart(fleet)
+
     async def test_regression_good_end_after_a_herd_was_not_stored(self):
         for routers in (3, 12):
             for knowing in range(routers):
@@ -226,6 +245,20 @@
                     await fleet.synchronize()
                     await self._check_not_held_after_restart(fleet)
 
+    async def test_few_routers_tell_of_a_good_end(self):
+        fleet = CrashFleet(82)
+        for tracker in fleet.trackers:
+            tracker.note_success(DIGEST)
+        await fleet.synchronize()
+        for upstream in range(2):
+            fleet.crash(0, upstream, [DIGEST])
+        fleet.send_updates()
+        await fleet.synchronize()
+        before = fleet.messages
+        self._wait_for_turns(fleet)
+        told = (fleet.messages - before) / len(fleet.trackers)
+        self.assertLessEqual(told, 2 * SEND_COUNT)
+
     async def test_lifted_hold_does_not_return(self):
         for routers in (3, 82):
             with self.subTest(routers=routers):
--- a/tests/support/crash_fleet.py
+++ b/tests/support/crash_fleet.py
@@ -85,7 +85,12 @@
             roster.apply_row(VersionedRow(name, row, 1))
         directory = self.directories[number]
         tracker = CrashTracker(
-            f'r{number}', self.rows, directory, roster, self.clock, 1.2
+            f'r{number}',
+            self.rows,
+            directory,
+            roster,
+            self.clock,
+            1.2,
         )
         tracker.replicator.send = self._send
         return tracker
@@ -114,6 +119,13 @@
             await self.trackers[number].rows.synchronize()
         await self._read(running)
 
+    def tell_good_ends(self) -> None:
+        """Let all running routers tell of good ends that are due."""
+        for number, tracker in enumerate(self.trackers):
+            if number not in self.gone:
+                tracker.tell_good_ends()
+                tracker.replicator.send_pending()
+
     async def _read(self, numbers: list[int]) -> None:
         """Let routers read the routers' table, if the store is up."""
         if self.rows.down:
