Stored crashes of starts that are listed still are taken back

What callers would see: a request was held after one real crash, since two that had been refuted before counted: a cut link looks like a crash for some seconds, and the router that would have taken it back had restarted.

Cause: the accusation is stored at once, the watch over its refutation is in the memory of the router that noted it.

Measured: test_regression_refuted_crash_counted_after_a_restart: before, 3 of 3 routers hold the request after one more crash, in both ways to restart; none since. Crashes of starts that are gone count as before.

--- a/src/lifttrestle/internal/fleet/crashes/loss_watch.py
+++ b/src/lifttrestle/internal/fleet/crashes/loss_watch.py
@@ -50,6 +50,11 @@
 MAX_REQUESTS = 256
 
 
+def get_entry_seconds(heartbeat_seconds: float) -> float:
+    """Return after how long the entry of a crashed start has surely ended."""
+    return ENTRY_HEARTBEATS * heartbeat_seconds + ENTRY_MARGIN_SECONDS
+
+
 @dataclasses.dataclass
 class Loss:
     """A start that aborted answers.
@@ -87,9 +92,7 @@
 
     def __init__(self, clock: Clock, heartbeat_seconds: float) -> None:
         self._clock = clock
-        self._entry_seconds = (
-            ENTRY_HEARTBEATS * heartbeat_seconds + ENTRY_MARGIN_SECONDS
-        )
+        self._entry_seconds = get_entry_seconds(heartbeat_seconds)
         self._losses: dict[str, Loss] = {}
         # The start of each listed upstream whose entry was read last.
         self._newest: dict[str, FleetUpstream] = {}
--- a/src/lifttrestle/internal/fleet/crashes/tracker.py
+++ b/src/lifttrestle/internal/fleet/crashes/tracker.py
@@ -26,11 +26,13 @@
 from lifttrestle.internal.fleet.crashes.hold_rules import allows_trial
 from lifttrestle.internal.fleet.crashes.holds import MAX_HELD
 from lifttrestle.internal.fleet.crashes.ledger import CrashLedger
+from lifttrestle.internal.fleet.crashes.loss_watch import get_entry_seconds
 from lifttrestle.internal.fleet.crashes.loss_watch import LossWatch
 from lifttrestle.internal.fleet.crashes.lost_origins import LostOrigins
 from lifttrestle.internal.fleet.crashes.lost_origins import RequestOrigin
 from lifttrestle.internal.fleet.crashes.messages import CrashUpdate
 from lifttrestle.internal.fleet.crashes.replicator import CrashReplicator
+from lifttrestle.internal.fleet.crashes.stored_watch import StoredCrashWatch
 from lifttrestle.internal.fleet.crashes.suspects import get_kind_name
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.reach import NEVER
@@ -86,6 +88,9 @@
         self.decisions.on_lifted = self._note_lifted
         self.rows = CrashRows(vm, store, roster, self._ledger, clock, refusals)
         self._good_ends = GoodEnds(roster, clock)
+        self._stored_watch = StoredCrashWatch(
+            clock, get_entry_seconds(heartbeat_seconds)
+        )
         self.holds = self.decisions.holds
         self.losses = LossWatch(clock, heartbeat_seconds)
         self.losses.on_crashed = self._note_crashed
@@ -104,7 +109,26 @@
     async def _run_sweep(self, ticker: Ticker) -> None:
         while True:
             await ticker.wait(POLL_SECONDS)
-            self.losses.sweep(self._is_listed)
+            self.sweep()
+
+    def sweep(self) -> None:
+        """Decide on starts whose entries should have expired by now."""
+        self.losses.sweep(self._is_listed)
+        if not self.losses.is_list_current():
+            return
+        for digest, start in self._stored_watch.take_refuted(self._has_digest):
+            self._retract_stored(digest, start)
+
+    def _retract_stored(self, digest: int, start: int) -> None:
+        """Retract a stored crash as all routers do; the owners tell it."""
+        if not self._ledger.retract(digest, [start]):
+            return
+        if self.replicator.is_owner(digest):
+            self._publish(digest)
+        self.decisions.apply_verdicts()
+
+    def _has_digest(self, start: int) -> bool:
+        return self._directory.get_by_digest(start) is not None
 
     async def _run_good_ends(self, ticker: Ticker) -> None:
         while True:
@@ -230,6 +254,7 @@
             return
         self.decisions.apply_stored(records)
         for record in records:
+            self._stored_watch.note(record)
             if record.succeeded:
                 self._good_ends.note_told(record.digest)
             elif self._ledger.has_seen_success(record.digest):
--- a/tests/cover/test_crash_rows.py
+++ b/tests/cover/test_crash_rows.py
@@ -24,16 +24,21 @@
 from lifttrestle.internal.fleet.crashes.hold_rules import EPISODE_SECONDS
 from lifttrestle.internal.fleet.crashes.hold_rules import HOLD_SECONDS
 from lifttrestle.internal.fleet.crashes.ledger import YOUNG_SECONDS
+from lifttrestle.internal.fleet.crashes.loss_watch import get_entry_seconds
 from lifttrestle.internal.fleet.crashes.replicator import SEND_COUNT
+from lifttrestle.internal.fleet.crashes.stored_watch import MARGIN_SECONDS
 from lifttrestle.internal.fleet.crashes.suspects import set_kind
 from lifttrestle.internal.fleet.crashes.suspects import SuspectKind
 from lifttrestle.internal.fleet.policy import row_pacing
 from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from tests.support.crash_fleet import CrashFleet
+from tests.support.crash_fleet import HEARTBEAT_SECONDS
 
 DIGEST = 0xCAE714BDFB5AE264
 SIZES = (2, 6, 82)
+# A start that is listed for longer after its crash was noted is sound.
+REFUTED_SECONDS = get_entry_seconds(HEARTBEAT_SECONDS) + MARGIN_SECONDS
 # The platform's limit for the value of a row, in bytes.
 ROW_BYTES = 65_536
 
@@ -245,6 +250,23 @@
                     await fleet.synchronize()
                     await self._check_not_held_after_restart(fleet)
 
+    async def test_regression_refuted_crash_counted_after_a_restart(self):
+        for restart in (restart_all, restart_in_turn):
+            for listed in (True, False):
+                with self.subTest(restart.__name__, listed=listed):
+                    fleet = CrashFleet(3)
+                    await crash_twice(fleet)
+                    await restart(fleet)
+                    if not listed:
+                        fleet.remove_upstreams(2)
+                    fleet.clock.advance(REFUTED_SECONDS)
+                    fleet.sweep()
+                    await fleet.synchronize()
+                    fleet.crash(1, 2, [DIGEST])
+                    fleet.send_updates()
+                    held = fleet.count_holding(DIGEST)
+                    self.assertEqual(held, 0 if listed else 3)
+
     async def test_few_routers_tell_of_a_good_end(self):
         fleet = CrashFleet(82)
         for tracker in fleet.trackers:
--- a/tests/support/crash_fleet.py
+++ b/tests/support/crash_fleet.py
@@ -38,6 +38,7 @@
 START = datetime.datetime(2026, 12, 3, tzinfo=datetime.timezone.utc)
 ORIGIN = RequestOrigin('acme', 'safe')
 BORN = 1_767_225_600_000
+HEARTBEAT_SECONDS = 1.2
 
 
 class CrashFleet:
@@ -90,7 +91,7 @@
             directory,
             roster,
             self.clock,
-            1.2,
+            HEARTBEAT_SECONDS,
         )
         tracker.replicator.send = self._send
         return tracker
@@ -153,6 +154,19 @@
             tracker.note_lost(digest, ORIGIN, known)
         tracker.losses.note_evidence(known.start, StartEvidence.REFUSED)
 
+    def remove_upstreams(self, count: int) -> None:
+        """Remove the entries of the first upstreams without notice."""
+        for directory in self.directories:
+            for upstream in range(count):
+                row = VersionedRow(f'p{upstream}', None, 2)
+                directory.apply_row(row)
+
+    def sweep(self) -> None:
+        """Let all running routers decide on losses that are due."""
+        for number, tracker in enumerate(self.trackers):
+            if number not in self.gone:
+                tracker.sweep()
+
     def send_updates(self) -> None:
         """Send all pending updates, with all their repetitions."""
         for _ in range(SEND_COUNT):
