A mark that arrives with the status of a tunnel doesn't fail it

What callers saw: a router that was cut off took another one's tunnel for refused, and turned to the next, if that one announced its stop or a pause of the upstream in the moment in which the tunnel opened.

Cause: the dialler took all that had arrived for the status.

Change: the status is the first byte; the rest goes to the stream.

Measured: test_regression_mark_beside_the_status_failed_the_tunnel failed in all three ways to split the bytes (the third, sent apart, arrived together); it passes, as do test_tunnels and test_tunnel_pauses (17 tests).

--- a/src/lifttrestle/internal/fleet/tunnels/dialler.py
+++ b/src/lifttrestle/internal/fleet/tunnels/dialler.py
@@ -19,6 +19,7 @@
 from lifttrestle.internal.fleet.state.relay_messages import encode_frame
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
+from lifttrestle.internal.fleet.tunnels.messages import STATUS_BYTES
 from lifttrestle.internal.fleet.tunnels.messages import TunnelRequest
 from lifttrestle.internal.fleet.tunnels.messages import TunnelStatus
 from lifttrestle.internal.fleet.tunnels.staggered import connect_first
@@ -97,11 +98,11 @@
         self, key: str, upstream: FleetUpstream
     ) -> Stream:
         async with ReadTimeout(OPEN_SECONDS):
-            return TunnelStream(await self._open_through(key, upstream))
+            return await self._open_through(key, upstream)
 
     async def _open_through(
         self, key: str, upstream: FleetUpstream
-    ) -> ByteStream:
+    ) -> TunnelStream:
         """Return a connection whose other end is connected to the upstream.
 
         :raises OSError: if the router does not forward it.
@@ -116,22 +117,22 @@
             answer = await stream.read()
             if not answer:
                 raise OSError('it closed the connection')
-            # The upstream sends nothing before its first request.
-            status = _decode_status(answer)
+            # A mark may have arrived beside it.
+            status = _decode_status(answer[:STATUS_BYTES])
             if status is not TunnelStatus.CONNECTED:
                 raise OSError(status.name.lower())
         except BaseException:
             stream.abort()
             raise
-        return stream
+        return TunnelStream(stream, answer[STATUS_BYTES:])
 
 
-def _decode_status(answer: bytes) -> TunnelStatus:
-    """Return the status in an answer.
+def _decode_status(data: bytes) -> TunnelStatus:
+    """Return a decoded status.
 
-    :raises OSError: if it holds anything else.
+    :raises OSError: if it is none.
     """
     try:
-        return TunnelStatus(int.from_bytes(answer, 'big'))
+        return TunnelStatus(int.from_bytes(data, 'big'))
     except ValueError as error:
         raise OSError('its answer is invalid') from error
--- a/src/lifttrestle/internal/fleet/tunnels/stream.py
+++ b/src/lifttrestle/internal/fleet/tunnels/stream.py
@@ -23,13 +23,13 @@
 class TunnelStream(Stream):
     """Unpacks what an upstream sends from the chunks of a tunnel.
 
-    :param stream: connection to the router that forwards; the status byte was
-        read.
+    :param stream: connection to the router that forwards.
+    :param received: what was read from it after the status byte.
     """
 
-    def __init__(self, stream: Stream) -> None:
+    def __init__(self, stream: Stream, received: bytes = b'') -> None:
         self._stream = stream
-        self._pending = b''
+        self._pending = received
         self._left_in_chunk = 0
         self._closed = False
         self._stopping = False
