A pause or stop that begins while a tunnel opens is not missed

What would be seen: requests to an upstream within the pause that it had asked for (BUDGET), or a tunnel that a stopping router cuts.

Cause: the router that forwards checks both before it connects, for up to half a second; an announcement meanwhile reaches open tunnels only. The class: what is told once is missed by those who join in that moment.

Change: it checks again once it has connected.

Measured: test_regression_pause_or_stop_missed_tunnels_being_opened got a tunnel in both cases before, BUSY and STOPPING since.

--- a/src/lifttrestle/internal/fleet/tunnels/server.py
+++ b/src/lifttrestle/internal/fleet/tunnels/server.py
@@ -137,7 +137,12 @@
             upstream.reach.note_unreachable(self._clock.monotonic())
             return TunnelStatus.UNREACHABLE, None
         upstream.reach.note_reachable(self._clock.monotonic())
-        return TunnelStatus.CONNECTED, stream
+        # A pause or the stop of this router may have begun meanwhile.
+        status = self._check(upstream)
+        if status is not TunnelStatus.CONNECTED:
+            stream.abort()
+            return status, None
+        return status, stream
 
     def _check(self, upstream: FleetUpstream | None) -> TunnelStatus:
         if self._stopping:
--- a/tests/nocover/test_tunnels.py
+++ b/tests/nocover/test_tunnels.py
@@ -23,6 +23,7 @@
 from lifttrestle.internal.fleet.tunnels.messages import TunnelRequest
 from lifttrestle.internal.fleet.tunnels.messages import TunnelStatus
 from lifttrestle.internal.http.address import parse_address
+from lifttrestle.internal.http.byte_stream import ByteStream
 from lifttrestle.internal.http.client_connection import ClientConnection
 from lifttrestle.internal.http.head import RequestHead
 from tests.support.cut_fleet import AT_ONCE
@@ -117,6 +118,40 @@
             answer = await ask_for_tunnel(address, request)
             self.assertEqual(answer, bytes([TunnelStatus.BUSY]))
 
+    async def _ask_meanwhile(self, fleet, act):
+        """Return the answer if ``act`` happens while a router connects."""
+        near = fleet.routers[NEAR]
+        upstream = list_upstreams(fleet, NEAR)[0]
+        connect = ByteStream.open
+
+        async def connect_later(address):
+            stream = await connect(address)
+            act(near, upstream)
+            return stream
+
+        request = TunnelRequest(f'router/{STRUCK}', upstream.start)
+        address = near.roster.tunnel_address
+        with mock.patch.object(ByteStream, 'open', connect_later):
+            return await ask_for_tunnel(address, request)
+
+    async def test_regression_pause_or_stop_missed_tunnels_being_opened(self):
+        def pause(near, upstream):
+            now = near._clock.monotonic()
+            upstream.rejections.note_requested(3.0, now)
+            near.tunnel_server.announce_pause(upstream.start)
+
+        def stop(near, upstream):
+            near.tunnel_server.announce_stop()
+
+        for act, status in (
+            (pause, TunnelStatus.BUSY),
+            (stop, TunnelStatus.STOPPING),
+        ):
+            with self.subTest(act.__name__):
+                async with run_cut_fleet() as fleet:
+                    answer = await self._ask_meanwhile(fleet, act)
+                    self.assertEqual(answer, bytes([status]))
+
 
 class TestPath(unittest.IsolatedAsyncioTestCase):
     async def test_own_data_centre_forwards_and_ends_when_links_are_back(self):
