--- a/src/lifttrestle/internal/fleet/crashes/crash_rows.py
+++ b/src/lifttrestle/internal/fleet/crashes/crash_rows.py
@@ -51,8 +51,9 @@
 
 LOG = get_event_log('crashes')
 POLL_SECONDS = 0.1
-# Bounds of a row's size, in starts that have crashed under something.
-MAX_STORED_STARTS = 400
+# Bounds of a row's size, in starts that have crashed under something. Routers
+# keep the rows of the last 500 changes of the table in memory.
+MAX_STORED_STARTS = 200
 MIN_STORED_STARTS = 8
 NO_RECORDS: tuple[StoredRecord, ...] = ()
 
