Repeated updates are named by what they tell

DepartureNews and PauseNews kept a map from digests to what they tell, only as RepeatedUpdates was keyed by digests. It takes any hashable record now; both maps are gone. No behaviour changes but for the bound of 200 that they had: RepeatedUpdates has one of 2,048.

--- a/src/lifttrestle/internal/fleet/state/departure_news.py
+++ b/src/lifttrestle/internal/fleet/state/departure_news.py
@@ -12,13 +12,10 @@
 
 """Tells the other routers which upstreams have announced that they leave."""
 
-import collections
 from collections.abc import Callable
 
 from lifttrestle.internal.fleet.state.departure_messages import DepartureUpdate
 from lifttrestle.internal.fleet.state.departures import Departures
-from lifttrestle.internal.fleet.state.digests import compute_digest
-from lifttrestle.internal.fleet.state.digests import RECORD_DIGEST_BYTES
 from lifttrestle.internal.fleet.state.repeated_updates import RepeatedUpdates
 from lifttrestle.internal.fleet.state.roster import Roster
 
@@ -26,8 +23,6 @@
 SEND_COUNT = 2
 # A start takes up to 220 bytes, a message at most 8 KiB.
 MAX_ITEMS = 30
-# Maximum number of starts that are being told.
-MAX_STARTS = 200
 Send = Callable[[DepartureUpdate, str], None]
 Subscribe = Callable[[type, Callable[..., None]], None]
 
@@ -44,12 +39,8 @@
     ) -> None:
         self._vm = vm
         self._departures = departures
-        # The latest announced starts, by their digest.
-        self._starts: collections.OrderedDict[int, str] = (
-            collections.OrderedDict()
-        )
-        self._updates = RepeatedUpdates(
-            lambda digest: roster.list_others(),
+        self._updates = RepeatedUpdates[str](
+            lambda start: roster.list_others(),
             self._send_starts,
             SEND_COUNT,
             MAX_ITEMS,
@@ -69,11 +60,7 @@
 
     def announce(self, start: str) -> None:
         """Tell all routers that an upstream leaves."""
-        digest = compute_digest(start.encode(), RECORD_DIGEST_BYTES)
-        self._starts[digest] = start
-        if len(self._starts) > MAX_STARTS:
-            self._starts.popitem(last=False)
-        self._updates.send_now(digest)
+        self._updates.send_now(start)
 
     def handle_update(self, update: DepartureUpdate) -> None:
         """Apply what another router has learned."""
@@ -84,11 +71,5 @@
         """Repeat updates until cancelled."""
         await self._updates.run()
 
-    def _send_starts(self, digests: list[int], key: str) -> None:
-        starts = [
-            self._starts[digest]
-            for digest in digests
-            if digest in self._starts
-        ]
-        if starts:
-            self._send(DepartureUpdate(self._vm, starts), key)
+    def _send_starts(self, starts: list[str], key: str) -> None:
+        self._send(DepartureUpdate(self._vm, starts), key)
--- a/src/lifttrestle/internal/fleet/state/pause_news.py
+++ b/src/lifttrestle/internal/fleet/state/pause_news.py
@@ -16,13 +16,10 @@
 the pause, and that router does not read what it forwards.
 """
 
-import collections
 from collections.abc import Callable
 import dataclasses
 
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.fleet.state.digests import compute_digest
-from lifttrestle.internal.fleet.state.digests import RECORD_DIGEST_BYTES
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.pause_messages import PauseUpdate
 from lifttrestle.internal.fleet.state.pause_messages import RequestedPause
@@ -30,7 +27,6 @@
 
 SEND_COUNT = 2
 MAX_ITEMS = 20
-MAX_PAUSES = 200
 MILLISECONDS = 1000
 Send = Callable[[PauseUpdate, str], None]
 Subscribe = Callable[[type, Callable[..., None]], None]
@@ -50,12 +46,6 @@
     via: str
     start: str
 
-    @property
-    def digest(self) -> int:
-        """Return the digest that names it."""
-        name = f'{self.via} {self.start}'
-        return compute_digest(name.encode(), RECORD_DIGEST_BYTES)
-
 
 class PauseNews:
     """Sends pauses to the routers that forwarded them.
@@ -69,12 +59,11 @@
         self._vm = vm
         self._directory = directory
         self._clock = clock
-        # The latest pauses, by their digest.
-        self._pauses: collections.OrderedDict[int, ForwardedPause] = (
-            collections.OrderedDict()
-        )
-        self._updates = RepeatedUpdates(
-            self._list_receivers, self._send_pauses, SEND_COUNT, MAX_ITEMS
+        self._updates = RepeatedUpdates[ForwardedPause](
+            lambda pause: [pause.via],
+            self._send_pauses,
+            SEND_COUNT,
+            MAX_ITEMS,
         )
         self._send: Send = lambda message, key: None
         self.on_told = _ignore
@@ -94,12 +83,7 @@
 
         :param via: key of the router.
         """
-        pause = ForwardedPause(via, start)
-        self._pauses[pause.digest] = pause
-        self._pauses.move_to_end(pause.digest)
-        if len(self._pauses) > MAX_PAUSES:
-            self._pauses.popitem(last=False)
-        self._updates.send_now(pause.digest)
+        self._updates.send_now(ForwardedPause(via, start))
 
     def handle_update(self, update: PauseUpdate) -> None:
         """Apply the pauses that this router has forwarded."""
@@ -116,16 +100,11 @@
         """Repeat updates until cancelled."""
         await self._updates.run()
 
-    def _list_receivers(self, digest: int) -> list[str]:
-        pause = self._pauses.get(digest)
-        return [] if pause is None else [pause.via]
-
-    def _send_pauses(self, digests: list[int], key: str) -> None:
+    def _send_pauses(self, forwarded: list[ForwardedPause], key: str) -> None:
         pauses = [
             RequestedPause(pause.start, milliseconds)
-            for digest in digests
-            if (pause := self._pauses.get(digest)) is not None
-            and (milliseconds := self._get_rest(pause.start))
+            for pause in forwarded
+            if (milliseconds := self._get_rest(pause.start))
         ]
         if pauses:
             self._send(PauseUpdate(self._vm, pauses), key)
--- a/src/lifttrestle/internal/fleet/state/repeated_updates.py
+++ b/src/lifttrestle/internal/fleet/state/repeated_updates.py
@@ -18,16 +18,18 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Hashable
+from typing import Generic
+from typing import TypeVar
 
+Key = TypeVar('Key', bound=Hashable)
 RESEND_SECONDS = 0.4
 # Maximum number of records with pending updates.
 MAX_PENDING = 2048
-ListReceivers = Callable[[int], list[str]]
-SendRecords = Callable[[list[int], str], None]
 
 
-class RepeatedUpdates:
-    """Updates that are yet to be sent, by the digest of their record.
+class RepeatedUpdates(Generic[Key]):
+    """Updates that are yet to be sent, by what names their record.
 
     :param list_receivers: returns the keys of the routers to send a record
         to.
@@ -38,8 +40,8 @@
 
     def __init__(
         self,
-        list_receivers: ListReceivers,
-        send_records: SendRecords,
+        list_receivers: Callable[[Key], list[str]],
+        send_records: Callable[[list[Key], str], None],
         send_count: int,
         max_items: int,
     ) -> None:
@@ -47,24 +49,24 @@
         self._send_records = send_records
         self._send_count = send_count
         self._max_items = max_items
-        # Digest -> transmissions that remain.
-        self._pending: dict[int, int] = {}
+        # Record -> transmissions that remain.
+        self._pending: dict[Key, int] = {}
         self._has_pending = asyncio.Event()
         self._has_new = asyncio.Event()
 
-    def queue(self, digest: int) -> None:
+    def queue(self, record: Key) -> None:
         """Queue an update, to be sent in the next iteration of the loop."""
-        if digest in self._pending or len(self._pending) < MAX_PENDING:
-            self._pending[digest] = self._send_count
+        if record in self._pending or len(self._pending) < MAX_PENDING:
+            self._pending[record] = self._send_count
             self._has_pending.set()
             self._has_new.set()
 
-    def send_now(self, digest: int) -> None:
+    def send_now(self, record: Key) -> None:
         """Send an update before this call returns; repeat it later."""
-        for key in self._list_receivers(digest):
-            self._send_records([digest], key)
+        for key in self._list_receivers(record):
+            self._send_records([record], key)
         if len(self._pending) < MAX_PENDING:
-            self._pending[digest] = self._send_count - 1
+            self._pending[record] = self._send_count - 1
             self._has_pending.set()
 
     async def run(self) -> None:
@@ -85,16 +87,16 @@
 
     def send_pending(self) -> None:
         """Send each pending update once."""
-        by_receiver: dict[str, list[int]] = {}
-        for digest in self._pending:
-            for key in self._list_receivers(digest):
-                by_receiver.setdefault(key, []).append(digest)
-        for key, digests in by_receiver.items():
-            for first in range(0, len(digests), self._max_items):
-                part = digests[first : first + self._max_items]
+        by_receiver: dict[str, list[Key]] = {}
+        for record in self._pending:
+            for key in self._list_receivers(record):
+                by_receiver.setdefault(key, []).append(record)
+        for key, records in by_receiver.items():
+            for first in range(0, len(records), self._max_items):
+                part = records[first : first + self._max_items]
                 self._send_records(part, key)
         self._pending = {
-            digest: remaining - 1
-            for digest, remaining in self._pending.items()
+            record: remaining - 1
+            for record, remaining in self._pending.items()
             if remaining > 1
         }
