--- a/src/lifttrestle/internal/fleet/path/sending.py
+++ b/src/lifttrestle/internal/fleet/path/sending.py
@@ -16,19 +16,18 @@
 from lifttrestle.internal.exchange.progress import RequestEvent
 from lifttrestle.internal.fleet.path.answer_forwarding import AnswerForwarder
 from lifttrestle.internal.fleet.path.answer_forwarding import InactivityTimeout
+from lifttrestle.internal.fleet.path.answer_recording import AnswerRecorder
+from lifttrestle.internal.fleet.path.answer_recording import report_long_prompt
 from lifttrestle.internal.fleet.path.attempt import begin_attempt
-from lifttrestle.internal.fleet.path.attempt import FIRST_CLIENT_ERROR
 from lifttrestle.internal.fleet.path.attempt import UpstreamAnswer
 from lifttrestle.internal.fleet.path.attempt_options import build_options
 from lifttrestle.internal.fleet.path.candidates import Candidates
 from lifttrestle.internal.fleet.path.dialect import AnswerFacts
 from lifttrestle.internal.fleet.path.dialect import AttemptOptions
-from lifttrestle.internal.fleet.path.event_buffer import build_answered_fields
 from lifttrestle.internal.fleet.path.event_buffer import build_budget_fields
 from lifttrestle.internal.fleet.path.fair_share import note_used
 from lifttrestle.internal.fleet.path.hold_check import check_held_before_send
 from lifttrestle.internal.fleet.path.request_context import RequestContext
-from lifttrestle.internal.fleet.policy.engine_speed import expect_first_token
 from lifttrestle.internal.fleet.policy.placement import Placement
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.http.client_connection import ClientConnection
@@ -41,22 +40,12 @@
 # failover from an upstream that is slow but answers other requests.
 INACTIVITY_TARGET_FACTOR = 2.0
 MIN_INACTIVITY_SECONDS = 1.6
-# An engine that reads from an unreachable cache store waits some hundred
-# milliseconds for it: if an answer begins later than expected by more than
-# this, the store is probed.
-FETCH_LATE_SECONDS = 0.2
-# A prompt with this many tokens to prefill keeps an engine busy for 30 ms or
-# more and is reported to the other routers at once. When it was reported with
-# the next regular report, at most 0.15 s later, mean worth was 0.527 instead
-# of 0.561 (three days with faults, three seeds).
-LONG_PROMPT_TOKENS = 1000
 
 
 class RequestSender:
     """Sends one request, once for each attempt.
 
     :param body: the complete body.
-    :ivar answered_fields: log fields of the last attempt that was answered.
     """
 
     def __init__(
@@ -73,8 +62,12 @@
         self._body = body
         self._forwarder = forwarder
         self._candidates = candidates
-        self.answered_fields: dict[str, object] = {}
-        self._first_answer_seconds = 0.0
+        self._answers = AnswerRecorder(request)
+
+    @property
+    def answered_fields(self) -> dict[str, object]:
+        """Return the log fields of the last attempt that was answered."""
+        return self._answers.answered_fields
 
     async def send(
         self, chosen: Placement, attempt_id: int, connection: ClientConnection
@@ -105,7 +98,7 @@
             request.charge.note_sent()
         request.progress.apply(RequestEvent.SEND)
         sent_at = request.sent_at = parts.clock.monotonic()
-        usual_seconds = self._expect_usual(chosen)
+        usual_seconds = self._answers.expect_usual(chosen)
         upstream.note_sent(
             attempt_id,
             sent_at,
@@ -114,7 +107,7 @@
             usual_seconds,
         )
         note_used(request)
-        self._report_load(chosen)
+        report_long_prompt(parts, chosen)
         reused = connection.exchanges > 0
         parts.metrics.count_connection(request.service, reused)
         self._log_sent(upstream, options, connection)
@@ -136,7 +129,7 @@
             ),
         )
         parts.crashes.losses.note_answered(upstream, sent_at)
-        self._record_answer(
+        self._answers.record(
             chosen, attempt_id, options, answer, sent_at, usual_seconds
         )
         return answer, inactivity_timeout
@@ -153,62 +146,6 @@
         if facts.pause_seconds is not None and connection.via:
             self._parts.tell_pause(connection.via, upstream.start)
 
-    def _record_answer(
-        self,
-        chosen: Placement,
-        attempt_id: int,
-        options: AttemptOptions,
-        answer: UpstreamAnswer,
-        sent_at: float,
-        usual_seconds: float,
-    ) -> None:
-        """Record when an answer began, compared to the expected time.
-
-        :param usual_seconds: time expected at the usual speed of the service.
-        """
-        request = self._request
-        first_byte_at = self._parts.clock.monotonic()
-        seconds = first_byte_at - sent_at
-        chosen.upstream.note_first_byte(
-            attempt_id, first_byte_at, chosen.slowdown
-        )
-        self._report_load(chosen)
-        self._parts.metrics.observe_first_byte(
-            request.service, seconds, chosen.expected_seconds
-        )
-        if not self.answered_fields:
-            self._first_answer_seconds = first_byte_at - request.received_at
-        self.answered_fields = build_answered_fields(
-            chosen, seconds, self._first_answer_seconds, options
-        )
-        if seconds > chosen.expected_seconds + FETCH_LATE_SECONDS:
-            self._suspect_store(options)
-        self._record_engine_answer(chosen, options, answer, seconds)
-        if answer.facts.status < FIRST_CLIENT_ERROR:
-            # Answers with an error status come sooner and show no speed.
-            self._parts.engine_speeds.record_answer(
-                chosen.upstream, usual_seconds, seconds, first_byte_at
-            )
-
-    def _expect_usual(self, chosen: Placement) -> float:
-        """Return the time to first byte expected at the usual speed."""
-        parts = self._parts
-        service = self._request.service
-        if not parts.engine_speeds.is_enabled(service):
-            return 0.0
-        if self._request.facts.generation is None:
-            return parts.engine_speeds.expect_plain(service)
-        return expect_first_token(
-            chosen.queue_tokens,
-            chosen.unread_tokens,
-            parts.get_pace(service).prefill_seconds,
-        )
-
-    def _report_load(self, chosen: Placement) -> None:
-        """Report to other routers that a long prefill started or ended."""
-        if chosen.unread_tokens >= LONG_PROMPT_TOKENS:
-            self._parts.note_load_change()
-
     def _take_retry(self) -> bool:
         service = self._request.service
         budget = self._parts.get_budget(service)
@@ -222,31 +159,6 @@
         )
         return granted
 
-    def _record_engine_answer(
-        self,
-        chosen: Placement,
-        options: AttemptOptions,
-        answer: UpstreamAnswer,
-        seconds: float,
-    ) -> None:
-        generation = self._request.facts.generation
-        if generation is None:
-            return
-        self._parts.get_pace(self._request.service).note_answer(
-            chosen.queue_tokens,
-            chosen.unread_tokens,
-            seconds,
-            chosen.slowdown,
-        )
-        if answer.facts.weights is not None:
-            chosen.upstream.note_weights(
-                generation.model,
-                answer.facts.weights,
-                self._parts.clock.monotonic(),
-            )
-        if options.cache is not None:
-            self._parts.sources.note_served(options.cache, generation)
-
     def _count_resumed(self, version: str | None) -> None:
         origin = self._request.binding.origin
         known = origin.software_version if origin is not None else None
@@ -255,11 +167,6 @@
             software = 'unknown'
         self._parts.metrics.count_resumed(self._request.service, software)
 
-    def _suspect_store(self, options: AttemptOptions) -> None:
-        """Request a probe of the store that the engine may have waited for."""
-        if options.cache is not None and options.cache.source:
-            self._parts.stores.suspect(options.cache.source)
-
     def _can_fail_over(self) -> bool:
         """Return whether another upstream could take the request over."""
         request = self._request
