A request whose upstream announces its leaving before the send is placed anew

What would be seen: a request that had been chosen for an upstream, and waited for a connection or for the claim of a trial run at a slow store, reaches it after another answer has said that it leaves (DRAIN, if that takes over 2 s).

Cause: leaving was checked at the choice only; a pause already was before the send, too.

Change: both are checked right before the send. Streams that only a leaving upstream may continue go there as before, for as long as at the choice. UpstreamPauses is UpstreamUnavailable, as it stands for both.

--- a/src/lifttrestle/errors.py
+++ b/src/lifttrestle/errors.py
@@ -136,8 +136,8 @@
         self.is_full = is_full
 
 
-class UpstreamPauses(LifttrestleError):
-    """The upstream has asked for a pause since it was chosen.
+class UpstreamUnavailable(LifttrestleError):
+    """The upstream takes no requests any more since it was chosen.
 
     Nothing was sent.
     """
--- a/src/lifttrestle/internal/exchange/attempts.py
+++ b/src/lifttrestle/internal/exchange/attempts.py
@@ -27,7 +27,7 @@
 from lifttrestle.errors import UpstreamDeclined
 from lifttrestle.errors import UpstreamFailed
 from lifttrestle.errors import UpstreamLost
-from lifttrestle.errors import UpstreamPauses
+from lifttrestle.errors import UpstreamUnavailable
 from lifttrestle.errors import WrongAnswer
 
 Chosen = TypeVar('Chosen')
@@ -38,11 +38,15 @@
     UpstreamDeclined,
     UpstreamFailed,
     UpstreamLost,
-    UpstreamPauses,
+    UpstreamUnavailable,
     WrongAnswer,
 )
 # Exceptions after which the upstream has not executed the request.
-NOT_RUN_FAILURES = (UpstreamConnectFailed, UpstreamDeclined, UpstreamPauses)
+NOT_RUN_FAILURES = (
+    UpstreamConnectFailed,
+    UpstreamDeclined,
+    UpstreamUnavailable,
+)
 
 
 class FailureAction(enum.Enum):
--- a/src/lifttrestle/internal/fleet/path/candidates.py
+++ b/src/lifttrestle/internal/fleet/path/candidates.py
@@ -252,6 +252,10 @@
             for upstream in self._list_allowed(service)
         ]
 
+    def is_allowed(self, upstream: FleetUpstream, service: str) -> bool:
+        """Return whether an upstream may be sent this request now."""
+        return any(item is upstream for item in self._list_allowed(service))
+
     def _list_allowed(self, service: str) -> list[FleetUpstream]:
         """Return the upstreams of a service that may continue the stream."""
         return self._select_allowed(
--- a/src/lifttrestle/internal/fleet/path/failure_recording.py
+++ b/src/lifttrestle/internal/fleet/path/failure_recording.py
@@ -20,7 +20,7 @@
 from lifttrestle.errors import UpstreamFailed
 from lifttrestle.errors import UpstreamLost
 from lifttrestle.errors import UpstreamPathLost
-from lifttrestle.errors import UpstreamPauses
+from lifttrestle.errors import UpstreamUnavailable
 from lifttrestle.internal.exchange.progress import RequestEvent
 from lifttrestle.internal.fleet.crashes.loss_states import StartEvidence
 from lifttrestle.internal.fleet.crashes.lost_origins import RequestOrigin
@@ -36,7 +36,7 @@
     RequestRefused,
     UpstreamDeclined,
     UpstreamFailed,
-    UpstreamPauses,
+    UpstreamUnavailable,
 )
 
 
@@ -80,8 +80,8 @@
             upstream.reach.note_unreachable(now)
             self._candidates.reconsider(upstream)
             losses.note_probed(upstream.start, False, error.refused)
-        elif isinstance(error, UpstreamPauses):
-            # It may be chosen again once its pause has ended.
+        elif isinstance(error, UpstreamUnavailable):
+            # It may be chosen again once a pause has ended.
             self._candidates.exclude(upstream, now)
         elif not _is_path_failure(upstream, error):
             upstream.breaker.note_failure(now)
--- a/src/lifttrestle/internal/fleet/path/sending.py
+++ b/src/lifttrestle/internal/fleet/path/sending.py
@@ -12,7 +12,7 @@
 
 """Sends a request to its upstream and records when its answer begins."""
 
-from lifttrestle.errors import UpstreamPauses
+from lifttrestle.errors import UpstreamUnavailable
 from lifttrestle.internal.exchange.progress import RequestEvent
 from lifttrestle.internal.fleet.path.answer_forwarding import AnswerForwarder
 from lifttrestle.internal.fleet.path.answer_forwarding import InactivityTimeout
@@ -74,7 +74,7 @@
     ) -> tuple[UpstreamAnswer, InactivityTimeout]:
         """Send the request and return its answer once it has begun.
 
-        :raises UpstreamPauses: if it must be sent to another upstream.
+        :raises UpstreamUnavailable: if it must be sent to another upstream.
         """
         parts = self._parts
         request = self._request
@@ -83,7 +83,7 @@
         # budget is charged only here: a failed connection is no retry.
         await check_held_before_send(request)
         request.readmit()
-        _check_pause(upstream, parts.clock.monotonic())
+        self._check_available(upstream)
         if request.sends and not self._take_retry():
             raise request.make_refusal(
                 ErrorKind.UPSTREAM_FAILED, 'the retry budget is used up'
@@ -134,6 +134,24 @@
         )
         return answer, inactivity_timeout
 
+    def _check_available(self, upstream: FleetUpstream) -> None:
+        """Check that an upstream takes requests still, as when chosen.
+
+        :raises UpstreamUnavailable: if it has asked for a pause or announced
+            that it leaves since then.
+        """
+        now = self._parts.clock.monotonic()
+        seconds = upstream.rejections.get_requested_seconds(now)
+        if seconds:
+            raise UpstreamUnavailable(
+                f'{upstream.instance} wants nothing for {seconds:.2f} s'
+            )
+        service = self._request.service
+        if upstream.draining and not self._candidates.is_allowed(
+            upstream, service
+        ):
+            raise UpstreamUnavailable(f'{upstream.instance} leaves')
+
     def _note_announced(
         self,
         upstream: FleetUpstream,
@@ -209,12 +227,3 @@
             attempt=self._request.sends,
             live_routers=self._parts.roster.live,
         )
-
-
-def _check_pause(upstream: FleetUpstream, now: float) -> None:
-    """Raise an error if an upstream has asked for a pause since the choice."""
-    seconds = upstream.rejections.get_requested_seconds(now)
-    if seconds:
-        raise UpstreamPauses(
-            f'{upstream.instance} wants nothing for {seconds:.2f} s'
-        )
--- a/tests/nocover/test_leaving_upstreams.py
+++ b/tests/nocover/test_leaving_upstreams.py
@@ -105,6 +105,21 @@
             await self._learn(fleet, leaver)
             self.assertEqual(await self._count_sent(fleet, leaver), 0)
 
+    async def test_between_the_choice_and_the_send(self):
+        async with run_fleet() as fleet:
+            upstream = fleet.router.directory.get('p1')
+            take = upstream.pool.take
+
+            async def take_late(**options):
+                connection = await take(**options)
+                upstream.departure.note_announced(fleet.clock.monotonic())
+                return connection
+
+            upstream.pool.take = take_late
+            leaver = fleet.upstreams['p1']
+            self.assertEqual(await self._count_sent(fleet, leaver), 0)
+            self.assertTrue(upstream.departure.has_begun)
+
     async def test_at_the_head_of_a_stream(self):
         async with run_version_fleet({'e1': 'v1', 'e2': 'v1'}) as fleet:
             leaver = fleet.engines['e1']
