--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -13,9 +13,7 @@
 """A router process of a fleet: builds, runs and stops its components."""
 
 import asyncio
-from collections.abc import Callable
 from collections.abc import Coroutine
-import contextlib
 import random
 import signal
 
@@ -36,6 +34,8 @@
 from lifttrestle.internal.fleet.policy.cache_sources import CacheSources
 from lifttrestle.internal.fleet.policy.retry_budget import SharedRetryBudget
 from lifttrestle.internal.fleet.settings import FleetSettings
+from lifttrestle.internal.fleet.settings_follower import SettingsFollower
+from lifttrestle.internal.fleet.settings_follower import SettingsReader
 from lifttrestle.internal.fleet.shared_state import SharedState
 from lifttrestle.internal.fleet.stall_watch import watch_stalls
 from lifttrestle.internal.fleet.state.cache_stores import CacheStores
@@ -61,9 +61,6 @@
 from lifttrestle.internal.telemetry.fleet_metrics import FleetMetrics
 
 LOG = get_event_log('router')
-# Poll interval of the settings file, which may change without a signal.
-SETTINGS_POLL_SECONDS = 5.0
-SettingsReader = Callable[[], FleetSettings | None]
 
 
 class FleetRouterProcess:
@@ -84,7 +81,7 @@
         self.store = store
         self.ticker = Ticker(clock, source.random())
         self._stop = asyncio.Event()
-        self._reload = asyncio.Event()
+        self._follower = SettingsFollower(settings, self._apply_settings)
         self._control_tasks = ControlTasks(self._stop.set)
         metrics = FleetMetrics()
         refusals = InputRefusals(metrics.count_refused_input)
@@ -218,7 +215,7 @@
 
     def request_reload(self) -> None:
         """Request an immediate reload of the settings."""
-        self._reload.set()
+        self._follower.request_reload()
 
     def is_ready(self) -> bool:
         """Return whether requests can be served."""
@@ -241,25 +238,15 @@
         return all_ended and not self._control_tasks.failed
 
     async def follow_settings(self, read: SettingsReader) -> None:
-        """Apply the settings whenever they change, forever.
+        """Apply the settings whenever they change, forever."""
+        await self._follower.run(read)
 
-        They are read after SIGHUP and periodically; requests in progress
-        continue.
-        """
-        while True:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(SETTINGS_POLL_SECONDS):
-                    await self._reload.wait()
-            self._reload.clear()
-            settings = read()
-            if settings is None or settings == self._parts.settings:
-                continue
-            self._parts.settings = settings
-            for budget in self._parts.budgets.values():
-                budget.promises = settings.promises
-            self._weights_loader.promises = settings.promises
-            self._usage.promises = settings.promises
-            LOG.info('router.settings_applied', vm=settings.vm)
+    def _apply_settings(self, settings: FleetSettings) -> None:
+        self._parts.settings = settings
+        for budget in self._parts.budgets.values():
+            budget.promises = settings.promises
+        self._weights_loader.promises = settings.promises
+        self._usage.promises = settings.promises
 
     async def start(self) -> None:
         """Open the listeners and start the control tasks."""
