Simulations of the cover tests are not kept for the rest of a run

Cause: two modules keep whole simulations in functools.cache, some two million objects after the first of them. Each full collection of the heap reads all of them: 1.7 s. The stand-ins of the store and of upstreams run in that process.

Change: the caches are cleared after their modules.

Whether the intermittent tests of the list had this cause is not shown; they stay listed.

--- a/tests/cover/test_engine_speeds.py
+++ b/tests/cover/test_engine_speeds.py
@@ -65,6 +65,11 @@
     return fleet
 
 
+def tearDownModule():
+    # Full collections of the simulations would stop later tests for seconds.
+    simulate.cache_clear()
+
+
 def count_late(load, speeds, seeds, since):
     """Return the late requests that arrived from ``since`` seconds on."""
     load = dataclasses.replace(load, speeds=speeds)
--- a/tests/cover/test_fair_shares.py
+++ b/tests/cover/test_fair_shares.py
@@ -179,6 +179,11 @@
     return simulation
 
 
+def tearDownModule():
+    # Full collections of the simulations would stop later tests for seconds.
+    simulate.cache_clear()
+
+
 class PlayedCase(unittest.TestCase):
     """Checks the outcome for the workspaces at their usual load."""
 
