Crashes noted during an outage of the store are not taken back at its end

What callers would see: a request that crashes upstreams while the store is away is not held after the third one, as each of its crashes is forgotten when the store returns.

Cause: a start that is listed 7.6 s after its crash counts as sound. The age of the crash was asked, not for how long the list had been current: entries of crashed starts lapse some heartbeats after the store's return, or come back with an older copy.

Change: the list must have been current, without an outage or restore, for as long as the entry of a crashed start takes to lapse.

--- a/src/lifttrestle/internal/fleet/crashes/loss_watch.py
+++ b/src/lifttrestle/internal/fleet/crashes/loss_watch.py
@@ -87,7 +87,8 @@
         that has crashed under it.
     :ivar on_crash_retracted: called with the same digests if the start turns
         out not to have crashed.
-    :ivar is_list_current: returns whether the list of upstreams is current.
+    :ivar get_list_settled_seconds: returns for how long the list of upstreams
+        has been current, without an outage or restore of the store.
     """
 
     def __init__(self, clock: Clock, heartbeat_seconds: float) -> None:
@@ -98,7 +99,9 @@
         self._newest: dict[str, FleetUpstream] = {}
         self.on_crashed: Callable[[int, int], None] = _ignore
         self.on_crash_retracted: Callable[[int, int], None] = _ignore
-        self.is_list_current: Callable[[], bool] = lambda: True
+        self.get_list_settled_seconds: Callable[[], float] = lambda: float(
+            'inf'
+        )
 
     def note_lost(
         self,
@@ -230,9 +233,17 @@
             if loss.state is LossState.OPEN
         )
 
+    def can_refute(self) -> bool:
+        """Return whether only entries of live starts are listed.
+
+        After an outage, that of a crashed start lapses as late as after its
+        crash.
+        """
+        return self.get_list_settled_seconds() >= self._entry_seconds
+
     def sweep(self, is_listed: Callable[[str], bool]) -> None:
         """Decide on starts whose entries should have expired by now."""
-        if not self._losses or not self.is_list_current():
+        if not self._losses or not self.can_refute():
             return
         latest = self._clock.monotonic() - self._entry_seconds
         due = [
--- a/src/lifttrestle/internal/fleet/crashes/tracker.py
+++ b/src/lifttrestle/internal/fleet/crashes/tracker.py
@@ -114,7 +114,7 @@
     def sweep(self) -> None:
         """Decide on starts whose entries should have expired by now."""
         self.losses.sweep(self._is_listed)
-        if not self.losses.is_list_current():
+        if not self.losses.can_refute():
             return
         for digest, start in self._stored_watch.take_refuted(self._has_digest):
             self._retract_stored(digest, start)
--- a/src/lifttrestle/internal/fleet/shared_state.py
+++ b/src/lifttrestle/internal/fleet/shared_state.py
@@ -111,7 +111,7 @@
         self.streams.is_list_current = watches.is_upstream_list_current
         self.streams.is_loaded = watches.are_loaded
         losses = self.crashes.losses
-        losses.is_list_current = watches.is_upstream_list_current
+        losses.get_list_settled_seconds = watches.get_list_settled_seconds
 
     def _apply_operator_row(self, row: VersionedRow) -> None:
         before = self.view.catalogue
--- a/src/lifttrestle/internal/fleet/state/table_watch.py
+++ b/src/lifttrestle/internal/fleet/state/table_watch.py
@@ -30,6 +30,7 @@
 from lifttrestle.internal.fleet.state.rows import RowChanges
 from lifttrestle.internal.fleet.state.rows import RowStore
 from lifttrestle.internal.fleet.state.table_copy import CopyUpdate
+from lifttrestle.internal.fleet.state.table_copy import NEVER
 from lifttrestle.internal.fleet.state.table_copy import RowListener
 from lifttrestle.internal.fleet.state.table_copy import TableCopy
 from lifttrestle.internal.telemetry.event_log import get_event_log
@@ -53,6 +54,8 @@
         are off; otherwise another router may send all of it first.
     :param policy: decides which held rows are kept when the store is
         restored from an older copy; by default none.
+    :ivar disturbed_at: when the last outage or restore of the store ended,
+        monotonic seconds.
     """
 
     def __init__(
@@ -84,6 +87,7 @@
         self._dependants: list[TableWatch] = []
         self._observers: list[Callable[[TableWatch], None]] = []
         self.copy = TableCopy(table, clock, listener, policy)
+        self.disturbed_at = NEVER
 
     @property
     def lost(self) -> bool:
@@ -227,6 +231,7 @@
         epoch = get_epoch(version)
         if epoch == get_epoch(previous_version):
             return
+        self.disturbed_at = self._clock.monotonic()
         LOG.warning(
             'watch.epoch_changed',
             table=self._table,
@@ -257,5 +262,6 @@
                 version=format_version(self.copy.version),
             )
             self._lost = False
+            self.disturbed_at = self._clock.monotonic()
             for watch in self._dependants:
                 watch.restart()
--- a/src/lifttrestle/internal/fleet/table_watches.py
+++ b/src/lifttrestle/internal/fleet/table_watches.py
@@ -63,6 +63,7 @@
         apply_upstream_row: RowListener,
         apply_routers_row: RowListener,
     ) -> None:
+        self._clock = clock
         self.operator = TableWatch(
             store,
             stored_format.operator_table,
@@ -111,3 +112,12 @@
     def is_upstream_list_current(self) -> bool:
         """Return whether the end of an entry would already be known."""
         return self.upstreams.get_age() < 2 * UPSTREAMS_WAIT_SECONDS
+
+    def get_list_settled_seconds(self) -> float:
+        """Return for how long the list of upstreams has been current.
+
+        An outage or restore of the store ends that.
+        """
+        if not self.is_upstream_list_current():
+            return 0.0
+        return self._clock.monotonic() - self.upstreams.disturbed_at
--- a/tests/cover/test_loss_watch.py
+++ b/tests/cover/test_loss_watch.py
@@ -12,6 +12,8 @@
 
 """Tests of the detection of crashes after aborted answers."""
 
+import math
+
 import msgspec
 
 from lifttrestle.internal.fleet.crashes.loss_watch import LossWatch
@@ -195,12 +197,12 @@
         self.assertEqual(self.retracted, [DIGEST])
 
     def test_nothing_is_retracted_while_the_list_is_not_current(self):
-        self.watch.is_list_current = lambda: False
+        self.watch.get_list_settled_seconds = lambda: 0.0
         self.lose()
         self.watch.note_probed(self.upstream.start, False, True)
         self.sweep(60.0)
         self.assertEqual(self.retracted, [])
-        self.watch.is_list_current = lambda: True
+        self.watch.get_list_settled_seconds = lambda: math.inf
         self.take('p1', None)
         self.sweep(1.0)
         self.assertEqual(self.retracted, [])
