A success counts also for a request none of whose crashes count

What callers would see: an innocent request is held everywhere after a herd of three crashes, though it ends well all the time: one crash under it had been taken back before.

Cause: note_success left a record without crashes untouched, and a record's succeeded is set from memory only when it is created. Every router has such records since they read each other's rows.

Measured: test_regression_success_after_a_refuted_crash_was_ignored: 3 of 3 routers held it before, none now.

--- a/src/lifttrestle/internal/fleet/crashes/ledger.py
+++ b/src/lifttrestle/internal/fleet/crashes/ledger.py
@@ -119,11 +119,10 @@
         if len(self._succeeded) > MAX_SUCCEEDED:
             self._succeeded.popitem(last=False)
         record = self._records.get(digest)
-        if record is None or not record.crashed:
+        if record is None:
             return False
         record.succeeded = True
-        self.retract(digest, list(record.crashed))
-        return True
+        return self.retract(digest, list(record.crashed))
 
     def has_seen_success(self, digest: int) -> bool:
         """Return whether this router itself saw a success lately."""
--- a/tests/cover/test_crash_rows.py
+++ b/tests/cover/test_crash_rows.py
@@ -38,7 +38,8 @@
 DIGEST = 0xCAE714BDFB5AE264
 SIZES = (2, 6, 82)
 # A start that is listed for longer after its crash was noted is sound.
-REFUTED_SECONDS = get_entry_seconds(HEARTBEAT_SECONDS) + MARGIN_SECONDS
+ENTRY_SECONDS = get_entry_seconds(HEARTBEAT_SECONDS)
+REFUTED_SECONDS = ENTRY_SECONDS + MARGIN_SECONDS
 # The platform's limit for the value of a row, in bytes.
 ROW_BYTES = 65_536
 
@@ -217,7 +218,7 @@
 
     def _wait_for_turns(self, fleet):
         """Let the routers that know of a good end tell it."""
-        for _ in range(25):
+        for _ in fleet.trackers:
             fleet.clock.advance(TURN_SECONDS)
             fleet.tell_good_ends()
 
@@ -267,6 +268,22 @@
                     held = fleet.count_holding(DIGEST)
                     self.assertEqual(held, 0 if listed else 3)
 
+    async def test_regression_success_after_a_refuted_crash_was_ignored(self):
+        fleet = CrashFleet(3)
+        await crash_twice(fleet)
+        for upstream in range(2):
+            start = fleet.directories[0].get(f'p{upstream}').digest
+            fleet.trackers[0]._retract_crash(DIGEST, start)
+        fleet.send_updates()
+        await fleet.synchronize()
+        for tracker in fleet.trackers:
+            tracker.note_success(DIGEST)
+        fleet.clock.advance(2 * EPISODE_SECONDS)
+        for upstream in range(2, 5):
+            fleet.crash(0, upstream, [DIGEST])
+        fleet.send_updates()
+        self.assertEqual(fleet.count_holding(DIGEST), 0)
+
     async def test_few_routers_tell_of_a_good_end(self):
         fleet = CrashFleet(82)
         for tracker in fleet.trackers:
