All retracted starts of a record are stored

What operators would see: a hold that they lifted returns after a restart, if over 18 crashes were stored by a VM that is gone.

Cause: rows had the last 16 retracted starts, the bound of a message, and up to 64 crashes. Found by the review.

Measured: test_regression_lifted_hold_of_many_crashes_returned: held again with 19 and 40 crashes before, not now.

--- a/src/lifttrestle/internal/fleet/crashes/ledger.py
+++ b/src/lifttrestle/internal/fleet/crashes/ledger.py
@@ -255,7 +255,7 @@
         record = self._records.get(digest, CrashRecord())
         return KnownCrashes(
             self._list_recent(record),
-            tuple(record.retracted)[-MAX_TOLD_STARTS:],
+            tuple(record.retracted),
             record.succeeded,
         )
 
--- a/tests/cover/test_crash_rows.py
+++ b/tests/cover/test_crash_rows.py
@@ -298,6 +298,23 @@
         told = (fleet.messages - before) / len(fleet.trackers)
         self.assertLessEqual(told, 2 * SEND_COUNT)
 
+    async def test_regression_lifted_hold_of_many_crashes_returned(self):
+        for crashes in (3, 19, 40):
+            with self.subTest(crashes=crashes):
+                fleet = CrashFleet(3, upstreams=crashes)
+                await fleet.synchronize()
+                for upstream in range(crashes):
+                    fleet.crash(0, upstream, [DIGEST])
+                fleet.send_updates()
+                await fleet.synchronize()
+                fleet.gone.add(0)
+                lifted = VersionedRow(build_key(DIGEST), None, 9)
+                for tracker in fleet.trackers[1:]:
+                    tracker.apply_row(lifted)
+                await fleet.synchronize()
+                await restart_all(fleet)
+                self.assertFalse(fleet.trackers[1].is_held(DIGEST))
+
     async def test_lifted_hold_does_not_return(self):
         for routers in (3, 82):
             with self.subTest(routers=routers):
