A router's own row, read back, evicts nothing that was noted meanwhile

What callers would see: crashes that are noted while a full row is on its way back from the store are forgotten after a restart.

Cause: records of the own row that were no longer stored were taken for those of an earlier start, and noted as the latest. Found by the review.

A row that could not be removed is tried again.

Measured: test_regression_own_row_read_back_evicted_the_latest: not held by the third crash before, held now.

--- a/src/lifttrestle/internal/fleet/crashes/crash_rows.py
+++ b/src/lifttrestle/internal/fleet/crashes/crash_rows.py
@@ -94,6 +94,7 @@
             collections.OrderedDict()
         )
         self._is_changed = False
+        self._has_written = False
         self._write_at = 0.0
         # The highest epoch of a received row.
         self._epoch = 0
@@ -134,7 +135,7 @@
         # The latest is first in a row, and last in memory.
         for record in reversed(decoded.records):
             self._merge(record)
-            if is_own and record.digest not in self._stored:
+            if is_own and not self._has_written:
                 # Of an earlier start of this router.
                 self.note(record.digest)
         if not is_own:
@@ -169,8 +170,8 @@
         abandoned = self._find_abandoned()
         if abandoned is not None:
             self._delay_write(now)
-            del self._others[abandoned.key]
-            await self._writer.remove(abandoned.key, abandoned.version)
+            if await self._writer.remove(abandoned.key, abandoned.version):
+                self._others.pop(abandoned.key, None)
 
     def _delay_write(self, now: float) -> None:
         """Let other routers write first."""
@@ -219,6 +220,7 @@
         if not records and not self._writer.exists:
             return
         row = CrashRow(get_unix_ms(self._clock), records)
+        self._has_written = True
         try:
             await self._writer.write_own(encode_crash_row(row))
         except (ConditionFailed, PlatformUnavailable) as error:
--- a/tests/cover/test_crash_rows.py
+++ b/tests/cover/test_crash_rows.py
@@ -370,6 +370,18 @@
         await fleet.synchronize()
         await self._check_counted(fleet)
 
+    async def test_regression_own_row_read_back_evicted_the_latest(self):
+        fleet = CrashFleet(2)
+        await fleet.synchronize()
+        fleet.crash(0, 0, list(range(1, MAX_STORED_STARTS + 1)))
+        fleet.clock.advance(1.0)
+        await fleet.trackers[0].rows.synchronize()
+        # Before the watch delivers the row.
+        fleet.crash(0, 3, [DIGEST])
+        fleet.crash(0, 4, [DIGEST])
+        await fleet.synchronize()
+        await self._check_counted(fleet)
+
 
 class TestStore(unittest.IsolatedAsyncioTestCase):
     async def _check_counted(self, fleet):
