Stored crashes are watched for the whole time, whatever the clocks say

What callers would see: a router whose clock is ahead by 6 s or more takes back real crashes while the entries of the crashed starts still lapse, and tells all.

Cause: the rest of the watch was computed from the writer's clock.

Change: each router watches for the whole time from its reading on. A stored retraction goes to the own row, too.

Measured: test_regression_clock_ahead_refuted_stored_crashes: refuted at once with 7 s before, after the whole time now.

--- a/src/lifttrestle/internal/fleet/crashes/stored_watch.py
+++ b/src/lifttrestle/internal/fleet/crashes/stored_watch.py
@@ -25,6 +25,8 @@
 
 # The router that noted a crash decides before the others.
 MARGIN_SECONDS = 2.0
+# Older ones were decided before, also if the clocks of two routers differ.
+RECENT_SECONDS = 60.0
 # Maximum number of watched crashes, of which an upstream leaves some twenty.
 MAX_WATCHED = 4096
 
@@ -44,12 +46,16 @@
         self._due: dict[tuple[int, int], float] = {}
 
     def note(self, record: StoredRecord) -> None:
-        """Watch the crashes of a stored record that are recent."""
-        now, now_ms = self._clock.monotonic(), get_unix_ms(self._clock)
+        """Watch the crashes of a stored record that are recent.
+
+        They are watched for the whole time from now on, as the clocks of two
+        routers may differ.
+        """
+        due_at = self._clock.monotonic() + self._watch_seconds
+        now_ms = get_unix_ms(self._clock)
         for start, at_ms in record.crashed:
-            age = max(0.0, (now_ms - at_ms) / MILLISECONDS)
-            if age < self._watch_seconds and len(self._due) < MAX_WATCHED:
-                due_at = now + self._watch_seconds - age
+            age = (now_ms - at_ms) / MILLISECONDS
+            if age < RECENT_SECONDS and len(self._due) < MAX_WATCHED:
                 self._due.setdefault((record.digest, start), due_at)
 
     def take_refuted(
--- a/src/lifttrestle/internal/fleet/crashes/tracker.py
+++ b/src/lifttrestle/internal/fleet/crashes/tracker.py
@@ -123,6 +123,7 @@
         """Retract a stored crash as all routers do; the owners tell it."""
         if not self._ledger.retract(digest, [start]):
             return
+        self.rows.note_merged(digest)
         if self.replicator.is_owner(digest):
             self._publish(digest)
         self.decisions.apply_verdicts()
--- a/tests/cover/test_crash_rows.py
+++ b/tests/cover/test_crash_rows.py
@@ -14,10 +14,13 @@
 
 import unittest
 
+from lifttrestle.internal.clock.manual import ManualClock
+from lifttrestle.internal.clock.unix_time import get_unix_ms
 from lifttrestle.internal.fleet.crashes.crash_row import CRASH_PREFIX
 from lifttrestle.internal.fleet.crashes.crash_row import CrashRow
 from lifttrestle.internal.fleet.crashes.crash_row import decode_crash_row
 from lifttrestle.internal.fleet.crashes.crash_row import encode_crash_row
+from lifttrestle.internal.fleet.crashes.crash_row import StoredRecord
 from lifttrestle.internal.fleet.crashes.crash_rows import MAX_STORED_STARTS
 from lifttrestle.internal.fleet.crashes.good_ends import TURN_SECONDS
 from lifttrestle.internal.fleet.crashes.held_row import build_key
@@ -27,6 +30,7 @@
 from lifttrestle.internal.fleet.crashes.loss_watch import get_entry_seconds
 from lifttrestle.internal.fleet.crashes.replicator import SEND_COUNT
 from lifttrestle.internal.fleet.crashes.stored_watch import MARGIN_SECONDS
+from lifttrestle.internal.fleet.crashes.stored_watch import StoredCrashWatch
 from lifttrestle.internal.fleet.crashes.suspects import set_kind
 from lifttrestle.internal.fleet.crashes.suspects import SuspectKind
 from lifttrestle.internal.fleet.policy import row_pacing
@@ -34,6 +38,7 @@
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from tests.support.crash_fleet import CrashFleet
 from tests.support.crash_fleet import HEARTBEAT_SECONDS
+from tests.support.crash_fleet import START
 
 DIGEST = 0xCAE714BDFB5AE264
 SIZES = (2, 6, 82)
@@ -284,6 +289,19 @@
         fleet.send_updates()
         self.assertEqual(fleet.count_holding(DIGEST), 0)
 
+    async def test_regression_clock_ahead_refuted_stored_crashes(self):
+        for skew in (-60.0, 7.0):
+            with self.subTest(skew=skew):
+                clock = ManualClock(START)
+                watch = StoredCrashWatch(clock, ENTRY_SECONDS)
+                at_ms = get_unix_ms(clock) - int(skew * 1000)
+                watch.note(StoredRecord(DIGEST, [(1, at_ms)]))
+                clock.advance(ENTRY_SECONDS)
+                self.assertEqual(watch.take_refuted(lambda start: True), [])
+                clock.advance(MARGIN_SECONDS)
+                refuted = watch.take_refuted(lambda start: True)
+                self.assertEqual(refuted, [(DIGEST, 1)])
+
     async def test_few_routers_tell_of_a_good_end(self):
         fleet = CrashFleet(82)
         for tracker in fleet.trackers:
