Turns to tell a good end have no common last one

What would be seen: if the first 20 routers in turn don't know of a good end, all others tell it at the same moment: 184 messages to each of 82 routers.

Cause: turns were cut off at 2 s. The tests told one router after the other, so that none could meet; they tell together now.

At 195 routers the last turn comes after 19.4 s.

--- a/src/lifttrestle/internal/fleet/crashes/good_ends.py
+++ b/src/lifttrestle/internal/fleet/crashes/good_ends.py
@@ -22,9 +22,8 @@
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.routing.rendezvous import rank_names
 
-# How long each router waits for the one before it, and the most it waits.
+# How long each router waits for the one before it.
 TURN_SECONDS = 0.1
-MAX_DELAY_SECONDS = 2.0
 # Maximum number of requests to tell of.
 MAX_DUE = 4096
 
@@ -45,8 +44,7 @@
         key_bytes = digest.to_bytes(RECORD_DIGEST_BYTES, 'big')
         ranked = rank_names(key_bytes, self._roster.routers)
         turn = ranked.index(self._roster.key) * TURN_SECONDS
-        delay = min(turn, MAX_DELAY_SECONDS)
-        self._due[digest] = self._clock.monotonic() + delay
+        self._due[digest] = self._clock.monotonic() + turn
 
     def note_told(self, digest: int) -> None:
         """Record that another router has told the good end of a request."""
--- a/tests/cover/test_crash_rows.py
+++ b/tests/cover/test_crash_rows.py
@@ -34,8 +34,10 @@
 from lifttrestle.internal.fleet.crashes.suspects import set_kind
 from lifttrestle.internal.fleet.crashes.suspects import SuspectKind
 from lifttrestle.internal.fleet.policy import row_pacing
+from lifttrestle.internal.fleet.state.digests import RECORD_DIGEST_BYTES
 from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
 from lifttrestle.internal.fleet.state.rows import VersionedRow
+from lifttrestle.internal.routing.rendezvous import rank_names
 from tests.support.crash_fleet import CrashFleet
 from tests.support.crash_fleet import HEARTBEAT_SECONDS
 from tests.support.crash_fleet import START
@@ -302,6 +304,27 @@
                 refuted = watch.take_refuted(lambda start: True)
                 self.assertEqual(refuted, [(DIGEST, 1)])
 
+    async def test_regression_routers_from_the_21st_turn_told_at_once(self):
+        key_bytes = DIGEST.to_bytes(RECORD_DIGEST_BYTES, 'big')
+        names = [f'router/r{number}' for number in range(82)]
+        ranked = [
+            int(name.removeprefix('router/r'))
+            for name in rank_names(key_bytes, names)
+        ]
+        for unaware in (1, 10, 20, 40):
+            with self.subTest(unaware=unaware):
+                fleet = CrashFleet(82)
+                await fleet.synchronize()
+                for number in ranked[unaware:]:
+                    fleet.trackers[number].note_success(DIGEST)
+                for upstream in range(2):
+                    fleet.crash(ranked[0], upstream, [DIGEST])
+                await fleet.synchronize()
+                before = fleet.messages
+                self._wait_for_turns(fleet)
+                told = (fleet.messages - before) / len(fleet.trackers)
+                self.assertLessEqual(told, 2 * SEND_COUNT)
+
     async def test_few_routers_tell_of_a_good_end(self):
         fleet = CrashFleet(82)
         for tracker in fleet.trackers:
--- a/tests/support/crash_fleet.py
+++ b/tests/support/crash_fleet.py
@@ -122,10 +122,15 @@
 
     def tell_good_ends(self) -> None:
         """Let all running routers tell of good ends that are due."""
-        for number, tracker in enumerate(self.trackers):
-            if number not in self.gone:
-                tracker.tell_good_ends()
-                tracker.replicator.send_pending()
+        running = [
+            tracker
+            for number, tracker in enumerate(self.trackers)
+            if number not in self.gone
+        ]
+        for tracker in running:
+            tracker.tell_good_ends()
+        for tracker in running:
+            tracker.replicator.send_pending()
 
     async def _read(self, numbers: list[int]) -> None:
         """Let routers read the routers' table, if the store is up."""
