The answer to a write that comes after a restore doesn't block the writer

What would be seen: a router's row is never written again, as each write expects a version of the epoch before; it would vanish from the roster.

Cause: the version was taken from the answer, whatever epoch had begun meanwhile.

Measured: test_regression_answer_after_a_restore_blocked_all_writes: the second write was refused before, is done now.

--- a/src/lifttrestle/internal/fleet/state/own_row_writer.py
+++ b/src/lifttrestle/internal/fleet/state/own_row_writer.py
@@ -40,6 +40,7 @@
         self._own_key = own_key
         # Version of this router's row as last written or read.
         self._own_version = NO_ROW
+        self._epoch = 0
         self._own_lock = asyncio.Lock()
         self.has_left = False
 
@@ -59,7 +60,11 @@
         The watch does not report a row as lost that this router wrote just
         before a restore, before the watch could read it.
         """
-        if get_epoch(self._own_version) < epoch:
+        self._epoch = max(self._epoch, epoch)
+        self._drop_earlier()
+
+    def _drop_earlier(self) -> None:
+        if get_epoch(self._own_version) < self._epoch:
             self._own_version = NO_ROW
 
     async def write_own(self, value: bytes) -> None:
@@ -73,6 +78,8 @@
                 self._own_version = await self._write(
                     self._own_key, value, self._own_version
                 )
+                # The answer may come after a restore of the store.
+                self._drop_earlier()
 
     async def remove_own(self) -> bool:
         """Remove this router's row and stop writing it.
