A list that a router has just read shows no crash to be none

A router that starts right after a restore of the store may read an older list. It waits for the life of an entry, as it does after an outage.

--- a/src/lifttrestle/internal/fleet/state/table_watch.py
+++ b/src/lifttrestle/internal/fleet/state/table_watch.py
@@ -30,7 +30,6 @@
 from lifttrestle.internal.fleet.state.rows import RowChanges
 from lifttrestle.internal.fleet.state.rows import RowStore
 from lifttrestle.internal.fleet.state.table_copy import CopyUpdate
-from lifttrestle.internal.fleet.state.table_copy import NEVER
 from lifttrestle.internal.fleet.state.table_copy import RowListener
 from lifttrestle.internal.fleet.state.table_copy import TableCopy
 from lifttrestle.internal.telemetry.event_log import get_event_log
@@ -54,8 +53,8 @@
         are off; otherwise another router may send all of it first.
     :param policy: decides which held rows are kept when the store is
         restored from an older copy; by default none.
-    :ivar disturbed_at: when the last outage or restore of the store ended,
-        monotonic seconds.
+    :ivar disturbed_at: when this watch was created or the last outage or
+        restore of the store ended, monotonic seconds.
     """
 
     def __init__(
@@ -87,7 +86,7 @@
         self._dependants: list[TableWatch] = []
         self._observers: list[Callable[[TableWatch], None]] = []
         self.copy = TableCopy(table, clock, listener, policy)
-        self.disturbed_at = NEVER
+        self.disturbed_at = clock.monotonic()
 
     @property
     def lost(self) -> bool:
