--- a/tests/nocover/test_crashing_parts.py
+++ b/tests/nocover/test_crashing_parts.py
@@ -203,6 +203,10 @@
         """Check that a part is held and that sound requests are served."""
         await day.run(2.0, guilty=False)
         await day.run_until_judged()
+        # One fewer is enough for a hold.
+        self.assertGreaterEqual(len(day.crashed_at), LIMIT - 1)
+        for router in day.routers.values():
+            self.assertGreater(len(router.crashes.holds), 0)
         share = day.get_served_share(day.last_needed_at + 2 * CONTACT_SECONDS)
         self.assertLessEqual(day.count_late(), MAX_LATE)
         self.assertGreaterEqual(share, LEAST_SHARE)
