--- a/src/lifttrestle/internal/fleet/crashes/crash_rows.py
+++ b/src/lifttrestle/internal/fleet/crashes/crash_rows.py
@@ -61,7 +61,8 @@
 def get_max_starts(routers: int) -> int:
     """Return how many starts one router may store.
 
-    The records of all rows fit into half of a ledger.
+    The records of all rows fit into half of a ledger, in fleets of over 256
+    routers into a greater part of it.
     """
     share = MAX_RECORDS // 2 // max(routers, 1)
     return min(max(share, MIN_STORED_STARTS), MAX_STORED_STARTS)
