--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -47,6 +47,59 @@
     return os.environ.get('TROUBLE', '1') != '0'
 
 
+class StoreLink:
+    """A router's way to the store, which can be partitioned."""
+
+    def __init__(self, store: Store) -> None:
+        self._store = store
+        self._server: asyncio.Server | None = None
+        self._whole = asyncio.Event()
+        self._whole.set()
+        self.address = ''
+
+    async def start(self) -> None:
+        """Listen at a free port."""
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+
+    def cut(self) -> None:
+        """Let no more bytes through, in either direction."""
+        self._whole.clear()
+
+    def heal(self) -> None:
+        """Let bytes through again."""
+        self._whole.set()
+
+    def close(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await self._whole.wait()
+        host, _, port = self._store.address.rpartition(':')
+        try:
+            inner = await asyncio.open_connection(host, int(port))
+            await asyncio.gather(
+                self._pass(reader, inner[1]), self._pass(inner[0], writer)
+            )
+        except OSError:
+            writer.close()
+
+    async def _pass(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while data := await reader.read(65536):
+                await self._whole.wait()
+                await wire.send(writer, data)
+        finally:
+            writer.close()
+
+
 class Router:
     """One router process on a loopback address of its own."""
 
@@ -72,7 +125,7 @@
         self._internal = find_port(self.host)
         self._zones = zones
         self._folder = folder
-        self._store = store
+        self.link = StoreLink(store)
         self._record = record
         self.process: asyncio.subprocess.Process | None = None
 
@@ -132,7 +185,7 @@
                 'version_all_ms': 14000,
             },
             'platform': {
-                'address': self._store.address,
+                'address': self.link.address,
                 'form': 'table',
                 'writes_per_s': 400,
                 'reads_per_s': 2000,
@@ -255,6 +308,7 @@
                 self._retry_slack,
             )
             self.routers.append(router)
+            await router.link.start()
             await router.start()
         for router in self.routers:
             await router.wait_ready()
@@ -266,5 +320,6 @@
             for line in router.read_log():
                 if '"level":"critical"' in line or 'Traceback' in line:
                     self.record.note(f'{router.name} logged {line[:2000]}')
+            router.link.close()
         self.store.close()
         self._folder.cleanup()
--- a/review/standins/replica.py
+++ b/review/standins/replica.py
@@ -42,6 +42,7 @@
         queue: int = 24,
         work_seconds: float = 0.015,
         models: dict[str, int] | None = None,
+        version: str = 'a1',
     ) -> None:
         self.instance = instance
         self.service = service
@@ -49,6 +50,7 @@
         self.slots = slots
         self.work_seconds = work_seconds
         self.models = dict(models or {})
+        self.version = version
         self.runs: list[Run] = []
         self.rejected = 0
         self.orders: list[tuple[float, dict]] = []
@@ -80,7 +82,7 @@
             'service': self.service,
             'address': self.address,
             'zone': self.zone,
-            'version': 'a1',
+            'version': self.version,
             'slots': self.slots,
             'state': state,
             'cold_left_ms': 0,
