--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -17,13 +17,31 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 MEGABYTE = 1 << 20
+MAX_PORT = 65_000
 
 
-def find_port(host: str) -> int:
-    """Return a port that is free at an address."""
-    with socket.socket() as free:
-        free.bind((host, 0))
-        return free.getsockname()[1]
+# Where the deploy file has each router serve its metrics.
+METRICS_PORT = 9464
+
+
+def find_host(number: int) -> str:
+    """Return a loopback address at which no other router is."""
+    while True:
+        host = f'127.{random.randrange(20, 200)}.{number}.1'
+        with socket.socket() as free, contextlib.suppress(OSError):
+            free.bind((host, METRICS_PORT))
+            return host
+
+
+def find_port(host: str, taken: set[int]) -> int:
+    """Return a port that is free at an address, and take it and the next."""
+    while True:
+        with socket.socket() as free:
+            free.bind((host, 0))
+            port = free.getsockname()[1]
+        if not taken & {port, port + 1} and port < MAX_PORT:
+            taken |= {port, port + 1}
+            return port
 
 
 class Record:
@@ -113,16 +131,15 @@
         memory_mb: int,
         retry_slack: int,
     ) -> None:
-        # Any program may have bound a port of 127.0.0.1 meanwhile.
-        octet = random.Random(os.getpid()).randrange(20, 200)
+        taken = {METRICS_PORT}
         self.name = f'front-{number}'
-        self.host = f'127.{octet}.{number}.1'
+        self.host = find_host(number)
         self.zone = zones[(number - 1) % len(zones)]
-        self.port = find_port(self.host)
-        self.ready_port = find_port(self.host)
+        self.port = find_port(self.host, taken)
+        self.ready_port = find_port(self.host, taken)
         self.memory_mb = memory_mb
         self._retry_slack = retry_slack
-        self._internal = find_port(self.host)
+        self._internal = find_port(self.host, taken)
         self._zones = zones
         self._folder = folder
         self.link = StoreLink(store)
