--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -27,7 +27,8 @@
 def find_host(number: int) -> str:
     """Return a loopback address at which no other router is."""
     while True:
-        host = f'127.{random.randrange(20, 200)}.{number}.1'
+        first, last = random.randrange(20, 200), random.randrange(1, 255)
+        host = f'127.{first}.{number}.{last}'
         with socket.socket() as free, contextlib.suppress(OSError):
             free.bind((host, METRICS_PORT))
             return host
@@ -250,6 +251,8 @@
                     self._record.note(f'{self.name} is ready')
                     return
             await asyncio.sleep(0.1)
+        for line in self.read_log()[-30:]:
+            self._record.note(f'{self.name} logged {line[:500]}')
         raise TimeoutError(f'{self.name} is not ready after {seconds} s')
 
     def read_memory_mb(self) -> float:
