--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -11,12 +11,14 @@
     """How a request ended.
 
     :ivar status: 0 if there was no complete answer.
+    :ivar begun: whether the head of an answer came.
     """
 
     request_id: str
     status: int
     headers: dict[str, str]
     body: bytes = b''
+    begun: bool = True
 
 
 class Client:
@@ -27,6 +29,7 @@
         self._port = port
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
+        self._begun = False
 
     async def call(
         self,
@@ -38,6 +41,7 @@
         seconds: float = 20.0,
     ) -> Outcome:
         """Send a request and return how it ended."""
+        self._begun = False
         try:
             async with asyncio.timeout(seconds):
                 answer = await self._exchange(
@@ -47,7 +51,7 @@
             answer = None
         if answer is None:
             self.close()
-            return Outcome(request_id, 0, {})
+            return Outcome(request_id, 0, {}, begun=self._begun)
         if answer.headers.get('connection', '').lower() == 'close':
             self.close()
         return Outcome(request_id, answer.status, answer.headers, answer.body)
@@ -67,7 +71,11 @@
         named = {'Host': 'h.example', 'Request-Id': request_id, **headers}
         data = wire.build(f'{method} {target} HTTP/1.1', named, body)
         await wire.send(self._writer, data)
-        return await wire.read_message(self._reader)
+        answer = await wire.read_head(self._reader)
+        if answer is None:
+            return None
+        self._begun = True
+        return answer if await wire.read_body(self._reader, answer) else None
 
     def close(self) -> None:
         """Close the connection."""
--- a/review/standins/wire.py
+++ b/review/standins/wire.py
@@ -49,8 +49,13 @@
 async def read_message(reader: asyncio.StreamReader) -> Message | None:
     """Return a message with its body, None if it did not come completely."""
     message = await read_head(reader)
-    if message is None:
+    if message is None or not await read_body(reader, message):
         return None
+    return message
+
+
+async def read_body(reader: asyncio.StreamReader, message: Message) -> bool:
+    """Read the body of a message; return whether it came completely."""
     try:
         if message.headers.get('transfer-encoding', '') == 'chunked':
             message.body = await _read_chunks(reader)
@@ -58,8 +63,8 @@
             size = int(message.headers.get('content-length', '0'))
             message.body = await reader.readexactly(size)
     except (asyncio.IncompleteReadError, OSError, ValueError):
-        return None
-    return message
+        return False
+    return True
 
 
 async def _read_chunks(reader: asyncio.StreamReader) -> bytes:
