A stream is not taken for one of the only version that a router knows of

The report of rejoined streams: after all routers were killed, as the old version's upstreams had just left.

Cause: `StreamOrigins.find` concluded from its own copy of the list (up to 3 s old) and of the row of versions (perhaps not read yet) that only one version can have begun the stream, before it asked the owners of the record.

Change: owners first; the conclusion only from reads that began after the caller came back; a new stream avoids versions that are not stored yet; a row of before a restore of the store is not believed until a router that knows all has written it again; unknown versions are stored too. The fixture of version fleets waits until the versions are stored, and two tests of one version write the row first, as nothing is concluded without it now; the test of an outdated list became one of a store out of reach, which asks for more.

Ruled out: the ledger, stored origins and `MAX_VERSIONS` (read).

--- a/src/lifttrestle/internal/fleet/path/candidates.py
+++ b/src/lifttrestle/internal/fleet/path/candidates.py
@@ -25,6 +25,7 @@
 from lifttrestle.internal.fleet.policy.rejection_limit import divide_slots
 from lifttrestle.internal.fleet.policy.rejection_limit import SendingShare
 from lifttrestle.internal.fleet.policy.software_room import leave_room
+from lifttrestle.internal.fleet.policy.software_room import prefer_stored
 from lifttrestle.internal.fleet.policy.tunnel_peers import is_path_unknown
 from lifttrestle.internal.fleet.policy.weights_filter import select_engines
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
@@ -97,6 +98,9 @@
         if admitted.route.streams and self._binding.origin is None:
             listed = parts.streams.count_versions(service)
             available = leave_room(available, listed)
+            if admitted.route.resumable:
+                stored = parts.streams.list_stored(service)
+                available = prefer_stored(available, stored)
         available = self._select_permitted(available, urgency, repeated)
         generation = self._facts.generation
         context = build_context(parts, admitted, service, urgency, generation)
--- a/src/lifttrestle/internal/fleet/policy/software_room.py
+++ b/src/lifttrestle/internal/fleet/policy/software_room.py
@@ -17,6 +17,7 @@
 """
 
 from collections.abc import Mapping
+from collections.abc import Set
 
 from lifttrestle.internal.fleet.policy.admission import MAX_URGENCY
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
@@ -48,6 +49,24 @@
     ]
 
 
+def prefer_stored(
+    upstreams: list[FleetUpstream], stored: Set[str | None] | None
+) -> list[FleetUpstream]:
+    """Return the upstreams for a new stream that its caller may resume.
+
+    A router that starts learns of the versions that may have begun a stream
+    from the store. So a version that is not stored yet is avoided.
+
+    :param stored: the versions in the store, None if there are none yet.
+    """
+    if stored is None:
+        return upstreams
+    known = [
+        item for item in upstreams if item.entry.software_version in stored
+    ]
+    return known or upstreams
+
+
 def rank_new_stream(urgency: int) -> int:
     """Return the urgency of a new stream while several versions serve.
 
--- a/src/lifttrestle/internal/fleet/shared_state.py
+++ b/src/lifttrestle/internal/fleet/shared_state.py
@@ -108,7 +108,7 @@
         self.directory.on_ended = self._note_ended
         self.roster.get_current_as_of = lambda: watches.routers.current_as_of
         self.streams.get_catalogue = lambda: self.view.catalogue
-        self.streams.is_list_current = watches.is_upstream_list_current
+        self.streams.refresh_tables = watches.refresh_upstreams_and_routers
         self.streams.is_loaded = watches.are_loaded
         losses = self.crashes.losses
         losses.get_list_settled_seconds = watches.get_list_settled_seconds
--- a/src/lifttrestle/internal/fleet/state/table_watch.py
+++ b/src/lifttrestle/internal/fleet/state/table_watch.py
@@ -177,8 +177,20 @@
                 await self._clock.sleep(pause * self._source.uniform(0.5, 1.0))
                 pause = min(pause * 2, MAX_PAUSE_SECONDS)
 
-    async def read_once(self) -> bool:
-        """Read once, apply the response and return if it had changes."""
+    async def refresh(self) -> None:
+        """Bring the copy up to date with the store, beside other reads.
+
+        :raises PlatformUnavailable: if the store can't be read.
+        """
+        begun_at = self._clock.monotonic()
+        while self.current_as_of < begun_at:
+            await self.read_once(waiting=False)
+
+    async def read_once(self, *, waiting: bool = True) -> bool:
+        """Read once, apply the response and return if it had changes.
+
+        :param waiting: let the store wait for a change.
+        """
         sent_at = self._clock.monotonic()
         if not self.copy.loaded or self._history_gone:
             snapshot = await self._store.read_table(self._table)
@@ -187,7 +199,7 @@
             return True
         # After a failed read, a waiting read would show that the store is
         # available again only when it times out.
-        wait = 0.0 if self._lost else self._wait_seconds
+        wait = self._wait_seconds if waiting and not self._lost else 0.0
         try:
             changes = await self._store.watch_table(
                 self._table, self.copy.version, wait
--- a/src/lifttrestle/internal/fleet/streams/origin_rows.py
+++ b/src/lifttrestle/internal/fleet/streams/origin_rows.py
@@ -17,7 +17,6 @@
 serves; the rows are read only when a stream is resumed that nobody knows.
 """
 
-import asyncio
 from collections.abc import Callable
 from collections.abc import Collection
 
@@ -37,6 +36,7 @@
 from lifttrestle.internal.fleet.streams.origin_row import list_row_origins
 from lifttrestle.internal.fleet.streams.origin_row import ORIGIN_TABLE
 from lifttrestle.internal.fleet.streams.origin_row import OriginRow
+from lifttrestle.internal.fleet.streams.shared_call import SharedCall
 from lifttrestle.internal.intake.refusals import InputRefusals
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
@@ -72,8 +72,7 @@
         self._get_life_seconds = get_life_seconds
         self._refusals = refusals or InputRefusals()
         self._open = OpenStreams(clock)
-        self._read_at = -READ_SECONDS
-        self._next_read: asyncio.Task[None] | None = None
+        self._next_read = SharedCall(clock, READ_SECONDS, self._read_sought)
         # Digests that callers of the next read look for.
         self._sought: set[int] = set()
 
@@ -119,16 +118,9 @@
             of others are as far as there is room.
         """
         self._sought.add(digest)
-        if self._next_read is None:
-            self._next_read = asyncio.create_task(self._read_next())
-        await asyncio.shield(self._next_read)
-
-    async def _read_next(self) -> None:
-        pause = self._read_at + READ_SECONDS - self._clock.monotonic()
-        if pause > 0:
-            await self._clock.sleep(pause)
-        self._read_at = self._clock.monotonic()
-        self._next_read = None
+        await self._next_read.call()
+
+    async def _read_sought(self) -> None:
         sought, self._sought = self._sought, set()
         await self._read(sought)
 
--- a/src/lifttrestle/internal/fleet/streams/origins.py
+++ b/src/lifttrestle/internal/fleet/streams/origins.py
@@ -13,9 +13,11 @@
 """What began the streams that callers resume, as far as it can be known."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Set
 import dataclasses
 import enum
 
@@ -36,12 +38,16 @@
 from lifttrestle.internal.fleet.streams.origin import StreamOrigin
 from lifttrestle.internal.fleet.streams.origin_rows import OriginRows
 from lifttrestle.internal.fleet.streams.recent_software import RecentSoftware
+from lifttrestle.internal.fleet.streams.shared_call import SharedCall
 from lifttrestle.internal.fleet.streams.software_rows import SoftwareRows
+from lifttrestle.internal.fleet.streams.software_rows import UNKNOWN_VERSION
 from lifttrestle.internal.intake.refusals import InputRefusals
 
 POLL_SECONDS = 0.25
 # Within the shortest time between two writes of origins.
 ORIGIN_POLL_SECONDS = 0.1
+# Any caller can name a stream that never was: that costs two reads a period.
+REFRESH_SECONDS = 0.25
 # A stream may last for the timeout of its route, and its caller may come back
 # as late as that again.
 LIFE_TIMEOUTS = 2
@@ -75,8 +81,8 @@
     """Records what begins streams, and finds it when they are resumed.
 
     :ivar get_catalogue: returns the configuration in force.
-    :ivar is_list_current: returns whether a newly listed upstream would
-        already be known.
+    :ivar refresh_tables: brings the list of upstreams and the routers' table
+        up to date with the store; returns False if it can't be read.
     :ivar is_loaded: returns whether the shared tables have been read.
     """
 
@@ -103,7 +109,10 @@
             refusals,
         )
         self.get_catalogue: Callable[[], Catalogue | None] = lambda: None
-        self.is_list_current: Callable[[], bool] = lambda: True
+        self.refresh_tables: Callable[[], Awaitable[bool]] = _refresh_nothing
+        self._refresh = SharedCall(
+            clock, REFRESH_SECONDS, lambda: self.refresh_tables()
+        )
         self.is_loaded: Callable[[], bool] = lambda: True
 
     def __len__(self) -> int:
@@ -156,14 +165,16 @@
         digest = build_stream_digest(workspace, resumes)
         if resumes and (origin := self._ledger.get(digest)) is not None:
             return FoundOrigin(origin, OriginSource.RECORD)
-        only = self._find_only(list(services))
+        if (
+            resumes
+            and (origin := await self._exchange.ask(digest)) is not None
+        ):
+            return FoundOrigin(origin, OriginSource.OWNER)
+        only = await self._find_only(list(services))
         if only is not None:
             return FoundOrigin(only, OriginSource.ONLY_VERSION)
         if not resumes:
             return UNKNOWN
-        origin = await self._exchange.ask(digest)
-        if origin is not None:
-            return FoundOrigin(origin, OriginSource.OWNER)
         await self._origin_rows.read_current(digest)
         origin = self._ledger.get(digest)
         if origin is not None:
@@ -178,23 +189,44 @@
         """Return whether upstreams of several versions serve now."""
         return len(self.count_versions(service)) > 1
 
-    def _find_only(self, services: list[str]) -> StreamOrigin | None:
-        """Return the only origin that a stream can have, None without one."""
-        if len(services) != 1 or not self.is_list_current():
+    async def _find_only(self, services: list[str]) -> StreamOrigin | None:
+        """Return the only origin that a stream can have, None without one.
+
+        What this router has read before says nothing of a version that
+        serves since, so the tables are read again.
+        """
+        if len(services) != 1:
             return None
         (service,) = services
+        if len(self._list_versions(service)) > 1:
+            return None
+        if not await self._refresh.call():
+            return None
         versions = self._list_versions(service)
         if len(versions) != 1 or None in versions:
             return None
+        if not self._rows.is_complete(service):
+            return None
         return StreamOrigin(service, versions.pop(), NO_START)
 
     def _list_versions(self, service: str) -> set[str | None]:
         """Return the versions that may have begun a stream of a service."""
+        stored = self._rows.list_versions(service)
         return {
             *self._recent.list_recent(service),
-            *self._rows.list_versions(service),
+            *(version or None for version in stored),
         }
 
+    def list_stored(self, service: str) -> Set[str | None] | None:
+        """Return the versions of which any router can learn, now and later.
+
+        None while no version is stored.
+        """
+        stored = self._rows.list_stored(service)
+        if stored is None:
+            return None
+        return {version or None for version in stored}
+
     def get_life_seconds(self) -> float:
         """Return for how long a stream that has begun may be resumed."""
         catalogue = self.get_catalogue()
@@ -243,8 +275,12 @@
         life = self.get_life_seconds()
         for service in self._list_services():
             used = {
-                version
+                version or UNKNOWN_VERSION
                 for version in self._recent.list_recent(service)
-                if version is not None
             }
             await self._rows.write_due(service, used, life)
+
+
+async def _refresh_nothing() -> bool:
+    """Do nothing; the default callback."""
+    return True
--- a/src/lifttrestle/internal/fleet/table_watches.py
+++ b/src/lifttrestle/internal/fleet/table_watches.py
@@ -12,9 +12,11 @@
 
 """The watches of the shared tables that a router reads."""
 
+import asyncio
 from collections.abc import Callable
 import random
 
+from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.settings import FleetSettings
 from lifttrestle.internal.fleet.state.decoding import StoredFormat
@@ -24,7 +26,9 @@
 from lifttrestle.internal.fleet.state.rows import RowStore
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.fleet.state.table_watch import TableWatch
+from lifttrestle.internal.telemetry.event_log import get_event_log
 
+LOG = get_event_log('watch')
 # How long the store delays the answer to a long poll of each table if nothing
 # changes. Polls of the operator table also confirm that API keys are current,
 # so they are short; a few routers send them on behalf of all.
@@ -109,6 +113,20 @@
         """Return whether each table has been read."""
         return all(watch.copy.loaded for watch in self.list_all())
 
+    async def refresh_upstreams_and_routers(self) -> bool:
+        """Bring two of the copies up to date; return whether that succeeded.
+
+        Errors are logged.
+        """
+        try:
+            await asyncio.gather(
+                self.upstreams.refresh(), self.routers.refresh()
+            )
+        except PlatformUnavailable as error:
+            LOG.info('tables.not_refreshed', reason=str(error))
+            return False
+        return True
+
     def is_upstream_list_current(self) -> bool:
         """Return whether the end of an entry would already be known."""
         return self.upstreams.get_age() < 2 * UPSTREAMS_WAIT_SECONDS
--- a/tests/cover/test_stream_binding.py
+++ b/tests/cover/test_stream_binding.py
@@ -18,6 +18,7 @@
 
 from lifttrestle.errors import InputRefused
 from lifttrestle.internal.fleet.policy.software_room import leave_room
+from lifttrestle.internal.fleet.policy.software_room import prefer_stored
 from lifttrestle.internal.fleet.streams.binding import StreamBinding
 from lifttrestle.internal.platform.stored_format import PlatformFormat
 from tests.support.directories import DirectoryCase
@@ -133,6 +134,13 @@
         # The others were tried before.
         self.assertEqual(self._leave_room(few), [])
 
+    def test_new_stream_avoids_versions_that_are_not_stored(self):
+        old = self._list_loaded('a', 'v1', 5)
+        new = self._list_loaded('b', 'v2', 0)
+        self.assertEqual(prefer_stored([old, new], {'v1'}), [old])
+        self.assertEqual(prefer_stored([new], {'v1'}), [new])
+        self.assertEqual(prefer_stored([old, new], None), [old, new])
+
     def test_one_version_needs_no_room(self):
         upstreams = [
             self._list_loaded('a', 'v1', 7),
--- a/tests/cover/test_stream_origins.py
+++ b/tests/cover/test_stream_origins.py
@@ -153,6 +153,7 @@
     async def test_only_version_needs_no_record(self):
         fleet = OriginFleet(6)
         fleet.list_upstream('a', OLD)
+        await fleet.write_rows()
         for named in ('', 'never-sent'):
             found = await fleet.find(1, named)
             self.assertIs(found.source, OriginSource.ONLY_VERSION)
@@ -161,7 +162,10 @@
     async def test_version_that_ended_counts_while_streams_may_be_resumed(
         self,
     ):
-        fleet = make_mixed_fleet(6)
+        fleet = OriginFleet(6)
+        fleet.list_upstream('new', NEW)
+        await fleet.write_rows()
+        fleet.list_upstream('old', OLD)
         fleet.remove_upstream('old')
         fleet.clock.advance(LIFE_SECONDS - 1)
         self.assertEqual(await fleet.find(1, ''), UNKNOWN)
@@ -187,12 +191,72 @@
         found = await fleet.routers[1].find('', '', [SERVICE, 't'])
         self.assertEqual(found, UNKNOWN)
 
-    async def test_outdated_list_tells_no_origin(self):
+    async def test_store_out_of_reach_tells_no_origin(self):
+        fleet = OriginFleet(6)
+        fleet.list_upstream('a', OLD)
+        await fleet.write_rows()
+        fleet.cut.add(1)
+        self.assertEqual(await fleet.find(1, ''), UNKNOWN)
+
+    async def test_versions_that_are_not_stored_tell_no_origin(self):
         fleet = OriginFleet(6)
         fleet.list_upstream('a', OLD)
-        fleet.routers[1].is_list_current = lambda: False
         self.assertEqual(await fleet.find(1, ''), UNKNOWN)
 
+    async def test_regression_new_version_unknown_to_a_router_without_a_store(
+        self,
+    ):
+        for named, source in (
+            ('id', OriginSource.OWNER),
+            ('never-sent', OriginSource.UNKNOWN),
+        ):
+            with self.subTest(named):
+                fleet = OriginFleet(60)
+                fleet.list_upstream('old', OLD)
+                await fleet.write_rows()
+                asked = 59
+                fleet.cut.add(asked)
+                fleet.list_upstream('new', NEW)
+                fleet.begin(0, 'id', 'new')
+                fleet.gone.add(0)
+                self.assertEqual(len(fleet.routers[asked]), 0)
+                found = await fleet.find(asked, named)
+                self.assertIs(found.source, source)
+
+    async def test_regression_take_up_before_the_stored_versions_were_read(
+        self,
+    ):
+        fleet = make_mixed_fleet(6)
+        await fleet.write_rows()
+        fleet.remove_upstream('old')
+        for number in range(6):
+            fleet.restart(number)
+        fleet.list_upstream('new', NEW)
+        self.assertEqual(await fleet.find(1, 'id'), UNKNOWN)
+
+    async def test_regression_restored_row_lacks_a_version(self):
+        fleet = OriginFleet(6)
+        fleet.list_upstream('old', OLD)
+        await fleet.write_rows()
+        snapshot = fleet.rows.take_snapshot()
+        fleet.clock.advance(5.0)
+        fleet.list_upstream('new', NEW)
+        await fleet.write_rows()
+        fleet.rows.restore(snapshot)
+        for number in range(6):
+            fleet.restart(number)
+        fleet.list_upstream('old', OLD)
+        await fleet.read_rows()
+        for _ in range(int(LIFE_SECONDS) - 2):
+            await fleet.write_rows()
+            self.assertEqual(await fleet.find(1, ''), UNKNOWN)
+            fleet.clock.advance(1.0)
+        for _ in range(5):
+            await fleet.write_rows()
+            fleet.clock.advance(1.0)
+        found = await fleet.find(1, '')
+        self.assertIs(found.source, OriginSource.ONLY_VERSION)
+
 
 class TestRows(unittest.IsolatedAsyncioTestCase):
     async def _settle(self, fleet, seconds=5.0):
@@ -264,6 +328,22 @@
         await self._settle(fleet)
         versions = fleet.routers[0]._rows.list_versions(SERVICE)
         self.assertEqual(versions, {OLD, NEW})
+        fleet.restart(0)
+        await fleet.read_rows()
+        stored = fleet.routers[0].list_stored(SERVICE)
+        self.assertEqual(stored, {OLD, NEW})
+
+    async def test_row_of_the_release_before_is_completed(self):
+        fleet = OriginFleet(6)
+        fleet.list_upstream('old', OLD)
+        earlier = b'{"versions":["%s"]}' % OLD.encode()
+        fleet.rows.put(FLEET_TABLE, f'software/{SERVICE}', earlier)
+        await fleet.read_rows()
+        await self._settle(fleet)
+        self.assertEqual(await fleet.find(1, ''), UNKNOWN)
+        await self._settle(fleet, LIFE_SECONDS)
+        found = await fleet.find(1, '')
+        self.assertIs(found.source, OriginSource.ONLY_VERSION)
 
     async def test_invalid_row_is_refused(self):
         fleet = OriginFleet(1)
--- a/tests/nocover/test_restarted_origins.py
+++ b/tests/nocover/test_restarted_origins.py
@@ -15,6 +15,9 @@
 import asyncio
 import unittest
 
+from lifttrestle.internal.fleet.process import FleetRouterProcess
+from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
+from lifttrestle.internal.fleet.state.rows import RowChanges
 from tests.support.fleet import wait_until
 from tests.support.version_fleet import CallerStream
 from tests.support.version_fleet import count_mixed
@@ -55,6 +58,30 @@
         await wait_until(fleet.routers[name].is_ready)
 
 
+def hold_reads(fleet: VersionFleet, table: str) -> None:
+    """Let the store answer no read of a table any more."""
+    rows = fleet.store.rows
+    read_table, watch_table = rows.read_table, rows.watch_table
+
+    async def read_others(name: str) -> RowChanges:
+        if name == table:
+            await asyncio.Event().wait()
+        return await read_table(name)
+
+    async def watch_others(name: str, *arguments: int) -> RowChanges:
+        if name == table:
+            await asyncio.Event().wait()
+        return await watch_table(name, *arguments)
+
+    rows.read_table = read_others
+    rows.watch_table = watch_others
+
+
+def has_upstreams(router: FleetRouterProcess) -> bool:
+    """Return whether a router can serve requests."""
+    return router.catalogue is not None and bool(list(router.directory))
+
+
 class TestRestarts(unittest.IsolatedAsyncioTestCase):
     async def _resume_after(self, restart):
         """Return streams that broke off, and new ones beside them."""
@@ -84,6 +111,30 @@
                 )
                 self.assertLessEqual(count_mixed(broken), MAX_MIXED)
 
+    async def test_regression_take_up_before_the_stored_versions_are_read(
+        self,
+    ):
+        async with run_version_fleet({'e1': 'v1', 'e2': 'v1'}) as fleet:
+            streams, tasks = await fleet.begin_streams('r1', STREAMS)
+            names = list(fleet.routers)
+            for name in names:
+                await fleet.kill(name)
+            fleet.release()
+            await asyncio.gather(*tasks)
+            for name in ('e1', 'e2'):
+                fleet.store.remove('servers', name)
+            await fleet.add_engine('e3', 'v1.1')
+            hold_reads(fleet, FLEET_TABLE)
+            for name in names:
+                await fleet.add_router(name)
+            await wait_until(lambda: has_upstreams(fleet.routers['r2']))
+            address = fleet.get_address('r2')
+            await asyncio.gather(*(item.call(address) for item in streams))
+            self.assertEqual(
+                [item.statuses for item in streams], [[200, 503]] * STREAMS
+            )
+            self.assertEqual(count_mixed(streams), 0)
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/support/origin_fleet.py
+++ b/tests/support/origin_fleet.py
@@ -66,6 +66,7 @@
 
     :param lost_share: share of the messages that are lost.
     :ivar gone: numbers of the routers that receive and send nothing.
+    :ivar cut: numbers of the routers that don't reach the store.
     :ivar messages: number of sent messages.
     :ivar bytes: total size of the sent messages.
     """
@@ -74,6 +75,7 @@
         self.clock = ManualClock(START)
         self.rows = MemoryRows()
         self.gone: set[int] = set()
+        self.cut: set[int] = set()
         self.messages = 0
         self.bytes = 0
         self._lost_share = lost_share
@@ -101,6 +103,7 @@
         )
         directory.on_ended = lambda upstream, end: router.note_ended(upstream)
         router.get_catalogue = lambda: self._catalogue
+        router.refresh_tables = lambda: self._refresh(number)
         handlers: dict[type, object] = {}
         router.connect(
             handlers.__setitem__,
@@ -129,16 +132,25 @@
         self.routers[number] = self._make_router(number)
 
     def list_upstream(self, name: str, version: str, **fields: object) -> None:
-        """Make all routers read the entry of an upstream."""
+        """Make all routers that reach the store read an upstream's entry."""
         entry = make_entry(service=SERVICE, version=version, **fields)
-        value = msgspec.json.encode(entry)
-        for directory in self.directories:
-            directory.apply_row(VersionedRow(name, value, 1))
+        self._apply_entry(VersionedRow(name, msgspec.json.encode(entry), 1))
 
     def remove_upstream(self, name: str) -> None:
-        """Make all routers read the removal of an entry."""
-        for directory in self.directories:
-            directory.apply_row(VersionedRow(name, None, 2))
+        """Make all routers that reach the store read an entry's removal."""
+        self._apply_entry(VersionedRow(name, None, 2))
+
+    def _apply_entry(self, row: VersionedRow) -> None:
+        for number, directory in enumerate(self.directories):
+            if number not in self.cut:
+                directory.apply_row(row)
+
+    async def _refresh(self, number: int) -> bool:
+        """Let a router read its table, unless it doesn't reach the store."""
+        if number in self.cut or self.rows.down:
+            return False
+        await self._read_rows(number)
+        return True
 
     def begin(
         self, router: int, request_id: str, upstream: str, workspace: str = ''
@@ -192,13 +204,17 @@
     async def write_rows(self) -> None:
         """Let all running routers write due rows, and read them back."""
         for number, router in enumerate(self.routers):
-            if number not in self.gone:
+            if number not in self.gone | self.cut:
                 await router.write_due_rows()
         await self.read_rows()
 
     async def read_rows(self) -> None:
         """Let all running routers read their table."""
+        for number in range(len(self.routers)):
+            if number not in self.gone | self.cut:
+                await self._read_rows(number)
+
+    async def _read_rows(self, number: int) -> None:
         changes = await self.rows.read_table(FLEET_TABLE)
-        for number, router in enumerate(self.routers):
-            for row in changes.rows if number not in self.gone else ():
-                router.apply_row(row)
+        for row in changes.rows:
+            self.routers[number].apply_row(row)
--- a/tests/support/version_fleet.py
+++ b/tests/support/version_fleet.py
@@ -18,8 +18,12 @@
 import dataclasses
 import re
 
+import msgspec
+
 from lifttrestle.errors import UpstreamLost
 from lifttrestle.internal.fleet.process import FleetRouterProcess
+from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
+from lifttrestle.internal.fleet.streams.software_rows import SOFTWARE_PREFIX
 from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.http.answer import Header
 from lifttrestle.internal.http.client_connection import ClientConnection
@@ -38,6 +42,7 @@
 
 TOKENS: tuple[Header, ...] = (('model', 'm'), ('token-count', '460,5'))
 EVENT = re.compile(rb'id: (\d+)\ndata: token \d+ (\S+)\n\n')
+VERSIONS_KEY = f'{SOFTWARE_PREFIX}engines'
 # The users' bounds: streams that may hold events of two versions, and the
 # least share of the resumed streams that continue, compared to new ones.
 MAX_MIXED = 2
@@ -164,7 +169,10 @@
         await router.start()
 
     async def wait_settled(self) -> None:
-        """Wait until each router knows all routers and engines."""
+        """Wait until each router knows all routers and engines.
+
+        The software versions of the engines are stored then.
+        """
         await wait_until(
             lambda: all(
                 router.is_ready()
@@ -173,6 +181,13 @@
                 for router in self.routers.values()
             )
         )
+        await wait_until(self._are_versions_stored)
+
+    def _are_versions_stored(self) -> bool:
+        value = self.store.rows.get(FLEET_TABLE, VERSIONS_KEY).value
+        stored = msgspec.json.decode(value)['versions'] if value else []
+        engines = self.engines.values()
+        return {item.software_version for item in engines} <= set(stored)
 
     async def kill(self, name: str) -> None:
         """End a router at once; its row stays in the store."""
