No connection to an upstream carries the same request id twice

Cause: a rejection came once more where the answer to the second send of its request was due, on the connection that both sends took; the id that tells extra answers names the request, not the send.

Change: a connection remembers which ids it has carried, and the pool gives a request only one that has not carried its id. Answers without an id are not believed on a connection that was used before; requests without one get their own connection; calls to engines, which have no id, skip answers that have one.

Ruled out: the first deployment (once-only requests have connections of their own), tunnels (one connection to the upstream each).

--- a/src/lifttrestle/internal/fleet/path/attempt.py
+++ b/src/lifttrestle/internal/fleet/path/attempt.py
@@ -92,6 +92,11 @@
         can_fail_over,
         lambda: _read_matching_head(dialect, connection, request_id),
     )
+    if not answer.facts.request_id and connection.exchanges > 1:
+        raise WrongAnswer(
+            f'{upstream.instance} sent an answer {answer.facts.status} that'
+            ' may belong to any request on its connection'
+        )
     _update_idle_timeout(upstream, answer.facts)
     if _is_from_upstream(upstream, answer.facts, request_id):
         _note_announced(upstream, answer.facts, clock.monotonic())
--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -257,7 +257,11 @@
     ) -> None:
         upstream = chosen.upstream
         self._forwarder.begin_attempt()
-        connection = await upstream.pool.take()
+        request_id = self._facts.request_id
+        # Only its place on the connection tells the answer without an id.
+        connection = await upstream.pool.take(
+            fresh=not request_id, tag=request_id
+        )
         try:
             assert self._sender is not None, 'attempts follow admission'
             answer, inactivity_timeout = await self._sender.send(
--- a/src/lifttrestle/internal/http/client_connection.py
+++ b/src/lifttrestle/internal/http/client_connection.py
@@ -30,6 +30,7 @@
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.head import ResponseHead
 from lifttrestle.internal.http.part_counter import PartCounter
+from lifttrestle.internal.http.request_tags import RequestTags
 from lifttrestle.internal.http.stream import Stream
 
 # Most answers to earlier requests that are skipped on one connection before it
@@ -44,6 +45,7 @@
     """HTTP/1.1 connection that carries one exchange at a time.
 
     :ivar exchanges: number of requests sent, including the current one.
+    :ivar tags: those of the requests that it has carried.
     :ivar via: key of the router that forwards it, or an empty string.
     """
 
@@ -68,6 +70,7 @@
         # Limit on the rest of an answer that is being skipped, or None.
         self._skip_limit: int | None = None
         self.exchanges = 0
+        self.tags = RequestTags()
         self.via = via
 
     @classmethod
@@ -100,6 +103,7 @@
         """
         return (
             self._h11.our_state is h11.IDLE
+            and not self.tags.is_full
             and not self._h11.trailing_data[0]
             and self._stream.is_idle
         )
--- a/src/lifttrestle/internal/http/client_pool.py
+++ b/src/lifttrestle/internal/http/client_pool.py
@@ -54,16 +54,22 @@
         newest, _ = self._idle[-1]
         return newest >= self._clock.monotonic() - self.idle_seconds
 
-    async def take(self, *, fresh: bool = False) -> ClientConnection:
+    async def take(
+        self, *, fresh: bool = False, tag: str = ''
+    ) -> ClientConnection:
         """Return a connection for the exclusive use of the caller.
 
+        :param tag: of the request that is sent on it; no connection carries
+            two requests with one tag.
         :param fresh: always open a new one. Required for requests that may
             not be repeated: if the server has just closed a reused
             connection, it is unknown whether it read the request.
         :raises UpstreamConnectFailed: if no connection could be opened.
         """
-        kept = None if fresh else self._pop_idle(self.opener)
-        return kept or await self.opener.open()
+        kept = None if fresh else self._pop_idle(self.opener, tag)
+        connection = kept or await self.opener.open()
+        connection.tags.add(tag)
+        return connection
 
     async def take_direct(self) -> ClientConnection:
         """Return a connection that no other router forwards.
@@ -72,15 +78,26 @@
         """
         return self._pop_idle(self._direct) or await self._direct.open()
 
-    def _pop_idle(self, opener: ConnectionOpener) -> ClientConnection | None:
-        """Return the newest usable idle connection, closing unusable ones."""
+    def _pop_idle(
+        self, opener: ConnectionOpener, tag: str = ''
+    ) -> ClientConnection | None:
+        """Return the newest usable idle connection, closing unusable ones.
+
+        Those that have carried a request with the tag remain idle.
+        """
         oldest = self._clock.monotonic() - self.idle_seconds
-        while self._idle:
+        carriers = []
+        found = None
+        while self._idle and found is None:
             idle_since, connection = self._idle.pop()
-            if idle_since >= oldest and _may_reuse(opener, connection):
-                return connection
-            connection.close()
-        return None
+            if idle_since < oldest or not _may_reuse(opener, connection):
+                connection.close()
+            elif tag in connection.tags:
+                carriers.append((idle_since, connection))
+            else:
+                found = connection
+        self._idle.extend(reversed(carriers))
+        return found
 
     async def open_direct(self) -> ClientConnection:
         """Return a new connection that no other router forwards.
--- a/src/lifttrestle/internal/http/json_client.py
+++ b/src/lifttrestle/internal/http/json_client.py
@@ -13,6 +13,7 @@
 """JSON requests to one address over pooled connections."""
 
 import asyncio
+from collections.abc import Callable
 import ssl
 
 import msgspec
@@ -28,6 +29,7 @@
 from lifttrestle.internal.http.client_connection import ClientConnection
 from lifttrestle.internal.http.client_pool import ClientPool
 from lifttrestle.internal.http.head import RequestHead
+from lifttrestle.internal.http.head import ResponseHead
 
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
@@ -39,6 +41,8 @@
     :param timeout_seconds: for a whole exchange, including connecting.
     :param pool: pool to use; by default, the client creates its own.
     :param max_answer_bytes: limit on the body of an answer.
+    :param is_foreign: returns whether an answer belongs to another request
+        that its connection carried before; such an answer is skipped.
     """
 
     def __init__(
@@ -50,7 +54,9 @@
         headers: tuple[Header, ...] = (),
         pool: ClientPool | None = None,
         max_answer_bytes: int = MAX_ANSWER_BYTES,
+        is_foreign: Callable[[ResponseHead], bool] = lambda head: False,
     ) -> None:
+        self._is_foreign = is_foreign
         self._max_answer_bytes = max_answer_bytes
         self._headers = headers
         self._timeout_seconds = timeout_seconds
@@ -80,7 +86,7 @@
             async with ReadTimeout(self._timeout_seconds + extra_seconds):
                 connection = await self._pool.take_direct()
                 await connection.send_request(head, body)
-                answer_head = await connection.read_head()
+                answer_head = await self._read_own_head(connection)
                 data = await connection.read_body(self._max_answer_bytes)
         except (UpstreamConnectFailed, UpstreamLost, TimeoutError) as error:
             if connection is not None:
@@ -96,6 +102,15 @@
         self._pool.give_back(connection)
         return Answer(answer_head.status, answer_head.headers, data)
 
+    async def _read_own_head(
+        self, connection: ClientConnection
+    ) -> ResponseHead:
+        head = await connection.read_head()
+        while self._is_foreign(head):
+            await connection.skip_answer(self._max_answer_bytes)
+            head = await connection.read_head()
+        return head
+
     def close(self) -> None:
         """Close the idle connections of the pool."""
         self._pool.close()
--- a/src/lifttrestle/internal/platform/engine_calls.py
+++ b/src/lifttrestle/internal/platform/engine_calls.py
@@ -114,6 +114,7 @@
             self._timeout_seconds,
             pool=engine.pool,
             max_answer_bytes=MAX_ANSWER_BYTES,
+            is_foreign=_answers_request,
         )
         headers = [(names.EXPECT_INSTANCE, engine.instance)]
         if content is not None:
@@ -133,3 +134,8 @@
         seconds, _ = read_pause(ResponseHead(answer.status, answer.headers))
         if seconds is not None:
             engine.rejections.note_requested(seconds, now)
+
+
+def _answers_request(head: ResponseHead) -> bool:
+    """Return whether an answer belongs to a request, as calls have no id."""
+    return bool(head.get_header(names.REQUEST_ID))
