One router at a time orders loads at engines that share models

Where replicas check no fences, a late order of one holder can undo a newer one of the other.

Cause: a lease for each model, while a replica gets orders for all of its models.

Change: a router orders only while it holds the leases of all models that share engines, also through others, and renews their rows together, in one commit of the store, before each batch (`RowStore.write_rows`). Keys and rows are those of the release before, so that routers of both releases may run side by side. An engine that lacks most models is loaded first. The loader's test routers moved into tests/support, its planted faults follow the new signatures.

--- a/src/lifttrestle/internal/fleet/loads/weights_loader.py
+++ b/src/lifttrestle/internal/fleet/loads/weights_loader.py
@@ -12,19 +12,17 @@
 
 """Rolls the newest weights out to the engines, a few at a time.
 
-Only the holder of the lease of a model sends load orders. The lease is the
-row of the model in the shared table. A holder keeps it; another router takes
-it over only after the row has been unchanged for so long that no order of the
-last holder can be in transit. Every order carries the version of the row as
-fencing token and the number of orders that the engine has accepted, so that a
-delayed order has no effect.
+Only the holder of the leases of all models that share engines sends load
+orders to them (see ``group_lease``). A holder keeps a lease; another router
+takes it over only after its row has been unchanged for so long that no order
+of the last holder can be in transit. Every order carries the version of the
+rows as fencing token and the number of orders that the engine has accepted, so
+that a delayed order has no effect.
 """
 
 import asyncio
 import random
 
-import msgspec
-
 from lifttrestle.errors import ConditionFailed
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
@@ -33,36 +31,36 @@
 from lifttrestle.internal.fleet.loads.engine_control import EngineState
 from lifttrestle.internal.fleet.loads.engine_control import LoadOrder
 from lifttrestle.internal.fleet.loads.engine_control import OrderOutcome
+from lifttrestle.internal.fleet.loads.group_lease import GroupLease
+from lifttrestle.internal.fleet.loads.group_lease import ObservedGroup
 from lifttrestle.internal.fleet.loads.load_tracking import LoadTracker
 from lifttrestle.internal.fleet.policy.weight_loading import count_loadable
-from lifttrestle.internal.fleet.policy.weight_loading import find_takeover_time
-from lifttrestle.internal.fleet.policy.weight_loading import LeaseState
 from lifttrestle.internal.fleet.policy.weight_loading import list_engines
 from lifttrestle.internal.fleet.policy.weight_loading import list_outdated
 from lifttrestle.internal.fleet.policy.weight_loading import ORDER_SECONDS
 from lifttrestle.internal.fleet.settings import Promises
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.operator_view import OperatorView
-from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
 from lifttrestle.internal.fleet.state.roster import Roster
-from lifttrestle.internal.fleet.state.roster import ROUTER_PREFIX
 from lifttrestle.internal.fleet.state.rows import RowStore
-from lifttrestle.internal.fleet.state.rows import RowWrite
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
-from lifttrestle.internal.fleet.state.weights_view import ObservedPlan
-from lifttrestle.internal.fleet.state.weights_view import PLAN_PREFIX
 from lifttrestle.internal.fleet.state.weights_view import WeightsPlan
 from lifttrestle.internal.fleet.state.weights_view import WeightsView
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
 LOG = get_event_log('weights')
 POLL_SECONDS = 0.1
+# No version of a model was named.
+NO_VERSION = 0
 # All routers have read the row of a batch within this time of its write.
 PROPAGATION_SECONDS = 0.03
 
 
 class WeightsLoader:
-    """Loads weights of models whose lease this router holds."""
+    """Loads weights of models whose lease this router holds.
+
+    :ivar lease: decides when this router may order.
+    """
 
     def __init__(
         self,
@@ -77,13 +75,13 @@
         source: random.Random,
         holder: str,
     ) -> None:
-        self._store = store
         self._control = control
         self._view = view
         self._directory = directory
         self._plans = plans
-        self._roster = roster
-        self.promises = promises
+        self.lease = GroupLease(
+            store, directory, plans, roster, promises, holder
+        )
         self._clock = clock
         self._source = source
         self._holder = holder
@@ -115,7 +113,7 @@
         loads = self._get_loads(model)
         await loads.poll()
         outdated = list_outdated(
-            list_engines(self._directory, model), model, version
+            list_engines(self._directory, model), model, self._list_versions()
         )
         now = self._clock.monotonic()
         if not outdated:
@@ -126,9 +124,15 @@
         self._needed_since.setdefault(model, now)
         # Read before the check: a write by another router in between makes
         # the conditional write of this row fail.
-        observed = self._plans.get(model)
-        if self._may_order(model, observed, now):
-            await self._load_next(model, observed, loads, outdated)
+        group = self.lease.observe(model)
+        if self._may_order(model, group, now):
+            await self._load_next(model, group, loads, outdated)
+
+    def _list_versions(self) -> dict[str, int]:
+        return {
+            model: target.version
+            for model, target in self._view.target_weights.items()
+        }
 
     def _get_rollout_state(self, version: int) -> tuple[int, ...]:
         """Return the versions that decide which engines are outdated."""
@@ -145,43 +149,14 @@
             self._loads[model] = loads
         return loads
 
-    def _may_order(
-        self, model: str, observed: ObservedPlan, now: float
-    ) -> bool:
-        if self._holds_lease(observed):
-            return True
-        return now >= self._find_takeover_time(model, observed)
-
-    def _holds_lease(self, observed: ObservedPlan) -> bool:
-        """Return whether this router certainly holds the lease.
-
-        The holder in a restored row may be outdated, as the older copy lacks
-        later takeovers.
-        """
-        return (
-            observed.plan is not None
-            and observed.plan.holder == self._holder
-            and not observed.restored
-        )
-
-    def _find_takeover_time(self, model: str, observed: ObservedPlan) -> float:
-        holder = None
-        if observed.plan is not None and observed.plan.holder != self._holder:
-            holder = f'{ROUTER_PREFIX}{observed.plan.holder}'
-        lease = LeaseState(
-            needed_since=self._needed_since[model],
-            held_at=observed.seen_at,
-            holder=holder,
-            lease_seconds=self.promises.lease_seconds,
-        )
-        return find_takeover_time(
-            model, self._roster.routers, self._roster.key, lease
-        )
+    def _may_order(self, model: str, group: ObservedGroup, now: float) -> bool:
+        needed_since = self._needed_since[model]
+        return now >= self.lease.find_takeover_time(group, needed_since)
 
     async def _load_next(
         self,
         model: str,
-        observed: ObservedPlan,
+        group: ObservedGroup,
         loads: LoadTracker,
         outdated: list[FleetUpstream],
     ) -> None:
@@ -210,8 +185,12 @@
             *loads.starts,
             *(upstream.start for upstream, _ in batch),
         ]
-        fence = await self._write_plan(model, version, observed, loading)
+        fence = await self._write_plans(model, group, loading)
         await self._clock.sleep(PROPAGATION_SECONDS)
+        if self.lease.list_models(model) != tuple(group):
+            # An engine was listed that has other models too.
+            LOG.info('weights.group_changed', model=model)
+            return
         orders = [
             LoadOrder(
                 model,
@@ -232,29 +211,38 @@
         for upstream, order, answer in zip(upstreams, orders, answered):
             loads.add(upstream, order, answer)
 
-    async def _write_plan(
-        self,
-        model: str,
-        version: int,
-        observed: ObservedPlan,
-        loading: list[str],
+    async def _write_plans(
+        self, model: str, group: ObservedGroup, loading: list[str]
     ) -> int:
+        """Write the plans of a group, which renews their leases.
+
+        :param loading: the engines that load the weights of one model; those
+            of the others load what was ordered before.
+        """
+        plans = [
+            self._build_plan(
+                name, loading if name == model else self._list_loading(name)
+            )
+            for name in group
+        ]
+        return await self.lease.write(group, plans)
+
+    def _list_loading(self, model: str) -> list[str]:
+        loads = self._loads.get(model)
+        return [] if loads is None else loads.starts
+
+    def _build_plan(self, model: str, loading: list[str]) -> WeightsPlan:
+        target = self._view.target_weights.get(model)
+        if target is None:
+            return WeightsPlan(self._holder, model, NO_VERSION)
         loaded = [
             upstream.start
             for upstream in self._directory
-            if upstream.weights.get(model, 0) >= version
+            if upstream.weights.get(model, 0) >= target.version
         ]
-        plan = WeightsPlan(self._holder, model, version, loading, loaded)
-        write = RowWrite(
-            FLEET_TABLE,
-            f'{PLAN_PREFIX}{model}',
-            msgspec.json.encode(plan),
-            observed.row_version,
-            observed.epoch,
+        return WeightsPlan(
+            self._holder, model, target.version, loading, loaded
         )
-        fence = await self._store.write_row(write)
-        self._plans.apply_plan(plan, fence)
-        return fence
 
     async def _send_order(
         self, upstream: FleetUpstream, order: LoadOrder, requested_at: float
@@ -299,7 +287,8 @@
         """Publish to the other routers that the last engines have loaded."""
         observed = self._plans.get(model)
         plan = observed.plan
-        if plan is None or not self._holds_lease(observed) or not plan.loading:
+        if plan is None or not self.lease.holds(observed) or not plan.loading:
             return
-        version = self._view.target_weights[model].version
-        await self._write_plan(model, version, observed, [])
+        await self.lease.write(
+            {model: observed}, [self._build_plan(model, [])]
+        )
--- a/src/lifttrestle/internal/fleet/policy/weight_loading.py
+++ b/src/lifttrestle/internal/fleet/policy/weight_loading.py
@@ -13,6 +13,7 @@
 """Decides which engines load newer weights, and which router orders it."""
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 import math
 
@@ -65,19 +66,55 @@
     ]
 
 
+def list_group(
+    upstreams: Iterable[FleetUpstream], model: str
+) -> tuple[str, ...]:
+    """Return the models that share engines, also through others, sorted.
+
+    Leaving engines count: an order may be in transit to them.
+    """
+    shared = {frozenset(upstream.entry.weights) for upstream in upstreams}
+    group = frozenset({model})
+    while True:
+        grown = group.union(*(models for models in shared if models & group))
+        if grown == group:
+            return tuple(sorted(group))
+        group = grown
+
+
 def list_outdated(
-    engines: Iterable[FleetUpstream], model: str, version: int
+    engines: Iterable[FleetUpstream], model: str, versions: Mapping[str, int]
 ) -> list[FleetUpstream]:
-    """Return the engines without a version, oldest and least busy first."""
+    """Return the engines without the newest version of a model's weights.
+
+    The oldest come first, of these the engines that lack most: an engine loads
+    one model after the other, and the last one ends the rollout.
+
+    :param versions: the newest version of each model.
+    """
     outdated = [
-        engine for engine in engines if engine.weights.get(model, 0) < version
+        engine
+        for engine in engines
+        if engine.weights.get(model, 0) < versions[model]
     ]
     outdated.sort(
-        key=lambda engine: (engine.weights.get(model, 0), engine.in_flight)
+        key=lambda engine: (
+            engine.weights.get(model, 0),
+            -_count_outdated(engine, versions),
+            engine.in_flight,
+        )
     )
     return outdated
 
 
+def _count_outdated(engine: FleetUpstream, versions: Mapping[str, int]) -> int:
+    """Return of how many models an engine lacks the newest version."""
+    return sum(
+        engine.weights.get(model, 0) < versions.get(model, 0)
+        for model in engine.entry.weights
+    )
+
+
 def count_loadable(engines: list[FleetUpstream], now: float) -> int:
     """Return how many engines may load at the same time, at least one.
 
@@ -92,13 +129,14 @@
 
 
 def find_takeover_time(
-    model: str, routers: list[str], key: str, lease: LeaseState
+    name: str, routers: list[str], key: str, lease: LeaseState
 ) -> float:
-    """Return when a router may take over the lease of a model.
+    """Return when a router may take over a lease.
 
     The times of the routers are staggered, so that they do not all write as
     soon as the orders of the last holder have certainly ended.
 
+    :param name: decides the order of the routers.
     :param routers: keys of the live routers.
     :param key: key of the router that may take over the lease.
     """
@@ -107,7 +145,7 @@
         needed += HOLDER_RENEWAL_SECONDS
     handover = lease.lease_seconds + ORDER_SECONDS + HANDOVER_SECONDS
     others = [router for router in routers if router != lease.holder]
-    rank = rank_names(model.encode()[:64], others).index(key)
+    rank = rank_names(name.encode()[:64], others).index(key)
     return (
         max(needed, lease.held_at + handover) + rank * TAKEOVER_STAGGER_SECONDS
     )
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -245,7 +245,7 @@
         self._parts.settings = settings
         for budget in self._parts.budgets.values():
             budget.promises = settings.promises
-        self._weights_loader.promises = settings.promises
+        self._weights_loader.lease.promises = settings.promises
         self._usage.promises = settings.promises
 
     async def start(self) -> None:
--- a/src/lifttrestle/internal/fleet/state/rows.py
+++ b/src/lifttrestle/internal/fleet/state/rows.py
@@ -13,6 +13,7 @@
 """Interface of the versioned tables that all routers share."""
 
 import abc
+from collections.abc import Sequence
 import dataclasses
 import enum
 
@@ -20,6 +21,8 @@
 
 # A row that does not exist has this version.
 NO_ROW = 0
+# Each write takes two of the hundred entries of a commit.
+MAX_WRITES = 50
 
 
 class RowOrigin(enum.Enum):
@@ -115,12 +118,20 @@
         :raises HistoryGone: if the store no longer holds those changes.
         """
 
-    @abc.abstractmethod
     async def write_row(self, write: RowWrite) -> int:
         """Write one row and return the commit's version.
 
         :raises ConditionFailed: if the row has another version.
         """
+        return await self.write_rows((write,))
+
+    @abc.abstractmethod
+    async def write_rows(self, writes: Sequence[RowWrite]) -> int:
+        """Write rows in one commit, all or none, and return its version.
+
+        :param writes: at most ``MAX_WRITES``.
+        :raises ConditionFailed: if one of the rows has another version.
+        """
 
     @abc.abstractmethod
     def close(self) -> None:
--- a/src/lifttrestle/internal/fleet/state/weights_view.py
+++ b/src/lifttrestle/internal/fleet/state/weights_view.py
@@ -140,9 +140,13 @@
         if row_version <= self.get(plan.model).row_version:
             return
         now = self._clock.monotonic()
+        known = self._observed.get(plan.model)
         self._observed[plan.model] = ObservedPlan(
             plan, row_version, now, get_epoch(row_version), restored
         )
+        if known is not None and known.plan == plan:
+            # The lease was renewed with those of other models.
+            return
         LOG.info(
             'weights.plan',
             model=plan.model,
--- a/src/lifttrestle/internal/platform/row_store.py
+++ b/src/lifttrestle/internal/platform/row_store.py
@@ -14,6 +14,7 @@
 
 import base64
 import binascii
+from collections.abc import Sequence
 import urllib.parse
 
 from lifttrestle.errors import ConditionFailed
@@ -147,37 +148,39 @@
                 f' {table!r} again'
             )
 
-    async def write_row(self, write: RowWrite) -> int:
-        """Write one row and return the commit's version.
+    async def write_rows(self, writes: Sequence[RowWrite]) -> int:
+        """Write rows in one commit and return its version.
 
-        :raises ConditionFailed: if the row has another version.
+        :raises ConditionFailed: if one of the rows has another version.
         """
-        expected = write.expected_version
-        expected_epoch = write.expected_epoch
-        if expected_epoch is not None and expected_epoch < self.epoch:
+        keys = tuple(write.key for write in writes)
+        epochs = {write.expected_epoch for write in writes} - {None}
+        if any(epoch < self.epoch for epoch in epochs if epoch is not None):
             # A different commit may have the same number after a restore.
-            raise ConditionFailed((write.key,))
-        row = {'table': write.table, 'part': '', 'key': write.key}
-        content: dict[str, object] = {
-            'expected': [{**row, 'ver': get_commit_number(expected)}],
+            raise ConditionFailed(keys)
+        content: dict[str, list[object]] = {
+            'expected': [],
             'put': [],
             'remove': [],
         }
-        if write.value is None:
-            content['remove'] = [row]
-        else:
-            text = base64.b64encode(write.value).decode('ascii')
-            content['put'] = [{**row, 'value': text}]
+        for write in writes:
+            row = {'table': write.table, 'part': '', 'key': write.key}
+            number = get_commit_number(write.expected_version)
+            content['expected'].append({**row, 'ver': number})
+            if write.value is None:
+                content['remove'].append(row)
+            else:
+                text = base64.b64encode(write.value).decode('ascii')
+                content['put'].append({**row, 'value': text})
         answer = await self._call('POST', names.COMMIT_PATH, {}, 0.0, content)
         epoch = self._update_epoch(answer)
         if answer.status == STATUS_CONDITION_FAILED:
-            raise ConditionFailed((write.key,))
+            raise ConditionFailed(keys)
         version = _build_version(epoch, _decode_rows(answer).ver)
-        if expected_epoch not in (None, epoch):
+        if epochs - {epoch}:
             raise PlatformUnavailable(
-                f'the write replaced an unknown version of the row'
-                f' {write.key!r}: the store was restored from an older copy'
-                f' after epoch {expected_epoch}'
+                f'the write replaced unknown versions of the rows {keys}: the'
+                ' store was restored from an older copy meanwhile'
             )
         return version
 
--- a/tests/cover/test_client_pool.py
+++ b/tests/cover/test_client_pool.py
@@ -10,6 +10,8 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
+"""Tests of which idle connection a request gets."""
+
 import datetime
 import unittest
 
--- a/tests/cover/test_decisions.py
+++ b/tests/cover/test_decisions.py
@@ -83,9 +83,10 @@
         newer.note_weights('m', 2, 0.0)
         idle.in_flight = 1
         self.assertEqual(
-            list_outdated([newer, busy, idle], 'm', 3), [idle, busy, newer]
+            list_outdated([newer, busy, idle], 'm', {'m': 3}),
+            [idle, busy, newer],
         )
-        self.assertEqual(list_outdated([newer], 'm', 2), [])
+        self.assertEqual(list_outdated([newer], 'm', {'m': 2}), [])
 
     def test_one_that_leaves_is_not_loaded(self):
         self.put('a', models=[1], state='draining')
--- a/tests/cover/test_fleet_weights.py
+++ b/tests/cover/test_fleet_weights.py
@@ -15,7 +15,6 @@
 import asyncio
 import dataclasses
 import datetime
-import random
 import unittest
 from unittest import mock
 
@@ -24,150 +23,29 @@
 import msgspec
 
 from lifttrestle.errors import ConditionFailed
-from lifttrestle.errors import PlatformUnavailable
-from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.clock.manual import ManualClock
-from lifttrestle.internal.fleet.loads.engine_control import EngineControl
-from lifttrestle.internal.fleet.loads.engine_control import EngineState
 from lifttrestle.internal.fleet.loads.engine_control import LoadOrder
 from lifttrestle.internal.fleet.loads.engine_control import OrderOutcome
 from lifttrestle.internal.fleet.loads.load_tracking import LoadTracker
 from lifttrestle.internal.fleet.loads.weights_loader import WeightsLoader
 from lifttrestle.internal.fleet.policy.weight_loading import list_outdated
 from lifttrestle.internal.fleet.settings import Promises
-from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
-from lifttrestle.internal.fleet.state.operator_view import OperatorView
 from lifttrestle.internal.fleet.state.roster import FLEET_TABLE
-from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.router_row import RouterRow
 from lifttrestle.internal.fleet.state.row_version import get_epoch
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.fleet.state.table_copy import TableCopy
-from lifttrestle.internal.fleet.state.weights_view import WeightsView
-from lifttrestle.internal.platform.stored_format import PlatformFormat
+from lifttrestle.internal.fleet.state.weights_view import ObservedPlan
 from tests.support.entries import make_entry
+from tests.support.load_fleet import Engines
+from tests.support.load_fleet import Router
+from tests.support.load_fleet import SleepAdvancingClock
 from tests.support.memory_rows import MemoryRows
 from tests.support.models import run_model
 
 START = datetime.datetime(2026, 12, 2, tzinfo=datetime.timezone.utc)
 LEASE_SECONDS = Promises().lease_seconds
 ROUTER_ROW = msgspec.json.encode(RouterRow('a'))
-ENGINES = ('e1', 'e2', 'e3', 'e4', 'e5')
-
-
-class SleepAdvancingClock(Clock):
-    """Clock on a shared time that a sleep advances."""
-
-    def __init__(self, time):
-        self._time = time
-
-    def now(self):
-        return self._time.now()
-
-    def monotonic(self):
-        return self._time.monotonic()
-
-    async def sleep(self, seconds):
-        self._time.advance(seconds)
-
-
-class Engines:
-    """Engines that load instantly and record every order."""
-
-    def __init__(self, time):
-        self._time = time
-        self.weights = dict.fromkeys(ENGINES, 1)
-        self.accepted = dict.fromkeys(ENGINES, 0)
-        self.log = []
-        self.late = []
-
-    def take(self, instance, order):
-        self.log.append((self._time.monotonic(), instance, order))
-        if order.orders_accepted != self.accepted[instance]:
-            return OrderOutcome.OTHER_ORDER
-        self.accepted[instance] += 1
-        self.weights[instance] = order.version
-        return OrderOutcome.ACCEPTED
-
-
-class FakeControl(EngineControl):
-    """Calls the engines directly; orders can be delayed in transit."""
-
-    def __init__(self, engines):
-        self._engines = engines
-        self.delays = False
-
-    async def read_state(self, engine):
-        name = engine.instance
-        return EngineState(
-            {'m': self._engines.weights[name]},
-            False,
-            self._engines.accepted[name],
-            0,
-            0,
-        )
-
-    async def send_load(self, engine, order):
-        if self.delays:
-            self._engines.late.append((engine.instance, order))
-            raise PlatformUnavailable('no answer')
-        return self._engines.take(engine.instance, order)
-
-
-class Router:
-    """The loader of one router with its own view of the shared rows."""
-
-    def __init__(self, name, time, rows, engines, loader_class):
-        clock = SleepAdvancingClock(time)
-        self.rows = rows
-        self.control = FakeControl(engines)
-        self.directory = UpstreamDirectory(PlatformFormat(), clock)
-        self.view = OperatorView(PlatformFormat(), clock, 8.5)
-        self.plans = WeightsView(self.directory, clock)
-        self.roster = Roster(rows, clock, name, 'a')
-        self._version_read = 0
-        for instance in ENGINES:
-            entry = make_entry(models=[{'name': 'm', 'version': 1}])
-            self.directory.apply_row(
-                VersionedRow(instance, msgspec.json.encode(entry), 1)
-            )
-        self.loader = loader_class(
-            rows,
-            self.control,
-            self.view,
-            self.directory,
-            self.plans,
-            self.roster,
-            Promises(),
-            clock,
-            random.Random(1),
-            name,
-        )
-
-    def hear(self):
-        """Apply the changes of the shared table."""
-        if self.rows.down:
-            return
-        changes = asyncio.run(
-            self.rows.watch_table(FLEET_TABLE, self._version_read, 0)
-        )
-        self._version_read = changes.version
-        for row in changes.rows:
-            self.plans.apply_row(row)
-
-    def name(self, version):
-        content = {'model': 'm', 'version': version}
-        self.view.apply_row(
-            VersionedRow('version/m', msgspec.json.encode(content), version)
-        )
-
-    def act(self):
-        if 'm' not in self.view.target_weights:
-            return
-        try:
-            asyncio.run(self.loader.advance_rollout('m'))
-        except (ConditionFailed, PlatformUnavailable):
-            pass
 
 
 class LoaderMachine(stateful.RuleBasedStateMachine):
@@ -314,19 +192,30 @@
 class IgnoredEpochLoader(WeightsLoader):
     """Injected fault: creates a missing row in any epoch."""
 
-    async def _write_plan(self, model, version, held, loading):
-        held = dataclasses.replace(held, epoch=None)
-        return await super()._write_plan(model, version, held, loading)
+    async def _write_plans(self, model, held, loading):
+        held = {
+            name: dataclasses.replace(plan, epoch=None)
+            for name, plan in held.items()
+        }
+        return await super()._write_plans(model, held, loading)
 
 
 class UncheckedWriteLoader(WeightsLoader):
     """Injected fault: writes with the version of a row it has not checked."""
 
     async def _load_next(self, model, held, loads, outdated):
-        current = self._store.get(FLEET_TABLE, f'weights/{model}')
-        held = type(held)(held.plan, current.version, held.seen_at)
+        held = {
+            name: ObservedPlan(
+                plan.plan, self._get_version(name), plan.seen_at
+            )
+            for name, plan in held.items()
+        }
         await super()._load_next(model, held, loads, outdated)
 
+    def _get_version(self, model):
+        rows = self.lease._store
+        return rows.get(FLEET_TABLE, f'weights/{model}').version
+
 
 def run_machine(loader_class, machine=LoaderMachine):
     fields = {'loader_class': loader_class}
@@ -402,11 +291,11 @@
         for router in (first, second):
             router.act()
         self.time.advance(60.0)
-        held = second.plans.get('m')
+        held = second.loader.lease.observe('m')
         first.act()
         second.hear()
         loads = second.loader._get_loads('m')
-        outdated = list_outdated(second.directory, 'm', 2)
+        outdated = list_outdated(second.directory, 'm', {'m': 2})
         with self.assertRaises(ConditionFailed):
             asyncio.run(second.loader._load_next('m', held, loads, outdated))
         holders = {order.holder for _, _, order in self.engines.log}
@@ -425,12 +314,13 @@
         routers[0].act()
         for router in routers:
             router.hear()
-        held = routers[1].plans.get('m')
+        held = routers[1].loader.lease.observe('m')
         takeover_times = sorted(
-            router.loader._find_takeover_time('m', held)
+            router.loader.lease.find_takeover_time(held, 0.0)
             for router in routers[1:]
         )
-        self.assertGreater(takeover_times[0], held.seen_at + LEASE_SECONDS)
+        seen_at = held['m'].seen_at
+        self.assertGreater(takeover_times[0], seen_at + LEASE_SECONDS)
         gaps = [
             after - before
             for before, after in zip(takeover_times, takeover_times[1:])
@@ -482,14 +372,14 @@
         router = self.make_router('a')
         router.name(2)
         engines = list(router.directory)
-        write = self.rows.write_row
+        write = self.rows.write_rows
 
-        async def write_then_pause(row_write):
+        async def write_then_pause(writes):
             for engine in engines:
                 engine.rejections.note_requested(3.0, self.time.monotonic())
-            return await write(row_write)
+            return await write(writes)
 
-        self.rows.write_row = write_then_pause
+        self.rows.write_rows = write_then_pause
         router.act()
         self.assertEqual(self.engines.log, [])
 
--- a/tests/cover/test_relay_model.py
+++ b/tests/cover/test_relay_model.py
@@ -79,7 +79,7 @@
             lambda: self._rows.watch_table(table, after, 0)
         )
 
-    async def write_row(self, write):
+    async def write_rows(self, writes):
         raise NotImplementedError
 
     def close(self):
--- a/tests/cover/test_suspension.py
+++ b/tests/cover/test_suspension.py
@@ -218,14 +218,14 @@
             engines = Engines(RealTimeClock())
             rows = MemoryRows()
             router = Router('a', RealTimeClock(), rows, engines, WeightsLoader)
-            write_row = rows.write_row
+            write_rows = rows.write_rows
 
-            async def write_and_suspend(write):
-                version = await write_row(write)
+            async def write_and_suspend(writes):
+                version = await write_rows(writes)
                 machine.suspend(seconds)
                 return version
 
-            rows.write_row = write_and_suspend
+            rows.write_rows = write_and_suspend
             router.name(2)
             router.loader._needed_since['m'] = float('-inf')
             router.act()
--- a/tests/nocover/test_extra_answers.py
+++ b/tests/nocover/test_extra_answers.py
@@ -10,6 +10,7 @@
 #    License for the specific language governing permissions and limitations
 #    under the License.
 
+"""Tests of upstreams that send an answer once more than was asked."""
 
 import unittest
 
--- a/tests/support/fleet_store.py
+++ b/tests/support/fleet_store.py
@@ -161,15 +161,20 @@
         self, connection: ServerConnection, call: dict[str, list[dict]]
     ) -> None:
         await self.writable.wait()
-        expected = call['expected'][0]
-        value = None
-        if call['put']:
-            value = base64.b64decode(call['put'][0]['value'])
-        number = expected['ver']
-        version = build_version(self.rows.epoch, number) if number else NO_ROW
-        write = RowWrite(expected['table'], expected['key'], value, version)
+        values = {
+            row['key']: base64.b64decode(row['value']) for row in call['put']
+        }
+        writes = [
+            RowWrite(
+                row['table'],
+                row['key'],
+                values.get(row['key']),
+                self._read_version(row['ver']),
+            )
+            for row in call['expected']
+        ]
         try:
-            version = await self.rows.write_row(write)
+            version = await self.rows.write_rows(writes)
         except ConditionFailed:
             await self._send(connection, {'rows': []}, 412)
             return
@@ -177,6 +182,9 @@
         content = {'ver': get_commit_number(version), 'now_ms': 0}
         await self._send(connection, content)
 
+    def _read_version(self, number: int) -> int:
+        return build_version(self.rows.epoch, number) if number else NO_ROW
+
 
 def _encode(table: str, row: VersionedRow) -> dict[str, object]:
     content: dict[str, object] = {
--- a/tests/support/memory_rows.py
+++ b/tests/support/memory_rows.py
@@ -13,6 +13,7 @@
 """An in-memory store of the shared tables with injectable faults."""
 
 import asyncio
+from collections.abc import Sequence
 import dataclasses
 
 from lifttrestle.errors import ConditionFailed
@@ -109,17 +110,21 @@
         changed.sort(key=lambda row: row.version)
         return RowChanges(tuple(changed), self.version)
 
-    async def write_row(self, write: RowWrite) -> int:
-        """Write one row if its condition holds."""
+    async def write_rows(self, writes: Sequence[RowWrite]) -> int:
+        """Write rows if all their conditions hold."""
         self._check_up()
-        held = self.get(write.table, write.key)
-        wrong_epoch = write.expected_epoch not in (None, self.epoch)
-        if wrong_epoch or held.version != write.expected_version:
-            raise ConditionFailed((write.key,))
-        version = self.put(write.table, write.key, write.value)
+        for write in writes:
+            held = self.get(write.table, write.key)
+            wrong_epoch = write.expected_epoch not in (None, self.epoch)
+            if wrong_epoch or held.version != write.expected_version:
+                raise ConditionFailed((write.key,))
+        self.version += 1
+        for write in writes:
+            row = VersionedRow(write.key, write.value, self.version)
+            self._rows.setdefault(write.table, {})[write.key] = row
         if self.lose_answers:
             raise PlatformUnavailable('the response was lost')
-        return version
+        return self.version
 
     def close(self) -> None:
         """Do nothing."""
