Tests: a head that stops in its middle is no answer

An operator of a system like ours reported clients that got 200 with an empty or short body, framed as whole, as a replica stopped in the middle of its answer's head.

--- a/tests/support/fleet_upstream.py
+++ b/tests/support/fleet_upstream.py
@@ -14,6 +14,7 @@
 
 import asyncio
 import collections
+from collections.abc import Iterable
 import dataclasses
 import enum
 import time
@@ -44,6 +45,7 @@
     LOSE = enum.auto()
     SILENT = enum.auto()
     CUT_IN_EVENT = enum.auto()
+    CUT_IN_HEAD = enum.auto()
     FOREIGN_FIRST = enum.auto()
     UNSTAMPED = enum.auto()
     ENCODED = enum.auto()
@@ -64,6 +66,32 @@
     body: bytes
 
 
+@dataclasses.dataclass(frozen=True)
+class HeadCut:
+    """How an upstream stops inside the head of its answer.
+
+    :ivar framing: header that declares where the body ends, or empty.
+    :ivar size: bytes of the head that it sends.
+    :ivar before: bytes that it sends before the head.
+    :ivar line_end: what ends each line of the head.
+    :ivar closes: whether it then closes the connection.
+    """
+
+    framing: str = ''
+    size: int = 0
+    before: bytes = b''
+    line_end: str = '\r\n'
+    closes: bool = True
+
+
+def build_head(cut: HeadCut, headers: Iterable[Header]) -> bytes:
+    """Return the complete head of an answer."""
+    lines = ['HTTP/1.1 200 OK', *(f'{n}: {value}' for n, value in headers)]
+    if cut.framing:
+        lines.append(cut.framing)
+    return cut.line_end.join((*lines, '', '')).encode()
+
+
 class FleetUpstreamStandin:
     """Runs requests as its script says, then well.
 
@@ -84,6 +112,7 @@
     :ivar software_version: named in each event, unless it is empty.
     :ivar event_seconds: pause before each event of a stream.
     :ivar arrived_at: when each of the arrivals came, monotonic seconds.
+    :ivar head_cut: how it ends inside the head of an answer.
     """
 
     def __init__(self, instance: str) -> None:
@@ -108,6 +137,7 @@
         self.event_seconds = 0.0
         self._working = 0
         self.arrived_at: list[float] = []
+        self.head_cut = HeadCut()
         limits = HttpLimits(idle_seconds=3600)
         self._server = HttpServer(self._handle, limits)
         self.address = Address('', 0)
@@ -196,6 +226,8 @@
             raise CallerGone('cut by the script')
         if behaviour is Behaviour.SILENT:
             await asyncio.Event().wait()
+        if behaviour is Behaviour.CUT_IN_HEAD:
+            await self._cut_head(connection, head)
         if behaviour is Behaviour.FOREIGN_FIRST:
             await self._send_foreign(connection)
         if head.get_header('model'):
@@ -213,6 +245,24 @@
         await connection.send_part(body)
         await connection.end_answer()
 
+    async def _cut_head(
+        self, connection: ServerConnection, head: RequestHead
+    ) -> None:
+        cut = self.head_cut
+        headers = (
+            *self._echo(head),
+            ('server-stamp', STAMP),
+            ('weight-versions', str(self.weights)),
+            ('content-type', 'text/event-stream'),
+        )
+        writer = connection._stream._writer
+        writer.write(cut.before + build_head(cut, headers)[: cut.size])
+        await writer.drain()
+        if not cut.closes:
+            await asyncio.Event().wait()
+        writer.close()
+        raise CallerGone('cut by the script')
+
     async def _send_foreign(self, connection: ServerConnection) -> None:
         # What a second answer to an earlier request looks like on the wire.
         raw = (
