--- a/tests/support/fleet_store.py
+++ b/tests/support/fleet_store.py
@@ -20,6 +20,7 @@
 
 from lifttrestle.errors import ConditionFailed
 from lifttrestle.errors import HistoryGone
+from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.fleet.state.row_version import build_version
 from lifttrestle.internal.fleet.state.row_version import get_commit_number
 from lifttrestle.internal.fleet.state.rows import NO_ROW
@@ -89,6 +90,15 @@
         self, connection: ServerConnection, head: RequestHead, body: bytes
     ) -> None:
         self.peers.add(connection.peer)
+        try:
+            await self._answer(connection, head, body)
+        except PlatformUnavailable:
+            # The rows are down.
+            connection.abort()
+
+    async def _answer(
+        self, connection: ServerConnection, head: RequestHead, body: bytes
+    ) -> None:
         query = dict(urllib.parse.parse_qsl(head.query))
         if connection.peer in self.silenced:
             await asyncio.Event().wait()
--- a/tests/support/version_soak.py
+++ b/tests/support/version_soak.py
@@ -97,10 +97,16 @@
 
 
 class VersionSoak(RouterSoak[VersionOutcome, CrashingUpstream]):
-    """Runs one seed."""
+    """Runs one seed.
+
+    :ivar max_tries: how often a caller tries to get one stream.
+    :ivar return_seconds: range of the seconds between two tries.
+    """
 
     seconds = SOAK_SECONDS
     upstream_count = 0
+    max_tries = MAX_TRIES
+    return_seconds = (0.0, 0.2)
 
     def __init__(self, seed: int, folder: pathlib.Path) -> None:
         self.router_count = ROUTERS if seed % 10 else MANY_ROUTERS
@@ -153,13 +159,19 @@
             sent += 1
             stream = CallerStream(f'c{number}-{sent}')
             self._streams.append(stream)
-            for _ in range(MAX_TRIES):
+            for _ in range(self.max_tries):
                 await self._try_stream(stream, source.choice(self._routers))
                 if stream.is_complete or self._done.is_set():
                     break
-                await sleep(self._done, source.uniform(0.0, 0.2))
+                if self.gives_up(number, stream):
+                    break
+                await sleep(self._done, source.uniform(*self.return_seconds))
             await sleep(self._done, source.uniform(0.0, 0.05))
 
+    def gives_up(self, number: int, stream: CallerStream) -> bool:
+        """Return whether a caller begins another stream."""
+        return False
+
     async def _try_stream(
         self,
         stream: CallerStream,
