--- a/src/lifttrestle/internal/fleet/path/exchange.py
+++ b/src/lifttrestle/internal/fleet/path/exchange.py
@@ -38,6 +38,7 @@
 from lifttrestle.internal.fleet.path.failure_recording import FailureRecorder
 from lifttrestle.internal.fleet.path.failure_recording import REUSABLE_AFTER
 from lifttrestle.internal.fleet.path.hold_check import check_held
+from lifttrestle.internal.fleet.path.repeat_check import check_repeatable
 from lifttrestle.internal.fleet.path.request_context import begin_request
 from lifttrestle.internal.fleet.path.request_context import RequestContext
 from lifttrestle.internal.fleet.path.request_digest import identify_request
@@ -53,9 +54,6 @@
 from lifttrestle.internal.http.server_connection import ServerConnection
 from lifttrestle.internal.refusal.kind import ErrorKind
 
-# Maximum number of times that one request is sent, including the sends that
-# upstreams declined without running the request.
-MAX_SENDS = 4
 _ATTEMPT_IDS = itertools.count()
 
 
@@ -228,28 +226,7 @@
         self._failures.note_failure(
             chosen.upstream, error, self._forwarder.get_writing_seconds()
         )
-        if request.sends >= MAX_SENDS:
-            raise request.make_refusal(
-                ErrorKind.UPSTREAM_FAILED, f'too many attempts: {error}'
-            )
-        if request.runs == 0:
-            return FailureAction.RETRY
-        if self._parts.crashes.must_not_retry(
-            request.digest, request.part_digests
-        ):
-            raise request.make_refusal(
-                ErrorKind.UPSTREAM_FAILED,
-                f'upstreams crash while running this request: {error}',
-            )
-        route = request.admitted.route
-        if not route.repeatable:
-            raise request.make_refusal(
-                ErrorKind.UPSTREAM_FAILED, f'the request may have run: {error}'
-            )
-        if request.runs >= route.max_attempts:
-            raise request.make_refusal(
-                ErrorKind.UPSTREAM_FAILED, f'all attempts are used up: {error}'
-            )
+        check_repeatable(request, error)
         return FailureAction.RETRY
 
     async def _send_and_forward(
--- a/src/lifttrestle/internal/http/client_connection.py
+++ b/src/lifttrestle/internal/http/client_connection.py
@@ -30,6 +30,7 @@
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.head import ResponseHead
 from lifttrestle.internal.http.part_counter import PartCounter
+from lifttrestle.internal.http.request_replay import replay_request
 from lifttrestle.internal.http.request_tags import RequestTags
 from lifttrestle.internal.http.stream import Stream
 
@@ -259,18 +260,7 @@
         await self.read_body(limit)
         self._skip_limit = None
         rest, closed = self._h11.trailing_data
-        self._h11 = h11.Connection(h11.CLIENT)
-        # h11 parses an answer only after it has sent a request, so the request
-        # is replayed into the new state machine; its output is discarded.
-        self._h11.send(request)
-        if dict(request.headers).get(b'content-length'):
-            size = int(dict(request.headers)[b'content-length'])
-            self._h11.send(h11.Data(data=bytes(size)))
-        self._h11.send(h11.EndOfMessage())
-        if rest:
-            self._h11.receive_data(rest)
-        if closed:
-            self._h11.receive_data(b'')
+        self._h11 = replay_request(request, rest, closed=closed)
 
     def close(self) -> None:
         """Close the connection at once, discarding unsent bytes."""
