Versions are read again less often in large fleets, and stored without a pause

Where upstreams state no version, nothing is read, as nothing could be concluded. A version that begins to serve within 2 s of another one is stored at once: only a write that failed is followed by a pause.

Measured: test_stream_origins (a release takes two writes at 195 routers, as before), test_origin_rows, test_software_versions, test_restarted_origins pass.

--- a/src/lifttrestle/internal/fleet/loads/group_lease.py
+++ b/src/lifttrestle/internal/fleet/loads/group_lease.py
@@ -138,6 +138,8 @@
     ) -> int:
         """Write the rows of some models and return the version of the last.
 
+        More than a commit takes are written in several, all before an order.
+
         :param group: what was observed of these models.
         :raises ConditionFailed: if another router has written one of them.
         """
--- a/src/lifttrestle/internal/fleet/streams/origin_rows.py
+++ b/src/lifttrestle/internal/fleet/streams/origin_rows.py
@@ -72,7 +72,9 @@
         self._get_life_seconds = get_life_seconds
         self._refusals = refusals or InputRefusals()
         self._open = OpenStreams(clock)
-        self._next_read = SharedCall(clock, READ_SECONDS, self._read_sought)
+        self._next_read = SharedCall(
+            clock, lambda: READ_SECONDS, self._read_sought
+        )
         # Digests that callers of the next read look for.
         self._sought: set[int] = set()
 
--- a/src/lifttrestle/internal/fleet/streams/origins.py
+++ b/src/lifttrestle/internal/fleet/streams/origins.py
@@ -23,6 +23,7 @@
 
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.clock.ticker import Ticker
+from lifttrestle.internal.fleet.policy.row_pacing import get_refresh_seconds
 from lifttrestle.internal.fleet.state.catalogue import Catalogue
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
 from lifttrestle.internal.fleet.state.roster import Roster
@@ -46,8 +47,6 @@
 POLL_SECONDS = 0.25
 # Within the shortest time between two writes of origins.
 ORIGIN_POLL_SECONDS = 0.1
-# Any caller can name a stream that never was: that costs two reads a period.
-REFRESH_SECONDS = 0.25
 # A stream may last for the timeout of its route, and its caller may come back
 # as late as that again.
 LIFE_TIMEOUTS = 2
@@ -111,7 +110,9 @@
         self.get_catalogue: Callable[[], Catalogue | None] = lambda: None
         self.refresh_tables: Callable[[], Awaitable[bool]] = _refresh_nothing
         self._refresh = SharedCall(
-            clock, REFRESH_SECONDS, lambda: self.refresh_tables()
+            clock,
+            lambda: get_refresh_seconds(roster.live),
+            lambda: self.refresh_tables(),
         )
         self.is_loaded: Callable[[], bool] = lambda: True
 
@@ -198,17 +199,22 @@
         if len(services) != 1:
             return None
         (service,) = services
-        if len(self._list_versions(service)) > 1:
+        if self._has_no_only_version(service):
             return None
         if not await self._refresh.call():
             return None
         versions = self._list_versions(service)
-        if len(versions) != 1 or None in versions:
+        if not versions or self._has_no_only_version(service):
             return None
         if not self._rows.is_complete(service):
             return None
         return StreamOrigin(service, versions.pop(), NO_START)
 
+    def _has_no_only_version(self, service: str) -> bool:
+        """Return whether streams may have begun at several versions."""
+        versions = self._list_versions(service)
+        return len(versions) > 1 or None in versions
+
     def _list_versions(self, service: str) -> set[str | None]:
         """Return the versions that may have begun a stream of a service."""
         stored = self._rows.list_versions(service)
--- a/src/lifttrestle/internal/fleet/streams/shared_call.py
+++ b/src/lifttrestle/internal/fleet/streams/shared_call.py
@@ -25,19 +25,19 @@
 class SharedCall(typing.Generic[Result]):
     """Limits how often an action begins.
 
-    :param period_seconds: shortest time between two begins.
+    :param get_period_seconds: returns the shortest time between two begins.
     """
 
     def __init__(
         self,
         clock: Clock,
-        period_seconds: float,
+        get_period_seconds: Callable[[], float],
         action: Callable[[], Awaitable[Result]],
     ) -> None:
         self._clock = clock
-        self._period_seconds = period_seconds
+        self._get_period_seconds = get_period_seconds
         self._action = action
-        self._begun_at = -period_seconds
+        self._begun_at = float('-inf')
         self._next: asyncio.Task[Result] | None = None
 
     async def call(self) -> Result:
@@ -50,7 +50,8 @@
         return await asyncio.shield(self._next)
 
     async def _run(self) -> Result:
-        pause = self._begun_at + self._period_seconds - self._clock.monotonic()
+        due_at = self._begun_at + self._get_period_seconds()
+        pause = due_at - self._clock.monotonic()
         if pause > 0:
             await self._clock.sleep(pause)
         self._begun_at = self._clock.monotonic()
--- a/src/lifttrestle/internal/fleet/streams/software_rows.py
+++ b/src/lifttrestle/internal/fleet/streams/software_rows.py
@@ -47,7 +47,7 @@
 # for the one before it.
 WRITER_COUNT = 3
 TURN_SECONDS = 1.0
-# After a write, its row is first awaited.
+# After a write that failed, the row of another router is first awaited.
 PAUSE_SECONDS = 2.0
 # Two versions are as good as many: an origin that is not known stays so.
 MAX_VERSIONS = 8
@@ -229,8 +229,8 @@
         is_turn = now - row.due_since >= rank * TURN_SECONDS
         if rank >= WRITER_COUNT or not is_turn or now < row.paused_until:
             return
-        row.paused_until = now + PAUSE_SECONDS
-        await self._write(service, row, planned)
+        if not await self._write(service, row, planned):
+            row.paused_until = self._clock.monotonic() + PAUSE_SECONDS
 
     def _find_epoch(self, service: str, oldest: float) -> int | None:
         """Return the epoch in which a row that is written lists all versions.
@@ -249,10 +249,11 @@
 
     async def _write(
         self, service: str, row: ServiceRow, planned: SoftwareRow
-    ) -> None:
+    ) -> bool:
+        """Write a row; return whether that is certain, errors are logged."""
         key = f'{SOFTWARE_PREFIX}{service}'
         if len(key.encode()) > MAX_KEY_BYTES:
-            return
+            return False
         value = msgspec.json.encode(planned)
         # A row that does not exist has the same version in each epoch.
         epoch = planned.epoch if row.row_version == NO_ROW else None
@@ -261,18 +262,19 @@
             version = await self._store.write_row(write)
         except ConditionFailed:
             # Another router has written first; the watch delivers its row.
-            return
+            return False
         except PlatformUnavailable as error:
             LOG.info(
                 'software.not_written', service=service, reason=str(error)
             )
-            return
+            return False
         if version > row.row_version:
             row.replace(planned, version, undone_at=None)
             self._note_informed(service)
         LOG.info(
             'software.written', service=service, versions=planned.versions
         )
+        return True
 
     def _get(self, service: str) -> ServiceRow:
         return self._rows.setdefault(service, ServiceRow())
