Leases of models that are not rolled out are renewed without their engines

Found when reading the change once more: with many models that share engines, each batch wrote the engines of all of them. Nobody needs those of a model whose rollout all routers know to be complete.

With one model on an engine nothing changes.

--- a/src/lifttrestle/internal/fleet/loads/weights_loader.py
+++ b/src/lifttrestle/internal/fleet/loads/weights_loader.py
@@ -52,6 +52,9 @@
 POLL_SECONDS = 0.1
 # No version of a model was named.
 NO_VERSION = 0
+# All routers have read which engines completed a rollout within this time.
+SETTLING_SECONDS = 2.0
+NEVER = float('-inf')
 # All routers have read the row of a batch within this time of its write.
 PROPAGATION_SECONDS = 0.03
 
@@ -89,6 +92,8 @@
         self._loads: dict[str, LoadTracker] = {}
         # The rollout state in which all engines had loaded a model's weights.
         self._complete_states: dict[str, tuple[int, ...]] = {}
+        # When the last rollout of a model was found to be complete.
+        self._completed_at: dict[str, float] = {}
 
     async def run(self, ticker: Ticker) -> None:
         """Load missing weights, forever."""
@@ -118,7 +123,8 @@
         now = self._clock.monotonic()
         if not outdated:
             await self._publish_completion(model)
-            self._needed_since.pop(model, None)
+            if self._needed_since.pop(model, None) is not None:
+                self._completed_at[model] = now
             self._complete_states[model] = state
             return
         self._needed_since.setdefault(model, now)
@@ -216,25 +222,31 @@
     ) -> int:
         """Write the plans of a group, which renews their leases.
 
-        :param loading: the engines that load the weights of one model; those
-            of the others load what was ordered before.
+        :param loading: the engines that load the weights of the model.
         """
         plans = [
-            self._build_plan(
-                name, loading if name == model else self._list_loading(name)
-            )
+            self._build_plan(name, loading)
+            if name == model
+            else self._renew_plan(name)
             for name in group
         ]
         return await self.lease.write(group, plans)
 
-    def _list_loading(self, model: str) -> list[str]:
+    def _renew_plan(self, model: str) -> WeightsPlan:
+        """Return the plan of another model, without what nobody needs."""
         loads = self._loads.get(model)
-        return [] if loads is None else loads.starts
+        target = self._view.target_weights.get(model)
+        if loads is None or target is None:
+            version = NO_VERSION if target is None else target.version
+            return WeightsPlan(self._holder, model, version)
+        completed_at = self._completed_at.get(model, NEVER)
+        settled_at = self._clock.monotonic() - SETTLING_SECONDS
+        if model not in self._needed_since and completed_at < settled_at:
+            return WeightsPlan(self._holder, model, target.version)
+        return self._build_plan(model, loads.starts)
 
     def _build_plan(self, model: str, loading: list[str]) -> WeightsPlan:
-        target = self._view.target_weights.get(model)
-        if target is None:
-            return WeightsPlan(self._holder, model, NO_VERSION)
+        target = self._view.target_weights[model]
         loaded = [
             upstream.start
             for upstream in self._directory
--- a/tests/cover/test_shared_engines.py
+++ b/tests/cover/test_shared_engines.py
@@ -237,6 +237,21 @@
         first.act()
         self.assertEqual(engines.log[0][1], 'e2')
 
+    def test_renewed_plan_lists_no_engines_once_its_rollout_is_known(self):
+        engines = SharedEngines(self.time)
+        first, second = self._run(engines, ())
+        while first.loader._needed_since or not engines.log:
+            first.act()
+            self.time.advance(0.5)
+        listed = []
+        for version in (3, 4):
+            first.name(version, 'm')
+            first.act()
+            second.hear()
+            listed.append(second.plans.get('n').plan.loaded)
+            self.time.advance(3.0)
+        self.assertEqual([len(starts) for starts in listed], [2, 0])
+
     def test_one_write_renews_the_leases_of_a_group(self):
         engines = SharedEngines(self.time)
         first, second = self._run(engines, ())
