Tests: one fixture for a single upstream, one check for two soaks

Found when reading the change once more: test_extra_answers had built the fleet of test_unframed_answers again, test_rejoin_soak the check of test_version_soak. Both have one place now (`run_fleet_before`, `check_seeds`); seeds and assertions are the same. No code of the product changed.

--- a/tests/nocover/test_extra_answers.py
+++ b/tests/nocover/test_extra_answers.py
@@ -15,8 +15,7 @@
 import unittest
 
 from lifttrestle.internal.platform.engine_calls import PlatformEngineControl
-from tests.support.fleet import run_fleet
-from tests.support.fleet import wait_until
+from tests.support.fleet import run_fleet_before
 from tests.support.fleet_upstream import Behaviour
 from tests.support.fleet_upstream import FleetUpstreamStandin
 from tests.support.fleet_upstream import STAMP
@@ -59,18 +58,8 @@
         upstream = CopyingUpstream('u1')
         for name, value in fields.items():
             setattr(upstream, name, value)
-        await upstream.start()
-        async with run_fleet() as fleet:
-            for name in fleet.upstreams:
-                fleet.store.remove('servers', name)
-            fleet.put_upstream(service, upstream)
-            directory = fleet.router.directory
-            await wait_until(
-                lambda: [item.instance for item in directory] == ['u1']
-            )
-            result = await call(fleet, upstream)
-        await upstream.stop()
-        return result
+        async with run_fleet_before(upstream, service) as fleet:
+            return await call(fleet, upstream)
 
     async def test_regression_rejection_that_came_twice_ran_a_request_twice(
         self,
--- a/tests/nocover/test_rejoin_soak.py
+++ b/tests/nocover/test_rejoin_soak.py
@@ -25,20 +25,15 @@
 import sys
 import unittest
 
+from tests.nocover.test_version_soak import check_seeds
 from tests.nocover.test_version_soak import format_outcome
 from tests.support.rejoin_soak import run_seed
 from tests.support.router_soak import run_command_line
 
-SEEDS = (1, 2)
-
 
 class TestSoak(unittest.IsolatedAsyncioTestCase):
     async def test_streams_are_not_joined_from_two_versions(self):
-        for seed in SEEDS:
-            with self.subTest(seed=seed):
-                outcome = await run_seed(seed)
-                self.assertEqual(outcome.faults, [], format_outcome(outcome))
-                self.assertGreater(outcome.complete, 0)
+        await check_seeds(self, run_seed)
 
 
 if __name__ == '__main__':
--- a/tests/nocover/test_unframed_answers.py
+++ b/tests/nocover/test_unframed_answers.py
@@ -19,8 +19,7 @@
 
 from lifttrestle.errors import CallerGone
 from lifttrestle.errors import UpstreamLost
-from tests.support.entries import make_entry
-from tests.support.fleet import run_fleet
+from tests.support.fleet import run_fleet_before
 from tests.support.fleet import wait_until
 from tests.support.fleet_upstream import EVENTS
 from tests.support.fleet_upstream import FleetUpstreamStandin
@@ -71,23 +70,8 @@
     upstream = UnframedUpstream('u1')
     for name, value in fields.items():
         setattr(upstream, name, value)
-    await upstream.start()
-    async with run_fleet() as fleet:
-        for name in fleet.upstreams:
-            fleet.store.remove('servers', name)
-        models = [{'name': 'm', 'version': upstream.weights}]
-        entry = make_entry(
-            service=service, address=str(upstream.address), slots=8
-        )
-        if service == 'engines':
-            entry['models'] = models
-        fleet.store.put('servers', 'u1', entry)
-        directory = fleet.router.directory
-        await wait_until(
-            lambda: [item.instance for item in directory] == ['u1']
-        )
+    async with run_fleet_before(upstream, service) as fleet:
         yield fleet, upstream
-    await upstream.stop()
 
 
 class TestUnframedAnswers(unittest.IsolatedAsyncioTestCase):
--- a/tests/nocover/test_version_soak.py
+++ b/tests/nocover/test_version_soak.py
@@ -27,6 +27,8 @@
     python -m tests.nocover.test_version_soak --seeds 50
 """
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import sys
 import unittest
 
@@ -48,13 +50,20 @@
     )
 
 
+async def check_seeds(
+    case: unittest.TestCase, run: Callable[[int], Awaitable[VersionOutcome]]
+) -> None:
+    """Check that a soak breaks no rule, and that it has complete streams."""
+    for seed in SEEDS:
+        with case.subTest(seed=seed):
+            outcome = await run(seed)
+            case.assertEqual(outcome.faults, [], format_outcome(outcome))
+            case.assertGreater(outcome.complete, 0)
+
+
 class TestSoak(unittest.IsolatedAsyncioTestCase):
     async def test_streams_keep_their_software_version(self):
-        for seed in SEEDS:
-            with self.subTest(seed=seed):
-                outcome = await run_seed(seed)
-                self.assertEqual(outcome.faults, [], format_outcome(outcome))
-                self.assertGreater(outcome.complete, 0)
+        await check_seeds(self, run_seed)
 
 
 if __name__ == '__main__':
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -202,6 +202,26 @@
         await store.server.stop()
 
 
+@contextlib.asynccontextmanager
+async def run_fleet_before(
+    upstream: FleetUpstreamStandin, service: str
+) -> AsyncIterator[Fleet]:
+    """Run a router with one upstream only, of a service."""
+    await upstream.start()
+    async with run_fleet() as fleet:
+        for name in fleet.upstreams:
+            fleet.store.remove('servers', name)
+        fleet.put_upstream(service, upstream)
+        directory = fleet.router.directory
+        await wait_until(
+            lambda: (
+                [item.instance for item in directory] == [upstream.instance]
+            )
+        )
+        yield fleet
+    await upstream.stop()
+
+
 async def kill_router(router: FleetRouterProcess) -> None:
     """End a router at once; its rows stay in the store."""
     router._peer_loads.close()
