--- a/src/lifttrestle/internal/fleet/gauges.py
+++ b/src/lifttrestle/internal/fleet/gauges.py
@@ -17,6 +17,7 @@
 import functools
 
 from lifttrestle.internal.fleet.crashes.tracker import CrashTracker
+from lifttrestle.internal.fleet.lateness_watch import LatenessWatch
 from lifttrestle.internal.fleet.limits.upstream_limits import UpstreamLimits
 from lifttrestle.internal.fleet.news.exchange import PeerNews
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
@@ -45,6 +46,7 @@
     crashes: CrashTracker
     limits: UpstreamLimits
     news: PeerNews
+    lateness: LatenessWatch
 
 
 @dataclasses.dataclass(frozen=True)
@@ -147,6 +149,11 @@
         'Entries about engines and workspaces from other routers, in use.',
         lambda sources: sources.news.entries,
     ),
+    Gauge(
+        'lateness_seconds',
+        'How late timers run: above zero, processor time is short.',
+        lambda sources: sources.lateness.mean,
+    ),
 )
 
 
--- a/src/lifttrestle/internal/fleet/path/handlers.py
+++ b/src/lifttrestle/internal/fleet/path/handlers.py
@@ -89,15 +89,19 @@
 class ReadinessHandler:
     """Reports whether the router is ready for new connections.
 
-    :param state_loaded: whether the shared state is loaded without which no
-        request may be served.
+    :param conditions: further conditions, by the obstacle while they don't
+        hold; without these, no request may be served.
     """
 
     def __init__(
-        self, parts: FleetParts, state_loaded: Callable[[], bool]
+        self, parts: FleetParts, conditions: dict[str, Callable[[], bool]]
     ) -> None:
-        self._parts = parts
-        self._state_loaded = state_loaded
+        self._conditions = {
+            'stopping': lambda: not parts.shutdown.begun,
+            'no configuration': lambda: parts.view.catalogue is not None,
+            'old configuration': lambda: is_fresh(parts),
+            **conditions,
+        }
 
     async def handle(
         self, connection: ServerConnection, head: RequestHead
@@ -108,13 +112,15 @@
 
     def is_ready(self) -> bool:
         """Return whether requests can be served."""
-        parts = self._parts
-        return (
-            not parts.shutdown.begun
-            and parts.view.catalogue is not None
-            and is_fresh(parts)
-            and self._state_loaded()
-        )
+        return all(holds() for holds in self._conditions.values())
+
+    def list_obstacles(self) -> list[str]:
+        """Return what keeps the router from being ready."""
+        return [
+            obstacle
+            for obstacle, holds in self._conditions.items()
+            if not holds()
+        ]
 
 
 class MetricsHandler:
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -24,6 +24,7 @@
 from lifttrestle.internal.fleet.control_tasks import ControlTasks
 from lifttrestle.internal.fleet.gauges import GaugeSources
 from lifttrestle.internal.fleet.gauges import register_gauges
+from lifttrestle.internal.fleet.lateness_watch import LatenessWatch
 from lifttrestle.internal.fleet.listeners import RouterListeners
 from lifttrestle.internal.fleet.loads.engine_control import EngineControl
 from lifttrestle.internal.fleet.loads.weights_loader import WeightsLoader
@@ -33,6 +34,7 @@
 from lifttrestle.internal.fleet.peer_exchange import PeerExchange
 from lifttrestle.internal.fleet.policy.cache_sources import CacheSources
 from lifttrestle.internal.fleet.policy.retry_budget import SharedRetryBudget
+from lifttrestle.internal.fleet.readiness_watch import watch_readiness
 from lifttrestle.internal.fleet.settings import FleetSettings
 from lifttrestle.internal.fleet.settings_follower import SettingsFollower
 from lifttrestle.internal.fleet.settings_follower import SettingsReader
@@ -80,6 +82,7 @@
         self._clock = clock
         self.store = store
         self.ticker = Ticker(clock, source.random())
+        self._lateness = LatenessWatch(clock)
         self._stop = asyncio.Event()
         self._follower = SettingsFollower(settings, self._apply_settings)
         self._control_tasks = ControlTasks(self._stop.set)
@@ -146,9 +149,10 @@
         # one that does not know the limits yet would exceed them.
         self._readiness = ReadinessHandler(
             self._parts,
-            lambda: (
-                self._watches.routers.copy.loaded and self.limits.is_synced()
-            ),
+            {
+                'routers not read': lambda: self._watches.routers.copy.loaded,
+                'limits not known': self.limits.is_synced,
+            },
         )
         self._listeners = RouterListeners(self._parts, self._readiness)
         state.on_catalogue = self._listeners.apply_limits
@@ -166,6 +170,7 @@
                 self.crashes,
                 self.limits,
                 self._peer_news,
+                self._lateness,
             ),
         )
 
@@ -281,6 +286,8 @@
             self.roster.run(),
             self._weights_loader.run(self.ticker),
             watch_stalls(self.ticker),
+            watch_readiness(self.ticker, self._readiness),
+            self._lateness.run(self.ticker),
             prober.run(self.ticker),
             tunnel_prober.run(self.ticker),
             self._peer_loads.run(),
--- a/tests/support/fleet_store.py
+++ b/tests/support/fleet_store.py
@@ -46,6 +46,7 @@
     :ivar peers: addresses of the connections that carried calls.
     :ivar silenced: those of them that get no responses but stay open.
     :ivar writable: writes wait until this is set.
+    :ivar delay: seconds before each call is carried out.
     :ivar sends_epoch: whether responses to row calls carry the epoch header.
     """
 
@@ -53,6 +54,7 @@
         self.rows = MemoryRows()
         self.page_size = 500
         self.sends_epoch = True
+        self.delay = 0.0
         self.peers: set[str] = set()
         self.silenced: set[str] = set()
         self.writable = asyncio.Event()
@@ -100,6 +102,8 @@
         self, connection: ServerConnection, head: RequestHead, body: bytes
     ) -> None:
         query = dict(urllib.parse.parse_qsl(head.query))
+        if self.delay:
+            await asyncio.sleep(self.delay)
         if connection.peer in self.silenced:
             await asyncio.Event().wait()
         elif head.path == '/rows-get':
