A late answer of the store still confirms what a router knows

Cause: a read was given up after 0.8 s and its answer thrown away, though it confirms the configuration as of the moment it was sent; each router repeated the call at once.

Ruled out by the logs of: refusals by counts, routers that are late themselves (docs/incidents/slow-store-after-power-loss.md).

Change: a late read goes on beside the next one, for up to 3 s, and its answer counts. It does not end an outage.

--- a/src/lifttrestle/internal/fleet/state/table_watch.py
+++ b/src/lifttrestle/internal/fleet/state/table_watch.py
@@ -13,7 +13,8 @@
 """Keeps the copy of one shared table up to date.
 
 A copy is current as of the time at which its last successful read was *sent*:
-the response may lack any later change.
+the response may lack any later change. A response that arrives late still
+confirms the copy, so a slow read goes on beside the next one.
 """
 
 import asyncio
@@ -23,6 +24,7 @@
 from lifttrestle.errors import HistoryGone
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.clock.read_timeout import ReadTimeout
 from lifttrestle.internal.fleet.state.restore_policy import RestorePolicy
 from lifttrestle.internal.fleet.state.row_version import format_version
 from lifttrestle.internal.fleet.state.row_version import get_epoch
@@ -39,6 +41,9 @@
 # the shortest guarantee (2 s), doubled to relieve an overloaded store.
 FIRST_PAUSE_SECONDS = 0.1
 MAX_PAUSE_SECONDS = 0.5
+# A read that takes longer, apart from the time that the store waits for a
+# change, is late: the next one is sent, on another connection.
+LATE_SECONDS = 0.8
 
 
 class TableWatch:
@@ -83,6 +88,7 @@
         if eager:
             self._direct.set()
         self._reading: asyncio.Task[bool] | None = None
+        self._late_reads: set[asyncio.Task[bool]] = set()
         self._dependants: list[TableWatch] = []
         self._observers: list[Callable[[TableWatch], None]] = []
         self.copy = TableCopy(table, clock, listener, policy)
@@ -90,7 +96,7 @@
 
     @property
     def lost(self) -> bool:
-        """Return whether the last read failed.
+        """Return whether the last read failed or is late.
 
         During the first update after an outage, observers still see True.
         """
@@ -145,6 +151,7 @@
             # newer version then.
             update = CopyUpdate(RowChanges((), update.changes.version), False)
         self._apply(update, current_as_of)
+        self._note_regained()
 
     def restart_with(self, other: 'TableWatch') -> None:
         """Restart the pending read when ``other`` reaches the store again.
@@ -162,9 +169,13 @@
                 await self._direct.wait()
             self._reading = asyncio.create_task(self.read_once())
             try:
-                await asyncio.wait({self._reading})
-            finally:
-                self._reading.cancel()
+                await asyncio.wait({self._reading}, timeout=self._get_limit())
+            except asyncio.CancelledError:
+                self._cancel_reads()
+                raise
+            if not self._reading.done():
+                self._keep_late(self._reading)
+                continue
             try:
                 has_changes = (
                     not self._reading.cancelled() and self._reading.result()
@@ -173,10 +184,38 @@
                 if has_changes and self._batch_seconds:
                     await self._clock.sleep(self._batch_seconds)
             except PlatformUnavailable as error:
-                self._note_lost(error)
+                self._note_lost(str(error))
                 await self._clock.sleep(pause * self._source.uniform(0.5, 1.0))
                 pause = min(pause * 2, MAX_PAUSE_SECONDS)
 
+    def _get_limit(self, *, waiting: bool = True) -> float:
+        """Return the seconds after which a read that starts now is late."""
+        return LATE_SECONDS + self._get_wait_seconds(waiting=waiting)
+
+    def _get_wait_seconds(self, *, waiting: bool) -> float:
+        """Return for how long the store waits for a change."""
+        # After a failed read, a waiting read would show that the store is
+        # available again only when it times out.
+        is_watch = self.copy.loaded and not self._history_gone
+        can_wait = waiting and is_watch and not self._lost
+        return self._wait_seconds if can_wait else 0.0
+
+    def _keep_late(self, reading: 'asyncio.Task[bool]') -> None:
+        """Let a late read go on; it ends by the time limit of the store."""
+        self._late_reads.add(reading)
+        reading.add_done_callback(self._end_late)
+        self._note_lost(f'no answer for {LATE_SECONDS} s')
+
+    def _end_late(self, reading: 'asyncio.Task[bool]') -> None:
+        self._late_reads.discard(reading)
+        if not reading.cancelled() and (error := reading.exception()):
+            LOG.debug('watch.late', table=self._table, reason=str(error))
+
+    def _cancel_reads(self) -> None:
+        for reading in (self._reading, *self._late_reads):
+            if reading is not None:
+                reading.cancel()
+
     async def refresh(self) -> None:
         """Bring the copy up to date with the store, beside other reads.
 
@@ -184,7 +223,13 @@
         """
         begun_at = self._clock.monotonic()
         while self.current_as_of < begun_at:
-            await self.read_once(waiting=False)
+            try:
+                async with ReadTimeout(self._get_limit(waiting=False)):
+                    await self.read_once(waiting=False)
+            except TimeoutError as error:
+                raise PlatformUnavailable(
+                    f'the table {self._table!r} was not read in time'
+                ) from error
 
     async def read_once(self, *, waiting: bool = True) -> bool:
         """Read once, apply the response and return if it had changes.
@@ -192,17 +237,17 @@
         :param waiting: let the store wait for a change.
         """
         sent_at = self._clock.monotonic()
+        late_at = sent_at + self._get_limit(waiting=waiting)
         if not self.copy.loaded or self._history_gone:
             snapshot = await self._store.read_table(self._table)
-            self._apply(CopyUpdate(snapshot, True), sent_at)
+            self._apply_read(CopyUpdate(snapshot, True), sent_at, late_at)
             self._history_gone = False
             return True
-        # After a failed read, a waiting read would show that the store is
-        # available again only when it times out.
-        wait = self._wait_seconds if waiting and not self._lost else 0.0
         try:
             changes = await self._store.watch_table(
-                self._table, self.copy.version, wait
+                self._table,
+                self.copy.version,
+                self._get_wait_seconds(waiting=waiting),
             )
         except HistoryGone as error:
             LOG.info(
@@ -210,9 +255,17 @@
             )
             self._history_gone = True
             return False
-        self._apply(CopyUpdate(changes, False), sent_at)
+        self._apply_read(CopyUpdate(changes, False), sent_at, late_at)
         return bool(changes.rows)
 
+    def _apply_read(
+        self, update: CopyUpdate, sent_at: float, late_at: float
+    ) -> None:
+        """Apply an answer; a late one does not end an outage."""
+        self._apply(update, sent_at)
+        if self._clock.monotonic() <= late_at:
+            self._note_regained()
+
     def restart(self) -> None:
         """Cancel the pending read and send another."""
         if self._reading is not None:
@@ -231,7 +284,6 @@
             self._note_epoch_change(previous_version, age)
         for observer in self._observers:
             observer(self)
-        self._note_regained()
 
     def _note_epoch_change(self, previous_version: int, age: float) -> None:
         """If the epoch changed, log it and restart the dependants' reads.
@@ -255,13 +307,13 @@
             if get_epoch(watch.copy.version) < epoch:
                 watch.restart()
 
-    def _note_lost(self, error: PlatformUnavailable) -> None:
+    def _note_lost(self, reason: str) -> None:
         if not self._lost:
             LOG.warning(
                 'watch.lost',
                 table=self._table,
                 age_s=round(self.get_age(), 3),
-                reason=str(error),
+                reason=reason,
             )
         self._lost = True
 
--- a/src/lifttrestle/internal/platform/row_store.py
+++ b/src/lifttrestle/internal/platform/row_store.py
@@ -42,6 +42,9 @@
 
 LOG = get_event_log('store')
 MILLISECONDS = 1000
+# A read takes this much longer than another call before it is given up. Its
+# answer confirms what was read before for as long as keys are trusted, 3 s.
+LATE_READ_SECONDS = 2.2
 STATUS_OK = 200
 STATUS_GONE = 410
 STATUS_CONDITION_FAILED = 412
@@ -96,7 +99,9 @@
         query = {'table': table, 'part': ''}
         if start:
             query['from'] = start
-        return await self._call('GET', names.READ_ROWS_PATH, query)
+        return await self._call(
+            'GET', names.READ_ROWS_PATH, query, LATE_READ_SECONDS
+        )
 
     async def watch_table(
         self, table: str, after: int, wait_seconds: float
@@ -113,7 +118,10 @@
             'wait_ms': str(int(wait_seconds * MILLISECONDS)),
         }
         answer = await self._call(
-            'GET', names.WATCH_ROWS_PATH, query, wait_seconds
+            'GET',
+            names.WATCH_ROWS_PATH,
+            query,
+            wait_seconds + LATE_READ_SECONDS,
         )
         epoch = self._update_epoch(answer)
         self._check_not_restored(table, after)
@@ -189,7 +197,7 @@
         method: str,
         path: str,
         query: dict[str, str],
-        wait_seconds: float = 0.0,
+        extra_seconds: float = 0.0,
         content: object = None,
     ) -> Answer:
         target = f'{path}?{urllib.parse.urlencode(query)}' if query else path
@@ -197,7 +205,7 @@
         if content is not None:
             headers = (('content-type', 'application/json'),)
         return await self._client.call(
-            method, target, content, headers, extra_seconds=wait_seconds
+            method, target, content, headers, extra_seconds=extra_seconds
         )
 
     def _update_epoch(self, answer: Answer) -> int:
