Entries with numbers, names or ports out of range name no upstream

Cause: types were checked at the border, ranges were not. Entries with integers of any size, a version of 9,000 characters or with a line break, port 0 or digits of another script were taken as upstreams, and requests were sent there.

Change: each field of an entry has a range, checked once, in platform/records.py.

--- a/src/lifttrestle/internal/fleet/state/upstream_entry.py
+++ b/src/lifttrestle/internal/fleet/state/upstream_entry.py
@@ -106,7 +106,10 @@
 
     :raises ValueError: if one of them is not valid.
     """
-    parse_address(entry.address)
+    if not parse_address(entry.address).port:
+        raise ValueError(
+            f'{entry.address!r} has port 0, at which nothing listens'
+        )
     if INSTANCE_PATTERN.fullmatch(entry.instance) is None:
         raise ValueError(
             f'{entry.instance!r} is not a valid instance name; use 1 to 200'
--- a/src/lifttrestle/internal/http/address.py
+++ b/src/lifttrestle/internal/http/address.py
@@ -48,7 +48,8 @@
         raise ValueError(
             f'{text!r} is not IP:PORT; write an IP address and a port'
         ) from None
-    if not separator or not port.isdecimal() or int(port) > MAX_PORT:
+    is_number = port.isascii() and port.isdecimal()
+    if not separator or not is_number or int(port) > MAX_PORT:
         raise ValueError(
             f'{text!r} has no port between 0 and {MAX_PORT}; write IP:PORT'
         )
--- a/src/lifttrestle/internal/platform/records.py
+++ b/src/lifttrestle/internal/platform/records.py
@@ -17,10 +17,25 @@
 
 import msgspec
 
-NonEmptyText = Annotated[str, msgspec.Meta(min_length=1)]
-Count = Annotated[int, msgspec.Meta(ge=0)]
-Slots = Annotated[int, msgspec.Meta(ge=1)]
-Milliseconds = Annotated[float, msgspec.Meta(ge=0)]
+# The longest name, and the largest numbers, that an upstream may report. They
+# are logged, computed with, and sent to other routers as 64 bits.
+MAX_NAME_LENGTH = 200
+MAX_COUNT = 2**53 - 1
+MAX_SLOTS = 1_000_000
+MAX_MILLISECONDS = 1e12
+# Printable characters; a line break would end a line of a log or a header.
+PRINTABLE = r'^[^\x00-\x1f\x7f-\x9f\u2028\u2029]*\Z'
+
+Name = Annotated[
+    str,
+    msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH, pattern=PRINTABLE),
+]
+SoftwareVersion = Annotated[
+    str, msgspec.Meta(max_length=MAX_NAME_LENGTH, pattern=PRINTABLE)
+]
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_MILLISECONDS)]
 # Start time in Unix milliseconds; some deployments don't report it.
 Born = Count | msgspec.UnsetType
 
@@ -65,7 +80,7 @@
 class LoadedModelRecord(msgspec.Struct):
     """The version of a model's weights that an engine has loaded."""
 
-    name: NonEmptyText
+    name: Name
     version: Count
 
 
@@ -150,8 +165,8 @@
 class WeightsRecord(msgspec.Struct):
     """The operator's target version of a model's weights."""
 
-    model: str
-    version: int
+    model: Name
+    version: Count
 
 
 class EntryState(enum.Enum):
@@ -169,10 +184,10 @@
     :ivar models: models that an engine has loaded; other upstreams have none.
     """
 
-    service: NonEmptyText
-    address: NonEmptyText
-    zone: NonEmptyText
-    version: str
+    service: Name
+    address: Name
+    zone: Name
+    version: SoftwareVersion
     slots: Slots
     state: EntryState
     cold_left_ms: Milliseconds
@@ -214,10 +229,10 @@
     models: list[LoadedModelRecord] = []
     busy: bool = False
     seq_no: Count = 0
-    waiting: int = 0
-    running: int = 0
-    kv_used: int = 0
-    kv_total: int = 0
+    waiting: Count = 0
+    running: Count = 0
+    kv_used: Count = 0
+    kv_total: Count = 0
     born: Born = msgspec.UNSET
 
 
--- a/src/lifttrestle/internal/platform/stored_format.py
+++ b/src/lifttrestle/internal/platform/stored_format.py
@@ -43,7 +43,6 @@
 # An entry has some 300 bytes, that of an engine with many models a few times
 # as many. Longer values can't come from an upstream.
 MAX_ENTRY_BYTES = 16 * 1024
-MAX_VERSION_LENGTH = 200
 
 
 class PlatformFormat(StoredFormat):
@@ -99,15 +98,10 @@
             draining=record.state is EntryState.DRAINING,
             weights={item.name: item.version for item in record.models},
             born=read_born(record.born),
-            software_version=_read_software_version(record.version),
+            software_version=record.version or None,
         )
 
 
-def _read_software_version(text: str) -> str | None:
-    """Return the version of an upstream's software, None if it is invalid."""
-    return text if 0 < len(text) <= MAX_VERSION_LENGTH else None
-
-
 def _index_routes(
     records: list[RouteRecord],
 ) -> dict[str, tuple[Route, ...]]:
--- a/tests/cover/test_refused_input.py
+++ b/tests/cover/test_refused_input.py
@@ -54,13 +54,16 @@
 REQUIRED_FIELDS = tuple(make_entry())
 WRONG_VALUES = {
     'state': ('weird', '', 'READY', None, 1, ['ready']),
-    'slots': (-1, 0, '8', 1.5, None, True, [8]),
-    'address': ('', 'x', '1.2.3.4', '1.2.3.4:99999999', 'a.b:80', None, 9),
-    'service': ('', None, 7),
-    'zone': ('', None, {}),
-    'version': (None, 1, ['v1']),
-    'seq_no': (None, -1, '1', 1.5),
-    'cold_left_ms': ('soon', -1, None),
+    'slots': (-1, 0, '8', 1.5, None, True, [8], 2**53, 2**64, 10**30),
+    'address': (
+        *('', 'x', '1.2.3.4', '1.2.3.4:99999999', 'a.b:80', None, 9),
+        *('1.2.3.4:0', '1.2.3.4:70000', '1.2.3.4:-1', '1.2.3.4:٨٠'),
+    ),
+    'service': ('', None, 7, 's' * 201, 's\n'),
+    'zone': ('', None, {}, 'z' * 201, 'z\x00'),
+    'version': (None, 1, ['v1'], 'v' * 201, 'v\n1', 'v\u2028'),
+    'seq_no': (None, -1, '1', 1.5, 2**53, 2**64, 10**30),
+    'cold_left_ms': ('soon', -1, None, 1e13, 10**30),
     'models': (
         None,
         'm',
@@ -69,8 +72,10 @@
         [[]],
         [{'name': 'm', 'version': -1}],
         [{'name': '', 'version': 1}],
+        [{'name': 'm' * 201, 'version': 1}],
+        [{'name': 'm', 'version': 2**64}],
     ),
-    'born': (None, '1767225600000', 1.5, -1, True, [1]),
+    'born': (None, '1767225600000', 1.5, -1, True, [1], 2**53, 10**30),
 }
 SERVICES = {
     's': Service('s', 8),
