An error for one row ends the use of that row, not the watch

Cause: what the listener of a table raised for a row, and a value that is not ASCII, ended the watch, and so the process (found by reading, after the report of routers that end by odd entries; no entry was found that does it).

Change: such an error is logged by row, and the rest of the answer is applied.

Before: test_regression_error_for_one_row_ended_the_watch and test_regression_value_that_is_not_ascii_ended_the_watch raise on.

--- a/src/lifttrestle/internal/fleet/state/table_copy.py
+++ b/src/lifttrestle/internal/fleet/state/table_copy.py
@@ -31,7 +31,9 @@
 from lifttrestle.internal.fleet.state.rows import RowChanges
 from lifttrestle.internal.fleet.state.rows import RowOrigin
 from lifttrestle.internal.fleet.state.rows import VersionedRow
+from lifttrestle.internal.telemetry.event_log import get_event_log
 
+LOG = get_event_log('table')
 # Changes that are kept so that followers with an older version get these
 # instead of the whole table.
 MAX_CHANGES = 500
@@ -211,10 +213,17 @@
                 continue
             self._set_row(row, known)
             if row.value is not None or known is not None:
-                self._listener(row)
+                self._report(row)
         self.version = max(self.version, changes.version)
         self.current_as_of = max(self.current_as_of, current_as_of)
 
+    def _report(self, row: VersionedRow) -> None:
+        """Call the listener; what one row does to it ends with that row."""
+        try:
+            self._listener(row)
+        except Exception:
+            LOG.exception('table.row_failed', table=self.table, key=row.key)
+
     def _set_row(self, row: VersionedRow, known: VersionedRow | None) -> None:
         self._withheld.pop(row.key, None)
         if row.value is not None:
--- a/src/lifttrestle/internal/platform/row_store.py
+++ b/src/lifttrestle/internal/platform/row_store.py
@@ -13,7 +13,6 @@
 """Implements the fleet's shared tables with the platform's store."""
 
 import base64
-import binascii
 from collections.abc import Sequence
 import urllib.parse
 
@@ -262,7 +261,7 @@
         return VersionedRow(record.key, None, version)
     try:
         value = base64.b64decode(record.value)
-    except binascii.Error as error:
+    except ValueError as error:
         # The decoder of the row refuses an empty value; the other rows of
         # the answer remain valid.
         LOG.error('store.row_not_base64', key=record.key, reason=str(error))
--- a/tests/cover/test_refused_input.py
+++ b/tests/cover/test_refused_input.py
@@ -31,7 +31,9 @@
 from lifttrestle.internal.fleet.state.relay_messages import SubscribeRequest
 from lifttrestle.internal.fleet.state.relay_messages import TableUpdate
 from lifttrestle.internal.fleet.state.roster import Roster
+from lifttrestle.internal.fleet.state.rows import RowChanges
 from lifttrestle.internal.fleet.state.rows import VersionedRow
+from lifttrestle.internal.fleet.state.table_copy import TableCopy
 from lifttrestle.internal.fleet.state.weights_view import WeightsPlan
 from lifttrestle.internal.fleet.state.weights_view import WeightsView
 from lifttrestle.internal.intake.decoding import decode_json
@@ -243,6 +245,31 @@
             row = _read_row(record, epoch=0)
         self.assertEqual(row, VersionedRow('a', b'', 4))
 
+    def test_regression_value_that_is_not_ascii_ended_the_watch(self):
+        row = _read_row(RowRecord('servers', 'a', value='£==', ver=3), 0)
+        self.assertEqual(row.value, b'')
+
+
+class TestListener(unittest.TestCase):
+    def test_regression_error_for_one_row_ended_the_watch(self):
+        applied = []
+
+        def apply(row):
+            if row.key == 'odd':
+                raise OverflowError('int too large to convert to float')
+            applied.append(row.key)
+
+        copy = TableCopy('servers', ManualClock(START), apply)
+        rows = tuple(
+            VersionedRow(key, b'{}', version)
+            for version, key in enumerate(('a', 'odd', 'b'), 1)
+        )
+        with self.assertLogs('lifttrestle.table', 'ERROR') as logs:
+            copy.apply_snapshot(RowChanges(rows, 3), 0.0)
+        self.assertEqual(applied, ['a', 'b'])
+        self.assertEqual(copy.version, 3)
+        self.assertEqual(logs.records[0].fields['key'], 'odd')
+
 
 class TestMessages(unittest.TestCase):
     def test_deeply_nested_message_is_refused(self):
