--- a/src/lifttrestle/internal/platform/records.py
+++ b/src/lifttrestle/internal/platform/records.py
@@ -30,9 +30,6 @@
     str,
     msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH, pattern=PRINTABLE),
 ]
-SoftwareVersion = Annotated[
-    str, msgspec.Meta(max_length=MAX_NAME_LENGTH, pattern=PRINTABLE)
-]
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
 Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_MILLISECONDS)]
@@ -179,7 +176,7 @@
 class UpstreamRecord(msgspec.Struct):
     """An upstream's entry; fields that every upstream sets have no default.
 
-    :ivar version: version of its software.
+    :ivar version: version of its software, of any length.
     :ivar seq_no: increases with what it has accepted since its start.
     :ivar models: models that an engine has loaded; other upstreams have none.
     """
@@ -187,7 +184,7 @@
     service: Name
     address: Name
     zone: Name
-    version: SoftwareVersion
+    version: str
     slots: Slots
     state: EntryState
     cold_left_ms: Milliseconds
--- a/src/lifttrestle/internal/platform/stored_format.py
+++ b/src/lifttrestle/internal/platform/stored_format.py
@@ -30,6 +30,7 @@
 from lifttrestle.internal.platform import names
 from lifttrestle.internal.platform.records import ConfigurationRecord
 from lifttrestle.internal.platform.records import EntryState
+from lifttrestle.internal.platform.records import MAX_NAME_LENGTH
 from lifttrestle.internal.platform.records import read_born
 from lifttrestle.internal.platform.records import RouteRecord
 from lifttrestle.internal.platform.records import ServiceRecord
@@ -98,10 +99,16 @@
             draining=record.state is EntryState.DRAINING,
             weights={item.name: item.version for item in record.models},
             born=read_born(record.born),
-            software_version=record.version or None,
+            software_version=_read_software_version(record.version),
         )
 
 
+def _read_software_version(text: str) -> str | None:
+    """Return the version of an upstream's software, None if it is invalid."""
+    is_valid = 0 < len(text) <= MAX_NAME_LENGTH and text.isprintable()
+    return text if is_valid else None
+
+
 def _index_routes(
     records: list[RouteRecord],
 ) -> dict[str, tuple[Route, ...]]:
