A stream goes on at an engine only after that has named its start

Cause: the router's list, up to 3 s old, names the software that the engine had before; Expect-Instance names the engine, not its start.

Ruled out: replicas that join under new names.

Change: before a stream goes on, the engine's report tells whether the known start still runs (streams/start_check.py).

Also split, without a change: late_reads.py and store_contact.py out of table_watch.py, probing_tasks.py and process_watches.py out of process.py.

--- a/src/lifttrestle/internal/fleet/parts.py
+++ b/src/lifttrestle/internal/fleet/parts.py
@@ -35,12 +35,18 @@
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.shutdown import Shutdown
 from lifttrestle.internal.fleet.state.table_watch import TableWatch
+from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.fleet.state.workspace_use import WorkspaceUse
 from lifttrestle.internal.fleet.streams.origins import StreamOrigins
 from lifttrestle.internal.fleet.usage.ledger import UsageLedger
 from lifttrestle.internal.telemetry.fleet_metrics import FleetMetrics
 
 
+async def _confirm_any(upstream: FleetUpstream) -> bool:
+    """Confirm each start, without asking it."""
+    return True
+
+
 async def _skip_refresh(workspace: Workspace | None) -> None:
     """Use the known loads without waiting for newer ones."""
 
@@ -61,6 +67,8 @@
         considerably.
     :ivar tell_pause: tells a router, by its key, of the pause that a start of
         an upstream asked for in an answer that it forwarded.
+    :ivar confirm_start: returns whether a start still runs that is known by
+        the list, before a stream goes on there.
     :ivar refresh_loads: awaited before an engine is chosen; receives the
         workspace whose usage must be known, or None.
     :ivar budgets: retry budget of each service.
@@ -89,6 +97,7 @@
     streams: StreamOrigins
     note_load_change: Callable[[], None] = lambda: None
     tell_pause: Callable[[str, str], None] = lambda via, start: None
+    confirm_start: Callable[[FleetUpstream], Awaitable[bool]] = _confirm_any
     refresh_loads: Callable[[Workspace | None], Awaitable[None]] = (
         _skip_refresh
     )
--- a/src/lifttrestle/internal/fleet/path/sending.py
+++ b/src/lifttrestle/internal/fleet/path/sending.py
@@ -79,6 +79,7 @@
         parts = self._parts
         request = self._request
         upstream = chosen.upstream
+        await self._confirm_start(upstream)
         # Checked again because connecting may have taken a while. The retry
         # budget is charged only here: a failed connection is no retry.
         await check_held_before_send(request)
@@ -134,6 +135,19 @@
         )
         return answer, inactivity_timeout
 
+    async def _confirm_start(self, upstream: FleetUpstream) -> None:
+        """Check that a stream that goes on there fits to what began it.
+
+        :raises UpstreamUnavailable: if another start may have its name.
+        """
+        if self._request.binding.origin is None:
+            return
+        if not await self._parts.confirm_start(upstream):
+            raise UpstreamUnavailable(
+                f'{upstream.instance} may have started again, with other'
+                ' software'
+            )
+
     def _check_available(self, upstream: FleetUpstream) -> None:
         """Check that an upstream takes requests still, as when chosen.
 
--- a/src/lifttrestle/internal/fleet/peer_exchange.py
+++ b/src/lifttrestle/internal/fleet/peer_exchange.py
@@ -12,6 +12,9 @@
 
 """The messages that the routers of a fleet exchange."""
 
+import asyncio
+
+from lifttrestle.internal.clock.ticker import Ticker
 from lifttrestle.internal.fleet.crashes.messages import CrashUpdate
 from lifttrestle.internal.fleet.news.exchange import PeerNews
 from lifttrestle.internal.fleet.parts import FleetParts
@@ -67,3 +70,12 @@
         parts.tell_pause = self.pauses.tell
         parts.note_load_change = self.loads.note_change
         parts.refresh_loads = self.loads.refresh
+
+    async def run(self, ticker: Ticker) -> None:
+        """Send what is due, until cancelled."""
+        await asyncio.gather(
+            self.loads.run(),
+            self.news.run(ticker),
+            self.departures.run(),
+            self.pauses.run(),
+        )
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -34,30 +34,27 @@
 from lifttrestle.internal.fleet.peer_exchange import PeerExchange
 from lifttrestle.internal.fleet.policy.cache_sources import CacheSources
 from lifttrestle.internal.fleet.policy.retry_budget import SharedRetryBudget
-from lifttrestle.internal.fleet.readiness_watch import watch_readiness
+from lifttrestle.internal.fleet.probing_tasks import probe_upstreams
+from lifttrestle.internal.fleet.process_watches import watch_process
 from lifttrestle.internal.fleet.settings import FleetSettings
 from lifttrestle.internal.fleet.settings_follower import SettingsFollower
 from lifttrestle.internal.fleet.settings_follower import SettingsReader
 from lifttrestle.internal.fleet.shared_state import SharedState
-from lifttrestle.internal.fleet.stall_watch import watch_stalls
 from lifttrestle.internal.fleet.state.cache_stores import CacheStores
 from lifttrestle.internal.fleet.state.catalogue import Catalogue
 from lifttrestle.internal.fleet.state.decoding import StoredFormat
 from lifttrestle.internal.fleet.state.directory import UpstreamDirectory
-from lifttrestle.internal.fleet.state.reach_probing import ReachProber
 from lifttrestle.internal.fleet.state.relay_follower import RelayFollower
 from lifttrestle.internal.fleet.state.relay_server import RelayServer
 from lifttrestle.internal.fleet.state.rows import RowStore
 from lifttrestle.internal.fleet.state.shutdown import Shutdown
-from lifttrestle.internal.fleet.state.upstream import FleetUpstream
+from lifttrestle.internal.fleet.streams.start_check import StartCheck
 from lifttrestle.internal.fleet.tunnels.dialler import TunnelDialler
 from lifttrestle.internal.fleet.tunnels.opener import UpstreamOpener
-from lifttrestle.internal.fleet.tunnels.probing import TunnelProber
 from lifttrestle.internal.fleet.tunnels.server import TunnelServer
 from lifttrestle.internal.fleet.usage.ledger import UsageLedger
 from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.http.address import parse_address
-from lifttrestle.internal.http.connection_opener import ConnectionOpener
 from lifttrestle.internal.intake.refusals import InputRefusals
 from lifttrestle.internal.telemetry.event_log import get_event_log
 from lifttrestle.internal.telemetry.fleet_metrics import FleetMetrics
@@ -120,6 +117,7 @@
             usage=self._usage,
             limits=self.limits,
             streams=self._streams,
+            confirm_start=StartCheck(control, self._directory, clock).confirm,
         )
         self._weights_loader = WeightsLoader(
             store,
@@ -133,18 +131,17 @@
             source,
             settings.vm,
         )
-        peers = PeerExchange(state, self._parts, refusals)
-        self._peer_loads = peers.loads
-        self._peer_news = peers.news
-        self._departures = peers.departures
-        self._pauses = peers.pauses
+        self._peers = PeerExchange(state, self._parts, refusals)
+        self._peer_loads = self._peers.loads
         watches = self._watches.list_all()
         self.relay_server = RelayServer(watches, clock)
         self.relays = RelayFollower(watches, self.roster, clock)
         self._dialler = TunnelDialler(self.roster, clock)
-        self._directory.make_opener = self._make_opener
+        self._directory.make_opener = lambda upstream, direct: UpstreamOpener(
+            upstream, direct, self._dialler, clock
+        )
         self.tunnel_server = TunnelServer(self._directory, self.roster, clock)
-        self._pauses.on_told = self.tunnel_server.announce_pause
+        self._peers.pauses.on_told = self.tunnel_server.announce_pause
         # A router that does not know the held requests yet would run them, and
         # one that does not know the limits yet would exceed them.
         self._readiness = ReadinessHandler(
@@ -169,16 +166,11 @@
                 self._listeners.callers,
                 self.crashes,
                 self.limits,
-                self._peer_news,
+                self._peers.news,
                 self._lateness,
             ),
         )
 
-    def _make_opener(
-        self, upstream: FleetUpstream, direct: ConnectionOpener
-    ) -> ConnectionOpener:
-        return UpstreamOpener(upstream, direct, self._dialler, self._clock)
-
     @property
     def directory(self) -> UpstreamDirectory:
         """Return the directory of known upstreams."""
@@ -275,28 +267,24 @@
             ready=str(self.ready_address),
             data_centre=settings.data_centre,
         )
-        prober = ReachProber(self._directory, self.stores, self._clock)
-        tunnel_prober = TunnelProber(
-            self._directory, self._dialler, self._clock
-        )
-        prober.on_probed = self.crashes.losses.note_probed
         self._control_tasks.start(
             self.relays.run(self.ticker),
             *(watch.run() for watch in self._watches.list_all()),
             self.roster.run(),
             self._weights_loader.run(self.ticker),
-            watch_stalls(self.ticker),
-            watch_readiness(self.ticker, self._readiness),
-            self._lateness.run(self.ticker),
-            prober.run(self.ticker),
-            tunnel_prober.run(self.ticker),
-            self._peer_loads.run(),
-            self._peer_news.run(self.ticker),
+            watch_process(self.ticker, self._lateness, self._readiness),
+            probe_upstreams(
+                self.ticker,
+                self._clock,
+                self._directory,
+                self.stores,
+                self._dialler,
+                self.crashes.losses,
+            ),
+            self._peers.run(self.ticker),
             self.crashes.run(self.ticker),
             self.limits.run(self.ticker),
             self._streams.run(self.ticker),
-            self._departures.run(),
-            self._pauses.run(),
         )
 
     async def stop(self) -> bool:
--- a/src/lifttrestle/internal/fleet/state/table_watch.py
+++ b/src/lifttrestle/internal/fleet/state/table_watch.py
@@ -25,12 +25,14 @@
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.clock.read_timeout import ReadTimeout
+from lifttrestle.internal.fleet.state.late_reads import LateReads
 from lifttrestle.internal.fleet.state.restore_policy import RestorePolicy
 from lifttrestle.internal.fleet.state.row_version import format_version
 from lifttrestle.internal.fleet.state.row_version import get_epoch
 from lifttrestle.internal.fleet.state.rows import NO_ROW
 from lifttrestle.internal.fleet.state.rows import RowChanges
 from lifttrestle.internal.fleet.state.rows import RowStore
+from lifttrestle.internal.fleet.state.store_contact import StoreContact
 from lifttrestle.internal.fleet.state.table_copy import CopyUpdate
 from lifttrestle.internal.fleet.state.table_copy import RowListener
 from lifttrestle.internal.fleet.state.table_copy import TableCopy
@@ -58,8 +60,6 @@
         are off; otherwise another router may send all of it first.
     :param policy: decides which held rows are kept when the store is
         restored from an older copy; by default none.
-    :ivar disturbed_at: when this watch was created or the last outage or
-        restore of the store ended, monotonic seconds.
     """
 
     def __init__(
@@ -83,16 +83,15 @@
         self._wait_seconds = wait_seconds
         self._batch_seconds = batch_seconds
         self._history_gone = False
-        self._lost = False
         self._direct = asyncio.Event()
         if eager:
             self._direct.set()
         self._reading: asyncio.Task[bool] | None = None
-        self._late_reads: set[asyncio.Task[bool]] = set()
+        self._late_reads = LateReads(table)
         self._dependants: list[TableWatch] = []
         self._observers: list[Callable[[TableWatch], None]] = []
         self.copy = TableCopy(table, clock, listener, policy)
-        self.disturbed_at = clock.monotonic()
+        self._contact = StoreContact(table, clock)
 
     @property
     def lost(self) -> bool:
@@ -100,7 +99,12 @@
 
         During the first update after an outage, observers still see True.
         """
-        return self._lost
+        return self._contact.lost
+
+    @property
+    def disturbed_at(self) -> float:
+        """Return when the last outage or restore of the store ended."""
+        return self._contact.disturbed_at
 
     @property
     def table(self) -> str:
@@ -144,7 +148,7 @@
                 held=format_version(self.copy.version),
             )
             return
-        self._lost = self._lost or after_outage
+        self._contact.lost = self._contact.lost or after_outage
         if update.is_snapshot and update.changes.version < self.copy.version:
             # This router's own read has returned a newer version. The time as
             # of which the update is current still counts: the table had no
@@ -171,10 +175,12 @@
             try:
                 await asyncio.wait({self._reading}, timeout=self._get_limit())
             except asyncio.CancelledError:
-                self._cancel_reads()
+                self._reading.cancel()
+                self._late_reads.cancel()
                 raise
             if not self._reading.done():
-                self._keep_late(self._reading)
+                self._late_reads.add(self._reading)
+                self._note_lost(f'no answer for {LATE_SECONDS} s')
                 continue
             try:
                 has_changes = (
@@ -197,25 +203,9 @@
         # After a failed read, a waiting read would show that the store is
         # available again only when it times out.
         is_watch = self.copy.loaded and not self._history_gone
-        can_wait = waiting and is_watch and not self._lost
+        can_wait = waiting and is_watch and not self.lost
         return self._wait_seconds if can_wait else 0.0
 
-    def _keep_late(self, reading: 'asyncio.Task[bool]') -> None:
-        """Let a late read go on; it ends by the time limit of the store."""
-        self._late_reads.add(reading)
-        reading.add_done_callback(self._end_late)
-        self._note_lost(f'no answer for {LATE_SECONDS} s')
-
-    def _end_late(self, reading: 'asyncio.Task[bool]') -> None:
-        self._late_reads.discard(reading)
-        if not reading.cancelled() and (error := reading.exception()):
-            LOG.debug('watch.late', table=self._table, reason=str(error))
-
-    def _cancel_reads(self) -> None:
-        for reading in (self._reading, *self._late_reads):
-            if reading is not None:
-                reading.cancel()
-
     async def refresh(self) -> None:
         """Bring the copy up to date with the store, beside other reads.
 
@@ -294,7 +284,7 @@
         epoch = get_epoch(version)
         if epoch == get_epoch(previous_version):
             return
-        self.disturbed_at = self._clock.monotonic()
+        self._contact.note_disturbed()
         LOG.warning(
             'watch.epoch_changed',
             table=self._table,
@@ -308,23 +298,9 @@
                 watch.restart()
 
     def _note_lost(self, reason: str) -> None:
-        if not self._lost:
-            LOG.warning(
-                'watch.lost',
-                table=self._table,
-                age_s=round(self.get_age(), 3),
-                reason=reason,
-            )
-        self._lost = True
+        self._contact.note_lost(self.get_age(), reason)
 
     def _note_regained(self) -> None:
-        if self._lost:
-            LOG.info(
-                'watch.regained',
-                table=self._table,
-                version=format_version(self.copy.version),
-            )
-            self._lost = False
-            self.disturbed_at = self._clock.monotonic()
+        if self._contact.note_regained(self.copy.version):
             for watch in self._dependants:
                 watch.restart()
--- a/tests/support/fleet_upstream.py
+++ b/tests/support/fleet_upstream.py
@@ -110,6 +110,7 @@
     :ivar work_seconds: how long each of them takes.
     :ivar rejected_at: when it had no room for a request, monotonic seconds.
     :ivar software_version: named in each event, unless it is empty.
+    :ivar born: named in its reports, unless it is None.
     :ivar event_seconds: pause before each event of a stream.
     :ivar arrived_at: when each of the arrivals came, monotonic seconds.
     :ivar head_cut: how it ends inside the head of an answer.
@@ -134,6 +135,7 @@
         self.work_seconds = 0.0
         self.rejected_at: list[float] = []
         self.software_version = ''
+        self.born: int | None = None
         self.event_seconds = 0.0
         self._working = 0
         self.arrived_at: list[float] = []
@@ -320,11 +322,13 @@
         return tuple((name, value) for name, value in named if value)
 
     async def _report(self, connection: ServerConnection) -> None:
-        content = {
+        content: dict[str, object] = {
             'models': [{'name': 'm', 'version': self.weights}],
             'busy': False,
             'seq_no': len(self.orders),
         }
+        if self.born is not None:
+            content['born'] = self.born
         await self._send_json(connection, content)
 
     async def _send_json(
