--- a/tests/support/power_loss/deployment.py
+++ b/tests/support/power_loss/deployment.py
@@ -159,8 +159,11 @@
         return process
 
     def start_routers(self, names: list[str] | None = None) -> None:
-        """Start routers, by default all, at the same moment."""
+        """Start those of the routers, by default of all, that don't run."""
         for name in names or self.layout.list_routers():
+            running = self._routers.get(name)
+            if running is not None and running.poll() is None:
+                continue
             path = self.folder / f'{name}.json'
             path.write_bytes(msgspec.json.encode(self._build_settings(name)))
             with self._open_log(name) as log:
