Soak: routers start as deployed; the store's share and pending calls are told

Change: the soak of power losses builds the package and starts routers by the command of deploy/system.toml; windows tell the store's processor time, writes and pending calls; the store can be given one processor.

--- a/tests/support/power_loss/deployment.py
+++ b/tests/support/power_loss/deployment.py
@@ -31,6 +31,7 @@
 from tests.support.power_loss.layout import PLAIN
 from tests.support.power_loss.layout import READY_PORT
 from tests.support.power_loss.layout import ZONES
+from tests.support.power_loss.program import DeployedProgram
 
 END_SECONDS = 20.0
 CONTRACT = {
@@ -62,6 +63,8 @@
         self._replicas: list[subprocess.Popen[str]] = []
         self._callers: list[subprocess.Popen[str]] = []
         self._store: subprocess.Popen[str] | None = None
+        self._program = DeployedProgram(folder / 'target')
+        self._program.build()
 
     def start_store(self) -> None:
         """Start the store with the configuration."""
@@ -147,11 +150,16 @@
     def _open_log(self, name: str):  # noqa: ANN202
         return open(self.folder / f'{name}.log', 'a')
 
-    def _start(self, command: list[str], **options) -> 'subprocess.Popen':
+    def _start(
+        self,
+        command: list[str],
+        environment: dict[str, str] | None = None,
+        **options,
+    ) -> 'subprocess.Popen':
         process = subprocess.Popen(
             command,
             text=True,
-            env={**os.environ, 'PYTHONUNBUFFERED': '1'},
+            env={**(environment or os.environ), 'PYTHONUNBUFFERED': '1'},
             **options,
         )
         if self.layout.cores:
@@ -168,10 +176,8 @@
             path.write_bytes(msgspec.json.encode(self._build_settings(name)))
             with self._open_log(name) as log:
                 self._routers[name] = self._start(
-                    [
-                        *(sys.executable, '-m', 'lifttrestle', 'fleet-router'),
-                        *('--metrics-port', str(METRICS_PORT), str(path)),
-                    ],
+                    self._program.get_command(METRICS_PORT, str(path)),
+                    self._program.get_environment(),
                     stdin=subprocess.DEVNULL,
                     stdout=log,
                     stderr=log,
--- a/tests/support/power_loss/report.py
+++ b/tests/support/power_loss/report.py
@@ -38,6 +38,16 @@
 LEAST_TRIES = 20
 WINDOW_SECONDS = 2.0
 MAX_FAULTS = 5
+# Processor cores, and calls of the store, per second.
+USAGE = (
+    'routers',
+    'replicas',
+    'callers',
+    'store',
+    'reads',
+    'writes',
+    'refused',
+)
 
 
 @dataclasses.dataclass
@@ -240,6 +250,7 @@
     seconds = last['second'] - first['second']
     rates = {
         name: round((last[name] - first[name]) / seconds, 1)
-        for name in ('routers', 'replicas', 'callers', 'reads', 'refused')
+        for name in USAGE
     }
-    return f' {rates}'
+    pending = round(last['pending'])
+    return f' {rates}, {pending} calls pending'
--- a/tests/support/power_loss/soak.py
+++ b/tests/support/power_loss/soak.py
@@ -61,11 +61,14 @@
     :ivar store_delay: seconds before the store carries out a call, from the
         first loss on.
     :ivar store_seconds: for how long, from the start of the routers.
+    :ivar store_busy: seconds that each call keeps the store busy, so that
+        others wait; for as long as the delay.
     """
 
     losses: tuple[PowerLoss, ...]
     store_delay: float = 0.0
     store_seconds: float = 0.0
+    store_busy: float = 0.0
 
 
 def draw_plan(source: random.Random) -> Plan:
@@ -131,7 +134,9 @@
     async def _lose_power(self) -> None:
         began = time.monotonic()
         self._records.lost = began
-        self._deployment.command_store(delay=self._plan.store_delay)
+        self._deployment.command_store(
+            delay=self._plan.store_delay, busy=self._plan.store_busy
+        )
         for loss in self._plan.losses:
             await asyncio.sleep(max(began + loss.at - time.monotonic(), 0.0))
             await self._lose_once(loss)
@@ -158,7 +163,7 @@
 
     async def _restore_store(self) -> None:
         await asyncio.sleep(self._plan.store_seconds)
-        self._deployment.command_store(delay=0.0)
+        self._deployment.command_store(delay=0.0, busy=0.0)
 
     def _start_task(self, coroutine) -> None:
         task = asyncio.create_task(coroutine)
--- a/tests/support/power_loss/store.py
+++ b/tests/support/power_loss/store.py
@@ -53,7 +53,8 @@
 class LimitedStore(FleetStoreStandin):
     """Answers calls above its rates with 429.
 
-    :ivar counts: number of calls, and of those refused.
+    :ivar busy_seconds: how long each call takes of its only processor.
+    :ivar counts: number of calls, of those refused, and of those pending.
     """
 
     def __init__(self, reads: float, writes: float) -> None:
@@ -61,7 +62,9 @@
         self._reads = RateLimit(reads)
         self._writes = RateLimit(writes)
         self.delay = USUAL_SECONDS
-        self.counts = {'reads': 0, 'writes': 0, 'refused': 0}
+        self.busy_seconds = 0.0
+        self._processor = asyncio.Lock()
+        self.counts = {'reads': 0, 'writes': 0, 'refused': 0, 'pending': 0}
 
     async def _answer(
         self, connection: ServerConnection, head: RequestHead, body: bytes
@@ -73,7 +76,14 @@
             self.counts['refused'] += 1
             await connection.send_answer(Answer(STATUS_TOO_MANY))
             return
-        await super()._answer(connection, head, body)
+        self.counts['pending'] += 1
+        try:
+            if self.busy_seconds:
+                async with self._processor:
+                    await asyncio.sleep(self.busy_seconds)
+            await super()._answer(connection, head, body)
+        finally:
+            self.counts['pending'] -= 1
 
 
 async def _read_commands(store: LimitedStore) -> None:
@@ -86,6 +96,7 @@
         command = json.loads(line)
         store.rows.down = command.get('down', store.rows.down)
         store.delay = command.get('delay', store.delay)
+        store.busy_seconds = command.get('busy', store.busy_seconds)
         if 'put' in command:
             store.put(*command['put'])
         print(json.dumps({'at': time.monotonic(), **store.counts}), flush=True)
