Answers that are being received share a bound of memory

Cause: each body was bounded (16 MiB), all of them together were not. Class: a bound of each is taken for a bound of all. Change: BodyBudget, 0.15 of the machine's memory for all answers that are being received; the largest gives way. 64 KiB of a failure's body are read. What is discarded is not kept. Besides: the soak tells for how long its store waits for a processor.

--- a/src/lifttrestle/internal/fleet/path/answer_forwarding.py
+++ b/src/lifttrestle/internal/fleet/path/answer_forwarding.py
@@ -13,6 +13,8 @@
 """Forwards the verified answer of an upstream to the caller."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import dataclasses
 
 from lifttrestle.errors import UpstreamFailed
@@ -20,6 +22,7 @@
 from lifttrestle.internal.exchange.progress import RequestEvent
 from lifttrestle.internal.exchange.progress import RequestProgress
 from lifttrestle.internal.fleet.parts import FleetParts
+from lifttrestle.internal.fleet.path.attempt import FIRST_SERVER_ERROR
 from lifttrestle.internal.fleet.path.attempt import raise_for_status
 from lifttrestle.internal.fleet.path.attempt import read_with_timeout
 from lifttrestle.internal.fleet.path.attempt import UpstreamAnswer
@@ -29,12 +32,39 @@
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.fleet.streams.binding import StreamBinding
 from lifttrestle.internal.http.answer import Answer
+from lifttrestle.internal.http.body_budget import BodyHold
 from lifttrestle.internal.http.server_connection import ServerConnection
+from lifttrestle.internal.telemetry.event_log import get_event_log
 
+LOG = get_event_log('upstreams')
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Of an answer that reports a failure, which callers only show.
+MAX_FAILURE_BYTES = 64 * 1024
 STATUS_OK = 200
 
 
+@contextlib.contextmanager
+def _explain_given_up(
+    upstream: FleetUpstream, hold: BodyHold
+) -> Iterator[None]:
+    """Tell an end by this router from one by the upstream.
+
+    :raises UpstreamLost: if the answer had to give way to others.
+    """
+    try:
+        yield
+    except UpstreamLost as error:
+        if not hold.given_up:
+            raise
+        LOG.warning(
+            'answer.given_up', instance=upstream.instance, bytes=hold.size
+        )
+        raise UpstreamLost(
+            f'{upstream.instance} answered with {hold.size} bytes, for which'
+            ' this router has no memory'
+        ) from error
+
+
 @dataclasses.dataclass(frozen=True)
 class InactivityTimeout:
     """How long an upstream may send nothing before its attempt fails.
@@ -119,22 +149,33 @@
             lambda: self._binding.note_begun(upstream),
         )
         self._progress.apply(RequestEvent.ANSWER)
-        while True:
-            data = await read_with_timeout(
-                parts.clock,
-                upstream,
-                inactivity_timeout.seconds,
-                inactivity_timeout.can_fail_over,
-                answer.connection.read_part,
-            )
-            if not data:
-                break
-            now = parts.clock.monotonic()
+        with parts.bodies.hold(answer.connection.close) as hold:
+            with _explain_given_up(upstream, hold):
+                await self._forward_parts(
+                    upstream, answer, inactivity_timeout, hold
+                )
+        await self.relay.finish()
+
+    async def _forward_parts(
+        self,
+        upstream: FleetUpstream,
+        answer: UpstreamAnswer,
+        inactivity_timeout: InactivityTimeout,
+        hold: BodyHold,
+    ) -> None:
+        while data := await read_with_timeout(
+            self._parts.clock,
+            upstream,
+            inactivity_timeout.seconds,
+            inactivity_timeout.can_fail_over,
+            answer.connection.read_part,
+        ):
+            now = self._parts.clock.monotonic()
             upstream.note_alive(now)
             self._note_part(now)
             if await self.relay.feed(data):
                 answer.connection.note_parts_used()
-        await self.relay.finish()
+            hold.resize(self.relay.pending_bytes)
 
     def get_inactive_seconds(self, now: float) -> float | None:
         """Return the seconds since the last part of a stream.
@@ -152,10 +193,23 @@
         if self._first_part_at is None:
             self._first_part_at = now
 
+    async def _read_body(
+        self, upstream: FleetUpstream, answer: UpstreamAnswer
+    ) -> bytes:
+        """Return the body of an answer.
+
+        :raises UpstreamLost: if it broke off, is too long or had to give way.
+        """
+        failed = answer.facts.status >= FIRST_SERVER_ERROR
+        limit = MAX_FAILURE_BYTES if failed else MAX_ANSWER_BYTES
+        with self._parts.bodies.hold(answer.connection.close) as hold:
+            with _explain_given_up(upstream, hold):
+                return await answer.connection.read_body(limit, hold)
+
     async def _forward_buffered(
         self, route: Route, upstream: FleetUpstream, answer: UpstreamAnswer
     ) -> None:
-        body = await answer.connection.read_body(MAX_ANSWER_BYTES)
+        body = await self._read_body(upstream, answer)
         headers = self._parts.dialect.select_answer_headers(answer.head)
         complete = Answer(answer.facts.status, headers, body)
         try:
--- a/src/lifttrestle/internal/fleet/path/attempt.py
+++ b/src/lifttrestle/internal/fleet/path/attempt.py
@@ -183,7 +183,7 @@
     """Read the rest of the answer so that the connection can be reused."""
     try:
         async with asyncio.timeout(DECLINED_READ_SECONDS):
-            await connection.read_body(MAX_DISCARDED_BYTES)
+            await connection.discard_body(MAX_DISCARDED_BYTES)
     except (UpstreamLost, TimeoutError):
         # The request remains declined; only the connection can't be reused.
         connection.close()
--- a/src/lifttrestle/internal/fleet/path/event_relay.py
+++ b/src/lifttrestle/internal/fleet/path/event_relay.py
@@ -63,6 +63,11 @@
         self._headers: tuple[Header, ...] = ()
         self._on_event = _ignore
 
+    @property
+    def pending_bytes(self) -> int:
+        """Return the bytes of the event that is not complete yet."""
+        return len(self._buffer)
+
     def begin_stream(
         self,
         status: int,
--- a/src/lifttrestle/internal/fleet/settings.py
+++ b/src/lifttrestle/internal/fleet/settings.py
@@ -14,6 +14,8 @@
 
 import dataclasses
 
+DEFAULT_BODIES_BYTES = 64 * 1024 * 1024
+
 
 @dataclasses.dataclass(frozen=True)
 class StoreSettings:
@@ -69,6 +71,7 @@
     :ivar tunnels_address: address for the tunnels of the other routers, or an
         empty string.
     :ivar heartbeat_seconds: heartbeat interval of an upstream.
+    :ivar bodies_bytes: memory for all answers that are being received.
     """
 
     vm: str
@@ -81,3 +84,4 @@
     heartbeat_seconds: float
     store: StoreSettings
     promises: Promises
+    bodies_bytes: int = DEFAULT_BODIES_BYTES
--- a/src/lifttrestle/internal/fleet/state/relay_server.py
+++ b/src/lifttrestle/internal/fleet/state/relay_server.py
@@ -17,8 +17,8 @@
 
 from lifttrestle.errors import InputRefused
 from lifttrestle.internal.clock.clock import Clock
-from lifttrestle.internal.fleet.state.relay_messages import build_update
 from lifttrestle.internal.fleet.state.relay_messages import build_empty_update
+from lifttrestle.internal.fleet.state.relay_messages import build_update
 from lifttrestle.internal.fleet.state.relay_messages import encode_frame
 from lifttrestle.internal.fleet.state.relay_messages import MAX_REQUEST_BYTES
 from lifttrestle.internal.fleet.state.relay_messages import read_frame
--- a/src/lifttrestle/internal/http/client_connection.py
+++ b/src/lifttrestle/internal/http/client_connection.py
@@ -25,6 +25,7 @@
 from lifttrestle.errors import UpstreamPathLost
 from lifttrestle.internal.clock.read_timeout import ReadTimeout
 from lifttrestle.internal.http.address import Address
+from lifttrestle.internal.http.body_budget import BodyHold
 from lifttrestle.internal.http.byte_stream import ByteStream
 from lifttrestle.internal.http.head import decode_headers
 from lifttrestle.internal.http.head import RequestHead
@@ -221,12 +222,31 @@
         """Record that the parts of the body read so far were of use."""
         self._parts.reset()
 
-    async def read_body(self, limit: int) -> bytes:
+    async def read_body(
+        self, limit: int, hold: BodyHold | None = None
+    ) -> bytes:
         """Return the complete body.
 
-        :raises UpstreamLost: if it ended early or exceeds ``limit`` bytes.
+        :param hold: the account of this answer in a common bound.
+        :raises UpstreamLost: if it ended early, exceeds ``limit`` bytes or had
+            to give way to other answers.
         """
         parts: list[bytes] = []
+        async for part in self._iterate_limited(limit):
+            parts.append(part)
+            if hold is not None:
+                hold.resize(hold.size + len(part))
+        return b''.join(parts)
+
+    async def discard_body(self, limit: int) -> None:
+        """Read the body to its end without keeping it.
+
+        :raises UpstreamLost: if it ended early or exceeds ``limit`` bytes.
+        """
+        async for _ in self._iterate_limited(limit):
+            pass
+
+    async def _iterate_limited(self, limit: int) -> AsyncIterator[bytes]:
         size = 0
         async for part in self.iterate_body():
             size += len(part)
@@ -234,8 +254,7 @@
                 raise UpstreamLost(
                     f'{self.address} answered with more than {limit} bytes'
                 )
-            parts.append(part)
-        return b''.join(parts)
+            yield part
 
     async def skip_answer(self, limit: int) -> None:
         """Discard the current answer, which belongs to an earlier request.
@@ -257,7 +276,7 @@
     async def _finish_skip(self, limit: int) -> None:
         request = self._request
         assert request is not None, 'only answers to requests are skipped'
-        await self.read_body(limit)
+        await self.discard_body(limit)
         self._skip_limit = None
         rest, closed = self._h11.trailing_data
         self._h11 = replay_request(request, rest, closed=closed)
--- a/src/lifttrestle/internal/platform/node_settings.py
+++ b/src/lifttrestle/internal/platform/node_settings.py
@@ -19,6 +19,7 @@
 from returns.result import Result
 from returns.result import Success
 
+from lifttrestle.internal.fleet.settings import DEFAULT_BODIES_BYTES
 from lifttrestle.internal.fleet.settings import FleetSettings
 from lifttrestle.internal.fleet.settings import Promises
 from lifttrestle.internal.fleet.settings import StoreSettings
@@ -26,6 +27,10 @@
 from lifttrestle.internal.settings.schema import find_schema_faults
 
 MILLISECONDS = 1000
+BYTES_PER_MB = 1_000_000
+# A router at rest takes up to half of the smallest limits; an answer is in
+# memory twice when its parts are joined.
+BODIES_SHARE = 0.15
 # Numbers of the internal ports in use.
 PEERS_PORT = 0
 TUNNELS_PORT = 1
@@ -68,6 +73,15 @@
     quota_slack: float = 0
 
 
+class LimitsRecord(msgspec.Struct):
+    """The limits of the machine.
+
+    :ivar memory_mb: a process that exceeds it is killed; 0 if not known.
+    """
+
+    memory_mb: float = 0
+
+
 class NodeRecord(msgspec.Struct):
     """The settings file; unknown fields are ignored.
 
@@ -83,6 +97,7 @@
     zones: dict[str, str] = {}
     internal_ports: list[int] = []
     heartbeat_ms: float = 1200
+    limits: LimitsRecord = msgspec.field(default_factory=LimitsRecord)
     contract_params: ContractParamsRecord = msgspec.field(
         default_factory=ContractParamsRecord
     )
@@ -164,4 +179,12 @@
             cap_over_share=rules.quota_over,
             cap_slack=rules.quota_slack,
         ),
+        bodies_bytes=_get_bodies_bytes(record.limits.memory_mb),
     )
+
+
+def _get_bodies_bytes(memory_mb: float) -> int:
+    """Return the memory for answers that are being received."""
+    if not memory_mb:
+        return DEFAULT_BODIES_BYTES
+    return int(memory_mb * BYTES_PER_MB * BODIES_SHARE)
--- a/tests/nocover/test_endless_answers.py
+++ b/tests/nocover/test_endless_answers.py
@@ -33,6 +33,8 @@
 MAX_BYTES = 32 * 1024 * 1024
 # The stand-in gives up here, so that a failing test ends.
 END_BYTES = 8 * MAX_BYTES
+# Buffers of the connection included.
+MAX_ERROR_BYTES = 8 * 1024 * 1024
 PART_BYTES = 64 * 1024
 # A request that fails over is answered well before its route's limit, 8 s.
 ANSWER_SECONDS = 4.0
@@ -197,7 +199,9 @@
 
 
 class TestEndlessAnswers(unittest.IsolatedAsyncioTestCase):
-    async def _check_answers(self, fleet, service, content, send):
+    async def _check_answers(
+        self, fleet, service, content, send, most_bytes=MAX_BYTES
+    ):
         """Send requests until one met the upstream; return the answers."""
         answers = []
         async with run_endless(fleet, service, *content) as upstream:
@@ -213,7 +217,7 @@
                 while not upstream.seconds:
                     await asyncio.sleep(0.005)
             answers.append(await send())
-            self.assertLess(upstream.most_sent, MAX_BYTES)
+            self.assertLess(upstream.most_sent, most_bytes)
             self.assertLess(max(upstream.seconds), CLOSE_SECONDS)
         return answers
 
@@ -230,6 +234,16 @@
                     )
                     self.assertEqual({item.status for item in answers}, {200})
 
+    async def test_regression_errors_without_end_were_kept_in_memory(self):
+        async with run_fleet() as fleet:
+            await self._check_answers(
+                fleet,
+                'plain',
+                PLAIN['body of an error'],
+                lambda: fleet.call('/safe/a'),
+                MAX_ERROR_BYTES,
+            )
+
     async def test_streams(self):
         for name, content in STREAMS.items():
             async with run_fleet() as fleet:
--- a/tests/support/power_loss/deployment.py
+++ b/tests/support/power_loss/deployment.py
@@ -34,6 +34,7 @@
 from tests.support.power_loss.program import DeployedProgram
 
 END_SECONDS = 20.0
+NANOSECONDS = 1_000_000_000
 CONTRACT = {
     'drain_ms': 3000,
     'grace_s': 8,
@@ -193,17 +194,22 @@
         self._replicas.clear()
 
     def read_processor_seconds(self) -> dict[str, float]:
-        """Return the processor time of the running processes, by part."""
+        """Return the processor time of the running processes, by part.
+
+        Besides, for how long the store has waited for a processor.
+        """
         groups = {
             'routers': self._routers.values(),
             'replicas': self._replicas,
             'callers': self._callers,
             'store': [self._store] if self._store else [],
         }
-        return {
+        seconds = {
             name: round(sum(map(_read_seconds, processes)), 2)
             for name, processes in groups.items()
         }
+        waited = sum(map(_read_waiting_seconds, groups['store']))
+        return {**seconds, 'store waits': round(waited, 2)}
 
     def stop(self) -> None:
         """Kill all processes."""
@@ -255,3 +261,11 @@
     fields = text.rpartition(')')[2].split()
     ticks = int(fields[11]) + int(fields[12])
     return ticks / os.sysconf('SC_CLK_TCK')
+
+
+def _read_waiting_seconds(process: 'subprocess.Popen') -> float:
+    try:
+        text = pathlib.Path(f'/proc/{process.pid}/schedstat').read_text()
+    except OSError:
+        return 0.0
+    return int(text.split()[1]) / NANOSECONDS
--- a/tests/support/power_loss/report.py
+++ b/tests/support/power_loss/report.py
@@ -44,6 +44,7 @@
     'replicas',
     'callers',
     'store',
+    'store waits',
     'reads',
     'writes',
     'refused',
--- a/tests/support/power_loss/soak.py
+++ b/tests/support/power_loss/soak.py
@@ -173,9 +173,9 @@
     async def _sample(self) -> None:
         while True:
             sample = {
-                'second': time.monotonic(),
                 **self._deployment.command_store(),
                 **self._deployment.read_processor_seconds(),
+                'second': time.monotonic(),
             }
             self._records.samples.append(sample)
             await asyncio.sleep(SAMPLE_SECONDS)
