Limits for the silence of others grow with a router's own lateness

What callers saw: on four cores service came and went for 22 s after all routers had returned (RECOVER), as routers found their configuration old. Cause: fixed limits of 0.25, 0.3, 0.5 and 1.1 s for an answer of another router, while each process waits 0.07 to 0.2 s for its turn. A follower took relays that were only late for gone, and read three whole tables itself; 76 of these are more than a store bears that gets a twentieth of a processor. Class, as before: what is late is taken for lost, and ordered again elsewhere. Change: the measured lateness of timers, five times and up to 1.5 s, is added to the limits for a relay's connection, its confirmations (up to 2.1 s in all) and the aggregator's answer. The sorted list of routers is kept until a router comes or goes; it was sorted for each row.

--- a/src/lifttrestle/internal/fleet/lateness_watch.py
+++ b/src/lifttrestle/internal/fleet/lateness_watch.py
@@ -31,6 +31,10 @@
 # A mean above this is logged, at this interval.
 LOGGED_SECONDS = 0.05
 LOG_SECONDS = 1.0
+# A call to another process and its answer wait for both processes several
+# times: to send, to accept, to read.
+WAITS_PER_CALL = 5
+MAX_ALLOWANCE_SECONDS = 1.5
 
 
 class LatenessWatch:
@@ -44,6 +48,10 @@
         self._logged_at = -math.inf
         self.mean = 0.0
 
+    def get_allowance(self) -> float:
+        """Return the seconds by which other processes may answer later."""
+        return min(WAITS_PER_CALL * self.mean, MAX_ALLOWANCE_SECONDS)
+
     async def run(self, ticker: Ticker) -> None:
         """Measure until cancelled."""
         while True:
--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -133,9 +133,12 @@
         )
         self._peers = PeerExchange(state, self._parts, refusals)
         self._peer_loads = self._peers.loads
+        self._peer_loads.choice.get_allowance = self._lateness.get_allowance
         watches = self._watches.list_all()
         self.relay_server = RelayServer(watches, clock)
-        self.relays = RelayFollower(watches, self.roster, clock)
+        self.relays = RelayFollower(
+            watches, self.roster, clock, self._lateness.get_allowance
+        )
         self._dialler = TunnelDialler(self.roster, clock)
         self._directory.make_opener = lambda upstream, direct: UpstreamOpener(
             upstream, direct, self._dialler, clock
--- a/src/lifttrestle/internal/fleet/state/aggregator_choice.py
+++ b/src/lifttrestle/internal/fleet/state/aggregator_choice.py
@@ -12,6 +12,8 @@
 
 """Selects the aggregator to which a router reports its loads."""
 
+from collections.abc import Callable
+
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.fleet.policy.load_exchange import choose_aggregator
 from lifttrestle.internal.fleet.policy.load_exchange import list_aggregators
@@ -28,9 +30,14 @@
 
 
 class AggregatorChoice:
-    """Chooses the aggregator of this router and detects its failure."""
+    """Chooses the aggregator of this router and detects its failure.
+
+    :ivar get_allowance: returns by how many seconds other processes may be
+        late, as this one is.
+    """
 
     def __init__(self, roster: Roster, clock: Clock) -> None:
+        self.get_allowance: Callable[[], float] = lambda: 0.0
         self._roster = roster
         self._clock = clock
         self._chosen = roster.key
@@ -62,7 +69,8 @@
     def _is_silent(self, now: float) -> bool:
         if self._query_since is None:
             return False
-        return now - self._query_since > TIMEOUT_SECONDS
+        timeout = TIMEOUT_SECONDS + self.get_allowance()
+        return now - self._query_since > timeout
 
     def note_query(self) -> None:
         """Record that a query was sent to the chosen router."""
--- a/src/lifttrestle/internal/fleet/state/relay_follower.py
+++ b/src/lifttrestle/internal/fleet/state/relay_follower.py
@@ -19,6 +19,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import math
 
 from lifttrestle.errors import InputRefused
@@ -79,11 +80,18 @@
 
     :param watches: the watches of all tables. Only updates that confirm the
         first one show that a relay works.
+    :param get_allowance: returns by how many seconds other processes may be
+        late, as this one is.
     """
 
     def __init__(
-        self, watches: list[TableWatch], roster: Roster, clock: Clock
+        self,
+        watches: list[TableWatch],
+        roster: Roster,
+        clock: Clock,
+        get_allowance: Callable[[], float] = lambda: 0.0,
     ) -> None:
+        self._get_allowance = get_allowance
         self._watches = {watch.table: watch for watch in watches}
         self._primary_watch = watches[0]
         self._roster = roster
@@ -192,7 +200,7 @@
 
     async def _follow(self, key: str) -> None:
         address = parse_address(self._roster.get_address(key))
-        async with ReadTimeout(CONNECT_SECONDS):
+        async with ReadTimeout(CONNECT_SECONDS + self._get_allowance()):
             reader, writer = await asyncio.open_connection(
                 address.host, address.port
             )
@@ -257,10 +265,11 @@
 
     def _get_timeout(self, now: float) -> float:
         """Return after how long without a confirmation the store is read."""
-        silent_seconds = now - self._last_received_at
-        if silent_seconds > CONFIRMATION_TIMEOUT_SECONDS:
-            return CONFIRMATION_TIMEOUT_SECONDS
-        return CONFIRMATION_TIMEOUT_SECONDS + self._spread_seconds
+        longest = CONFIRMATION_TIMEOUT_SECONDS + LATE_SPREAD_SECONDS
+        seconds = CONFIRMATION_TIMEOUT_SECONDS + self._get_allowance()
+        if now - self._last_received_at <= CONFIRMATION_TIMEOUT_SECONDS:
+            seconds += self._spread_seconds
+        return min(seconds, longest)
 
     def _choose_source(self) -> None:
         now = self._clock.monotonic()
--- a/src/lifttrestle/internal/fleet/state/roster_entries.py
+++ b/src/lifttrestle/internal/fleet/state/roster_entries.py
@@ -64,6 +64,8 @@
         self._entries: dict[str, RosterEntry] = {}
         # Lower bound of ``seen_at`` of the other routers' rows.
         self._oldest_seen_at = math.inf
+        # All keys and that of this router, sorted; None if not known.
+        self._sorted: list[str] | None = None
         # Versions of other routers' undeleted rows, by key.
         self._undeleted: dict[str, int] = {}
 
@@ -92,9 +94,16 @@
         return self._entries.items()
 
     def list_live(self, current_as_of: float) -> list[str]:
-        """Return the sorted keys of this router and those not stale."""
-        fresh = set(self._entries) - set(self.list_stale(current_as_of))
-        return sorted({*fresh, self._own_key})
+        """Return the sorted keys of this router and those not stale.
+
+        The list must not be changed.
+        """
+        if self._sorted is None:
+            self._sorted = sorted({*self._entries, self._own_key})
+        stale = set(self.list_stale(current_as_of))
+        if not stale:
+            return self._sorted
+        return [key for key in self._sorted if key not in stale]
 
     def list_stale(self, current_as_of: float) -> list[str]:
         """Return the keys of the other routers whose rows are stale."""
@@ -136,11 +145,14 @@
 
     def _put(self, key: str, entry: RosterEntry) -> None:
         self._oldest_seen_at = min(self._oldest_seen_at, entry.seen_at)
+        if key not in self._entries:
+            self._sorted = None
         self._entries[key] = entry
 
     def remove(self, key: str) -> None:
         """Remove the entry of a router, if there is one."""
-        self._entries.pop(key, None)
+        if self._entries.pop(key, None) is not None:
+            self._sorted = None
 
     def _keep_lost(self, key: str, current_as_of: float) -> None:
         """Keep counting a router whose row is lost, for the grace period.
--- a/tests/nocover/test_power_loss_soak.py
+++ b/tests/nocover/test_power_loss_soak.py
@@ -89,12 +89,17 @@
     parser.add_argument('--routers', type=int, default=SMALL.routers)
     parser.add_argument('--load', type=float, default=SMALL.load)
     parser.add_argument('--cores', type=int, default=0)
+    parser.add_argument('--first-core', type=int, default=0)
     parser.add_argument('--folder', type=pathlib.Path)
     parser.add_argument('--calm', action='store_true', help='one loss only')
     parser.add_argument('--delay', type=float, help='of the store')
     options = parser.parse_args()
     layout = dataclasses.replace(
-        SMALL, routers=options.routers, load=options.load, cores=options.cores
+        SMALL,
+        routers=options.routers,
+        load=options.load,
+        cores=options.cores,
+        first_core=options.first_core,
     )
     if options.routers > SMALL.routers:
         layout = dataclasses.replace(
--- a/tests/support/power_loss/deployment.py
+++ b/tests/support/power_loss/deployment.py
@@ -163,8 +163,10 @@
             env={**(environment or os.environ), 'PYTHONUNBUFFERED': '1'},
             **options,
         )
+        first = self.layout.first_core
         if self.layout.cores:
-            os.sched_setaffinity(process.pid, range(self.layout.cores))
+            cores = range(first, first + self.layout.cores)
+            os.sched_setaffinity(process.pid, cores)
         return process
 
     def start_routers(self, names: list[str] | None = None) -> None:
--- a/tests/support/power_loss/layout.py
+++ b/tests/support/power_loss/layout.py
@@ -77,6 +77,7 @@
     :ivar cap_factor: caps of the workspaces, relative to their usual use.
     :ivar cap_floor: least cap, in tokens a second.
     :ivar cores: number of processor cores that all processes share, 0 for all.
+    :ivar first_core: the first of these.
     """
 
     network: str
@@ -95,6 +96,7 @@
     caller_processes: int = CALLER_PROCESSES
     replica_processes: int = REPLICA_PROCESSES
     cores: int = 0
+    first_core: int = 0
 
     @property
     def store_address(self) -> str:
