Most followers stay with relays that wait for the store

Cause: a relay told that it waits only as a read became late, so its followers heard nothing for up to 2 s, took it for silent and read the store themselves; and in a longer lateness all of them did. Change: a relay that waits tells so each 0.4 s. While it does, a quarter of the followers read the store after 1.1 to 2.1 s without a confirmation, the others after 2.9 to 3.6 s, while theirs still lets them serve. ReadTurns decides when a watch may read (out of table_watch.py); a router that follows a relay again while it waited for its turn reads no more, and late reads end with the watch.

--- a/src/lifttrestle/internal/fleet/process.py
+++ b/src/lifttrestle/internal/fleet/process.py
@@ -272,6 +272,7 @@
         )
         self._control_tasks.start(
             self.relays.run(self.ticker),
+            self.relay_server.run(self.ticker),
             *(watch.run() for watch in self._watches.list_all()),
             self.roster.run(),
             self._weights_loader.run(self.ticker),
--- a/src/lifttrestle/internal/fleet/state/late_reads.py
+++ b/src/lifttrestle/internal/fleet/state/late_reads.py
@@ -17,10 +17,6 @@
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
 LOG = get_event_log('watch')
-# With the next read, twice as many calls as in time: that shows whether only
-# the connection of the late one is silent. More would keep a store late that
-# does not bear them.
-MAX_LATE_READS = 1
 
 
 class LateReads:
--- a/src/lifttrestle/internal/fleet/state/relay_follower.py
+++ b/src/lifttrestle/internal/fleet/state/relay_follower.py
@@ -57,10 +57,14 @@
 # this long the router reads the store itself, as a change must be in force
 # within 2 s.
 CONFIRMATION_TIMEOUT_SECONDS = 1.1
-# Added, in part, while a relay tells that it waits for the store itself: if
-# all followers read the store too, it gets later. A configuration as old as
-# both together still lets a router accept connections.
-LATE_SPREAD_SECONDS = 1.0
+# Added while a relay tells that it waits for the store too. If all followers
+# read the store, that gets later, so this share does soon, one after the
+# other; a configuration as old as that still lets a router accept connections.
+# The others wait for as long as theirs lets them serve.
+PROBING_SHARE = 0.25
+PROBING_SPREAD_SECONDS = 1.0
+RELYING_SECONDS = 1.8
+RELYING_SPREAD_SECONDS = 0.7
 POLL_SECONDS = 0.2
 # A starting router requests the tables from relays, and reads them itself if
 # it receives nothing for this long. When each router read each table and sent
@@ -75,6 +79,17 @@
 RENEW_SECONDS = 30.0
 
 
+def compute_patience(share: float) -> float:
+    """Return for how much longer a follower relies on relays that wait.
+
+    :param share: evenly spread over routers, 0 to 1.
+    """
+    if share < PROBING_SHARE:
+        return PROBING_SPREAD_SECONDS * share / PROBING_SHARE
+    rest = (share - PROBING_SHARE) / (1 - PROBING_SHARE)
+    return RELYING_SECONDS + RELYING_SPREAD_SECONDS * rest
+
+
 class RelayFollower:
     """Keeps this router's tables current through relays where possible.
 
@@ -101,7 +116,7 @@
         self._last_confirmed_at = -math.inf
         # When a relay sent something last, which need not confirm anything.
         self._last_received_at = -math.inf
-        self._spread_seconds = LATE_SPREAD_SECONDS * draw_share(roster.key)
+        self._patience = compute_patience(draw_share(roster.key))
         # The last ranked list of routers, and the relays among them.
         self._ranked: list[str] = []
         self._relays: list[str] = []
@@ -265,11 +280,15 @@
 
     def _get_timeout(self, now: float) -> float:
         """Return after how long without a confirmation the store is read."""
-        longest = CONFIRMATION_TIMEOUT_SECONDS + LATE_SPREAD_SECONDS
-        seconds = CONFIRMATION_TIMEOUT_SECONDS + self._get_allowance()
-        if now - self._last_received_at <= CONFIRMATION_TIMEOUT_SECONDS:
-            seconds += self._spread_seconds
-        return min(seconds, longest)
+        allowance = self._get_allowance()
+        silent_seconds = now - self._last_received_at
+        patience = 0.0
+        if silent_seconds <= CONFIRMATION_TIMEOUT_SECONDS + allowance:
+            patience = self._patience
+        longest = max(PROBING_SPREAD_SECONDS, patience)
+        return CONFIRMATION_TIMEOUT_SECONDS + min(
+            patience + allowance, longest
+        )
 
     def _choose_source(self) -> None:
         now = self._clock.monotonic()
--- a/src/lifttrestle/internal/fleet/state/relay_server.py
+++ b/src/lifttrestle/internal/fleet/state/relay_server.py
@@ -17,6 +17,7 @@
 
 from lifttrestle.errors import InputRefused
 from lifttrestle.internal.clock.clock import Clock
+from lifttrestle.internal.clock.ticker import Ticker
 from lifttrestle.internal.fleet.state.relay_messages import build_empty_update
 from lifttrestle.internal.fleet.state.relay_messages import build_update
 from lifttrestle.internal.fleet.state.relay_messages import encode_frame
@@ -35,6 +36,8 @@
 MAX_UNREAD_BYTES = 512 * 1024
 # A relay has some 30 followers, more while other relays are unavailable.
 MAX_FOLLOWERS = 100
+# Interval of telling followers that there is nothing to tell yet.
+WAITING_SECONDS = 0.4
 
 
 @dataclasses.dataclass(eq=False)
@@ -53,16 +56,20 @@
 
 
 class RelayServer:
-    """Sends an update to each follower after each update of a copy."""
+    """Sends an update to each follower after each update of a copy.
+
+    :param watches: of all tables; while the first one does not reach the
+        store, followers are told that this router waits for it.
+    """
 
     def __init__(self, watches: list[TableWatch], clock: Clock) -> None:
+        self._primary_watch = watches[0]
         self._watches = {watch.table: watch for watch in watches}
         self._clock = clock
         self._followers: set[Follower] = set()
         self._listener = ConnectionListener(self._serve)
         for watch in watches:
             watch.add_observer(self._send_to_all)
-            watch.add_lateness_observer(self._send_to_all)
 
     @property
     def followers(self) -> int:
@@ -77,6 +84,14 @@
         """Stop listening and disconnect every follower."""
         await self._listener.close()
 
+    async def run(self, ticker: Ticker) -> None:
+        """Tell followers that this router waits, until cancelled."""
+        while True:
+            await ticker.wait(WAITING_SECONDS)
+            watch = self._primary_watch
+            if watch.lost or not watch.copy.loaded:
+                self._send_to_all(watch)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/src/lifttrestle/internal/fleet/state/table_watch.py
+++ b/src/lifttrestle/internal/fleet/state/table_watch.py
@@ -25,8 +25,8 @@
 from lifttrestle.errors import PlatformUnavailable
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.clock.read_timeout import ReadTimeout
-from lifttrestle.internal.fleet.state.late_reads import LateReads
-from lifttrestle.internal.fleet.state.late_reads import MAX_LATE_READS
+from lifttrestle.internal.fleet.state.read_turns import ReadLeader
+from lifttrestle.internal.fleet.state.read_turns import ReadTurns
 from lifttrestle.internal.fleet.state.restore_policy import RestorePolicy
 from lifttrestle.internal.fleet.state.row_version import format_version
 from lifttrestle.internal.fleet.state.row_version import get_epoch
@@ -47,13 +47,9 @@
 # A read that takes longer, apart from the time that the store waits for a
 # change, is late: the next one is sent, on another connection.
 LATE_SECONDS = 0.8
-# A router whose configuration is older serves soon nobody, whatever else it
-# knows.
-LEADER_AGE_SECONDS = 3.0
-LEADER_POLL_SECONDS = 0.1
 
 
-class TableWatch:
+class TableWatch(ReadLeader):
     """Follows one table and calls a listener for each change.
 
     :param wait_seconds: how long the store waits for a change before it
@@ -81,22 +77,16 @@
         policy: RestorePolicy | None = None,
     ) -> None:
         self._store = store
-        self._eager = eager
         self._table = table
         self._clock = clock
         self._source = source
         self._wait_seconds = wait_seconds
         self._batch_seconds = batch_seconds
         self._history_gone = False
-        self._direct = asyncio.Event()
-        if eager:
-            self._direct.set()
         self._reading: asyncio.Task[bool] | None = None
-        self._late_reads = LateReads(table)
-        self._leader: TableWatch | None = None
+        self._turns = ReadTurns(table, clock, eager=eager)
         self._dependants: list[TableWatch] = []
         self._observers: list[Callable[[TableWatch], None]] = []
-        self._lateness_observers: list[Callable[[TableWatch], None]] = []
         self.copy = TableCopy(table, clock, listener, policy)
         self._contact = StoreContact(table, clock)
 
@@ -130,20 +120,14 @@
     def set_direct_reads(self, directly: bool) -> None:
         """Read the store if ``directly``, else rely on other routers."""
         if directly:
-            self._direct.set()
+            self._turns.direct.set()
         else:
-            self._direct.clear()
+            self._turns.direct.clear()
 
     def add_observer(self, observer: 'Callable[[TableWatch], None]') -> None:
         """Call ``observer`` after each successful read or relayed update."""
         self._observers.append(observer)
 
-    def add_lateness_observer(
-        self, observer: 'Callable[[TableWatch], None]'
-    ) -> None:
-        """Call ``observer`` whenever a read failed or is late."""
-        self._lateness_observers.append(observer)
-
     def apply_relayed(
         self, update: CopyUpdate, current_as_of: float, after_outage: bool
     ) -> None:
@@ -182,50 +166,50 @@
         copy of ``other`` is out of date.
         """
         other._dependants.append(self)
-        self._leader = other
+        self._turns.leader = other
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
         pause = FIRST_PAUSE_SECONDS
-        while True:
-            if self.copy.loaded or not self._eager:
-                await self._direct.wait()
-            await self._wait_for_turn()
-            self._reading = asyncio.create_task(self.read_once())
-            try:
-                await asyncio.wait({self._reading}, timeout=self._get_limit())
-            except asyncio.CancelledError:
-                self._reading.cancel()
-                self._late_reads.cancel()
-                raise
-            if not self._reading.done():
-                self._late_reads.add(self._reading)
-                pending = len(self._late_reads)
-                self._note_lost(
-                    f'no answer for {LATE_SECONDS} s, {pending} reads late'
-                )
-                continue
-            try:
-                has_changes = (
-                    not self._reading.cancelled() and self._reading.result()
-                )
-                pause = FIRST_PAUSE_SECONDS
-                if has_changes and self._batch_seconds:
-                    await self._clock.sleep(self._batch_seconds)
-            except PlatformUnavailable as error:
-                self._note_lost(str(error))
-                await self._clock.sleep(pause * self._source.uniform(0.5, 1.0))
-                pause = min(pause * 2, MAX_PAUSE_SECONDS)
-
-    async def _wait_for_turn(self) -> None:
-        """Leave the store to the leader while that does not reach it."""
-        leader = self._leader
-        if leader is None or not leader.lost:
-            await self._late_reads.wait_for_room(MAX_LATE_READS)
+        try:
+            while True:
+                await self._turns.wait()
+                if not await self._start_read():
+                    continue
+                try:
+                    await self._finish_read()
+                    pause = FIRST_PAUSE_SECONDS
+                except PlatformUnavailable as error:
+                    self._note_lost(str(error))
+                    await self._clock.sleep(
+                        pause * self._source.uniform(0.5, 1.0)
+                    )
+                    pause = min(pause * 2, MAX_PAUSE_SECONDS)
+        finally:
+            self.restart()
+
+    async def _start_read(self) -> bool:
+        """Send a read; return whether it ended in time."""
+        reading = asyncio.create_task(self.read_once())
+        self._reading = reading
+        await asyncio.wait({reading}, timeout=self._get_limit())
+        if reading.done():
+            return True
+        late = self._turns.late
+        late.add(reading)
+        self._note_lost(f'no answer for {LATE_SECONDS} s, {len(late)} late')
+        return False
+
+    async def _finish_read(self) -> None:
+        """Pause after a read with changes.
+
+        :raises PlatformUnavailable: if it failed.
+        """
+        reading = self._reading
+        if reading is None or reading.cancelled():
             return
-        await self._late_reads.wait_for_room(0)
-        while leader.lost and leader.get_age() > LEADER_AGE_SECONDS:
-            await self._clock.sleep(LEADER_POLL_SECONDS)
+        if reading.result() and self._batch_seconds:
+            await self._clock.sleep(self._batch_seconds)
 
     def _get_limit(self, *, waiting: bool = True) -> float:
         """Return the seconds after which a read that starts now is late."""
@@ -291,7 +275,7 @@
 
     def restart(self) -> None:
         """Cancel the pending read and send another."""
-        self._late_reads.cancel()
+        self._turns.late.cancel()
         if self._reading is not None:
             self._reading.cancel()
 
@@ -304,6 +288,8 @@
             else self.copy.apply_changes
         )
         apply(update.changes, current_as_of)
+        if self.copy.loaded:
+            self._turns.note_loaded()
         if previous_version != NO_ROW:
             self._note_epoch_change(previous_version, age)
         for observer in self._observers:
@@ -333,8 +319,6 @@
 
     def _note_lost(self, reason: str) -> None:
         self._contact.note_lost(self.get_age(), reason)
-        for observer in self._lateness_observers:
-            observer(self)
 
     def _note_regained(self) -> None:
         if self._contact.note_regained(self.copy.version):
