Patience with late relays is a decision of its own; small fleets have none

Cause: fifteen routers or fewer are no load for a store, but their lists would be up to 3.6 s old while both relays are cut off from the store. Change: policy/relay_patience.py, without I/O; fleets of up to 15 routers leave late relays after 1.1 s as before. A try that reverted: the store's time limits grow with the own lateness too.

--- a/src/lifttrestle/internal/fleet/state/relay_follower.py
+++ b/src/lifttrestle/internal/fleet/state/relay_follower.py
@@ -27,6 +27,7 @@
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.clock.read_timeout import ReadTimeout
 from lifttrestle.internal.clock.ticker import Ticker
+from lifttrestle.internal.fleet.policy import relay_patience
 from lifttrestle.internal.fleet.state.relay_messages import encode_frame
 from lifttrestle.internal.fleet.state.relay_messages import extract_update
 from lifttrestle.internal.fleet.state.relay_messages import MAX_UPDATE_BYTES
@@ -56,15 +57,6 @@
 # Relays confirm the operator's table every 0.7 s. Without a confirmation for
 # this long the router reads the store itself, as a change must be in force
 # within 2 s.
-CONFIRMATION_TIMEOUT_SECONDS = 1.1
-# Added while a relay tells that it waits for the store too. If all followers
-# read the store, that gets later, so this share does soon, one after the
-# other; a configuration as old as that still lets a router accept connections.
-# The others wait for as long as theirs lets them serve.
-PROBING_SHARE = 0.25
-PROBING_SPREAD_SECONDS = 1.0
-RELYING_SECONDS = 1.8
-RELYING_SPREAD_SECONDS = 0.7
 POLL_SECONDS = 0.2
 # A starting router requests the tables from relays, and reads them itself if
 # it receives nothing for this long. When each router read each table and sent
@@ -79,17 +71,6 @@
 RENEW_SECONDS = 30.0
 
 
-def compute_patience(share: float) -> float:
-    """Return for how much longer a follower relies on relays that wait.
-
-    :param share: evenly spread over routers, 0 to 1.
-    """
-    if share < PROBING_SHARE:
-        return PROBING_SPREAD_SECONDS * share / PROBING_SHARE
-    rest = (share - PROBING_SHARE) / (1 - PROBING_SHARE)
-    return RELYING_SECONDS + RELYING_SPREAD_SECONDS * rest
-
-
 class RelayFollower:
     """Keeps this router's tables current through relays where possible.
 
@@ -116,7 +97,9 @@
         self._last_confirmed_at = -math.inf
         # When a relay sent something last, which need not confirm anything.
         self._last_received_at = -math.inf
-        self._patience = compute_patience(draw_share(roster.key))
+        self._patience = relay_patience.compute_patience(
+            draw_share(roster.key)
+        )
         # The last ranked list of routers, and the relays among them.
         self._ranked: list[str] = []
         self._relays: list[str] = []
@@ -126,7 +109,9 @@
         """Follow relays, and read the store directly while none works."""
         started_at = self._clock.monotonic()
         self._last_confirmed_at = (
-            started_at - CONFIRMATION_TIMEOUT_SECONDS + START_TIMEOUT_SECONDS
+            started_at
+            - relay_patience.DEFAULT_TIMEOUT_SECONDS
+            + START_TIMEOUT_SECONDS
         )
         try:
             while True:
@@ -280,14 +265,11 @@
 
     def _get_timeout(self, now: float) -> float:
         """Return after how long without a confirmation the store is read."""
-        allowance = self._get_allowance()
-        silent_seconds = now - self._last_received_at
-        patience = 0.0
-        if silent_seconds <= CONFIRMATION_TIMEOUT_SECONDS + allowance:
-            patience = self._patience
-        longest = max(PROBING_SPREAD_SECONDS, patience)
-        return CONFIRMATION_TIMEOUT_SECONDS + min(
-            patience + allowance, longest
+        return relay_patience.get_timeout(
+            self._patience,
+            self._get_allowance(),
+            now - self._last_received_at,
+            len(self._roster.routers),
         )
 
     def _choose_source(self) -> None:
