Notice of a relay that waits has no effect on followers of the release before

Cause (read): the notice was an update after an outage; a follower that runs the release before takes it for the end of one and restarts its own reads of the other tables each 0.4 s, so these would not end beside a store that takes longer than that. Change: the notice carries no rows, no outage and a time that confirms nothing; followers of this release note only that the relay lives.

--- a/src/lifttrestle/internal/fleet/state/relay_follower.py
+++ b/src/lifttrestle/internal/fleet/state/relay_follower.py
@@ -31,6 +31,7 @@
 from lifttrestle.internal.fleet.state.relay_messages import encode_frame
 from lifttrestle.internal.fleet.state.relay_messages import extract_update
 from lifttrestle.internal.fleet.state.relay_messages import MAX_UPDATE_BYTES
+from lifttrestle.internal.fleet.state.relay_messages import NOTHING_CONFIRMED
 from lifttrestle.internal.fleet.state.relay_messages import read_frame
 from lifttrestle.internal.fleet.state.relay_messages import SubscribeRequest
 from lifttrestle.internal.fleet.state.relay_messages import TableUpdate
@@ -244,6 +245,8 @@
         if watch is None or not 0 <= message.request < len(sent_at):
             LOG.warning('relay.unexpected', table=message.table)
             return
+        if message.as_of_offset == NOTHING_CONFIRMED:
+            return
         current_as_of = sent_at[message.request] + message.as_of_offset
         if not current_as_of <= self._clock.monotonic():
             # Revoked keys would be accepted until that time.
--- a/src/lifttrestle/internal/fleet/state/relay_messages.py
+++ b/src/lifttrestle/internal/fleet/state/relay_messages.py
@@ -17,7 +17,6 @@
 
 import msgspec
 
-from lifttrestle.internal.fleet.state.rows import NO_ROW
 from lifttrestle.internal.fleet.state.rows import RowChanges
 from lifttrestle.internal.fleet.state.rows import VersionedRow
 from lifttrestle.internal.fleet.state.table_copy import CopyUpdate
@@ -27,6 +26,8 @@
 MAX_UPDATE_BYTES = 16 * 1024 * 1024
 # A request holds a version for each of a few tables.
 MAX_REQUEST_BYTES = 4 * 1024
+# The offset of an update that confirms nothing.
+NOTHING_CONFIRMED = -math.inf
 
 
 class SubscribeRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -94,9 +95,14 @@
     )
 
 
-def build_empty_update(request: int, table: str) -> TableUpdate:
-    """Return the message of a relay that has not read the table itself."""
-    return TableUpdate(request, table, NO_ROW, -math.inf, False, False, [])
+def build_wait_notice(request: int, table: str, version: int) -> TableUpdate:
+    """Return the message of a relay that waits for the store itself.
+
+    It confirms nothing.
+    """
+    return TableUpdate(
+        request, table, version, NOTHING_CONFIRMED, False, False, []
+    )
 
 
 def extract_update(message: TableUpdate) -> CopyUpdate:
--- a/src/lifttrestle/internal/fleet/state/relay_server.py
+++ b/src/lifttrestle/internal/fleet/state/relay_server.py
@@ -18,8 +18,8 @@
 from lifttrestle.errors import InputRefused
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.clock.ticker import Ticker
-from lifttrestle.internal.fleet.state.relay_messages import build_empty_update
 from lifttrestle.internal.fleet.state.relay_messages import build_update
+from lifttrestle.internal.fleet.state.relay_messages import build_wait_notice
 from lifttrestle.internal.fleet.state.relay_messages import encode_frame
 from lifttrestle.internal.fleet.state.relay_messages import MAX_REQUEST_BYTES
 from lifttrestle.internal.fleet.state.relay_messages import read_frame
@@ -90,7 +90,17 @@
             await ticker.wait(WAITING_SECONDS)
             watch = self._primary_watch
             if watch.lost or not watch.copy.loaded:
-                self._send_to_all(watch)
+                for follower in self._followers:
+                    self._tell_waiting(follower)
+
+    def _tell_waiting(self, follower: Follower) -> None:
+        if follower.request is None:
+            return
+        watch = self._primary_watch
+        message = build_wait_notice(
+            follower.request.number, watch.table, watch.copy.version
+        )
+        follower.writer.write(encode_frame(message))
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -117,13 +127,15 @@
         follower.versions = dict(request.versions)
         for watch in self._watches.values():
             self._send_update(follower, watch)
+        if not self._primary_watch.copy.loaded:
+            self._tell_waiting(follower)
 
     def _send_to_all(self, watch: TableWatch) -> None:
         for follower in list(self._followers):
             self._send_update(follower, watch)
 
     def _send_update(self, follower: Follower, watch: TableWatch) -> None:
-        if follower.request is None:
+        if follower.request is None or not watch.copy.loaded:
             return
         transport = follower.writer.transport
         if transport.get_write_buffer_size() > MAX_UNREAD_BYTES:
@@ -131,10 +143,6 @@
             transport.abort()
             return
         table = watch.table
-        if not watch.copy.loaded:
-            message = build_empty_update(follower.request.number, table)
-            follower.writer.write(encode_frame(message))
-            return
         update = watch.copy.list_since(follower.versions.get(table, 0))
         message = build_update(
             follower.request.number,
--- a/tests/cover/test_relay_follower.py
+++ b/tests/cover/test_relay_follower.py
@@ -27,6 +27,7 @@
 from lifttrestle.internal.fleet.state.relay_follower import POLL_SECONDS
 from lifttrestle.internal.fleet.state.relay_follower import RELAY_RANKING_KEY
 from lifttrestle.internal.fleet.state.relay_follower import RelayFollower
+from lifttrestle.internal.fleet.state.relay_messages import build_wait_notice
 from lifttrestle.internal.fleet.state.relay_messages import TableUpdate
 from lifttrestle.internal.fleet.state.roster import Roster
 from lifttrestle.internal.fleet.state.router_row import RouterRow
@@ -134,3 +135,11 @@
             TableUpdate(0, 't', 1, -0.5, False, True, []), sent_at
         )
         self.assertEqual(self.watch.current_as_of, sent_at[0] - 0.5)
+
+    async def test_notice_of_a_waiting_relay_confirms_nothing(self):
+        sent_at = [self.clock.monotonic()]
+        await self.watch.read_once()
+        self.watch.add_observer(self.fail)
+        self.clock.advance(0.5)
+        self.follower._apply_update(build_wait_notice(0, 't', 1), sent_at)
+        self.assertEqual(self.watch.get_age(), 0.5)
