--- a/tests/run.py
+++ b/tests/run.py
@@ -18,6 +18,7 @@
 that the list stays correct.
 """
 
+from collections.abc import Iterator
 import logging
 import pathlib
 import sys
@@ -31,6 +32,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_FAILURES = ROOT / 'KNOWN-RED.txt'
 SLOWEST_SHOWN = 5
+ISOLATED = 'tests.isolated.'
 
 
 class TimedResult(unittest.TextTestResult):
@@ -73,6 +75,27 @@
     return getattr(test, 'test_case', test).id()
 
 
+def load_all(loader: unittest.TestLoader) -> unittest.TestSuite:
+    """Return all tests; those that need the machine for themselves are last.
+
+    They run one at a time, when nothing of the others is left.
+    """
+    found = loader.discover(str(ROOT / 'tests'), top_level_dir=str(ROOT))
+    tests = sorted(
+        list_tests(found), key=lambda test: test.id().startswith(ISOLATED)
+    )
+    return unittest.TestSuite(tests)
+
+
+def list_tests(suite: unittest.TestSuite) -> Iterator[unittest.TestCase]:
+    """Yield the tests of a suite and of all suites in it, in order."""
+    for item in suite:
+        if isinstance(item, unittest.TestSuite):
+            yield from list_tests(item)
+        else:
+            yield item
+
+
 def main(names: list[str]) -> int:
     """Run the named tests, by default all; return the exit code."""
     # Keeps log output of the code under test out of the report.
@@ -81,7 +104,7 @@
     if names:
         suite = loader.loadTestsFromNames(names)
     else:
-        suite = loader.discover(str(ROOT / 'tests'), top_level_dir=str(ROOT))
+        suite = load_all(loader)
     runner = unittest.TextTestRunner(resultclass=TimedResult, verbosity=1)
     result = runner.run(suite)
     assert isinstance(result, TimedResult)
