One bound for all that callers make a process hold

What callers saw: crowds of callers with unfinished bodies, requests sent ahead or answers that they do not read took a router over the memory of its machine, where it is killed, with the requests of everybody else.

The bound on answers of upstreams ended when they were received.

Change: MemoryBudget counts what every connection holds at the moment when the bound is exceeded, and answers of upstreams with it. What makes no headway gives way first, the large before the small, never a request that runs: an incomplete request is refused with 503 and Retry-After, as not run, a caller that does not take its answers is cut off. Complete bodies may take three quarters, so that there is room for those that arrive. Reads of callers are 8 KiB for heads and 16 KiB for bodies into one buffer of the server; requests sent ahead stay in the socket; large answers and bodies are sent in parts. The bound is 0.15 of the machine's memory as before, 64 MB if that is not known, and http.memory_bytes at 'lifttrestle router'.

The reader and the writer of a caller's connection are now one protocol, so tests that reach into a connection use its name; what they check is the same. Gauges received_answers_bytes and answers_given_up are held_bytes and given_way now.

--- a/src/lifttrestle/internal/fleet/listeners.py
+++ b/src/lifttrestle/internal/fleet/listeners.py
@@ -38,11 +38,17 @@
     def __init__(self, parts: FleetParts, readiness: ReadinessHandler) -> None:
         self._parts = parts
         self.callers = HttpServer(
-            RequestHandler(parts).handle, _make_limits(None)
+            RequestHandler(parts).handle,
+            _make_limits(None),
+            memory=parts.memory,
+        )
+        self._readiness = HttpServer(
+            readiness.handle, _make_limits(None), memory=parts.memory
         )
-        self._readiness = HttpServer(readiness.handle, _make_limits(None))
         metrics = MetricsHandler(parts.metrics, parts.limits, parts.clock)
-        self._metrics = HttpServer(metrics.handle, _make_limits(None))
+        self._metrics = HttpServer(
+            metrics.handle, _make_limits(None), memory=parts.memory
+        )
         self.callers_address = Address('', 0)
         self.ready_address = Address('', 0)
 
--- a/src/lifttrestle/internal/fleet/parts.py
+++ b/src/lifttrestle/internal/fleet/parts.py
@@ -39,7 +39,7 @@
 from lifttrestle.internal.fleet.state.workspace_use import WorkspaceUse
 from lifttrestle.internal.fleet.streams.origins import StreamOrigins
 from lifttrestle.internal.fleet.usage.ledger import UsageLedger
-from lifttrestle.internal.http.body_budget import BodyBudget
+from lifttrestle.internal.http.memory_budget import MemoryBudget
 from lifttrestle.internal.telemetry.fleet_metrics import FleetMetrics
 
 
@@ -78,7 +78,7 @@
     :ivar engine_speeds: how slow single upstreams are.
     :ivar started_at: when this process started, in monotonic seconds.
     :ivar workspace_use: engine time of the workspaces with a cap.
-    :ivar bodies: memory of the answers that are being received.
+    :ivar memory: bound on what callers and answers make the process hold.
     """
 
     settings: FleetSettings
@@ -124,16 +124,17 @@
             self.clock, lambda: self.roster.live, lambda: self.view.caps
         )
         self.news_sources.append(self.workspace_use)
-        self.bodies = BodyBudget(self.settings.bodies_bytes)
+        self.memory = MemoryBudget(self.settings.memory_bytes)
         self.metrics.add_gauge(
-            'received_answers_bytes',
-            'Answers that are being received.',
-            lambda: self.bodies.held,
+            'held_bytes',
+            'Requests and answers that are held for callers.',
+            lambda: self.memory.held,
         )
         self.metrics.add_gauge(
-            'answers_given_up',
-            'Answers that had to give way to others, since the start.',
-            lambda: self.bodies.given_up,
+            'given_way',
+            'Requests, answers and callers that had to give way to others,'
+            ' since the start.',
+            lambda: self.memory.given_way,
         )
 
     def get_pace(self, service: str) -> EnginePace:
--- a/src/lifttrestle/internal/fleet/path/answer_forwarding.py
+++ b/src/lifttrestle/internal/fleet/path/answer_forwarding.py
@@ -32,7 +32,7 @@
 from lifttrestle.internal.fleet.state.upstream import FleetUpstream
 from lifttrestle.internal.fleet.streams.binding import StreamBinding
 from lifttrestle.internal.http.answer import Answer
-from lifttrestle.internal.http.body_budget import BodyHold
+from lifttrestle.internal.http.memory_budget import AnswerHold
 from lifttrestle.internal.http.server_connection import ServerConnection
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
@@ -45,7 +45,7 @@
 
 @contextlib.contextmanager
 def _explain_given_up(
-    upstream: FleetUpstream, hold: BodyHold
+    upstream: FleetUpstream, hold: AnswerHold
 ) -> Iterator[None]:
     """Tell an end by this router from one by the upstream.
 
@@ -149,7 +149,7 @@
             lambda: self._binding.note_begun(upstream),
         )
         self._progress.apply(RequestEvent.ANSWER)
-        with parts.bodies.hold(answer.connection.close) as hold:
+        with parts.memory.hold(answer.connection.close) as hold:
             with _explain_given_up(upstream, hold):
                 await self._forward_parts(
                     upstream, answer, inactivity_timeout, hold
@@ -161,7 +161,7 @@
         upstream: FleetUpstream,
         answer: UpstreamAnswer,
         inactivity_timeout: InactivityTimeout,
-        hold: BodyHold,
+        hold: AnswerHold,
     ) -> None:
         while data := await read_with_timeout(
             self._parts.clock,
@@ -202,7 +202,7 @@
         """
         failed = answer.facts.status >= FIRST_SERVER_ERROR
         limit = MAX_FAILURE_BYTES if failed else MAX_ANSWER_BYTES
-        with self._parts.bodies.hold(answer.connection.close) as hold:
+        with self._parts.memory.hold(answer.connection.close) as hold:
             with _explain_given_up(upstream, hold):
                 return await answer.connection.read_body(limit, hold)
 
--- a/src/lifttrestle/internal/fleet/settings.py
+++ b/src/lifttrestle/internal/fleet/settings.py
@@ -14,7 +14,7 @@
 
 import dataclasses
 
-DEFAULT_BODIES_BYTES = 64 * 1024 * 1024
+from lifttrestle.internal.http.memory_budget import DEFAULT_MEMORY_BYTES
 
 
 @dataclasses.dataclass(frozen=True)
@@ -71,7 +71,8 @@
     :ivar tunnels_address: address for the tunnels of the other routers, or an
         empty string.
     :ivar heartbeat_seconds: heartbeat interval of an upstream.
-    :ivar bodies_bytes: memory for all answers that are being received.
+    :ivar memory_bytes: memory for all that callers and answers of upstreams
+        make the router hold.
     """
 
     vm: str
@@ -84,4 +85,4 @@
     heartbeat_seconds: float
     store: StoreSettings
     promises: Promises
-    bodies_bytes: int = DEFAULT_BODIES_BYTES
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
--- a/src/lifttrestle/internal/http/byte_stream.py
+++ b/src/lifttrestle/internal/http/byte_stream.py
@@ -17,11 +17,13 @@
 import ssl
 
 from lifttrestle.internal.http.address import Address
+from lifttrestle.internal.http.receive_buffer import ReceiveBuffer
 from lifttrestle.internal.http.stream import Stream
 
-# Reading from the socket pauses while more unread bytes are buffered, so that
+# Reading from the socket pauses while so many bytes are unread, so that
 # TCP flow control slows the peer down.
-MAX_BUFFER_BYTES = 64 * 1024
+MAX_BUFFER_BYTES = 32 * 1024
+_RECEIVE_BUFFER = ReceiveBuffer(MAX_BUFFER_BYTES)
 # TCP_USER_TIMEOUT: the kernel closes a connection whose sent bytes stay
 # unacknowledged for this long, as when the peer's host has lost its power or
 # its network link.
@@ -35,7 +37,7 @@
 KEEPALIVE_PROBES = 2
 
 
-class ByteStream(asyncio.Protocol, Stream):
+class ByteStream(asyncio.BufferedProtocol, Stream):
     """Reads and writes one TCP connection.
 
     Only one task may read, and one may write, at a time.
@@ -83,10 +85,14 @@
         self._transport = transport
         set_tcp_timeouts(transport)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where to receive bytes, no more than may be buffered."""
+        return _RECEIVE_BUFFER.get_part(MAX_BUFFER_BYTES - len(self._buffer))
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Buffer received bytes, and pause reading if the buffer is full."""
-        self._buffer += data
-        if len(self._buffer) > MAX_BUFFER_BYTES and not self._reading_paused:
+        self._buffer += _RECEIVE_BUFFER.get_part(nbytes)
+        if len(self._buffer) >= MAX_BUFFER_BYTES and not self._reading_paused:
             self._reading_paused = True
             self._get_transport().pause_reading()
         _wake(self._data_waiter)
--- a/src/lifttrestle/internal/http/caller_stream.py
+++ b/src/lifttrestle/internal/http/caller_stream.py
@@ -13,58 +13,76 @@
 """Bytes from and to one caller, within the limits of a server."""
 
 import asyncio
-from typing import cast
 
 from lifttrestle.errors import CallerGone
 from lifttrestle.internal.clock.read_timeout import ReadTimeout
 from lifttrestle.internal.http.byte_stream import set_tcp_timeouts
+from lifttrestle.internal.http.caller_protocol import BODY_READ_BYTES
+from lifttrestle.internal.http.caller_protocol import CallerProtocol
+from lifttrestle.internal.http.caller_protocol import HEAD_READ_BYTES
+from lifttrestle.internal.http.caller_protocol import Pause
 from lifttrestle.internal.http.limits import HttpLimits
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
 LOG = get_event_log('http')
-READ_BYTES = 64 * 1024
 
 
 class CallerStream:
     """Reads and writes the TCP connection of one caller."""
 
-    def __init__(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        limits: HttpLimits,
-    ) -> None:
-        self._reader = reader
-        self._writer = writer
+    def __init__(self, protocol: CallerProtocol, limits: HttpLimits) -> None:
+        self._protocol = protocol
         self._limits = limits
-        # StreamWriter declares a WriteTransport, but the transport of a
-        # connection also reads.
-        self._transport = cast(asyncio.Transport, writer.transport)
+        self._transport = protocol.transport
         set_tcp_timeouts(self._transport)
         self._transport.set_write_buffer_limits(high=limits.write_buffer_bytes)
 
     @property
     def peer(self) -> str:
         """Return the IP address and port of the caller, or an empty text."""
-        name = self._writer.get_extra_info('peername')
+        name = self._transport.get_extra_info('peername')
         return f'{name[0]}:{name[1]}' if name else ''
 
+    @property
+    def buffered(self) -> int:
+        """Return the bytes that were not read, or not sent, yet."""
+        return self._protocol.unread + self._protocol.unsent
+
+    @property
+    def is_writing_blocked(self) -> bool:
+        """Return whether the caller does not take what is sent to it."""
+        return self._protocol.is_writing_blocked
+
+    def expect_head(self) -> None:
+        """Receive little at a time."""
+        self._protocol.set_most_unread(HEAD_READ_BYTES)
+
+    def expect_body(self) -> None:
+        """Receive more at a time."""
+        self._protocol.set_most_unread(BODY_READ_BYTES)
+
+    def discard_received(self) -> None:
+        """Forget what was received and not read."""
+        self._protocol.discard_received()
+
     def pause_reading(self) -> bool:
-        """Pause reading from the socket; return whether it was active."""
-        was_reading = self._transport.is_reading()
-        self._transport.pause_reading()
-        return was_reading
+        """Pause reading from the socket; return False if it was before."""
+        return self._protocol.pause(Pause.HELD)
 
     def resume_reading(self) -> None:
         """Resume reading from the socket."""
-        self._transport.resume_reading()
+        self._protocol.resume(Pause.HELD)
 
     async def read(self) -> bytes:
         """Return received bytes; empty if the caller has closed.
 
         :raises OSError: if the connection is broken.
         """
-        return await self._reader.read(READ_BYTES)
+        return await self._protocol.read()
+
+    async def wait_at_eof(self) -> None:
+        """Wait until the caller closes or resets the connection."""
+        await self._protocol.wait_at_eof()
 
     async def read_before_idle_limit(self) -> bytes:
         """Return received bytes; empty if the connection has to be closed."""
@@ -109,14 +127,14 @@
 
         :raises CallerGone: if the caller disconnected or stopped reading.
         """
-        self._writer.write(data)
+        self._protocol.write(data)
         if self._is_flushed():
             # The usual case, which needs no timer. Setting one for each write
             # took 50 of the 186 system calls of a request.
             return
         try:
             async with asyncio.timeout(self._limits.stalled_reader_seconds):
-                await self._writer.drain()
+                await self._protocol.drain()
         except TimeoutError:
             self.abort()
             raise CallerGone('the caller stopped reading') from None
@@ -133,26 +151,26 @@
 
     def abort(self) -> None:
         """Close at once, so that the caller detects an incomplete answer."""
-        self._writer.transport.abort()
+        self._transport.abort()
 
     async def close(self) -> None:
         """Close the connection after giving sent answers time to arrive."""
-        if self._writer.transport.is_closing():
+        if self._transport.is_closing():
             return
         try:
             await self._linger()
         except OSError:
             pass
         finally:
-            self._writer.close()
+            self._protocol.close()
 
     async def _linger(self) -> None:
         # Closing a socket with unread bytes resets the connection, and the
         # caller can receive the reset before it has read the answer. So the
         # rest of the request is read and discarded.
-        if not self._writer.can_write_eof():
+        if not self._transport.can_write_eof():
             return
-        self._writer.write_eof()
+        self._protocol.write_eof()
         try:
             async with asyncio.timeout(1.0):
                 while await self.read():
--- a/src/lifttrestle/internal/http/client_connection.py
+++ b/src/lifttrestle/internal/http/client_connection.py
@@ -25,11 +25,12 @@
 from lifttrestle.errors import UpstreamPathLost
 from lifttrestle.internal.clock.read_timeout import ReadTimeout
 from lifttrestle.internal.http.address import Address
-from lifttrestle.internal.http.body_budget import BodyHold
+from lifttrestle.internal.http.body_parts import split_body
 from lifttrestle.internal.http.byte_stream import ByteStream
 from lifttrestle.internal.http.head import decode_headers
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.head import ResponseHead
+from lifttrestle.internal.http.memory_budget import AnswerHold
 from lifttrestle.internal.http.part_counter import PartCounter
 from lifttrestle.internal.http.request_replay import replay_request
 from lifttrestle.internal.http.request_tags import RequestTags
@@ -130,11 +131,8 @@
         )
         try:
             data = self._h11.send(request) or b''
-            if body:
-                data += self._h11.send(h11.Data(data=body)) or b''
-            data += self._h11.send(h11.EndOfMessage()) or b''
             self._request = request
-            await self._stream.write(data)
+            await self._send_with_body(data, body)
         except PathLost as error:
             raise self._make_path_error(error) from error
         except (OSError, h11.ProtocolError) as error:
@@ -142,6 +140,17 @@
                 f'{self.address} broke off while a request was sent: {error}'
             ) from error
 
+    async def _send_with_body(self, data: bytes, body: bytes) -> None:
+        """Send a head and a body, in one write if the body is small."""
+        for number, part in enumerate(split_body(body)):
+            if number:
+                await self._stream.write(data)
+                data = b''
+            if part:
+                data += self._h11.send(h11.Data(data=part)) or b''
+        data += self._h11.send(h11.EndOfMessage()) or b''
+        await self._stream.write(data)
+
     async def read_head(self) -> ResponseHead:
         """Return the head of the final answer, skipping interim ones.
 
@@ -223,7 +232,7 @@
         self._parts.reset()
 
     async def read_body(
-        self, limit: int, hold: BodyHold | None = None
+        self, limit: int, hold: AnswerHold | None = None
     ) -> bytes:
         """Return the complete body.
 
--- a/src/lifttrestle/internal/http/connection_tasks.py
+++ b/src/lifttrestle/internal/http/connection_tasks.py
@@ -17,10 +17,18 @@
 from collections.abc import Iterator
 import logging
 from typing import Any
+from typing import Protocol
 
 LOG = logging.getLogger('lifttrestle.http')
 
 
+class Closable(Protocol):
+    """A connection that is closed when its task has ended."""
+
+    def close(self) -> None:
+        """Close it once all is sent."""
+
+
 class ConnectionTasks:
     """Runs one task per connection, starting when it is accepted.
 
@@ -43,12 +51,14 @@
     def start(
         self,
         work: Coroutine[Any, Any, None],
-        writer: asyncio.StreamWriter,
+        connection: Closable,
     ) -> None:
-        """Run ``work`` in a task, and close ``writer`` when it ends."""
+        """Run ``work`` in a task, and close ``connection`` when it ends."""
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(lambda task: self._handle_done(task, writer))
+        task.add_done_callback(
+            lambda task: self._handle_done(task, connection)
+        )
 
     async def cancel(self) -> None:
         """Cancel all tasks and wait until they have ended."""
@@ -58,10 +68,10 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     def _handle_done(
-        self, task: asyncio.Task[None], writer: asyncio.StreamWriter
+        self, task: asyncio.Task[None], connection: Closable
     ) -> None:
         self._tasks.discard(task)
-        writer.close()
+        connection.close()
         if not task.cancelled() and task.exception() is not None:
             LOG.error(
                 'unhandled error while serving a connection',
--- a/src/lifttrestle/internal/http/limits.py
+++ b/src/lifttrestle/internal/http/limits.py
@@ -14,11 +14,15 @@
 
 import msgspec
 
+from lifttrestle.internal.http.memory_budget import DEFAULT_MEMORY_BYTES
+
 
 class HttpLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Limits of one caller's connection, in bytes and seconds.
 
     ``max_connections`` bounds the connections of a whole server.
+    ``memory_bytes`` bounds what all callers of a router make it hold: bodies
+    that are received or kept, requests sent ahead, answers not taken yet.
     """
 
     head_bytes: int = 32 * 1024
@@ -29,3 +33,4 @@
     write_buffer_bytes: int = 64 * 1024
     stalled_reader_seconds: float = 60.0
     max_connections: int = 2000
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
--- a/src/lifttrestle/internal/http/server.py
+++ b/src/lifttrestle/internal/http/server.py
@@ -21,9 +21,13 @@
 from lifttrestle.errors import CallerGone
 from lifttrestle.errors import RequestRefused
 from lifttrestle.internal.http.address import Address
+from lifttrestle.internal.http.caller_protocol import BODY_READ_BYTES
+from lifttrestle.internal.http.caller_protocol import CallerProtocol
 from lifttrestle.internal.http.connection_tasks import ConnectionTasks
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.limits import HttpLimits
+from lifttrestle.internal.http.memory_budget import MemoryBudget
+from lifttrestle.internal.http.receive_buffer import ReceiveBuffer
 from lifttrestle.internal.http.server_connection import ServerConnection
 from lifttrestle.internal.refusal.body import build_refusal
 from lifttrestle.internal.refusal.kind import ErrorKind
@@ -50,6 +54,8 @@
     :param handler: serves one request; it must send an answer or abort.
     :param limits: limits for each connection.
     :param tls: the server's TLS context, or None for plain TCP.
+    :param memory: bound on what all callers make the process hold; None for a
+        default of this server alone.
     """
 
     def __init__(
@@ -57,17 +63,18 @@
         handler: Handler,
         limits: HttpLimits,
         tls: ssl.SSLContext | None = None,
+        memory: MemoryBudget | None = None,
     ) -> None:
         self._handler = handler
         self._limits = limits
+        self._memory = memory or MemoryBudget()
+        self._buffer = ReceiveBuffer(BODY_READ_BYTES)
         self._tls = tls
         self._server: asyncio.Server | None = None
         self._busy: set[asyncio.Task[None]] = set()
         self._tasks = ConnectionTasks()
         self._connections: dict[asyncio.Task[None], ServerConnection] = {}
-        self._writers: weakref.WeakSet[asyncio.StreamWriter] = (
-            weakref.WeakSet()
-        )
+        self._protocols: weakref.WeakSet[CallerProtocol] = weakref.WeakSet()
         # Tasks of connections that have answered their last request.
         self._closing: set[asyncio.Task[None]] = set()
         # Set while no request is being served.
@@ -80,8 +87,8 @@
 
         They differ if the port is 0.
         """
-        self._server = await asyncio.start_server(
-            self._accept,
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: CallerProtocol(self._buffer, self._accept),
             address.host,
             address.port,
             ssl=self._tls,
@@ -199,9 +206,9 @@
     async def _flush(self, grace_seconds: float) -> bool:
         """Wait until the write buffers are empty; return whether they are."""
         closings = [
-            asyncio.create_task(_wait_closed(writer))
-            for writer in self._writers
-            if writer.transport.get_write_buffer_size()
+            asyncio.create_task(protocol.wait_closed())
+            for protocol in self._protocols
+            if protocol.unsent
         ]
         if not closings:
             return True
@@ -210,18 +217,14 @@
             closing.cancel()
         return not late
 
-    def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self._writers.add(writer)
-        self._tasks.start(self._serve(reader, writer), writer)
+    def _accept(self, protocol: CallerProtocol) -> None:
+        self._protocols.add(protocol)
+        self._tasks.start(self._serve(protocol), protocol)
 
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    async def _serve(self, protocol: CallerProtocol) -> None:
         task = asyncio.current_task()
         assert task is not None
-        connection = ServerConnection(reader, writer, self._limits)
+        connection = ServerConnection(protocol, self._limits, self._memory)
         self._connections[task] = connection
         try:
             if len(self._tasks) > self._limits.max_connections:
@@ -235,6 +238,7 @@
             # its last answer, so the connection is closed, not aborted.
             pass
         finally:
+            connection.release()
             del self._connections[task]
             self._closing.discard(task)
 
@@ -279,10 +283,3 @@
                 self._closing.add(task)
                 await connection.close()
                 return
-
-
-async def _wait_closed(writer: asyncio.StreamWriter) -> None:
-    try:
-        await writer.wait_closed()
-    except OSError:
-        return
--- a/src/lifttrestle/internal/http/server_connection.py
+++ b/src/lifttrestle/internal/http/server_connection.py
@@ -14,6 +14,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+import contextlib
 import http
 
 import h11
@@ -23,34 +24,59 @@
 from lifttrestle.internal.clock.read_timeout import ReadTimeout
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.answer import Header
+from lifttrestle.internal.http.body_buffer import BodyBuffer
+from lifttrestle.internal.http.body_parts import split_body
+from lifttrestle.internal.http.caller_protocol import CallerProtocol
 from lifttrestle.internal.http.caller_stream import CallerStream
 from lifttrestle.internal.http.head import decode_headers
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.head_checks import check_head
 from lifttrestle.internal.http.head_checks import make_body_refusal
 from lifttrestle.internal.http.limits import HttpLimits
+from lifttrestle.internal.http.memory_budget import Claim
+from lifttrestle.internal.http.memory_budget import MemoryBudget
+from lifttrestle.internal.http.memory_budget import MemoryHolder
 from lifttrestle.internal.refusal.kind import ErrorKind
 
-# Most bytes of pipelined requests that are read during a request.
-MAX_PIPELINED_BYTES = 64 * 1024
 STATUS_HEAD_TOO_LARGE = 431
+# A caller that takes or sends nothing for so long makes no headway.
+STALLED_SECONDS = 1.0
+NO_MEMORY_RETRY_SECONDS = 1.0
 
 
-class ServerConnection:
+class ServerConnection(MemoryHolder):
     """Reads requests from one caller and sends the answers.
 
     Used by one task. After an error that leaves the position in the byte
     stream unknown, the connection is closed rather than reused.
+
+    What it holds counts in a common bound. An incomplete request that has to
+    give way is refused; a caller that does not take its answers is cut off.
+
+    :param memory: the common bound.
     """
 
     def __init__(
         self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
+        protocol: CallerProtocol,
         limits: HttpLimits,
+        memory: MemoryBudget,
     ) -> None:
-        self._stream = CallerStream(reader, writer, limits)
+        self._stream = CallerStream(protocol, limits)
         self._limits = limits
+        self._memory = memory
+        self._body = BodyBuffer()
+        # Bytes of the complete body, until its exchange has ended.
+        self._kept = 0
+        # Bytes of an answer that is being sent.
+        self._answering = 0
+        # Set while a request is being received.
+        self._reading: ReadTimeout | None = None
+        self._has_given_way = False
+        self._headway_at = asyncio.get_running_loop().time()
+        protocol.on_received = self._note_received
+        protocol.on_unsent = memory.note_growth
+        memory.add(self)
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.head_bytes
         )
@@ -116,64 +142,139 @@
 
     async def _wait_for_head(self) -> object:
         try:
-            async with ReadTimeout(self._limits.head_seconds):
+            async with self._limit_reading(self._limits.head_seconds):
                 return await self._next_event()
         except TimeoutError:
-            raise RequestRefused(
-                ErrorKind.SLOW_REQUEST,
+            raise self._make_read_refusal(
                 'the head of the request did not arrive within'
                 f' {self._limits.head_seconds:g} s',
+                'head',
             ) from None
 
     async def read_body(self) -> bytes:
         """Return the complete body of the current request.
 
-        :raises RequestRefused: if the body is malformed, too large or slow.
+        :raises RequestRefused: if the body is malformed, too large or slow, or
+            if there is no memory for it.
         """
-        limit = self._limits.body_bytes
-        parts: list[bytes] = []
-        size = 0
+        self._stream.expect_body()
         try:
-            async with ReadTimeout(self._limits.body_seconds):
-                async for part in self._iterate_body():
-                    size += len(part)
-                    if size > limit:
-                        self._closing = True
-                        raise make_body_refusal(size, limit)
-                    parts.append(part)
+            async with self._limit_reading(self._limits.body_seconds):
+                await self._collect_body()
         except TimeoutError:
-            raise RequestRefused(
-                ErrorKind.SLOW_REQUEST,
-                f'the body stopped after {size} bytes and was not complete'
-                f' within {self._limits.body_seconds:g} s',
-                field='body',
+            raise self._make_read_refusal(
+                f'the body stopped after {self._body.size} bytes and was not'
+                f' complete within {self._limits.body_seconds:g} s',
+                'body',
             ) from None
-        return b''.join(parts)
+        finally:
+            self._stream.expect_head()
+        body = self._body.take()
+        if not self._memory.has_room_to_keep(len(body)):
+            raise _make_memory_refusal('body')
+        self._keep(len(body))
+        return body
+
+    async def _collect_body(self) -> None:
+        limit = self._limits.body_bytes
+        async for part in self._iterate_body():
+            size = self._body.size + len(part)
+            if size > limit:
+                self._closing = True
+                raise make_body_refusal(size, limit)
+            self._body.add(part)
+
+    @contextlib.asynccontextmanager
+    async def _limit_reading(self, seconds: float) -> AsyncIterator[None]:
+        """Limit the time of a read, which may have to give way meanwhile."""
+        async with ReadTimeout(seconds) as self._reading:
+            try:
+                yield
+            finally:
+                self._reading = None
+
+    def _make_read_refusal(self, late: str, field: str) -> RequestRefused:
+        """Return why a request was not received.
+
+        :param late: what to say if time has run out.
+        """
+        if self._has_given_way:
+            return _make_memory_refusal(field)
+        return RequestRefused(ErrorKind.SLOW_REQUEST, late, field=field)
+
+    def make_claim(self) -> Claim:
+        """Return what it holds, and whether it may have to give way."""
+        size = (
+            self._stream.buffered
+            + len(self._h11.trailing_data[0])
+            + self._body.size
+            + self._kept
+            + self._answering
+        )
+        quiet = asyncio.get_running_loop().time() - self._headway_at
+        return Claim(
+            size,
+            yields=not self._has_given_way
+            and (
+                self._reading is not None
+                or self._awaiting_request
+                or self._stream.is_writing_blocked
+            ),
+            stalled=quiet >= STALLED_SECONDS,
+        )
+
+    def give_way(self) -> None:
+        """Refuse what is being received, or cut off a caller."""
+        self._has_given_way = True
+        if self._reading is None:
+            self.abort()
+            return
+        self._closing = True
+        self._body.clear()
+        self._stream.discard_received()
+        self._reading.expire()
+
+    def release(self) -> None:
+        """Hold nothing any more, as the connection has ended."""
+        self._keep(0)
+        self._memory.discard(self)
+
+    def _keep(self, size: int) -> None:
+        self._memory.kept += size - self._kept
+        self._kept = size
+
+    def _note_received(self, size: int) -> None:
+        self._headway_at = asyncio.get_running_loop().time()
+        self._memory.note_growth(size)
 
     async def wait_disconnected(self) -> None:
         """Wait until the caller closes or resets the connection.
 
-        Pipelined requests that arrive meanwhile are buffered. From
-        ``MAX_PIPELINED_BYTES`` of them on, nothing more is read and a close is
-        no longer noticed.
+        Requests that are sent ahead stay unread. Once as many bytes of them
+        have arrived as a head may have at a time, a close is no longer
+        noticed.
         """
-        while len(self._h11.trailing_data[0]) < MAX_PIPELINED_BYTES:
-            try:
-                data = await self._stream.read()
-            except OSError:
-                return
-            if not data:
-                return
-            self._h11.receive_data(data)
-        await asyncio.Event().wait()
+        await self._stream.wait_at_eof()
 
     async def send_answer(self, answer: Answer) -> None:
-        """Send a complete answer, with ``Content-Length``, in one write."""
+        """Send a complete answer, with ``Content-Length``.
+
+        A small one is sent in one write.
+        """
         headers = [*answer.headers, ('content-length', str(len(answer.body)))]
-        events = [self._build_head(answer.status, tuple(headers))]
-        if answer.body:
-            events.append(h11.Data(data=answer.body))
-        await self._send(*events, h11.EndOfMessage())
+        head = self._build_head(answer.status, tuple(headers))
+        events: list[h11.Event] = [head]
+        self._answering = len(answer.body)
+        try:
+            for number, part in enumerate(split_body(answer.body)):
+                if number:
+                    await self._send(*events)
+                    events.clear()
+                if part:
+                    events.append(h11.Data(data=part))
+            await self._send(*events, h11.EndOfMessage())
+        finally:
+            self._answering = 0
 
     async def start_answer(
         self, status: int, headers: tuple[Header, ...]
@@ -216,6 +317,7 @@
         states = (self._h11.our_state, self._h11.their_state)
         if states != (h11.DONE, h11.DONE):
             return False
+        self._keep(0)
         self._h11.start_next_cycle()
         return True
 
@@ -244,6 +346,9 @@
 
     async def _next_event(self) -> object:
         while True:
+            if self._has_given_way:
+                # Bytes are missing; the time of this read runs out.
+                raise TimeoutError
             event = self._parse()
             if event is not h11.NEED_DATA:
                 return event
@@ -272,7 +377,7 @@
         while True:
             event = await self._next_event()
             if isinstance(event, h11.Data):
-                yield bytes(event.data)
+                yield event.data
                 continue
             if isinstance(event, h11.EndOfMessage):
                 return
@@ -287,9 +392,19 @@
             raise CallerGone(f'the connection is unusable: {error}') from error
         if not data:
             return
+        self._headway_at = asyncio.get_running_loop().time()
         await self._stream.write(data)
 
 
+def _make_memory_refusal(field: str) -> RequestRefused:
+    return RequestRefused(
+        ErrorKind.OVERLOADED,
+        f'this process has no memory for the {field} of the request',
+        field=field,
+        retry_after=NO_MEMORY_RETRY_SECONDS,
+    )
+
+
 def _get_reason_phrase(status: int) -> bytes:
     try:
         return http.HTTPStatus(status).phrase.encode()
--- a/src/lifttrestle/internal/platform/node_settings.py
+++ b/src/lifttrestle/internal/platform/node_settings.py
@@ -19,18 +19,18 @@
 from returns.result import Result
 from returns.result import Success
 
-from lifttrestle.internal.fleet.settings import DEFAULT_BODIES_BYTES
 from lifttrestle.internal.fleet.settings import FleetSettings
 from lifttrestle.internal.fleet.settings import Promises
 from lifttrestle.internal.fleet.settings import StoreSettings
+from lifttrestle.internal.http.memory_budget import DEFAULT_MEMORY_BYTES
 from lifttrestle.internal.settings.fault import Fault
 from lifttrestle.internal.settings.schema import find_schema_faults
 
 MILLISECONDS = 1000
 BYTES_PER_MB = 1_000_000
-# A router at rest takes up to half of the smallest limits; an answer is in
-# memory twice when its parts are joined.
-BODIES_SHARE = 0.15
+# A router at rest takes up to half of the smallest limits, and the rest of its
+# connections' state some more; a body is in memory twice when it is copied.
+HELD_SHARE = 0.15
 # Numbers of the internal ports in use.
 PEERS_PORT = 0
 TUNNELS_PORT = 1
@@ -179,12 +179,12 @@
             cap_over_share=rules.quota_over,
             cap_slack=rules.quota_slack,
         ),
-        bodies_bytes=_get_bodies_bytes(record.limits.memory_mb),
+        memory_bytes=_get_memory_bytes(record.limits.memory_mb),
     )
 
 
-def _get_bodies_bytes(memory_mb: float) -> int:
-    """Return the memory for answers that are being received."""
+def _get_memory_bytes(memory_mb: float) -> int:
+    """Return the memory for what callers and answers make the router hold."""
     if not memory_mb:
-        return DEFAULT_BODIES_BYTES
-    return int(memory_mb * BYTES_PER_MB * BODIES_SHARE)
+        return DEFAULT_MEMORY_BYTES
+    return int(memory_mb * BYTES_PER_MB * HELD_SHARE)
--- a/src/lifttrestle/internal/router/process.py
+++ b/src/lifttrestle/internal/router/process.py
@@ -30,6 +30,7 @@
 from lifttrestle.internal.http.address import parse_address
 from lifttrestle.internal.http.answer import Header
 from lifttrestle.internal.http.json_client import JsonClient
+from lifttrestle.internal.http.memory_budget import MemoryBudget
 from lifttrestle.internal.http.server import HttpServer
 from lifttrestle.internal.membership.exchange import exchange_forever
 from lifttrestle.internal.membership.exchange import PeerExchange
@@ -170,15 +171,18 @@
             load_tokens(settings.operators.tokens_file),
         )
         tls = settings.tls
+        memory = MemoryBudget(settings.http.memory_bytes)
         self._callers_server = HttpServer(
             CallerHandler(self._parts, self._readiness).handle,
             settings.http,
             _load_tls(tls.callers_certificate, tls.callers_key),
+            memory,
         )
         self._operators_server = HttpServer(
             operators.handle,
             settings.http,
             _load_tls(tls.operators_certificate, tls.operators_key),
+            memory,
         )
 
     def _make_loader(self) -> Loader:
--- a/tests/cover/test_idle_connections.py
+++ b/tests/cover/test_idle_connections.py
@@ -18,8 +18,12 @@
 
 from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.http.answer import Answer
+from lifttrestle.internal.http.caller_protocol import BODY_READ_BYTES
+from lifttrestle.internal.http.caller_protocol import CallerProtocol
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.limits import HttpLimits
+from lifttrestle.internal.http.memory_budget import MemoryBudget
+from lifttrestle.internal.http.receive_buffer import ReceiveBuffer
 from lifttrestle.internal.http.server import HttpServer
 from lifttrestle.internal.http.server_connection import ServerConnection
 from tests.support.stalls import stall
@@ -126,13 +130,16 @@
         # that it would not answer.
         accepted = asyncio.Queue[ServerConnection]()
 
-        def accept(
-            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-        ) -> None:
-            connection = ServerConnection(reader, writer, HttpLimits())
+        def accept(protocol: CallerProtocol) -> None:
+            connection = ServerConnection(
+                protocol, HttpLimits(), MemoryBudget()
+            )
             accepted.put_nowait(connection)
 
-        server = await asyncio.start_server(accept, '127.0.0.1', 0)
+        buffer = ReceiveBuffer(BODY_READ_BYTES)
+        server = await asyncio.get_running_loop().create_server(
+            lambda: CallerProtocol(buffer, accept), '127.0.0.1', 0
+        )
         self.addCleanup(server.close)
         _, writer = await asyncio.open_connection(
             *server.sockets[0].getsockname()[:2]
--- a/tests/cover/test_body_budget.py
+++ b/tests/cover/test_memory_budget.py
@@ -12,13 +12,13 @@
 
 import unittest
 
-from lifttrestle.internal.http.body_budget import BodyBudget
+from lifttrestle.internal.http.memory_budget import MemoryBudget
 
 
-class TestBodyBudget(unittest.TestCase):
+class TestMemoryBudget(unittest.TestCase):
     def setUp(self):
         self.ended = []
-        self.budget = BodyBudget(100)
+        self.budget = MemoryBudget(100)
 
     def hold(self, name, size):
         hold = self.enterContext(
@@ -34,7 +34,7 @@
         self.assertEqual(self.ended, ['largest'])
         self.assertTrue(largest.given_up)
         self.assertEqual(self.budget.held, 50)
-        self.assertEqual(self.budget.given_up, 1)
+        self.assertEqual(self.budget.given_way, 1)
 
     def test_one_answer_that_exceeds_all_gives_way_itself(self):
         self.hold('sound', 20)
--- a/tests/nocover/test_endless_answers.py
+++ b/tests/nocover/test_endless_answers.py
@@ -86,7 +86,7 @@
 
     async def _send_endless(self, connection) -> None:
         began = time.monotonic()
-        writer = connection._stream._writer
+        writer = connection._stream._protocol
         size = 0
         with contextlib.suppress(OSError):
             writer.write(self.opening)
--- a/tests/nocover/test_extra_answers.py
+++ b/tests/nocover/test_extra_answers.py
@@ -41,7 +41,7 @@
     async def _handle(self, connection, head) -> None:
         earlier = self._earlier.pop(connection.peer, None)
         if earlier is not None:
-            connection._stream._writer.write(earlier)
+            connection._stream._protocol.write(earlier)
         request_id = head.get_header('request-id')
         await super()._handle(connection, head)
         if request_id:
--- a/tests/nocover/test_unframed_answers.py
+++ b/tests/nocover/test_unframed_answers.py
@@ -50,7 +50,7 @@
         )
         lines = [f'{name}: {value}' for name, value in headers]
         text = '\r\n'.join(('HTTP/1.1 200 OK', *lines, '', ''))
-        writer = connection._stream._writer
+        writer = connection._stream._protocol
         writer.write(text.encode() + body[: len(body) - self.cut_bytes])
         await writer.drain()
         if self.resets:
--- a/tests/support/fleet_upstream.py
+++ b/tests/support/fleet_upstream.py
@@ -257,7 +257,7 @@
             ('weight-versions', str(self.weights)),
             ('content-type', 'text/event-stream'),
         )
-        writer = connection._stream._writer
+        writer = connection._stream._protocol
         writer.write(cut.before + build_head(cut, headers)[: cut.size])
         await writer.drain()
         if not cut.closes:
@@ -271,7 +271,7 @@
             b'HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Stamp: x\r\n'
             b'Content-Length: 7\r\n\r\nforeign'
         )
-        connection._stream._writer.write(raw)
+        connection._stream._protocol.write(raw)
 
     async def _stream(
         self,
