Connections take turns at work that never waits

What callers saw: while 30 callers sent bodies in chunks of one byte, or many requests ahead, nobody was answered, and the router hung for a minute after they had left.

Cause: what was received was parsed, and what was sent ahead served, without a step of the event loop in between; so each connection of a crowd had its thousands of events before anybody else, readiness included.

Change: after 64 events of a connection, and before each request that was sent ahead, a connection waits for a turn. One connection of a server has it at a time, and the event loop runs in between, so that a crowd shares what one connection may take. Usual requests need none. What a caller that reset its connection has sent is parsed no further.

--- a/src/lifttrestle/internal/http/caller_stream.py
+++ b/src/lifttrestle/internal/http/caller_stream.py
@@ -48,6 +48,16 @@
         """Return the bytes that were not read, or not sent, yet."""
         return self._protocol.unread + self._protocol.unsent
 
+    @property
+    def has_unread(self) -> bool:
+        """Return whether bytes were received and not read."""
+        return self._protocol.unread > 0
+
+    @property
+    def is_lost(self) -> bool:
+        """Return whether the connection is closed in both directions."""
+        return self._transport.is_closing()
+
     @property
     def is_writing_blocked(self) -> bool:
         """Return whether the caller does not take what is sent to it."""
--- a/src/lifttrestle/internal/http/server.py
+++ b/src/lifttrestle/internal/http/server.py
@@ -29,6 +29,7 @@
 from lifttrestle.internal.http.memory_budget import MemoryBudget
 from lifttrestle.internal.http.receive_buffer import ReceiveBuffer
 from lifttrestle.internal.http.server_connection import ServerConnection
+from lifttrestle.internal.http.turns import Turns
 from lifttrestle.internal.refusal.body import build_refusal
 from lifttrestle.internal.refusal.kind import ErrorKind
 
@@ -69,6 +70,7 @@
         self._limits = limits
         self._memory = memory or MemoryBudget()
         self._buffer = ReceiveBuffer(BODY_READ_BYTES)
+        self._turns = Turns()
         self._tls = tls
         self._server: asyncio.Server | None = None
         self._busy: set[asyncio.Task[None]] = set()
@@ -224,7 +226,9 @@
     async def _serve(self, protocol: CallerProtocol) -> None:
         task = asyncio.current_task()
         assert task is not None
-        connection = ServerConnection(protocol, self._limits, self._memory)
+        connection = ServerConnection(
+            protocol, self._limits, self._memory, self._turns
+        )
         self._connections[task] = connection
         try:
             if len(self._tasks) > self._limits.max_connections:
@@ -269,6 +273,7 @@
             self._busy.add(task)
             self._idle.clear()
             try:
+                await connection.take_turn_if_ahead()
                 if self._stopping:
                     connection.close_after_answer()
                 await self._handler(connection, head)
--- a/src/lifttrestle/internal/http/server_connection.py
+++ b/src/lifttrestle/internal/http/server_connection.py
@@ -36,9 +36,12 @@
 from lifttrestle.internal.http.memory_budget import Claim
 from lifttrestle.internal.http.memory_budget import MemoryBudget
 from lifttrestle.internal.http.memory_budget import MemoryHolder
+from lifttrestle.internal.http.turns import Turns
 from lifttrestle.internal.refusal.kind import ErrorKind
 
 STATUS_HEAD_TOO_LARGE = 431
+# About half a millisecond of parsing.
+EVENTS_PER_TURN = 64
 # A caller that takes or sends nothing for so long makes no headway.
 STALLED_SECONDS = 1.0
 NO_MEMORY_RETRY_SECONDS = 1.0
@@ -54,6 +57,7 @@
     give way is refused; a caller that does not take its answers is cut off.
 
     :param memory: the common bound.
+    :param turns: those of all connections of the server.
     """
 
     def __init__(
@@ -61,10 +65,16 @@
         protocol: CallerProtocol,
         limits: HttpLimits,
         memory: MemoryBudget,
+        turns: Turns,
     ) -> None:
         self._stream = CallerStream(protocol, limits)
         self._limits = limits
         self._memory = memory
+        self._turns = turns
+        # Events since the last turn.
+        self._events = 0
+        # Whether the current request had arrived when the last one ended.
+        self._is_ahead = False
         self._body = BodyBuffer()
         # Bytes of the complete body, until its exchange has ended.
         self._kept = 0
@@ -121,6 +131,7 @@
 
         :raises RequestRefused: if the head is malformed, too large or slow.
         """
+        self._is_ahead = self._has_received
         if not await self._wait_for_bytes():
             return None
         event = self._parse()
@@ -140,6 +151,15 @@
             raise
         return head
 
+    @property
+    def _has_received(self) -> bool:
+        return bool(self._h11.trailing_data[0]) or self._stream.has_unread
+
+    async def take_turn_if_ahead(self) -> None:
+        """Let others go first if the current request was sent ahead."""
+        if self._is_ahead:
+            await self._turns.take()
+
     async def _wait_for_head(self) -> object:
         try:
             async with self._limit_reading(self._limits.head_seconds):
@@ -351,6 +371,7 @@
                 raise TimeoutError
             event = self._parse()
             if event is not h11.NEED_DATA:
+                await self._count_event()
                 return event
             if self._h11.they_are_waiting_for_100_continue:
                 await self._send(
@@ -362,6 +383,19 @@
                 raise CallerGone('the caller reset its connection') from error
             self._h11.receive_data(data)
 
+    async def _count_event(self) -> None:
+        """Let others go first after some events.
+
+        :raises CallerGone: if nobody waits for the rest any more.
+        """
+        self._events += 1
+        if self._events < EVENTS_PER_TURN:
+            return
+        self._events = 0
+        await self._turns.take()
+        if self._stream.is_lost:
+            raise CallerGone('the caller reset its connection')
+
     def _parse(self) -> object:
         try:
             return self._h11.next_event()
--- a/tests/cover/test_idle_connections.py
+++ b/tests/cover/test_idle_connections.py
@@ -26,6 +26,7 @@
 from lifttrestle.internal.http.receive_buffer import ReceiveBuffer
 from lifttrestle.internal.http.server import HttpServer
 from lifttrestle.internal.http.server_connection import ServerConnection
+from lifttrestle.internal.http.turns import Turns
 from tests.support.stalls import stall
 from tests.support.stalls import Stalls
 
@@ -132,7 +133,7 @@
 
         def accept(protocol: CallerProtocol) -> None:
             connection = ServerConnection(
-                protocol, HttpLimits(), MemoryBudget()
+                protocol, HttpLimits(), MemoryBudget(), Turns()
             )
             accepted.put_nowait(connection)
 
