Connections without a request give their place to newcomers

What callers saw: a crowd that connected and sent nothing, or one byte, held all places for up to 17 s and all descriptors of the process, at any of its doors; everybody else was refused, or not accepted at all.

Cause: over the limit the newcomer was refused, whoever was there. Refused connections were kept for a second, without a bound. Connections accepted in one step of the event loop counted each other and were all refused. Three listeners might hold 1,500 connections each of 3,900 descriptors, and the limit that the platform states was not read.

Change: a newcomer gets the place of a caller that has sent no complete head, then of one that has its last answer, of one between two requests, of one whose body is incomplete (refused with 503, as not run); the longest first, never of a request that runs. Callers get 0.4 of the sockets in fd_limit, 1,500 at the most, readiness and metrics 0.05 and 100 each, which is far more than the platform's one check a second needs.

--- a/src/lifttrestle/internal/fleet/gauges.py
+++ b/src/lifttrestle/internal/fleet/gauges.py
@@ -117,6 +117,11 @@
         'Requests that are being served.',
         lambda sources: sources.callers.busy,
     ),
+    Gauge(
+        'connections_displaced',
+        'Connections of callers that made place for another, since the start.',
+        lambda sources: sources.callers.displaced,
+    ),
     Gauge(
         'held_requests',
         'Requests that run no more, as upstreams crashed under them.',
--- a/src/lifttrestle/internal/fleet/listeners.py
+++ b/src/lifttrestle/internal/fleet/listeners.py
@@ -24,7 +24,6 @@
 from lifttrestle.internal.http.server import HttpServer
 
 IDLE_MARGIN_SECONDS = 2.0
-MAX_CONNECTIONS = 1500
 
 
 class RouterListeners:
@@ -39,22 +38,23 @@
         self._parts = parts
         self.callers = HttpServer(
             RequestHandler(parts).handle,
-            _make_limits(None),
+            self._make_caller_limits(None),
             memory=parts.memory,
         )
+        limits = HttpLimits(
+            max_connections=parts.settings.max_control_connections
+        )
         self._readiness = HttpServer(
-            readiness.handle, _make_limits(None), memory=parts.memory
+            readiness.handle, limits, memory=parts.memory
         )
         metrics = MetricsHandler(parts.metrics, parts.limits, parts.clock)
-        self._metrics = HttpServer(
-            metrics.handle, _make_limits(None), memory=parts.memory
-        )
+        self._metrics = HttpServer(metrics.handle, limits, memory=parts.memory)
         self.callers_address = Address('', 0)
         self.ready_address = Address('', 0)
 
     def apply_limits(self, catalogue: Catalogue) -> None:
         """Apply the limits that a configuration sets for callers."""
-        self.callers.set_limits(_make_limits(catalogue))
+        self.callers.set_limits(self._make_caller_limits(catalogue))
 
     async def start(self) -> None:
         """Open the listeners at the addresses in the settings."""
@@ -77,15 +77,15 @@
         await self._readiness.stop(0)
         await self._metrics.stop(0)
 
-
-def _make_limits(catalogue: Catalogue | None) -> HttpLimits:
-    if catalogue is None:
-        return HttpLimits(max_connections=MAX_CONNECTIONS)
-    limits = catalogue.limits
-    return HttpLimits(
-        head_bytes=limits.head_bytes,
-        body_bytes=limits.body_bytes,
-        head_seconds=limits.head_seconds,
-        idle_seconds=limits.idle_seconds + IDLE_MARGIN_SECONDS,
-        max_connections=MAX_CONNECTIONS,
-    )
+    def _make_caller_limits(self, catalogue: Catalogue | None) -> HttpLimits:
+        places = self._parts.settings.max_connections
+        if catalogue is None:
+            return HttpLimits(max_connections=places)
+        limits = catalogue.limits
+        return HttpLimits(
+            head_bytes=limits.head_bytes,
+            body_bytes=limits.body_bytes,
+            head_seconds=limits.head_seconds,
+            idle_seconds=limits.idle_seconds + IDLE_MARGIN_SECONDS,
+            max_connections=places,
+        )
--- a/src/lifttrestle/internal/fleet/settings.py
+++ b/src/lifttrestle/internal/fleet/settings.py
@@ -16,6 +16,9 @@
 
 from lifttrestle.internal.http.memory_budget import DEFAULT_MEMORY_BYTES
 
+DEFAULT_CONNECTIONS = 1500
+DEFAULT_CONTROL_CONNECTIONS = 100
+
 
 @dataclasses.dataclass(frozen=True)
 class StoreSettings:
@@ -73,6 +76,8 @@
     :ivar heartbeat_seconds: heartbeat interval of an upstream.
     :ivar memory_bytes: memory for all that callers and answers of upstreams
         make the router hold.
+    :ivar max_connections: connections of callers.
+    :ivar max_control_connections: those for readiness, and those for metrics.
     """
 
     vm: str
@@ -86,3 +91,5 @@
     store: StoreSettings
     promises: Promises
     memory_bytes: int = DEFAULT_MEMORY_BYTES
+    max_connections: int = DEFAULT_CONNECTIONS
+    max_control_connections: int = DEFAULT_CONTROL_CONNECTIONS
--- a/src/lifttrestle/internal/http/connection_tasks.py
+++ b/src/lifttrestle/internal/http/connection_tasks.py
@@ -52,13 +52,14 @@
         self,
         work: Coroutine[Any, Any, None],
         connection: Closable,
-    ) -> None:
+    ) -> asyncio.Task[None]:
         """Run ``work`` in a task, and close ``connection`` when it ends."""
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(
             lambda task: self._handle_done(task, connection)
         )
+        return task
 
     async def cancel(self) -> None:
         """Cancel all tasks and wait until they have ended."""
--- a/src/lifttrestle/internal/http/server_connection.py
+++ b/src/lifttrestle/internal/http/server_connection.py
@@ -16,6 +16,7 @@
 from collections.abc import AsyncIterator
 import contextlib
 import http
+from typing import TypeVar
 
 import h11
 
@@ -36,15 +37,20 @@
 from lifttrestle.internal.http.memory_budget import Claim
 from lifttrestle.internal.http.memory_budget import MemoryBudget
 from lifttrestle.internal.http.memory_budget import MemoryHolder
+from lifttrestle.internal.http.places import Occupation
+from lifttrestle.internal.http.places import Place
 from lifttrestle.internal.http.turns import Turns
 from lifttrestle.internal.refusal.kind import ErrorKind
 
 STATUS_HEAD_TOO_LARGE = 431
+T = TypeVar('T')
 # About half a millisecond of parsing.
 EVENTS_PER_TURN = 64
 # A caller that takes or sends nothing for so long makes no headway.
 STALLED_SECONDS = 1.0
-NO_MEMORY_RETRY_SECONDS = 1.0
+LACK_RETRY_SECONDS = 1.0
+MEMORY = 'memory'
+PLACE = 'connection'
 
 
 class ServerConnection(MemoryHolder):
@@ -82,7 +88,13 @@
         self._answering = 0
         # Set while a request is being received.
         self._reading: ReadTimeout | None = None
-        self._has_given_way = False
+        self._reading_since = 0.0
+        # Set once it waits for the caller to close.
+        self._is_lingering = False
+        # What there was none of for it, once it had to give way.
+        self._lack = ''
+        # Requests whose head was read completely.
+        self._requests = 0
         self._headway_at = asyncio.get_running_loop().time()
         protocol.on_received = self._note_received
         protocol.on_unsent = memory.note_growth
@@ -139,6 +151,7 @@
             event = await self._wait_for_head()
         if not isinstance(event, h11.Request):
             return None
+        self._requests += 1
         head = RequestHead(
             event.method.decode('ascii'),
             event.target.decode('latin-1'),
@@ -191,7 +204,7 @@
             self._stream.expect_head()
         body = self._body.take()
         if not self._memory.has_room_to_keep(len(body)):
-            raise _make_memory_refusal('body')
+            raise _make_lack_refusal(MEMORY, 'body')
         self._keep(len(body))
         return body
 
@@ -207,6 +220,7 @@
     @contextlib.asynccontextmanager
     async def _limit_reading(self, seconds: float) -> AsyncIterator[None]:
         """Limit the time of a read, which may have to give way meanwhile."""
+        self._reading_since = asyncio.get_running_loop().time()
         async with ReadTimeout(seconds) as self._reading:
             try:
                 yield
@@ -218,8 +232,8 @@
 
         :param late: what to say if time has run out.
         """
-        if self._has_given_way:
-            return _make_memory_refusal(field)
+        if self._lack:
+            return _make_lack_refusal(self._lack, field)
         return RequestRefused(ErrorKind.SLOW_REQUEST, late, field=field)
 
     def make_claim(self) -> Claim:
@@ -231,21 +245,57 @@
             + self._kept
             + self._answering
         )
-        quiet = asyncio.get_running_loop().time() - self._headway_at
         return Claim(
             size,
-            yields=not self._has_given_way
+            yields=not self._lack
             and (
                 self._reading is not None
                 or self._awaiting_request
                 or self._stream.is_writing_blocked
             ),
-            stalled=quiet >= STALLED_SECONDS,
+            stalled=self._is_stalled,
         )
 
+    @property
+    def _is_stalled(self) -> bool:
+        quiet = asyncio.get_running_loop().time() - self._headway_at
+        return quiet >= STALLED_SECONDS
+
     def give_way(self) -> None:
         """Refuse what is being received, or cut off a caller."""
-        self._has_given_way = True
+        self._give_way_for(MEMORY)
+
+    def give_place(self) -> None:
+        """Refuse what is being received, as a newcomer needs the place."""
+        self._give_way_for(PLACE)
+
+    def describe_place(self, holder: T) -> Place[T]:
+        """Return what the connection is there for, and since when."""
+        is_reading = self._reading is not None
+        return Place(
+            holder,
+            self._get_occupation(),
+            self._reading_since if is_reading else self._headway_at,
+            is_owed_answer=is_reading,
+        )
+
+    def _get_occupation(self) -> Occupation:
+        if self._is_lingering:
+            return Occupation.CLOSING
+        if self._stream.has_unread:
+            return Occupation.AT_WORK
+        if not self._requests:
+            return Occupation.NO_REQUEST
+        if self._awaiting_request:
+            return Occupation.IDLE
+        if self._reading is None:
+            return Occupation.AT_WORK
+        if self._is_stalled:
+            return Occupation.STALLED
+        return Occupation.RECEIVING
+
+    def _give_way_for(self, lack: str) -> None:
+        self._lack = lack
         if self._reading is None:
             self.abort()
             return
@@ -347,6 +397,7 @@
 
     async def close(self) -> None:
         """Close the connection after giving sent answers time to arrive."""
+        self._is_lingering = True
         await self._stream.close()
 
     async def _wait_for_bytes(self) -> bool:
@@ -366,7 +417,7 @@
 
     async def _next_event(self) -> object:
         while True:
-            if self._has_given_way:
+            if self._lack:
                 # Bytes are missing; the time of this read runs out.
                 raise TimeoutError
             event = self._parse()
@@ -430,12 +481,12 @@
         await self._stream.write(data)
 
 
-def _make_memory_refusal(field: str) -> RequestRefused:
+def _make_lack_refusal(lack: str, field: str) -> RequestRefused:
     return RequestRefused(
         ErrorKind.OVERLOADED,
-        f'this process has no memory for the {field} of the request',
+        f'this process has no {lack} for the {field} of the request',
         field=field,
-        retry_after=NO_MEMORY_RETRY_SECONDS,
+        retry_after=LACK_RETRY_SECONDS,
     )
 
 
--- a/src/lifttrestle/internal/platform/node_settings.py
+++ b/src/lifttrestle/internal/platform/node_settings.py
@@ -19,6 +19,8 @@
 from returns.result import Result
 from returns.result import Success
 
+from lifttrestle.internal.fleet.settings import DEFAULT_CONNECTIONS
+from lifttrestle.internal.fleet.settings import DEFAULT_CONTROL_CONNECTIONS
 from lifttrestle.internal.fleet.settings import FleetSettings
 from lifttrestle.internal.fleet.settings import Promises
 from lifttrestle.internal.fleet.settings import StoreSettings
@@ -31,6 +33,12 @@
 # A router at rest takes up to half of the smallest limits, and the rest of its
 # connections' state some more; a body is in memory twice when it is copied.
 HELD_SHARE = 0.15
+# Descriptors that are reserved for files; sockets share the others.
+FILE_DESCRIPTORS = 200
+# For connections of callers; the rest is for upstreams, other routers and the
+# store.
+CALLERS_SHARE = 0.4
+CONTROL_SHARE = 0.05
 # Numbers of the internal ports in use.
 PEERS_PORT = 0
 TUNNELS_PORT = 1
@@ -77,9 +85,11 @@
     """The limits of the machine.
 
     :ivar memory_mb: a process that exceeds it is killed; 0 if not known.
+    :ivar fd_limit: descriptors that a process may open; 0 if not known.
     """
 
     memory_mb: float = 0
+    fd_limit: float = 0
 
 
 class NodeRecord(msgspec.Struct):
@@ -180,9 +190,26 @@
             cap_slack=rules.quota_slack,
         ),
         memory_bytes=_get_memory_bytes(record.limits.memory_mb),
+        max_connections=_get_connections(
+            record.limits, CALLERS_SHARE, DEFAULT_CONNECTIONS
+        ),
+        max_control_connections=_get_connections(
+            record.limits, CONTROL_SHARE, DEFAULT_CONTROL_CONNECTIONS
+        ),
     )
 
 
+def _get_connections(limits: LimitsRecord, share: float, most: int) -> int:
+    """Return how many connections one listener may have.
+
+    :param share: of all sockets that the process may open.
+    """
+    if not limits.fd_limit:
+        return most
+    sockets = max(limits.fd_limit - FILE_DESCRIPTORS, 0)
+    return min(most, max(int(sockets * share), 1))
+
+
 def _get_memory_bytes(memory_mb: float) -> int:
     """Return the memory for what callers and answers make the router hold."""
     if not memory_mb:
