Log lines that wait for a reader have a bound in bytes

What could be seen: callers decide how long some lines are, as a refusal names its host and path; 8,000 lines might wait, whatever their length, 240 MB for heads of 30 KB, while the reader of the log is slow.

Cause: the bound counted lines. Change: 4 MiB as well; what does not fit is dropped and counted as before. Test: test_regression_long_lines_took_all_memory (30 MB waited before; nothing was dropped).

--- a/src/lifttrestle/internal/telemetry/line_output.py
+++ b/src/lifttrestle/internal/telemetry/line_output.py
@@ -16,8 +16,10 @@
 import os
 import select
 
-# Limit of the buffered lines: about 2 MB.
+# Limits of the buffered lines. Usual ones are short; a caller may put a long
+# text into some.
 MAX_LINES = 8000
+MAX_PENDING_BYTES = 4 * 1024 * 1024
 # A pipe that polls as writable accepts this many bytes without blocking.
 CHUNK_BYTES = select.PIPE_BUF
 MILLISECONDS = 1000
@@ -37,14 +39,18 @@
         self._poll = select.poll()
         self._poll.register(descriptor, select.POLLOUT)
         self._pending: collections.deque[bytes] = collections.deque()
+        self._pending_bytes = 0
         self.dropped = 0
 
     def put(self, line: str) -> None:
         """Buffer a line, or drop and count it if the buffer is full."""
-        if len(self._pending) >= MAX_LINES:
+        data = f'{line}\n'.encode()
+        size = self._pending_bytes + len(data)
+        if len(self._pending) >= MAX_LINES or size > MAX_PENDING_BYTES:
             self.dropped += 1
             return
-        self._pending.append(f'{line}\n'.encode())
+        self._pending.append(data)
+        self._pending_bytes = size
 
     def flush(self, wait_seconds: float = 0.0) -> None:
         """Write as many buffered lines as the descriptor accepts.
@@ -59,21 +65,26 @@
                 # The reader is gone, so the error can't be logged either.
                 self.dropped += len(self._pending) + 1
                 self._pending.clear()
+                self._pending_bytes = 0
 
     def _pop_chunk(self) -> bytes:
         """Remove and return the next bytes, at most ``CHUNK_BYTES``."""
         chunk = self._pending.popleft()
         if len(chunk) > CHUNK_BYTES:
             self._pending.appendleft(chunk[CHUNK_BYTES:])
+            self._pending_bytes -= CHUNK_BYTES
             return chunk[:CHUNK_BYTES]
         lines = [chunk]
         space = CHUNK_BYTES - len(chunk)
         while self._pending and len(self._pending[0]) <= space:
             lines.append(self._pending.popleft())
             space -= len(lines[-1])
-        return b''.join(lines)
+        joined = b''.join(lines)
+        self._pending_bytes -= len(joined)
+        return joined
 
     def _write(self, chunk: bytes) -> None:
         written = os.write(self._descriptor, chunk)
         if written < len(chunk):
             self._pending.appendleft(chunk[written:])
+            self._pending_bytes += len(chunk) - written
--- a/tests/cover/test_event_log.py
+++ b/tests/cover/test_event_log.py
@@ -38,6 +38,7 @@
 from lifttrestle.internal.telemetry.event_sink import SUMMARY_SECONDS
 from lifttrestle.internal.telemetry.line_output import LineOutput
 from lifttrestle.internal.telemetry.line_output import MAX_LINES
+from lifttrestle.internal.telemetry.line_output import MAX_PENDING_BYTES
 
 START = datetime.datetime(2026, 12, 2, tzinfo=datetime.timezone.utc)
 EXCESS = 50
@@ -202,6 +203,19 @@
         self.output.flush()
         self.assertEqual(self.read_all(), b'x' * 1_000_000 + b'\n')
 
+    def test_regression_long_lines_took_all_memory(self):
+        for _ in range(1000):
+            self.output.put('x' * 30_000)
+        self.assertGreater(self.output.dropped, 0)
+        size = len(self.read_all())
+        self.assertLessEqual(size, MAX_PENDING_BYTES)
+        # All of it may be used again once it was written.
+        dropped = self.output.dropped
+        for _ in range(100):
+            self.output.put('x' * 30_000)
+        self.assertEqual(self.output.dropped, dropped)
+        self.assertEqual(len(self.read_all()), 100 * 30_001)
+
     def test_lines_after_the_reader_closed_count_as_dropped(self):
         os.close(self.reading)
         for _ in range(3):
