lifttrestle router: answers being received count in the bound too

Answers of upstreams were bounded one by one there, 16 MB each; now they count with what callers hold, as at a fleet router, and the largest give way.

--- a/src/lifttrestle/internal/router/call.py
+++ b/src/lifttrestle/internal/router/call.py
@@ -24,6 +24,7 @@
 from lifttrestle.internal.http.client_connection import ClientConnection
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.head import ResponseHead
+from lifttrestle.internal.http.memory_budget import MemoryBudget
 from lifttrestle.internal.router.attempt import Attempt
 from lifttrestle.internal.router.parts import RouterParts
 from lifttrestle.internal.router.scope import RequestScope
@@ -37,11 +38,13 @@
     """An HTTP exchange whose answer has been read up to its head.
 
     :ivar stall_seconds: longest allowed pause between two parts of the body.
+    :ivar memory: the bound in which a body counts while it is received.
     """
 
     connection: ClientConnection
     head: ResponseHead
     stall_seconds: float
+    memory: MemoryBudget
 
     async def iterate_body(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body as they arrive.
@@ -65,15 +68,15 @@
         """Return the complete body.
 
         :raises UpstreamLost: as ``iterate_body``, or if the body exceeds
-            ``limit`` bytes.
+            ``limit`` bytes or has to give way to others.
         """
         chunks: list[bytes] = []
-        size = 0
-        async for part in self.iterate_body():
-            size += len(part)
-            if size > limit:
-                raise UpstreamLost(f'the answer exceeds {limit} bytes')
-            chunks.append(part)
+        with self.memory.hold(self.connection.close) as hold:
+            async for part in self.iterate_body():
+                chunks.append(part)
+                hold.resize(hold.size + len(part))
+                if hold.size > limit:
+                    raise UpstreamLost(f'the answer exceeds {limit} bytes')
         return b''.join(chunks)
 
 
@@ -105,7 +108,7 @@
                 parts, scope, connection, head, body
             )
             stall = parts.settings.deadlines.stall
-            return UpstreamCall(connection, answer, stall)
+            return UpstreamCall(connection, answer, stall, parts.memory)
         except UpstreamLost:
             connection.close()
             if not (reused and allow_reuse):
--- a/src/lifttrestle/internal/router/parts.py
+++ b/src/lifttrestle/internal/router/parts.py
@@ -20,6 +20,7 @@
 from lifttrestle.internal.admission.workspaces import WorkspaceLimits
 from lifttrestle.internal.clock.clock import Clock
 from lifttrestle.internal.configuration.keeper import ConfigurationKeeper
+from lifttrestle.internal.http.memory_budget import MemoryBudget
 from lifttrestle.internal.membership.peers import Peers
 from lifttrestle.internal.replay.recorder import TraceRecorder
 from lifttrestle.internal.router.background import BackgroundTasks
@@ -40,6 +41,7 @@
 
     :ivar source: the source of randomness for choices and ids.
     :ivar needed: recent durations of requests, by model or service.
+    :ivar memory: bound on what callers and answers make the process hold.
     :ivar recorder: records a trace of the requests, if enabled.
     """
 
@@ -60,4 +62,5 @@
     background: BackgroundTasks
     stop: PlannedStop
     needed: RecentDurations
+    memory: MemoryBudget
     recorder: TraceRecorder | None = None
--- a/src/lifttrestle/internal/router/process.py
+++ b/src/lifttrestle/internal/router/process.py
@@ -159,6 +159,7 @@
             background=BackgroundTasks(),
             stop=self._planned_stop,
             needed=RecentDurations(self._clock),
+            memory=MemoryBudget(settings.http.memory_bytes),
             recorder=self._make_recorder(),
         )
         intent = IntentService(
@@ -171,18 +172,17 @@
             load_tokens(settings.operators.tokens_file),
         )
         tls = settings.tls
-        memory = MemoryBudget(settings.http.memory_bytes)
         self._callers_server = HttpServer(
             CallerHandler(self._parts, self._readiness).handle,
             settings.http,
             _load_tls(tls.callers_certificate, tls.callers_key),
-            memory,
+            self._parts.memory,
         )
         self._operators_server = HttpServer(
             operators.handle,
             settings.http,
             _load_tls(tls.operators_certificate, tls.operators_key),
-            memory,
+            self._parts.memory,
         )
 
     def _make_loader(self) -> Loader:
--- a/tests/cover/test_engine_exchanges.py
+++ b/tests/cover/test_engine_exchanges.py
@@ -20,6 +20,7 @@
 from lifttrestle.errors import UpstreamLost
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.head import ResponseHead
+from lifttrestle.internal.http.memory_budget import MemoryBudget
 from lifttrestle.internal.router.call import UpstreamCall
 from lifttrestle.internal.router.generation_control import cancel_generation
 from lifttrestle.internal.router.generation_control import resume_stream
@@ -97,7 +98,9 @@
         self,
     ) -> None:
         connection: Any = self.pool.connection
-        call = UpstreamCall(connection, ResponseHead(400, ()), STALL_SECONDS)
+        call = UpstreamCall(
+            connection, ResponseHead(400, ()), STALL_SECONDS, MemoryBudget()
+        )
         exchange = ModelExchange.__new__(ModelExchange)
         with self.assertRaises(UpstreamLost):
             async with asyncio.timeout(TEST_SECONDS / 2):
--- a/tests/cover/test_read_timeout.py
+++ b/tests/cover/test_read_timeout.py
@@ -29,6 +29,7 @@
 from lifttrestle.internal.http.head import ResponseHead
 from lifttrestle.internal.http.json_client import JsonClient
 from lifttrestle.internal.http.limits import HttpLimits
+from lifttrestle.internal.http.memory_budget import MemoryBudget
 from lifttrestle.internal.http.server import HttpServer
 from lifttrestle.internal.http.server_connection import ServerConnection
 from lifttrestle.internal.router.call import UpstreamCall
@@ -167,8 +168,12 @@
         async def iterate_body() -> AsyncIterator[bytes]:
             yield await arrive_after_stall()
 
-        connection: Any = types.SimpleNamespace(iterate_body=iterate_body)
-        call = UpstreamCall(connection, ResponseHead(200, ()), LIMIT_SECONDS)
+        connection: Any = types.SimpleNamespace(
+            iterate_body=iterate_body, close=lambda: None
+        )
+        call = UpstreamCall(
+            connection, ResponseHead(200, ()), LIMIT_SECONDS, MemoryBudget()
+        )
         self.assertEqual(await call.read_body(1024), b'part')
 
 
