--- a/src/lifttrestle/internal/http/server.py
+++ b/src/lifttrestle/internal/http/server.py
@@ -27,8 +27,7 @@
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.limits import HttpLimits
 from lifttrestle.internal.http.memory_budget import MemoryBudget
-from lifttrestle.internal.http.places import choose_place
-from lifttrestle.internal.http.places import get_most_leaving
+from lifttrestle.internal.http.place_keeper import PlaceKeeper
 from lifttrestle.internal.http.receive_buffer import ReceiveBuffer
 from lifttrestle.internal.http.server_connection import ServerConnection
 from lifttrestle.internal.http.turns import Turns
@@ -81,14 +80,11 @@
         self._protocols: weakref.WeakSet[CallerProtocol] = weakref.WeakSet()
         # Tasks of connections that have answered their last request.
         self._closing: set[asyncio.Task[None]] = set()
-        # Tasks of connections that have no place: they were refused, or have
-        # given it to another.
-        self._leaving: set[asyncio.Task[None]] = set()
+        self._places = PlaceKeeper()
         # Set while no request is being served.
         self._idle = asyncio.Event()
         self._stopping = False
         self._aborted = 0
-        self._displaced = 0
 
     async def start(self, address: Address) -> Address:
         """Listen at ``address`` and return the address that was bound.
@@ -118,7 +114,7 @@
     @property
     def displaced(self) -> int:
         """Return the number of connections that made place for another."""
-        return self._displaced
+        return self._places.displaced
 
     def set_limits(self, limits: HttpLimits) -> None:
         """Set the limits for connections accepted from now on."""
@@ -231,43 +227,19 @@
         return not late
 
     def _accept(self, protocol: CallerProtocol) -> None:
-        placed = len(self._tasks) - len(self._leaving)
-        has_place = placed < self._limits.max_connections or self._make_place()
-        if not has_place and self._is_crowded:
+        limit = self._limits.max_connections
+        places = self._places
+        placed = len(self._tasks) - len(places.leaving)
+        has_place = placed < limit or places.make_place(
+            self._connections, limit
+        )
+        if not has_place and places.is_crowded(limit):
             protocol.transport.abort()
             return
         self._protocols.add(protocol)
         task = self._tasks.start(self._serve(protocol, has_place), protocol)
         if not has_place:
-            self._leaving.add(task)
-
-    def _make_place(self) -> bool:
-        """Let a connection give its place to a newcomer, if one may."""
-        place = choose_place(
-            connection.describe_place(task)
-            for task, connection in self._connections.items()
-            if task not in self._leaving
-        )
-        if place is None:
-            return False
-        self._displaced += 1
-        connection = self._connections[place.holder]
-        is_crowded = self._is_crowded
-        self._leaving.add(place.holder)
-        if place.is_owed_answer and not is_crowded:
-            connection.give_place()
-        else:
-            # What arrives from now on is not read, so that the caller is told
-            # by a reset.
-            connection.pause_reading()
-            place.holder.cancel()
-        return True
-
-    @property
-    def _is_crowded(self) -> bool:
-        """Return whether as many connections leave as may."""
-        limit = self._limits.max_connections
-        return len(self._leaving) >= get_most_leaving(limit)
+            places.leaving.add(task)
 
     async def _serve(self, protocol: CallerProtocol, has_place: bool) -> None:
         task = asyncio.current_task()
@@ -291,7 +263,7 @@
             connection.release()
             del self._connections[task]
             self._closing.discard(task)
-            self._leaving.discard(task)
+            self._places.leaving.discard(task)
 
     async def _refuse_connection(self, connection: ServerConnection) -> None:
         limit = self._limits.max_connections
--- a/src/lifttrestle/internal/http/server_connection.py
+++ b/src/lifttrestle/internal/http/server_connection.py
@@ -13,42 +13,31 @@
 """Server side of HTTP/1.1 connections."""
 
 import asyncio
-from collections.abc import AsyncIterator
-import contextlib
 import http
 from typing import TypeVar
 
 import h11
 
 from lifttrestle.errors import CallerGone
-from lifttrestle.errors import RequestRefused
-from lifttrestle.internal.clock.read_timeout import ReadTimeout
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.answer import Header
-from lifttrestle.internal.http.body_buffer import BodyBuffer
 from lifttrestle.internal.http.body_parts import split_body
 from lifttrestle.internal.http.caller_protocol import CallerProtocol
 from lifttrestle.internal.http.caller_stream import CallerStream
-from lifttrestle.internal.http.head import decode_headers
 from lifttrestle.internal.http.head import RequestHead
-from lifttrestle.internal.http.head_checks import check_head
-from lifttrestle.internal.http.head_checks import make_body_refusal
 from lifttrestle.internal.http.limits import HttpLimits
 from lifttrestle.internal.http.memory_budget import Claim
 from lifttrestle.internal.http.memory_budget import MemoryBudget
 from lifttrestle.internal.http.memory_budget import MemoryHolder
 from lifttrestle.internal.http.places import Occupation
 from lifttrestle.internal.http.places import Place
+from lifttrestle.internal.http.request_reader import make_lack_refusal
+from lifttrestle.internal.http.request_reader import RequestReader
 from lifttrestle.internal.http.turns import Turns
-from lifttrestle.internal.refusal.kind import ErrorKind
 
-STATUS_HEAD_TOO_LARGE = 431
 T = TypeVar('T')
-# About half a millisecond of parsing.
-EVENTS_PER_TURN = 64
 # A caller that takes or sends nothing for so long makes no headway.
 STALLED_SECONDS = 1.0
-LACK_RETRY_SECONDS = 1.0
 MEMORY = 'memory'
 PLACE = 'connection'
 
@@ -74,36 +63,23 @@
         turns: Turns,
     ) -> None:
         self._stream = CallerStream(protocol, limits)
-        self._limits = limits
         self._memory = memory
-        self._turns = turns
-        # Events since the last turn.
-        self._events = 0
-        # Whether the current request had arrived when the last one ended.
-        self._is_ahead = False
-        self._body = BodyBuffer()
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.head_bytes
+        )
+        self._requests = RequestReader(self._stream, self._h11, limits, turns)
         # Bytes of the complete body, until its exchange has ended.
         self._kept = 0
         # Bytes of an answer that is being sent.
         self._answering = 0
-        # Set while a request is being received.
-        self._reading: ReadTimeout | None = None
-        self._reading_since = 0.0
+        self._closing = False
         # Set once it waits for the caller to close.
         self._is_lingering = False
-        # What there was none of for it, once it had to give way.
-        self._lack = ''
-        # Requests whose head was read completely.
-        self._requests = 0
+        self._is_cut_off = False
         self._headway_at = asyncio.get_running_loop().time()
         protocol.on_received = self._note_received
         protocol.on_unsent = memory.note_growth
         memory.add(self)
-        self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.head_bytes
-        )
-        self._closing = False
-        self._awaiting_request = False
 
     @property
     def peer(self) -> str:
@@ -115,6 +91,11 @@
         """Return whether the head of the current answer has been sent."""
         return self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
 
+    @property
+    def awaiting_request(self) -> bool:
+        """Return whether it awaits the first byte of a request."""
+        return self._requests.awaits_request
+
     def close_after_answer(self) -> None:
         """Close after the current answer, announced by ``Connection: close``.
 
@@ -122,11 +103,6 @@
         """
         self._closing = True
 
-    @property
-    def awaiting_request(self) -> bool:
-        """Return whether it awaits the first byte of a request."""
-        return self._awaiting_request
-
     def pause_reading(self) -> bool:
         """Pause reading from the socket; return whether it was active."""
         return self._stream.pause_reading()
@@ -140,49 +116,14 @@
 
         :return: None if no request follows: the caller closed or reset the
             connection, or it was idle for too long.
-
-        :raises RequestRefused: if the head is malformed, too large or slow.
+        :raises RequestRefused: if the head is malformed, too large or slow, or
+            had to give way.
         """
-        self._is_ahead = self._has_received
-        if not await self._wait_for_bytes():
-            return None
-        event = self._parse()
-        if event is h11.NEED_DATA:
-            event = await self._wait_for_head()
-        if not isinstance(event, h11.Request):
-            return None
-        self._requests += 1
-        head = RequestHead(
-            event.method.decode('ascii'),
-            event.target.decode('latin-1'),
-            decode_headers(event.headers),
-        )
-        try:
-            check_head(head, self._limits)
-        except RequestRefused:
-            self._closing = True
-            raise
-        return head
-
-    @property
-    def _has_received(self) -> bool:
-        return bool(self._h11.trailing_data[0]) or self._stream.has_unread
+        return await self._requests.read_head()
 
     async def take_turn_if_ahead(self) -> None:
         """Let others go first if the current request was sent ahead."""
-        if self._is_ahead:
-            await self._turns.take()
-
-    async def _wait_for_head(self) -> object:
-        try:
-            async with self._limit_reading(self._limits.head_seconds):
-                return await self._next_event()
-        except TimeoutError:
-            raise self._make_read_refusal(
-                'the head of the request did not arrive within'
-                f' {self._limits.head_seconds:g} s',
-                'head',
-            ) from None
+        await self._requests.take_turn_if_ahead()
 
     async def read_body(self) -> bytes:
         """Return the complete body of the current request.
@@ -190,133 +131,12 @@
         :raises RequestRefused: if the body is malformed, too large or slow, or
             if there is no memory for it.
         """
-        self._stream.expect_body()
-        try:
-            async with self._limit_reading(self._limits.body_seconds):
-                await self._collect_body()
-        except TimeoutError:
-            raise self._make_read_refusal(
-                f'the body stopped after {self._body.size} bytes and was not'
-                f' complete within {self._limits.body_seconds:g} s',
-                'body',
-            ) from None
-        finally:
-            self._stream.expect_head()
-        body = self._body.take()
+        body = await self._requests.read_body()
         if not self._memory.has_room_to_keep(len(body)):
-            raise _make_lack_refusal(MEMORY, 'body')
+            raise make_lack_refusal(MEMORY, 'body')
         self._keep(len(body))
         return body
 
-    async def _collect_body(self) -> None:
-        limit = self._limits.body_bytes
-        async for part in self._iterate_body():
-            size = self._body.size + len(part)
-            if size > limit:
-                self._closing = True
-                raise make_body_refusal(size, limit)
-            self._body.add(part)
-
-    @contextlib.asynccontextmanager
-    async def _limit_reading(self, seconds: float) -> AsyncIterator[None]:
-        """Limit the time of a read, which may have to give way meanwhile."""
-        self._reading_since = asyncio.get_running_loop().time()
-        async with ReadTimeout(seconds) as self._reading:
-            try:
-                yield
-            finally:
-                self._reading = None
-
-    def _make_read_refusal(self, late: str, field: str) -> RequestRefused:
-        """Return why a request was not received.
-
-        :param late: what to say if time has run out.
-        """
-        if self._lack:
-            return _make_lack_refusal(self._lack, field)
-        return RequestRefused(ErrorKind.SLOW_REQUEST, late, field=field)
-
-    def make_claim(self) -> Claim:
-        """Return what it holds, and whether it may have to give way."""
-        size = (
-            self._stream.buffered
-            + len(self._h11.trailing_data[0])
-            + self._body.size
-            + self._kept
-            + self._answering
-        )
-        return Claim(
-            size,
-            yields=not self._lack
-            and (
-                self._reading is not None
-                or self._awaiting_request
-                or self._stream.is_writing_blocked
-            ),
-            stalled=self._is_stalled,
-        )
-
-    @property
-    def _is_stalled(self) -> bool:
-        quiet = asyncio.get_running_loop().time() - self._headway_at
-        return quiet >= STALLED_SECONDS
-
-    def give_way(self) -> None:
-        """Refuse what is being received, or cut off a caller."""
-        self._give_way_for(MEMORY)
-
-    def give_place(self) -> None:
-        """Refuse what is being received, as a newcomer needs the place."""
-        self._give_way_for(PLACE)
-
-    def describe_place(self, holder: T) -> Place[T]:
-        """Return what the connection is there for, and since when."""
-        is_reading = self._reading is not None
-        return Place(
-            holder,
-            self._get_occupation(),
-            self._reading_since if is_reading else self._headway_at,
-            is_owed_answer=is_reading,
-        )
-
-    def _get_occupation(self) -> Occupation:
-        if self._is_lingering:
-            return Occupation.CLOSING
-        if self._stream.has_unread:
-            return Occupation.AT_WORK
-        if not self._requests:
-            return Occupation.NO_REQUEST
-        if self._awaiting_request:
-            return Occupation.IDLE
-        if self._reading is None:
-            return Occupation.AT_WORK
-        if self._is_stalled:
-            return Occupation.STALLED
-        return Occupation.RECEIVING
-
-    def _give_way_for(self, lack: str) -> None:
-        self._lack = lack
-        if self._reading is None:
-            self.abort()
-            return
-        self._closing = True
-        self._body.clear()
-        self._stream.discard_received()
-        self._reading.expire()
-
-    def release(self) -> None:
-        """Hold nothing any more, as the connection has ended."""
-        self._keep(0)
-        self._memory.discard(self)
-
-    def _keep(self, size: int) -> None:
-        self._memory.kept += size - self._kept
-        self._kept = size
-
-    def _note_received(self, size: int) -> None:
-        self._headway_at = asyncio.get_running_loop().time()
-        self._memory.note_growth(size)
-
     async def wait_disconnected(self) -> None:
         """Wait until the caller closes or resets the connection.
 
@@ -361,7 +181,7 @@
         all_headers = list(headers)
         if self._h11.their_state not in (h11.DONE, h11.MUST_CLOSE):
             self._closing = True
-        if self._closing:
+        if self._closing or self._requests.must_close:
             all_headers.append(('connection', 'close'))
         return h11.Response(
             status_code=status,
@@ -382,7 +202,7 @@
 
     def start_next_cycle(self) -> bool:
         """Prepare for the next request; return False if there is none."""
-        if self._closing:
+        if self._closing or self._requests.must_close:
             return False
         states = (self._h11.our_state, self._h11.their_state)
         if states != (h11.DONE, h11.DONE):
@@ -400,75 +220,86 @@
         self._is_lingering = True
         await self._stream.close()
 
-    async def _wait_for_bytes(self) -> bool:
-        if self._h11.trailing_data[0]:
-            return True
-        self._awaiting_request = True
-        try:
-            data = await self._stream.read_before_idle_limit()
-        except OSError:
-            return False
-        finally:
-            self._awaiting_request = False
-        if not data:
-            return False
-        self._h11.receive_data(data)
-        return True
+    def release(self) -> None:
+        """Hold nothing any more, as the connection has ended."""
+        self._keep(0)
+        self._memory.discard(self)
 
-    async def _next_event(self) -> object:
-        while True:
-            if self._lack:
-                # Bytes are missing; the time of this read runs out.
-                raise TimeoutError
-            event = self._parse()
-            if event is not h11.NEED_DATA:
-                await self._count_event()
-                return event
-            if self._h11.they_are_waiting_for_100_continue:
-                await self._send(
-                    h11.InformationalResponse(status_code=100, headers=[])
-                )
-            try:
-                data = await self._stream.read()
-            except OSError as error:
-                raise CallerGone('the caller reset its connection') from error
-            self._h11.receive_data(data)
-
-    async def _count_event(self) -> None:
-        """Let others go first after some events.
-
-        :raises CallerGone: if nobody waits for the rest any more.
-        """
-        self._events += 1
-        if self._events < EVENTS_PER_TURN:
+    def make_claim(self) -> Claim:
+        """Return what it holds, and whether it may have to give way."""
+        requests = self._requests
+        size = (
+            self._stream.buffered
+            + requests.held
+            + self._kept
+            + self._answering
+        )
+        waits_for_caller = (
+            requests.is_receiving
+            or requests.awaits_request
+            or self._stream.is_writing_blocked
+        )
+        has_given_way = bool(requests.lack) or self._is_cut_off
+        return Claim(
+            size,
+            yields=waits_for_caller and not has_given_way,
+            stalled=self._is_stalled,
+        )
+
+    def give_way(self) -> None:
+        """Refuse what is being received, or cut off a caller."""
+        self._give_way_for(MEMORY)
+
+    def give_place(self) -> None:
+        """Refuse what is being received, as a newcomer needs the place."""
+        self._give_way_for(PLACE)
+
+    def _give_way_for(self, lack: str) -> None:
+        if self._requests.is_receiving:
+            self._requests.give_way(lack)
             return
-        self._events = 0
-        await self._turns.take()
-        if self._stream.is_lost:
-            raise CallerGone('the caller reset its connection')
+        self._is_cut_off = True
+        self.abort()
 
-    def _parse(self) -> object:
-        try:
-            return self._h11.next_event()
-        except h11.RemoteProtocolError as error:
-            kind = ErrorKind.MALFORMED_REQUEST
-            if error.error_status_hint == STATUS_HEAD_TOO_LARGE:
-                kind = ErrorKind.HEAD_TOO_LARGE
-            raise RequestRefused(
-                kind, f'the request is not valid HTTP/1.1: {error}'
-            ) from error
-
-    async def _iterate_body(self) -> AsyncIterator[bytes]:
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.Data):
-                yield event.data
-                continue
-            if isinstance(event, h11.EndOfMessage):
-                return
-            raise CallerGone(
-                'the caller disconnected before its body was complete'
-            )
+    def describe_place(self, holder: T) -> Place[T]:
+        """Return what the connection is there for, and since when."""
+        requests = self._requests
+        is_receiving = requests.is_receiving
+        return Place(
+            holder,
+            self._get_occupation(),
+            requests.began_at if is_receiving else self._headway_at,
+            is_owed_answer=is_receiving,
+        )
+
+    def _get_occupation(self) -> Occupation:
+        requests = self._requests
+        if self._is_lingering:
+            return Occupation.CLOSING
+        if self._stream.has_unread:
+            return Occupation.AT_WORK
+        if not requests.requests:
+            return Occupation.NO_REQUEST
+        if requests.awaits_request:
+            return Occupation.IDLE
+        if not requests.is_receiving:
+            return Occupation.AT_WORK
+        if self._is_stalled:
+            return Occupation.STALLED
+        return Occupation.RECEIVING
+
+    @property
+    def _is_stalled(self) -> bool:
+        quiet = asyncio.get_running_loop().time() - self._headway_at
+        return quiet >= STALLED_SECONDS
+
+    def _note_received(self, size: int) -> None:
+        self._headway_at = asyncio.get_running_loop().time()
+        self._memory.note_growth(size)
+
+    def _keep(self, size: int) -> None:
+        self._memory.kept += size - self._kept
+        self._kept = size
 
     async def _send(self, *events: h11.Event) -> None:
         try:
@@ -481,15 +312,6 @@
         await self._stream.write(data)
 
 
-def _make_lack_refusal(lack: str, field: str) -> RequestRefused:
-    return RequestRefused(
-        ErrorKind.OVERLOADED,
-        f'this process has no {lack} for the {field} of the request',
-        field=field,
-        retry_after=LACK_RETRY_SECONDS,
-    )
-
-
 def _get_reason_phrase(status: int) -> bytes:
     try:
         return http.HTTPStatus(status).phrase.encode()
--- a/tests/cover/test_turns.py
+++ b/tests/cover/test_turns.py
@@ -20,8 +20,9 @@
 from lifttrestle.internal.http.answer import Answer
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.limits import HttpLimits
+from lifttrestle.internal.http.request_reader import EVENTS_PER_TURN
+from lifttrestle.internal.http.request_reader import RequestReader
 from lifttrestle.internal.http.server import HttpServer
-from lifttrestle.internal.http.server_connection import EVENTS_PER_TURN
 from lifttrestle.internal.http.server_connection import ServerConnection
 
 HEAD = b'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n'
@@ -35,13 +36,13 @@
     async def asyncSetUp(self):
         self.events = 0
         self.requests = 0
-        parse = ServerConnection._parse
+        parse = RequestReader._parse
 
-        def count(connection):
+        def count(reader):
             self.events += 1
-            return parse(connection)
+            return parse(reader)
 
-        self.enterContext(mock.patch.object(ServerConnection, '_parse', count))
+        self.enterContext(mock.patch.object(RequestReader, '_parse', count))
         server = HttpServer(self.handle, HttpLimits())
         self.address = await server.start(Address('127.0.0.1', 0))
         self.addAsyncCleanup(server.stop, 0)
