Large bodies that are kept leave room for small ones

A crowd of complete large bodies may keep three quarters of the bound while their requests run; a small body of anybody else was refused then, as the rule was the same for all sizes. Bodies up to 16 KiB may now use all of it. What an unfinished body held is freed when it is refused, not when its connection has ended. Tests: test_large_bodies_leave_room_for_small_ones (failed before).

--- a/src/lifttrestle/internal/http/memory_budget.py
+++ b/src/lifttrestle/internal/http/memory_budget.py
@@ -27,8 +27,10 @@
 # Once too much is held, holders give way until no more than this is, so that
 # not every further byte has all of them measured.
 LOW_SHARE = 0.875
-# Complete bodies never give way. What they leave is for those that arrive.
+# Complete bodies never give way. What they leave is for those that arrive, and
+# for small ones, so that large ones don't keep all other callers out.
 KEPT_SHARE = 0.75
+SMALL_BODY_BYTES = 16 * 1024
 
 
 @dataclasses.dataclass(frozen=True)
@@ -124,7 +126,9 @@
 
     def has_room_to_keep(self, size: int) -> bool:
         """Return whether a complete body may be kept."""
-        return self.kept + size <= self.largest_body
+        is_small = size <= SMALL_BODY_BYTES
+        most = self.capacity if is_small else self.largest_body
+        return self.kept + size <= most
 
     def _enforce(self) -> None:
         claims = [(item, item.make_claim()) for item in self._holders]
--- a/src/lifttrestle/internal/http/request_reader.py
+++ b/src/lifttrestle/internal/http/request_reader.py
@@ -128,6 +128,7 @@
         try:
             async with self._limit(self._limits.body_seconds):
                 await self._collect_body()
+            return self._body.take()
         except TimeoutError:
             raise self._make_refusal(
                 f'the body stopped after {self._body.size} bytes and was not'
@@ -135,8 +136,8 @@
                 'body',
             ) from None
         finally:
+            self._body.clear()
             self._stream.expect_head()
-        return self._body.take()
 
     def give_way(self, lack: str) -> None:
         """Forget what was received and refuse it.
--- a/tests/cover/test_memory_budget.py
+++ b/tests/cover/test_memory_budget.py
@@ -12,7 +12,9 @@
 
 import unittest
 
+from lifttrestle.internal.http.memory_budget import Claim
 from lifttrestle.internal.http.memory_budget import MemoryBudget
+from lifttrestle.internal.http.memory_budget import order_by_duty
 
 
 class TestMemoryBudget(unittest.TestCase):
@@ -47,6 +49,29 @@
         hold.resize(200)
         self.assertEqual(self.budget.held, 0)
 
+    def test_large_bodies_leave_room_for_small_ones(self):
+        budget = MemoryBudget(100_000)
+        self.assertTrue(budget.has_room_to_keep(75_000))
+        self.assertFalse(budget.has_room_to_keep(75_001))
+        budget.kept = 75_000
+        self.assertFalse(budget.has_room_to_keep(20_000))
+        self.assertTrue(budget.has_room_to_keep(500))
+        budget.kept = 99_600
+        self.assertFalse(budget.has_room_to_keep(500))
+
+    def test_what_makes_no_headway_comes_first(self):
+        claims = {
+            'large': Claim(90),
+            'stalled': Claim(10, stalled=True),
+            'small': Claim(20),
+            'runs': Claim(200, yields=False, stalled=True),
+            'empty': Claim(0, stalled=True),
+        }
+        ordered = order_by_duty(claims.items())
+        self.assertEqual(
+            [name for name, _ in ordered], ['stalled', 'large', 'small']
+        )
+
     def test_completed_answer_is_released(self):
         with self.budget.hold(lambda: None) as hold:
             hold.resize(70)
