Connections to callers and to upstreams share their base

byte_stream.py and caller_protocol.py had the same buffer, waiters, pauses and record of a loss; both are now SocketProtocol. An error of a loss is made anew each time it is raised, so that none keeps the frames of an earlier one alive. Whether a caller was cut off is read from its transport, not kept beside it. Two methods of the protocol had only tests, or a second check, to call them; the tests use the transport now. One function of the tests sends a request over a new connection where two did.

--- a/src/lifttrestle/internal/http/byte_stream.py
+++ b/src/lifttrestle/internal/http/byte_stream.py
@@ -18,10 +18,9 @@
 
 from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.http.receive_buffer import ReceiveBuffer
+from lifttrestle.internal.http.socket_protocol import SocketProtocol
 from lifttrestle.internal.http.stream import Stream
 
-# Reading from the socket pauses while so many bytes are unread, so that
-# TCP flow control slows the peer down.
 MAX_BUFFER_BYTES = 32 * 1024
 _RECEIVE_BUFFER = ReceiveBuffer(MAX_BUFFER_BYTES)
 # TCP_USER_TIMEOUT: the kernel closes a connection whose sent bytes stay
@@ -37,21 +36,11 @@
 KEEPALIVE_PROBES = 2
 
 
-class ByteStream(asyncio.BufferedProtocol, Stream):
-    """Reads and writes one TCP connection.
-
-    Only one task may read, and one may write, at a time.
-    """
+class ByteStream(SocketProtocol, Stream):
+    """Reads and writes one TCP connection to an upstream."""
 
     def __init__(self) -> None:
-        self._transport: asyncio.Transport | None = None
-        self._buffer = bytearray()
-        self._at_eof = False
-        self._error: OSError | None = None
-        self._data_waiter: asyncio.Future[None] | None = None
-        self._drain_waiter: asyncio.Future[None] | None = None
-        self._reading_paused = False
-        self._writing_paused = False
+        super().__init__(_RECEIVE_BUFFER, MAX_BUFFER_BYTES)
 
     @classmethod
     async def open(
@@ -75,28 +64,15 @@
             transport is not None
             and not transport.is_closing()
             and not self._at_eof
-            and not self._buffer
-            and transport.get_write_buffer_size() == 0
+            and not self.unread
+            and not self.unsent
         )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set the timeouts of its socket."""
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
+        super().connection_made(transport)
         set_tcp_timeouts(transport)
 
-    def get_buffer(self, sizehint: int) -> memoryview:
-        """Return where to receive bytes, no more than may be buffered."""
-        return _RECEIVE_BUFFER.get_part(MAX_BUFFER_BYTES - len(self._buffer))
-
-    def buffer_updated(self, nbytes: int) -> None:
-        """Buffer received bytes, and pause reading if the buffer is full."""
-        self._buffer += _RECEIVE_BUFFER.get_part(nbytes)
-        if len(self._buffer) >= MAX_BUFFER_BYTES and not self._reading_paused:
-            self._reading_paused = True
-            self._get_transport().pause_reading()
-        _wake(self._data_waiter)
-
     def eof_received(self) -> bool:
         """Record the end of the stream, and let the transport close.
 
@@ -104,44 +80,23 @@
         all that was sent.
         """
         self._at_eof = True
-        _wake(self._data_waiter)
-        _wake(self._drain_waiter)
+        self._wake_reader()
+        self._wake_writer()
         return False
 
-    def connection_lost(self, error: Exception | None) -> None:
-        """Record the error, if any, and wake the reader and the writer."""
-        self._at_eof = True
-        if error is not None:
-            self._error = OSError(f'the connection was lost: {error}')
-        _wake(self._data_waiter)
-        _wake(self._drain_waiter)
-
-    def pause_writing(self) -> None:
-        """Block writers: the write buffer is over its high-water mark."""
-        self._writing_paused = True
-
-    def resume_writing(self) -> None:
-        """Unblock writers: the write buffer has been drained."""
-        self._writing_paused = False
-        _wake(self._drain_waiter)
-
     async def read(self) -> bytes:
         """Return all buffered bytes, waiting if there are none.
 
+        What was received before the connection was lost is returned first.
+
         :return: empty at the end of the stream.
         :raises OSError: if the connection was lost.
         """
-        while not self._buffer and not self._at_eof:
-            self._data_waiter = asyncio.get_running_loop().create_future()
-            await self._data_waiter
-        if self._buffer:
-            data = bytes(self._buffer)
-            self._buffer.clear()
-            self._resume_reading()
-            return data
-        if self._error is not None:
-            raise self._error
-        return b''
+        while not self._received and not self._at_eof:
+            await self._wait_received()
+        if not self._received:
+            self._check_failure()
+        return self._take_received()
 
     async def write(self, data: bytes) -> None:
         """Write ``data``, and wait while the write buffer is too full.
@@ -151,34 +106,16 @@
 
         :raises OSError: if the connection was lost.
         """
-        self._get_transport().write(data)
+        self.transport.write(data)
         while self._writing_paused and not self._at_eof:
-            self._drain_waiter = asyncio.get_running_loop().create_future()
-            await self._drain_waiter
-        if self._error is not None:
-            raise self._error
+            await self._wait_sent()
+        self._check_failure()
 
     def abort(self) -> None:
         """Close the connection at once, discarding unsent bytes."""
         if self._transport is not None:
             self._transport.abort()
 
-    def _resume_reading(self) -> None:
-        transport = self._get_transport()
-        if self._reading_paused and not transport.is_closing():
-            self._reading_paused = False
-            transport.resume_reading()
-
-    def _get_transport(self) -> asyncio.Transport:
-        if self._transport is None:
-            raise OSError('the connection is not open')
-        return self._transport
-
-
-def _wake(waiter: 'asyncio.Future[None] | None') -> None:
-    if waiter is not None and not waiter.done():
-        waiter.set_result(None)
-
 
 def set_tcp_timeouts(transport: asyncio.BaseTransport) -> None:
     """Set the TCP user timeout and keepalive of a connection's socket.
--- a/src/lifttrestle/internal/http/caller_stream.py
+++ b/src/lifttrestle/internal/http/caller_stream.py
@@ -20,8 +20,8 @@
 from lifttrestle.internal.http.caller_protocol import BODY_READ_BYTES
 from lifttrestle.internal.http.caller_protocol import CallerProtocol
 from lifttrestle.internal.http.caller_protocol import HEAD_READ_BYTES
-from lifttrestle.internal.http.caller_protocol import Pause
 from lifttrestle.internal.http.limits import HttpLimits
+from lifttrestle.internal.http.socket_protocol import Pause
 from lifttrestle.internal.telemetry.event_log import get_event_log
 
 LOG = get_event_log('http')
@@ -180,7 +180,7 @@
         # rest of the request is read and discarded.
         if not self._transport.can_write_eof():
             return
-        self._protocol.write_eof()
+        self._transport.write_eof()
         try:
             async with asyncio.timeout(1.0):
                 while await self.read():
--- a/src/lifttrestle/internal/http/server_connection.py
+++ b/src/lifttrestle/internal/http/server_connection.py
@@ -75,7 +75,6 @@
         self._closing = False
         # Set once it waits for the caller to close.
         self._is_lingering = False
-        self._is_cut_off = False
         self._headway_at = asyncio.get_running_loop().time()
         protocol.on_received = self._note_received
         protocol.on_unsent = memory.note_growth
@@ -239,7 +238,7 @@
             or requests.awaits_request
             or self._stream.is_writing_blocked
         )
-        has_given_way = bool(requests.lack) or self._is_cut_off
+        has_given_way = bool(requests.lack) or self._stream.is_lost
         return Claim(
             size,
             yields=waits_for_caller and not has_given_way,
@@ -258,7 +257,6 @@
         if self._requests.is_receiving:
             self._requests.give_way(lack)
             return
-        self._is_cut_off = True
         self.abort()
 
     def describe_place(self, holder: T) -> Place[T]:
--- a/tests/cover/test_http_server.py
+++ b/tests/cover/test_http_server.py
@@ -251,7 +251,7 @@
     async def handle(
         self, connection: ServerConnection, _head: RequestHead
     ) -> None:
-        raw = connection._stream._protocol.get_extra_info('socket')
+        raw = connection._stream._protocol.transport.get_extra_info('socket')
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         await connection.send_answer(Answer(200, (), b'x' * ANSWER_BYTES))
         self.answered.set()
--- a/tests/nocover/test_unframed_answers.py
+++ b/tests/nocover/test_unframed_answers.py
@@ -56,7 +56,7 @@
         if self.resets:
             # A close without lingering resets the connection.
             linger = struct.pack('ii', 1, 0)
-            sock = writer.get_extra_info('socket')
+            sock = writer.transport.get_extra_info('socket')
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
             connection.abort()
         else:
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -114,24 +114,15 @@
         request_id: str = 'r1',
     ) -> Answer:
         """Send one request over a new connection."""
-        connection = await ClientConnection.open(
-            self.router.callers_address, WAIT_SECONDS
-        )
         sent: tuple[Header, ...] = (
             ('host', 'shop.example'),
             ('request-id', request_id),
             *((('authorization', f'Token {key}'),) if key else ()),
             *headers,
         )
-        try:
-            await connection.send_request(
-                RequestHead(method, path, sent), body
-            )
-            head = await connection.read_head()
-            data = await connection.read_body(1_000_000)
-        finally:
-            connection.close()
-        return Answer(head.status, head.headers, data)
+        return await exchange(
+            self.router.callers_address, RequestHead(method, path, sent), body
+        )
 
     async def generate(
         self, route: str, wait_ms: int = 0, **fields: object
@@ -167,6 +158,20 @@
         self.store.put('servers', upstream.instance, entry)
 
 
+async def exchange(
+    address: Address, head: RequestHead, body: bytes = b''
+) -> Answer:
+    """Send one request over a new connection and return its answer."""
+    connection = await ClientConnection.open(address, WAIT_SECONDS)
+    try:
+        await connection.send_request(head, body)
+        answer = await connection.read_head()
+        data = await connection.read_body(1_000_000)
+    finally:
+        connection.close()
+    return Answer(answer.status, answer.headers, data)
+
+
 async def wait_until(condition: object) -> None:
     """Wait until a condition holds, up to WAIT_SECONDS."""
     async with asyncio.timeout(WAIT_SECONDS):
--- a/tests/support/isolated_router.py
+++ b/tests/support/isolated_router.py
@@ -24,11 +24,11 @@
 from lifttrestle.errors import LifttrestleError
 from lifttrestle.internal.http.address import Address
 from lifttrestle.internal.http.answer import Answer
-from lifttrestle.internal.http.client_connection import ClientConnection
 from lifttrestle.internal.http.head import RequestHead
 from lifttrestle.internal.http.server_connection import ServerConnection
 from tests.support.entries import make_entry
 from tests.support.fleet import CONFIGURATION
+from tests.support.fleet import exchange
 from tests.support.fleet_store import FleetStoreStandin
 from tests.support.fleet_upstream import Behaviour
 from tests.support.fleet_upstream import FleetUpstreamStandin
@@ -161,16 +161,9 @@
 async def call(
     address: Address, head: RequestHead, body: bytes = b''
 ) -> Answer:
-    """Send one request over a new connection and return its answer."""
-    connection = await ClientConnection.open(address, TRY_SECONDS)
-    try:
-        async with asyncio.timeout(TRY_SECONDS):
-            await connection.send_request(head, body)
-            answer = await connection.read_head()
-            data = await connection.read_body(10_000_000)
-    finally:
-        connection.close()
-    return Answer(answer.status, answer.headers, data)
+    """Send one request over a new connection, within a time."""
+    async with asyncio.timeout(TRY_SECONDS):
+        return await exchange(address, head, body)
 
 
 async def call_until_served(
