--- a/review/6/case.py
+++ b/review/6/case.py
@@ -14,7 +14,7 @@
 AFTER_SECONDS = 15.0
 SHEETS = 48
 SHARED_TOKENS = 6300
-OWN_TOKENS = 300
+OWN_TOKENS = 250
 OUT_TOKENS = 10
 # One request in so many goes to the service without a model.
 PLAIN_EACH = 5
